--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated state of a region: configuration, roster, leases and ledger.
--- /dev/null
+++ b/crates/disk/src/lib.rs
@@ -0,0 +1,1 @@
+//! Durable log and snapshots of one voter.
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,1 @@
+//! Callers' and operators' HTTP.
--- /dev/null
+++ b/crates/event/src/lib.rs
@@ -0,0 +1,1 @@
+//! Time line of events over all processes.
--- /dev/null
+++ b/crates/fake/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for model engines and plain services.
--- /dev/null
+++ b/crates/limit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission: quotas, fair shares, priorities and deadlines.
--- /dev/null
+++ b/crates/raft/src/lib.rs
@@ -0,0 +1,1 @@
+//! Consensus without I/O inside.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placement: owners, upstreams, length classes, memory and cold start.
--- /dev/null
+++ b/crates/sheet/src/lib.rs
@@ -0,0 +1,1 @@
+//! The planners' sheet: parse, check and difference.
--- /dev/null
+++ b/crates/toucansill/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command.
+
+fn main() {}
--- /dev/null
+++ b/crates/toucansilld/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon that runs on every entry VM.
--- /dev/null
+++ b/crates/toucansilld/src/main.rs
@@ -0,0 +1,3 @@
+//! The daemon's program.
+
+fn main() {}
--- /dev/null
+++ b/crates/upstream/src/lib.rs
@@ -0,0 +1,1 @@
+//! Meets upstreams: announcements, streams, orders and reconciliation.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,10 @@
+//! Ids, verdicts, border types and messages between daemons.
+
+mod id;
+mod verdict;
+
+pub use id::{
+    DaemonId, DataCentreId, Fence, IdempotencyKey, Incarnation, ModelId, OrganisationId, RegionId,
+    RequestId, ServiceId, Tokens, UpstreamId,
+};
+pub use verdict::Verdict;
