Add the consensus, its store and the thread that runs a voter

Cause: configuration, leases and the ledger need one exact, durable truth that a partitioned or restarted process can't contradict.

Conclusion: the interface is ready to be wired to links and control.

--- a/crates/disk/src/lib.rs
+++ b/crates/disk/src/lib.rs
@@ -1,1 +1,36 @@
 //! Durable log and snapshots of one voter.
+//!
+//! A [`Store`] owns one data folder. [`Store::append`] collects records,
+//! [`Store::sync`] writes them as one checksummed frame and returns once they are on
+//! disk, so that a batch of any size costs one sync. A write or sync that fails poisons
+//! the store: what is on disk is unknown from then on, and every later call fails.
+//!
+//! ```
+//! use disk::Store;
+//! use raft::{Entry, HardState, Payload};
+//!
+//! # let dir = tempfile::tempdir()?;
+//! let (mut store, _) = Store::open(dir.path())?;
+//! let entry = Entry { index: 1, term: 1, payload: Payload::Command(b"hello".to_vec()) };
+//! store.append(Some(HardState { term: 1, vote: None }), &[entry.clone()]);
+//! store.sync()?;
+//! drop(store);
+//!
+//! let (_, recovered) = Store::open(dir.path())?;
+//! assert_eq!(recovered.restored.entries, [entry]);
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod error;
+mod files;
+mod frame;
+mod recovery;
+mod segment;
+mod snapshot;
+mod store;
+
+pub use error::{Error, Result};
+pub use files::{Files, RenameFn, SyncFn, WriteFn};
+pub use recovery::Recovered;
+pub use snapshot::{read_backup, write_backup};
+pub use store::{Options, Store};
--- /dev/null
+++ b/crates/group/src/status.rs
@@ -0,0 +1,60 @@
+//! What a voter says of itself.
+
+use raft::{Index, Membership, NodeId, Raft, Role, Term};
+use std::collections::BTreeMap;
+
+/// What a voter knows of itself and its group. It may be outdated; only
+/// [`Handle::confirm`](crate::Handle::confirm) proves leadership.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Status {
+    /// This voter.
+    pub id: NodeId,
+    /// Its role in this term.
+    pub role: Role,
+    /// Current term.
+    pub term: Term,
+    /// The leader that it knows of.
+    pub leader: Option<NodeId>,
+    /// Last index known to be committed.
+    pub commit: Index,
+    /// Last index that the machine has applied.
+    pub applied: Index,
+    /// Last index of the log.
+    pub last_index: Index,
+    /// The members and the epoch of the group.
+    pub membership: Membership,
+    /// On a leader: up to where each other member holds the log.
+    pub matched: BTreeMap<NodeId, Index>,
+    /// Why the voter takes part in nothing any more, if so.
+    pub poisoned: Option<String>,
+    /// Whether the voter's disk was lost; it must join again under a new id.
+    pub lost_disk: bool,
+    /// Messages dropped because a queue towards another voter was full.
+    pub dropped_messages: u64,
+}
+
+impl Status {
+    pub(crate) fn of(raft: &Raft) -> Self {
+        let membership = raft.membership().clone();
+        let matched = membership.nodes().filter_map(|id| Some((id, raft.matched(id)?))).collect();
+        Self {
+            id: raft.id(),
+            role: raft.role(),
+            term: raft.term(),
+            leader: raft.leader(),
+            commit: raft.commit(),
+            applied: raft.applied(),
+            last_index: raft.last_index(),
+            membership,
+            matched,
+            poisoned: None,
+            lost_disk: raft.has_lost_disk(),
+            dropped_messages: 0,
+        }
+    }
+
+    /// Whether the voter leads, as far as it knows.
+    pub fn is_leader(&self) -> bool {
+        self.role == Role::Leader && self.poisoned.is_none()
+    }
+}
--- /dev/null
+++ b/crates/group/tests/common/mod.rs
@@ -0,0 +1,181 @@
+//! Voters in one process whose time and network are moved by hand.
+
+// Not every test uses every function.
+#![allow(dead_code, unreachable_pub)]
+
+use flume::Receiver;
+use group::{Config, Group, Handle, Machine, Membership, NodeId, Outgoing, Start, Ticket};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    path::PathBuf,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tempfile::TempDir;
+
+/// More than any test waits; reaching it means failure.
+pub const TIMEOUT: Duration = Duration::from_secs(30);
+/// Rounds within which a healthy group must get things done.
+pub const ROUNDS: usize = 400;
+
+/// The replicated state of the tests: all commands in order.
+pub type State = Arc<Mutex<Vec<String>>>;
+
+pub struct Node {
+    pub handle: Handle,
+    pub state: State,
+    outbox: Receiver<Outgoing>,
+}
+
+pub struct Cluster {
+    pub nodes: BTreeMap<NodeId, Node>,
+    /// Nodes that no message reaches or leaves.
+    pub cut: BTreeSet<NodeId>,
+    pub configure: fn(&mut Config),
+    dir: TempDir,
+}
+
+/// A machine that keeps all commands and answers with their count.
+pub fn machine(state: &State) -> Machine {
+    let (a, b, c) = (state.clone(), state.clone(), state.clone());
+    Machine {
+        apply: Box::new(move |_, command| {
+            let mut state = a.lock().unwrap();
+            state.push(String::from_utf8_lossy(command).into_owned());
+            state.len().to_string().into_bytes()
+        }),
+        snapshot: Box::new(move || b.lock().unwrap().join("\n").into_bytes()),
+        restore: Box::new(move |_, data| {
+            let text = String::from_utf8(data.to_vec())?;
+            *c.lock().unwrap() = text.lines().map(str::to_owned).collect();
+            Ok(())
+        }),
+    }
+}
+
+impl Cluster {
+    pub fn new(configure: fn(&mut Config)) -> Self {
+        let dir = tempfile::tempdir().unwrap();
+        Self { nodes: BTreeMap::new(), cut: BTreeSet::new(), configure, dir }
+    }
+
+    /// A group of the first `count` ids.
+    pub fn founded(count: u64, configure: fn(&mut Config)) -> Self {
+        let mut cluster = Self::new(configure);
+        let members = Membership::initial(1, 1..=count);
+        for id in 1..=count {
+            cluster.start(id, Start::Found(members.clone())).unwrap();
+        }
+        cluster
+    }
+
+    pub fn dir(&self, id: NodeId) -> PathBuf {
+        self.dir.path().join(id.to_string())
+    }
+
+    pub fn start(&mut self, id: NodeId, start: Start) -> group::Result<()> {
+        self.start_with(id, start, |_| ())
+    }
+
+    pub fn start_with(
+        &mut self,
+        id: NodeId,
+        start: Start,
+        adjust: impl FnOnce(&mut Config),
+    ) -> group::Result<()> {
+        let mut cfg = Config::new(id, self.dir(id));
+        cfg.start = start;
+        cfg.tick = None;
+        (self.configure)(&mut cfg);
+        adjust(&mut cfg);
+        let state = State::default();
+        let (tx, outbox) = flume::unbounded();
+        let handle = Group::start(cfg, machine(&state), tx)?;
+        self.nodes.insert(id, Node { handle, state, outbox });
+        Ok(())
+    }
+
+    pub fn stop(&mut self, id: NodeId) {
+        if let Some(node) = self.nodes.remove(&id) {
+            node.handle.stop();
+        }
+    }
+
+    /// Ticks every node and then delivers every message that isn't cut off.
+    pub fn round(&mut self) {
+        for node in self.nodes.values() {
+            // A stopped node doesn't tick.
+            let _ = node.handle.tick();
+        }
+        for (from, node) in &self.nodes {
+            for Outgoing { to, message } in node.outbox.drain() {
+                let is_cut = self.cut.contains(from) || self.cut.contains(&to);
+                if let Some(target) = self.nodes.get(&to).filter(|_| !is_cut) {
+                    target.handle.step(message);
+                }
+            }
+        }
+    }
+
+    /// Moves on until something holds.
+    pub fn until(&mut self, what: &str, mut holds: impl FnMut(&Self) -> bool) {
+        for _ in 0..ROUNDS {
+            if holds(self) {
+                return;
+            }
+            self.round();
+        }
+        panic!("not within {ROUNDS} rounds: {what}");
+    }
+
+    pub fn leader(&self) -> Option<NodeId> {
+        let leads = |id: &&NodeId| self.nodes[id].handle.status().is_leader();
+        self.nodes.keys().filter(|id| !self.cut.contains(id)).find(leads).copied()
+    }
+
+    pub fn elect(&mut self) -> NodeId {
+        self.until("a leader", |c| c.leader().is_some());
+        self.leader().unwrap()
+    }
+
+    /// Runs a blocking call on a thread of its own while time moves on.
+    pub fn run<T: Send>(&mut self, id: NodeId, f: impl FnOnce(&Handle) -> T + Send) -> T {
+        let handle = self.nodes[&id].handle.clone();
+        std::thread::scope(|scope| {
+            let thread = scope.spawn(move || f(&handle));
+            while !thread.is_finished() {
+                self.round();
+            }
+            thread.join().unwrap()
+        })
+    }
+
+    pub fn submit(&self, id: NodeId, command: &str) -> Ticket {
+        self.nodes[&id].handle.submit(command.as_bytes().to_vec(), TIMEOUT).unwrap()
+    }
+
+    pub fn propose(&mut self, command: &str) -> group::Result<group::Applied> {
+        let id = self.elect();
+        let command = command.as_bytes().to_vec();
+        self.run(id, |handle| handle.propose(command, TIMEOUT))
+    }
+
+    pub fn state(&self, id: NodeId) -> Vec<String> {
+        self.nodes[&id].state.lock().unwrap().clone()
+    }
+
+    /// Moves on until all nodes that aren't cut off hold the same commands.
+    pub fn converge(&mut self, count: usize) {
+        self.until("the same state everywhere", |c| {
+            c.nodes.keys().filter(|id| !c.cut.contains(id)).all(|id| c.state(*id).len() == count)
+        });
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for node in self.nodes.values() {
+            node.handle.stop();
+        }
+    }
+}
--- /dev/null
+++ b/crates/group/tests/group.rs
@@ -0,0 +1,98 @@
+//! Groups of voters in one process.
+
+mod common;
+
+use common::{Cluster, TIMEOUT};
+use group::{Change, Start};
+
+#[test]
+fn a_group_of_one_commits_and_restarts() {
+    let mut cluster = Cluster::founded(1, |_| ());
+    cluster.elect();
+    assert_eq!(cluster.propose("a").unwrap().output, b"1");
+    assert_eq!(cluster.propose("b").unwrap().output, b"2");
+    cluster.stop(1);
+
+    cluster.start(1, Start::Join).unwrap();
+    cluster.elect();
+    cluster.converge(2);
+    assert_eq!(cluster.state(1), ["a", "b"]);
+}
+
+#[test]
+fn three_voters_agree_and_survive_the_loss_of_one() {
+    let mut cluster = Cluster::founded(3, |_| ());
+    let first = cluster.elect();
+    cluster.propose("a").unwrap();
+    cluster.converge(1);
+    cluster.stop(first);
+
+    let second = cluster.elect();
+    assert_ne!(first, second);
+    cluster.propose("b").unwrap();
+    cluster.start(first, Start::Join).unwrap();
+    cluster.converge(2);
+    assert_eq!(cluster.state(first), ["a", "b"]);
+}
+
+#[test]
+fn a_follower_names_the_leader_and_confirms_nothing() {
+    let mut cluster = Cluster::founded(3, |_| ());
+    let leader = cluster.elect();
+    cluster.propose("a").unwrap();
+    cluster.converge(1);
+    let follower = cluster.nodes.keys().copied().find(|id| *id != leader).unwrap();
+    let e = cluster.run(follower, |h| h.propose(b"b".to_vec(), TIMEOUT)).unwrap_err();
+    assert!(e.is_not_applied() && e.is_not_leader());
+    assert_eq!(e.leader_hint(), Some(leader));
+    assert!(cluster.run(follower, |h| h.confirm(TIMEOUT)).unwrap_err().is_not_leader());
+    let index = cluster.run(leader, |h| h.confirm(TIMEOUT)).unwrap();
+    assert_eq!(index, cluster.nodes[&leader].handle.status().commit);
+}
+
+#[test]
+fn a_cut_off_leader_confirms_nothing_and_its_command_is_displaced() {
+    let mut cluster = Cluster::founded(3, |_| ());
+    let old = cluster.elect();
+    cluster.cut.insert(old);
+    let lost = cluster.submit(old, "lost");
+    let e = cluster.run(old, |h| h.confirm(TIMEOUT)).unwrap_err();
+    assert!(e.is_unknown(), "{e}");
+    cluster.propose("kept").unwrap();
+    cluster.cut.clear();
+    cluster.converge(1);
+    assert_eq!(cluster.state(old), ["kept"]);
+    assert!(lost.wait().unwrap_err().is_not_applied());
+}
+
+#[test]
+fn leadership_moves_on_request() {
+    let mut cluster = Cluster::founded(3, |_| ());
+    let old = cluster.elect();
+    cluster.propose("a").unwrap();
+    let new = cluster.nodes.keys().copied().find(|id| *id != old).unwrap();
+    cluster.run(old, |h| h.transfer(new)).unwrap();
+    cluster.until("the other leads", |c| c.leader() == Some(new));
+    cluster.propose("b").unwrap();
+    cluster.converge(2);
+}
+
+#[test]
+fn a_joiner_catches_up_by_snapshot_and_votes() {
+    let mut cluster = Cluster::founded(1, |cfg| {
+        cfg.snapshot_every = 10;
+        cfg.keep_entries = 2;
+        cfg.raft.snapshot_chunk_bytes = 7;
+    });
+    cluster.elect();
+    for n in 0..40 {
+        cluster.propose(&n.to_string()).unwrap();
+    }
+    cluster.start(2, Start::Join).unwrap();
+    cluster.run(1, |h| h.change(Change::AddLearner(2), TIMEOUT)).unwrap();
+    cluster.run(1, |h| h.change(Change::Promote(2), TIMEOUT)).unwrap();
+    cluster.propose("last").unwrap();
+    cluster.converge(41);
+    assert_eq!(cluster.state(1), cluster.state(2));
+    assert_eq!(cluster.nodes[&2].handle.status().membership.voters.len(), 2);
+}
--- /dev/null
+++ b/crates/raft/src/election.rs
@@ -0,0 +1,142 @@
+//! Campaigns and votes.
+
+use crate::{
+    message::{Body, Position},
+    node::{Raft, Role},
+    types::{NodeId, Term},
+};
+
+impl Raft {
+    pub(crate) fn tick_election(&mut self) {
+        self.election_elapsed = self.election_elapsed.saturating_add(1);
+        if self.election_elapsed < self.election_timeout {
+            return;
+        }
+        self.reset_election_timer();
+        if self.may_campaign() {
+            self.pre_campaign();
+        }
+    }
+
+    pub(crate) fn reset_election_timer(&mut self) {
+        let base = self.cfg.election_ticks;
+        self.election_elapsed = 0;
+        self.election_timeout = base + self.rng.u32(0..base.max(1));
+    }
+
+    fn may_campaign(&self) -> bool {
+        self.membership().is_voter(self.cfg.id) && !self.lost_disk
+    }
+
+    /// Whether a leader was heard of so recently that a campaign would only disturb it.
+    pub(crate) fn has_live_leader(&self) -> bool {
+        self.is_leader()
+            || (self.leader.is_some() && self.election_elapsed < self.cfg.election_ticks)
+    }
+
+    pub(crate) fn become_follower(&mut self, term: Term, leader: Option<NodeId>) {
+        if term > self.hard_state.term {
+            self.hard_state.term = term;
+            self.hard_state.vote = None;
+        }
+        self.role = Role::Follower;
+        self.leader = leader;
+        self.votes.clear();
+        self.progress.clear();
+        self.transfer = None;
+        self.reads.clear();
+        self.reset_election_timer();
+    }
+
+    fn pre_campaign(&mut self) {
+        self.role = Role::PreCandidate;
+        self.leader = None;
+        let body = Body::PreVote { last: self.log.last() };
+        self.ask_for_votes(self.hard_state.term + 1, body);
+        if self.has_won() {
+            self.campaign(false);
+        }
+    }
+
+    /// Starts a new term. With `transfer` the leader itself asked for it.
+    pub(crate) fn campaign(&mut self, transfer: bool) {
+        self.role = Role::Candidate;
+        self.leader = None;
+        self.hard_state.term += 1;
+        self.hard_state.vote = Some(self.cfg.id);
+        self.reset_election_timer();
+        let body = Body::Vote { last: self.log.last(), transfer };
+        self.ask_for_votes(self.hard_state.term, body);
+        if self.has_won() {
+            self.become_leader();
+        }
+    }
+
+    fn ask_for_votes(&mut self, term: Term, body: Body) {
+        self.votes.clear();
+        self.votes.insert(self.cfg.id, true);
+        let voters = self.membership().voters.clone();
+        for id in voters.into_iter().filter(|id| *id != self.cfg.id) {
+            let message = self.message(id, term, body.clone());
+            self.outbox.messages.push(message);
+        }
+    }
+
+    fn has_won(&self) -> bool {
+        let members = self.membership();
+        let granted = self.votes.iter().filter(|(id, granted)| **granted && members.is_voter(**id));
+        granted.count() >= members.quorum()
+    }
+
+    /// Whether the node may give a vote at all: an empty one may have lost its disk.
+    fn may_vote(&self, last: Position) -> bool {
+        self.log.last_index() > 0 && last.is_up_to_date_with(self.log.last())
+    }
+
+    pub(crate) fn handle_pre_vote(&mut self, from: NodeId, term: Term, last: Position) {
+        let granted = term > self.hard_state.term && !self.has_live_leader() && self.may_vote(last);
+        let answer_term = if granted { term } else { self.hard_state.term };
+        let message = self.message(from, answer_term, Body::PreVoteAnswer { granted });
+        self.outbox.messages.push(message);
+    }
+
+    pub(crate) fn handle_pre_vote_answer(&mut self, from: NodeId, term: Term, granted: bool) {
+        let is_expected = !granted || term == self.hard_state.term + 1;
+        if self.role != Role::PreCandidate || !is_expected {
+            return;
+        }
+        self.votes.insert(from, granted);
+        if self.has_won() {
+            self.campaign(false);
+        }
+    }
+
+    pub(crate) fn handle_vote(&mut self, from: NodeId, last: Position) {
+        let is_free = match self.hard_state.vote {
+            None => self.leader.is_none(),
+            Some(id) => id == from,
+        };
+        let granted = is_free && self.may_vote(last);
+        if granted {
+            self.hard_state.vote = Some(from);
+            self.reset_election_timer();
+        }
+        self.send(from, Body::VoteAnswer { granted });
+    }
+
+    pub(crate) fn handle_vote_answer(&mut self, from: NodeId, granted: bool) {
+        if self.role != Role::Candidate {
+            return;
+        }
+        self.votes.insert(from, granted);
+        if self.has_won() {
+            self.become_leader();
+        }
+    }
+
+    pub(crate) fn handle_timeout_now(&mut self) {
+        if self.role == Role::Follower && self.may_campaign() {
+            self.campaign(true);
+        }
+    }
+}
--- /dev/null
+++ b/crates/raft/src/follower.rs
@@ -0,0 +1,145 @@
+//! What a node does with a leader's messages.
+
+use crate::{
+    message::{Body, Position},
+    node::{Raft, Role},
+    types::{Entry, Index, NodeId, Payload, Snapshot, SnapshotMeta},
+};
+use std::sync::Arc;
+
+/// A snapshot that is being received.
+#[derive(Debug)]
+pub(crate) struct Incoming {
+    meta: SnapshotMeta,
+    total: u64,
+    data: Vec<u8>,
+}
+
+impl Raft {
+    /// Accepts the sender as leader of this term. Returns whether the node may follow it.
+    pub(crate) fn follow(&mut self, from: NodeId, voter: bool) -> bool {
+        if voter && self.log.last_index() == 0 {
+            self.lost_disk = true;
+            return false;
+        }
+        if self.role != Role::Follower {
+            self.become_follower(self.hard_state.term, Some(from));
+        }
+        self.leader = Some(from);
+        self.election_elapsed = 0;
+        true
+    }
+
+    pub(crate) fn handle_append(
+        &mut self,
+        from: NodeId,
+        prev: Position,
+        entries: Vec<Entry>,
+        commit: Index,
+    ) {
+        if prev.index < self.commit {
+            let matched = self.commit;
+            self.send(from, Body::Appended { matched });
+            return;
+        }
+        if !self.log.contains(prev) {
+            let hint = self.log.last_not_after(prev);
+            self.send(from, Body::AppendRefused { refused: prev.index, hint });
+            return;
+        }
+        let matched = entries.last().map_or(prev.index, |e| e.index);
+        self.store(entries);
+        self.advance_commit(commit.min(matched));
+        self.send(from, Body::Appended { matched });
+    }
+
+    /// Adds entries, dropping any suffix that differs.
+    fn store(&mut self, entries: Vec<Entry>) {
+        for entry in entries {
+            match self.log.term(entry.index) {
+                Some(term) if term == entry.term => continue,
+                Some(_) => self.truncate(entry.index),
+                None => (),
+            }
+            self.push_entry(entry);
+        }
+    }
+
+    fn truncate(&mut self, index: Index) {
+        assert!(index > self.commit, "a leader asked to overwrite committed entry {index}");
+        self.log.truncate(index);
+        self.memberships.retain(|(at, _)| *at < index);
+    }
+
+    /// Adds one entry; a change of members counts from here on.
+    pub(crate) fn push_entry(&mut self, entry: Entry) {
+        if let Payload::Membership(members) = &entry.payload {
+            self.memberships.push((entry.index, members.clone()));
+        }
+        self.log.push(entry);
+    }
+
+    pub(crate) fn advance_commit(&mut self, commit: Index) {
+        self.commit = self.commit.max(commit.min(self.log.last_index()));
+    }
+
+    pub(crate) fn handle_heartbeat(&mut self, from: NodeId, commit: Index, round: u64) {
+        self.advance_commit(commit);
+        self.send(from, Body::HeartbeatAnswer { round });
+    }
+
+    pub(crate) fn handle_chunk(
+        &mut self,
+        from: NodeId,
+        meta: SnapshotMeta,
+        offset: u64,
+        total: u64,
+        data: &[u8],
+    ) {
+        if self.skip_snapshot(from, &meta) || total > self.cfg.max_snapshot_bytes {
+            return;
+        }
+        let is_known = self.incoming.as_ref().is_some_and(|i| i.meta == meta && i.total == total);
+        if !is_known {
+            self.incoming = Some(Incoming { meta: meta.clone(), total, data: Vec::new() });
+        }
+        let Some(incoming) = &mut self.incoming else { return };
+        if offset == incoming.data.len() as u64 {
+            incoming.data.extend_from_slice(data);
+        }
+        let received = incoming.data.len() as u64;
+        if received < total {
+            self.send(from, Body::SnapshotProgress { index: meta.index, offset: received });
+            return;
+        }
+        self.install(from);
+    }
+
+    /// Answers at once if the log already holds what the snapshot contains.
+    fn skip_snapshot(&mut self, from: NodeId, meta: &SnapshotMeta) -> bool {
+        let position = Position { index: meta.index, term: meta.term };
+        if meta.index > self.commit && self.log.contains(position) {
+            self.advance_commit(meta.index);
+        }
+        if meta.index > self.commit {
+            return false;
+        }
+        let matched = self.commit;
+        self.incoming = None;
+        self.send(from, Body::Appended { matched });
+        true
+    }
+
+    /// Replaces the log by a snapshot that has arrived whole.
+    fn install(&mut self, from: NodeId) {
+        let Some(Incoming { meta, data, .. }) = self.incoming.take() else { return };
+        let matched = meta.index;
+        self.log.reset(Position { index: meta.index, term: meta.term });
+        self.commit = meta.index;
+        self.applied = meta.index;
+        self.memberships = vec![(meta.index, meta.membership.clone())];
+        self.snapshot = Snapshot { meta, data: Arc::new(data) };
+        self.outbox.install = true;
+        self.send(from, Body::Appended { matched });
+    }
+}
--- /dev/null
+++ b/crates/raft/src/leader.rs
@@ -0,0 +1,304 @@
+//! What a leader does: proposals, replication and commits.
+
+use crate::{
+    error::{Error, Result},
+    message::{Body, Position},
+    node::{Raft, Role},
+    progress::{Pace, Progress},
+    types::{Entry, Index, NodeId, Payload},
+};
+
+/// A transfer of leadership under way.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Transfer {
+    to: NodeId,
+    ticks: u32,
+    is_asked: bool,
+}
+
+impl Raft {
+    pub(crate) fn become_leader(&mut self) {
+        self.role = Role::Leader;
+        self.leader = Some(self.cfg.id);
+        self.heartbeat_elapsed = 0;
+        self.incoming = None;
+        self.uncommitted_bytes = 0;
+        self.progress.clear();
+        self.sync_progress();
+        self.append(Payload::Empty);
+        self.reads.request_round();
+    }
+
+    pub(crate) fn tick_leader(&mut self) {
+        for progress in self.progress.values_mut() {
+            progress.silent_ticks = progress.silent_ticks.saturating_add(1);
+        }
+        if !self.has_active_quorum() {
+            self.become_follower(self.hard_state.term, None);
+            return;
+        }
+        self.tick_transfer();
+        self.heartbeat_elapsed += 1;
+        if self.heartbeat_elapsed >= self.cfg.heartbeat_ticks {
+            self.reads.request_round();
+        }
+    }
+
+    fn tick_transfer(&mut self) {
+        let limit = self.cfg.election_ticks;
+        self.transfer =
+            self.transfer.map(|t| Transfer { ticks: t.ticks + 1, ..t }).filter(|t| t.ticks < limit);
+    }
+
+    fn has_active_quorum(&self) -> bool {
+        self.active_voters(self.membership().voters.iter().copied()) >= self.membership().quorum()
+    }
+
+    /// How many of the nodes were heard of within an election timeout.
+    pub(crate) fn active_voters(&self, voters: impl Iterator<Item = NodeId>) -> usize {
+        let ticks = self.cfg.election_ticks;
+        voters
+            .filter(|id| {
+                *id == self.cfg.id || self.progress.get(id).is_some_and(|p| p.is_active(ticks))
+            })
+            .count()
+    }
+
+    /// Proposes a command. Returns where it stands in the log if it is ever committed.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::is_not_leader`], [`Error::is_busy`] while too much is uncommitted or
+    /// leadership is being transferred, [`Error::is_too_large`].
+    pub fn propose(&mut self, command: Vec<u8>) -> Result<Position> {
+        if !self.is_leader() {
+            return Err(Error::not_leader(self.leader));
+        }
+        if self.transfer.is_some() {
+            return Err(Error::busy("leadership is being transferred"));
+        }
+        if command.len() > self.cfg.max_command_bytes {
+            return Err(Error::too_large(command.len(), self.cfg.max_command_bytes));
+        }
+        if self.uncommitted_bytes + command.len() > self.cfg.max_uncommitted_bytes {
+            return Err(Error::busy("too many uncommitted bytes"));
+        }
+        Ok(self.append(Payload::Command(command)))
+    }
+
+    pub(crate) fn append(&mut self, payload: Payload) -> Position {
+        let position = Position { index: self.log.last_index() + 1, term: self.hard_state.term };
+        let entry = Entry { index: position.index, term: position.term, payload };
+        self.uncommitted_bytes += entry.size_bytes();
+        self.push_entry(entry);
+        position
+    }
+
+    /// Starts to hand leadership to a voter. It is given up after an election timeout.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::is_not_leader`]; [`Error::is_refused_change`] if the node is no other voter.
+    pub fn transfer_leader(&mut self, to: NodeId) -> Result<()> {
+        if !self.is_leader() {
+            return Err(Error::not_leader(self.leader));
+        }
+        if to == self.cfg.id || !self.membership().is_voter(to) {
+            return Err(Error::refused("not another voter"));
+        }
+        self.transfer = Some(Transfer { to, ticks: 0, is_asked: false });
+        self.finish_transfer();
+        Ok(())
+    }
+
+    /// Asks the target of a transfer to campaign once it holds the whole log.
+    fn finish_transfer(&mut self) {
+        let Some(transfer) = &mut self.transfer else { return };
+        let matched = self.progress.get(&transfer.to).map(|p| p.matched);
+        if transfer.is_asked || matched != Some(self.log.last_index()) {
+            return;
+        }
+        transfer.is_asked = true;
+        let to = transfer.to;
+        self.send(to, Body::TimeoutNow);
+    }
+
+    /// Tracks exactly the other members.
+    pub(crate) fn sync_progress(&mut self) {
+        let members = self.membership().clone();
+        let next = self.log.last_index() + 1;
+        self.progress.retain(|id, _| members.contains(*id));
+        for id in members.nodes().filter(|id| *id != self.cfg.id) {
+            self.progress.entry(id).or_insert_with(|| Progress::new(next));
+        }
+    }
+
+    pub(crate) fn handle_answer(&mut self, from: NodeId, body: Body) {
+        if !self.is_leader() {
+            return;
+        }
+        let last = self.log.last_index();
+        let Some(progress) = self.progress.get_mut(&from) else { return };
+        progress.silent_ticks = 0;
+        match body {
+            Body::Appended { matched } if matched <= last => {
+                progress.acknowledge(matched);
+                self.commit_by_majority();
+                self.finish_transfer();
+            }
+            Body::AppendRefused { refused, hint } => self.handle_refusal(from, refused, hint),
+            Body::HeartbeatAnswer { round } => self.handle_heartbeat_answer(from, round),
+            Body::SnapshotProgress { index, offset } => {
+                if let Pace::Snapshot { snapshot, offset: sent, waiting } = &mut progress.pace
+                    && snapshot.meta.index == index
+                    && offset <= snapshot.data.len() as u64
+                {
+                    *sent = offset;
+                    *waiting = false;
+                }
+            }
+            _ => (),
+        }
+    }
+
+    fn handle_refusal(&mut self, from: NodeId, refused: Index, hint: Position) {
+        let meeting = self.log.last_not_after(hint);
+        let Some(progress) = self.progress.get_mut(&from) else { return };
+        let is_stale = match progress.pace {
+            Pace::Probe { .. } => refused != progress.next - 1,
+            Pace::Replicate => refused <= progress.matched,
+            Pace::Snapshot { .. } => true,
+        };
+        if !is_stale {
+            progress.probe(meeting.index + 1);
+        }
+    }
+
+    fn handle_heartbeat_answer(&mut self, from: NodeId, round: u64) {
+        let last = self.log.last_index();
+        let Some(progress) = self.progress.get_mut(&from) else { return };
+        progress.round = progress.round.max(round);
+        progress.resume();
+        let may_have_lost = matches!(progress.pace, Pace::Replicate) && progress.matched < last;
+        if may_have_lost && !progress.in_flight.is_empty() {
+            let next = progress.next;
+            self.send_append(from, next, Vec::new());
+        }
+        self.confirm_reads();
+    }
+
+    /// Commits what a majority of voters holds on disk.
+    pub(crate) fn commit_by_majority(&mut self) {
+        if !self.is_leader() {
+            return;
+        }
+        let members = self.membership();
+        let mut held: Vec<Index> = members
+            .voters
+            .iter()
+            .map(|id| match *id == self.cfg.id {
+                true => self.log.stable(),
+                false => self.matched(*id).unwrap_or(0),
+            })
+            .collect();
+        held.sort_unstable_by(|a, b| b.cmp(a));
+        let index = held[members.quorum() - 1];
+        // An entry of an older term counts only together with one of this term.
+        if index <= self.commit || self.log.term(index) != Some(self.hard_state.term) {
+            return;
+        }
+        let newly = self.log.slice(self.commit + 1, index, usize::MAX);
+        let bytes: usize = newly.iter().map(Entry::size_bytes).sum();
+        self.uncommitted_bytes = self.uncommitted_bytes.saturating_sub(bytes);
+        self.commit = index;
+        self.confirm_reads();
+    }
+
+    /// Queues whatever the other members lack, within the limits on messages under way.
+    pub(crate) fn replicate(&mut self) {
+        if !self.is_leader() {
+            return;
+        }
+        let ids: Vec<_> = self.progress.keys().copied().collect();
+        for id in ids {
+            while self.replicate_to(id) {}
+        }
+        let (changed_at, members) = &self.memberships[self.memberships.len() - 1];
+        if *changed_at <= self.commit && !members.is_voter(self.cfg.id) {
+            // The change that removes this leader is committed and announced.
+            self.become_follower(self.hard_state.term, None);
+        }
+    }
+
+    /// Queues one message for a node. Returns whether there may be more to send.
+    fn replicate_to(&mut self, id: NodeId) -> bool {
+        let last = self.log.last_index();
+        let first = self.log.first_index();
+        let Some(progress) = self.progress.get_mut(&id) else { return false };
+        let next = progress.next;
+        match &progress.pace {
+            Pace::Probe { waiting: true } | Pace::Snapshot { waiting: true, .. } => return false,
+            Pace::Snapshot { .. } => return self.send_chunk(id),
+            Pace::Probe { .. } | Pace::Replicate if next < first => {
+                progress.start_snapshot(self.snapshot.clone());
+                return true;
+            }
+            Pace::Probe { .. } => {
+                progress.pace = Pace::Probe { waiting: true };
+                let entries = self.log.slice(next, last, self.cfg.max_batch_bytes);
+                self.send_append(id, next, entries);
+                return false;
+            }
+            Pace::Replicate => (),
+        }
+        let has_room = progress.in_flight.len() < self.cfg.max_in_flight;
+        if next <= last && has_room {
+            let entries = self.log.slice(next, last, self.cfg.max_batch_bytes);
+            let sent = entries.last().map_or(next, |e| e.index);
+            progress.in_flight.push_back(sent);
+            progress.next = sent + 1;
+            self.send_append(id, next, entries);
+            return true;
+        }
+        if progress.sent_commit < self.commit && has_room {
+            self.send_append(id, next, Vec::new());
+        }
+        false
+    }
+
+    fn send_append(&mut self, to: NodeId, next: Index, entries: Vec<Entry>) {
+        let Some(term) = self.log.term(next - 1) else { return };
+        let commit = self.commit;
+        if let Some(progress) = self.progress.get_mut(&to) {
+            progress.sent_commit = commit;
+        }
+        let prev = Position { index: next - 1, term };
+        let voter = self.membership().is_voter(to);
+        self.send_early(to, Body::Append { prev, entries, commit, voter });
+    }
+
+    /// Queues a message that promises nothing about this node's own disk.
+    pub(crate) fn send_early(&mut self, to: NodeId, body: Body) {
+        let message = self.message(to, self.hard_state.term, body);
+        self.outbox.early_messages.push(message);
+    }
+
+    fn send_chunk(&mut self, to: NodeId) -> bool {
+        let chunk_bytes = self.cfg.snapshot_chunk_bytes;
+        let voter = self.membership().is_voter(to);
+        let Some(progress) = self.progress.get_mut(&to) else { return false };
+        let Pace::Snapshot { snapshot, offset, waiting } = &mut progress.pace else { return false };
+        *waiting = true;
+        let start = *offset as usize;
+        let end = snapshot.data.len().min(start + chunk_bytes);
+        let body = Body::SnapshotChunk {
+            meta: snapshot.meta.clone(),
+            offset: *offset,
+            total: snapshot.data.len() as u64,
+            data: snapshot.data[start..end].to_vec(),
+            voter,
+        };
+        self.send_early(to, body);
+        false
+    }
+}
--- /dev/null
+++ b/crates/raft/src/log.rs
@@ -0,0 +1,125 @@
+//! The part of the log that is held in memory.
+
+use crate::{
+    message::Position,
+    types::{Entry, Index, Term},
+};
+
+/// Entries after a base, with a mark for what is on disk.
+#[derive(Debug)]
+pub(crate) struct Log {
+    /// The entry just before the first one held.
+    base: Position,
+    entries: Vec<Entry>,
+    /// Last index known to be on disk.
+    stable: Index,
+}
+
+impl Log {
+    pub(crate) fn new(base: Position, entries: Vec<Entry>) -> Self {
+        let stable = entries.last().map_or(base.index, |e| e.index);
+        Self { base, entries, stable }
+    }
+
+    pub(crate) fn first_index(&self) -> Index {
+        self.base.index + 1
+    }
+
+    pub(crate) fn last(&self) -> Position {
+        self.entries.last().map_or(self.base, |e| Position { index: e.index, term: e.term })
+    }
+
+    pub(crate) fn last_index(&self) -> Index {
+        self.last().index
+    }
+
+    pub(crate) fn stable(&self) -> Index {
+        self.stable
+    }
+
+    /// Term of an entry, or of the base; nothing if it is compacted or not written yet.
+    pub(crate) fn term(&self, index: Index) -> Option<Term> {
+        if index == self.base.index {
+            return Some(self.base.term);
+        }
+        self.get(index).map(|e| e.term)
+    }
+
+    pub(crate) fn get(&self, index: Index) -> Option<&Entry> {
+        let offset = index.checked_sub(self.first_index())?;
+        self.entries.get(usize::try_from(offset).ok()?)
+    }
+
+    pub(crate) fn contains(&self, position: Position) -> bool {
+        self.term(position.index) == Some(position.term)
+    }
+
+    /// Entries from `from` on, as many as fit in `max_bytes` but at least one.
+    pub(crate) fn slice(&self, from: Index, to: Index, max_bytes: usize) -> Vec<Entry> {
+        let start = from.saturating_sub(self.first_index()) as usize;
+        let mut bytes = 0;
+        self.entries
+            .iter()
+            .skip(start)
+            .take_while(|e| e.index <= to)
+            .take_while(|e| {
+                let is_first = bytes == 0;
+                bytes += e.size_bytes();
+                is_first || bytes <= max_bytes
+            })
+            .cloned()
+            .collect()
+    }
+
+    /// Adds an entry at the end.
+    pub(crate) fn push(&mut self, entry: Entry) {
+        debug_assert_eq!(entry.index, self.last_index() + 1);
+        self.entries.push(entry);
+    }
+
+    /// Drops the entry at `index` and all later ones.
+    pub(crate) fn truncate(&mut self, index: Index) {
+        let keep = index.saturating_sub(self.first_index()) as usize;
+        self.entries.truncate(keep);
+        self.stable = self.stable.min(index.saturating_sub(1));
+    }
+
+    /// Entries that are not yet on disk.
+    pub(crate) fn unstable(&self) -> Vec<Entry> {
+        self.slice(self.stable + 1, Index::MAX, usize::MAX)
+    }
+
+    /// Notes that the log is on disk up to a position, if it still holds that entry.
+    pub(crate) fn mark_stable(&mut self, position: Position) {
+        if self.contains(position) {
+            self.stable = self.stable.max(position.index);
+        }
+    }
+
+    /// Forgets entries up to and including `index`.
+    pub(crate) fn compact(&mut self, index: Index) {
+        let Some(term) = self.term(index) else { return };
+        let count = index.saturating_sub(self.base.index) as usize;
+        self.entries.drain(..count);
+        self.base = Position { index, term };
+    }
+
+    /// Starts over after a snapshot.
+    pub(crate) fn reset(&mut self, base: Position) {
+        *self = Self::new(base, Vec::new());
+    }
+
+    /// The latest position at or before `limit` whose term is at most `limit.term`.
+    ///
+    /// Lets a leader skip a whole term of differing entries at a time.
+    pub(crate) fn last_not_after(&self, limit: Position) -> Position {
+        let mut index = limit.index.min(self.last_index());
+        while let Some(term) = self.term(index) {
+            if term <= limit.term {
+                return Position { index, term };
+            }
+            index -= 1;
+        }
+        Position { index, term: 0 }
+    }
+}
