--- a/crates/disk/src/recovery.rs
+++ b/crates/disk/src/recovery.rs
@@ -11,6 +11,8 @@
 use std::{
     fs::{self, File},
     mem,
+    ops::Range,
+    os::unix::fs::FileExt as _,
     path::Path,
     result,
 };
@@ -34,6 +36,8 @@
     pub(crate) segments: Vec<(u64, Index)>,
     /// Good bytes in the last segment.
     pub(crate) last_bytes: u64,
+    /// Where the last frame of the last segment starts.
+    pub(crate) last_frame: u64,
     pub(crate) cut_bytes: u64,
 }
 
@@ -54,6 +58,7 @@
         entries: Vec::new(),
         segments: Vec::new(),
         last_bytes: 0,
+        last_frame: 0,
         cut_bytes: 0,
     };
     let snapshot_index = segment::snapshots(dir)?.last().copied().unwrap_or(0);
@@ -80,6 +85,7 @@
         let buf = fs::read(&path).map_err(|e| Error::io(&path, "read", e))?;
         let mut at = HEAD.len();
         let mut highest = 0;
+        self.last_frame = HEAD.len() as u64;
         if buf.get(..HEAD.len()) != Some(&HEAD) {
             let is_unfinished = is_last && !frame::any_frame_in(number, &buf);
             if !is_unfinished {
@@ -92,6 +98,7 @@
             match if at == 0 { Found::Bad } else { frame::decode(number, rest) } {
                 Found::End => break,
                 Found::Frame { records, bytes } => {
+                    self.last_frame = at as u64;
                     for record in records {
                         if let Record::Entry(e) = &record {
                             highest = highest.max(e.index);
@@ -150,6 +157,24 @@
     }
 }
 
+/// Writes the last frame of the log again and syncs it.
+///
+/// A frame that is read back may have come from the cache of a process that was killed,
+/// or whose sync failed, before the frame reached the disk. Only the last one can: each
+/// frame is written after the one before it was synced.
+pub(crate) fn rewrite_last_frame(
+    path: &Path,
+    f: &mut File,
+    frame: Range<u64>,
+    files: &mut Files,
+) -> Result<()> {
+    let fail = |e| Error::io(path, "write the last frame again", e);
+    let mut buf = vec![0; (frame.end - frame.start) as usize];
+    f.read_exact_at(&mut buf, frame.start).map_err(fail)?;
+    f.write_all_at(&buf, frame.start).map_err(fail)?;
+    (files.sync)(f, path).map_err(fail)
+}
+
 fn cut(path: &Path, length: u64, files: &mut Files) -> Result<()> {
     let fail = |e| Error::io(path, "cut off an unfinished write", e);
     let f = File::options().write(true).open(path).map_err(fail)?;
--- a/crates/disk/src/store.rs
+++ b/crates/disk/src/store.rs
@@ -11,7 +11,8 @@
 use raft::{Entry, HardState, Index, NodeId, Position, Snapshot};
 use std::{
     fs::{self, File, TryLockError},
-    io, mem,
+    io::{self, Seek as _, SeekFrom},
+    mem,
     path::{Path, PathBuf},
 };
 
@@ -86,7 +87,13 @@
         let mut closed = scan.segments;
         let current = match closed.pop() {
             Some((number, highest)) if scan.last_bytes > 0 => {
-                open_segment(&dir, number, highest, scan.last_bytes)?
+                let mut segment = open_segment(&dir, number, highest, scan.last_bytes)?;
+                let path = segment::segment_path(&dir, number);
+                let frame = scan.last_frame..scan.last_bytes;
+                let files = &mut options.files;
+                recovery::rewrite_last_frame(&path, &mut segment.f, frame, files)?;
+                snapshot::sync_folder(&dir, files)?;
+                segment
             }
             Some((number, _)) => create_segment(&dir, number, &mut options.files)?,
             None => create_segment(&dir, 1, &mut options.files)?,
@@ -143,7 +150,7 @@
             return Ok(());
         }
         let records = mem::take(&mut self.pending);
-        let result = self.write_frame(&records);
+        let result = self.write_frame(records);
         self.poison_on_failure(result)
     }
 
@@ -209,11 +216,15 @@
         result
     }
 
-    fn write_frame(&mut self, records: &[Record]) -> Result<()> {
+    fn write_frame(&mut self, mut records: Vec<Record>) -> Result<()> {
         if self.current.bytes >= self.options.segment_bytes {
             self.rotate()?;
         }
-        self.write_records(records)
+        if self.current.bytes == HEAD.len() as u64 {
+            // Each segment begins with the hard state so that older ones can go.
+            records.insert(0, Record::HardState(self.hard_state));
+        }
+        self.write_records(&records)
     }
 
     fn write_records(&mut self, records: &[Record]) -> Result<()> {
@@ -232,13 +243,12 @@
         Ok(())
     }
 
-    /// Begins a new segment. It repeats the hard state so that older ones can go.
     fn rotate(&mut self) -> Result<()> {
         let number = self.current.number + 1;
         let next = create_segment(&self.dir, number, &mut self.options.files)?;
         let Segment { number, highest, .. } = mem::replace(&mut self.current, next);
         self.closed.push((number, highest));
-        self.write_records(&[Record::HardState(self.hard_state)])
+        Ok(())
     }
 
     fn remove_old_files(&mut self, index: Index) -> Result<()> {
@@ -282,7 +292,9 @@
 
 fn open_segment(dir: &Path, number: u64, highest: Index, bytes: u64) -> Result<Segment> {
     let path = segment::segment_path(dir, number);
-    let f = File::options().append(true).open(&path).map_err(|e| Error::io(&path, "open", e))?;
+    let fail = |e| Error::io(&path, "open", e);
+    let mut f = File::options().read(true).write(true).open(&path).map_err(fail)?;
+    f.seek(SeekFrom::Start(bytes)).map_err(fail)?;
     Ok(Segment { number, highest, bytes, f })
 }
 
@@ -299,21 +311,28 @@
 fn read_node(dir: &Path) -> Result<Option<NodeId>> {
     let path = dir.join(NODE_FILE);
     match fs::read_to_string(&path) {
-        Ok(text) => match text.trim().parse() {
-            Ok(node) => Ok(Some(node)),
-            Err(_) => Err(Error::corrupt(&path, 0, "no node id")),
+        Ok(text) => match text.split_once(' ') {
+            Some((node, _)) if node_line(node) == text => {
+                node.parse().map(Some).map_err(|_| Error::corrupt(&path, 0, "no node id"))
+            }
+            _ => Err(Error::corrupt(&path, 0, "wrong checksum")),
         },
         Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(None),
         Err(e) => Err(Error::io(&path, "read", e)),
     }
 }
 
+/// The node's id and a checksum.
+fn node_line(node: &str) -> String {
+    format!("{node} {:08x}\n", crc32fast::hash(node.as_bytes()))
+}
+
 fn write_node(dir: &Path, node: NodeId, files: &mut Files) -> Result<()> {
     let path = dir.join(NODE_FILE);
     let partial = dir.join(format!("{NODE_FILE}{}", segment::PARTIAL_SUFFIX));
     let fail = |e| Error::io(&path, "write", e);
     let mut f = File::create(&partial).map_err(fail)?;
-    (files.write)(&mut f, &partial, format!("{node}\n").as_bytes()).map_err(fail)?;
+    (files.write)(&mut f, &partial, node_line(&node.to_string()).as_bytes()).map_err(fail)?;
     (files.sync)(&f, &partial).map_err(fail)?;
     (files.rename)(&partial, &path).map_err(fail)?;
     snapshot::sync_folder(dir, files)
