--- a/crates/disk/src/recovery.rs
+++ b/crates/disk/src/recovery.rs
@@ -39,6 +39,8 @@
     /// Where the last frame of the last segment starts.
     pub(crate) last_frame: u64,
     pub(crate) cut_bytes: u64,
+    /// Whether a snapshot overrules all entries, and the log doesn't say so yet.
+    pub(crate) is_overruled: bool,
 }
 
 /// Removes what an interrupted snapshot left.
@@ -60,6 +62,7 @@
         last_bytes: 0,
         last_frame: 0,
         cut_bytes: 0,
+        is_overruled: false,
     };
     let snapshot_index = segment::snapshots(dir)?.last().copied().unwrap_or(0);
     for (at, number) in numbers.iter().enumerate() {
@@ -191,6 +194,7 @@
     if first <= end.index && !holds_end {
         // The snapshot came from a leader whose log differs.
         scan.entries.clear();
+        scan.is_overruled = true;
     }
     Ok(Restored { hard_state: scan.hard_state, snapshot, entries: mem::take(&mut scan.entries) })
 }
--- a/crates/disk/src/store.rs
+++ b/crates/disk/src/store.rs
@@ -100,7 +100,9 @@
         };
         let hard_state = scan.hard_state;
         let pending = Vec::new();
-        let store = Self {
+        let end = &recovered.restored.snapshot.meta;
+        let end = Position { index: end.index, term: end.term };
+        let mut store = Self {
             dir,
             options,
             hard_state,
@@ -110,6 +112,11 @@
             is_poisoned: false,
             _lock: lock,
         };
+        if scan.is_overruled {
+            // Otherwise entries written from now on would seem to follow the former ones.
+            store.pending.push(Record::Reset(end));
+            store.sync()?;
+        }
         Ok((store, recovered))
     }
 
--- a/crates/group/src/backup.rs
+++ b/crates/group/src/backup.rs
@@ -15,8 +15,8 @@
 ///
 /// # Errors
 ///
-/// [`Error::is_refused_change`] if the epoch isn't higher or the node is no voter;
-/// [`Error::is_disk`] if the folder isn't empty or can't be written.
+/// [`Error::is_refused_backup`] if the epoch isn't higher, the node is no voter or the
+/// folder isn't empty; [`Error::is_disk`] if it can't be written.
 pub fn restore_backup(
     dir: impl AsRef<Path>,
     id: NodeId,
@@ -24,12 +24,15 @@
     members: Membership,
     renew: impl FnOnce(&[u8], u64) -> Vec<u8>,
 ) -> Result<()> {
-    if members.epoch <= backup.meta.membership.epoch || !members.is_voter(id) {
-        return Err(Error::machine("the epoch must rise and the node must be a voter"));
+    if members.epoch <= backup.meta.membership.epoch {
+        return Err(Error::backup("the epoch must be higher than the former one"));
+    }
+    if !members.is_voter(id) {
+        return Err(Error::backup("the node is none of the first voters"));
     }
     let (mut store, recovered) = Store::open(dir).map_err(Error::disk)?;
     if !recovered.restored.is_empty() || recovered.node.is_some() {
-        return Err(Error::machine("the data folder isn't empty"));
+        return Err(Error::backup("the data folder isn't empty"));
     }
     let mut snapshot = backup.clone();
     snapshot.data = Arc::new(renew(&backup.data, members.epoch));
--- a/crates/group/src/error.rs
+++ b/crates/group/src/error.rs
@@ -17,6 +17,8 @@
 enum Kind {
     /// Turned away by the consensus.
     Refused(raft::Error),
+    /// Leadership was lost before a read was confirmed.
+    NotLeader(Option<NodeId>),
     /// The queue of requests is full.
     Busy,
     /// The deadline passed before the request reached the log.
@@ -29,6 +31,8 @@
     Stopped(String),
     /// The data folder can't be used.
     Disk(Arc<disk::Error>),
+    /// A back-up can't become the group that was asked for.
+    Backup(&'static str),
     /// The machine can't read its own snapshot.
     Machine(String),
 }
@@ -38,6 +42,10 @@
         Self { kind: Kind::Refused(e) }
     }
 
+    pub(crate) fn not_leader(leader: Option<NodeId>) -> Self {
+        Self { kind: Kind::NotLeader(leader) }
+    }
+
     pub(crate) fn busy() -> Self {
         Self { kind: Kind::Busy }
     }
@@ -62,6 +70,10 @@
         Self { kind: Kind::Disk(Arc::new(e)) }
     }
 
+    pub(crate) fn backup(why: &'static str) -> Self {
+        Self { kind: Kind::Backup(why) }
+    }
+
     pub(crate) fn machine(why: impl fmt::Display) -> Self {
         Self { kind: Kind::Machine(why.to_string()) }
     }
@@ -78,7 +90,11 @@
 
     /// Whether another voter leads, or none is known to.
     pub fn is_not_leader(&self) -> bool {
-        matches!(&self.kind, Kind::Refused(e) if e.is_not_leader())
+        match &self.kind {
+            Kind::Refused(e) => e.is_not_leader(),
+            Kind::NotLeader(_) => true,
+            _ => false,
+        }
     }
 
     /// Whether a bound was reached; the same request may succeed later.
@@ -105,10 +121,16 @@
         matches!(self.kind, Kind::Disk(_))
     }
 
+    /// Whether a back-up can't become the group that was asked for.
+    pub fn is_refused_backup(&self) -> bool {
+        matches!(self.kind, Kind::Backup(_))
+    }
+
     /// The leader to ask instead, if one is known.
     pub fn leader_hint(&self) -> Option<NodeId> {
         match &self.kind {
             Kind::Refused(e) => e.leader(),
+            Kind::NotLeader(leader) => *leader,
             _ => None,
         }
     }
@@ -118,12 +140,14 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match &self.kind {
             Kind::Refused(e) => write!(f, "{e}"),
+            Kind::NotLeader(_) => write!(f, "leadership was lost before the read was confirmed"),
             Kind::Busy => write!(f, "too many requests are waiting"),
             Kind::Expired => write!(f, "the deadline passed before the request was taken up"),
             Kind::Replaced => write!(f, "another command was committed in its place"),
             Kind::Unknown(why) => write!(f, "the outcome is unknown: {why}"),
             Kind::Stopped(why) => write!(f, "this voter has stopped: {why}"),
             Kind::Disk(e) => write!(f, "the data folder can't be used: {e}"),
+            Kind::Backup(why) => write!(f, "the back-up can't be restored: {why}"),
             Kind::Machine(why) => write!(f, "the state machine refused a snapshot: {why}"),
         }
     }
--- a/crates/group/src/handle.rs
+++ b/crates/group/src/handle.rs
@@ -78,8 +78,8 @@
     ///
     /// # Errors
     ///
-    /// [`Error::is_not_leader`] if another voter leads; [`Error::is_unknown`] if no
-    /// majority answers in time.
+    /// [`Error::is_not_leader`] if another voter leads or this one lost leadership
+    /// meanwhile; [`Error::is_unknown`] if no majority answers in time.
     pub fn confirm(&self, timeout: Duration) -> Result<Index> {
         let (reply, rx) = flume::bounded(1);
         let deadline = self.clock.now() + timeout;
--- a/crates/group/src/runner.rs
+++ b/crates/group/src/runner.rs
@@ -225,7 +225,7 @@
             self.process(ready)?;
         }
         if !self.raft.is_leader() {
-            let e = Error::unknown("the voter no longer leads");
+            let e = Error::not_leader(self.raft.leader());
             self.waiting.fail_reads(&e);
         }
         self.compact_if_due()
