Measure a voter against its disk, and let a sole voter lead at once

Cause: no figures for commits, reads and recovery. A status could be older than the answer that its reader had just got.

Change: an example measures groups of one and three beside raw syncs of the same disk in the same run. The status is shown before answers go out. A sole voter doesn't wait for others.

--- /dev/null
+++ b/crates/group/examples/measure.rs
@@ -0,0 +1,198 @@
+//! Measures commits, confirmed reads and recovery against the sync rate of the same disk.
+//!
+//! ```text
+//! cargo run --release -p group --example measure [folder]
+//! ```
+
+use group::{Config, Group, Handle, Machine, Membership, Outgoing, Start};
+use std::{
+    collections::BTreeMap,
+    env, error,
+    fs::File,
+    io::Write as _,
+    path::Path,
+    result,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+type Result<T> = result::Result<T, Box<dyn error::Error>>;
+
+const COMMAND_BYTES: usize = 256;
+const PERIOD: Duration = Duration::from_secs(2);
+const TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Voters that reach each other through channels.
+struct Voters {
+    handles: Vec<Handle>,
+    leader: Handle,
+    applied: Arc<AtomicU64>,
+}
+
+/// Times of many operations.
+struct Times {
+    sorted: Vec<Duration>,
+    elapsed: Duration,
+}
+
+impl Times {
+    fn new(mut times: Vec<Duration>, elapsed: Duration) -> Self {
+        times.sort_unstable();
+        Self { sorted: times, elapsed }
+    }
+
+    fn show(&self, what: &str) {
+        let at = |share: f64| {
+            let index = (self.sorted.len() as f64 * share) as usize;
+            self.sorted.get(index).copied().unwrap_or_default().as_secs_f64() * 1e3
+        };
+        let rate = self.sorted.len() as f64 / self.elapsed.as_secs_f64();
+        println!("{what:<44} {rate:>9.0}/s  p50 {:>7.2} ms  p99 {:>7.2} ms", at(0.5), at(0.99));
+    }
+}
+
+fn machine(applied: &Arc<AtomicU64>) -> Machine {
+    let count = applied.clone();
+    Machine {
+        apply: Box::new(move |_, _| {
+            count.fetch_add(1, Ordering::Relaxed);
+            Vec::new()
+        }),
+        snapshot: Box::new(Vec::new),
+        restore: Box::new(|_, _| Ok(())),
+    }
+}
+
+fn start(dir: &Path, count: u64, adjust: fn(&mut Config)) -> Result<Voters> {
+    let members = Membership::initial(1, 1..=count);
+    let applied = Arc::new(AtomicU64::new(0));
+    let (outbox, outgoing) = flume::bounded::<Outgoing>(65_536);
+    let mut handles = BTreeMap::new();
+    for id in 1..=count {
+        let mut cfg = Config::new(id, dir.join(id.to_string()));
+        cfg.start = Start::Found(members.clone());
+        adjust(&mut cfg);
+        handles.insert(id, Group::start(cfg, machine(&applied), outbox.clone())?);
+    }
+    let targets = handles.clone();
+    thread::spawn(move || {
+        for Outgoing { to, message } in outgoing {
+            if let Some(handle) = targets.get(&to) {
+                handle.step(message);
+            }
+        }
+    });
+    let first = &handles[&1];
+    first.await_leader(TIMEOUT)?;
+    let leader = first.status().leader.ok_or("no leader")?;
+    let leader = handles[&leader].clone();
+    leader.confirm(TIMEOUT)?;
+    Ok(Voters { handles: handles.into_values().collect(), leader, applied })
+}
+
+impl Voters {
+    fn stop(self) {
+        self.handles.iter().for_each(Handle::stop);
+    }
+
+    /// Runs an operation from many threads for a while.
+    fn load(&self, callers: usize, operation: fn(&Handle) -> group::Result<()>) -> Times {
+        let begin = Instant::now();
+        let threads: Vec<_> = (0..callers)
+            .map(|_| {
+                let leader = self.leader.clone();
+                thread::spawn(move || {
+                    let mut times = Vec::new();
+                    while begin.elapsed() < PERIOD {
+                        let start = Instant::now();
+                        operation(&leader).expect("a healthy group answers");
+                        times.push(start.elapsed());
+                    }
+                    times
+                })
+            })
+            .collect();
+        let times = threads.into_iter().flat_map(|t| t.join().expect("no panic")).collect();
+        Times::new(times, begin.elapsed())
+    }
+}
+
+fn propose(leader: &Handle) -> group::Result<()> {
+    leader.propose(vec![7; COMMAND_BYTES], TIMEOUT).map(drop)
+}
+
+fn confirm(leader: &Handle) -> group::Result<()> {
+    leader.confirm(TIMEOUT).map(drop)
+}
+
+/// Appends and syncs one command at a time, without anything else.
+fn raw_syncs(dir: &Path) -> Result<Times> {
+    let mut f = File::create(dir.join("raw"))?;
+    let begin = Instant::now();
+    let mut times = Vec::new();
+    while begin.elapsed() < PERIOD {
+        let start = Instant::now();
+        f.write_all(&[7; COMMAND_BYTES])?;
+        f.sync_data()?;
+        times.push(start.elapsed());
+    }
+    Ok(Times::new(times, begin.elapsed()))
+}
+
+fn measure_commits(dir: &Path, voters: u64) -> Result<()> {
+    let group = start(&dir.join(format!("of-{voters}")), voters, |_| ())?;
+    for callers in [1, 16, 128, 512] {
+        let times = group.load(callers, propose);
+        times.show(&format!("group of {voters}: commits, {callers} callers"));
+    }
+    for callers in [1, 128] {
+        let times = group.load(callers, confirm);
+        times.show(&format!("group of {voters}: confirmed reads, {callers} callers"));
+    }
+    group.stop();
+    Ok(())
+}
+
+fn measure_recovery(dir: &Path, entries: u64) -> Result<()> {
+    let dir = dir.join(format!("log-{entries}"));
+    let without_snapshots: fn(&mut Config) = |cfg| cfg.snapshot_every = u64::MAX;
+    let group = start(&dir, 1, without_snapshots)?;
+    for _ in 0..entries.div_ceil(1_000) {
+        let tickets: Vec<_> = (0..entries.min(1_000))
+            .map(|_| group.leader.submit(vec![7; COMMAND_BYTES], TIMEOUT))
+            .collect::<group::Result<_>>()?;
+        tickets.into_iter().try_for_each(|ticket| ticket.wait().map(drop))?;
+    }
+    group.stop();
+
+    let begin = Instant::now();
+    let (store, recovered) = disk::Store::open(dir.join("1"))?;
+    let read = begin.elapsed();
+    drop((store, recovered));
+    let begin = Instant::now();
+    let group = start(&dir, 1, without_snapshots)?;
+    let ready = begin.elapsed();
+    assert_eq!(group.applied.load(Ordering::Relaxed), entries);
+    println!(
+        "recovery of {entries:>7} entries: read in {read:>10.1?}, leads and has applied in {ready:.1?}"
+    );
+    group.stop();
+    Ok(())
+}
+
+fn main() -> Result<()> {
+    let base = env::args().nth(1).unwrap_or_else(|| env::temp_dir().display().to_string());
+    let dir = tempfile::tempdir_in(base)?;
+    raw_syncs(dir.path())?.show("raw: append 256 bytes and sync");
+    measure_commits(dir.path(), 1)?;
+    measure_commits(dir.path(), 3)?;
+    raw_syncs(dir.path())?.show("raw again");
+    for entries in [1_000, 10_000, 100_000] {
+        measure_recovery(dir.path(), entries)?;
+    }
+    Ok(())
+}
--- a/crates/group/src/runner.rs
+++ b/crates/group/src/runner.rs
@@ -134,6 +134,9 @@
                 return;
             }
             self.publish();
+            for reply in self.ticks.drain(..) {
+                drop(reply.try_send(Ok(())));
+            }
         }
         self.refuse_rest("by order");
     }
@@ -220,6 +223,7 @@
     /// Writes, sends and applies until there is nothing left to do.
     fn process_all(&mut self) -> Result<()> {
         loop {
+            self.publish();
             self.waiting.try_goals(&mut self.raft);
             let Some(ready) = self.raft.ready() else { break };
             self.process(ready)?;
@@ -239,6 +243,7 @@
         self.store.append(ready.hard_state, &ready.entries);
         self.store.sync().map_err(Error::disk)?;
         self.raft.persisted();
+        self.publish();
         self.send(ready.messages);
         if let Some(snapshot) = &ready.snapshot {
             self.install(snapshot)?;
@@ -299,13 +304,11 @@
         self.store.compact(forgotten).map_err(Error::disk)
     }
 
-    fn publish(&mut self) {
+    /// Shows the status. A caller who was answered must find nothing older in it.
+    fn publish(&self) {
         let mut status = Status::of(&self.raft);
         status.dropped_messages = self.dropped_messages;
         *self.status.lock().unwrap_or_else(PoisonError::into_inner) = status;
-        for reply in self.ticks.drain(..) {
-            drop(reply.try_send(Ok(())));
-        }
     }
 
     /// Stops for good. What was in the log stays unknown to its callers.
--- a/crates/raft/src/election.rs
+++ b/crates/raft/src/election.rs
@@ -9,7 +9,7 @@
 impl Raft {
     pub(crate) fn tick_election(&mut self) {
         self.election_elapsed = self.election_elapsed.saturating_add(1);
-        if self.election_elapsed < self.election_timeout {
+        if self.election_elapsed < self.election_timeout && !self.is_alone() {
             return;
         }
         self.reset_election_timer();
@@ -18,6 +18,13 @@
         }
     }
 
+    /// Whether nobody else can lead, so that there is no need to wait. A leader that has
+    /// just removed itself still finishes its work.
+    fn is_alone(&self) -> bool {
+        let members = self.membership();
+        members.voters.len() == 1 && members.is_voter(self.cfg.id) && self.leader.is_none()
+    }
+
     pub(crate) fn reset_election_timer(&mut self) {
         let base = self.cfg.election_ticks;
         self.election_elapsed = 0;
