Check that what callers are told of commands is true

Cause: a founder that lost its disk and was founded again could vote a node to lead that lacks what the founder had acknowledged.

Change: a node with no more than the first entry votes for no candidate that holds more. A property test proposes through cuts, restarts and transfers, and compares each answer with the final state: applied once, never, or unknown.

--- a/crates/group/tests/group.rs
+++ b/crates/group/tests/group.rs
@@ -96,3 +96,24 @@
     assert_eq!(cluster.state(1), cluster.state(2));
     assert_eq!(cluster.nodes[&2].handle.status().membership.voters.len(), 2);
 }
+
+#[test]
+fn a_command_whose_place_a_snapshot_takes_is_unknown() {
+    let mut cluster = Cluster::founded(3, |cfg| {
+        cfg.snapshot_every = 10;
+        cfg.keep_entries = 2;
+    });
+    let old = cluster.elect();
+    cluster.propose("a").unwrap();
+    let ticket = cluster.submit(old, "x");
+    // The followers receive it; their answers don't come through.
+    cluster.round();
+    cluster.cut.insert(old);
+    for n in 0..30 {
+        cluster.propose(&n.to_string()).unwrap();
+    }
+    cluster.cut.clear();
+    cluster.converge(32);
+    assert_eq!(cluster.state(old)[..2], ["a", "x"]);
+    assert!(ticket.wait().unwrap_err().is_unknown());
+}
--- /dev/null
+++ b/crates/group/tests/outcomes.rs
@@ -0,0 +1,111 @@
+//! What a caller is told of its command is true, whatever happens meanwhile.
+
+mod common;
+
+use bolero::{TypeGenerator, check, generator::*};
+use common::Cluster;
+use group::{Config, NodeId, Start, Ticket};
+use std::{collections::BTreeMap, time::Duration};
+
+#[derive(Clone, Debug, TypeGenerator)]
+enum Op {
+    Propose(u8),
+    ProposeToLeader,
+    Rounds(u8),
+    Cut(u8),
+    Heal,
+    Restart(u8),
+    Transfer(u8),
+}
+
+const VOTERS: u64 = 3;
+const MAX_ROUNDS: u8 = 25;
+/// Callers wait no longer at the end, when everything that can be known is.
+const PATIENCE: Duration = Duration::from_millis(1);
+
+fn configure(cfg: &mut Config) {
+    cfg.snapshot_every = 10;
+    cfg.keep_entries = 3;
+    // The disk isn't what is tested here.
+    cfg.store.files.sync = Box::new(|_, _| Ok(()));
+}
+
+struct Driver {
+    cluster: Cluster,
+    tickets: BTreeMap<String, Ticket>,
+}
+
+impl Driver {
+    fn node(choice: u8) -> NodeId {
+        u64::from(choice) % VOTERS + 1
+    }
+
+    fn propose(&mut self, id: NodeId) {
+        let command = format!("command {}", self.tickets.len());
+        let handle = &self.cluster.nodes[&id].handle;
+        let ticket = handle.submit(command.clone().into_bytes(), PATIENCE * 1_000);
+        self.tickets.insert(command, ticket.expect("there is room"));
+    }
+
+    fn run(&mut self, op: &Op) {
+        match *op {
+            Op::Propose(n) => self.propose(Self::node(n)),
+            Op::ProposeToLeader => {
+                if let Some(leader) = self.cluster.leader() {
+                    self.propose(leader);
+                }
+            }
+            Op::Rounds(count) => (0..count % MAX_ROUNDS).for_each(|_| self.cluster.round()),
+            Op::Cut(n) => {
+                self.cluster.cut = [Self::node(n)].into();
+            }
+            Op::Heal => self.cluster.cut.clear(),
+            Op::Restart(n) => {
+                self.cluster.stop(Self::node(n));
+                self.cluster.start(Self::node(n), Start::Join).unwrap();
+            }
+            Op::Transfer(n) => {
+                if let Some(leader) = self.cluster.leader() {
+                    // It may be refused.
+                    let _ = self.cluster.nodes[&leader].handle.transfer(Self::node(n));
+                }
+            }
+        }
+    }
+
+    fn check(mut self) {
+        self.cluster.cut.clear();
+        // A transfer that is under way ends within an election timeout.
+        (0..u8::MAX).for_each(|_| self.cluster.round());
+        self.cluster.propose("last").unwrap();
+        let leader = self.cluster.elect();
+        let state = self.cluster.state(leader);
+        self.cluster.converge(state.len());
+        for id in 1..=VOTERS {
+            assert_eq!(self.cluster.state(id), state);
+        }
+        for (command, ticket) in self.tickets {
+            let count = state.iter().filter(|c| **c == command).count();
+            match ticket.wait() {
+                Ok(applied) => {
+                    assert_eq!(count, 1, "{command} was answered");
+                    let place: usize = String::from_utf8(applied.output).unwrap().parse().unwrap();
+                    assert_eq!(state[place - 1], command);
+                }
+                Err(e) if e.is_not_applied() => assert_eq!(count, 0, "{command}: {e}"),
+                Err(_) => assert!(count <= 1, "{command} was applied twice"),
+            }
+        }
+    }
+}
+
+#[test]
+fn answers_are_true() {
+    check!().with_generator(produce::<Vec<Op>>().with().len(0..=40usize)).for_each(|ops| {
+        let mut driver =
+            Driver { cluster: Cluster::founded(VOTERS, configure), tickets: BTreeMap::new() };
+        driver.cluster.elect();
+        ops.iter().for_each(|op| driver.run(op));
+        driver.check();
+    });
+}
--- a/crates/raft/src/election.rs
+++ b/crates/raft/src/election.rs
@@ -101,9 +101,14 @@
         granted.count() >= members.quorum()
     }
 
-    /// Whether the node may give a vote at all: an empty one may have lost its disk.
+    /// Whether the node may vote for a candidate whose log ends at `last`.
+    ///
+    /// A node without a log, or with no more than a founder's first entry, may have lost
+    /// its disk after it acknowledged more. It doesn't help a candidate that holds more.
     fn may_vote(&self, last: Position) -> bool {
-        self.log.last_index() > 0 && last.is_up_to_date_with(self.log.last())
+        let own = self.log.last();
+        let may_have_lost_disk = own.index <= 1 && last.index > own.index;
+        own.index > 0 && !may_have_lost_disk && last.is_up_to_date_with(own)
     }
 
     pub(crate) fn handle_pre_vote(&mut self, from: NodeId, term: Term, last: Position) {
--- a/crates/raft/tests/scenarios.rs
+++ b/crates/raft/tests/scenarios.rs
@@ -121,6 +121,12 @@
                     self.sim.add(id, Restored::default());
                 }
             }
+            "found-again" => {
+                let members = self.sim.raft(1).membership().clone();
+                for id in ids(&mut args)? {
+                    self.sim.add(id, Restored::bootstrap(members.clone()));
+                }
+            }
             "compact" => {
                 let keep = key(&mut args, "keep")?.unwrap_or(0);
                 ids(&mut args)?.into_iter().for_each(|id| self.sim.compact(id, keep));
@@ -279,3 +285,8 @@
 fn second_loss_after_repair() {
     run("second_loss_after_repair");
 }
+
+#[test]
+fn founded_again() {
+    run("founded_again");
+}
