Bound the log by bytes as well as by entries

The status shows the first index held.

Conclusion: the log's memory and disk have a bound whatever the commands.

--- a/crates/group/src/config.rs
+++ b/crates/group/src/config.rs
@@ -69,8 +69,12 @@
     pub max_batch: usize,
     /// Entries between two snapshots.
     pub snapshot_every: u64,
+    /// Bytes of entries after which a snapshot is taken in any case.
+    pub snapshot_bytes: usize,
     /// Entries kept behind a snapshot for followers that lag a little.
     pub keep_entries: u64,
+    /// Bytes of entries kept behind a snapshot at most.
+    pub keep_bytes: usize,
     /// Settings of the store.
     pub store: disk::Options,
     /// Time for deadlines.
@@ -78,7 +82,7 @@
 }
 
 impl Config {
-    /// Settings with a tick of 50 ms and a snapshot every 20,000 entries.
+    /// Settings with a tick of 50 ms and a snapshot every 20,000 entries or 32 MiB.
     pub fn new(id: NodeId, dir: impl Into<PathBuf>) -> Self {
         let clock: SharedClock = Arc::new(SystemClock);
         Self {
@@ -90,7 +94,9 @@
             max_messages: 4_096,
             max_batch: 4_096,
             snapshot_every: 20_000,
+            snapshot_bytes: 32 << 20,
             keep_entries: 5_000,
+            keep_bytes: 8 << 20,
             store: disk::Options::default(),
             clock,
         }
--- a/crates/group/src/runner.rs
+++ b/crates/group/src/runner.rs
@@ -59,6 +59,7 @@
     next_tick: Option<Instant>,
     dropped_messages: u64,
     snapshot_index: u64,
+    bytes_since_snapshot: usize,
     is_stopping: bool,
 }
 
@@ -105,6 +106,7 @@
             ticks: Vec::new(),
             dropped_messages: 0,
             snapshot_index,
+            bytes_since_snapshot: 0,
             is_stopping: false,
             cfg,
         })
@@ -270,12 +272,14 @@
         let index = snapshot.meta.index;
         (self.machine.restore)(index, &snapshot.data).map_err(Error::machine)?;
         self.snapshot_index = index;
+        self.bytes_since_snapshot = 0;
         self.waiting.skipped_to(index);
         self.store.compact(index).map_err(Error::disk)
     }
 
     fn apply(&mut self, entry: Entry) {
         let at = Position { index: entry.index, term: entry.term };
+        self.bytes_since_snapshot += entry.size_bytes();
         let output = match &entry.payload {
             Payload::Command(command) => (self.machine.apply)(entry.index, command),
             Payload::Empty | Payload::Membership(_) => Vec::new(),
@@ -292,14 +296,18 @@
     }
 
     fn compact_if_due(&mut self) -> Result<()> {
-        if self.raft.applied() - self.snapshot_index < self.cfg.snapshot_every {
+        let entries = self.raft.applied() - self.snapshot_index;
+        let is_due = entries >= self.cfg.snapshot_every
+            || self.bytes_since_snapshot >= self.cfg.snapshot_bytes;
+        if !is_due {
             return Ok(());
         }
         let snapshot = self.take_snapshot()?;
         let index = snapshot.meta.index;
         self.store.save_snapshot(&snapshot).map_err(Error::disk)?;
-        self.raft.compact(snapshot, self.cfg.keep_entries);
+        self.raft.compact(snapshot, self.cfg.keep_entries, self.cfg.keep_bytes);
         self.snapshot_index = index;
+        self.bytes_since_snapshot = 0;
         let forgotten = self.raft.first_index().saturating_sub(1);
         self.store.compact(forgotten).map_err(Error::disk)
     }
--- a/crates/group/src/status.rs
+++ b/crates/group/src/status.rs
@@ -19,6 +19,8 @@
     pub commit: Index,
     /// Last index that the machine has applied.
     pub applied: Index,
+    /// First index of the log that isn't compacted.
+    pub first_index: Index,
     /// Last index of the log.
     pub last_index: Index,
     /// The members and the epoch of the group.
@@ -44,6 +46,7 @@
             leader: raft.leader(),
             commit: raft.commit(),
             applied: raft.applied(),
+            first_index: raft.first_index(),
             last_index: raft.last_index(),
             membership,
             matched,
--- a/crates/group/tests/group.rs
+++ b/crates/group/tests/group.rs
@@ -117,3 +117,21 @@
     assert_eq!(cluster.state(old)[..2], ["a", "x"]);
     assert!(ticket.wait().unwrap_err().is_unknown());
 }
+
+#[test]
+fn large_commands_are_compacted_by_their_size() {
+    let mut cluster = Cluster::founded(1, |cfg| {
+        cfg.snapshot_bytes = 10_000;
+        cfg.keep_bytes = 3_000;
+    });
+    for _ in 0..40 {
+        cluster.propose(&"x".repeat(1_000)).unwrap();
+    }
+    let status = cluster.nodes[&1].handle.status();
+    let held = status.last_index + 1 - status.first_index;
+    assert!(held <= 13, "{held} entries of 1 kB are held");
+    cluster.stop(1);
+    cluster.start(1, Start::Join).unwrap();
+    cluster.elect();
+    cluster.converge(40);
+}
--- a/crates/raft/src/log.rs
+++ b/crates/raft/src/log.rs
@@ -71,6 +71,17 @@
             .collect()
     }
 
+    /// How many entries up to `index` fit in `max_bytes`, counted backwards.
+    pub(crate) fn count_within(&self, index: Index, max_bytes: usize) -> u64 {
+        let mut bytes = 0;
+        let held = self.entries.iter().rev().skip_while(|e| e.index > index);
+        let fitting = held.take_while(|e| {
+            bytes += e.size_bytes();
+            bytes <= max_bytes
+        });
+        fitting.count() as u64
+    }
+
     /// Adds an entry at the end.
     pub(crate) fn push(&mut self, entry: Entry) {
         debug_assert_eq!(entry.index, self.last_index() + 1);
--- a/crates/raft/src/ready.rs
+++ b/crates/raft/src/ready.rs
@@ -98,8 +98,9 @@
     }
 
     /// Takes over a snapshot that is on disk and forgets the entries that it replaces,
-    /// but for the last `keep` ones: a slow follower then needs no snapshot.
-    pub fn compact(&mut self, snapshot: Snapshot, keep: u64) {
+    /// but for the last ones, at most `keep` of them and `keep_bytes` bytes: a slow
+    /// follower then needs no snapshot.
+    pub fn compact(&mut self, snapshot: Snapshot, keep: u64, keep_bytes: usize) {
         let index = snapshot.meta.index;
         if index > self.applied || index <= self.snapshot.meta.index {
             return;
@@ -108,6 +109,7 @@
         self.memberships.retain(|(at, _)| *at > index);
         self.memberships.insert(0, base);
         self.snapshot = snapshot;
+        let keep = keep.min(self.log.count_within(index, keep_bytes));
         let until = index.saturating_sub(keep);
         if until >= self.log.first_index() {
             self.log.compact(until);
--- a/crates/raft/tests/steps.rs
+++ b/crates/raft/tests/steps.rs
@@ -93,3 +93,11 @@
     });
     assert_eq!(appends.count(), 4);
 }
+
+#[test]
+fn a_sole_voter_leads_at_its_first_tick() {
+    let restored = Restored::bootstrap(Membership::initial(1, [1]));
+    let mut raft = Raft::new(Config::new(1), restored);
+    raft.tick();
+    assert!(raft.is_leader());
+}
