Serve callers' HTTP with unbuffered event streams

Cause: callers need streamed answers token by token, a JSON error with a verdict for each refusal, and a listener that outlives failed accepts.

Change: edge::Server on tiny_http. Streams go through into_writer with a chunk and a flush an event; a heartbeat thread writes comments on silent streams so that a vanished caller cancels its request. Connections inherit read and write timeouts from the listening socket. The accept thread of tiny_http ends at its first error; a supervisor starts it again from a kept listener. Workers are bounded, one request too many gets a 503.

Seen to fail: the first-event test failed before the last chunk was flushed; the bad-input test failed (handler reached) before the check of an unreadable Content-Length.

--- /dev/null
+++ b/crates/edge/src/api_error.rs
@@ -0,0 +1,84 @@
+//! The error that a caller sees.
+
+use serde::Serialize;
+use std::time::Duration;
+use wire::Verdict;
+
+/// A refusal or failure, as the caller gets it.
+///
+/// ```
+/// use edge::ApiError;
+/// use std::time::Duration;
+/// use wire::Verdict;
+///
+/// let e = ApiError::new(503, "overloaded", "every worker is busy", Verdict::NotRun)
+///     .with_retry_after(Duration::from_millis(1500));
+/// assert_eq!(
+///     e.to_json(),
+///     concat!(
+///         r#"{"error":{"code":"overloaded","message":"every worker is busy","#,
+///         r#""verdict":"not-run","retry_after_ms":1500}}"#,
+///     ),
+/// );
+/// ```
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ApiError {
+    /// HTTP status, 400 to 599.
+    pub status: u16,
+    /// Name of the kind of error, for programs.
+    pub code: String,
+    /// What happened, for people.
+    pub message: String,
+    /// Whether the request may have run.
+    pub verdict: Verdict,
+    /// When the caller may come back, if that can help.
+    pub retry_after: Option<Duration>,
+}
+
+#[derive(Serialize)]
+struct Envelope<'a> {
+    error: Body<'a>,
+}
+
+#[derive(Serialize)]
+struct Body<'a> {
+    code: &'a str,
+    message: &'a str,
+    verdict: Verdict,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+impl ApiError {
+    /// An error without advice on when to come back.
+    pub fn new(
+        status: u16,
+        code: impl Into<String>,
+        message: impl Into<String>,
+        verdict: Verdict,
+    ) -> Self {
+        Self { status, code: code.into(), message: message.into(), verdict, retry_after: None }
+    }
+
+    /// Adds when the caller may come back.
+    pub fn with_retry_after(mut self, after: Duration) -> Self {
+        self.retry_after = Some(after);
+        self
+    }
+
+    /// The error as the JSON body of a response.
+    pub fn to_json(&self) -> String {
+        let body = Body {
+            code: &self.code,
+            message: &self.message,
+            verdict: self.verdict,
+            retry_after_ms: self.retry_after.map(|d| d.as_millis() as u64),
+        };
+        serde_json::to_string(&Envelope { error: body }).unwrap_or_default()
+    }
+
+    /// A refusal of a request that was never sent to an upstream.
+    pub(crate) fn refusal(status: u16, code: &str, message: impl Into<String>) -> Self {
+        Self::new(status, code, message, Verdict::NotRun)
+    }
+}
--- /dev/null
+++ b/crates/edge/src/server.rs
@@ -0,0 +1,296 @@
+//! Accepts requests and hands them to workers.
+
+use crate::{
+    ApiError, CallerRequest, EdgeConfig, Error, Header, Headers, Reply, Result, body,
+    heartbeat::Heartbeats,
+    listener::{self, PROBE_PATH, Probe},
+    workers::Workers,
+};
+use std::{
+    io,
+    net::{SocketAddr, TcpListener},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
+};
+use tiny_http::Request;
+
+/// Answers one request. Runs on a worker thread, and may hand the request on.
+pub type Handler = Arc<dyn Fn(CallerRequest) + Send + Sync>;
+
+/// Longest time that a thread takes to notice that the server stops.
+const TICK: Duration = Duration::from_millis(100);
+/// Pause after a failed accept, as most causes need time to pass.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(100);
+/// When to come back to a server with every worker busy.
+const BUSY_RETRY: Duration = Duration::from_secs(1);
+
+/// A listening server. Stops accepting when dropped; requests in handlers go on.
+pub struct Server {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    threads: Vec<JoinHandle<()>>,
+    /// Closed to wake the threads that wait for the next tick.
+    stop: Option<flume::Sender<()>>,
+}
+
+struct Shared {
+    cfg: EdgeConfig,
+    handler: Handler,
+    heartbeats: Arc<Heartbeats>,
+    workers: Workers,
+    refusals: Workers,
+    stopping: AtomicBool,
+    restarts: AtomicU64,
+    in_flight: Arc<()>,
+}
+
+impl Server {
+    /// Binds the address and starts the threads.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be bound or a thread can't start.
+    pub fn start(cfg: EdgeConfig, handler: Handler) -> Result<Self> {
+        let listener = listener::bind(&cfg)?;
+        let io_error = |e| Error::io("server not started".to_owned(), e);
+        let address = listener.local_addr().map_err(io_error)?;
+        let (stop, stopped) = flume::bounded(0);
+        let (heartbeats, heartbeat) =
+            Heartbeats::start(cfg.heartbeat, stopped.clone()).map_err(io_error)?;
+        let shared = Arc::new(Shared {
+            workers: Workers::new("edge-worker", cfg.max_requests),
+            refusals: Workers::new("edge-refusal", cfg.max_refusals),
+            cfg,
+            handler,
+            heartbeats,
+            stopping: AtomicBool::new(false),
+            restarts: AtomicU64::new(0),
+            in_flight: Arc::default(),
+        });
+        let first = start_generation(&listener, &shared).map_err(io_error)?;
+        let supervisor = spawn("edge-listener", {
+            let shared = shared.clone();
+            move || supervise(&listener, address, first, &shared, &stopped)
+        })
+        .map_err(io_error)?;
+        Ok(Self { address, shared, threads: vec![heartbeat, supervisor], stop: Some(stop) })
+    }
+
+    /// The address that is listened on, with the port that was taken.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// How often the listener was started again after a failed accept.
+    pub fn listener_restarts(&self) -> u64 {
+        self.shared.restarts.load(Ordering::Relaxed)
+    }
+
+    /// Requests that are not yet answered.
+    pub fn in_flight(&self) -> usize {
+        Arc::strong_count(&self.shared.in_flight) - 1
+    }
+
+    /// Stops accepting. Requests in handlers go on.
+    pub fn stop(mut self) {
+        self.stop_threads();
+    }
+
+    fn stop_threads(&mut self) {
+        self.shared.stopping.store(true, Ordering::Release);
+        self.stop = None;
+        for thread in self.threads.drain(..) {
+            if thread.join().is_err() {
+                log::error!("a thread of the server at {} panicked", self.address);
+            }
+        }
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.stop_threads();
+    }
+}
+
+/// One tiny_http server. Its accept thread ends for good at the first error,
+/// but its connections go on and are still served.
+struct Generation {
+    /// Gets one message when the accept thread has ended.
+    failed: flume::Receiver<()>,
+    pump: JoinHandle<()>,
+}
+
+fn start_generation(listener: &TcpListener, shared: &Arc<Shared>) -> io::Result<Generation> {
+    let server = tiny_http::Server::from_listener(listener.try_clone()?, None)
+        .map_err(|e| io::Error::other(e.to_string()))?;
+    let (failed_tx, failed) = flume::bounded(1);
+    let shared = shared.clone();
+    let pump = spawn("edge-accept", move || pump(&server, &shared, &failed_tx))?;
+    Ok(Generation { failed, pump })
+}
+
+/// Replaces a generation whose accept thread has ended, until the server stops.
+fn supervise(
+    listener: &TcpListener,
+    address: SocketAddr,
+    first: Generation,
+    shared: &Arc<Shared>,
+    stopped: &flume::Receiver<()>,
+) {
+    let mut generations = vec![first];
+    while !shared.stopping.load(Ordering::Acquire) {
+        let dead = generations.last().is_none_or(|g| wait_for_failure(g, address, shared, stopped));
+        generations.retain(|g| !g.pump.is_finished());
+        if !dead || shared.stopping.load(Ordering::Acquire) {
+            continue;
+        }
+        match start_generation(listener, shared) {
+            Ok(generation) => {
+                shared.restarts.fetch_add(1, Ordering::Relaxed);
+                metrics::counter!("edge_listener_restarts").increment(1);
+                generations.push(generation);
+            }
+            Err(e) => log::error!("listener at {address} not started again: {e}"),
+        }
+        let _ = stopped.recv_timeout(ACCEPT_BACKOFF);
+    }
+    for generation in generations {
+        let _ = generation.pump.join();
+    }
+}
+
+/// Waits for one probe interval, and says whether the generation must be replaced.
+///
+/// The probe also keeps an idle listener below the read timeout, which would
+/// end its accept thread.
+fn wait_for_failure(
+    generation: &Generation,
+    address: SocketAddr,
+    shared: &Shared,
+    stopped: &flume::Receiver<()>,
+) -> bool {
+    let failed = flume::Selector::new()
+        .recv(&generation.failed, |r| Some(r.is_ok()))
+        .recv(stopped, |_| Some(false))
+        .wait_timeout(shared.cfg.probe_interval);
+    match failed {
+        Ok(Some(failed)) => failed,
+        Ok(None) | Err(_) => listener::probe(address) == Probe::Silent,
+    }
+}
+
+/// Moves requests from tiny_http to the workers until the server stops.
+fn pump(server: &tiny_http::Server, shared: &Arc<Shared>, failed: &flume::Sender<()>) {
+    while !shared.stopping.load(Ordering::Acquire) {
+        match server.recv_timeout(TICK) {
+            Ok(Some(request)) => dispatch(request, shared),
+            Ok(None) => (),
+            Err(e) => {
+                log::warn!("accept failed, the listener starts again: {e}");
+                let _ = failed.try_send(());
+            }
+        }
+    }
+}
+
+fn dispatch(request: Request, shared: &Arc<Shared>) {
+    if request.url() == PROBE_PATH {
+        let _ = request.respond(tiny_http::Response::empty(204));
+        return;
+    }
+    let received = shared.cfg.clock.now();
+    let cell = Arc::new(std::sync::Mutex::new(Some(request)));
+    let accepted = shared.workers.run({
+        let (cell, shared) = (cell.clone(), shared.clone());
+        Box::new(move || take(&cell).into_iter().for_each(|r| serve(r, received, &shared)))
+    });
+    if accepted.is_ok() {
+        return;
+    }
+    metrics::counter!("edge_refused_busy").increment(1);
+    let refused = shared.refusals.run({
+        let (cell, shared) = (cell.clone(), shared.clone());
+        Box::new(move || take(&cell).into_iter().for_each(|r| refuse(r, busy(), &shared)))
+    });
+    if refused.is_err() {
+        take(&cell).into_iter().for_each(|r| refuse(r, busy(), shared));
+    }
+}
+
+fn take<T>(cell: &std::sync::Mutex<Option<T>>) -> Option<T> {
+    cell.lock().unwrap_or_else(std::sync::PoisonError::into_inner).take()
+}
+
+fn busy() -> ApiError {
+    ApiError::refusal(503, "overloaded", "every worker is busy").with_retry_after(BUSY_RETRY)
+}
+
+/// Reads and checks a request, and calls the handler or refuses it.
+fn serve(mut request: Request, received: Instant, shared: &Arc<Shared>) {
+    let checked = check(&mut request, received, &shared.cfg);
+    let (parts, body) = match checked {
+        Ok(checked) => checked,
+        Err(e) => return refuse(request, e, shared),
+    };
+    let remote = request.remote_addr().copied();
+    let reply = Reply::new(request, shared.heartbeats.clone(), shared.in_flight.clone());
+    (shared.handler)(CallerRequest {
+        method: parts.method,
+        path: parts.path,
+        query: parts.query,
+        headers: parts.headers,
+        body,
+        remote,
+        received,
+        reply,
+    });
+}
+
+fn refuse(request: Request, e: ApiError, shared: &Shared) {
+    metrics::counter!("edge_refused", "code" => e.code.clone()).increment(1);
+    let reply = Reply::new(request, shared.heartbeats.clone(), shared.in_flight.clone());
+    if let Err(e) = reply.error(e) {
+        log::debug!("refusal not written: {e}");
+    }
+}
+
+struct Parts {
+    method: http::Method,
+    path: String,
+    query: String,
+    headers: Headers,
+}
+
+fn check(
+    request: &mut Request,
+    received: Instant,
+    cfg: &EdgeConfig,
+) -> std::result::Result<(Parts, Vec<u8>), ApiError> {
+    let headers = request
+        .headers()
+        .iter()
+        .map(|h| Header {
+            name: h.field.as_str().as_str().to_ascii_lowercase(),
+            value: h.value.as_str().to_owned(),
+        })
+        .collect::<Vec<_>>();
+    body::check_headers(&headers, cfg)?;
+    let headers = Headers::parse(headers)?;
+    let method = http::Method::from_bytes(request.method().as_str().as_bytes())
+        .map_err(|_| ApiError::refusal(400, "invalid_method", "the method is not a token"))?;
+    let (path, query) = request.url().split_once('?').unwrap_or((request.url(), ""));
+    let parts = Parts { method, path: path.to_owned(), query: query.to_owned(), headers };
+    let declared = request.body_length();
+    body::check_framing(&parts.headers, declared)?;
+    let body = body::read(request.as_reader(), declared, received, cfg)?;
+    Ok((parts, body))
+}
+
+fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> io::Result<JoinHandle<()>> {
+    thread::Builder::new().name(name.to_owned()).spawn(run)
+}
--- /dev/null
+++ b/crates/edge/tests/server.rs
@@ -0,0 +1,230 @@
+//! Requests through a listening server.
+
+use edge::{ApiError, CallerRequest, EdgeConfig, Server};
+use std::{
+    io::{BufRead, BufReader, Read, Write},
+    net::{Shutdown, SocketAddr, TcpStream},
+    sync::Arc,
+    time::Duration,
+};
+use wire::Verdict;
+
+/// Longest wait for an event that a test expects. Reached only by a failure.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+type TestResult = Result<(), Box<dyn std::error::Error>>;
+
+fn config() -> EdgeConfig {
+    EdgeConfig::new(SocketAddr::from(([127, 0, 0, 1], 0)))
+}
+
+/// A server that hands each request to the test.
+fn start(cfg: EdgeConfig) -> (Server, flume::Receiver<CallerRequest>) {
+    let (tx, rx) = flume::unbounded();
+    let handler = Arc::new(move |req| {
+        let _ = tx.send(req);
+    });
+    (Server::start(cfg, handler).expect("start"), rx)
+}
+
+fn send(server: &Server, head: &str, body: &[u8]) -> TcpStream {
+    let mut stream = TcpStream::connect(server.address()).expect("connect");
+    stream.set_read_timeout(Some(PATIENCE)).expect("timeout");
+    stream.write_all(head.as_bytes()).expect("head");
+    stream.write_all(body).expect("body");
+    stream
+}
+
+/// Status line and body of the answer.
+fn answer(stream: TcpStream) -> (u16, String) {
+    let mut reader = BufReader::new(stream);
+    let mut line = String::new();
+    reader.read_line(&mut line).expect("status line");
+    let status = line.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("status");
+    let mut length = 0;
+    loop {
+        let mut header = String::new();
+        reader.read_line(&mut header).expect("header");
+        if header.trim().is_empty() {
+            break;
+        }
+        if let Some(n) = header.to_ascii_lowercase().strip_prefix("content-length:") {
+            length = n.trim().parse().expect("length");
+        }
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).expect("body");
+    (status, String::from_utf8(body).expect("text"))
+}
+
+fn read_until(reader: &mut impl BufRead, wanted: &str) -> bool {
+    let mut line = String::new();
+    while reader.read_line(&mut line).is_ok_and(|n| n > 0) {
+        if line.trim() == wanted {
+            return true;
+        }
+        line.clear();
+    }
+    false
+}
+
+#[test]
+fn first_event_arrives_before_the_second_is_sent() -> TestResult {
+    let (server, requests) = start(config());
+    let client = send(&server, "GET /s HTTP/1.1\r\nHost: x\r\n\r\n", b"");
+    let stream = requests.recv_timeout(PATIENCE)?.reply.stream()?;
+    let mut reader = BufReader::new(client);
+    // The second event is sent only after the first was read.
+    stream.send("one")?;
+    assert!(read_until(&mut reader, "data: one"));
+    stream.send("two")?;
+    assert!(read_until(&mut reader, "data: two"));
+    stream.finish()?;
+    assert!(read_until(&mut reader, "0"));
+    Ok(())
+}
+
+#[test]
+fn an_unfinished_stream_ends_with_an_error() -> TestResult {
+    let (server, requests) = start(config());
+    let client = send(&server, "GET /s HTTP/1.1\r\nHost: x\r\n\r\n", b"");
+    let stream = requests.recv_timeout(PATIENCE)?.reply.stream()?;
+    stream.send("half")?;
+    drop(stream);
+    let mut text = String::new();
+    client.shutdown(Shutdown::Write)?;
+    BufReader::new(client).read_to_string(&mut text)?;
+    assert!(text.contains(r#""code":"stream_aborted""#), "{text}");
+    assert!(text.contains(r#""verdict":"may-have-run""#), "{text}");
+    Ok(())
+}
+
+#[test]
+fn a_vanished_caller_cancels_its_silent_stream() -> TestResult {
+    let mut cfg = config();
+    cfg.heartbeat = Duration::from_millis(5);
+    let (server, requests) = start(cfg);
+    let client = send(&server, "GET /s HTTP/1.1\r\nHost: x\r\n\r\n", b"");
+    let stream = requests.recv_timeout(PATIENCE)?.reply.stream()?;
+    let (tx, cancelled) = flume::bounded(1);
+    stream.on_cancel(move || {
+        let _ = tx.send(());
+    });
+    drop(client);
+    cancelled.recv_timeout(PATIENCE)?;
+    assert!(stream.is_cancelled());
+    assert!(stream.send("late").is_err_and(|e| e.is_caller_gone()));
+    Ok(())
+}
+
+#[test]
+fn a_request_without_an_answer_gets_an_error() -> TestResult {
+    let (server, requests) = start(config());
+    let client = send(&server, "GET / HTTP/1.1\r\nHost: x\r\n\r\n", b"");
+    drop(requests.recv_timeout(PATIENCE)?);
+    let (status, body) = answer(client);
+    assert_eq!(status, 500);
+    assert!(body.contains("may-have-run"), "{body}");
+    Ok(())
+}
+
+#[test]
+fn each_kind_of_bad_input_gets_its_own_error() {
+    let mut cfg = config();
+    cfg.max_body_bytes = 2000;
+    cfg.max_header_bytes = 500;
+    let (server, requests) = start(cfg);
+    let long = "x".repeat(600);
+    let cases: &[(&str, &[u8], u16, &str)] = &[
+        ("Content-Length: 3000", b"", 413, "body_too_large"),
+        (&format!("X-Long: {long}"), b"", 431, "headers_too_large"),
+        ("Content-Length: 1500", b"short", 400, "body_truncated"),
+        ("Content-Length: many", b"", 400, "invalid_framing"),
+        ("Content-Length: 2\r\nTransfer-Encoding: chunked", b"", 400, "invalid_framing"),
+        ("Transfer-Encoding: gzip", b"", 400, "invalid_framing"),
+        ("Transfer-Encoding: chunked", b"zz\r\n", 400, "invalid_chunking"),
+        ("Authorization: Basic abc", b"", 401, "invalid_authorization"),
+        ("toucansill-deadline-ms: 0", b"", 400, "invalid_header"),
+        ("toucansill-deadline-ms: soon", b"", 400, "invalid_header"),
+        ("toucansill-priority: high", b"", 400, "invalid_header"),
+        ("Idempotency-Key: a\r\nIdempotency-Key: b", b"", 400, "invalid_header"),
+        ("Idempotency-Key:", b"", 400, "invalid_header"),
+    ];
+    for (header, body, status, code) in cases {
+        let stream =
+            send(&server, &format!("POST / HTTP/1.1\r\nHost: x\r\n{header}\r\n\r\n"), body);
+        stream.shutdown(Shutdown::Write).expect("shutdown");
+        let (got, text) = answer(stream);
+        assert_eq!(got, *status, "{header}: {text}");
+        assert!(text.contains(&format!(r#""code":"{code}""#)), "{header}: {text}");
+        assert!(text.contains(r#""verdict":"not-run""#), "{header}: {text}");
+    }
+    assert!(requests.is_empty(), "the handler saw a bad request");
+}
+
+#[test]
+fn a_caller_that_stops_sending_is_refused() {
+    let mut cfg = config();
+    cfg.read_timeout = Duration::from_millis(50);
+    let (server, requests) = start(cfg);
+    // A body over 1024 bytes is read by the worker.
+    let client = send(&server, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1500\r\n\r\n", b"ab");
+    let (status, body) = answer(client);
+    assert_eq!((status, body.contains("body_timeout")), (408, true), "{body}");
+    assert!(requests.is_empty());
+}
+
+#[test]
+fn one_request_too_many_is_refused_as_not_run() -> TestResult {
+    let mut cfg = config();
+    cfg.max_requests = 1;
+    let (tx, entered) = flume::bounded(1);
+    let (release, released) = flume::bounded::<()>(0);
+    let handler = Arc::new(move |req: CallerRequest| {
+        let _ = tx.send(());
+        let _ = released.recv();
+        let _ = req.reply.json(200, "{}", Verdict::Ran);
+    });
+    let server = Server::start(cfg, handler)?;
+    let first = send(&server, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n", b"");
+    entered.recv_timeout(PATIENCE)?;
+    let (status, body) = answer(send(&server, "GET /b HTTP/1.1\r\nHost: x\r\n\r\n", b""));
+    assert_eq!(status, 503);
+    assert!(body.contains("not-run") && body.contains("retry_after_ms"), "{body}");
+    drop(release);
+    assert_eq!(answer(first).0, 200);
+    Ok(())
+}
+
+#[test]
+fn the_listener_survives_failed_accepts() -> TestResult {
+    let mut cfg = config();
+    // An accept that waits longer than the read timeout fails, and with it
+    // ends the accept thread.
+    cfg.read_timeout = Duration::from_millis(20);
+    cfg.probe_interval = PATIENCE;
+    let (server, requests) = start(cfg);
+    while server.listener_restarts() < 2 {
+        std::thread::yield_now();
+    }
+    let client = send(&server, "GET /after HTTP/1.1\r\nHost: x\r\n\r\n", b"");
+    let req = requests.recv_timeout(PATIENCE)?;
+    assert_eq!(req.path, "/after");
+    req.reply.error(ApiError::new(404, "unknown_path", "none", Verdict::NotRun))?;
+    assert_eq!(answer(client).0, 404);
+    Ok(())
+}
+
+#[test]
+fn a_stopped_server_accepts_no_more() -> TestResult {
+    let (server, requests) = start(config());
+    let address = server.address();
+    let client = send(&server, "GET / HTTP/1.1\r\nHost: x\r\n\r\n", b"");
+    let req = requests.recv_timeout(PATIENCE)?;
+    server.stop();
+    // A request in a handler is still answered.
+    req.reply.json(200, "{}", Verdict::Ran)?;
+    assert_eq!(answer(client).0, 200);
+    assert!(TcpStream::connect(address).is_err());
+    Ok(())
+}
