Add a stand-in engine that streams completions

Cause: the whole path needs an engine to stream from on one machine. Change: fake::Engine batches continuously at stated rates within a stated memory, streams server-sent events with the request id and token offset, refuses with a "not run" verdict, announces itself each second, and stands behind a relay whose connections can be cut or silenced. Accepted sockets inherit TCP_NODELAY from the listener (socket2), as tiny_http sets none.

--- /dev/null
+++ b/crates/fake/src/body.rs
@@ -0,0 +1,90 @@
+//! The JSON bodies of an engine's API.
+
+use serde::{Deserialize, Serialize};
+use wire::{ModelId, RequestId, Tokens};
+
+/// Tokens of an answer when the request names no limit.
+const DEFAULT_MAX_TOKENS: Tokens = 16;
+
+/// Body of a completion request, chat or plain.
+#[derive(Debug, Deserialize)]
+pub(crate) struct CompletionBody {
+    pub(crate) model: ModelId,
+    #[serde(default)]
+    pub(crate) prompt: Option<String>,
+    #[serde(default)]
+    pub(crate) messages: Vec<Message>,
+    #[serde(default)]
+    pub(crate) max_tokens: Option<Tokens>,
+    #[serde(default)]
+    pub(crate) stream: bool,
+    #[serde(default)]
+    pub(crate) request_id: Option<RequestId>,
+    #[serde(default)]
+    pub(crate) resume: Option<Tokens>,
+}
+
+/// One message of a chat.
+#[derive(Debug, Deserialize)]
+pub(crate) struct Message {
+    #[serde(default)]
+    pub(crate) content: String,
+}
+
+impl CompletionBody {
+    /// The prompt: its own field, or the messages' texts joined by line ends.
+    pub(crate) fn text(&self) -> String {
+        match &self.prompt {
+            Some(prompt) => prompt.clone(),
+            None => {
+                let texts: Vec<&str> = self.messages.iter().map(|m| m.content.as_str()).collect();
+                texts.join("\n")
+            }
+        }
+    }
+
+    pub(crate) fn max_tokens(&self) -> Tokens {
+        self.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS)
+    }
+}
+
+/// Tokens that a request used.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
+pub(crate) struct Usage {
+    pub(crate) prompt_tokens: Tokens,
+    pub(crate) completion_tokens: Tokens,
+    pub(crate) cached_tokens: Tokens,
+}
+
+/// One event of a streamed answer, or a whole answer.
+#[derive(Debug, Serialize)]
+pub(crate) struct Chunk<'a> {
+    pub(crate) id: &'a str,
+    pub(crate) object: &'static str,
+    pub(crate) model: &'a str,
+    /// Number of the first token in this chunk.
+    pub(crate) offset: Tokens,
+    pub(crate) choices: [Choice; 1],
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) usage: Option<Usage>,
+}
+
+#[derive(Debug, Default, Serialize)]
+pub(crate) struct Choice {
+    pub(crate) index: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) delta: Option<Content>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) message: Option<Content>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) text: Option<String>,
+    pub(crate) finish_reason: Option<&'static str>,
+}
+
+#[derive(Debug, Serialize)]
+pub(crate) struct Content {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) role: Option<&'static str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) content: Option<String>,
+}
--- /dev/null
+++ b/crates/fake/src/http.rs
@@ -0,0 +1,134 @@
+//! Helpers around `tiny_http`.
+
+use serde::Serialize;
+use std::{
+    io::{self, Write},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+};
+use tiny_http::{Header, Request, Response, Server};
+use wire::Verdict;
+
+/// Opens a server on a free port of 127.0.0.1.
+///
+/// Accepted sockets inherit `TCP_NODELAY`, so that small flushed writes are
+/// sent at once.
+pub(crate) fn bind() -> io::Result<(Server, SocketAddr)> {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+    socket2::SockRef::from(&listener).set_tcp_nodelay(true)?;
+    let address = listener.local_addr()?;
+    let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
+    Ok((server, address))
+}
+
+/// The value of a request's header.
+pub(crate) fn header<'a>(req: &'a Request, name: &str) -> Option<&'a str> {
+    req.headers()
+        .iter()
+        .find(|h| h.field.as_str().as_str().eq_ignore_ascii_case(name))
+        .map(|h| h.value.as_str())
+}
+
+/// The whole body of a request.
+pub(crate) fn read_body(req: &mut Request) -> io::Result<Vec<u8>> {
+    let mut body = Vec::with_capacity(req.body_length().unwrap_or_default());
+    req.as_reader().read_to_end(&mut body)?;
+    Ok(body)
+}
+
+/// Answers with JSON.
+pub(crate) fn respond_json(req: Request, status: u16, value: &impl Serialize) {
+    respond(req, status, value, None);
+}
+
+/// Answers with JSON and the header that says whether the request ran.
+pub(crate) fn respond(req: Request, status: u16, value: &impl Serialize, verdict: Option<Verdict>) {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = Response::from_data(body).with_status_code(status);
+    response.add_header(text_header("Content-Type", "application/json"));
+    if let Some(verdict) = verdict {
+        response.add_header(text_header("toucansill-verdict", verdict.as_str()));
+    }
+    if let Err(e) = req.respond(response) {
+        log::debug!("the client has gone: {e}");
+    }
+}
+
+fn text_header(name: &str, value: &str) -> Header {
+    Header::from_bytes(name, value).expect("a fixed header is valid")
+}
+
+/// A refusal: nothing of the request has run.
+#[derive(Debug, Serialize)]
+pub(crate) struct Refusal {
+    error: RefusalDetail,
+}
+
+#[derive(Debug, Serialize)]
+struct RefusalDetail {
+    #[serde(rename = "type")]
+    kind: &'static str,
+    message: String,
+    verdict: Verdict,
+}
+
+impl Refusal {
+    pub(crate) fn new(kind: &'static str, message: impl Into<String>) -> Self {
+        let message = message.into();
+        Self { error: RefusalDetail { kind, message, verdict: Verdict::NotRun } }
+    }
+
+    /// Answers a request with this refusal.
+    pub(crate) fn respond(&self, req: Request, status: u16) {
+        respond(req, status, self, Some(Verdict::NotRun));
+    }
+}
+
+/// A writer that sends what it has buffered when it goes. The encoder writes
+/// the last chunk when it is dropped, and `tiny_http` would keep that back.
+struct FlushOnDrop(Box<dyn Write + Send>);
+
+impl Write for FlushOnDrop {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.0.write(buf)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.0.flush()
+    }
+}
+
+impl Drop for FlushOnDrop {
+    fn drop(&mut self) {
+        let _ = self.0.flush();
+    }
+}
+
+/// Server-sent events in chunked encoding, each sent at once.
+pub(crate) struct EventWriter {
+    encoder: chunked_transfer::Encoder<FlushOnDrop>,
+}
+
+impl EventWriter {
+    pub(crate) fn start(req: Request) -> io::Result<Self> {
+        let mut writer: Box<dyn Write + Send> = req.into_writer();
+        writer.write_all(
+            b"HTTP/1.1 200 OK\r\n\
+              Content-Type: text/event-stream\r\n\
+              Cache-Control: no-cache\r\n\
+              Transfer-Encoding: chunked\r\n\r\n",
+        )?;
+        writer.flush()?;
+        Ok(Self { encoder: chunked_transfer::Encoder::new(FlushOnDrop(writer)) })
+    }
+
+    pub(crate) fn data(&mut self, text: &str) -> io::Result<()> {
+        write!(self.encoder, "data: {text}\n\n")?;
+        self.encoder.flush()
+    }
+
+    /// A comment, which shows that the engine is alive before the first token.
+    pub(crate) fn comment(&mut self, text: &str) -> io::Result<()> {
+        write!(self.encoder, ": {text}\n\n")?;
+        self.encoder.flush()
+    }
+}
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -1,1 +1,36 @@
 //! Stand-ins for model engines and plain services.
+//!
+//! An [`Engine`] is an HTTP server on 127.0.0.1 that batches continuously at
+//! stated rates, within a stated memory. Its answers are a pure function of
+//! the prompt, so a test can compare what a caller received with
+//! [`completion_text`]:
+//!
+//! ```
+//! use fake::{Engine, EngineConfig, completion_text};
+//!
+//! let engine = Engine::start(EngineConfig::default())?;
+//! let url = format!("http://{}/v1/completions", engine.address());
+//! let body = r#"{"model": "small", "prompt": "hello", "max_tokens": 3}"#;
+//! let reply = minreq::post(url).with_body(body).send().expect("the engine answers");
+//! assert!(reply.as_str().expect("UTF-8").contains(&completion_text("hello", 0, 3)));
+//! # Ok::<(), std::io::Error>(())
+//! ```
+//!
+//! A [`Relay`] stands between the engine and its clients, so that open
+//! connections can be cut, or go silent while new ones work.
+
+mod announce;
+mod batch;
+mod body;
+mod config;
+mod engine;
+mod http;
+mod relay;
+mod serve;
+mod text;
+
+pub use announce::{Announcement, Announcer};
+pub use config::{EngineConfig, Ramp};
+pub use engine::{Engine, Stats};
+pub use relay::Relay;
+pub use text::{completion_text, count_tokens};
--- /dev/null
+++ b/crates/fake/src/serve.rs
@@ -0,0 +1,290 @@
+//! An engine's HTTP API.
+
+use crate::{
+    batch::{EMISSION_QUEUE, Emission, Job},
+    body::{Choice, Chunk, CompletionBody, Content, Usage},
+    engine::{Core, Shared},
+    http::{self, EventWriter, Refusal},
+    text::{Digest, count_tokens},
+};
+use std::{
+    io,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+use tiny_http::{Method, Request};
+use wire::{RequestId, Tokens};
+
+/// Priority of a request that names none; urgent ones have a lower number.
+const DEFAULT_PRIORITY: u8 = 100;
+
+/// Number of the next request that came without an id.
+static NEXT_ID: AtomicU64 = AtomicU64::new(1);
+
+/// Which of the two completion APIs a request came by.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Api {
+    Chat,
+    Plain,
+}
+
+/// Serves one request.
+pub(crate) fn handle(shared: &Arc<Shared>, mut req: Request) {
+    let body = match http::read_body(&mut req) {
+        Ok(body) => body,
+        Err(e) => return Refusal::new("bad_body", e.to_string()).respond(req, 400),
+    };
+    let path = req.url().split('?').next().unwrap_or_default().to_string();
+    match (req.method(), path.as_str()) {
+        (Method::Post, "/v1/chat/completions") => complete(shared, req, &body, Api::Chat),
+        (Method::Post, "/v1/completions") => complete(shared, req, &body, Api::Plain),
+        (Method::Post, path) if path.starts_with("/cancel/") => {
+            cancel(shared, req, &path["/cancel/".len()..].to_string());
+        }
+        _ => Refusal::new("not_found", format!("no such path: {path}")).respond(req, 404),
+    }
+}
+
+fn cancel(shared: &Shared, req: Request, id: &RequestId) {
+    let cancelled = shared.cancel(id);
+    let status = if cancelled { 200 } else { 404 };
+    http::respond_json(req, status, &serde_json::json!({ "cancelled": cancelled }));
+}
+
+/// A refusal with its HTTP status.
+struct Refused(u16, Refusal);
+
+/// A request that the engine has taken in.
+struct Accepted {
+    id: RequestId,
+    model: String,
+    digest: Digest,
+    first: Tokens,
+    rx: flume::Receiver<Emission>,
+}
+
+fn complete(shared: &Arc<Shared>, req: Request, body: &[u8], api: Api) {
+    let body: CompletionBody = match serde_json::from_slice(body) {
+        Ok(body) => body,
+        Err(e) => return Refusal::new("bad_json", e.to_string()).respond(req, 400),
+    };
+    let text = body.text();
+    if must_crash(shared, &text) {
+        return shared.crash();
+    }
+    let accepted = match accept(shared, &req, &body, &text) {
+        Ok(accepted) => accepted,
+        Err(Refused(status, refusal)) => {
+            shared.lock().stats.refused += 1;
+            return refusal.respond(req, status);
+        }
+    };
+    shared.wake();
+    let ended = if body.stream {
+        stream(req, &accepted, api)
+    } else {
+        answer(req, &accepted, api);
+        Ok(())
+    };
+    if let Err(e) = ended {
+        log::debug!("stream {} ended early: {e}", accepted.id);
+    }
+}
+
+fn must_crash(shared: &Shared, text: &str) -> bool {
+    let core = shared.lock();
+    core.cfg.crash_on.as_ref().is_some_and(|poison| text.contains(poison.as_str()))
+}
+
+/// Takes a request in, or takes up a running one again.
+fn accept(
+    shared: &Shared,
+    req: &Request,
+    body: &CompletionBody,
+    text: &str,
+) -> Result<Accepted, Refused> {
+    let id = request_id(req, body);
+    let first = resume_offset(req, body)?;
+    let (tx, rx) = flume::bounded(EMISSION_QUEUE);
+    let digest = Digest::EMPTY.extend(text.as_bytes());
+    let mut core = shared.lock();
+    check_serving(&core, body)?;
+    if first > 0 {
+        // The old connection's job ends; this one starts at the offset asked for.
+        core.batch.remove(&id);
+        core.stats.resumed += 1;
+    }
+    if core.batch.get_mut(&id).is_some() {
+        let message = format!("request {id} is running");
+        return Err(Refused(409, Refusal::new("duplicate_request", message)));
+    }
+    let prompt_tokens = count_tokens(text.len() as u64);
+    let memory = prompt_tokens + body.max_tokens();
+    check_memory(&core, memory)?;
+    core.stats.admitted += 1;
+    core.batch.push(Job {
+        id: id.clone(),
+        priority: priority(req),
+        prompt_tokens,
+        cached_tokens: 0,
+        prefill_left: prompt_tokens,
+        next: first,
+        max_tokens: body.max_tokens(),
+        memory,
+        tx: Some(tx),
+    });
+    Ok(Accepted { id, model: body.model.clone(), digest, first, rx })
+}
+
+fn check_serving(core: &Core, body: &CompletionBody) -> Result<(), Refused> {
+    if !core.running || core.draining {
+        return Err(Refused(503, Refusal::new("stopping", "the engine takes no new requests")));
+    }
+    if !core.cfg.models.contains(&body.model) {
+        let message = format!("model {} is not loaded", body.model);
+        return Err(Refused(404, Refusal::new("unknown_model", message)));
+    }
+    Ok(())
+}
+
+fn check_memory(core: &Core, memory: Tokens) -> Result<(), Refused> {
+    let whole = core.cfg.memory_tokens;
+    if memory > whole {
+        let message = format!("{memory} tokens exceed this engine's memory of {whole}");
+        return Err(Refused(413, Refusal::new("too_long", message)));
+    }
+    let used = core.memory_used();
+    if used + memory > whole {
+        let message = format!("{memory} tokens do not fit: {used} of {whole} are in use");
+        return Err(Refused(503, Refusal::new("out_of_memory", message)));
+    }
+    Ok(())
+}
+
+fn request_id(req: &Request, body: &CompletionBody) -> RequestId {
+    let sent = http::header(req, "toucansill-request-id").map(str::to_string);
+    sent.or_else(|| body.request_id.clone())
+        .unwrap_or_else(|| format!("local-{}", NEXT_ID.fetch_add(1, Ordering::Relaxed)))
+}
+
+fn resume_offset(req: &Request, body: &CompletionBody) -> Result<Tokens, Refused> {
+    let Some(text) = http::header(req, "toucansill-resume-offset") else {
+        return Ok(body.resume.unwrap_or_default());
+    };
+    let message = format!("toucansill-resume-offset is no number: {text}");
+    text.parse().map_err(|_| Refused(400, Refusal::new("bad_header", message)))
+}
+
+fn priority(req: &Request) -> u8 {
+    let sent = http::header(req, "toucansill-priority").and_then(|text| text.parse().ok());
+    sent.unwrap_or(DEFAULT_PRIORITY)
+}
+
+/// Sends the answer token by token.
+fn stream(req: Request, accepted: &Accepted, api: Api) -> io::Result<()> {
+    let mut writer = EventWriter::start(req)?;
+    let mut next = accepted.first;
+    for emission in &accepted.rx {
+        let event = match emission {
+            Emission::Prefilled => {
+                writer.comment("prefill")?;
+                continue;
+            }
+            Emission::Token(offset) => {
+                next = offset + 1;
+                token_event(accepted, api, offset)
+            }
+            Emission::Finished(usage) => end_event(accepted, api, next, "length", Some(usage)),
+            Emission::Cancelled => end_event(accepted, api, next, "cancelled", None),
+        };
+        writer.data(&event)?;
+        if !matches!(emission, Emission::Token(_)) {
+            return writer.data("[DONE]");
+        }
+    }
+    // The engine has crashed: the relay cuts the connection.
+    Ok(())
+}
+
+fn token_event(accepted: &Accepted, api: Api, offset: Tokens) -> String {
+    let text = accepted.digest.token(offset);
+    let choice = match api {
+        Api::Chat => {
+            Choice { delta: Some(Content { role: None, content: Some(text) }), ..Choice::default() }
+        }
+        Api::Plain => Choice { text: Some(text), ..Choice::default() },
+    };
+    chunk(accepted, api, offset, choice, None)
+}
+
+fn end_event(
+    accepted: &Accepted,
+    api: Api,
+    offset: Tokens,
+    reason: &'static str,
+    usage: Option<Usage>,
+) -> String {
+    let mut choice = Choice { finish_reason: Some(reason), ..Choice::default() };
+    match api {
+        Api::Chat => choice.delta = Some(Content { role: None, content: None }),
+        Api::Plain => choice.text = Some(String::new()),
+    }
+    chunk(accepted, api, offset, choice, usage)
+}
+
+fn chunk(
+    accepted: &Accepted,
+    api: Api,
+    offset: Tokens,
+    choice: Choice,
+    usage: Option<Usage>,
+) -> String {
+    let object = match api {
+        Api::Chat => "chat.completion.chunk",
+        Api::Plain => "text_completion",
+    };
+    let chunk = Chunk {
+        id: &accepted.id,
+        object,
+        model: &accepted.model,
+        offset,
+        choices: [choice],
+        usage,
+    };
+    serde_json::to_string(&chunk).unwrap_or_default()
+}
+
+/// Sends the answer as one JSON document.
+fn answer(req: Request, accepted: &Accepted, api: Api) {
+    let mut text = String::new();
+    let mut end = None;
+    for emission in &accepted.rx {
+        match emission {
+            Emission::Prefilled => {}
+            Emission::Token(offset) => text.push_str(&accepted.digest.token(offset)),
+            Emission::Finished(usage) => end = Some(("length", Some(usage))),
+            Emission::Cancelled => end = Some(("cancelled", None)),
+        }
+    }
+    // Without an end the engine has crashed, and the relay cuts the connection.
+    let Some((reason, usage)) = end else {
+        return;
+    };
+    let mut choice = Choice { finish_reason: Some(reason), ..Choice::default() };
+    let object = match api {
+        Api::Chat => {
+            choice.message = Some(Content { role: Some("assistant"), content: Some(text) });
+            "chat.completion"
+        }
+        Api::Plain => {
+            choice.text = Some(text);
+            "text_completion"
+        }
+    };
+    let id = &accepted.id;
+    let model = &accepted.model;
+    let offset = accepted.first;
+    http::respond_json(req, 200, &Chunk { id, object, model, offset, choices: [choice], usage });
+}
