Add the replicated state, leases and sessions of a region

Cause: configuration, roster, ownership and idempotency keys need one exact truth that a partitioned or restarted process cannot contradict.

Change: State applies typed commands without clock or I/O; View is a daemon's replica and never goes back; Leases and Session are both sides of the session lease; owner is rendezvous hashing over the committed roster; relay merges renewals of a data centre.

Nothing was measured yet.

--- /dev/null
+++ b/crates/control/src/changes.rs
@@ -0,0 +1,116 @@
+//! What a daemon lacks, as it travels with the reply to its renewal.
+
+use crate::{
+    codec,
+    command::Fingerprint,
+    configuration::Configuration,
+    delta::ConfigurationDelta,
+    quarantine::Standing,
+    roster::{Member, Roster},
+};
+use bincode::{Decode, Encode};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+};
+use wire::DaemonId;
+
+/// Most steps that are kept for daemons that lag.
+const MAX_STEPS: usize = 1024;
+
+/// Most bytes of steps that are kept.
+const MAX_STEP_BYTES: usize = 1024 * 1024;
+
+/// Changes that lead from one log index to a later one.
+#[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
+pub struct Changes {
+    /// Index that a view must have reached for these changes to apply.
+    pub from: u64,
+    /// Index that the view reaches by them.
+    pub to: u64,
+    /// The changes.
+    pub contents: Contents,
+}
+
+/// The changes step by step, or the whole.
+#[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
+pub enum Contents {
+    /// Steps with the log index of each, in order.
+    Steps(Vec<(u64, Arc<Step>)>),
+    /// Everything, for a view that is empty or too far behind.
+    Whole(Box<Whole>),
+}
+
+/// All that a view holds.
+#[derive(Clone, Debug, Decode, Default, Encode, Eq, PartialEq)]
+pub struct Whole {
+    /// Number of the sheet in force, 0 before the first.
+    pub sheet: u64,
+    /// Configuration in force.
+    pub configuration: Arc<Configuration>,
+    /// Members.
+    pub roster: Arc<Roster>,
+    /// Requests that are not clear.
+    pub standings: Arc<BTreeMap<Fingerprint, Standing>>,
+}
+
+/// One change.
+#[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
+pub enum Step {
+    /// A sheet was accepted.
+    Sheet {
+        /// Its number.
+        number: u64,
+        /// What it changes.
+        delta: Box<ConfigurationDelta>,
+    },
+    /// A daemon joined, or its new run took the place of the former one.
+    Joined {
+        /// The daemon.
+        daemon: DaemonId,
+        /// What is known of it.
+        member: Arc<Member>,
+    },
+    /// A daemon is no longer a member.
+    Removed {
+        /// The daemon.
+        daemon: DaemonId,
+    },
+    /// A request stands otherwise.
+    Standing {
+        /// The request.
+        fingerprint: Fingerprint,
+        /// How it stands.
+        standing: Standing,
+    },
+}
+
+/// Recent steps, so that a daemon which is a little behind gets only those.
+#[derive(Clone, Debug, Decode, Default, Encode, Eq, PartialEq)]
+pub(crate) struct ChangeLog {
+    /// Steps after this index are complete.
+    floor: u64,
+    steps: VecDeque<(u64, usize, Arc<Step>)>,
+    bytes: usize,
+}
+
+impl ChangeLog {
+    pub(crate) fn push(&mut self, index: u64, step: Step) {
+        let bytes = codec::encode(&step).len();
+        self.bytes += bytes;
+        self.steps.push_back((index, bytes, Arc::new(step)));
+        while self.steps.len() > MAX_STEPS || self.bytes > MAX_STEP_BYTES {
+            let Some((index, bytes, _)) = self.steps.pop_front() else { break };
+            self.floor = index;
+            self.bytes -= bytes;
+        }
+    }
+
+    /// The steps after an index, unless some of them are no longer kept.
+    pub(crate) fn since(&self, from: u64) -> Option<Vec<(u64, Arc<Step>)>> {
+        let start = self.steps.partition_point(|(index, _, _)| *index <= from);
+        let steps = self.steps.range(start..);
+        (from >= self.floor)
+            .then(|| steps.map(|(index, _, step)| (*index, Arc::clone(step))).collect())
+    }
+}
--- /dev/null
+++ b/crates/control/src/error.rs
@@ -0,0 +1,100 @@
+//! What can go wrong outside the typed outcomes of commands.
+
+use std::fmt;
+
+/// Result of this crate.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// A message, snapshot or set of changes that cannot be used.
+///
+/// ```
+/// use control::State;
+///
+/// let err = State::restore(&[9, 0, 0, 0]).unwrap_err();
+/// assert!(err.is_unknown_version());
+/// ```
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Error {
+    kind: Kind,
+}
+
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum Kind {
+    Malformed(String),
+    UnknownVersion { found: u32, newest: u32 },
+    Gap { view: u64, from: u64 },
+    UnknownReply { sequence: u64 },
+    NotMember { last_incarnation: Option<u64> },
+}
+
+impl Error {
+    pub(crate) fn malformed(reason: impl fmt::Display) -> Self {
+        Self { kind: Kind::Malformed(reason.to_string()) }
+    }
+
+    pub(crate) fn unknown_version(found: u32, newest: u32) -> Self {
+        Self { kind: Kind::UnknownVersion { found, newest } }
+    }
+
+    pub(crate) fn gap(view: u64, from: u64) -> Self {
+        Self { kind: Kind::Gap { view, from } }
+    }
+
+    pub(crate) fn unknown_reply(sequence: u64) -> Self {
+        Self { kind: Kind::UnknownReply { sequence } }
+    }
+
+    pub(crate) fn not_member(last_incarnation: Option<u64>) -> Self {
+        Self { kind: Kind::NotMember { last_incarnation } }
+    }
+
+    /// Whether bytes could not be decoded.
+    pub fn is_malformed(&self) -> bool {
+        matches!(self.kind, Kind::Malformed(_))
+    }
+
+    /// Whether a snapshot is of a format that this build does not read.
+    pub fn is_unknown_version(&self) -> bool {
+        matches!(self.kind, Kind::UnknownVersion { .. })
+    }
+
+    /// Whether changes start after the index that the view has reached.
+    pub fn is_gap(&self) -> bool {
+        matches!(self.kind, Kind::Gap { .. })
+    }
+
+    /// Whether a reply answers no renewal that is still remembered.
+    pub fn is_unknown_reply(&self) -> bool {
+        matches!(self.kind, Kind::UnknownReply { .. })
+    }
+
+    /// Whether the control group does not count this process as a member, so
+    /// that it has to join again under a higher incarnation.
+    pub fn is_not_member(&self) -> bool {
+        matches!(self.kind, Kind::NotMember { .. })
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.kind {
+            Kind::Malformed(reason) => write!(f, "malformed bytes: {reason}"),
+            Kind::UnknownVersion { found, newest } => write!(
+                f,
+                "snapshot format {found} is not readable by this build, which reads up to {newest}"
+            ),
+            Kind::Gap { view, from } => {
+                write!(f, "changes start at index {from}, the view is at {view}")
+            }
+            Kind::UnknownReply { sequence } => {
+                write!(f, "reply to renewal {sequence}, which is not outstanding")
+            }
+            Kind::NotMember { last_incarnation: Some(last) } => {
+                write!(f, "not a member; join with an incarnation above {last}")
+            }
+            Kind::NotMember { last_incarnation: None } => write!(f, "not a member; join first"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,98 @@
 //! Replicated state of a region: configuration, roster, leases and ledger.
+//!
+//! The crate holds decisions only. It reads no clock and does no I/O: the
+//! replicated log hands committed commands to [`State::apply`], and the caller
+//! passes the time to everything that depends on it.
+//!
+//! * [`State`] is the state machine that every voter runs. It holds the
+//!   [`Configuration`] of the last accepted sheet, the [`Roster`] of daemons, the
+//!   idempotency [`Ledger`] and the [`Quarantine`] of requests that crash
+//!   upstreams.
+//! * [`View`] is a daemon's replica of the part it needs. It advances by
+//!   [`Changes`] and never goes back.
+//! * [`Leases`] is the leader's volatile table of session leases, and
+//!   [`Session`] the daemon's side of one lease.
+//! * [`relay`] merges the renewals of one data centre into one message.
+//!
+//! ```
+//! use control::{Command, Configuration, Outcome, SheetChange, SheetOutcome, State};
+//!
+//! let mut state = State::new();
+//! let sheet = SheetChange {
+//!     number: 1,
+//!     configuration: Configuration::new("cl-centro"),
+//!     digest: [7; 32],
+//!     operator: "day shift".to_string(),
+//! };
+//! let outcome = state.apply(4, &Command::ApplySheet(sheet));
+//! assert_eq!(outcome, Outcome::Sheet(SheetOutcome::Accepted { index: 4 }));
+//! ```
+//!
+//! # A lease, from the first renewal to the first request
+//!
+//! ```
+//! use control::{Command, Holder, Join, Leases, Session, State};
+//! use std::time::{Duration, Instant};
+//!
+//! let now = Instant::now();
+//! let mut state = State::new();
+//! let mut leases = Leases::new(now, state.roster());
+//!
+//! let holder = Holder { daemon: "entry-1".to_string(), incarnation: 1 };
+//! let join = Join {
+//!     holder: holder.clone(),
+//!     address: "10.0.0.1:7000".to_string(),
+//!     data_centre: "san-antonio".to_string(),
+//! };
+//! state.apply(1, &Command::Join(join));
+//!
+//! let mut session = Session::new(holder, "san-antonio");
+//! assert!(session.may_take_work(now).is_err());
+//! let renewal = session.renew(now);
+//! let reply = leases.grant(now, &renewal, &state);
+//! session.accept(&reply).unwrap();
+//! assert!(session.may_take_work(now).is_ok());
+//! assert!(session.may_take_work(now + Duration::from_secs(4)).is_err());
+//! ```
+
+mod changes;
+mod clock;
+mod codec;
+mod command;
+mod configuration;
+mod delta;
+mod error;
+mod hash;
+mod lease;
+mod ledger;
+mod outcome;
+mod quarantine;
+pub mod relay;
+mod roster;
+mod session;
+mod sheets;
+mod state;
+mod view;
+
+pub use changes::{Changes, Contents, Step, Whole};
+pub use clock::LeaderClock;
+pub use codec::{decode, encode};
+pub use command::{
+    Charge, Claim, ClaimId, Command, Completion, FenceRequest, Fingerprint, Join, SheetChange,
+};
+pub use configuration::{
+    Configuration, DataCentre, Digest, Directive, KeyHash, Model, Organisation, Priority, Repeat,
+    Route, Service,
+};
+pub use delta::{ConfigurationDelta, MapDelta};
+pub use error::{Error, Result};
+pub use hash::stable_hash;
+pub use lease::{Grant, InForce, LEASE, Lagging, Leases, MAX_DRIFT_PER_MILLE, Renewal, Reply};
+pub use ledger::{Answer, Ledger, LedgerKey, LedgerLimits};
+pub use outcome::{ClaimOutcome, FenceOutcome, KeyOutcome, Outcome, RosterOutcome, SheetOutcome};
+pub use quarantine::{Quarantine, Standing};
+pub use roster::{Holder, Member, Roster, owner};
+pub use session::{Ownership, Refusal, Session};
+pub use sheets::AcceptedSheet;
+pub use state::State;
+pub use view::View;
--- /dev/null
+++ b/crates/control/src/state.rs
@@ -0,0 +1,283 @@
+//! The state machine that every voter runs.
+
+use crate::{
+    changes::{ChangeLog, Changes, Contents, Step, Whole},
+    codec,
+    command::{Claim, Command, FenceRequest, Fingerprint, Join, SheetChange},
+    configuration::Configuration,
+    delta::ConfigurationDelta,
+    error::{Error, Result},
+    ledger::{Ledger, LedgerLimits},
+    outcome::{ClaimOutcome, FenceOutcome, Outcome, RosterOutcome, SheetOutcome},
+    quarantine::{Quarantine, Standing},
+    roster::{Departed, Holder, MAX_MEMBERS, Member, Roster, owner},
+    sheets::{AcceptedSheet, Sheets},
+};
+use bincode::{Decode, Encode};
+use std::sync::Arc;
+use wire::Incarnation;
+
+/// Format of the snapshots that this build writes.
+const SNAPSHOT_VERSION: u32 = 1;
+
+/// Bytes of a snapshot that tell its format.
+const VERSION_BYTES: usize = size_of::<u32>();
+
+/// The replicated state of a region.
+///
+/// Equal commands at equal indexes lead to equal states and outcomes: the state
+/// reads no clock and uses no randomness.
+#[derive(Clone, Debug, Decode, Default, Encode, Eq, PartialEq)]
+pub struct State {
+    applied: u64,
+    clock_ms: u64,
+    sheets: Sheets,
+    configuration: Arc<Configuration>,
+    roster: Arc<Roster>,
+    departed: Departed,
+    ledger: Ledger,
+    quarantine: Quarantine,
+    log: ChangeLog,
+}
+
+impl State {
+    /// The state before the first command.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The same with other bounds of the ledger; all voters must use the same.
+    pub fn with_limits(limits: LedgerLimits) -> Self {
+        Self { ledger: Ledger::new(limits), ..Self::default() }
+    }
+
+    /// Index of the last applied log entry.
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
+    /// Time of the state: the highest stamp applied, in milliseconds.
+    pub fn clock_ms(&self) -> u64 {
+        self.clock_ms
+    }
+
+    /// Configuration in force.
+    pub fn configuration(&self) -> &Arc<Configuration> {
+        &self.configuration
+    }
+
+    /// The last accepted sheet.
+    pub fn sheet(&self) -> Option<&AcceptedSheet> {
+        self.sheets.last()
+    }
+
+    /// Members.
+    pub fn roster(&self) -> &Arc<Roster> {
+        &self.roster
+    }
+
+    /// Idempotency keys.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// Requests to which a death of an upstream is charged.
+    pub fn quarantine(&self) -> &Quarantine {
+        &self.quarantine
+    }
+
+    /// Highest run of a daemon that was ever a member, as far as remembered.
+    pub fn last_incarnation(&self, daemon: &str) -> Option<Incarnation> {
+        let member = self.roster.member(daemon).map(|member| member.incarnation);
+        member.or_else(|| self.departed.last(daemon))
+    }
+
+    /// Stamp at which a [`Command::Tick`] is due, in milliseconds, if anything
+    /// waits to expire.
+    pub fn next_expiry_ms(&self) -> Option<u64> {
+        [self.ledger.next_expiry_ms(), self.quarantine.next_expiry_ms()].into_iter().flatten().min()
+    }
+
+    /// Applies a committed command. Indexes rise; one that does not is skipped.
+    pub fn apply(&mut self, index: u64, cmd: &Command) -> Outcome {
+        if index <= self.applied {
+            return Outcome::Skipped;
+        }
+        self.applied = index;
+        self.clock_ms = self.clock_ms.max(cmd.at_ms().unwrap_or(0));
+        self.expire(index);
+        match cmd {
+            Command::Batch(cmds) => {
+                Outcome::Batch(cmds.iter().map(|cmd| self.apply_one(index, cmd)).collect())
+            }
+            cmd => self.apply_one(index, cmd),
+        }
+    }
+
+    /// Passes a log entry that holds no command, such as the first of a term.
+    pub fn skip(&mut self, index: u64) {
+        self.applied = self.applied.max(index);
+    }
+
+    /// What a daemon lacks that has applied everything up to `index`.
+    pub fn changes_since(&self, index: u64) -> Changes {
+        let contents = match self.log.since(index) {
+            Some(steps) if index > 0 || self.applied == 0 => Contents::Steps(steps),
+            _ => Contents::Whole(Box::new(self.whole())),
+        };
+        Changes { from: index, to: self.applied, contents }
+    }
+
+    /// The state as bytes, with the format in front.
+    pub fn snapshot(&self) -> Vec<u8> {
+        let mut buf = SNAPSHOT_VERSION.to_le_bytes().to_vec();
+        buf.extend(codec::encode(self));
+        buf
+    }
+
+    /// Reads a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::is_unknown_version`] for a format that this build does not read,
+    /// and [`Error::is_malformed`] for bytes that are no snapshot.
+    pub fn restore(buf: &[u8]) -> Result<Self> {
+        let (version, body) = buf
+            .split_first_chunk::<VERSION_BYTES>()
+            .ok_or_else(|| Error::malformed("shorter than the format number"))?;
+        match u32::from_le_bytes(*version) {
+            SNAPSHOT_VERSION => codec::decode(body),
+            other => Err(Error::unknown_version(other, SNAPSHOT_VERSION)),
+        }
+    }
+
+    fn apply_one(&mut self, index: u64, cmd: &Command) -> Outcome {
+        match cmd {
+            Command::ApplySheet(sheet) => Outcome::Sheet(self.apply_sheet(index, sheet)),
+            Command::Join(join) => Outcome::Roster(self.join(index, join)),
+            Command::Leave(holder) | Command::Expire(holder) => {
+                Outcome::Roster(self.remove(index, holder))
+            }
+            Command::ClaimKey(claim) => Outcome::Claim(self.claim(claim)),
+            Command::CompleteKey(completion) => {
+                Outcome::Key(self.ledger.complete(completion, self.clock_ms))
+            }
+            Command::AbandonKey(id) => Outcome::Key(self.ledger.abandon(id, self.clock_ms)),
+            Command::Charge(charge) => {
+                let changed = self.quarantine.charge(charge, self.clock_ms);
+                self.log_standings(index, changed);
+                Outcome::Standing(self.quarantine.standing(&charge.fingerprint))
+            }
+            Command::Acquit { fingerprint, .. } => {
+                let changed = self.quarantine.acquit(fingerprint);
+                self.log_standings(index, changed);
+                Outcome::Standing(self.quarantine.standing(fingerprint))
+            }
+            Command::GrantFence(req) => Outcome::Fence(self.grant_fence(index, req)),
+            Command::Tick { .. } => Outcome::Ticked,
+            Command::Batch(_) => Outcome::Nested,
+        }
+    }
+
+    fn apply_sheet(&mut self, index: u64, sheet: &SheetChange) -> SheetOutcome {
+        if let Some(answer) = self.sheets.answer(sheet) {
+            return answer;
+        }
+        let is_first = self.sheets.last().is_none();
+        if !is_first && sheet.configuration.region != self.configuration.region {
+            return SheetOutcome::WrongRegion { region: self.configuration.region.clone() };
+        }
+        let delta = ConfigurationDelta::between(&self.configuration, &sheet.configuration);
+        self.log.push(index, Step::Sheet { number: sheet.number, delta: Box::new(delta) });
+        self.configuration = Arc::new(sheet.configuration.clone());
+        self.sheets.accept(index, sheet);
+        SheetOutcome::Accepted { index }
+    }
+
+    fn join(&mut self, index: u64, join: &Join) -> RosterOutcome {
+        let daemon = &join.holder.daemon;
+        let incarnation = join.holder.incarnation;
+        if let Some(joined) = self.joined_before(join) {
+            return RosterOutcome::Joined { index: joined };
+        }
+        if let Some(last) = self.last_incarnation(daemon).filter(|last| incarnation <= *last) {
+            return RosterOutcome::StaleIncarnation { last };
+        }
+        if self.roster.len() >= MAX_MEMBERS && self.roster.member(daemon).is_none() {
+            return RosterOutcome::Full { limit: MAX_MEMBERS };
+        }
+        if let Some(former) = self.roster.member(daemon).map(|member| member.incarnation) {
+            let former = Holder { daemon: daemon.clone(), incarnation: former };
+            self.ledger.give_up(&former, self.clock_ms);
+        }
+        let member = Arc::new(Member {
+            incarnation,
+            address: join.address.clone(),
+            data_centre: join.data_centre.clone(),
+            joined: index,
+        });
+        self.departed.forget(daemon);
+        Arc::make_mut(&mut self.roster).insert(index, daemon.clone(), Arc::clone(&member));
+        self.log.push(index, Step::Joined { daemon: daemon.clone(), member });
+        RosterOutcome::Joined { index }
+    }
+
+    /// Index of the join that this one is a copy of. A second process under the
+    /// same name and number, at another address, is not taken for the first.
+    fn joined_before(&self, join: &Join) -> Option<u64> {
+        let member = self.roster.member(&join.holder.daemon)?;
+        let is_same = self.roster.contains(&join.holder) && member.address == join.address;
+        is_same.then_some(member.joined)
+    }
+
+    fn remove(&mut self, index: u64, holder: &Holder) -> RosterOutcome {
+        if !self.roster.contains(holder) {
+            return RosterOutcome::NotMember;
+        }
+        self.ledger.give_up(holder, self.clock_ms);
+        self.departed.record(index, &holder.daemon, holder.incarnation);
+        Arc::make_mut(&mut self.roster).remove(index, &holder.daemon);
+        self.log.push(index, Step::Removed { daemon: holder.daemon.clone() });
+        RosterOutcome::Removed
+    }
+
+    fn claim(&mut self, claim: &Claim) -> ClaimOutcome {
+        if !self.roster.contains(&claim.id.holder) {
+            return ClaimOutcome::NotMember;
+        }
+        self.ledger.claim(claim)
+    }
+
+    /// The log index is the number: unique, rising, and restored with the log.
+    fn grant_fence(&self, index: u64, req: &FenceRequest) -> FenceOutcome {
+        let member = self.roster.member(&req.holder.daemon);
+        let owner =
+            member.and_then(|member| owner(&req.upstream, &member.data_centre, &self.roster));
+        let is_owner = owner.as_ref() == Some(&req.holder.daemon);
+        if is_owner && self.roster.contains(&req.holder) {
+            return FenceOutcome::Granted { epoch: index };
+        }
+        FenceOutcome::NotOwner { owner }
+    }
+
+    fn expire(&mut self, index: u64) {
+        self.ledger.expire(self.clock_ms);
+        let changed = self.quarantine.expire(self.clock_ms);
+        self.log_standings(index, changed);
+    }
+
+    fn log_standings(&mut self, index: u64, changed: Vec<(Fingerprint, Standing)>) {
+        for (fingerprint, standing) in changed {
+            self.log.push(index, Step::Standing { fingerprint, standing });
+        }
+    }
+
+    fn whole(&self) -> Whole {
+        Whole {
+            sheet: self.sheets.last().map_or(0, |sheet| sheet.number),
+            configuration: Arc::clone(&self.configuration),
+            roster: Arc::clone(&self.roster),
+            standings: Arc::new(self.quarantine.standings()),
+        }
+    }
+}
