Take the status as the library gives it

Cause: the linter refuses the conversion of a status that has its type. Change: the status is used as it comes.

--- a/crates/toucansilld/src/callers.rs
+++ b/crates/toucansilld/src/callers.rs
@@ -133,7 +133,7 @@
         Ok(res) => res,
         Err(err) => return req.reply.error(unreachable_upstream(&err)),
     };
-    let status = u16::try_from(res.status_code).unwrap_or(502);
+    let status = res.status_code;
     let streamed = res.headers.iter().any(|(_, value)| value.contains("event-stream"));
     if !streamed {
         let mut body = Vec::new();
@@ -158,7 +158,7 @@
         .send();
     match sent {
         Ok(res) => {
-            let status = u16::try_from(res.status_code).unwrap_or(502);
+            let status = res.status_code;
             req.reply.bytes(status, "application/json", res.into_bytes(), Verdict::Ran)
         }
         Err(err) => req.reply.error(unreachable_upstream(&err)),
