Choose owners and upstreams by predicted time to first token

Cause: entry daemons and owners need decisions that keep short prompts quick beside enormous ones and never ask more of an upstream than it bears. Change: route::{choose_owner, Digests, Fleet}: bounded-load rendezvous on prefixes, length classes with upstreams kept free of long prefills, ramps per incarnation, gangs reserved all at once, prefix hints, poison suspicion, retry budget; baselines as policies.

--- /dev/null
+++ b/crates/route/src/config.rs
@@ -0,0 +1,90 @@
+//! Settings of the decisions and the policies to compare.
+
+use std::time::Duration;
+use wire::{DataCentreId, RegionId, Tokens};
+
+/// How an owner places requests on its upstreams. All but the first are there
+/// to measure against; every one keeps memory, ramps and directives.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Policy {
+    /// Least predicted time to first token, with length classes.
+    #[default]
+    Predicted,
+    /// Least predicted time to first token, all prompts in one class.
+    NoLengthClasses,
+    /// Fewest requests outstanding, sent in the order of arrival.
+    LeastOutstanding,
+    /// Upstreams in turn, requests in the order of arrival.
+    RoundRobin,
+}
+
+impl Policy {
+    /// Whether requests stay in the owner's queue while every upstream is busy.
+    pub(crate) fn holds_back(self) -> bool {
+        matches!(self, Self::Predicted | Self::NoLengthClasses)
+    }
+}
+
+/// Settings of a [`Fleet`](crate::Fleet).
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Data centre of the upstreams.
+    pub data_centre: DataCentreId,
+    /// Region of the upstreams.
+    pub region: RegionId,
+    /// How requests are placed.
+    pub policy: Policy,
+    /// Most requests that wait at once, over all models.
+    pub max_waiting: usize,
+    /// Most upstreams that may announce themselves.
+    pub max_upstreams: usize,
+    /// Prefill work that an upstream may have ahead of a short prompt.
+    pub max_backlog: Duration,
+    /// Part of an upstream's time, in percent, that short prompts may take
+    /// before one more upstream is kept free of long prefills.
+    pub short_utilisation_percent: u32,
+    /// The same for prompts of the middle classes.
+    pub long_utilisation_percent: u32,
+    /// A gap between reports of this length restarts the ramp.
+    pub report_gap: Duration,
+    /// An upstream not heard for this time gets no new work.
+    pub silence: Duration,
+    /// An upstream not heard for this time is removed.
+    pub removal: Duration,
+    /// Wait after which memory is kept for a request that needs much of it.
+    pub hold_after: Duration,
+    /// Most upstreams in a gang.
+    pub max_gang: usize,
+    /// Least memory that an upstream must bring into a gang, in tokens.
+    pub min_segment: Tokens,
+    /// Prefixes remembered per upstream.
+    pub max_prefixes: usize,
+    /// Shortest time after which a refused caller is asked to come back.
+    pub min_retry_after: Duration,
+    /// Longest time after which a refused caller is asked to come back.
+    pub max_retry_after: Duration,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            data_centre: DataCentreId::new(),
+            region: RegionId::new(),
+            policy: Policy::default(),
+            max_waiting: 16_384,
+            max_upstreams: 16_384,
+            max_backlog: Duration::from_millis(100),
+            short_utilisation_percent: 30,
+            long_utilisation_percent: 60,
+            report_gap: Duration::from_secs(10),
+            silence: Duration::from_secs(3),
+            removal: Duration::from_secs(30),
+            hold_after: Duration::from_secs(2),
+            max_gang: 8,
+            min_segment: 16_384,
+            max_prefixes: 1_024,
+            min_retry_after: Duration::from_millis(200),
+            max_retry_after: Duration::from_secs(120),
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/explain.rs
@@ -0,0 +1,96 @@
+//! Why an upstream gets or does not get work, for operators.
+
+use crate::{announce::Directive, class::LengthClass, fleet::Fleet};
+use std::time::{Duration, Instant};
+use wire::{Incarnation, RequestId, Tokens, UpstreamId};
+
+/// One thing that keeps new work from an upstream, wholly or in part.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Hindrance {
+    /// Operators have taken the data centre out of service.
+    DataCentreOut,
+    /// Operators have retired the upstream.
+    Retired,
+    /// The upstream has said that it leaves.
+    Leaving,
+    /// The upstream has not been heard for this time.
+    Silent(Duration),
+    /// The upstream has failed and is spared for this time.
+    Paused(Duration),
+    /// In cold start: so many requests are allowed now.
+    ColdStart {
+        /// Requests allowed at once.
+        running: u32,
+    },
+    /// As many requests run as may.
+    Full,
+    /// Its memory is kept for this request.
+    HeldFor(RequestId),
+    /// A long prefill is outstanding; short prompts go elsewhere.
+    LongPrefill,
+}
+
+/// State of one upstream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Explanation {
+    /// Name of the upstream.
+    pub upstream: UpstreamId,
+    /// Incarnation in force.
+    pub incarnation: Incarnation,
+    /// Requests in flight.
+    pub running: u32,
+    /// Memory promised, in tokens.
+    pub reserved: Tokens,
+    /// Memory that may be promised now, in tokens.
+    pub room: Tokens,
+    /// Prompt tokens in prefill.
+    pub prefill_tokens: Tokens,
+    /// Prefixes that it probably holds.
+    pub prefixes: usize,
+    /// What keeps new work from it; empty if nothing does.
+    pub hindrances: Vec<Hindrance>,
+}
+
+impl Fleet {
+    /// Explains one upstream, or nothing if it is not known.
+    pub fn explain(&self, now: Instant, id: &UpstreamId) -> Option<Explanation> {
+        let u = self.upstream(*self.ids.get(id)?);
+        Some(Explanation {
+            upstream: id.clone(),
+            incarnation: u.ann.incarnation,
+            running: u.running(),
+            reserved: u.reserved,
+            room: u.room(now),
+            prefill_tokens: u.prefill_tokens,
+            prefixes: u.prefixes.len(),
+            hindrances: self.hindrances(now, id),
+        })
+    }
+
+    /// Names of all known upstreams, in order.
+    pub fn upstreams(&self) -> impl Iterator<Item = &UpstreamId> {
+        self.ids.keys()
+    }
+
+    fn hindrances(&self, now: Instant, id: &UpstreamId) -> Vec<Hindrance> {
+        let u = self.upstream(self.ids[id]);
+        let unheard = now.saturating_duration_since(u.heard);
+        let paused = u.paused_until.and_then(|until| until.checked_duration_since(now));
+        let allowed = u.allowed_running(now);
+        let long = u.has_prefill_from(LengthClass::Medium);
+        [
+            (!self.is_in_service).then_some(Hindrance::DataCentreOut),
+            (u.directive == Directive::Retired).then_some(Hindrance::Retired),
+            u.ann.is_leaving.then_some(Hindrance::Leaving),
+            (unheard >= self.cfg.silence).then_some(Hindrance::Silent(unheard)),
+            paused.filter(|left| !left.is_zero()).map(Hindrance::Paused),
+            u.is_ramping(now).then_some(Hindrance::ColdStart { running: allowed }),
+            (u.running() >= allowed).then_some(Hindrance::Full),
+            u.held_by.clone().map(Hindrance::HeldFor),
+            long.then_some(Hindrance::LongPrefill),
+        ]
+        .into_iter()
+        .flatten()
+        .collect()
+    }
+}
