--- a/crates/fake/src/announce.rs
+++ b/crates/fake/src/announce.rs
@@ -1,6 +1,6 @@
 //! What an upstream says about itself to a daemon.
 
-use crate::{config::Ramp, engine::Core};
+use crate::{config::Ramp, engine::Core, plain::PlainConfig};
 use serde::Serialize;
 use std::{net::SocketAddr, thread, time::Duration};
 use wire::{DataCentreId, Incarnation, ModelId, ServiceId, Tokens, UpstreamId};
@@ -79,6 +79,23 @@
             checks_fences: cfg.checks_fences,
         }
     }
+
+    pub(crate) fn of_service(cfg: &PlainConfig, address: SocketAddr) -> Self {
+        Self {
+            id: cfg.id.clone(),
+            kind: "service",
+            address: address.to_string(),
+            data_centre: cfg.data_centre.clone(),
+            models: None,
+            service: Some(cfg.service.clone()),
+            memory_tokens: None,
+            prefill_tokens_per_s: None,
+            decode_tokens_per_s: None,
+            ramp: None,
+            incarnation: cfg.incarnation,
+            checks_fences: false,
+        }
+    }
 }
 
 /// Announces an upstream to a daemon each second, until dropped.
--- a/crates/fake/src/http.rs
+++ b/crates/fake/src/http.rs
@@ -8,6 +8,11 @@
 use tiny_http::{Header, Request, Response, Server};
 use wire::Verdict;
 
+/// Header that says whether the request ran.
+const VERDICT_HEADER: &str = "toucansill-verdict";
+/// Header with the id of the request.
+pub(crate) const REQUEST_ID_HEADER: &str = "toucansill-request-id";
+
 /// Opens a server on a free port of 127.0.0.1.
 ///
 /// Accepted sockets inherit `TCP_NODELAY`, so that small flushed writes are
@@ -40,13 +45,17 @@
     respond(req, status, value, None);
 }
 
-/// Answers with JSON and the header that says whether the request ran.
-pub(crate) fn respond(req: Request, status: u16, value: &impl Serialize, verdict: Option<Verdict>) {
+/// Answers with JSON and the id of the request.
+pub(crate) fn respond_with_id(req: Request, status: u16, value: &impl Serialize, id: Option<&str>) {
+    respond(req, status, value, id.map(|id| (REQUEST_ID_HEADER, id)));
+}
+
+fn respond(req: Request, status: u16, value: &impl Serialize, header: Option<(&str, &str)>) {
     let body = serde_json::to_vec(value).unwrap_or_default();
     let mut response = Response::from_data(body).with_status_code(status);
     response.add_header(text_header("Content-Type", "application/json"));
-    if let Some(verdict) = verdict {
-        response.add_header(text_header("toucansill-verdict", verdict.as_str()));
+    if let Some((name, value)) = header {
+        response.add_header(text_header(name, value));
     }
     if let Err(e) = req.respond(response) {
         log::debug!("the client has gone: {e}");
@@ -79,7 +88,7 @@
 
     /// Answers a request with this refusal.
     pub(crate) fn respond(&self, req: Request, status: u16) {
-        respond(req, status, self, Some(Verdict::NotRun));
+        respond(req, status, self, Some((VERDICT_HEADER, Verdict::NotRun.as_str())));
     }
 }
 
@@ -123,12 +132,19 @@
 
     pub(crate) fn data(&mut self, text: &str) -> io::Result<()> {
         write!(self.encoder, "data: {text}\n\n")?;
-        self.encoder.flush()
+        self.flush()
     }
 
     /// A comment, which shows that the engine is alive before the first token.
     pub(crate) fn comment(&mut self, text: &str) -> io::Result<()> {
         write!(self.encoder, ": {text}\n\n")?;
-        self.encoder.flush()
+        self.flush()
+    }
+
+    /// Sends what is buffered. The encoder's flush reaches only the writer
+    /// below it, which has a buffer of its own.
+    fn flush(&mut self) -> io::Result<()> {
+        self.encoder.flush()?;
+        self.encoder.get_mut().flush()
     }
 }
--- /dev/null
+++ b/crates/fake/src/plain.rs
@@ -0,0 +1,235 @@
+//! A stand-in for a plain service that counts what it executes.
+
+use crate::{
+    announce::Announcement,
+    http::{self, Refusal},
+    relay::Relay,
+};
+use serde::Serialize;
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
+    thread,
+    time::Duration,
+};
+use tiny_http::Request;
+use wire::{DataCentreId, IdempotencyKey, Incarnation, ServiceId, UpstreamId};
+
+/// What a plain service does with a call.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Behaviour {
+    /// Executes it and answers.
+    #[default]
+    Answer,
+    /// Refuses it with the verdict "not run".
+    Refuse,
+    /// Executes it and answers with an error.
+    FailAfterExecuting,
+    /// Executes it and cuts all connections in place of an answer.
+    LoseAnswer,
+    /// Executes it and answers with another request's id.
+    AnswerAnother,
+    /// Waits for [`Plain::release`] before it executes.
+    Hold,
+}
+
+/// Settings of a plain service.
+#[derive(Clone, Debug)]
+pub struct PlainConfig {
+    /// Name in announcements.
+    pub id: UpstreamId,
+    /// Data centre in announcements.
+    pub data_centre: DataCentreId,
+    /// Name of the service.
+    pub service: ServiceId,
+    /// Number of its start.
+    pub incarnation: Incarnation,
+    /// Time that each call takes.
+    pub delay: Duration,
+}
+
+impl Default for PlainConfig {
+    fn default() -> Self {
+        Self {
+            id: "plain-1".to_string(),
+            data_centre: "dc-1".to_string(),
+            service: "jobs".to_string(),
+            incarnation: 1,
+            delay: Duration::ZERO,
+        }
+    }
+}
+
+#[derive(Default)]
+struct State {
+    behaviour: Behaviour,
+    executions: BTreeMap<IdempotencyKey, u64>,
+    received: u64,
+}
+
+struct Shared {
+    cfg: PlainConfig,
+    relay: Relay,
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+/// A stand-in plain service. Calls name what they do by the header
+/// `Idempotency-Key`, or else by their path.
+///
+/// ```
+/// use fake::{Plain, PlainConfig};
+///
+/// let plain = Plain::start(PlainConfig::default())?;
+/// let url = format!("http://{}/callouts", plain.address());
+/// let call = minreq::post(url).with_header("Idempotency-Key", "k-1");
+/// assert_eq!(call.send().expect("an answer").status_code, 200);
+/// assert_eq!(plain.executions("k-1"), 1);
+/// # Ok::<(), std::io::Error>(())
+/// ```
+pub struct Plain {
+    shared: Arc<Shared>,
+    server: Arc<tiny_http::Server>,
+}
+
+/// Body of an answer.
+#[derive(Serialize)]
+struct Answer<'a> {
+    service: &'a str,
+    key: &'a str,
+    executions: u64,
+}
+
+impl Plain {
+    /// Starts a plain service on a free port of 127.0.0.1.
+    ///
+    /// # Errors
+    ///
+    /// When no port can be bound.
+    pub fn start(cfg: PlainConfig) -> io::Result<Self> {
+        let (server, inner) = http::bind()?;
+        let relay = Relay::start(inner)?;
+        let state = Mutex::default();
+        let shared = Arc::new(Shared { cfg, relay, state, changed: Condvar::new() });
+        let server = Arc::new(server);
+        spawn_server(Arc::clone(&server), Arc::clone(&shared));
+        Ok(Self { shared, server })
+    }
+
+    /// The address that clients connect to.
+    pub fn address(&self) -> SocketAddr {
+        self.shared.relay.address()
+    }
+
+    /// The relay before this service, to cut or silence its connections.
+    pub fn relay(&self) -> &Relay {
+        &self.shared.relay
+    }
+
+    /// Sets what it does with the calls from now on.
+    pub fn behave(&self, behaviour: Behaviour) {
+        self.shared.lock().behaviour = behaviour;
+        self.shared.changed.notify_all();
+    }
+
+    /// Executes the held calls, and answers from now on.
+    pub fn release(&self) {
+        self.behave(Behaviour::Answer);
+    }
+
+    /// How often the call with this key was executed.
+    pub fn executions(&self, key: &str) -> u64 {
+        self.shared.lock().executions.get(key).copied().unwrap_or_default()
+    }
+
+    /// Calls received so far, executed or not.
+    pub fn received(&self) -> u64 {
+        self.shared.lock().received
+    }
+
+    /// Waits until `n` calls have been received.
+    pub fn wait_received(&self, n: u64) {
+        let mut state = self.shared.lock();
+        while state.received < n {
+            state = self.shared.wait(state);
+        }
+    }
+
+    /// What it says about itself.
+    pub fn announcement(&self) -> Announcement {
+        Announcement::of_service(&self.shared.cfg, self.address())
+    }
+}
+
+impl Drop for Plain {
+    fn drop(&mut self) {
+        self.shared.relay.close();
+        self.release();
+        self.server.unblock();
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn wait<'a>(&self, state: MutexGuard<'a, State>) -> MutexGuard<'a, State> {
+        self.changed.wait(state).unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a call in, and gives what to do with it once it is not held.
+    fn receive(&self) -> Behaviour {
+        let mut state = self.lock();
+        state.received += 1;
+        self.changed.notify_all();
+        while state.behaviour == Behaviour::Hold {
+            state = self.wait(state);
+        }
+        state.behaviour
+    }
+
+    fn execute(&self, key: &str) -> u64 {
+        thread::sleep(self.cfg.delay);
+        let mut state = self.lock();
+        let executions = state.executions.entry(key.to_string()).or_default();
+        *executions += 1;
+        *executions
+    }
+}
+
+fn spawn_server(server: Arc<tiny_http::Server>, shared: Arc<Shared>) {
+    thread::spawn(move || {
+        for req in server.incoming_requests() {
+            let shared = Arc::clone(&shared);
+            thread::spawn(move || handle(&shared, req));
+        }
+    });
+}
+
+fn handle(shared: &Shared, mut req: Request) {
+    if let Err(e) = http::read_body(&mut req) {
+        return Refusal::new("bad_body", e.to_string()).respond(req, 400);
+    }
+    let key = http::header(&req, "Idempotency-Key").unwrap_or(req.url()).to_string();
+    let behaviour = shared.receive();
+    if behaviour == Behaviour::Refuse {
+        return Refusal::new("busy", "the service takes no calls").respond(req, 503);
+    }
+    let executions = shared.execute(&key);
+    let answer = Answer { service: &shared.cfg.service, key: &key, executions };
+    match behaviour {
+        Behaviour::LoseAnswer => shared.relay.cut(),
+        Behaviour::FailAfterExecuting => respond(req, 500, &answer, None),
+        Behaviour::AnswerAnother => respond(req, 200, &answer, Some("another-request")),
+        _ => respond(req, 200, &answer, None),
+    }
+}
+
+fn respond(req: Request, status: u16, answer: &Answer<'_>, id: Option<&str>) {
+    let asked = http::header(&req, http::REQUEST_ID_HEADER).map(str::to_string);
+    let id = id.map(str::to_string).or(asked);
+    http::respond_with_id(req, status, answer, id.as_deref());
+}
--- a/crates/fake/src/serve.rs
+++ b/crates/fake/src/serve.rs
@@ -106,15 +106,20 @@
     text: &str,
 ) -> Result<Accepted, Refused> {
     let id = request_id(req, body);
-    let first = resume_offset(req, body)?;
+    let resume = resume_offset(req, body)?;
     let (tx, rx) = flume::bounded(EMISSION_QUEUE);
     let digest = Digest::EMPTY.extend(text.as_bytes());
     let mut core = shared.lock();
     check_serving(&core, body)?;
-    if first > 0 {
-        // The old connection's job ends; this one starts at the offset asked for.
-        core.batch.remove(&id);
+    let first = resume.unwrap_or_default();
+    if resume.is_some() {
         core.stats.resumed += 1;
+        if let Some(job) = core.batch.get_mut(&id) {
+            // The tokens are a function of the prompt: generate them again.
+            job.next = first;
+            job.tx = Some(tx);
+            return Ok(Accepted { id, model: body.model.clone(), digest, first, rx });
+        }
     }
     if core.batch.get_mut(&id).is_some() {
         let message = format!("request {id} is running");
@@ -164,17 +169,17 @@
 }
 
 fn request_id(req: &Request, body: &CompletionBody) -> RequestId {
-    let sent = http::header(req, "toucansill-request-id").map(str::to_string);
+    let sent = http::header(req, http::REQUEST_ID_HEADER).map(str::to_string);
     sent.or_else(|| body.request_id.clone())
         .unwrap_or_else(|| format!("local-{}", NEXT_ID.fetch_add(1, Ordering::Relaxed)))
 }
 
-fn resume_offset(req: &Request, body: &CompletionBody) -> Result<Tokens, Refused> {
+fn resume_offset(req: &Request, body: &CompletionBody) -> Result<Option<Tokens>, Refused> {
     let Some(text) = http::header(req, "toucansill-resume-offset") else {
-        return Ok(body.resume.unwrap_or_default());
+        return Ok(body.resume);
     };
     let message = format!("toucansill-resume-offset is no number: {text}");
-    text.parse().map_err(|_| Refused(400, Refusal::new("bad_header", message)))
+    text.parse().map(Some).map_err(|_| Refused(400, Refusal::new("bad_header", message)))
 }
 
 fn priority(req: &Request) -> u8 {
--- /dev/null
+++ b/crates/upstream/src/announce.rs
@@ -0,0 +1,298 @@
+//! Announcements: how upstreams make themselves known, and who is alive.
+
+use crate::error::{Error, Reason, Result};
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+use wire::{DataCentreId, Incarnation, ModelId, ServiceId, Tokens, UpstreamId, Verdict};
+
+/// Largest announcement, in bytes.
+pub const MAX_BODY_BYTES: usize = 64 * 1024;
+/// Longest name in an announcement, in bytes.
+const MAX_NAME_BYTES: usize = 128;
+/// Most models of one engine.
+const MAX_MODELS: usize = 256;
+
+/// What kind of upstream announces itself.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// A model engine.
+    Engine,
+    /// A plain service.
+    Service,
+}
+
+/// Capacity after a start: a straight line from `initial_share` to the whole.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Ramp {
+    /// Share of the capacity right after a start, above 0 and at most 1.
+    pub initial_share: f64,
+    /// Milliseconds from a start to the whole capacity.
+    pub duration_ms: u64,
+}
+
+/// Body of `POST /upstreams`.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Announcement {
+    /// Name of the upstream, unique in its region.
+    pub id: UpstreamId,
+    /// What it is.
+    pub kind: Kind,
+    /// Where it listens: IP number and port.
+    pub address: String,
+    /// Where it stands.
+    pub data_centre: DataCentreId,
+    /// Models of an engine.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub models: Vec<ModelId>,
+    /// Name of a plain service.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub service: Option<ServiceId>,
+    /// KV memory of an engine.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub memory_tokens: Option<Tokens>,
+    /// Prompt tokens that an engine reads a second.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub prefill_tokens_per_s: Option<f64>,
+    /// Tokens that an engine generates a second for each request.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub decode_tokens_per_s: Option<f64>,
+    /// Capacity after a start. Without it the whole capacity is there at once.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ramp: Option<Ramp>,
+    /// Number of the present start; a restart must raise it.
+    pub incarnation: Incarnation,
+    /// Whether it refuses orders with an old fencing number.
+    #[serde(default)]
+    pub checks_fences: bool,
+}
+
+impl Announcement {
+    /// Reads and checks an announcement.
+    ///
+    /// # Errors
+    ///
+    /// [`Reason::Invalid`] with a text that names the field at fault.
+    ///
+    /// ```
+    /// use upstream::Announcement;
+    ///
+    /// let body = br#"{"id": "jobs-1", "kind": "service", "address": "10.0.0.7:80",
+    ///     "data_centre": "bandung-1", "service": "jobs", "incarnation": 4}"#;
+    /// assert_eq!(Announcement::parse(body)?.incarnation, 4);
+    ///
+    /// let e = Announcement::parse(br#"{"id": "jobs-1", "kind": "lorry"}"#).unwrap_err();
+    /// assert!(e.message().contains("lorry"));
+    /// # Ok::<(), upstream::Error>(())
+    /// ```
+    pub fn parse(body: &[u8]) -> Result<Self> {
+        if body.len() > MAX_BODY_BYTES {
+            return Err(invalid(format!("an announcement has at most {MAX_BODY_BYTES} bytes")));
+        }
+        let parsed: Self =
+            serde_json::from_slice(body).map_err(|e| invalid(format!("announcement: {e}")))?;
+        parsed.check()?;
+        Ok(parsed)
+    }
+
+    /// Checks the values of all fields.
+    ///
+    /// # Errors
+    ///
+    /// [`Reason::Invalid`] with a text that names the field at fault.
+    pub fn check(&self) -> Result<()> {
+        check_name("id", &self.id)?;
+        check_name("data_centre", &self.data_centre)?;
+        if self.address.parse::<SocketAddr>().is_err() {
+            let address = &self.address;
+            return Err(invalid(format!("address: {address:?} is no IP number with a port")));
+        }
+        if let Some(ramp) = &self.ramp
+            && !(ramp.initial_share > 0.0 && ramp.initial_share <= 1.0)
+        {
+            return Err(invalid("ramp.initial_share: must be above 0 and at most 1"));
+        }
+        match self.kind {
+            Kind::Engine => self.check_engine(),
+            Kind::Service => self.check_service(),
+        }
+    }
+
+    fn check_engine(&self) -> Result<()> {
+        if self.models.is_empty() || self.models.len() > MAX_MODELS {
+            return Err(invalid(format!("models: an engine has 1 to {MAX_MODELS}")));
+        }
+        self.models.iter().try_for_each(|model| check_name("models", model))?;
+        if self.service.is_some() {
+            return Err(invalid("service: an engine has none"));
+        }
+        if self.memory_tokens.unwrap_or_default() == 0 {
+            return Err(invalid("memory_tokens: an engine states a number above 0"));
+        }
+        check_rate("prefill_tokens_per_s", self.prefill_tokens_per_s)?;
+        check_rate("decode_tokens_per_s", self.decode_tokens_per_s)
+    }
+
+    fn check_service(&self) -> Result<()> {
+        match &self.service {
+            None => return Err(invalid("service: a plain service states its name")),
+            Some(service) => check_name("service", service)?,
+        }
+        if !self.models.is_empty() {
+            return Err(invalid("models: a plain service has none"));
+        }
+        Ok(())
+    }
+}
+
+fn invalid(message: impl Into<String>) -> Error {
+    Error::new(Reason::Invalid, Verdict::NotRun, message)
+}
+
+fn check_name(field: &str, name: &str) -> Result<()> {
+    let is_plain = |c: char| c.is_ascii_alphanumeric() || "-_./:".contains(c);
+    if name.is_empty() || name.len() > MAX_NAME_BYTES || !name.chars().all(is_plain) {
+        return Err(invalid(format!(
+            "{field}: {name:?} is not 1 to {MAX_NAME_BYTES} letters, digits or any of -_./:"
+        )));
+    }
+    Ok(())
+}
+
+fn check_rate(field: &str, rate: Option<f64>) -> Result<()> {
+    match rate {
+        Some(rate) if rate.is_finite() && rate > 0.0 => Ok(()),
+        _ => Err(invalid(format!("{field}: an engine states a number above 0"))),
+    }
+}
+
+/// What an announcement changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// Not known before, or silent for longer than the lease: in cold start.
+    Joined,
+    /// Started anew: in cold start, and nothing that it held is left.
+    Restarted {
+        /// Incarnation before.
+        from: Incarnation,
+    },
+    /// Alive, with other values than before.
+    Updated,
+    /// Alive, with nothing new.
+    Kept,
+}
+
+/// Settings of a [`Directory`].
+#[derive(Clone, Copy, Debug)]
+pub struct DirectoryConfig {
+    /// Time without an announcement after which an upstream counts as gone.
+    pub lease: Duration,
+    /// Most upstreams.
+    pub capacity: usize,
+}
+
+impl Default for DirectoryConfig {
+    fn default() -> Self {
+        Self { lease: Duration::from_secs(4), capacity: 20_000 }
+    }
+}
+
+/// An upstream that is alive.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// What it said last.
+    pub announcement: Announcement,
+    /// When its present incarnation was first seen. Its ramp runs from here.
+    pub since: Instant,
+    /// When it last announced itself.
+    pub heard: Instant,
+}
+
+/// The upstreams that are alive, by their announcements.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    cfg: DirectoryConfig,
+    entries: BTreeMap<UpstreamId, Entry>,
+}
+
+impl Directory {
+    /// An empty directory.
+    pub fn new(cfg: DirectoryConfig) -> Self {
+        Self { cfg, entries: BTreeMap::new() }
+    }
+
+    /// Takes in a checked announcement.
+    ///
+    /// # Errors
+    ///
+    /// [`Reason::Stale`] for an older incarnation than the one that is alive,
+    /// [`Reason::Invalid`] when two upstreams use one id, and
+    /// [`Reason::Full`] at the capacity.
+    pub fn announce(&mut self, announcement: Announcement, now: Instant) -> Result<Change> {
+        let change = self.classify(&announcement, now)?;
+        let since = match self.entries.get(&announcement.id) {
+            Some(entry) if matches!(change, Change::Updated | Change::Kept) => entry.since,
+            _ => now,
+        };
+        let id = announcement.id.clone();
+        self.entries.insert(id, Entry { announcement, since, heard: now });
+        Ok(change)
+    }
+
+    fn classify(&self, new: &Announcement, now: Instant) -> Result<Change> {
+        let Some(entry) = self.entries.get(&new.id) else {
+            if self.entries.len() >= self.cfg.capacity {
+                let message = format!("the directory holds {} upstreams", self.cfg.capacity);
+                return Err(Error::new(Reason::Full, Verdict::NotRun, message));
+            }
+            return Ok(Change::Joined);
+        };
+        if now.saturating_duration_since(entry.heard) >= self.cfg.lease {
+            return Ok(Change::Joined);
+        }
+        let old = &entry.announcement;
+        if new.incarnation < old.incarnation {
+            let message = format!(
+                "incarnation: {} is alive under {}, {} is older",
+                new.id, old.incarnation, new.incarnation
+            );
+            return Err(Error::new(Reason::Stale, Verdict::NotRun, message));
+        }
+        if new.incarnation > old.incarnation {
+            return Ok(Change::Restarted { from: old.incarnation });
+        }
+        if new.address != old.address {
+            let message = format!("id: {} is in use at {}", new.id, old.address);
+            return Err(invalid(message));
+        }
+        Ok(if new == old { Change::Kept } else { Change::Updated })
+    }
+
+    /// Removes the upstreams whose lease has run out, and gives their last words.
+    pub fn expire(&mut self, now: Instant) -> Vec<Entry> {
+        let lease = self.cfg.lease;
+        let gone = self
+            .entries
+            .extract_if(.., |_, entry| now.saturating_duration_since(entry.heard) >= lease);
+        gone.map(|(_, entry)| entry).collect()
+    }
+
+    /// Removes an upstream that has taken its leave.
+    pub fn remove(&mut self, id: &str) -> Option<Entry> {
+        self.entries.remove(id)
+    }
+
+    /// An upstream that is alive.
+    pub fn get(&self, id: &str) -> Option<&Entry> {
+        self.entries.get(id)
+    }
+
+    /// All upstreams that are alive, by id.
+    pub fn iter(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values()
+    }
+}
--- /dev/null
+++ b/crates/upstream/src/call.rs
@@ -0,0 +1,129 @@
+//! One call to a plain service, sent exactly once, with a truthful verdict.
+
+use crate::{
+    client::{Client, Target},
+    error::{Error, Reason, Result},
+    http::{self, Header, Outgoing, REQUEST_ID_HEADER},
+};
+use std::{io::Read, time::Instant};
+use wire::{RequestId, Verdict};
+
+/// Headers that belong to one connection and are not passed on.
+const HOP_HEADERS: [&str; 7] =
+    ["connection", "content-length", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade"];
+
+/// A call to a plain service.
+#[derive(Clone, Debug)]
+pub struct CallRequest {
+    /// Id of the request; an answer that names another one is dropped.
+    pub id: RequestId,
+    /// HTTP method.
+    pub method: String,
+    /// Path with its query, from the first slash.
+    pub path: String,
+    /// Headers for the service.
+    pub headers: Vec<Header>,
+    /// Body, as the caller sent it.
+    pub body: Vec<u8>,
+    /// Whether it may run more than once. If not, it gets a connection of its
+    /// own, on which the HTTP library sends it exactly once.
+    pub is_idempotent: bool,
+    /// When the answer must be there.
+    pub deadline: Instant,
+}
+
+/// The answer of a plain service.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers for the caller.
+    pub headers: Vec<Header>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl Client {
+    /// Calls a plain service once.
+    ///
+    /// An answer of any status is an [`Answer`], unless the service states
+    /// with `toucansill-verdict: not-run` that it refused.
+    ///
+    /// # Errors
+    ///
+    /// With [`Verdict::NotRun`] when no byte was sent or the service refused,
+    /// else with [`Verdict::MayHaveRun`].
+    pub fn call(&self, target: &Target, req: &CallRequest) -> Result<Answer> {
+        let timeout = req.deadline.saturating_duration_since(Instant::now());
+        if timeout.is_zero() {
+            let message = "the deadline passed before the call was sent";
+            return Err(Error::new(Reason::Deadline, Verdict::NotRun, message));
+        }
+        let agent = if req.is_idempotent {
+            self.shared.pooled(&target.address)
+        } else {
+            self.shared.single()
+        };
+        let mut headers = req.headers.clone();
+        headers.push((REQUEST_ID_HEADER.to_string(), req.id.clone()));
+        let outgoing = Outgoing {
+            method: &req.method,
+            url: format!("http://{}{}", target.address, req.path),
+            headers: &headers,
+            body: &req.body,
+            timeout: Some(timeout),
+        };
+        let sent = http::send(&agent, &outgoing).and_then(|response| self.read(req, response));
+        sent.map_err(|e| self.note(target, req, e))
+    }
+
+    fn read(&self, req: &CallRequest, response: ureq::Response) -> Result<Answer> {
+        if let Some(id) = response.header(REQUEST_ID_HEADER)
+            && id != req.id
+        {
+            self.shared.counters.count_crossed();
+            let message = format!("the answer belongs to request {id}");
+            return Err(Error::new(Reason::Crossed, Verdict::MayHaveRun, message));
+        }
+        if http::stated_verdict(&response) == Some(Verdict::NotRun) {
+            return Err(http::refusal(response));
+        }
+        let status = response.status();
+        let headers = passed_on(&response);
+        let limit = self.shared.cfg.max_answer_bytes;
+        let mut body = Vec::new();
+        let mut reader = response.into_reader().take(limit as u64 + 1);
+        reader.read_to_end(&mut body).map_err(|e| http::read_error(&e))?;
+        if body.len() > limit {
+            let message = format!("the answer exceeds {limit} bytes");
+            return Err(Error::new(Reason::BadAnswer, Verdict::MayHaveRun, message));
+        }
+        Ok(Answer { status, headers, body })
+    }
+
+    /// Closes a silent upstream's idle connections, and names a passed deadline.
+    fn note(&self, target: &Target, req: &CallRequest, e: Error) -> Error {
+        if !e.is_silent() {
+            return e;
+        }
+        self.shared.counters.count_silent();
+        self.shared.forget(&target.address);
+        if Instant::now() < req.deadline {
+            return e;
+        }
+        let message = format!("the deadline passed: {}", e.message());
+        Error::new(Reason::Deadline, e.verdict(), message)
+    }
+}
+
+fn passed_on(response: &ureq::Response) -> Vec<Header> {
+    let mut names = response.headers_names();
+    names.sort_unstable();
+    names.dedup();
+    names
+        .iter()
+        .filter(|name| !HOP_HEADERS.contains(&name.as_str()))
+        .flat_map(|name| response.all(name).into_iter().map(move |value| (name, value)))
+        .map(|(name, value)| (name.clone(), value.to_string()))
+        .collect()
+}
--- /dev/null
+++ b/crates/upstream/src/error.rs
@@ -0,0 +1,136 @@
+//! The error of this crate, with the verdict on the request that failed.
+
+use std::fmt;
+use wire::Verdict;
+
+/// Result of an operation towards an upstream.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Why a request, an order or an announcement failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reason {
+    /// An announcement or a request that can't be understood.
+    Invalid,
+    /// An announcement or an order that a newer one has overtaken.
+    Stale,
+    /// A table or queue is full.
+    Full,
+    /// The upstream could not be connected to.
+    Unreachable,
+    /// The upstream refused with this HTTP status.
+    Refused(u16),
+    /// The connection broke before the answer was whole.
+    Broken,
+    /// No byte came for the silence timeout.
+    Silent,
+    /// The answer belonged to another request.
+    Crossed,
+    /// The answer is larger than the limit, or no valid answer.
+    BadAnswer,
+    /// The deadline has passed.
+    Deadline,
+    /// The request was cancelled.
+    Cancelled,
+    /// No upstream is left to try.
+    NoTarget,
+}
+
+/// A failure with its verdict: whether the request may have run.
+///
+/// ```
+/// use upstream::{Error, Reason};
+/// use wire::Verdict;
+///
+/// let e = Error::new(Reason::Unreachable, Verdict::NotRun, "connection refused");
+/// assert!(e.is_not_run() && e.is_unreachable());
+/// assert_eq!(e.to_string(), "connection refused (not-run)");
+/// ```
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Error {
+    reason: Reason,
+    verdict: Verdict,
+    message: String,
+}
+
+impl Error {
+    /// An error with the text that its reader gets.
+    pub fn new(reason: Reason, verdict: Verdict, message: impl Into<String>) -> Self {
+        Self { reason, verdict, message: message.into() }
+    }
+
+    /// Why it failed.
+    pub fn reason(&self) -> Reason {
+        self.reason
+    }
+
+    /// Whether the request may have run.
+    pub fn verdict(&self) -> Verdict {
+        self.verdict
+    }
+
+    /// The text without the verdict.
+    pub fn message(&self) -> &str {
+        &self.message
+    }
+
+    /// The same failure with a worse verdict, from an earlier attempt.
+    pub fn with_verdict(self, verdict: Verdict) -> Self {
+        Self { verdict, ..self }
+    }
+
+    /// Whether the request is proven not to have run.
+    pub fn is_not_run(&self) -> bool {
+        self.verdict == Verdict::NotRun
+    }
+
+    /// Whether the upstream could not be connected to.
+    pub fn is_unreachable(&self) -> bool {
+        self.reason == Reason::Unreachable
+    }
+
+    /// Whether the upstream itself refused.
+    pub fn is_refused(&self) -> bool {
+        matches!(self.reason, Reason::Refused(_))
+    }
+
+    /// Whether the same request would be refused by every upstream.
+    pub fn is_caller_fault(&self) -> bool {
+        matches!(self.reason, Reason::Refused(400..=499) | Reason::Invalid)
+    }
+
+    /// Whether an open connection has gone silent.
+    pub fn is_silent(&self) -> bool {
+        self.reason == Reason::Silent
+    }
+
+    /// Whether the deadline has passed.
+    pub fn is_deadline(&self) -> bool {
+        self.reason == Reason::Deadline
+    }
+
+    /// Whether a newer announcement or order has overtaken this one.
+    pub fn is_stale(&self) -> bool {
+        self.reason == Reason::Stale
+    }
+
+    /// The HTTP status that tells a caller or an upstream of this error.
+    pub fn status(&self) -> u16 {
+        match self.reason {
+            Reason::Invalid => 400,
+            Reason::Stale => 409,
+            Reason::Refused(status) => status,
+            Reason::Cancelled => 499,
+            Reason::Full | Reason::NoTarget | Reason::Unreachable => 503,
+            Reason::Broken | Reason::Silent | Reason::Crossed | Reason::BadAnswer => 502,
+            Reason::Deadline => 504,
+        }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ({})", self.message, self.verdict)
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/upstream/src/stream.rs
@@ -0,0 +1,257 @@
+//! Streamed completions that survive broken and silent connections.
+
+use crate::{
+    client::{Client, Shared, Target},
+    error::{Error, Reason},
+    http::Header,
+    transfer,
+};
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    thread,
+    time::{Duration, Instant},
+};
+use wire::{RequestId, Tokens, Verdict};
+
+/// Events that wait for a slow consumer before the upstream is held back.
+const EVENT_QUEUE: usize = 256;
+/// Stack of a stream's thread, in bytes.
+const STACK_BYTES: usize = 256 * 1024;
+
+/// A completion to stream.
+#[derive(Clone, Debug)]
+pub struct StreamRequest {
+    /// Id of the request; events that name another one are dropped.
+    pub id: RequestId,
+    /// `/v1/chat/completions` or `/v1/completions`.
+    pub path: String,
+    /// JSON body, with `"stream": true`.
+    pub body: Vec<u8>,
+    /// Further headers, such as the priority and the fencing number.
+    pub headers: Vec<Header>,
+    /// Offset of the first token wanted; those before it are skipped.
+    pub first: Tokens,
+    /// When the stream must have ended.
+    pub deadline: Instant,
+}
+
+impl StreamRequest {
+    /// A stream from the first token on.
+    pub fn new(
+        id: impl Into<RequestId>,
+        path: impl Into<String>,
+        body: impl Into<Vec<u8>>,
+        deadline: Instant,
+    ) -> Self {
+        let (id, path, body) = (id.into(), path.into(), body.into());
+        Self { id, path, body, headers: Vec::new(), first: 0, deadline }
+    }
+}
+
+/// One token of an answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Token {
+    /// Number of the token within the answer, from 0.
+    pub offset: Tokens,
+    /// Its text.
+    pub text: String,
+}
+
+/// What an answer used.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize)]
+#[serde(default)]
+pub struct Usage {
+    /// Tokens of the prompt.
+    pub prompt_tokens: Tokens,
+    /// Tokens of the answer.
+    pub completion_tokens: Tokens,
+    /// Tokens of the prompt that came from the prefix cache.
+    pub cached_tokens: Tokens,
+}
+
+/// The end of an answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Finish {
+    /// The upstream that ended it.
+    pub target: Target,
+    /// Why the engine ended: `stop` or `length`.
+    pub reason: String,
+    /// What it used, when the engine says so.
+    pub usage: Usage,
+}
+
+/// An event of a stream. The last one is `Finished` or `Failed`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum StreamEvent {
+    /// The request is being sent to this upstream.
+    Sent(Target),
+    /// The upstream works on the prompt.
+    Progress,
+    /// The next token: none is lost, doubled or foreign.
+    Token(Token),
+    /// All tokens are there.
+    Finished(Finish),
+    /// No further token comes. The answer to the caller is final.
+    Failed {
+        /// Why, and whether the request may have run.
+        error: Error,
+        /// When the caller may come back.
+        retry_after: Duration,
+    },
+}
+
+impl StreamEvent {
+    /// Whether no event follows.
+    pub fn is_last(&self) -> bool {
+        matches!(self, Self::Finished(_) | Self::Failed { .. })
+    }
+}
+
+/// A failure of one upstream, from which the next one is chosen.
+#[derive(Clone, Debug)]
+pub struct Failed {
+    /// The upstream that failed.
+    pub target: Target,
+    /// How it failed.
+    pub error: Error,
+    /// Offset of the next token.
+    pub next: Tokens,
+}
+
+/// What the consumer and the thread of a stream agree on.
+#[derive(Default)]
+struct State {
+    /// The consumer has gone, or the last event is out.
+    closed: bool,
+    /// Where the request may be running.
+    target: Option<Target>,
+}
+
+/// Lets a stream's thread ask whether the consumer is still there.
+#[derive(Clone, Default)]
+pub(crate) struct Presence {
+    state: Arc<Mutex<State>>,
+}
+
+impl Presence {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes where the request goes next; false once the consumer has gone.
+    pub(crate) fn enter(&self, target: &Target) -> bool {
+        let mut state = self.lock();
+        state.target = Some(target.clone());
+        !state.closed
+    }
+
+    /// Notes that the request runs nowhere any more.
+    pub(crate) fn leave(&self) {
+        self.lock().target = None;
+    }
+
+    /// Ends the stream, and gives the upstream on which it may be running.
+    fn close(&self) -> Option<Target> {
+        let mut state = self.lock();
+        state.closed = true;
+        state.target.take()
+    }
+}
+
+/// The receiving end of a stream.
+///
+/// Dropping it before the last event cancels the request upstream.
+pub struct Stream {
+    id: RequestId,
+    deadline: Instant,
+    rx: flume::Receiver<StreamEvent>,
+    presence: Presence,
+    shared: Arc<Shared>,
+    ended: bool,
+}
+
+impl Client {
+    /// Starts a stream on a thread of its own.
+    ///
+    /// `choose` names the upstream to send to: first with `None`, and again
+    /// after each failure that the same upstream can't mend. `None` from it
+    /// ends the stream at once with the last failure.
+    pub fn stream(
+        &self,
+        req: StreamRequest,
+        choose: impl FnMut(Option<&Failed>) -> Option<Target> + Send + 'static,
+    ) -> Stream {
+        let (tx, rx) = flume::bounded(EVENT_QUEUE);
+        let presence = Presence::default();
+        let stream = Stream {
+            id: req.id.clone(),
+            deadline: req.deadline,
+            rx,
+            presence: presence.clone(),
+            shared: Arc::clone(&self.shared),
+            ended: false,
+        };
+        let shared = Arc::clone(&self.shared);
+        let refused = tx.clone();
+        let spawned = thread::Builder::new()
+            .name("stream".to_string())
+            .stack_size(STACK_BYTES)
+            .spawn(move || transfer::Transfer::new(shared, req, presence, tx).run(choose));
+        if let Err(e) = spawned {
+            let message = format!("no thread for the stream: {e}");
+            let error = Error::new(Reason::Full, Verdict::NotRun, message);
+            let retry_after = self.shared.cfg.backoff.cap;
+            let _ = refused.try_send(StreamEvent::Failed { error, retry_after });
+        }
+        stream
+    }
+}
+
+impl Stream {
+    /// Waits for the next event, at most until the deadline. `None` after the
+    /// last one.
+    pub fn recv(&mut self) -> Option<StreamEvent> {
+        if self.ended {
+            return None;
+        }
+        let event = match self.rx.recv_deadline(self.deadline) {
+            Ok(event) => event,
+            Err(flume::RecvTimeoutError::Timeout) => self.late(),
+            Err(flume::RecvTimeoutError::Disconnected) => self.lost(),
+        };
+        self.ended = event.is_last();
+        Some(event)
+    }
+
+    fn late(&self) -> StreamEvent {
+        let target = self.presence.close();
+        let verdict = if target.is_some() { Verdict::MayHaveRun } else { Verdict::NotRun };
+        if let Some(target) = target {
+            self.shared.cancel(&target.address, &self.id);
+        }
+        let error = Error::new(Reason::Deadline, verdict, "the deadline has passed");
+        StreamEvent::Failed { error, retry_after: Duration::ZERO }
+    }
+
+    fn lost(&self) -> StreamEvent {
+        let message = "the thread of the stream has ended";
+        let error = Error::new(Reason::Broken, Verdict::MayHaveRun, message);
+        StreamEvent::Failed { error, retry_after: self.shared.cfg.backoff.cap }
+    }
+}
+
+impl Iterator for Stream {
+    type Item = StreamEvent;
+
+    fn next(&mut self) -> Option<StreamEvent> {
+        self.recv()
+    }
+}
+
+impl Drop for Stream {
+    fn drop(&mut self) {
+        if let Some(target) = self.presence.close() {
+            self.shared.cancel(&target.address, &self.id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/upstream/src/transfer.rs
@@ -0,0 +1,294 @@
+//! The thread of one stream: connections, and what follows when one fails.
+
+use crate::{
+    attempt::{Next, Retry},
+    client::{Shared, Target},
+    error::{Error, Reason, Result},
+    events::{self, Line},
+    http::{self, Outgoing, REQUEST_ID_HEADER, RESUME_HEADER},
+    splice::{Splice, Spliced},
+    stream::{Failed, Finish, Presence, StreamEvent, StreamRequest, Token},
+};
+use std::{
+    io::BufReader,
+    sync::{Arc, PoisonError},
+    time::{Duration, Instant},
+};
+use wire::Verdict;
+
+/// Foreign events in a row after which a connection is given up.
+const MAX_FOREIGN: u32 = 16;
+
+/// What follows a failed connection.
+enum Recovery {
+    /// A new connection to the same upstream, from the next token on.
+    Resume,
+    /// Another upstream, from the start.
+    Move,
+    /// Every upstream would say the same.
+    Final,
+}
+
+/// One stream on its way through connections and upstreams.
+pub(crate) struct Transfer {
+    shared: Arc<Shared>,
+    req: StreamRequest,
+    presence: Presence,
+    tx: flume::Sender<StreamEvent>,
+    splice: Splice,
+    rng: fastrand::Rng,
+    /// The worst verdict of the connections so far.
+    may_have_run: bool,
+    /// Whether the last connection failed after forwarding a token.
+    progressed: bool,
+    foreign: u32,
+}
+
+impl Transfer {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        req: StreamRequest,
+        presence: Presence,
+        tx: flume::Sender<StreamEvent>,
+    ) -> Self {
+        let splice = Splice::new(req.id.clone(), req.first);
+        let rng = fastrand::Rng::with_seed(shared.stream_seed());
+        let (may_have_run, progressed, foreign) = (false, false, 0);
+        Self { shared, req, presence, tx, splice, rng, may_have_run, progressed, foreign }
+    }
+
+    /// Runs the stream to its last event.
+    pub(crate) fn run(mut self, mut choose: impl FnMut(Option<&Failed>) -> Option<Target>) {
+        let Some(mut target) = choose(None) else {
+            let message = "no upstream takes this request";
+            return self.fail(Error::new(Reason::NoTarget, Verdict::NotRun, message), None);
+        };
+        let mut resumes = false;
+        let mut tries_here = 0;
+        let mut retry = self.new_retry();
+        loop {
+            let error = match self.connect(&target, resumes) {
+                Ok(()) => return,
+                Err(error) => error,
+            };
+            self.note_failure(&target, &error);
+            if self.progressed {
+                retry = self.new_retry();
+                tries_here = 0;
+            }
+            let recovery = self.recovery(&error, tries_here);
+            if matches!(recovery, Recovery::Final) {
+                return self.fail(error, None);
+            }
+            match self.next_attempt(&mut retry, &error) {
+                Ok(at) if self.wait_until(at) => {}
+                Ok(_) => return,
+                Err(retry_after) => return self.fail(error, Some(retry_after)),
+            }
+            if matches!(recovery, Recovery::Resume) {
+                tries_here += 1;
+                resumes = true;
+                self.shared.counters.count_resumed();
+                continue;
+            }
+            let failed = Failed { target, error, next: self.splice.next() };
+            let Some(next) = choose(Some(&failed)) else {
+                return self.fail(failed.error, None);
+            };
+            resumes = next.upstream == failed.target.upstream;
+            if !resumes {
+                self.abandon(&failed);
+            }
+            tries_here = 0;
+            target = next;
+        }
+    }
+
+    fn new_retry(&self) -> Retry {
+        // A stream yields each token once, however often it is generated.
+        Retry::new(self.shared.cfg.backoff, true, self.req.deadline)
+    }
+
+    /// Sends the request on one connection and reads it until the stream has
+    /// finished or the consumer has gone.
+    fn connect(&mut self, target: &Target, resumes: bool) -> Result<()> {
+        self.progressed = false;
+        self.foreign = 0;
+        if !self.presence.enter(target) {
+            return Ok(());
+        }
+        if self.tx.send(StreamEvent::Sent(target.clone())).is_err() {
+            return Ok(());
+        }
+        // After a failure only a new connection is known to work.
+        let agent = match self.may_have_run {
+            true => self.shared.single(),
+            false => self.shared.pooled(&target.address),
+        };
+        let mut headers = self.req.headers.clone();
+        headers.push((REQUEST_ID_HEADER.to_string(), self.req.id.clone()));
+        headers.push(("Content-Type".to_string(), "application/json".to_string()));
+        if resumes {
+            headers.push((RESUME_HEADER.to_string(), self.splice.next().to_string()));
+        }
+        let outgoing = Outgoing {
+            method: "POST",
+            url: format!("http://{}{}", target.address, self.req.path),
+            headers: &headers,
+            body: &self.req.body,
+            timeout: None,
+        };
+        let response = http::send(&agent, &outgoing)?;
+        if response.status() != 200 {
+            return Err(http::refusal(response));
+        }
+        self.read(target, response)
+    }
+
+    fn read(&mut self, target: &Target, response: ureq::Response) -> Result<()> {
+        let mut reader = BufReader::new(response.into_reader());
+        let mut finish = None;
+        loop {
+            let line = events::read_line(&mut reader)?;
+            let event = match line {
+                Line::Done | Line::End => match finish {
+                    Some(finish) => {
+                        self.finish(finish);
+                        // Read to the end, the connection can be used again.
+                        let _ = events::read_line(&mut reader);
+                        return Ok(());
+                    }
+                    None => return Err(broken("the stream ended without a finish reason")),
+                },
+                Line::Comment => Some(StreamEvent::Progress),
+                Line::Event(event) => self.take(target, event, &mut finish)?,
+            };
+            let gone = match event {
+                // Progress is worth nothing to a consumer that has fallen behind.
+                Some(StreamEvent::Progress) => self
+                    .tx
+                    .try_send(StreamEvent::Progress)
+                    .is_err_and(|e| matches!(e, flume::TrySendError::Disconnected(_))),
+                Some(event) => self.tx.send(event).is_err(),
+                None => false,
+            };
+            if gone {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Takes in one event, and gives what the consumer gets of it.
+    fn take(
+        &mut self,
+        target: &Target,
+        event: events::Event,
+        finish: &mut Option<Finish>,
+    ) -> Result<Option<StreamEvent>> {
+        if let Some(reason) = event.finish_reason {
+            match self.splice.end(&event.id, event.offset) {
+                Spliced::Foreign => self.count_foreign()?,
+                Spliced::Gap => return Err(broken("tokens are missing before the end")),
+                _ if reason == "cancelled" => return Err(broken("cancelled by another")),
+                _ => {
+                    let usage = event.usage.unwrap_or_default();
+                    *finish = Some(Finish { target: target.clone(), reason, usage });
+                }
+            }
+            return Ok(None);
+        }
+        match self.splice.token(&event.id, event.offset) {
+            Spliced::Forward => {
+                self.progressed = true;
+                self.foreign = 0;
+                let (offset, text) = (event.offset, event.text);
+                Ok(Some(StreamEvent::Token(Token { offset, text })))
+            }
+            Spliced::Skip => Ok(Some(StreamEvent::Progress)),
+            Spliced::Foreign => self.count_foreign().map(|()| None),
+            Spliced::Gap => Err(broken("tokens are missing")),
+        }
+    }
+
+    fn count_foreign(&mut self) -> Result<()> {
+        self.shared.counters.count_crossed();
+        self.foreign += 1;
+        if self.foreign < MAX_FOREIGN {
+            return Ok(());
+        }
+        let message = "the answer belongs to another request";
+        Err(Error::new(Reason::Crossed, Verdict::MayHaveRun, message))
+    }
+
+    fn note_failure(&mut self, target: &Target, error: &Error) {
+        self.may_have_run |= !error.is_not_run();
+        if error.is_not_run() {
+            self.presence.leave();
+        }
+        if error.is_silent() {
+            self.shared.counters.count_silent();
+        }
+        if !error.is_refused() {
+            self.shared.forget(&target.address);
+        }
+    }
+
+    fn recovery(&self, error: &Error, tries_here: u32) -> Recovery {
+        let is_fresh = self.splice.next() == self.req.first && !self.may_have_run;
+        match error.reason() {
+            Reason::Refused(_) if error.is_caller_fault() && is_fresh => Recovery::Final,
+            Reason::Invalid => Recovery::Final,
+            Reason::Refused(_) | Reason::Unreachable => Recovery::Move,
+            _ if tries_here > 0 => Recovery::Move,
+            _ => Recovery::Resume,
+        }
+    }
+
+    /// When the next connection may be made, or when the caller may come back.
+    fn next_attempt(&mut self, retry: &mut Retry, error: &Error) -> Result<Instant, Duration> {
+        let now = Instant::now();
+        let mut budget = self.shared.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        // Only refusals count against the budget: when an engine dies, each of
+        // its streams moves once, and that is no storm.
+        let mut unlimited = crate::attempt::Budget::new(0.0, 1.0);
+        let budget = if error.is_refused() { &mut *budget } else { &mut unlimited };
+        match retry.next(error.verdict(), now, budget, &mut self.rng) {
+            Next::RetryAt(_) if retry.attempts() == 1 && !error.is_refused() => Ok(now),
+            Next::RetryAt(at) => Ok(at),
+            Next::GiveUp { retry_after, .. } => Err(retry_after),
+        }
+    }
+
+    /// Waits; false when the consumer has gone meanwhile.
+    fn wait_until(&self, at: Instant) -> bool {
+        let pause = at.saturating_duration_since(Instant::now());
+        std::thread::sleep(pause);
+        !self.tx.is_disconnected()
+    }
+
+    /// Cancels the request on an upstream that it has left.
+    fn abandon(&self, failed: &Failed) {
+        self.shared.counters.count_moved();
+        if !failed.error.is_not_run() {
+            self.shared.cancel(&failed.target.address, &self.req.id);
+        }
+    }
+
+    fn finish(&self, finish: Finish) {
+        self.presence.leave();
+        let _ = self.tx.send(StreamEvent::Finished(finish));
+    }
+
+    fn fail(&self, error: Error, retry_after: Option<Duration>) {
+        let error = match self.may_have_run {
+            true if error.is_not_run() => error.with_verdict(Verdict::MayHaveRun),
+            _ => error,
+        };
+        let retry_after = retry_after.unwrap_or(self.shared.cfg.backoff.cap);
+        let _ = self.tx.send(StreamEvent::Failed { error, retry_after });
+    }
+}
+
+fn broken(message: &str) -> Error {
+    Error::new(Reason::Broken, Verdict::MayHaveRun, message)
+}
--- /dev/null
+++ b/crates/upstream/tests/calls.rs
@@ -0,0 +1,98 @@
+//! Calls to a plain service: at most one execution, and a truthful verdict.
+
+mod common;
+
+use common::{DEADLINE, client};
+use fake::{Behaviour, Plain, PlainConfig};
+use std::time::Instant;
+use upstream::{CallRequest, Client, Error, Reason, Target};
+use wire::Verdict;
+
+fn plain() -> Plain {
+    Plain::start(PlainConfig::default()).expect("a free port")
+}
+
+fn target(plain: &Plain) -> Target {
+    Target::new("plain-1", plain.address().to_string())
+}
+
+fn booking(key: &str) -> CallRequest {
+    CallRequest {
+        id: format!("r-{key}"),
+        method: "POST".to_string(),
+        path: "/callouts".to_string(),
+        headers: vec![("Idempotency-Key".to_string(), key.to_string())],
+        body: b"{}".to_vec(),
+        is_idempotent: false,
+        deadline: Instant::now() + DEADLINE,
+    }
+}
+
+fn fails(client: &Client, plain: &Plain, req: &CallRequest) -> Error {
+    client.call(&target(plain), req).expect_err("the call must fail")
+}
+
+#[test]
+fn an_answer_is_passed_on_with_its_status() {
+    let (plain, client) = (plain(), client());
+    plain.behave(Behaviour::FailAfterExecuting);
+    let answer = client.call(&target(&plain), &booking("k")).expect("an answer");
+    assert_eq!(answer.status, 500);
+    assert!(String::from_utf8_lossy(&answer.body).contains("\"executions\":1"));
+}
+
+#[test]
+fn a_refused_connection_has_not_run() {
+    let (plain, client) = (plain(), client());
+    plain.relay().close();
+    let e = fails(&client, &plain, &booking("k"));
+    assert_eq!((e.reason(), e.verdict()), (Reason::Unreachable, Verdict::NotRun));
+    assert_eq!(plain.received(), 0);
+}
+
+#[test]
+fn a_stated_refusal_has_not_run() {
+    let (plain, client) = (plain(), client());
+    plain.behave(Behaviour::Refuse);
+    let e = fails(&client, &plain, &booking("k"));
+    assert_eq!((e.reason(), e.verdict()), (Reason::Refused(503), Verdict::NotRun));
+    assert_eq!(plain.executions("k"), 0);
+}
+
+#[test]
+fn a_lost_answer_may_have_run_and_is_sent_once() {
+    let (plain, client) = (plain(), client());
+    // PUT and DELETE without a body are what the HTTP library itself would
+    // resend on a connection that was kept open.
+    let cases = [("POST", "{}"), ("POST", ""), ("PUT", ""), ("DELETE", ""), ("GET", "")];
+    for (method, body) in cases {
+        plain.behave(Behaviour::Answer);
+        let warm = CallRequest { is_idempotent: true, ..booking("warm") };
+        client.call(&target(&plain), &warm).expect("an answer, and an idle connection");
+        plain.behave(Behaviour::LoseAnswer);
+        let (method, body) = (method.to_string(), body.as_bytes().to_vec());
+        let req = CallRequest { method, body, ..booking("k") };
+        let before = plain.received();
+        let e = fails(&client, &plain, &req);
+        assert_eq!((e.reason(), e.verdict()), (Reason::Broken, Verdict::MayHaveRun));
+        assert_eq!(plain.received(), before + 1, "{} was sent again", req.method);
+    }
+}
+
+#[test]
+fn a_crossed_answer_is_dropped_and_counted() {
+    let (plain, client) = (plain(), client());
+    plain.behave(Behaviour::AnswerAnother);
+    let e = fails(&client, &plain, &booking("k"));
+    assert_eq!((e.reason(), e.verdict()), (Reason::Crossed, Verdict::MayHaveRun));
+    assert_eq!(client.counters().crossed(), 1);
+}
+
+#[test]
+fn a_call_past_its_deadline_is_not_sent() {
+    let (plain, client) = (plain(), client());
+    let req = CallRequest { deadline: Instant::now(), ..booking("k") };
+    let e = fails(&client, &plain, &req);
+    assert_eq!((e.reason(), e.verdict()), (Reason::Deadline, Verdict::NotRun));
+    assert_eq!(plain.received(), 0);
+}
--- /dev/null
+++ b/crates/upstream/tests/common/mod.rs
@@ -0,0 +1,51 @@
+//! What the tests of streams and calls share.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use fake::Engine;
+use std::time::{Duration, Instant};
+use upstream::{Client, ClientConfig, Stream, StreamEvent, StreamRequest, Target};
+
+/// Long enough for any test; nothing waits for it to pass.
+pub(crate) const DEADLINE: Duration = Duration::from_secs(60);
+
+pub(crate) fn client() -> Client {
+    Client::new(ClientConfig {
+        silence_timeout: Duration::from_millis(300),
+        ..ClientConfig::default()
+    })
+}
+
+pub(crate) fn target(id: &str, engine: &Engine) -> Target {
+    Target::new(id, engine.address().to_string())
+}
+
+pub(crate) fn request(id: &str, prompt: &str, max_tokens: u64) -> StreamRequest {
+    let body = serde_json::json!({
+        "model": "small", "prompt": prompt, "max_tokens": max_tokens, "stream": true,
+    });
+    StreamRequest::new(id, "/v1/completions", body.to_string(), Instant::now() + DEADLINE)
+}
+
+/// What a stream yielded.
+pub(crate) struct Collected {
+    pub(crate) text: String,
+    pub(crate) last: Option<StreamEvent>,
+}
+
+/// Reads up to `tokens` tokens, or to the last event.
+pub(crate) fn collect(stream: &mut Stream, tokens: usize) -> Collected {
+    let mut collected = Collected { text: String::new(), last: None };
+    let mut seen = 0;
+    while seen < tokens && collected.last.is_none() {
+        match stream.recv() {
+            Some(StreamEvent::Token(token)) => {
+                collected.text += &token.text;
+                seen += 1;
+            }
+            Some(event) if event.is_last() => collected.last = Some(event),
+            Some(_) => {}
+            None => panic!("the stream ended without a last event"),
+        }
+    }
+    collected
+}
--- /dev/null
+++ b/crates/upstream/tests/streams.rs
@@ -0,0 +1,103 @@
+//! Streams over real sockets, through every failure of the connection.
+
+mod common;
+
+use common::{client, collect, request, target};
+use fake::{Engine, EngineConfig, completion_text};
+use upstream::{Reason, StreamEvent};
+use wire::Verdict;
+
+const PROMPT: &str = "why does the evaporator ice up?";
+
+fn engine(id: &str) -> Engine {
+    let cfg = EngineConfig { id: id.to_string(), ..EngineConfig::default() };
+    Engine::start(cfg).expect("a free port")
+}
+
+#[test]
+fn a_silent_connection_is_resumed_on_a_new_one() {
+    let engine = engine("engine-1");
+    engine.hold_at(3);
+    let target = target("engine-1", &engine);
+    let client = client();
+    let mut stream = client.stream(request("r-1", PROMPT, 8), move |_| Some(target.clone()));
+    let start = collect(&mut stream, 3);
+    assert_eq!(start.last, None);
+    let mut text = start.text;
+    engine.relay().silence();
+    engine.release();
+    let rest = collect(&mut stream, usize::MAX);
+    text += &rest.text;
+    assert_eq!(text, completion_text(PROMPT, 0, 8));
+    assert!(matches!(rest.last, Some(StreamEvent::Finished(_))), "{:?}", rest.last);
+    assert_eq!(client.counters().silent(), 1);
+    assert_eq!(engine.stats().resumed, 1);
+}
+
+#[test]
+fn a_cut_connection_is_resumed_on_a_new_one() {
+    let engine = engine("engine-1");
+    engine.hold_at(3);
+    let target = target("engine-1", &engine);
+    let client = client();
+    let mut stream = client.stream(request("r-1", PROMPT, 8), move |_| Some(target.clone()));
+    let start = collect(&mut stream, 3);
+    assert_eq!(start.last, None);
+    let mut text = start.text;
+    engine.relay().cut();
+    engine.release();
+    text += &collect(&mut stream, usize::MAX).text;
+    assert_eq!(text, completion_text(PROMPT, 0, 8));
+    assert_eq!(engine.stats().resumed, 1);
+}
+
+#[test]
+fn a_stream_continues_exactly_on_another_engine_when_its_engine_dies() {
+    let (first, second) = (engine("engine-1"), engine("engine-2"));
+    first.hold_at(3);
+    let targets = [target("engine-1", &first), target("engine-2", &second)];
+    let client = client();
+    let mut stream = client.stream(request("r-1", PROMPT, 8), move |failed| {
+        Some(targets[usize::from(failed.is_some())].clone())
+    });
+    let start = collect(&mut stream, 3);
+    assert_eq!(start.last, None);
+    let mut text = start.text;
+    first.kill();
+    let rest = collect(&mut stream, usize::MAX);
+    text += &rest.text;
+    assert_eq!(text, completion_text(PROMPT, 0, 8));
+    assert_eq!(client.counters().moved(), 1);
+    assert_eq!(second.stats().finished, 1);
+}
+
+#[test]
+fn an_engine_that_refuses_connections_has_not_run_the_request() {
+    let engine = engine("engine-1");
+    let target = target("engine-1", &engine);
+    engine.kill();
+    let mut stream = client()
+        .stream(request("r-1", PROMPT, 8), move |failed| failed.is_none().then(|| target.clone()));
+    let last = collect(&mut stream, usize::MAX).last;
+    let Some(StreamEvent::Failed { error, .. }) = last else {
+        panic!("the stream must fail: {last:?}");
+    };
+    assert_eq!(error.reason(), Reason::Unreachable);
+    assert_eq!(error.verdict(), Verdict::NotRun);
+}
+
+#[test]
+fn a_dropped_stream_cancels_its_request() {
+    let engine = engine("engine-1");
+    engine.hold_at(3);
+    let target = target("engine-1", &engine);
+    let client = client();
+    let mut stream = client.stream(request("r-1", PROMPT, 8), move |_| Some(target.clone()));
+    collect(&mut stream, 3);
+    assert!(engine.memory_used() > 0);
+    drop(stream);
+    // Waits for the engine to be idle: it is held, so only the cancel ends it.
+    engine.stop();
+    assert_eq!(engine.memory_used(), 0);
+    assert_eq!(engine.stats().cancelled, 1);
+}
