Add the daemon's voter, session, owner and entry services

Cause: the thin path knows neither owners nor leases nor a control group. Change: a voter that runs the replicated state, a session that renews its lease and joins the roster, an owner thread that holds the upstreams' state, an entry with keys, admission, placement and the idempotency ledger. Measured: nothing; the modules are not yet part of the build.

--- a/crates/toucansilld/src/messages.rs
+++ b/crates/toucansilld/src/messages.rs
@@ -14,8 +14,10 @@
     pub const CONTROL: &str = "control";
     /// The owner of upstreams: jobs, calls, announcements.
     pub const OWNER: &str = "owner";
-    /// Digests of the owners.
-    pub const DIGEST: &str = "digest";
+    /// Consensus messages between voters.
+    pub const RAFT: &str = "raft";
+    /// Digests of the owners and demand at the entries.
+    pub const GOSSIP: &str = "gossip";
 }
 
 /// A request to an owner for a model engine.
@@ -37,12 +39,27 @@
     pub prompt_tokens: Tokens,
     /// Bound on the answer.
     pub max_output_tokens: Tokens,
-    /// Hash of the prompt's first blocks.
-    pub prefix: u64,
+    /// Hashes of the prompt's beginnings, the shortest first.
+    pub prefixes: Vec<PromptPrefix>,
+    /// Offset of the first token wanted; those before it were sent already.
+    pub first: Tokens,
+    /// SHA-256 over the organisation and the body.
+    pub fingerprint: control::Fingerprint,
+    /// Whether the request is suspected of crashing upstreams.
+    pub is_suspect: bool,
     /// Time left until the deadline, in milliseconds.
     pub deadline_ms: u64,
 }
 
+/// Hash of the first `tokens` tokens of a prompt.
+#[derive(Clone, Copy, Debug, Decode, Encode, Eq, PartialEq)]
+pub struct PromptPrefix {
+    /// Hash of the tokens.
+    pub hash: u64,
+    /// Number of tokens hashed.
+    pub tokens: Tokens,
+}
+
 /// A call to an owner for a plain service.
 #[derive(Clone, Debug, Decode, Encode)]
 pub struct PlainCall {
@@ -60,6 +77,10 @@
     pub body: Vec<u8>,
     /// Key that the service receives, where the caller sent one.
     pub key: Option<IdempotencyKey>,
+    /// Whether it goes before ordinary calls.
+    pub urgent: bool,
+    /// Whether it may be sent more than once.
+    pub is_idempotent: bool,
     /// Time left until the deadline, in milliseconds.
     pub deadline_ms: u64,
 }
@@ -78,15 +99,19 @@
 /// One frame of a job's answer.
 #[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
 pub enum JobFrame {
-    /// One chunk of the answer, as the engine's JSON.
-    Chunk {
-        /// Offset of its token in the answer.
+    /// The request waits or its prompt is being processed.
+    Waiting,
+    /// One token of the answer.
+    Token {
+        /// Offset of the token in the answer.
         offset: Tokens,
-        /// The JSON text of the event.
-        json: String,
+        /// Text of the token.
+        text: String,
     },
     /// The answer is whole.
     Finished {
+        /// Why the engine ended: `stop` or `length`.
+        reason: String,
         /// Tokens of the prompt, as the engine counted them.
         prompt_tokens: Tokens,
         /// Tokens of the answer.
@@ -109,6 +134,8 @@
     pub verdict: Verdict,
     /// When the caller may ask again, in milliseconds.
     pub retry_after_ms: Option<u64>,
+    /// Whether another owner may be able to take the request.
+    pub is_local: bool,
 }
 
 /// Answer to a [`PlainCall`].
@@ -136,11 +163,20 @@
     Refused(String),
 }
 
-/// An owner's digest as it travels between daemons.
+/// What a daemon tells others at intervals.
 #[derive(Clone, Debug, Decode, Encode)]
-pub struct OwnerDigest {
-    /// Data centre of the owner.
-    pub data_centre: DataCentreId,
-    /// The digest, encoded by the `route` crate's type.
-    pub digest: Vec<u8>,
+pub struct Gossip {
+    /// What it can do as an owner.
+    pub digest: route::Digest,
+    /// Demand of the organisations at its entry.
+    pub usage: Vec<Demand>,
+}
+
+/// Demand of one organisation.
+#[derive(Clone, Debug, Decode, Encode)]
+pub struct Demand {
+    /// Name of the organisation.
+    pub organisation: OrganisationId,
+    /// Tokens a second, averaged over a few seconds.
+    pub tokens_per_second: Tokens,
 }
--- /dev/null
+++ b/crates/toucansilld/src/net.rs
@@ -0,0 +1,179 @@
+//! Links to the other daemons, and the services that answer them.
+
+use crate::{
+    error::{Error, Result},
+    settings::Settings,
+    sync::lock,
+};
+use control::Roster;
+use std::{
+    collections::BTreeMap,
+    fmt,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+use wire::{Inbound, LinkConfig, Links, Message, RegionSecret, StreamIn, Verdict};
+
+/// Answers the messages for one service.
+pub(crate) type ServiceFn = Arc<dyn Fn(Inbound) + Send + Sync>;
+
+type Services = Arc<Mutex<BTreeMap<String, ServiceFn>>>;
+
+/// Links of one daemon.
+pub(crate) struct Net {
+    links: Links,
+    services: Services,
+    peers: Mutex<Vec<Peer>>,
+}
+
+/// Another daemon of the roster.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Peer {
+    /// Name of the daemon.
+    pub(crate) daemon: String,
+    /// Its link address.
+    pub(crate) address: String,
+}
+
+/// A message that got no answer.
+#[derive(Debug)]
+pub(crate) struct NetError {
+    is_sent: bool,
+    reason: String,
+}
+
+impl NetError {
+    /// Whether the other daemon may have acted on the message.
+    pub(crate) fn is_sent(&self) -> bool {
+        self.is_sent
+    }
+
+    fn unsent(reason: impl fmt::Display) -> Self {
+        Self { is_sent: false, reason: reason.to_string() }
+    }
+}
+
+impl From<wire::Error> for NetError {
+    fn from(err: wire::Error) -> Self {
+        Self { is_sent: err.verdict() != Verdict::NotRun, reason: err.to_string() }
+    }
+}
+
+impl fmt::Display for NetError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.reason)
+    }
+}
+
+impl Net {
+    /// Listens for links. Messages are refused until their service is added.
+    pub(crate) fn start(settings: &Settings) -> Result<Arc<Self>> {
+        let fault = |err: wire::Error| Error::start("links", err);
+        let secret = RegionSecret::read(&settings.secret_file)
+            .map_err(|err| Error::start("secret_file", err))?;
+        let cfg = LinkConfig::new(settings.daemon.clone(), settings.listen.links, secret);
+        let services = Services::default();
+        let known = Arc::clone(&services);
+        let handler = Arc::new(move |inbound: Inbound| dispatch(&known, inbound));
+        let links = Links::start(cfg, handler).map_err(fault)?;
+        Ok(Arc::new(Self { links, services, peers: Mutex::default() }))
+    }
+
+    /// Adds a service.
+    pub(crate) fn serve(&self, name: &str, service: ServiceFn) {
+        lock(&self.services).insert(String::from(name), service);
+    }
+
+    /// The address that is listened on.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.links.address()
+    }
+
+    /// The other daemons of the roster.
+    pub(crate) fn peers(&self) -> Vec<Peer> {
+        lock(&self.peers).clone()
+    }
+
+    /// Takes in a new roster.
+    pub(crate) fn set_peers(&self, roster: &Roster) {
+        let own = self.address().to_string();
+        let peers = roster
+            .members()
+            .filter(|(_, member)| member.address != own)
+            .map(|(daemon, member)| Peer {
+                daemon: daemon.clone(),
+                address: member.address.clone(),
+            })
+            .collect();
+        *lock(&self.peers) = peers;
+    }
+
+    /// Sends a message and waits for its answer. A message to this daemon's own
+    /// address goes over a link too, which keeps one path for all.
+    pub(crate) fn ask(
+        &self,
+        address: &str,
+        service: &str,
+        body: Vec<u8>,
+        timeout: Duration,
+    ) -> std::result::Result<Vec<u8>, NetError> {
+        let peer = parse(address)?;
+        let message = Message { service: String::from(service), body };
+        Ok(self.links.request(peer, message, timeout)?)
+    }
+
+    /// Sends a message and gives the frames of its answer.
+    pub(crate) fn open(
+        &self,
+        address: &str,
+        service: &str,
+        body: Vec<u8>,
+        timeout: Duration,
+    ) -> std::result::Result<Frames, NetError> {
+        let peer = parse(address)?;
+        let message = Message { service: String::from(service), body };
+        Ok(Frames { stream: self.links.open_stream(peer, message, timeout)? })
+    }
+
+    /// Sends a message without waiting for an answer.
+    pub(crate) fn notify(&self, address: &str, service: &str, body: Vec<u8>) {
+        match parse(address) {
+            Ok(peer) => self.links.notify(peer, Message { service: String::from(service), body }),
+            Err(err) => log::warn!("{err}"),
+        }
+    }
+}
+
+/// Frames of an answer. Dropped, it cancels the stream.
+pub(crate) struct Frames {
+    stream: StreamIn,
+}
+
+impl Frames {
+    /// The next frame, or `None` when the answer is whole. A peer that is gone is
+    /// noticed by the link's pings, so a long prefill needs no frames of its own.
+    pub(crate) fn recv(
+        &mut self,
+        now: Instant,
+        deadline: Instant,
+    ) -> std::result::Result<Option<Vec<u8>>, NetError> {
+        let left = deadline.saturating_duration_since(now);
+        Ok(self.stream.recv(left)?)
+    }
+}
+
+fn dispatch(services: &Services, inbound: Inbound) {
+    let service = lock(services).get(&inbound.message.service).cloned();
+    match service {
+        Some(service) => service(inbound),
+        None => {
+            let reason = format!("no service {}", inbound.message.service);
+            let _ = inbound.responder.refuse(&reason);
+        }
+    }
+}
+
+fn parse(address: &str) -> std::result::Result<SocketAddr, NetError> {
+    address.parse().map_err(|err| NetError::unsent(format!("{address}: {err}")))
+}
--- /dev/null
+++ b/crates/toucansilld/src/owner.rs
@@ -0,0 +1,156 @@
+//! The owner: the one daemon that sends work to an upstream.
+//!
+//! One thread holds the exact state of the upstreams ([`route::Fleet`]). Jobs
+//! and calls run on threads of their own and talk to it by messages.
+
+mod actor;
+mod call;
+mod convert;
+mod job;
+mod poll;
+
+use crate::{
+    control_client::ControlClient,
+    messages::{AnnounceReply, PlainCall, PlainReply},
+    session::SessionService,
+    sync::lock,
+};
+pub(crate) use actor::UpstreamStatus;
+use actor::{Actor, OwnerMsg};
+pub(crate) use job::FrameSink;
+use kernel::SharedClock;
+use route::{Digest, Placement, Refusal};
+use std::{
+    sync::{Arc, Mutex},
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+use upstream::{Announcement, Client, ClientConfig, Target};
+use wire::{RegionId, RequestId};
+
+/// Messages that wait for the owner's thread.
+const MAILBOX: usize = 8_192;
+/// Longest wait for an answer of the owner's thread.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Where a job was placed, with the address of each upstream in the placement.
+#[derive(Clone, Debug)]
+pub(crate) struct Placed {
+    /// The placement with its grants.
+    pub(crate) placement: Placement,
+    /// One target for each grant.
+    pub(crate) targets: Vec<Target>,
+    /// Requests in flight on the first upstream, this one included.
+    pub(crate) in_flight: usize,
+    /// Epoch of the ownership, for orders.
+    pub(crate) epoch: u64,
+}
+
+/// A job's placement, or the final answer to it.
+pub(crate) type PlacedResult = Result<Placed, Refusal>;
+
+/// Services that the owner uses.
+#[derive(Clone)]
+pub(crate) struct OwnerContext {
+    /// Session of this daemon.
+    pub(crate) session: Arc<SessionService>,
+    /// Control group.
+    pub(crate) control: Arc<ControlClient>,
+    /// Clock.
+    pub(crate) clock: SharedClock,
+    /// Region of this daemon.
+    pub(crate) region: RegionId,
+    /// Data centre of this daemon.
+    pub(crate) data_centre: String,
+}
+
+/// The owner service of one daemon.
+pub(crate) struct Owner {
+    pub(crate) cx: OwnerContext,
+    tx: flume::Sender<OwnerMsg>,
+    pub(crate) client: Client,
+    thread: Mutex<Option<JoinHandle<()>>>,
+}
+
+impl Owner {
+    /// Starts the owner's thread and the poller of its upstreams.
+    pub(crate) fn start(cx: OwnerContext) -> Arc<Self> {
+        let (tx, rx) = flume::bounded(MAILBOX);
+        let actor = Actor::new(cx.clone());
+        let thread = thread::spawn(move || actor.run(&rx));
+        let client = Client::new(ClientConfig::default());
+        let owner = Arc::new(Self { cx, tx, client, thread: Mutex::new(Some(thread)) });
+        poll::start(&owner);
+        owner
+    }
+
+    /// Takes in an announcement of an upstream that this daemon owns.
+    pub(crate) fn announce(&self, announcement: Announcement) -> AnnounceReply {
+        let (reply, answer) = flume::bounded(1);
+        self.send(OwnerMsg::Announce { announcement: Box::new(announcement), reply });
+        answer
+            .recv_timeout(ANSWER_TIMEOUT)
+            .unwrap_or_else(|_| AnnounceReply::Refused(String::from("the owner is busy")))
+    }
+
+    /// Calls a plain service.
+    pub(crate) fn call(&self, call: &PlainCall) -> PlainReply {
+        call::run(self, call)
+    }
+
+    /// Runs a job and hands its frames to `sink`.
+    pub(crate) fn run_job(&self, job: &crate::messages::Job, sink: &mut FrameSink<'_>) {
+        job::run(self, job, sink);
+    }
+
+    /// A summary for entry daemons.
+    pub(crate) fn digest(&self) -> Option<Digest> {
+        let (reply, answer) = flume::bounded(1);
+        self.send(OwnerMsg::Digest { reply });
+        answer.recv_timeout(ANSWER_TIMEOUT).ok()
+    }
+
+    /// State of each upstream, with the reason why it gets no work.
+    pub(crate) fn upstreams(&self) -> Vec<UpstreamStatus> {
+        let (reply, answer) = flume::bounded(1);
+        self.send(OwnerMsg::Status { reply });
+        answer.recv_timeout(ANSWER_TIMEOUT).unwrap_or_default()
+    }
+
+    /// Requests that wait or are in flight.
+    pub(crate) fn load(&self) -> usize {
+        let (reply, answer) = flume::bounded(1);
+        self.send(OwnerMsg::Load { reply });
+        answer.recv_timeout(ANSWER_TIMEOUT).unwrap_or_default()
+    }
+
+    /// Looks again at ownership and configuration.
+    pub(crate) fn view_changed(&self) {
+        self.send(OwnerMsg::ViewChanged);
+    }
+
+    /// Stops the owner's thread. Running requests go on.
+    pub(crate) fn stop(&self) {
+        self.send(OwnerMsg::Stop);
+        if let Some(thread) = lock(&self.thread).take() {
+            let _ = thread.join();
+        }
+    }
+
+    pub(crate) fn send(&self, msg: OwnerMsg) {
+        if self.tx.send_timeout(msg, ANSWER_TIMEOUT).is_err() {
+            log::error!("the owner's mailbox is full or closed");
+        }
+    }
+
+    /// Submits a job and gives the channel on which its placement comes.
+    pub(crate) fn submit(&self, job: route::Job) -> flume::Receiver<PlacedResult> {
+        let (reply, placed) = flume::bounded(1);
+        self.send(OwnerMsg::Submit { job: Box::new(job), reply });
+        placed
+    }
+
+    pub(crate) fn cancelled(&self, request: &RequestId) {
+        self.send(OwnerMsg::Cancelled { request: request.clone() });
+    }
+}
--- /dev/null
+++ b/crates/toucansilld/src/owner/actor.rs
@@ -0,0 +1,366 @@
+//! The thread that holds the state of the upstreams.
+
+use super::{OwnerContext, Placed, PlacedResult, convert};
+use crate::messages::AnnounceReply;
+use control::Ownership;
+use route::{
+    Config, Digest, Directive, Dispatch, Failure, Fleet, Hindrance, Job, Lost, Reason, Refusal,
+    Report, TokenUsage,
+};
+use serde::Serialize;
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::{Duration, Instant},
+};
+use upstream::{Announcement, Change, Directory, Target, announce::DirectoryConfig};
+use wire::{RequestId, Tokens, UpstreamId};
+
+/// Longest time between two looks at deadlines and ownership.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// When a caller may come back after the daemon lost its lease.
+const LEASE_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What the owner's thread is told or asked.
+pub(crate) enum OwnerMsg {
+    /// An upstream has announced itself.
+    Announce { announcement: Box<Announcement>, reply: flume::Sender<AnnounceReply> },
+    /// Places a job; the answer may come later.
+    Submit { job: Box<Job>, reply: flume::Sender<PlacedResult> },
+    /// The prefill of a request is over.
+    FirstToken { request: RequestId },
+    /// A request has ended well.
+    Finished { request: RequestId, used: TokenUsage },
+    /// A request has failed.
+    Failed { request: RequestId, failure: Failure },
+    /// The caller has left, or the daemon gives the request up.
+    Cancelled { request: RequestId },
+    /// A load report of an upstream.
+    Report { id: UpstreamId, report: Report },
+    /// Asks for the digest.
+    Digest { reply: flume::Sender<Digest> },
+    /// Asks for the state of each upstream.
+    Status { reply: flume::Sender<Vec<UpstreamStatus>> },
+    /// Asks for the number of requests that wait or run.
+    Load { reply: flume::Sender<usize> },
+    /// Asks for the upstreams to poll.
+    Targets { reply: flume::Sender<Vec<PollTarget>> },
+    /// Configuration, roster or lease have changed.
+    ViewChanged,
+    /// Ends the thread.
+    Stop,
+}
+
+/// One upstream in `status`.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct UpstreamStatus {
+    /// Name of the upstream.
+    pub(crate) id: UpstreamId,
+    /// Number of its start.
+    pub(crate) incarnation: u64,
+    /// Requests in flight.
+    pub(crate) running: u32,
+    /// Memory promised, in tokens.
+    pub(crate) reserved_tokens: Tokens,
+    /// Memory that may still be promised, in tokens.
+    pub(crate) room_tokens: Tokens,
+    /// Why it gets no new work or only some, empty if nothing hinders it.
+    pub(crate) hindrances: Vec<String>,
+}
+
+/// An upstream that the owner looks at from time to time.
+#[derive(Clone, Debug)]
+pub(crate) struct PollTarget {
+    /// Where it is.
+    pub(crate) target: Target,
+    /// Whether it is a model engine.
+    pub(crate) is_engine: bool,
+    /// Requests that this owner has in flight there, with memory in tokens.
+    pub(crate) requests: Vec<RequestId>,
+    /// Epoch of the ownership, for orders.
+    pub(crate) epoch: u64,
+    /// Whether it refuses orders with an old fencing number.
+    pub(crate) checks_fences: bool,
+}
+
+/// State of the owner's thread.
+pub(crate) struct Actor {
+    cx: OwnerContext,
+    fleet: Fleet,
+    directory: Directory,
+    waiting: HashMap<RequestId, flume::Sender<PlacedResult>>,
+    epochs: BTreeMap<UpstreamId, u64>,
+    digest_sequence: u64,
+}
+
+impl Actor {
+    pub(crate) fn new(cx: OwnerContext) -> Self {
+        let cfg = Config {
+            data_centre: cx.data_centre.clone(),
+            region: cx.region.clone(),
+            ..Config::default()
+        };
+        Self {
+            cx,
+            fleet: Fleet::new(cfg),
+            directory: Directory::new(DirectoryConfig::default()),
+            waiting: HashMap::new(),
+            epochs: BTreeMap::new(),
+            digest_sequence: 0,
+        }
+    }
+
+    /// Handles messages until told to stop.
+    pub(crate) fn run(mut self, rx: &flume::Receiver<OwnerMsg>) {
+        loop {
+            let now = self.cx.clock.now();
+            let look = now + LOOK_EVERY;
+            let wakeup = self.fleet.next_wakeup().map_or(look, |at| at.clamp(now, look));
+            match rx.recv_deadline(wakeup) {
+                Ok(OwnerMsg::Stop) | Err(flume::RecvTimeoutError::Disconnected) => return,
+                Ok(msg) => self.handle(msg),
+                Err(flume::RecvTimeoutError::Timeout) => {
+                    self.expire();
+                    self.check_ownership();
+                }
+            }
+            self.place();
+        }
+    }
+
+    fn handle(&mut self, msg: OwnerMsg) {
+        let now = self.cx.clock.now();
+        match msg {
+            OwnerMsg::Announce { announcement, reply } => {
+                let _ = reply.send(self.announce(now, *announcement));
+            }
+            OwnerMsg::Submit { job, reply } => self.submit(now, *job, reply),
+            OwnerMsg::FirstToken { request } => {
+                self.fleet.first_token(now, &request, None);
+            }
+            OwnerMsg::Finished { request, used } => {
+                self.fleet.finished(now, &request, used);
+            }
+            OwnerMsg::Failed { request, failure } => {
+                self.fleet.failed(now, &request, failure);
+            }
+            OwnerMsg::Cancelled { request } => {
+                self.waiting.remove(&request);
+                self.fleet.cancelled(now, &request);
+            }
+            OwnerMsg::Report { id, report } => {
+                let (_, lost) = self.fleet.report(now, &id, report);
+                log_lost(&lost);
+            }
+            OwnerMsg::Digest { reply } => {
+                let _ = reply.send(self.digest(now));
+            }
+            OwnerMsg::Status { reply } => {
+                let _ = reply.send(self.status(now));
+            }
+            OwnerMsg::Load { reply } => {
+                let _ = reply.send(self.fleet.waiting() + self.fleet.in_flight());
+            }
+            OwnerMsg::Targets { reply } => {
+                let _ = reply.send(self.targets());
+            }
+            OwnerMsg::ViewChanged => self.check_ownership(),
+            OwnerMsg::Stop => {}
+        }
+    }
+
+    fn announce(&mut self, now: Instant, announcement: Announcement) -> AnnounceReply {
+        if let Ownership::Other { owner } = self.cx.session.owns(&announcement.id) {
+            return AnnounceReply::Refused(format!("the owner is {owner:?}"));
+        }
+        let placed = convert::announcement(&announcement);
+        let id = announcement.id.clone();
+        let change = match self.directory.announce(announcement, now) {
+            Ok(change) => change,
+            Err(err) => return AnnounceReply::Refused(err.to_string()),
+        };
+        match self.fleet.announce(now, placed) {
+            Ok(lost) => log_lost(&lost),
+            Err(refusal) => return AnnounceReply::Refused(refusal.to_string()),
+        }
+        if !matches!(change, Change::Kept) {
+            log::info!("upstream {id}: {change:?}");
+            self.check_ownership();
+        }
+        AnnounceReply::Known
+    }
+
+    fn submit(&mut self, now: Instant, job: Job, reply: flume::Sender<PlacedResult>) {
+        if let Err(refusal) = self.cx.session.may_take_work() {
+            log::info!("{} is not taken: {refusal}", job.request);
+            let _ = reply.send(Err(lease_refusal()));
+            return;
+        }
+        let request = job.request.clone();
+        match self.fleet.submit(now, job) {
+            Ok(()) => {
+                self.waiting.insert(request, reply);
+            }
+            Err(refusal) => {
+                let _ = reply.send(Err(refusal));
+            }
+        }
+    }
+
+    /// Sends out what can be placed, and the final answers of what can't.
+    fn place(&mut self) {
+        let now = self.cx.clock.now();
+        if self.cx.session.may_take_work().is_err() {
+            self.refuse_waiting(now);
+            return;
+        }
+        for dispatch in self.fleet.dispatch(now) {
+            self.place_one(now, dispatch);
+        }
+        for refused in self.fleet.expired(now) {
+            if let Some(reply) = self.waiting.remove(&refused.request) {
+                let _ = reply.send(Err(refused.refusal));
+            }
+        }
+    }
+
+    fn place_one(&mut self, now: Instant, dispatch: Dispatch) {
+        let placed = self.placed(&dispatch);
+        let Some(reply) = self.waiting.remove(&dispatch.request) else {
+            self.fleet.cancelled(now, &dispatch.request);
+            return;
+        };
+        let Some(placed) = placed else {
+            self.fleet.failed(now, &dispatch.request, Failure::Upstream);
+            let _ = reply.send(Err(lease_refusal()));
+            return;
+        };
+        if reply.send(Ok(placed)).is_err() {
+            self.fleet.cancelled(now, &dispatch.request);
+        }
+    }
+
+    fn placed(&self, dispatch: &Dispatch) -> Option<Placed> {
+        let grants = dispatch.placement.grants();
+        let first = grants.first()?;
+        let in_flight = self.fleet.requests_on(&first.upstream).len();
+        let epoch = self.epochs.get(&first.upstream).copied().unwrap_or_default();
+        let targets: Option<Vec<Target>> =
+            grants.iter().map(|grant| self.target(&grant.upstream)).collect();
+        Some(Placed { placement: dispatch.placement.clone(), targets: targets?, in_flight, epoch })
+    }
+
+    fn target(&self, id: &str) -> Option<Target> {
+        let entry = self.directory.get(id)?;
+        Some(Target::new(id, entry.announcement.address.clone()))
+    }
+
+    /// Without a valid lease nothing new is sent: what waits can go elsewhere.
+    fn refuse_waiting(&mut self, now: Instant) {
+        for (request, reply) in self.waiting.drain() {
+            self.fleet.cancelled(now, &request);
+            let _ = reply.send(Err(lease_refusal()));
+        }
+    }
+
+    fn expire(&mut self) {
+        let now = self.cx.clock.now();
+        for entry in self.directory.expire(now) {
+            log::info!("upstream {} is silent", entry.announcement.id);
+        }
+        log_lost(&self.fleet.expire(now));
+    }
+
+    /// Lets upstreams take new work only while this daemon owns them and the
+    /// configuration wants them.
+    fn check_ownership(&mut self) {
+        let now = self.cx.clock.now();
+        let configuration = self.cx.session.configuration();
+        let is_in_service = configuration.is_in_service(&self.cx.data_centre);
+        self.fleet.set_data_centre_in_service(now, is_in_service);
+        let ids: Vec<UpstreamId> = self.fleet.upstreams().cloned().collect();
+        for id in ids {
+            let ownership = self.cx.session.owns(&id);
+            let is_up = match &ownership {
+                Ownership::Owner { epoch } => {
+                    self.epochs.insert(id.clone(), *epoch);
+                    !configuration.is_retired(&id)
+                }
+                _ => false,
+            };
+            let directive = if is_up { Directive::Up } else { Directive::Retired };
+            self.fleet.set_directive(now, &id, directive);
+            let is_lost = matches!(ownership, Ownership::Other { .. });
+            if is_lost && self.fleet.requests_on(&id).is_empty() {
+                self.forget(now, &id);
+            }
+        }
+    }
+
+    fn forget(&mut self, now: Instant, id: &UpstreamId) {
+        self.fleet.remove(now, id);
+        self.fleet.set_directive(now, id, Directive::Up);
+        self.directory.remove(id);
+        self.epochs.remove(id);
+    }
+
+    fn digest(&mut self, now: Instant) -> Digest {
+        self.digest_sequence += 1;
+        let holder = self.cx.session.holder();
+        self.fleet.digest(now, holder.daemon, holder.incarnation, self.digest_sequence)
+    }
+
+    fn status(&self, now: Instant) -> Vec<UpstreamStatus> {
+        self.fleet
+            .upstreams()
+            .filter_map(|id| self.fleet.explain(now, id))
+            .map(|explanation| UpstreamStatus {
+                id: explanation.upstream,
+                incarnation: explanation.incarnation,
+                running: explanation.running,
+                reserved_tokens: explanation.reserved,
+                room_tokens: explanation.room,
+                hindrances: explanation.hindrances.iter().map(hindrance_text).collect(),
+            })
+            .collect()
+    }
+
+    fn targets(&self) -> Vec<PollTarget> {
+        self.directory
+            .iter()
+            .map(|entry| {
+                let announcement = &entry.announcement;
+                PollTarget {
+                    target: Target::new(announcement.id.clone(), announcement.address.clone()),
+                    is_engine: announcement.kind == upstream::Kind::Engine,
+                    requests: self.fleet.requests_on(&announcement.id),
+                    epoch: self.epochs.get(&announcement.id).copied().unwrap_or_default(),
+                    checks_fences: announcement.checks_fences,
+                }
+            })
+            .collect()
+    }
+}
+
+fn lease_refusal() -> Refusal {
+    Refusal { reason: Reason::NoUpstream, retry_after: LEASE_RETRY_AFTER }
+}
+
+fn hindrance_text(hindrance: &Hindrance) -> String {
+    match hindrance {
+        Hindrance::DataCentreOut => String::from("the data centre is out of service"),
+        Hindrance::Retired => String::from("retired by the sheet, or owned by another daemon"),
+        Hindrance::Leaving => String::from("it is leaving"),
+        Hindrance::Silent(time) => format!("not heard for {} ms", time.as_millis()),
+        Hindrance::Paused(time) => format!("paused for {} ms after a failure", time.as_millis()),
+        Hindrance::ColdStart { .. } => String::from("cold start"),
+        Hindrance::Full => String::from("its memory is promised"),
+        Hindrance::HeldFor(request) => format!("its memory is held for {request}"),
+        Hindrance::LongPrefill => String::from("it prefills a long prompt"),
+    }
+}
+
+fn log_lost(lost: &[Lost]) {
+    for lost in lost {
+        log::warn!("{} was in flight on {}, which is gone", lost.request, lost.upstream);
+    }
+}
--- /dev/null
+++ b/crates/toucansilld/src/services.rs
@@ -0,0 +1,91 @@
+//! Answers to messages of other daemons.
+
+use crate::{
+    control_messages::{ControlReply, ControlRequest, RaftEnvelope},
+    entry::{Entry, encode_frame},
+    messages::{AnnounceReply, Gossip, JobFrame, OwnerRequest, service},
+    net::Net,
+    owner::Owner,
+    voter::Voter,
+};
+use std::sync::Arc;
+use upstream::Announcement;
+use wire::Inbound;
+
+/// Adds the voter's services.
+pub(crate) fn serve_voter(net: &Net, voter: &Arc<Voter>) {
+    let asked = Arc::clone(voter);
+    net.serve(service::CONTROL, Arc::new(move |inbound| answer_control(&asked, inbound)));
+    let stepped = Arc::clone(voter);
+    net.serve(service::RAFT, Arc::new(move |inbound| step(&stepped, &inbound)));
+}
+
+/// On a daemon without a voter: names the leader that it knows.
+pub(crate) fn serve_referral(net: &Net, leader: impl Fn() -> Option<String> + Send + Sync + 'static) {
+    let refer = move |inbound: Inbound| {
+        let reply = ControlReply::NotLeader { leader: leader() };
+        let _ = inbound.responder.reply(control::encode(&reply));
+    };
+    net.serve(service::CONTROL, Arc::new(refer));
+}
+
+/// Adds the services of owner and entry.
+pub(crate) fn serve_work(net: &Net, owner: &Arc<Owner>, entry: &Arc<Entry>) {
+    let owner = Arc::clone(owner);
+    net.serve(service::OWNER, Arc::new(move |inbound| answer_owner(&owner, inbound)));
+    let entry = Arc::clone(entry);
+    net.serve(service::GOSSIP, Arc::new(move |inbound| hear(&entry, &inbound)));
+}
+
+fn answer_control(voter: &Voter, inbound: Inbound) {
+    let answered = match control::decode::<ControlRequest>(&inbound.message.body) {
+        Ok(req) => inbound.responder.reply(control::encode(&voter.answer(req))),
+        Err(err) => inbound.responder.refuse(&err.to_string()),
+    };
+    if let Err(err) = answered {
+        log::debug!("{}: the answer was not sent: {err}", inbound.peer);
+    }
+}
+
+fn step(voter: &Voter, inbound: &Inbound) {
+    match control::decode::<RaftEnvelope>(&inbound.message.body) {
+        Ok(envelope) => voter.step(envelope),
+        Err(err) => log::warn!("{}: consensus message: {err}", inbound.peer),
+    }
+}
+
+fn answer_owner(owner: &Owner, inbound: Inbound) {
+    let Inbound { peer, message, responder, .. } = inbound;
+    let answered = match wire::decode::<OwnerRequest>(&message.body) {
+        Ok(OwnerRequest::Job(job)) => {
+            let mut sink = |frame: JobFrame| responder.send(encode_frame(&frame)).is_ok();
+            owner.run_job(&job, &mut sink);
+            responder.finish()
+        }
+        Ok(OwnerRequest::Call(call)) => match wire::encode(&owner.call(&call)) {
+            Ok(buf) => responder.reply(buf),
+            Err(err) => Err(err),
+        },
+        Ok(OwnerRequest::Announce(body)) => {
+            responder.reply(control::encode(&announce(owner, &body)))
+        }
+        Err(err) => responder.refuse(&err.to_string()),
+    };
+    if let Err(err) = answered {
+        log::debug!("{peer}: the answer was not sent: {err}");
+    }
+}
+
+fn announce(owner: &Owner, body: &[u8]) -> AnnounceReply {
+    match Announcement::parse(body) {
+        Ok(announcement) => owner.announce(announcement),
+        Err(err) => AnnounceReply::Refused(err.to_string()),
+    }
+}
+
+fn hear(entry: &Entry, inbound: &Inbound) {
+    match control::decode::<Gossip>(&inbound.message.body) {
+        Ok(gossip) => entry.hear(gossip),
+        Err(err) => log::warn!("{}: digest: {err}", inbound.peer),
+    }
+}
--- /dev/null
+++ b/crates/toucansilld/src/voter.rs
@@ -0,0 +1,261 @@
+//! The control group's voter on this VM.
+
+mod addresses;
+mod leader;
+mod machine;
+
+use crate::{
+    control_messages::{
+        ControlReply, ControlRequest, ForceReport, LaggingDaemon, RaftEnvelope, VoterChange,
+        VoterReport, VotersReport,
+    },
+    error::{Error, Result},
+    settings::VoterSettings,
+    sync::lock,
+};
+use addresses::Addresses;
+use control::{Command, InForce, Outcome, RosterOutcome, State, relay};
+use group::{Change, Config, Group, Handle, Membership, NodeId, Outgoing, Start};
+use kernel::SharedClock;
+use leader::Leader;
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+/// Longest wait for a proposal to be committed.
+const PROPOSE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait for a majority to confirm the leader.
+const CONFIRM_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest time for one step of a change of voters.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time between two looks at the leases.
+pub(crate) const LEASE_CHECK: Duration = Duration::from_millis(250);
+
+/// A running voter.
+pub(crate) struct Voter {
+    handle: Handle,
+    state: Arc<Mutex<State>>,
+    leader: Mutex<Option<Leader>>,
+    addresses: Addresses,
+    clock: SharedClock,
+}
+
+impl Voter {
+    /// Opens the data folder and starts the voter. Consensus messages come out of `outbox`.
+    pub(crate) fn start(
+        settings: &VoterSettings,
+        own_address: &str,
+        clock: SharedClock,
+        outbox: flume::Sender<Outgoing>,
+    ) -> Result<Self> {
+        let state = Arc::new(Mutex::new(State::new()));
+        let addresses = Addresses::open(settings, own_address)?;
+        let mut cfg = Config::new(settings.id, settings.data_folder.join("group"));
+        cfg.clock = Arc::clone(&clock);
+        cfg.start = start_of(settings);
+        let handle = Group::start(cfg, machine::machine(&state), outbox)
+            .map_err(|err| Error::start("voter", err))?;
+        Ok(Self { handle, state, leader: Mutex::default(), addresses, clock })
+    }
+
+    /// Answers one request.
+    pub(crate) fn answer(&self, req: ControlRequest) -> ControlReply {
+        let answered = match req {
+            ControlRequest::Renew(renewals) => self.renew(&renewals),
+            ControlRequest::Propose(command) => self.propose(*command).map(ControlReply::Applied),
+            ControlRequest::InForce { index } => self.in_force(index),
+            ControlRequest::Voters => self.voters(),
+            ControlRequest::ChangeVoters(change) => self.change(change),
+            ControlRequest::BackUp => self.back_up(),
+        };
+        answered.unwrap_or_else(|err| self.refusal(&err))
+    }
+
+    /// Takes in a consensus message of another voter.
+    pub(crate) fn step(&self, envelope: RaftEnvelope) {
+        self.addresses.learn(&envelope.voters);
+        self.handle.step(envelope.message);
+    }
+
+    /// The envelope for an outgoing message, and where it goes.
+    pub(crate) fn envelope(&self, outgoing: Outgoing) -> Option<(String, RaftEnvelope)> {
+        let address = self.addresses.of(outgoing.to)?;
+        Some((address, RaftEnvelope { message: outgoing.message, voters: self.addresses.all() }))
+    }
+
+    /// Link addresses of all voters that are known here.
+    pub(crate) fn known_addresses(&self) -> Vec<String> {
+        self.addresses.all().into_values().collect()
+    }
+
+    /// Proposes the end of leases that have run out, and of ledger entries whose window is over.
+    pub(crate) fn check_leases(&self) {
+        if !self.handle.status().is_leader() {
+            return;
+        }
+        let due = self.with_leader(|leader, state, now| leader.due_commands(now, state));
+        for command in due.unwrap_or_default() {
+            if let Err(err) = self.propose(command) {
+                log::warn!("a due command was not applied: {err}");
+            }
+        }
+    }
+
+    /// Hands leadership on, so that a planned stop costs no election.
+    pub(crate) fn hand_over(&self) {
+        let status = self.handle.status();
+        let next = status.matched.iter().filter(|(id, _)| status.membership.is_voter(**id));
+        let Some((next, _)) = next.max_by_key(|(_, matched)| **matched) else { return };
+        if status.is_leader()
+            && let Err(err) = self.handle.transfer(*next)
+        {
+            log::warn!("leadership was not handed on: {err}");
+        }
+    }
+
+    /// What the voter says of itself.
+    pub(crate) fn status(&self) -> group::Status {
+        self.handle.status()
+    }
+
+    /// Stops the voter and closes its data folder.
+    pub(crate) fn stop(&self) {
+        self.handle.stop();
+    }
+
+    fn renew(&self, renewals: &relay::Renewals) -> group::Result<ControlReply> {
+        self.with_leader(|leader, state, now| {
+            ControlReply::Renewed(relay::grant_all(leader.leases(), now, renewals, state))
+        })
+    }
+
+    fn propose(&self, mut command: Command) -> group::Result<Outcome> {
+        let at_ms = self.with_leader(|leader, _, now| leader.at_ms(now))?;
+        command.stamp(at_ms);
+        let applied = self.handle.propose(control::encode(&command), PROPOSE_TIMEOUT)?;
+        let outcome = control::decode(&applied.output).unwrap_or(Outcome::Skipped);
+        if let (Command::Leave(holder), Outcome::Roster(RosterOutcome::Removed)) =
+            (&command, &outcome)
+        {
+            self.with_leader(|leader, _, _| leader.leases().release(holder))?;
+        }
+        Ok(outcome)
+    }
+
+    fn in_force(&self, index: u64) -> group::Result<ControlReply> {
+        let found = self.with_leader(|leader, _, now| leader.leases().in_force(index, now))?;
+        Ok(ControlReply::InForce(force_report(found)))
+    }
+
+    fn voters(&self) -> group::Result<ControlReply> {
+        self.handle.confirm(CONFIRM_TIMEOUT)?;
+        let status = self.handle.status();
+        let members = status
+            .membership
+            .nodes()
+            .map(|id| VoterReport {
+                id,
+                address: self.addresses.of(id),
+                is_voter: status.membership.is_voter(id),
+                matched: status.matched.get(&id).copied().unwrap_or(status.last_index),
+            })
+            .collect();
+        let report = VotersReport {
+            leader: status.id,
+            term: status.term,
+            commit: status.commit,
+            members,
+        };
+        Ok(ControlReply::Voters(report))
+    }
+
+    fn change(&self, change: VoterChange) -> group::Result<ControlReply> {
+        let index = match change {
+            VoterChange::Add { id, address } => {
+                self.addresses.learn(&[(id, address)].into());
+                self.add(id)?
+            }
+            VoterChange::Remove { id } => self.handle.change(Change::Remove(id), CHANGE_TIMEOUT)?,
+            VoterChange::Replace { old, new, address } => {
+                self.addresses.learn(&[(new, address)].into());
+                self.handle.replace(old, new, CHANGE_TIMEOUT)?
+            }
+        };
+        Ok(ControlReply::VotersChanged(index))
+    }
+
+    fn add(&self, id: NodeId) -> group::Result<u64> {
+        let members = self.handle.status().membership;
+        if !members.contains(id) {
+            self.handle.change(Change::AddLearner(id), CHANGE_TIMEOUT)?;
+        }
+        self.handle.change(Change::Promote(id), CHANGE_TIMEOUT)
+    }
+
+    fn back_up(&self) -> group::Result<ControlReply> {
+        self.handle.confirm(CONFIRM_TIMEOUT)?;
+        let snapshot = self.handle.backup()?;
+        Ok(ControlReply::BackUp(control::encode(&snapshot)))
+    }
+
+    /// Runs `f` after a majority has confirmed this voter as the leader, with a
+    /// state that has applied all that was committed before.
+    fn with_leader<T>(
+        &self,
+        f: impl FnOnce(&mut Leader, &State, std::time::Instant) -> T,
+    ) -> group::Result<T> {
+        let term = self.handle.status().term;
+        self.handle.confirm(CONFIRM_TIMEOUT)?;
+        let now = self.clock.now();
+        let state = lock(&self.state);
+        let mut leader = lock(&self.leader);
+        if leader.as_ref().is_none_or(|leader| leader.term() < term) {
+            *leader = Some(Leader::new(term, now, &state));
+        }
+        let leader = leader.get_or_insert_with(|| Leader::new(term, now, &state));
+        Ok(f(leader, &state, now))
+    }
+
+    fn refusal(&self, err: &group::Error) -> ControlReply {
+        if err.is_not_leader() {
+            let leader = err.leader_hint().or(self.handle.status().leader);
+            return ControlReply::NotLeader { leader: leader.and_then(|id| self.addresses.of(id)) };
+        }
+        if err.is_not_applied() {
+            return ControlReply::Refused(err.to_string());
+        }
+        ControlReply::Unknown(err.to_string())
+    }
+}
+
+fn start_of(settings: &VoterSettings) -> Start {
+    if settings.initial.is_empty() {
+        return Start::Join;
+    }
+    let ids = settings.initial.iter().map(|voter| voter.id);
+    Start::Found(Membership::initial(FIRST_EPOCH, ids))
+}
+
+/// Epoch of a group that was not restored from a back-up.
+const FIRST_EPOCH: u64 = 1;
+
+fn force_report(found: InForce) -> ForceReport {
+    match found {
+        InForce::Yes => {
+            ForceReport { is_in_force: true, lagging: Vec::new(), is_leader_new: false }
+        }
+        InForce::No { lagging, is_leader_new } => {
+            let lagging = lagging
+                .into_iter()
+                .map(|lagging| LaggingDaemon {
+                    daemon: lagging.holder.daemon,
+                    acknowledged: lagging.acknowledged,
+                    runs_out_in_ms: u64::try_from(lagging.runs_out_in.as_millis())
+                        .unwrap_or(u64::MAX),
+                })
+                .collect();
+            ForceReport { is_in_force: false, lagging, is_leader_new }
+        }
+    }
+}
