--- /dev/null
+++ b/crates/sheet/src/table.rs
@@ -0,0 +1,136 @@
+//! From bytes to rows whose cells are found by the name of their column.
+
+use crate::fault::{Fault, Result};
+use csv::{ReaderBuilder, StringRecord, Trim};
+
+/// Longest sheet, in bytes.
+pub const MAX_BYTES: usize = 8 * 1024 * 1024;
+
+/// Most rows of a sheet.
+pub const MAX_ROWS: usize = 100_000;
+
+/// Most faults that are listed.
+pub const MAX_FAULTS: usize = 1000;
+
+/// Columns of a sheet, in the order in which it is written.
+pub(crate) const COLUMNS: [&str; 13] = [
+    "kind",
+    "name",
+    "number",
+    "state",
+    "priority",
+    "weight",
+    "tokens_per_second",
+    "key_sha256",
+    "method",
+    "path",
+    "urgent",
+    "never_twice",
+    "max_prompt",
+];
+
+const BOM: &[u8] = b"\xef\xbb\xbf";
+
+/// A line that starts with this is a comment.
+const COMMENT: u8 = b'#';
+
+/// One row: its line in the file and its cells.
+#[derive(Debug)]
+pub(crate) struct Row {
+    pub(crate) line: u64,
+    cells: Vec<(&'static str, String)>,
+}
+
+impl Row {
+    /// The cell of a column, if it is not empty.
+    pub(crate) fn cell(&self, column: &str) -> Option<&str> {
+        let cell = self.cells.iter().find(|(name, _)| *name == column);
+        cell.map(|(_, value)| value.as_str())
+    }
+
+    /// Columns whose cell is not empty.
+    pub(crate) fn columns(&self) -> impl Iterator<Item = &'static str> {
+        self.cells.iter().map(|(name, _)| *name)
+    }
+}
+
+/// Reads all rows. Faults of single rows are added to `faults`.
+pub(crate) fn read(buf: &[u8], faults: &mut Vec<Fault>) -> Result<Vec<Row>> {
+    let text = text(buf)?;
+    let mut reader = ReaderBuilder::new()
+        .flexible(true)
+        .trim(Trim::All)
+        .comment(Some(COMMENT))
+        .delimiter(delimiter(text))
+        .from_reader(text.as_bytes());
+    let header = reader.headers().cloned().map_err(|err| vec![Fault::whole(err.to_string())])?;
+    let columns = columns(&header)?;
+    let mut rows = Vec::new();
+    for record in reader.records() {
+        let record = record.map_err(|err| vec![Fault::whole(err.to_string())])?;
+        if rows.len() >= MAX_ROWS {
+            return Err(vec![Fault::whole(format!("more than {MAX_ROWS} rows"))]);
+        }
+        rows.extend(row(&record, &columns, faults));
+    }
+    Ok(rows)
+}
+
+fn text(buf: &[u8]) -> Result<&str> {
+    if buf.len() > MAX_BYTES {
+        return Err(vec![Fault::whole(format!("longer than {MAX_BYTES} bytes"))]);
+    }
+    let buf = buf.strip_prefix(BOM).unwrap_or(buf);
+    std::str::from_utf8(buf).map_err(|err| {
+        let line = 1 + buf[..err.valid_up_to()].iter().filter(|byte| **byte == b'\n').count();
+        vec![Fault::new(line as u64, "", "not UTF-8; export the sheet as CSV in UTF-8")]
+    })
+}
+
+/// Spreadsheets of some countries write `;` or tabs. The names of columns hold
+/// none of these, so the header tells.
+fn delimiter(text: &str) -> u8 {
+    let is_comment = |line: &&str| line.trim().is_empty() || line.starts_with(char::from(COMMENT));
+    let header = text.lines().find(|line| !is_comment(line)).unwrap_or_default();
+    let found = |delimiter: &u8| header.contains(char::from(*delimiter));
+    [b',', b';', b'\t'].into_iter().find(found).unwrap_or(b',')
+}
+
+fn columns(header: &StringRecord) -> Result<Vec<Option<&'static str>>> {
+    let mut faults = Vec::new();
+    let mut columns: Vec<Option<&'static str>> = Vec::new();
+    for name in header {
+        let known = COLUMNS.into_iter().find(|known| known.eq_ignore_ascii_case(name));
+        if known.is_none() && !name.is_empty() {
+            faults.push(Fault::new(0, name, "no such column"));
+        }
+        if known.is_some() && columns.contains(&known) {
+            faults.push(Fault::new(0, name, "the column is there twice"));
+        }
+        columns.push(known);
+    }
+    let missing = ["kind", "name"].into_iter().filter(|name| !columns.contains(&Some(name)));
+    faults.extend(missing.map(|name| Fault::new(0, name, "the column is missing")));
+    if faults.is_empty() { Ok(columns) } else { Err(faults) }
+}
+
+/// The row of a record, unless all its cells are empty.
+fn row(
+    record: &StringRecord,
+    columns: &[Option<&'static str>],
+    faults: &mut Vec<Fault>,
+) -> Option<Row> {
+    let line = record.position().map_or(0, csv::Position::line);
+    let mut cells = Vec::new();
+    for (place, cell) in record.iter().enumerate().filter(|(_, cell)| !cell.is_empty()) {
+        match columns.get(place).copied().flatten() {
+            Some(column) => cells.push((column, cell.to_string())),
+            None => faults.push(Fault::new(
+                line,
+                "",
+                format!("cell {} stands under no column", place + 1),
+            )),
+        }
+    }
+    (!cells.is_empty()).then_some(Row { line, cells })
+}
