--- a/crates/route/src/digest.rs
+++ b/crates/route/src/digest.rs
@@ -75,12 +75,11 @@
 
     fn model_digest(&self, now: Instant, id: PoolId) -> ModelDigest {
         let pool = &self.pools[id];
-        let outstanding: Tokens =
-            pool.capacity.iter().map(|(_, slot)| self.upstream(*slot).prefill_tokens).sum();
+        let waiting = pool.queues.work_up_to(LengthClass::Huge).prompt_tokens;
         ModelDigest {
             model: pool.model.clone(),
             serving: pool.serving,
-            prefill_tokens: outstanding + pool.queues.tokens_up_to(LengthClass::Huge),
+            prefill_tokens: pool.prefill_tokens + waiting,
             prefill_tokens_per_second: pool.prefill_rate as Tokens,
             upstream_tokens_per_second: pool.mean_rate() as Tokens,
             free_tokens: pool.roomy.iter().map(|(room, _)| room).sum(),
@@ -88,8 +87,8 @@
             largest_memory_tokens: pool.largest_memory(),
             gang_tokens: self.gang_reach(id),
             wait_micros: LengthClass::ALL.map(|class| {
-                (self.predicted_wait(id, class) + self.least_backlog(now, pool, class)).as_micros()
-                    as u64
+                (self.predicted_wait(now, id, class) + self.least_backlog(now, pool, class))
+                    .as_micros() as u64
             }),
         }
     }
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -30,8 +30,10 @@
     pub(crate) roomy: BTreeSet<(Tokens, Slot)>,
     /// Upstreams in service by all their memory.
     pub(crate) capacity: BTreeSet<(Tokens, Slot)>,
-    /// Memory of the upstreams that move KV caches.
-    pub(crate) gang_memory: Tokens,
+    /// Memory of the upstreams in service.
+    pub(crate) memory: Tokens,
+    /// Prompt tokens in prefill on them.
+    pub(crate) prefill_tokens: Tokens,
     /// Upstreams in service.
     pub(crate) serving: u32,
     /// Sum of the prefill rates of the upstreams in service.
@@ -54,7 +56,8 @@
             open: BTreeSet::new(),
             roomy: BTreeSet::new(),
             capacity: BTreeSet::new(),
-            gang_memory: 0,
+            memory: 0,
+            prefill_tokens: 0,
             serving: 0,
             prefill_rate: 0.0,
             with_longer: [0; CLASSES],
@@ -69,7 +72,8 @@
         self.serving += 1;
         self.capacity.insert((keys.memory, slot));
         self.prefill_rate += keys.prefill_rate;
-        self.gang_memory += if keys.moves_kv_cache { keys.memory } else { 0 };
+        self.memory += keys.memory;
+        self.prefill_tokens += keys.prefill_tokens;
         for (count, has) in self.with_longer.iter_mut().zip(keys.has_longer) {
             *count += u32::from(has);
         }
@@ -83,7 +87,8 @@
         self.serving -= 1;
         self.capacity.remove(&(keys.memory, slot));
         self.prefill_rate = (self.prefill_rate - keys.prefill_rate).max(0.0);
-        self.gang_memory -= if keys.moves_kv_cache { keys.memory } else { 0 };
+        self.memory -= keys.memory;
+        self.prefill_tokens -= keys.prefill_tokens;
         for (count, has) in self.with_longer.iter_mut().zip(keys.has_longer) {
             *count -= u32::from(has);
         }
--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -26,11 +26,29 @@
     pub(crate) need: Tokens,
     /// Expected time of its prefill on an idle upstream.
     pub(crate) prefill_time: Duration,
+    /// Expected time of the whole request on an idle upstream.
+    pub(crate) service_time: Duration,
     pub(crate) arrived: Instant,
     pub(crate) latest_start: Instant,
     pub(crate) is_gang: bool,
 }
 
+impl Queued {
+    fn work(&self) -> Work {
+        let memory_seconds = self.need as f64 * self.service_time.as_secs_f64();
+        Work { prompt_tokens: self.prompt, memory_seconds }
+    }
+}
+
+/// Work that waits.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Work {
+    /// Prompt tokens to prefill.
+    pub(crate) prompt_tokens: Tokens,
+    /// Memory times the time that it will be in use, in token seconds.
+    pub(crate) memory_seconds: f64,
+}
+
 /// Name of one queue.
 pub(crate) type Lane = (Priority, LengthClass);
 
@@ -39,7 +57,7 @@
 pub(crate) struct Queues {
     lanes: [[BTreeMap<Key, Queued>; CLASSES]; 2],
     late: BTreeMap<Key, (Lane, Key)>,
-    tokens: [Tokens; CLASSES],
+    work: [Work; CLASSES],
 }
 
 /// How much more the wait of an urgent request counts.
@@ -55,7 +73,9 @@
 
     pub(crate) fn push(&mut self, key: Key, queued: Queued) {
         let lane = (queued.job.priority, queued.class);
-        self.tokens[queued.class.index()] += queued.prompt;
+        let work = &mut self.work[queued.class.index()];
+        work.prompt_tokens += queued.prompt;
+        work.memory_seconds += queued.work().memory_seconds;
         self.late.insert((queued.latest_start, key.1), (lane, key));
         self.lanes[lane.0.index()][lane.1.index()].insert(key, queued);
     }
@@ -63,7 +83,9 @@
     pub(crate) fn remove(&mut self, lane: Lane, key: Key) -> Option<Queued> {
         let queued = self.lanes[lane.0.index()][lane.1.index()].remove(&key)?;
         self.late.remove(&(queued.latest_start, key.1));
-        self.tokens[queued.class.index()] -= queued.prompt;
+        let work = &mut self.work[queued.class.index()];
+        work.prompt_tokens -= queued.prompt;
+        work.memory_seconds = (work.memory_seconds - queued.work().memory_seconds).max(0.0);
         Some(queued)
     }
 
@@ -76,9 +98,12 @@
         self.late.first_key_value().map(|((at, _), (lane, key))| (*at, *lane, *key))
     }
 
-    /// Prompt tokens that wait, of this class and shorter ones.
-    pub(crate) fn tokens_up_to(&self, class: LengthClass) -> Tokens {
-        self.tokens[..=class.index()].iter().sum()
+    /// Work that waits, of this class and shorter ones.
+    pub(crate) fn work_up_to(&self, class: LengthClass) -> Work {
+        self.work[..=class.index()].iter().fold(Work::default(), |sum, work| Work {
+            prompt_tokens: sum.prompt_tokens + work.prompt_tokens,
+            memory_seconds: sum.memory_seconds + work.memory_seconds,
+        })
     }
 
     /// The ordinary job that would be sent last.
--- a/crates/route/src/submit.rs
+++ b/crates/route/src/submit.rs
@@ -53,7 +53,7 @@
                 }
                 let queued = self.pools[pool].queues.get(lane, key).expect("a late job waits");
                 let request = queued.job.request.clone();
-                let wait = self.predicted_wait(pool, queued.class);
+                let wait = self.predicted_wait(now, pool, queued.class);
                 self.unqueue(now, &request);
                 let refusal = self.refusal(reason.unwrap_or(Reason::DeadlineUnmeetable), wait);
                 refused.push(Refused { request, refusal });
@@ -70,11 +70,32 @@
         Some(queued)
     }
 
-    /// Time until what waits, of this class and shorter ones, has its prefill.
-    pub(crate) fn predicted_wait(&self, pool: PoolId, class: LengthClass) -> Duration {
+    /// Time until what waits, of this class and shorter ones, has started: by
+    /// prefill on the upstreams that the class may use, and by memory. Beyond
+    /// the shortest class, longer prompts that wait count for memory too: they
+    /// get their turn as well.
+    pub(crate) fn predicted_wait(
+        &self,
+        now: Instant,
+        pool: PoolId,
+        class: LengthClass,
+    ) -> Duration {
         let pool = &self.pools[pool];
-        let tokens = pool.queues.tokens_up_to(class) as f64;
-        let seconds = tokens / pool.prefill_rate.max(1.0);
+        let work = pool.queues.work_up_to(class);
+        let (kept, ahead) = match class {
+            LengthClass::Short => (0, 0),
+            LengthClass::Medium => (self.kept_free(now, pool, LengthClass::Short), 0),
+            _ => (self.kept_free(now, pool, LengthClass::Medium), pool.prefill_tokens),
+        };
+        let usable = f64::from(pool.serving - kept) / f64::from(pool.serving.max(1));
+        let tokens = (work.prompt_tokens + ahead) as f64;
+        let by_prefill = tokens / (pool.prefill_rate * usable).max(1.0);
+        let in_memory = match class {
+            LengthClass::Short => work,
+            _ => pool.queues.work_up_to(LengthClass::Huge),
+        };
+        let by_memory = in_memory.memory_seconds / (pool.memory as f64).max(1.0);
+        let seconds = if in_memory.prompt_tokens == 0 { 0.0 } else { by_prefill.max(by_memory) };
         Duration::from_secs_f64(seconds.min(MAX_SECONDS))
     }
 
@@ -110,10 +131,20 @@
         let uncached = prompt.saturating_sub(self.best_hit(&job));
         let prefill_time = time_for(uncached, pool.mean_rate());
         let output = pool.estimator.output(job.max_output_tokens);
-        let service = prefill_time + time_for(output, self.decode_rate(pool));
-        let latest_start = job.deadline.checked_sub(service).unwrap_or(now - TICK);
+        let service_time = prefill_time + time_for(output, self.decode_rate(pool));
+        let latest_start = job.deadline.checked_sub(service_time).unwrap_or(now - TICK);
         let is_gang = need > pool.largest_memory();
-        Queued { class, prompt, need, prefill_time, arrived: now, latest_start, is_gang, job }
+        Queued {
+            class,
+            prompt,
+            need,
+            prefill_time,
+            service_time,
+            arrived: now,
+            latest_start,
+            is_gang,
+            job,
+        }
     }
 
     fn check_deadline(&self, now: Instant, pool: PoolId, queued: &Queued) -> Result<()> {
@@ -124,7 +155,7 @@
             return Err(self.refusal(Reason::DeadlineTooShort, self.cfg.min_retry_after));
         }
         let slack = queued.latest_start - now;
-        let wait = self.predicted_wait(pool, queued.class);
+        let wait = self.predicted_wait(now, pool, queued.class);
         if wait > slack {
             return Err(self.refusal(Reason::DeadlineUnmeetable, wait - slack));
         }
--- a/crates/route/src/upstream.rs
+++ b/crates/route/src/upstream.rs
@@ -23,7 +23,7 @@
     pub(crate) prefill_done: Instant,
     pub(crate) room: Tokens,
     pub(crate) memory: Tokens,
-    pub(crate) moves_kv_cache: bool,
+    pub(crate) prefill_tokens: Tokens,
     pub(crate) has_longer: [bool; CLASSES],
     pub(crate) prefill_rate: f64,
 }
@@ -222,7 +222,7 @@
             prefill_done: self.prefill_done,
             room: self.room(now),
             memory: self.ann.memory_tokens,
-            moves_kv_cache: self.ann.moves_kv_cache,
+            prefill_tokens: self.prefill_tokens,
             has_longer,
             prefill_rate: self.prefill_rate(),
         })
--- /dev/null
+++ b/crates/route/tests/properties.rs
@@ -0,0 +1,270 @@
+//! Properties of a fleet under any order of events.
+
+mod common;
+
+use bolero::{TypeGenerator, check, generator::*};
+use common::{Checked, MEMORY, engine, job};
+use route::{
+    Config, Counters, Directive, Failure, Fleet, LengthClass, Policy, Priority, Report, TokenUsage,
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+#[derive(Clone, Debug, TypeGenerator)]
+enum Length {
+    Short,
+    Medium,
+    Long,
+    Huge,
+    Enormous,
+}
+
+impl Length {
+    fn tokens(&self) -> u64 {
+        match self {
+            Self::Short => 1_000,
+            Self::Medium => 20_000,
+            Self::Long => 100_000,
+            Self::Huge => 300_000,
+            Self::Enormous => 900_000,
+        }
+    }
+}
+
+#[derive(Clone, Debug, TypeGenerator)]
+enum Op {
+    Advance(#[generator(0..4_000u64)] u64),
+    Announce { upstream: u8, uptime: u8, leaving: bool },
+    Restart(u8),
+    Report { upstream: u8, memory_used: u32, counter: u8 },
+    Retire(u8),
+    BringUp(u8),
+    Remove(u8),
+    DataCentre(bool),
+    Submit { length: Length, urgent: bool, seconds: u8, suspect: bool },
+    Dispatch,
+    FirstToken(u8),
+    SegmentDone(u8, u8),
+    Finish(u8),
+    Fail(u8, bool),
+    Cancel(u8),
+    Expire,
+}
+
+/// Upstreams of a run.
+const UPSTREAMS: u8 = 5;
+
+struct Run {
+    checked: Checked,
+    incarnations: [u64; UPSTREAMS as usize],
+    submitted: usize,
+}
+
+impl Run {
+    fn new(policy: Policy) -> Self {
+        let cfg = Config { policy, max_waiting: 24, ..Config::default() };
+        let mut checked = Checked::new(cfg);
+        for i in 0..UPSTREAMS {
+            checked.announce(engine(&upstream(i), 1, Duration::from_secs(600)));
+        }
+        Self { checked, incarnations: [1; UPSTREAMS as usize], submitted: 0 }
+    }
+
+    fn request(&self, choice: u8) -> String {
+        format!("r{:04}", self.submitted.saturating_sub(1 + usize::from(choice % 24)))
+    }
+
+    fn apply(&mut self, op: &Op) {
+        let c = &mut self.checked;
+        match op {
+            Op::Advance(millis) => c.advance(Duration::from_millis(*millis)),
+            Op::Announce { upstream: u, uptime, leaving } => {
+                let incarnation = self.incarnations[usize::from(u % UPSTREAMS)];
+                let uptime = Duration::from_secs(u64::from(*uptime));
+                let mut ann = engine(&upstream(*u), incarnation, uptime);
+                ann.is_leaving = *leaving;
+                c.announce(ann);
+            }
+            Op::Restart(u) => {
+                let incarnation = &mut self.incarnations[usize::from(u % UPSTREAMS)];
+                *incarnation += 1;
+                c.announce(engine(&upstream(*u), *incarnation, Duration::ZERO));
+            }
+            Op::Report { upstream: u, memory_used, counter } => {
+                let counters = Counters { requests: u64::from(*counter), ..Counters::default() };
+                let incarnation = self.incarnations[usize::from(u % UPSTREAMS)];
+                let memory_used = u64::from(memory_used % 500_000);
+                c.report(
+                    &upstream(*u),
+                    Report { incarnation, memory_used, counters, ..Report::default() },
+                );
+            }
+            Op::Retire(u) => c.direct(&upstream(*u), Directive::Retired),
+            Op::BringUp(u) => c.direct(&upstream(*u), Directive::Up),
+            Op::Remove(u) => c.remove(&upstream(*u)),
+            Op::DataCentre(is_in) => c.set_in_service(*is_in),
+            Op::Submit { length, urgent, seconds, suspect } => {
+                let request = format!("r{:04}", self.submitted);
+                self.submitted += 1;
+                let deadline = c.now + Duration::from_secs(u64::from(*seconds));
+                let mut job = job(&request, length.tokens(), deadline);
+                job.priority = if *urgent { Priority::Urgent } else { Priority::Ordinary };
+                job.is_suspect = *suspect;
+                c.submit(job);
+            }
+            Op::Dispatch => drop(c.dispatch()),
+            Op::FirstToken(r) => {
+                let request = self.request(*r);
+                self.checked.first_token(&request);
+            }
+            Op::SegmentDone(r, index) => {
+                let request = self.request(*r);
+                self.checked.segment_done(&request, usize::from(index % 4));
+            }
+            Op::Finish(r) => {
+                let request = self.request(*r);
+                let used = TokenUsage { prompt_tokens: 900, cached_tokens: 0, output_tokens: 50 };
+                self.checked.finish(&request, used);
+            }
+            Op::Fail(r, own) => {
+                let request = self.request(*r);
+                let failure = if *own { Failure::Request } else { Failure::Upstream };
+                self.checked.fail(&request, failure);
+            }
+            Op::Cancel(r) => {
+                let request = self.request(*r);
+                self.checked.cancel(&request);
+            }
+            Op::Expire => drop(self.checked.expired()),
+        }
+        self.checked.check_memory();
+    }
+}
+
+fn upstream(i: u8) -> String {
+    format!("u{}", i % UPSTREAMS)
+}
+
+fn run_all(policy: Policy) {
+    let ops = produce::<Vec<Op>>().with().len(0..160usize);
+    check!().with_generator(ops).for_each(|ops| {
+        let mut run = Run::new(policy);
+        ops.iter().for_each(|op| run.apply(op));
+        run.checked.drain();
+    });
+}
+
+/// Memory is neither leaked nor negative, the ramp is never exceeded, each job
+/// is sent at most once and ends exactly once, gangs reserve in one order.
+#[test]
+fn every_promise_is_kept_under_any_events() {
+    run_all(Policy::Predicted);
+}
+
+#[test]
+fn baselines_keep_the_same_promises() {
+    run_all(Policy::LeastOutstanding);
+    run_all(Policy::RoundRobin);
+    run_all(Policy::NoLengthClasses);
+}
+
+/// Every job that waits ends by its deadline even if nothing is ever free.
+#[test]
+fn waiting_jobs_end_in_time() {
+    let jobs = produce::<Vec<(Length, u8, bool)>>().with().len(1..40usize);
+    check!().with_generator(jobs).for_each(|jobs| {
+        let mut run = Run::new(Policy::Predicted);
+        for (length, seconds, urgent) in jobs {
+            let (length, seconds) = (length.clone(), *seconds);
+            run.apply(&Op::Submit { length, urgent: *urgent, seconds, suspect: false });
+        }
+        // What is in flight never ends; what waits must not outlive it.
+        run.apply(&Op::Dispatch);
+        run.checked.advance(Duration::from_secs(256));
+        run.apply(&Op::Expire);
+        assert_eq!(run.checked.fleet.waiting(), 0);
+    });
+}
+
+/// Outcome of requests of one class.
+#[derive(Clone, Copy, Debug, Default)]
+struct Outcome {
+    taken: u32,
+    refused: u32,
+    ended: u32,
+}
+
+/// Plays arrivals for so many steps of half a second, and ten minutes for them
+/// to end, on engines that prefill at their announced rate and
+/// answer in a second. New requests arrive while the work offered so far, in
+/// memory times time and in prefill, is below `load` of what the engines have.
+fn play(lengths: &[Length], load: f64, ticks: usize) -> BTreeMap<LengthClass, Outcome> {
+    let mut fleet = Fleet::new(Config::default());
+    let mut now = Instant::now();
+    let mut due: BTreeSet<(Instant, String)> = BTreeSet::new();
+    let mut classes: BTreeMap<String, LengthClass> = BTreeMap::new();
+    let mut outcomes: BTreeMap<LengthClass, Outcome> = BTreeMap::new();
+    let (mut prefill, mut memory) = (0.0, 0.0);
+    for tick in 0..ticks + 1_200 {
+        now += Duration::from_millis(500);
+        for i in 0..UPSTREAMS {
+            fleet.announce(now, engine(&upstream(i), 1, Duration::from_secs(600))).unwrap();
+        }
+        prefill += load * 0.5 * 10_000.0 * f64::from(UPSTREAMS);
+        memory += load * 0.5 * MEMORY as f64 * f64::from(UPSTREAMS);
+        while tick < ticks && prefill > 0.0 && memory > 0.0 {
+            let tokens = lengths[classes.len() % lengths.len()].tokens();
+            prefill -= tokens as f64;
+            memory -= tokens as f64 * (tokens as f64 / 10_000.0 + 1.0);
+            let (request, class) = (format!("p{:05}", classes.len()), LengthClass::of(tokens));
+            let deadline = now + Duration::from_secs(500);
+            let taken = fleet.submit(now, job(&request, tokens, deadline)).is_ok();
+            let outcome = outcomes.entry(class).or_default();
+            outcome.taken += u32::from(taken);
+            outcome.refused += u32::from(!taken);
+            classes.insert(request, class);
+        }
+        fleet.expired(now);
+        while let Some((at, request)) = due.pop_first() {
+            if at > now {
+                due.insert((at, request));
+                break;
+            }
+            fleet.first_token(now, &request, None);
+            fleet.finished(now, &request, TokenUsage::default());
+            outcomes.entry(classes[&request]).or_default().ended += 1;
+        }
+        for dispatch in fleet.dispatch(now) {
+            let tokens: u64 = dispatch.placement.grants().iter().map(|g| g.tokens).sum();
+            let time = Duration::from_secs_f64(tokens as f64 / 10_000.0 + 1.0);
+            due.insert((now + time, dispatch.request));
+        }
+    }
+    outcomes
+}
+
+/// At a third of the capacity, whatever the mix: nothing is refused and all
+/// that was taken ends in time, gangs included.
+#[test]
+fn all_requests_end_at_moderate_load() {
+    let lengths = produce::<Vec<Length>>().with().len(1..6usize);
+    check!().with_generator(lengths).with_iterations(12).for_each(|lengths| {
+        for (class, outcome) in play(lengths, 0.33, 600) {
+            assert_eq!(outcome.refused, 0, "{class:?}: {outcome:?}");
+            assert_eq!(outcome.ended, outcome.taken, "{class:?}: {outcome:?}");
+        }
+    });
+}
+
+/// At three times the capacity every class goes on being served.
+#[test]
+fn no_class_is_starved_under_overload() {
+    let lengths = produce::<Vec<Length>>().with().len(1..6usize);
+    check!().with_generator(lengths).with_iterations(12).for_each(|lengths| {
+        for (class, outcome) in play(lengths, 3.0, 120) {
+            assert!(outcome.ended > 0, "{class:?}: {outcome:?}");
+        }
+    });
+}
