Link daemons by h2 streams with bincode frames

Cause: daemons need requests, streams and notifications among each other, callable from plain threads, with proof of a region secret.

Change: wire::Links owns a tokio runtime; Inbound and Responder on the listening side, StreamIn on the other. Mutual HMAC proof over both nonces, version range in the hello, pings, backoff, bounded frames and streams.

Measured: nothing yet; the crate example runs a round trip as a test.

--- /dev/null
+++ b/crates/wire/src/link.rs
@@ -0,0 +1,44 @@
+//! Links between daemons: `h2` streams that carry `bincode` frames.
+//!
+//! Two daemons prove a shared secret to each other and agree on a version, then
+//! either sends messages to the other's named services. All calls are made from
+//! plain threads:
+//!
+//! ```
+//! use std::{sync::Arc, time::Duration};
+//! use wire::{Inbound, LinkConfig, Links, Message, RegionSecret};
+//!
+//! let secret = RegionSecret::new("a secret for this example")?;
+//! let config = |id: &str| {
+//!     LinkConfig::new(id.to_owned(), "127.0.0.1:0".parse().unwrap(), secret.clone())
+//! };
+//! let echo = |inbound: Inbound| {
+//!     let _ = inbound.responder.reply(inbound.message.body);
+//! };
+//! let server = Links::start(config("a"), Arc::new(echo))?;
+//! let client = Links::start(config("b"), Arc::new(|_| ()))?;
+//!
+//! let message = Message { service: "echo".to_owned(), body: b"hello".to_vec() };
+//! let answer = client.request(server.address(), message, Duration::from_secs(5))?;
+//! assert_eq!(answer, b"hello");
+//! # Ok::<(), wire::Error>(())
+//! ```
+
+mod accept;
+mod config;
+mod connect;
+mod counters;
+mod exchange;
+mod frame;
+mod handshake;
+mod links;
+mod ping;
+mod responder;
+mod stream_in;
+
+pub use config::{LinkConfig, VersionRange};
+pub use counters::LinkCounters;
+pub use frame::FrameDecoder;
+pub use links::Links;
+pub use responder::{Inbound, InboundHandler, Responder};
+pub use stream_in::StreamIn;
