Run the whole path over links, leases, owners and the control group

Cause: the thin path knew one process and no state that survives. Change: the daemon joins the roster under a session lease, upstreams announced to any daemon reach their owner, a request entering at any daemon is admitted, placed by digests and streamed from the owner over a link; plain calls that may not be repeated claim their key first. 'demo' runs up to nine daemons; 'plan', 'apply', 'status', 'voters' and 'drain' talk to the operators' HTTP.

--- a/crates/edge/src/api_error.rs
+++ b/crates/edge/src/api_error.rs
@@ -66,7 +66,7 @@
     }
 
     /// A refusal of a request that was never sent to an upstream.
-    pub(crate) fn refusal(status: u16, code: &str, message: impl Into<String>) -> Self {
+    pub fn refusal(status: u16, code: &str, message: impl Into<String>) -> Self {
         Self::new(status, code, message, Verdict::NotRun)
     }
 }
--- a/crates/toucansill/src/command.rs
+++ b/crates/toucansill/src/command.rs
@@ -2,8 +2,20 @@
 
 mod check;
 mod demo;
+mod drain;
+mod sheet;
+mod status;
+mod voters;
 
 use crate::cli::Command;
 
 /// Every subcommand, in the order of the overview.
-pub(crate) const ALL: &[Command] = &[check::COMMAND, demo::COMMAND];
+pub(crate) const ALL: &[Command] = &[
+    demo::COMMAND,
+    check::COMMAND,
+    sheet::PLAN,
+    sheet::APPLY,
+    status::COMMAND,
+    voters::COMMAND,
+    drain::COMMAND,
+];
--- a/crates/toucansill/src/command/check.rs
+++ b/crates/toucansill/src/command/check.rs
@@ -5,14 +5,14 @@
     exit::{Exit, Failure},
 };
 use getopts::Matches;
-use std::path::Path;
+use std::{fs, path::Path};
 use toucansilld::Settings;
 
 pub(crate) const COMMAND: Command = Command {
     name: "check",
     arguments: "FILE",
-    summary: "Checks a settings file (.yaml) without contact.",
-    examples: &["toucansill check entry-1.yaml"],
+    summary: "Checks a settings file (.yaml) or a sheet (.csv) without contact.",
+    examples: &["toucansill check entry-1.yaml", "toucansill check morning.csv"],
     options: |_| {},
     run,
 };
@@ -21,7 +21,24 @@
     let [file] = matches.free.as_slice() else {
         return Err(Failure::usage("check: give one file").into());
     };
+    if file.ends_with(".csv") {
+        return check_sheet(file);
+    }
     Settings::load(Path::new(file))?;
     println!("{file}: no faults");
     Ok(Exit::Done)
 }
+
+fn check_sheet(file: &str) -> Result<Exit> {
+    let buf = fs::read(file).map_err(|err| Failure::new(Exit::Faults, format!("{file}: {err}")))?;
+    match sheet::parse(&buf) {
+        Ok(sheet) => {
+            println!("{file}: no faults, sheet {}", sheet.number);
+            Ok(Exit::Done)
+        }
+        Err(faults) => {
+            faults.iter().for_each(|fault| eprintln!("{file}: {fault}"));
+            Ok(Exit::Faults)
+        }
+    }
+}
--- a/crates/toucansill/src/command/demo.rs
+++ b/crates/toucansill/src/command/demo.rs
@@ -1,47 +1,67 @@
-//! `demo`: one daemon and a few stand-ins in one process.
+//! `demo`: daemons and a few stand-ins in one process.
 
 use crate::{
     cli::{Command, Result},
-    exit::Exit,
+    exit::{Exit, Failure},
+    fleet::{API_KEY, Fleet, FleetConfig, OPERATOR_TOKEN, data_centre, sheet},
 };
-use fake::{Announcer, Engine, EngineConfig};
+use fake::EngineConfig;
 use getopts::Matches;
-use kernel::SystemClock;
-use std::{sync::Arc, thread};
-use toucansilld::{Daemon, Settings};
+use std::thread;
+
+/// Model of the demo's engines.
+const MODEL: &str = "small";
+/// Stand-in engines.
+const ENGINES: usize = 2;
+/// Most daemons in one process.
+const DAEMONS_MAX: usize = 9;
 
 pub(crate) const COMMAND: Command = Command {
     name: "demo",
     arguments: "",
-    summary: "Runs one daemon and a few stand-ins in one process.",
-    examples: &["toucansill demo"],
-    options: |_| {},
+    summary: "Runs a daemon and a few stand-ins in one process.",
+    examples: &["toucansill demo", "toucansill demo --daemons 3"],
+    options: |options| {
+        options.optopt("", "daemons", "daemons to run, 1 to 9 (default 1)", "N");
+    },
     run,
 };
 
-const SETTINGS: &str = "
-daemon: demo
-region: demo
-data_centre: demo-1
-listen: {callers: 127.0.0.1:0, operators: 127.0.0.1:0, links: 127.0.0.1:0}
-seeds: [127.0.0.1:1]
-secret_file: unused
-operator_token_file: unused
-";
-
-fn run(_: &Matches) -> Result<Exit> {
-    let settings = Settings::parse("demo", SETTINGS)?;
-    let daemon = Daemon::start(&settings, Arc::new(SystemClock))?;
-    let address = daemon.callers_address();
-    let engine = Arc::new(Engine::start(EngineConfig::default())?);
-    let source = Arc::clone(&engine);
-    let _announcer = Announcer::start(address.to_string(), move || Some(source.announcement()));
-    println!(
-        "curl -N http://{address}/v1/chat/completions -H 'Content-Type: application/json' \
-         -d '{{\"model\":\"small\",\"stream\":true,\"max_tokens\":8,\
-         \"messages\":[{{\"role\":\"user\",\"content\":\"hello\"}}]}}'"
-    );
+fn run(matches: &Matches) -> Result<Exit> {
+    let daemons = matches.opt_get_default("daemons", 1).unwrap_or(0);
+    if daemons == 0 || daemons > DAEMONS_MAX {
+        return Err(Failure::usage("demo: --daemons takes 1 to 9").into());
+    }
+    let cfg = FleetConfig { daemons, data_centres: daemons.min(3) };
+    let mut fleet = Fleet::start(&cfg)?;
+    fleet.apply(&sheet(&cfg, 1, &[MODEL]))?;
+    for i in 0..ENGINES {
+        fleet.add_engine(EngineConfig {
+            id: format!("engine-{}", i + 1),
+            data_centre: data_centre(&cfg, i),
+            models: vec![String::from(MODEL)],
+            ..EngineConfig::default()
+        })?;
+    }
+    fleet.await_model(MODEL)?;
+    print_guide(&fleet);
     loop {
         thread::park();
     }
 }
+
+fn print_guide(fleet: &Fleet) {
+    println!("The demo serves model {MODEL}. Its files are in {}.", fleet.dir().display());
+    for address in fleet.callers() {
+        println!(
+            "curl -N http://{address}/v1/chat/completions -H 'Authorization: Bearer {API_KEY}' \
+             -H 'Content-Type: application/json' -d '{{\"model\":\"{MODEL}\",\"stream\":true,\
+             \"max_tokens\":8,\"messages\":[{{\"role\":\"user\",\"content\":\"hello\"}}]}}'"
+        );
+    }
+    println!(
+        "curl http://{}/status -H 'Authorization: Bearer {OPERATOR_TOKEN}'",
+        fleet.operators()
+    );
+    println!("Press Ctrl-C to stop.");
+}
--- /dev/null
+++ b/crates/toucansill/src/command/status.rs
@@ -0,0 +1,107 @@
+//! `status`: what is in force, who is a member, and why upstreams get no work.
+
+use crate::{
+    cli::{Command, Result},
+    exit::Exit,
+    operator::{self, Operator},
+    table::Table,
+};
+use getopts::Matches;
+use serde_json::Value;
+
+pub(crate) const COMMAND: Command = Command {
+    name: "status",
+    arguments: "",
+    summary: "Shows one daemon's view: sheet, members, upstreams and why they get no work.",
+    examples: &["toucansill status -a 10.0.0.1:8082 -t operator.token"],
+    options: operator::options,
+    run,
+};
+
+fn run(matches: &Matches) -> Result<Exit> {
+    let status: Value = Operator::of(matches)?.get("/status")?;
+    if matches.opt_present("json") {
+        println!("{status:#}");
+    } else {
+        print!("{}", describe(&status));
+    }
+    Ok(Exit::Done)
+}
+
+fn describe(status: &Value) -> String {
+    let takes_work = match status["refusal"].as_str() {
+        Some(refusal) => format!("no: {refusal}"),
+        None if status["draining"] == true => String::from("no: draining"),
+        None => String::from("yes"),
+    };
+    let mut text = format!(
+        "daemon {} takes new work: {takes_work}\nsheet {} in force here, log index {}\n",
+        word(&status["daemon"]),
+        status["sheet"],
+        status["index"]
+    );
+    text += &voter(&status["voter"]);
+    text += &format!(
+        "waiting for admission {}, waiting or running at this owner {}\n\n",
+        status["waiting_admission"], status["owner_load"]
+    );
+    text += &data_centres(&status["data_centres"]);
+    text += &members(&status["members"]);
+    text += &upstreams(&status["upstreams"]);
+    text
+}
+
+fn voter(voter: &Value) -> String {
+    if voter.is_null() {
+        return String::new();
+    }
+    let fault = match voter["fault"].as_str() {
+        Some(fault) => format!(", STOPPED: {fault}"),
+        None => String::new(),
+    };
+    format!(
+        "voter {} is {} in term {}, leader {}, committed {}{fault}\n",
+        voter["id"],
+        word(&voter["role"]),
+        voter["term"],
+        voter["leader"],
+        voter["commit"]
+    )
+}
+
+fn data_centres(data_centres: &Value) -> String {
+    let mut table = Table::new(&["DATA CENTRE", "STATE"]);
+    for (name, in_service) in data_centres.as_object().into_iter().flatten() {
+        let state = if in_service == true { "in service" } else { "out of service" };
+        table.row(vec![name.clone(), String::from(state)]);
+    }
+    format!("{}\n", table.text())
+}
+
+fn members(members: &Value) -> String {
+    let mut table = Table::new(&["MEMBER", "DATA CENTRE", "LINKS", "INCARNATION"]);
+    for member in members.as_array().into_iter().flatten() {
+        let cells = ["daemon", "data_centre", "address", "incarnation"];
+        table.row(cells.iter().map(|cell| word(&member[*cell])).collect());
+    }
+    format!("{}\n", table.text())
+}
+
+fn upstreams(upstreams: &Value) -> String {
+    let heads = ["UPSTREAM", "RUNNING", "PROMISED", "ROOM", "HINDRANCES"];
+    let mut table = Table::new(&heads);
+    for upstream in upstreams.as_array().into_iter().flatten() {
+        let cells = ["id", "running", "reserved_tokens", "room_tokens"];
+        let hindrances: Vec<String> =
+            upstream["hindrances"].as_array().into_iter().flatten().map(word).collect();
+        let mut row: Vec<String> = cells.iter().map(|cell| word(&upstream[*cell])).collect();
+        row.push(if hindrances.is_empty() { String::from("-") } else { hindrances.join("; ") });
+        table.row(row);
+    }
+    table.text()
+}
+
+/// A value without the quotes of a JSON string.
+fn word(value: &Value) -> String {
+    value.as_str().map_or_else(|| value.to_string(), String::from)
+}
--- a/crates/toucansill/src/main.rs
+++ b/crates/toucansill/src/main.rs
@@ -3,6 +3,9 @@
 mod cli;
 mod command;
 mod exit;
+mod fleet;
+mod operator;
+mod table;
 
 use std::{env, process::ExitCode};
 
--- a/crates/toucansilld/src/daemon.rs
+++ b/crates/toucansilld/src/daemon.rs
@@ -1,27 +1,124 @@
-//! One running daemon.
+//! One running daemon: its services, started in order and stopped in reverse.
 
 use crate::{
-    callers::Callers,
+    control_client::ControlClient,
+    entry::{Entry, EntryContext},
     error::{Error, Result},
+    gossip,
+    messages::service,
+    net::Net,
+    operators::{OperatorContext, Operators},
+    owner::{Owner, OwnerContext},
+    services,
+    session::SessionService,
     settings::Settings,
+    voter::{LEASE_CHECK, Voter},
 };
-use edge::{EdgeConfig, Server};
+use edge::{EdgeConfig, OperatorToken, Server};
 use kernel::SharedClock;
-use std::{net::SocketAddr, sync::Arc};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, UNIX_EPOCH},
+};
+
+/// Consensus messages that wait to be sent; further ones are dropped.
+const OUTBOX: usize = 4_096;
+/// Time between two looks whether running requests have ended.
+const DRAIN_CHECK: Duration = Duration::from_millis(50);
 
-/// A daemon with its services. Dropping it stops its listeners.
+/// A daemon with its services. Dropping it without [`Daemon::drain`] is like a crash.
 pub struct Daemon {
+    settings: Settings,
+    clock: SharedClock,
+    net: Arc<Net>,
+    voter: Option<Arc<Voter>>,
+    session: Arc<SessionService>,
+    owner: Arc<Owner>,
+    entry: Arc<Entry>,
     callers: Server,
+    operators: Server,
+    drain_asked: flume::Receiver<()>,
+    is_stopping: Arc<AtomicBool>,
 }
 
 impl Daemon {
     /// Starts the daemon's services.
+    ///
+    /// # Errors
+    ///
+    /// Names the setting at fault, or what could not be started.
     pub fn start(settings: &Settings, clock: SharedClock) -> Result<Self> {
-        let callers = Arc::new(Callers::new(clock));
-        let cfg = EdgeConfig::new(settings.listen.callers);
-        let server = Server::start(cfg, Arc::new(move |req| callers.handle(req)))
-            .map_err(|err| Error::start("listen.callers", err))?;
-        Ok(Self { callers: server })
+        let token = OperatorToken::read(&settings.operator_token_file)
+            .map_err(|err| Error::start("operator_token_file", err))?;
+        let metrics = recorder();
+        let is_stopping = Arc::new(AtomicBool::new(false));
+        let net = Net::start(settings)?;
+        let voter = start_voter(settings, &net, &clock, &is_stopping)?;
+        let control = control_client(settings, &net, &clock, voter.as_deref());
+        if voter.is_none() {
+            let known = Arc::clone(&control);
+            services::serve_referral(&net, move || known.leader());
+        }
+        let session = session(settings, &net, &clock, &control);
+        let owner = Owner::start(OwnerContext {
+            session: Arc::clone(&session),
+            control: Arc::clone(&control),
+            clock: Arc::clone(&clock),
+            region: settings.region.clone(),
+            data_centre: settings.data_centre.clone(),
+        });
+        let cx = EntryContext {
+            session: Arc::clone(&session),
+            control: Arc::clone(&control),
+            net: Arc::clone(&net),
+            owner: Arc::clone(&owner),
+            clock: Arc::clone(&clock),
+        };
+        let entry = Entry::new(cx, &settings.data_centre, &settings.region);
+        services::serve_work(&net, &owner, &entry);
+        follow_view(&session, &owner, &entry);
+        session.start();
+        gossip::start(
+            Arc::clone(&net),
+            Arc::clone(&owner),
+            Arc::clone(&entry),
+            Arc::clone(&is_stopping),
+        );
+        let callers = serve_callers(settings, &entry)?;
+        let (drain, drain_asked) = flume::bounded(1);
+        let operators = serve_operators(
+            settings,
+            OperatorContext {
+                session: Arc::clone(&session),
+                control,
+                owner: Arc::clone(&owner),
+                entry: Arc::clone(&entry),
+                voter: voter.clone(),
+                metrics,
+                token,
+                drain,
+            },
+        )?;
+        let settings = settings.clone();
+        Ok(Self {
+            settings,
+            clock,
+            net,
+            voter,
+            session,
+            owner,
+            entry,
+            callers,
+            operators,
+            drain_asked,
+            is_stopping,
+        })
     }
 
     /// Address of the callers' HTTP.
@@ -29,8 +126,150 @@
         self.callers.address()
     }
 
-    /// Stops the listeners.
+    /// Address of the operators' HTTP.
+    pub fn operators_address(&self) -> SocketAddr {
+        self.operators.address()
+    }
+
+    /// Address of the links.
+    pub fn links_address(&self) -> SocketAddr {
+        self.net.address()
+    }
+
+    /// Gets a message when operators ask this daemon to stop.
+    pub fn drain_asked(&self) -> flume::Receiver<()> {
+        self.drain_asked.clone()
+    }
+
+    /// Stops as planned: the health check fails, requests go on being taken for
+    /// the balancer's delay, then what runs finishes, then the daemon leaves.
+    pub fn drain(self) {
+        log::info!("draining");
+        self.entry.drain();
+        thread::sleep(self.settings.drain_delay());
+        self.session.end();
+        self.owner.view_changed();
+        self.await_idle();
+        if let Some(voter) = &self.voter {
+            voter.hand_over();
+        }
+        self.session.leave();
+        self.stop();
+        log::info!("stopped");
+    }
+
+    /// Stops at once, as after a crash: nothing is handed over.
     pub fn stop(self) {
+        self.is_stopping.store(true, Ordering::Relaxed);
+        self.session.stop();
         self.callers.stop();
+        self.operators.stop();
+        self.owner.stop();
+        if let Some(voter) = &self.voter {
+            voter.stop();
+        }
+        self.net.stop();
     }
+
+    /// Waits until no request waits or runs, at most for the drain limit.
+    fn await_idle(&self) {
+        let until = self.clock.now() + self.settings.drain_limit();
+        while self.callers.in_flight() + self.owner.load() > 0 {
+            if self.clock.now() >= until {
+                return log::warn!("requests still run at the end of the drain limit");
+            }
+            thread::sleep(DRAIN_CHECK);
+        }
+    }
+}
+
+/// The process has one recorder of metrics; a second daemon in it gets an empty one.
+fn recorder() -> PrometheusHandle {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let handle = recorder.handle();
+    if metrics::set_global_recorder(recorder).is_err() {
+        log::debug!("another daemon in this process records the metrics");
+    }
+    handle
+}
+
+fn start_voter(
+    settings: &Settings,
+    net: &Arc<Net>,
+    clock: &SharedClock,
+    is_stopping: &Arc<AtomicBool>,
+) -> Result<Option<Arc<Voter>>> {
+    let Some(cfg) = &settings.voter else { return Ok(None) };
+    let (outbox, outgoing) = flume::bounded(OUTBOX);
+    let address = net.address().to_string();
+    let voter = Arc::new(Voter::start(cfg, &address, Arc::clone(clock), outbox)?);
+    services::serve_voter(net, &voter);
+    let (sender, links) = (Arc::clone(&voter), Arc::clone(net));
+    thread::spawn(move || {
+        for outgoing in outgoing {
+            if let Some((address, envelope)) = sender.envelope(outgoing) {
+                links.notify(&address, service::RAFT, control::encode(&envelope));
+            }
+        }
+    });
+    let (checker, is_stopping) = (Arc::clone(&voter), Arc::clone(is_stopping));
+    thread::spawn(move || {
+        while !is_stopping.load(Ordering::Relaxed) {
+            checker.check_leases();
+            thread::sleep(LEASE_CHECK);
+        }
+    });
+    Ok(Some(voter))
+}
+
+fn control_client(
+    settings: &Settings,
+    net: &Arc<Net>,
+    clock: &SharedClock,
+    voter: Option<&Voter>,
+) -> Arc<ControlClient> {
+    let seeds = settings.seeds.iter().map(SocketAddr::to_string);
+    let voters = voter.map(Voter::known_addresses).unwrap_or_default();
+    let all = seeds.chain(voters).collect();
+    Arc::new(ControlClient::new(Arc::clone(net), Arc::clone(clock), all))
+}
+
+fn session(
+    settings: &Settings,
+    net: &Arc<Net>,
+    clock: &SharedClock,
+    control: &Arc<ControlClient>,
+) -> Arc<SessionService> {
+    let wall = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let incarnation = u64::try_from(wall.as_millis()).unwrap_or(u64::MAX);
+    SessionService::new(
+        settings.daemon.clone(),
+        settings.data_centre.clone(),
+        incarnation,
+        Arc::clone(control),
+        Arc::clone(net),
+        Arc::clone(clock),
+    )
+}
+
+fn follow_view(session: &Arc<SessionService>, owner: &Arc<Owner>, entry: &Arc<Entry>) {
+    let (owner, entry) = (Arc::clone(owner), Arc::clone(entry));
+    session.on_change(Box::new(move |_| {
+        entry.view_changed();
+        owner.view_changed();
+    }));
+}
+
+fn serve_callers(settings: &Settings, entry: &Arc<Entry>) -> Result<Server> {
+    let entry = Arc::clone(entry);
+    let cfg = EdgeConfig::new(settings.listen.callers);
+    Server::start(cfg, Arc::new(move |req| entry.handle(req)))
+        .map_err(|err| Error::start("listen.callers", err))
+}
+
+fn serve_operators(settings: &Settings, cx: OperatorContext) -> Result<Server> {
+    let operators = Operators::new(cx);
+    let cfg = EdgeConfig::new(settings.listen.operators);
+    Server::start(cfg, Arc::new(move |req| operators.handle(req)))
+        .map_err(|err| Error::start("listen.operators", err))
 }
--- a/crates/toucansilld/src/entry.rs
+++ b/crates/toucansilld/src/entry.rs
@@ -19,7 +19,8 @@
 use admission::Admission;
 pub(crate) use attempt::encode_frame;
 use control::{Configuration, Fingerprint, Refusal};
-use edge::{ApiError, ApiKeys, Call, CallerRequest, Method};
+use edge::{ApiError, ApiKeys, Call, CallerRequest};
+use http::Method;
 use kernel::SharedClock;
 use placement::Placement;
 use sha2::{Digest, Sha256};
--- a/crates/toucansilld/src/entry/admission.rs
+++ b/crates/toucansilld/src/entry/admission.rs
@@ -68,10 +68,9 @@
         drop(state);
         match rx.recv_deadline(ask.deadline) {
             Ok(answer) => answer.map(|()| pass),
-            Err(_) => Err(Refusal {
-                reason: limit::Reason::DeadlineUnmeetable,
-                retry_after: POLL_EVERY,
-            }),
+            Err(_) => {
+                Err(Refusal { reason: limit::Reason::DeadlineUnmeetable, retry_after: POLL_EVERY })
+            }
         }
     }
 
--- a/crates/toucansilld/src/entry/announce.rs
+++ b/crates/toucansilld/src/entry/announce.rs
@@ -48,8 +48,8 @@
         .session
         .address_of(&owner)
         .ok_or_else(|| format!("the owner {owner} has no address"))?;
-    let req = wire::encode(&OwnerRequest::Announce(body.to_vec()))
-        .map_err(|err| err.to_string())?;
+    let req =
+        wire::encode(&OwnerRequest::Announce(body.to_vec())).map_err(|err| err.to_string())?;
     let answer = entry
         .cx
         .net
--- a/crates/toucansilld/src/entry/model.rs
+++ b/crates/toucansilld/src/entry/model.rs
@@ -133,9 +133,8 @@
                 return answer.fail(&with_verdict(failure, may_have_run));
             }
         };
-        let end = attempt::run(entry, &owner, &job, accepted.deadline, &mut |frame| {
-            answer.take(frame)
-        });
+        let end =
+            attempt::run(entry, &owner, &job, accepted.deadline, &mut |frame| answer.take(frame));
         let failure = match end {
             attempt::End::Finished => return,
             attempt::End::Gone => return log::info!("{}: the caller left", accepted.request),
--- a/crates/toucansilld/src/entry/placement.rs
+++ b/crates/toucansilld/src/entry/placement.rs
@@ -49,12 +49,8 @@
             let is_in = cfg.is_in_service(data_centre);
             state.digests.set_data_centre_in_service(data_centre, is_in);
         }
-        let gone: Vec<DaemonId> = state
-            .models
-            .keys()
-            .filter(|daemon| roster.member(daemon).is_none())
-            .cloned()
-            .collect();
+        let gone: Vec<DaemonId> =
+            state.models.keys().filter(|daemon| roster.member(daemon).is_none()).cloned().collect();
         for daemon in gone {
             state.models.remove(&daemon);
             state.digests.remove(&daemon);
@@ -80,8 +76,7 @@
             .map(|digest| &digest.model)
             .filter(|model| !model.starts_with('/'))
             .collect();
-        let data: Vec<_> =
-            names.iter().map(|id| json!({"id": id, "object": "model"})).collect();
+        let data: Vec<_> = names.iter().map(|id| json!({"id": id, "object": "model"})).collect();
         json!({"object": "list", "data": data}).to_string()
     }
 }
@@ -97,9 +92,8 @@
         if prefill == 0 {
             return default;
         }
-        let memory: u64 = engines()
-            .map(|digest| digest.largest_memory_tokens * u64::from(digest.serving))
-            .sum();
+        let memory: u64 =
+            engines().map(|digest| digest.largest_memory_tokens * u64::from(digest.serving)).sum();
         let fastest = engines().map(|digest| digest.upstream_tokens_per_second).max();
         let daemons = live_daemons as u64;
         Capacity {
--- a/crates/toucansilld/src/entry/service.rs
+++ b/crates/toucansilld/src/entry/service.rs
@@ -124,12 +124,7 @@
     Ok(reply)
 }
 
-fn claim_id(
-    entry: &Entry,
-    accepted: &Accepted,
-    plain: &PlainCall,
-    key: IdempotencyKey,
-) -> ClaimId {
+fn claim_id(entry: &Entry, accepted: &Accepted, plain: &PlainCall, key: IdempotencyKey) -> ClaimId {
     ClaimId {
         key: LedgerKey {
             organisation: accepted.organisation.clone(),
--- a/crates/toucansilld/src/lib.rs
+++ b/crates/toucansilld/src/lib.rs
@@ -1,11 +1,21 @@
 //! The daemon that runs on every entry VM.
 
-mod callers;
+mod control_client;
+mod control_messages;
 mod daemon;
+mod entry;
 mod error;
+mod gossip;
 pub mod logs;
 pub mod messages;
+mod net;
+mod operators;
+mod owner;
+mod services;
+mod session;
 mod settings;
+mod sync;
+mod voter;
 
 pub use daemon::Daemon;
 pub use error::{Error, Result};
--- a/crates/toucansilld/src/main.rs
+++ b/crates/toucansilld/src/main.rs
@@ -7,9 +7,12 @@
     consts::{SIGINT, SIGTERM},
     iterator::Signals,
 };
-use std::{env, path::Path, process::ExitCode, sync::Arc};
+use std::{env, path::Path, process::ExitCode, sync::Arc, time::Duration};
 use toucansilld::{Daemon, Settings, logs};
 
+/// Time between two looks for signals.
+const SIGNAL_CHECK: Duration = Duration::from_millis(100);
+
 fn main() -> ExitCode {
     match run() {
         Ok(()) => ExitCode::SUCCESS,
@@ -20,6 +23,18 @@
     }
 }
 
+/// Waits for SIGTERM, SIGINT or an operator's drain.
+fn await_stop(signals: &mut Signals, drain_asked: &flume::Receiver<()>) {
+    loop {
+        if signals.pending().next().is_some() {
+            return;
+        }
+        if drain_asked.recv_timeout(SIGNAL_CHECK).is_ok() {
+            return;
+        }
+    }
+}
+
 fn run() -> Result<()> {
     let mut options = Options::new();
     options.optflag("h", "help", "print this help");
@@ -35,8 +50,13 @@
     logs::install(&settings.daemon);
     let mut signals = Signals::new([SIGTERM, SIGINT])?;
     let daemon = Daemon::start(&settings, Arc::new(SystemClock))?;
-    log::info!("callers at {}", daemon.callers_address());
-    signals.forever().next();
-    daemon.stop();
+    log::info!(
+        "callers at {}, operators at {}, links at {}",
+        daemon.callers_address(),
+        daemon.operators_address(),
+        daemon.links_address()
+    );
+    await_stop(&mut signals, &daemon.drain_asked());
+    daemon.drain();
     Ok(())
 }
--- a/crates/toucansilld/src/messages.rs
+++ b/crates/toucansilld/src/messages.rs
@@ -4,9 +4,7 @@
 //! [`service`] names.
 
 use bincode::{Decode, Encode};
-use wire::{
-    DataCentreId, IdempotencyKey, ModelId, OrganisationId, RequestId, ServiceId, Tokens, Verdict,
-};
+use wire::{IdempotencyKey, ModelId, OrganisationId, RequestId, ServiceId, Tokens, Verdict};
 
 /// Names of the services that answer messages.
 pub mod service {
--- a/crates/toucansilld/src/net.rs
+++ b/crates/toucansilld/src/net.rs
@@ -22,7 +22,9 @@
 
 /// Links of one daemon.
 pub(crate) struct Net {
-    links: Links,
+    /// Taken out at a stop.
+    links: Mutex<Option<Arc<Links>>>,
+    address: SocketAddr,
     services: Services,
     peers: Mutex<Vec<Peer>>,
 }
@@ -77,7 +79,9 @@
         let known = Arc::clone(&services);
         let handler = Arc::new(move |inbound: Inbound| dispatch(&known, inbound));
         let links = Links::start(cfg, handler).map_err(fault)?;
-        Ok(Arc::new(Self { links, services, peers: Mutex::default() }))
+        let address = links.address();
+        let links = Mutex::new(Some(Arc::new(links)));
+        Ok(Arc::new(Self { links, address, services, peers: Mutex::default() }))
     }
 
     /// Adds a service.
@@ -87,7 +91,16 @@
 
     /// The address that is listened on.
     pub(crate) fn address(&self) -> SocketAddr {
-        self.links.address()
+        self.address
+    }
+
+    /// Closes all links.
+    pub(crate) fn stop(&self) {
+        lock(&self.links).take();
+    }
+
+    fn links(&self) -> std::result::Result<Arc<Links>, NetError> {
+        lock(&self.links).clone().ok_or_else(|| NetError::unsent("the links are closed"))
     }
 
     /// The other daemons of the roster.
@@ -120,7 +133,7 @@
     ) -> std::result::Result<Vec<u8>, NetError> {
         let peer = parse(address)?;
         let message = Message { service: String::from(service), body };
-        Ok(self.links.request(peer, message, timeout)?)
+        Ok(self.links()?.request(peer, message, timeout)?)
     }
 
     /// Sends a message and gives the frames of its answer.
@@ -133,14 +146,16 @@
     ) -> std::result::Result<Frames, NetError> {
         let peer = parse(address)?;
         let message = Message { service: String::from(service), body };
-        Ok(Frames { stream: self.links.open_stream(peer, message, timeout)? })
+        Ok(Frames { stream: self.links()?.open_stream(peer, message, timeout)? })
     }
 
     /// Sends a message without waiting for an answer.
     pub(crate) fn notify(&self, address: &str, service: &str, body: Vec<u8>) {
-        match parse(address) {
-            Ok(peer) => self.links.notify(peer, Message { service: String::from(service), body }),
-            Err(err) => log::warn!("{err}"),
+        match parse(address).and_then(|peer| Ok((peer, self.links()?))) {
+            Ok((peer, links)) => {
+                links.notify(peer, Message { service: String::from(service), body });
+            }
+            Err(err) => log::debug!("{address}: {err}"),
         }
     }
 }
--- a/crates/toucansilld/src/owner.rs
+++ b/crates/toucansilld/src/owner.rs
@@ -17,7 +17,8 @@
 };
 pub(crate) use actor::UpstreamStatus;
 use actor::{Actor, OwnerMsg};
-pub(crate) use job::FrameSink;
+pub(crate) use convert::service_model;
+pub(crate) use job::{FrameSink, refused};
 use kernel::SharedClock;
 use route::{Digest, Placement, Refusal};
 use std::{
@@ -42,8 +43,6 @@
     pub(crate) targets: Vec<Target>,
     /// Requests in flight on the first upstream, this one included.
     pub(crate) in_flight: usize,
-    /// Epoch of the ownership, for orders.
-    pub(crate) epoch: u64,
 }
 
 /// A job's placement, or the final answer to it.
--- a/crates/toucansilld/src/owner/actor.rs
+++ b/crates/toucansilld/src/owner/actor.rs
@@ -9,10 +9,13 @@
 };
 use serde::Serialize;
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::HashMap,
     time::{Duration, Instant},
 };
-use upstream::{Announcement, Change, Directory, Target, announce::DirectoryConfig};
+use upstream::{
+    Announcement, Directory, Target,
+    announce::{Change, DirectoryConfig},
+};
 use wire::{RequestId, Tokens, UpstreamId};
 
 /// Longest time between two looks at deadlines and ownership.
@@ -74,12 +77,6 @@
     pub(crate) target: Target,
     /// Whether it is a model engine.
     pub(crate) is_engine: bool,
-    /// Requests that this owner has in flight there, with memory in tokens.
-    pub(crate) requests: Vec<RequestId>,
-    /// Epoch of the ownership, for orders.
-    pub(crate) epoch: u64,
-    /// Whether it refuses orders with an old fencing number.
-    pub(crate) checks_fences: bool,
 }
 
 /// State of the owner's thread.
@@ -88,7 +85,6 @@
     fleet: Fleet,
     directory: Directory,
     waiting: HashMap<RequestId, flume::Sender<PlacedResult>>,
-    epochs: BTreeMap<UpstreamId, u64>,
     digest_sequence: u64,
 }
 
@@ -104,7 +100,6 @@
             fleet: Fleet::new(cfg),
             directory: Directory::new(DirectoryConfig::default()),
             waiting: HashMap::new(),
-            epochs: BTreeMap::new(),
             digest_sequence: 0,
         }
     }
@@ -243,10 +238,9 @@
         let grants = dispatch.placement.grants();
         let first = grants.first()?;
         let in_flight = self.fleet.requests_on(&first.upstream).len();
-        let epoch = self.epochs.get(&first.upstream).copied().unwrap_or_default();
         let targets: Option<Vec<Target>> =
             grants.iter().map(|grant| self.target(&grant.upstream)).collect();
-        Some(Placed { placement: dispatch.placement.clone(), targets: targets?, in_flight, epoch })
+        Some(Placed { placement: dispatch.placement.clone(), targets: targets?, in_flight })
     }
 
     fn target(&self, id: &str) -> Option<Target> {
@@ -281,10 +275,7 @@
         for id in ids {
             let ownership = self.cx.session.owns(&id);
             let is_up = match &ownership {
-                Ownership::Owner { epoch } => {
-                    self.epochs.insert(id.clone(), *epoch);
-                    !configuration.is_retired(&id)
-                }
+                Ownership::Owner { .. } => !configuration.is_retired(&id),
                 _ => false,
             };
             let directive = if is_up { Directive::Up } else { Directive::Retired };
@@ -300,7 +291,6 @@
         self.fleet.remove(now, id);
         self.fleet.set_directive(now, id, Directive::Up);
         self.directory.remove(id);
-        self.epochs.remove(id);
     }
 
     fn digest(&mut self, now: Instant) -> Digest {
@@ -332,9 +322,6 @@
                 PollTarget {
                     target: Target::new(announcement.id.clone(), announcement.address.clone()),
                     is_engine: announcement.kind == upstream::Kind::Engine,
-                    requests: self.fleet.requests_on(&announcement.id),
-                    epoch: self.epochs.get(&announcement.id).copied().unwrap_or_default(),
-                    checks_fences: announcement.checks_fences,
                 }
             })
             .collect()
--- a/crates/toucansilld/src/services.rs
+++ b/crates/toucansilld/src/services.rs
@@ -21,7 +21,10 @@
 }
 
 /// On a daemon without a voter: names the leader that it knows.
-pub(crate) fn serve_referral(net: &Net, leader: impl Fn() -> Option<String> + Send + Sync + 'static) {
+pub(crate) fn serve_referral(
+    net: &Net,
+    leader: impl Fn() -> Option<String> + Send + Sync + 'static,
+) {
     let refer = move |inbound: Inbound| {
         let reply = ControlReply::NotLeader { leader: leader() };
         let _ = inbound.responder.reply(control::encode(&reply));
--- a/crates/toucansilld/src/voter.rs
+++ b/crates/toucansilld/src/voter.rs
@@ -19,10 +19,14 @@
 use kernel::SharedClock;
 use leader::Leader;
 use std::{
+    fs,
+    path::{Path, PathBuf},
     sync::{Arc, Mutex},
     time::Duration,
 };
 
+/// Name of the file in which a back-up is put together.
+const BACKUP_FILE: &str = "backup.new";
 /// Longest wait for a proposal to be committed.
 const PROPOSE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Longest wait for a majority to confirm the leader.
@@ -38,6 +42,7 @@
     state: Arc<Mutex<State>>,
     leader: Mutex<Option<Leader>>,
     addresses: Addresses,
+    backup_file: PathBuf,
     clock: SharedClock,
 }
 
@@ -56,7 +61,8 @@
         cfg.start = start_of(settings);
         let handle = Group::start(cfg, machine::machine(&state), outbox)
             .map_err(|err| Error::start("voter", err))?;
-        Ok(Self { handle, state, leader: Mutex::default(), addresses, clock })
+        let backup_file = settings.data_folder.join(BACKUP_FILE);
+        Ok(Self { handle, state, leader: Mutex::default(), addresses, backup_file, clock })
     }
 
     /// Answers one request.
@@ -161,12 +167,8 @@
                 matched: status.matched.get(&id).copied().unwrap_or(status.last_index),
             })
             .collect();
-        let report = VotersReport {
-            leader: status.id,
-            term: status.term,
-            commit: status.commit,
-            members,
-        };
+        let report =
+            VotersReport { leader: status.id, term: status.term, commit: status.commit, members };
         Ok(ControlReply::Voters(report))
     }
 
@@ -196,7 +198,10 @@
     fn back_up(&self) -> group::Result<ControlReply> {
         self.handle.confirm(CONFIRM_TIMEOUT)?;
         let snapshot = self.handle.backup()?;
-        Ok(ControlReply::BackUp(control::encode(&snapshot)))
+        Ok(match backup_bytes(&self.backup_file, &snapshot) {
+            Ok(buf) => ControlReply::BackUp(buf),
+            Err(reason) => ControlReply::Refused(reason),
+        })
     }
 
     /// Runs `f` after a majority has confirmed this voter as the leader, with a
@@ -240,6 +245,14 @@
 /// Epoch of a group that was not restored from a back-up.
 const FIRST_EPOCH: u64 = 1;
 
+/// The snapshot in the format of a back-up file.
+fn backup_bytes(file: &Path, snapshot: &raft::Snapshot) -> std::result::Result<Vec<u8>, String> {
+    disk::write_backup(file, snapshot).map_err(|err| err.to_string())?;
+    let buf = fs::read(file).map_err(|err| err.to_string())?;
+    fs::remove_file(file).map_err(|err| err.to_string())?;
+    Ok(buf)
+}
+
 fn force_report(found: InForce) -> ForceReport {
     match found {
         InForce::Yes => {
