Test real processes: any entry, hard kills, restart of all, planned stop

Cause: the wiring was tried by hand only. Change: a harness of daemon processes with stand-ins; four scenarios; one source of local settings for demo and tests; the model list names only models that are served now, as a daemon that still waited for ownership listed a model that it then refused (seen once: 503 no_upstream right after the list named the model). Conclusion: a kill leaves the others serving, and a restart of all keeps the last sheet.

--- a/crates/toucansill/src/command/demo.rs
+++ b/crates/toucansill/src/command/demo.rs
@@ -3,11 +3,12 @@
 use crate::{
     cli::{Command, Result},
     exit::{Exit, Failure},
-    fleet::{API_KEY, Fleet, FleetConfig, OPERATOR_TOKEN, data_centre, sheet},
+    fleet::Fleet,
 };
 use fake::EngineConfig;
 use getopts::Matches;
 use std::thread;
+use toucansilld::local::{API_KEY, LocalConfig, OPERATOR_TOKEN, data_centre, sheet};
 
 /// Model of the demo's engines.
 const MODEL: &str = "small";
@@ -32,9 +33,9 @@
     if daemons == 0 || daemons > DAEMONS_MAX {
         return Err(Failure::usage("demo: --daemons takes 1 to 9").into());
     }
-    let cfg = FleetConfig { daemons, data_centres: daemons.min(3) };
+    let cfg = LocalConfig { daemons, data_centres: daemons.min(3) };
     let mut fleet = Fleet::start(&cfg)?;
-    fleet.apply(&sheet(&cfg, 1, &[MODEL]))?;
+    fleet.apply(&sheet(&cfg, 1, &[MODEL], &[]))?;
     for i in 0..ENGINES {
         fleet.add_engine(EngineConfig {
             id: format!("engine-{}", i + 1),
--- a/crates/toucansill/src/command/status.rs
+++ b/crates/toucansill/src/command/status.rs
@@ -42,8 +42,8 @@
     );
     text += &voter(&status["voter"]);
     text += &format!(
-        "waiting for admission {}, waiting or running at this owner {}\n\n",
-        status["waiting_admission"], status["owner_load"]
+        "callers' requests in flight {}, of them waiting for admission {}, at this owner {}\n\n",
+        status["in_flight"], status["waiting_admission"], status["owner_load"]
     );
     text += &data_centres(&status["data_centres"]);
     text += &members(&status["members"]);
--- a/crates/toucansilld/src/entry.rs
+++ b/crates/toucansilld/src/entry.rs
@@ -27,7 +27,7 @@
 use std::{
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -60,6 +60,7 @@
     keys: Mutex<Arc<ApiKeys>>,
     budget: Mutex<upstream::Budget>,
     next_request: AtomicU64,
+    in_flight: AtomicUsize,
     is_draining: AtomicBool,
 }
 
@@ -84,6 +85,7 @@
             keys: Mutex::default(),
             budget: Mutex::new(upstream::Budget::new(0.1, 100.0)),
             next_request: AtomicU64::new(0),
+            in_flight: AtomicUsize::new(0),
             is_draining: AtomicBool::new(false),
         })
     }
@@ -94,7 +96,12 @@
             "/healthz" => req.reply.json(200, r#"{"alive":true}"#, Verdict::Ran),
             "/readyz" => self.ready(req),
             "/upstreams" => announce::handle(self, req),
-            _ => self.call(req),
+            _ => {
+                self.in_flight.fetch_add(1, Ordering::Relaxed);
+                let result = self.call(req);
+                self.in_flight.fetch_sub(1, Ordering::Relaxed);
+                result
+            }
         };
         if let Err(err) = result {
             log::debug!("the caller is gone: {err}");
@@ -150,6 +157,11 @@
         self.is_draining.load(Ordering::Relaxed)
     }
 
+    /// Callers' requests that have not been answered yet.
+    pub(crate) fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
     /// Requests that wait for admission.
     pub(crate) fn waiting(&self) -> usize {
         self.admission.waiting()
--- a/crates/toucansilld/src/entry/placement.rs
+++ b/crates/toucansilld/src/entry/placement.rs
@@ -73,6 +73,7 @@
             .models
             .values()
             .flatten()
+            .filter(|digest| digest.serving > 0)
             .map(|digest| &digest.model)
             .filter(|model| !model.starts_with('/'))
             .collect();
--- a/crates/toucansilld/src/lib.rs
+++ b/crates/toucansilld/src/lib.rs
@@ -6,6 +6,7 @@
 mod entry;
 mod error;
 mod gossip;
+pub mod local;
 pub mod logs;
 pub mod messages;
 mod net;
--- a/crates/toucansilld/src/operators/report.rs
+++ b/crates/toucansilld/src/operators/report.rs
@@ -21,6 +21,8 @@
     members: Vec<MemberStatus>,
     data_centres: BTreeMap<String, bool>,
     upstreams: Vec<UpstreamStatus>,
+    /// Requests at this entry that have not been answered yet.
+    in_flight: usize,
     /// Requests that wait for admission at this entry.
     waiting_admission: usize,
     /// Requests that wait or run at this owner.
@@ -74,6 +76,7 @@
         members,
         data_centres: cfg.data_centres.iter().map(|(id, dc)| (id.clone(), dc.in_service)).collect(),
         upstreams: cx.owner.upstreams(),
+        in_flight: cx.entry.in_flight(),
         waiting_admission: cx.entry.waiting(),
         owner_load: cx.owner.load(),
         voter: cx.voter.as_ref().map(|voter| voter_status(&voter.status())),
