Add orders, reconciliation, gangs and the engine's management API

Cause: long prompts exceed one engine, orders need fencing, and memory that nobody holds must come back. Change: upstream::gang reads a prompt over several engines by KV export and import and releases every cache on every way out; orders::OrderQueue sends one order at a time under a fencing number, waits for the former owner's lease where fences are ignored, and keeps the weight store's rate; reconcile is a pure state machine with claims and a grace period. fake::Engine gains a prefix cache with late and gappy events, lagged load reports, KV export and import, fenced orders, cold start that falls over, and crossed answers. Each test was seen to fail by a mutation: KV caches not held or released, no KV handle, no cancel on drop (the tests hang), no deadline, wrong statuses, each condition of orders, directory and reconciliation removed or off by one. Three mutations survived at first; the splice test now gets other text, and the reconciliation test also asks that nothing stays under observation.

--- a/crates/fake/src/announce.rs
+++ b/crates/fake/src/announce.rs
@@ -1,6 +1,6 @@
 //! What an upstream says about itself to a daemon.
 
-use crate::{config::Ramp, engine::Core, plain::PlainConfig};
+use crate::{config::Ramp, plain::PlainConfig, state::Core};
 use serde::Serialize;
 use std::{net::SocketAddr, thread, time::Duration};
 use wire::{DataCentreId, Incarnation, ModelId, ServiceId, Tokens, UpstreamId};
--- a/crates/fake/src/batch.rs
+++ b/crates/fake/src/batch.rs
@@ -1,8 +1,8 @@
 //! Continuous batching: a pure state machine over jobs and steps.
 
-use crate::body::Usage;
+use crate::{body::Usage, text::Digest};
 use std::{collections::BTreeMap, time::Duration};
-use wire::{RequestId, Tokens};
+use wire::{Fence, RequestId, Tokens};
 
 /// Emissions that wait for a slow client before its job pauses.
 pub(crate) const EMISSION_QUEUE: usize = 256;
@@ -24,8 +24,10 @@
 #[derive(Debug)]
 pub(crate) struct Job {
     pub(crate) id: RequestId,
+    pub(crate) fence: Option<Fence>,
     /// Urgent jobs have the lower number.
     pub(crate) priority: u8,
+    pub(crate) digest: Digest,
     pub(crate) prompt_tokens: Tokens,
     pub(crate) cached_tokens: Tokens,
     /// Prompt tokens still to be read.
@@ -34,6 +36,10 @@
     pub(crate) next: Tokens,
     pub(crate) max_tokens: Tokens,
     pub(crate) memory: Tokens,
+    /// Keeps the KV cache under this job's id once it has finished.
+    pub(crate) kv_retain: bool,
+    /// Digests of the prompt's blocks, for the prefix cache.
+    pub(crate) blocks: Vec<u64>,
     /// `None` once the client has gone; the job goes on.
     pub(crate) tx: Option<flume::Sender<Emission>>,
 }
@@ -80,6 +86,21 @@
     pub(crate) decoded: Tokens,
     /// Jobs that ended with this step.
     pub(crate) finished: Vec<Job>,
+    /// The prompt that has been read to its end with this step.
+    pub(crate) read: Option<ReadPrompt>,
+}
+
+/// A prompt that can be cached.
+#[derive(Debug)]
+pub(crate) struct ReadPrompt {
+    pub(crate) id: RequestId,
+    pub(crate) blocks: Vec<u64>,
+}
+
+impl ReadPrompt {
+    fn of(job: &Job) -> Self {
+        Self { id: job.id.clone(), blocks: job.blocks.clone() }
+    }
 }
 
 /// The running jobs, in order of arrival.
@@ -89,6 +110,8 @@
     next_arrival: u64,
     /// No job generates the token at this offset or a later one while this is set.
     pub(crate) hold_at: Option<Tokens>,
+    /// No job gets anywhere while this is set.
+    pub(crate) is_paused: bool,
 }
 
 impl Batch {
@@ -106,6 +129,10 @@
         self.jobs.is_empty()
     }
 
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Job> {
+        self.jobs.values()
+    }
+
     pub(crate) fn get_mut(&mut self, id: &str) -> Option<&mut Job> {
         self.jobs.values_mut().find(|job| job.id == id)
     }
@@ -115,22 +142,35 @@
         self.jobs.remove(&arrival)
     }
 
+    pub(crate) fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
     /// Memory that the jobs hold.
     pub(crate) fn memory(&self) -> Tokens {
         self.jobs.values().map(|job| job.memory).sum()
     }
 
+    /// Prompt tokens still to be read.
+    pub(crate) fn prefill_left(&self) -> Tokens {
+        self.jobs.values().map(|job| job.prefill_left).sum()
+    }
+
     /// Runs one step: a token for each job whose prompt is read, and one chunk
     /// of the most urgent prompt that is not.
     pub(crate) fn step(&mut self, rates: &Rates) -> Step {
+        if self.is_paused {
+            return Step::default();
+        }
         let decoded = self.decode();
-        let prefilled = self.prefill(rates.prefill_chunk);
+        let (prefilled, read) = self.prefill(rates.prefill_chunk);
+        let read = read.and_then(|arrival| self.jobs.get(&arrival)).map(ReadPrompt::of);
         let finished = self.take_finished();
         let mut seconds = prefilled as f64 / rates.prefill_tokens_per_s;
         if decoded > 0 {
             seconds += 1.0 / rates.decode_tokens_per_s;
         }
-        Step { duration: Duration::from_secs_f64(seconds), prefilled, decoded, finished }
+        Step { duration: Duration::from_secs_f64(seconds), prefilled, decoded, finished, read }
     }
 
     fn decode(&mut self) -> Tokens {
@@ -147,17 +187,19 @@
         decoded
     }
 
-    fn prefill(&mut self, chunk: Tokens) -> Tokens {
+    /// Reads a chunk, and names the job whose prompt is then read to its end.
+    fn prefill(&mut self, chunk: Tokens) -> (Tokens, Option<u64>) {
         let waiting = self.jobs.iter_mut().filter(|(_, job)| job.prefill_left > 0);
-        let Some((_, job)) = waiting.min_by_key(|(arrival, job)| (job.priority, **arrival)) else {
-            return 0;
+        let next = waiting.min_by_key(|(arrival, job)| (job.priority, **arrival));
+        let Some((arrival, job)) = next else {
+            return (0, None);
         };
         let read = job.prefill_left.min(chunk);
         job.prefill_left -= read;
         if job.can_emit() {
             job.emit(Emission::Prefilled);
         }
-        read
+        (read, (job.prefill_left == 0).then_some(*arrival))
     }
 
     fn take_finished(&mut self) -> Vec<Job> {
--- a/crates/fake/src/body.rs
+++ b/crates/fake/src/body.rs
@@ -22,6 +22,12 @@
     pub(crate) request_id: Option<RequestId>,
     #[serde(default)]
     pub(crate) resume: Option<Tokens>,
+    /// Keeps the KV cache after the end, until it is released.
+    #[serde(default)]
+    pub(crate) kv_retain: bool,
+    /// Imported KV cache that this prompt continues.
+    #[serde(default)]
+    pub(crate) kv_handle: Option<String>,
 }
 
 /// One message of a chat.
--- a/crates/fake/src/engine.rs
+++ b/crates/fake/src/engine.rs
@@ -2,11 +2,13 @@
 
 use crate::{
     announce::Announcement,
-    batch::{Batch, Emission, Rates},
+    batch::{Emission, Rates},
     config::EngineConfig,
     http,
+    orders::Executed,
     relay::Relay,
     serve,
+    state::{Core, Stats},
 };
 use std::{
     io,
@@ -15,51 +17,21 @@
     thread,
     time::Duration,
 };
-use wire::{Incarnation, RequestId, Tokens};
+use wire::{Incarnation, Tokens};
 
 /// How long the batch waits for a slow client before it looks again.
 const PAUSE: Duration = Duration::from_millis(2);
 
-/// What an engine has done since its first start.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Stats {
-    /// Requests taken in.
-    pub admitted: u64,
-    /// Requests refused without having run.
-    pub refused: u64,
-    /// Requests that generated all their tokens.
-    pub finished: u64,
-    /// Requests cancelled by order.
-    pub cancelled: u64,
-    /// Streams taken up again at an offset.
-    pub resumed: u64,
-    /// Prompt tokens read.
-    pub prefilled: Tokens,
-    /// Tokens generated.
-    pub decoded: Tokens,
-    /// Crashes, for whatever reason.
-    pub crashes: u64,
-    /// Crashes from more load than the cold-start ramp allows.
-    pub overloads: u64,
-}
-
-/// Everything that an engine holds, lost at a crash but for the counters.
-pub(crate) struct Core {
-    pub(crate) cfg: EngineConfig,
-    pub(crate) incarnation: Incarnation,
-    pub(crate) running: bool,
-    pub(crate) draining: bool,
-    pub(crate) batch: Batch,
-    pub(crate) stats: Stats,
-}
+/// Time between two load reports of an idle engine.
+const IDLE_TICK: Duration = Duration::from_millis(100);
 
 /// State that the engine's threads share.
 pub(crate) struct Shared {
     core: Mutex<Core>,
     /// Wakes the batch thread.
     wake: Condvar,
-    /// Wakes those who wait for the engine to be idle.
-    idle: Condvar,
+    /// Wakes those who wait for requests to come or go.
+    changed: Condvar,
     relay: Relay,
 }
 
@@ -78,18 +50,10 @@
     pub fn start(cfg: EngineConfig) -> io::Result<Self> {
         let (server, inner) = http::bind()?;
         let relay = Relay::start(inner)?;
-        let core = Core {
-            incarnation: cfg.incarnation,
-            running: true,
-            draining: false,
-            batch: Batch::default(),
-            stats: Stats::default(),
-            cfg,
-        };
         let shared = Arc::new(Shared {
-            core: Mutex::new(core),
+            core: Mutex::new(Core::new(cfg)),
             wake: Condvar::new(),
-            idle: Condvar::new(),
+            changed: Condvar::new(),
             relay,
         });
         let server = Arc::new(server);
@@ -134,26 +98,56 @@
         self.shared.lock().batch.hold_at = Some(offset);
     }
 
-    /// Ends [`Engine::hold_at`].
+    /// Lets no request get anywhere, until [`Engine::release`].
+    pub fn pause(&self) {
+        self.shared.lock().batch.is_paused = true;
+    }
+
+    /// Ends [`Engine::hold_at`] and [`Engine::pause`].
     pub fn release(&self) {
-        self.shared.lock().batch.hold_at = None;
+        let mut core = self.shared.lock();
+        core.batch.hold_at = None;
+        core.batch.is_paused = false;
         self.shared.wake.notify_all();
     }
 
-    /// Refuses new requests, waits for the running ones, and closes.
-    pub fn stop(&self) {
+    /// Lets the next `n` requests answer with another request's id.
+    pub fn cross_next(&self, n: u64) {
+        self.shared.lock().cross_next = n;
+    }
+
+    /// The orders that it has carried out since its start.
+    pub fn orders(&self) -> Vec<Executed> {
+        self.shared.lock().orders.executed().to_vec()
+    }
+
+    /// Waits until no request runs and no KV cache is kept, or it has crashed.
+    pub fn wait_idle(&self) {
+        self.wait_until(|core| !core.running || core.memory_used() == 0);
+    }
+
+    /// Waits until `n` requests have been taken in.
+    pub fn wait_admitted(&self, n: u64) {
+        self.wait_until(|core| core.stats.admitted >= n);
+    }
+
+    fn wait_until(&self, is_met: impl Fn(&Core) -> bool) {
         let mut core = self.shared.lock();
-        core.draining = true;
-        while core.running && !core.batch.is_empty() {
-            core = self.shared.idle.wait(core).unwrap_or_else(PoisonError::into_inner);
+        while !is_met(&core) {
+            core = self.shared.changed.wait(core).unwrap_or_else(PoisonError::into_inner);
         }
-        drop(core);
-        self.shared.relay.close();
+    }
+
+    /// Refuses new requests and connections, and waits for the running requests.
+    pub fn stop(&self) {
+        self.shared.lock().draining = true;
+        self.wait_idle();
+        self.shared.relay.refuse();
     }
 
     /// Crashes: all connections are cut and all state is lost.
     pub fn kill(&self) {
-        self.shared.crash();
+        Shared::crash(&self.shared);
     }
 
     /// Starts again after a crash, on the same address under a new incarnation.
@@ -168,40 +162,49 @@
 
 impl Drop for Engine {
     fn drop(&mut self) {
-        self.shared.crash();
         self.shared.lock().cfg.restart_after = None;
+        Shared::crash(&self.shared);
         self.server.unblock();
     }
 }
 
-impl Core {
-    pub(crate) fn memory_used(&self) -> Tokens {
-        self.batch.memory()
-    }
-}
-
 impl Shared {
     pub(crate) fn lock(&self) -> MutexGuard<'_, Core> {
         self.core.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Tells the batch thread that there is work.
+    /// Tells that requests have come or KV caches have gone.
     pub(crate) fn wake(&self) {
+        self.changed.notify_all();
         self.wake.notify_all();
     }
 
-    pub(crate) fn crash(&self) {
-        let mut core = self.lock();
+    /// Loses all state and cuts all connections.
+    pub(crate) fn crash(shared: &Arc<Self>) {
+        let mut core = shared.lock();
         if !core.running {
             return;
         }
         core.running = false;
         core.stats.crashes += 1;
         // Close before the jobs' channels go, so that no client sees a tidy end.
-        self.relay.close();
-        core.batch.clear();
-        self.wake.notify_all();
-        self.idle.notify_all();
+        shared.relay.close();
+        core.reset();
+        shared.wake.notify_all();
+        shared.changed.notify_all();
+        if let Some(after) = core.cfg.restart_after {
+            Self::restart_later(shared, after);
+        }
+    }
+
+    fn restart_later(shared: &Arc<Self>, after: Duration) {
+        let weak = Arc::downgrade(shared);
+        thread::spawn(move || {
+            thread::sleep(after);
+            if let Some(Err(e)) = weak.upgrade().map(|shared| shared.restart()) {
+                log::warn!("the engine can't start again: {e}");
+            }
+        });
     }
 
     fn restart(&self) -> io::Result<()> {
@@ -209,14 +212,12 @@
         if core.running {
             return Ok(());
         }
-        core.running = true;
-        core.draining = false;
-        core.incarnation += 1;
+        core.start_again();
         self.relay.open()
     }
 
     /// Cancels a running request, and says whether there was one.
-    pub(crate) fn cancel(&self, id: &RequestId) -> bool {
+    pub(crate) fn cancel(&self, id: &str) -> bool {
         let mut core = self.lock();
         let Some(job) = core.batch.remove(id) else {
             return false;
@@ -225,9 +226,7 @@
         if let Some(tx) = job.tx {
             let _ = tx.try_send(Emission::Cancelled);
         }
-        if core.batch.is_empty() {
-            self.idle.notify_all();
-        }
+        self.changed.notify_all();
         true
     }
 }
@@ -251,8 +250,8 @@
 fn step(shared: &Shared) -> Duration {
     let mut core = shared.lock();
     if core.batch.is_empty() {
-        let waited = shared.wake.wait_timeout(core, PAUSE * 50);
-        drop(waited);
+        core.note_load();
+        drop(shared.wake.wait_timeout(core, IDLE_TICK));
         return Duration::ZERO;
     }
     let rates = Rates {
@@ -260,14 +259,13 @@
         decode_tokens_per_s: core.cfg.decode_tokens_per_s,
         prefill_chunk: core.cfg.prefill_chunk,
     };
-    let step = core.batch.step(&rates);
-    core.stats.prefilled += step.prefilled;
-    core.stats.decoded += step.decoded;
-    core.stats.finished += step.finished.len() as u64;
+    let mut step = core.batch.step(&rates);
+    let is_stuck = step.prefilled + step.decoded == 0 && step.finished.is_empty();
+    core.apply(&mut step);
     if core.batch.is_empty() {
-        shared.idle.notify_all();
+        shared.changed.notify_all();
     }
-    if step.prefilled + step.decoded == 0 && step.finished.is_empty() {
+    if is_stuck {
         // Held, or all clients are slow.
         drop(shared.wake.wait_timeout(core, PAUSE));
         return Duration::ZERO;
--- a/crates/fake/src/http.rs
+++ b/crates/fake/src/http.rs
@@ -92,6 +92,9 @@
     }
 }
 
+/// A refusal with its HTTP status.
+pub(crate) struct Refused(pub(crate) u16, pub(crate) Refusal);
+
 /// A writer that sends what it has buffered when it goes. The encoder writes
 /// the last chunk when it is dropped, and `tiny_http` would keep that back.
 struct FlushOnDrop(Box<dyn Write + Send>);
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -22,17 +22,26 @@
 mod announce;
 mod batch;
 mod body;
+mod cache;
 mod config;
+mod control;
+
 mod engine;
 mod http;
+mod kv;
+mod load;
+mod orders;
 mod plain;
 mod relay;
 mod serve;
+mod state;
 mod text;
 
 pub use announce::{Announcement, Announcer};
 pub use config::{EngineConfig, Ramp};
-pub use engine::{Engine, Stats};
+pub use engine::Engine;
+pub use orders::{Executed, Order};
 pub use plain::{Behaviour, Plain, PlainConfig};
 pub use relay::Relay;
+pub use state::Stats;
 pub use text::{completion_text, count_tokens};
--- a/crates/fake/src/relay.rs
+++ b/crates/fake/src/relay.rs
@@ -88,6 +88,12 @@
 
     /// Cuts all connections and refuses new ones, until [`Relay::open`].
     pub fn close(&self) {
+        self.refuse();
+        self.cut();
+    }
+
+    /// Refuses new connections, until [`Relay::open`]. Open ones work.
+    pub fn refuse(&self) {
         let accepting = {
             let mut state = self.shared.lock();
             state.open = false;
@@ -98,7 +104,6 @@
             let _ = TcpStream::connect(self.shared.address);
             let _ = accepting.join();
         }
-        self.cut();
     }
 
     /// Accepts connections again, on the same address.
--- a/crates/fake/src/serve.rs
+++ b/crates/fake/src/serve.rs
@@ -3,8 +3,11 @@
 use crate::{
     batch::{EMISSION_QUEUE, Emission, Job},
     body::{Choice, Chunk, CompletionBody, Content, Usage},
-    engine::{Core, Shared},
-    http::{self, EventWriter, Refusal},
+    cache, control,
+    engine::Shared,
+    http::{self, EventWriter, Refusal, Refused},
+    orders,
+    state::Core,
     text::{Digest, count_tokens},
 };
 use std::{
@@ -40,29 +43,21 @@
     match (req.method(), path.as_str()) {
         (Method::Post, "/v1/chat/completions") => complete(shared, req, &body, Api::Chat),
         (Method::Post, "/v1/completions") => complete(shared, req, &body, Api::Plain),
-        (Method::Post, path) if path.starts_with("/cancel/") => {
-            cancel(shared, req, &path["/cancel/".len()..].to_string());
-        }
-        _ => Refusal::new("not_found", format!("no such path: {path}")).respond(req, 404),
+        _ => control::handle(shared, req, &body),
     }
 }
 
-fn cancel(shared: &Shared, req: Request, id: &RequestId) {
-    let cancelled = shared.cancel(id);
-    let status = if cancelled { 200 } else { 404 };
-    http::respond_json(req, status, &serde_json::json!({ "cancelled": cancelled }));
-}
-
-/// A refusal with its HTTP status.
-struct Refused(u16, Refusal);
-
 /// A request that the engine has taken in.
 struct Accepted {
     id: RequestId,
+    /// Id in the answer: another one after [`crate::Engine::cross_next`].
+    shown_id: RequestId,
     model: String,
     digest: Digest,
     first: Tokens,
     rx: flume::Receiver<Emission>,
+    /// Whether it is more than the cold-start ramp allows.
+    is_overload: bool,
 }
 
 fn complete(shared: &Arc<Shared>, req: Request, body: &[u8], api: Api) {
@@ -72,7 +67,7 @@
     };
     let text = body.text();
     if must_crash(shared, &text) {
-        return shared.crash();
+        return Shared::crash(shared);
     }
     let accepted = match accept(shared, &req, &body, &text) {
         Ok(accepted) => accepted,
@@ -81,6 +76,9 @@
             return refusal.respond(req, status);
         }
     };
+    if accepted.is_overload {
+        return Shared::crash(shared);
+    }
     shared.wake();
     let ended = if body.stream {
         stream(req, &accepted, api)
@@ -107,40 +105,88 @@
 ) -> Result<Accepted, Refused> {
     let id = request_id(req, body);
     let resume = resume_offset(req, body)?;
+    let fence = orders::fence_of(req)?;
     let (tx, rx) = flume::bounded(EMISSION_QUEUE);
-    let digest = Digest::EMPTY.extend(text.as_bytes());
     let mut core = shared.lock();
     check_serving(&core, body)?;
+    if fence.is_some() {
+        let checks = core.cfg.checks_fences;
+        core.orders.check(fence, checks)?;
+    }
+    let segment = Segment::of(&core, body, text)?;
     let first = resume.unwrap_or_default();
+    let shown_id = core.shown_id(&id);
+    let model = body.model.clone();
+    // The text of a crossed answer differs too.
+    let digest = match shown_id == id {
+        true => segment.digest,
+        false => segment.digest.extend(shown_id.as_bytes()),
+    };
+    let mut accepted = Accepted { id, shown_id, model, digest, first, rx, is_overload: false };
     if resume.is_some() {
         core.stats.resumed += 1;
-        if let Some(job) = core.batch.get_mut(&id) {
+        if let Some(job) = core.batch.get_mut(&accepted.id) {
             // The tokens are a function of the prompt: generate them again.
             job.next = first;
             job.tx = Some(tx);
-            return Ok(Accepted { id, model: body.model.clone(), digest, first, rx });
+            return Ok(accepted);
         }
     }
-    if core.batch.get_mut(&id).is_some() {
-        let message = format!("request {id} is running");
+    if core.holds(&accepted.id) {
+        let message = format!("request {} is running", accepted.id);
         return Err(Refused(409, Refusal::new("duplicate_request", message)));
     }
-    let prompt_tokens = count_tokens(text.len() as u64);
-    let memory = prompt_tokens + body.max_tokens();
+    let memory = segment.tokens + body.max_tokens();
     check_memory(&core, memory)?;
+    let room = core.cache_capacity().saturating_sub(memory);
+    core.cache.shrink(room);
+    let cached_tokens = core.cache.lookup(&segment.blocks);
     core.stats.admitted += 1;
     core.batch.push(Job {
-        id: id.clone(),
+        id: accepted.id.clone(),
+        fence,
         priority: priority(req),
-        prompt_tokens,
-        cached_tokens: 0,
-        prefill_left: prompt_tokens,
+        digest: segment.digest,
+        prompt_tokens: segment.tokens + segment.imported,
+        cached_tokens,
+        prefill_left: segment.tokens.saturating_sub(cached_tokens),
         next: first,
         max_tokens: body.max_tokens(),
         memory,
+        kv_retain: body.kv_retain,
+        blocks: segment.blocks,
         tx: Some(tx),
     });
-    Ok(Accepted { id, model: body.model.clone(), digest, first, rx })
+    accepted.is_overload = core.is_overloaded();
+    core.stats.overloads += u64::from(accepted.is_overload);
+    Ok(accepted)
+}
+
+/// The part of a prompt that this engine reads.
+struct Segment {
+    /// Digest of the prompt so far, over all segments.
+    digest: Digest,
+    tokens: Tokens,
+    /// Tokens of the segments before, on other engines.
+    imported: Tokens,
+    blocks: Vec<u64>,
+}
+
+impl Segment {
+    fn of(core: &Core, body: &CompletionBody, text: &str) -> Result<Self, Refused> {
+        let tokens = count_tokens(text.len() as u64);
+        let Some(handle) = &body.kv_handle else {
+            let digest = Digest::EMPTY.extend(text.as_bytes());
+            let blocks = cache::block_digests(text.as_bytes());
+            return Ok(Self { digest, tokens, imported: 0, blocks });
+        };
+        let Some(state) = core.kv.imported.get(handle) else {
+            let message = format!("no KV cache {handle} was imported");
+            return Err(Refused(404, Refusal::new("unknown_handle", message)));
+        };
+        let digest = state.digest().extend(text.as_bytes());
+        Ok(Self { digest, tokens, imported: state.tokens, blocks: Vec::new() })
+    }
 }
 
 fn check_serving(core: &Core, body: &CompletionBody) -> Result<(), Refused> {
@@ -251,7 +297,7 @@
         Api::Plain => "text_completion",
     };
     let chunk = Chunk {
-        id: &accepted.id,
+        id: &accepted.shown_id,
         object,
         model: &accepted.model,
         offset,
@@ -288,7 +334,7 @@
             "text_completion"
         }
     };
-    let id = &accepted.id;
+    let id = &accepted.shown_id;
     let model = &accepted.model;
     let offset = accepted.first;
     http::respond_json(req, 200, &Chunk { id, object, model, offset, choices: [choice], usage });
--- a/crates/fake/src/text.rs
+++ b/crates/fake/src/text.rs
@@ -3,7 +3,7 @@
 use wire::Tokens;
 
 /// Bytes of prompt text that count as one token.
-const BYTES_PER_TOKEN: u64 = 4;
+pub(crate) const BYTES_PER_TOKEN: u64 = 4;
 const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
 const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
 
--- a/crates/upstream/src/stream.rs
+++ b/crates/upstream/src/stream.rs
@@ -4,7 +4,7 @@
     client::{Client, Shared, Target},
     error::{Error, Reason},
     http::Header,
-    transfer,
+    transfer::Transfer,
 };
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -123,8 +123,8 @@
 struct State {
     /// The consumer has gone, or the last event is out.
     closed: bool,
-    /// Where the request may be running.
-    target: Option<Target>,
+    /// Where the request may be running, and under which id.
+    running: Option<(Target, RequestId)>,
 }
 
 /// Lets a stream's thread ask whether the consumer is still there.
@@ -139,22 +139,27 @@
     }
 
     /// Notes where the request goes next; false once the consumer has gone.
-    pub(crate) fn enter(&self, target: &Target) -> bool {
+    pub(crate) fn enter(&self, target: &Target, id: &RequestId) -> bool {
         let mut state = self.lock();
-        state.target = Some(target.clone());
+        state.running = Some((target.clone(), id.clone()));
         !state.closed
     }
 
+    /// Whether the consumer has gone.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.lock().closed
+    }
+
     /// Notes that the request runs nowhere any more.
     pub(crate) fn leave(&self) {
-        self.lock().target = None;
+        self.lock().running = None;
     }
 
     /// Ends the stream, and gives the upstream on which it may be running.
-    fn close(&self) -> Option<Target> {
+    fn close(&self) -> Option<(Target, RequestId)> {
         let mut state = self.lock();
         state.closed = true;
-        state.target.take()
+        state.running.take()
     }
 }
 
@@ -162,7 +167,6 @@
 ///
 /// Dropping it before the last event cancels the request upstream.
 pub struct Stream {
-    id: RequestId,
     deadline: Instant,
     rx: flume::Receiver<StreamEvent>,
     presence: Presence,
@@ -180,33 +184,47 @@
         &self,
         req: StreamRequest,
         choose: impl FnMut(Option<&Failed>) -> Option<Target> + Send + 'static,
+    ) -> Stream {
+        let shared = Arc::clone(&self.shared);
+        self.spawn(req.id.clone(), req.deadline, move |presence, tx| {
+            let sink = move |event| send(&tx, event);
+            Transfer::new(shared, req, presence, Box::new(sink)).run(choose);
+        })
+    }
+
+    /// Runs `work` on a thread that yields a stream's events.
+    pub(crate) fn spawn(
+        &self,
+        id: RequestId,
+        deadline: Instant,
+        work: impl FnOnce(Presence, flume::Sender<StreamEvent>) + Send + 'static,
     ) -> Stream {
         let (tx, rx) = flume::bounded(EVENT_QUEUE);
         let presence = Presence::default();
-        let stream = Stream {
-            id: req.id.clone(),
-            deadline: req.deadline,
-            rx,
-            presence: presence.clone(),
-            shared: Arc::clone(&self.shared),
-            ended: false,
-        };
-        let shared = Arc::clone(&self.shared);
-        let refused = tx.clone();
+        let (of_thread, refused) = (presence.clone(), tx.clone());
         let spawned = thread::Builder::new()
             .name("stream".to_string())
             .stack_size(STACK_BYTES)
-            .spawn(move || transfer::Transfer::new(shared, req, presence, tx).run(choose));
+            .spawn(move || work(of_thread, tx));
         if let Err(e) = spawned {
-            let message = format!("no thread for the stream: {e}");
+            let message = format!("no thread for stream {id}: {e}");
             let error = Error::new(Reason::Full, Verdict::NotRun, message);
             let retry_after = self.shared.cfg.backoff.cap;
             let _ = refused.try_send(StreamEvent::Failed { error, retry_after });
         }
-        stream
+        Stream { deadline, rx, presence, shared: Arc::clone(&self.shared), ended: false }
     }
 }
 
+/// Passes an event to the consumer; false once it has gone.
+pub(crate) fn send(tx: &flume::Sender<StreamEvent>, event: StreamEvent) -> bool {
+    if event != StreamEvent::Progress {
+        return tx.send(event).is_ok();
+    }
+    // Progress is worth nothing to a consumer that has fallen behind.
+    !matches!(tx.try_send(event), Err(flume::TrySendError::Disconnected(_)))
+}
+
 impl Stream {
     /// Waits for the next event, at most until the deadline. `None` after the
     /// last one.
@@ -224,15 +242,23 @@
     }
 
     fn late(&self) -> StreamEvent {
-        let target = self.presence.close();
-        let verdict = if target.is_some() { Verdict::MayHaveRun } else { Verdict::NotRun };
-        if let Some(target) = target {
-            self.shared.cancel(&target.address, &self.id);
-        }
+        let verdict = match self.cancel() {
+            true => Verdict::MayHaveRun,
+            false => Verdict::NotRun,
+        };
         let error = Error::new(Reason::Deadline, verdict, "the deadline has passed");
         StreamEvent::Failed { error, retry_after: Duration::ZERO }
     }
 
+    /// Cancels the request where it may be running, and says whether it may.
+    fn cancel(&self) -> bool {
+        let running = self.presence.close();
+        if let Some((target, id)) = &running {
+            self.shared.cancel(&target.address, id);
+        }
+        running.is_some()
+    }
+
     fn lost(&self) -> StreamEvent {
         let message = "the thread of the stream has ended";
         let error = Error::new(Reason::Broken, Verdict::MayHaveRun, message);
@@ -250,8 +276,6 @@
 
 impl Drop for Stream {
     fn drop(&mut self) {
-        if let Some(target) = self.presence.close() {
-            self.shared.cancel(&target.address, &self.id);
-        }
+        self.cancel();
     }
 }
--- a/crates/upstream/src/transfer.rs
+++ b/crates/upstream/src/transfer.rs
@@ -19,6 +19,9 @@
 /// Foreign events in a row after which a connection is given up.
 const MAX_FOREIGN: u32 = 16;
 
+/// Takes in an event; false once nobody wants further ones.
+pub(crate) type Sink = Box<dyn FnMut(StreamEvent) -> bool + Send>;
+
 /// What follows a failed connection.
 enum Recovery {
     /// A new connection to the same upstream, from the next token on.
@@ -34,7 +37,7 @@
     shared: Arc<Shared>,
     req: StreamRequest,
     presence: Presence,
-    tx: flume::Sender<StreamEvent>,
+    sink: Sink,
     splice: Splice,
     rng: fastrand::Rng,
     /// The worst verdict of the connections so far.
@@ -49,12 +52,12 @@
         shared: Arc<Shared>,
         req: StreamRequest,
         presence: Presence,
-        tx: flume::Sender<StreamEvent>,
+        sink: Sink,
     ) -> Self {
         let splice = Splice::new(req.id.clone(), req.first);
         let rng = fastrand::Rng::with_seed(shared.stream_seed());
         let (may_have_run, progressed, foreign) = (false, false, 0);
-        Self { shared, req, presence, tx, splice, rng, may_have_run, progressed, foreign }
+        Self { shared, req, presence, sink, splice, rng, may_have_run, progressed, foreign }
     }
 
     /// Runs the stream to its last event.
@@ -114,10 +117,10 @@
     fn connect(&mut self, target: &Target, resumes: bool) -> Result<()> {
         self.progressed = false;
         self.foreign = 0;
-        if !self.presence.enter(target) {
+        if !self.presence.enter(target, &self.req.id) {
             return Ok(());
         }
-        if self.tx.send(StreamEvent::Sent(target.clone())).is_err() {
+        if !(self.sink)(StreamEvent::Sent(target.clone())) {
             return Ok(());
         }
         // After a failure only a new connection is known to work.
@@ -163,16 +166,7 @@
                 Line::Comment => Some(StreamEvent::Progress),
                 Line::Event(event) => self.take(target, event, &mut finish)?,
             };
-            let gone = match event {
-                // Progress is worth nothing to a consumer that has fallen behind.
-                Some(StreamEvent::Progress) => self
-                    .tx
-                    .try_send(StreamEvent::Progress)
-                    .is_err_and(|e| matches!(e, flume::TrySendError::Disconnected(_))),
-                Some(event) => self.tx.send(event).is_err(),
-                None => false,
-            };
-            if gone {
+            if event.is_some_and(|event| !(self.sink)(event)) {
                 return Ok(());
             }
         }
@@ -263,7 +257,7 @@
     fn wait_until(&self, at: Instant) -> bool {
         let pause = at.saturating_duration_since(Instant::now());
         std::thread::sleep(pause);
-        !self.tx.is_disconnected()
+        !self.presence.is_closed()
     }
 
     /// Cancels the request on an upstream that it has left.
@@ -274,18 +268,18 @@
         }
     }
 
-    fn finish(&self, finish: Finish) {
+    fn finish(&mut self, finish: Finish) {
         self.presence.leave();
-        let _ = self.tx.send(StreamEvent::Finished(finish));
+        (self.sink)(StreamEvent::Finished(finish));
     }
 
-    fn fail(&self, error: Error, retry_after: Option<Duration>) {
+    fn fail(&mut self, error: Error, retry_after: Option<Duration>) {
         let error = match self.may_have_run {
             true if error.is_not_run() => error.with_verdict(Verdict::MayHaveRun),
             _ => error,
         };
         let retry_after = retry_after.unwrap_or(self.shared.cfg.backoff.cap);
-        let _ = self.tx.send(StreamEvent::Failed { error, retry_after });
+        (self.sink)(StreamEvent::Failed { error, retry_after });
     }
 }
 
--- /dev/null
+++ b/crates/upstream/tests/directory.rs
@@ -0,0 +1,142 @@
+//! Announcements and the upstreams that are alive.
+
+use fake::{Engine, EngineConfig, Ramp};
+use kernel::{Clock, ManualClock};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use upstream::{
+    Announcement, Directory, Reason,
+    announce::{Change, DirectoryConfig, MAX_BODY_BYTES},
+};
+
+fn announced(engine: &Engine) -> Announcement {
+    let body = serde_json::to_vec(&engine.announcement()).expect("JSON");
+    Announcement::parse(&body).expect("a stand-in's announcement is valid")
+}
+
+fn example() -> Announcement {
+    let engine = Engine::start(EngineConfig::default()).expect("a free port");
+    announced(&engine)
+}
+
+#[test]
+fn bad_announcements_name_the_field_at_fault() {
+    let cases: [(&str, serde_json::Value); 9] = [
+        ("id", "".into()),
+        ("id", "a b".into()),
+        ("address", "localhost:80".into()),
+        ("data_centre", "x".repeat(129).into()),
+        ("models", serde_json::json!([])),
+        ("memory_tokens", 0.into()),
+        ("prefill_tokens_per_s", (-1.0).into()),
+        ("decode_tokens_per_s", serde_json::Value::Null),
+        ("ramp.initial_share", 1.5.into()),
+    ];
+    for (field, value) in cases {
+        let mut body = serde_json::to_value(example()).expect("JSON");
+        match field.split_once('.') {
+            Some((outer, inner)) => {
+                body[outer] = serde_json::json!({ "duration_ms": 1 });
+                body[outer][inner] = value;
+            }
+            None => body[field] = value,
+        }
+        let e = Announcement::parse(body.to_string().as_bytes()).expect_err(field);
+        assert_eq!((e.reason(), e.status()), (Reason::Invalid, 400));
+        assert!(e.message().starts_with(field), "{field}: {e}");
+    }
+    let e = Announcement::parse(&vec![b' '; MAX_BODY_BYTES + 1]).expect_err("too long");
+    assert_eq!(e.reason(), Reason::Invalid);
+    assert!(Announcement::parse(b"{\"id\":").is_err());
+}
+
+#[test]
+fn an_upstream_without_announcements_is_gone_after_its_lease() {
+    let cfg = DirectoryConfig::default();
+    let mut directory = Directory::new(cfg);
+    let now = Instant::now();
+    assert_eq!(directory.announce(example(), now).expect("taken"), Change::Joined);
+    let renewed = now + cfg.lease / 2;
+    assert_eq!(directory.announce(example_like(&directory), renewed), Ok(Change::Kept));
+    assert!(directory.expire(now + cfg.lease).is_empty());
+    let gone = directory.expire(renewed + cfg.lease);
+    assert_eq!(gone.len(), 1);
+    assert!(directory.get("engine-1").is_none());
+}
+
+fn example_like(directory: &Directory) -> Announcement {
+    directory.get("engine-1").expect("alive").announcement.clone()
+}
+
+#[test]
+fn a_return_after_a_gap_counts_as_a_start() {
+    let cfg = DirectoryConfig::default();
+    let mut directory = Directory::new(cfg);
+    let now = Instant::now();
+    let announcement = example();
+    directory.announce(announcement.clone(), now).expect("taken");
+    let back = now + cfg.lease;
+    assert_eq!(directory.announce(announcement, back), Ok(Change::Joined));
+    assert_eq!(directory.get("engine-1").expect("alive").since, back);
+}
+
+#[test]
+fn an_old_incarnation_and_a_second_upstream_of_one_name_are_refused() {
+    let mut directory = Directory::default();
+    let now = Instant::now();
+    let present = Announcement { incarnation: 5, ..example() };
+    directory.announce(present.clone(), now).expect("taken");
+    let old = Announcement { incarnation: 4, ..present.clone() };
+    let e = directory.announce(old, now).expect_err("stale");
+    assert!(e.is_stale());
+    let second = Announcement { address: "127.0.0.1:1".to_string(), ..present.clone() };
+    let e = directory.announce(second, now).expect_err("in use");
+    assert!(e.message().contains("in use"), "{e}");
+    assert_eq!(directory.get("engine-1").expect("alive").announcement, present);
+}
+
+#[test]
+fn a_full_directory_refuses_newcomers_and_keeps_its_own() {
+    let cfg = DirectoryConfig { capacity: 1, ..DirectoryConfig::default() };
+    let mut directory = Directory::new(cfg);
+    let now = Instant::now();
+    let announcement = example();
+    directory.announce(announcement.clone(), now).expect("taken");
+    let newcomer = Announcement { id: "engine-2".to_string(), ..announcement.clone() };
+    assert_eq!(directory.announce(newcomer, now).expect_err("full").reason(), Reason::Full);
+    assert_eq!(directory.announce(announcement, now), Ok(Change::Kept));
+}
+
+#[test]
+fn an_engine_that_fell_over_in_cold_start_is_noticed_and_starts_its_ramp_over() {
+    let clock = ManualClock::new();
+    let ramp = Ramp { initial_share: 0.1, duration: Duration::from_secs(60) };
+    let engine = Engine::start(EngineConfig {
+        memory_tokens: 1_000,
+        ramp: Some(ramp),
+        clock: Arc::new(clock.clone()),
+        ..EngineConfig::default()
+    })
+    .expect("a free port");
+    let mut directory = Directory::default();
+    directory.announce(announced(&engine), clock.now()).expect("taken");
+    // A tenth of the memory is 100 tokens.
+    let prompt = "x".repeat(600);
+    let body = serde_json::json!({ "model": "small", "prompt": prompt, "max_tokens": 1 });
+    let url = format!("http://{}/v1/completions", engine.address());
+    let is_answered = || {
+        let reply = minreq::post(&url).with_body(body.to_string()).send();
+        reply.is_ok_and(|reply| reply.status_code == 200)
+    };
+    assert!(!is_answered(), "more than the ramp allows crashes the engine");
+    assert_eq!(engine.stats().overloads, 1);
+    engine.restart().expect("the same port");
+    clock.advance(Duration::from_secs(1));
+    let change = directory.announce(announced(&engine), clock.now());
+    assert_eq!(change, Ok(Change::Restarted { from: 1 }));
+    assert_eq!(directory.get("engine-1").expect("alive").since, clock.now());
+    clock.advance(ramp.duration);
+    assert!(is_answered());
+}
--- /dev/null
+++ b/crates/upstream/tests/gangs.rs
@@ -0,0 +1,110 @@
+//! Prompts beyond one engine's memory, over several engines.
+
+mod common;
+
+use common::{DEADLINE, client, collect, target};
+use fake::{Engine, EngineConfig, completion_text, count_tokens};
+use std::time::Instant;
+use upstream::{
+    StreamEvent,
+    gang::{GangRequest, Segment, split},
+};
+use wire::Verdict;
+
+/// Memory of each engine, in tokens.
+const MEMORY: u64 = 100;
+const ANSWER_TOKENS: u64 = 6;
+
+/// A prompt of more than twice an engine's memory.
+fn prompt() -> String {
+    (0..90).map(|n| format!("line {n:03}; ")).collect()
+}
+
+fn engines() -> Vec<Engine> {
+    let start = |n: usize| {
+        let id = format!("engine-{n}");
+        let cfg = EngineConfig { id, memory_tokens: MEMORY, ..EngineConfig::default() };
+        Engine::start(cfg).expect("a free port")
+    };
+    (0..3).map(start).collect()
+}
+
+fn request(engines: &[Engine]) -> GangRequest {
+    let prompt = prompt();
+    assert!(count_tokens(prompt.len() as u64) > 2 * MEMORY);
+    let texts = split(&prompt, &[376, 376, 376]).expect("the sizes suffice");
+    let segments = texts.iter().zip(engines).enumerate().map(|(n, (text, engine))| Segment {
+        target: target(&format!("engine-{n}"), engine),
+        text: (*text).to_string(),
+    });
+    GangRequest {
+        id: "r-1".to_string(),
+        model: "small".to_string(),
+        segments: segments.collect(),
+        max_tokens: ANSWER_TOKENS,
+        headers: Vec::new(),
+        deadline: Instant::now() + DEADLINE,
+    }
+}
+
+fn assert_free(engines: &[Engine]) {
+    engines.iter().for_each(Engine::wait_idle);
+    let used: Vec<u64> = engines.iter().map(Engine::memory_used).collect();
+    assert_eq!(used, [0, 0, 0]);
+}
+
+#[test]
+fn a_gang_answers_as_one_engine_would_and_returns_all_memory() {
+    let engines = engines();
+    let mut stream = client().gang(request(&engines));
+    let collected = collect(&mut stream, usize::MAX);
+    assert_eq!(collected.text, completion_text(&prompt(), 0, ANSWER_TOKENS));
+    let Some(StreamEvent::Finished(finish)) = collected.last else {
+        panic!("the stream must finish: {:?}", collected.last);
+    };
+    assert_eq!(finish.usage.prompt_tokens, count_tokens(prompt().len() as u64));
+    let used: Vec<u64> = engines.iter().map(Engine::memory_used).collect();
+    assert_eq!(used, [0, 0, 0], "free by the time the caller learns of the end");
+}
+
+#[test]
+fn a_gang_returns_all_memory_when_an_engine_dies() {
+    let engines = engines();
+    engines[1].pause();
+    let mut stream = client().gang(request(&engines));
+    engines[1].wait_admitted(1);
+    assert!(engines[0].memory_used() > 0);
+    engines[1].kill();
+    let last = collect(&mut stream, usize::MAX).last;
+    let Some(StreamEvent::Failed { error, .. }) = last else {
+        panic!("the stream must fail: {last:?}");
+    };
+    assert_eq!(error.verdict(), Verdict::MayHaveRun);
+    assert_eq!(engines[0].memory_used(), 0, "free by the time the caller learns of it");
+    assert_free(&engines);
+}
+
+#[test]
+fn a_gang_returns_all_memory_when_its_caller_goes() {
+    let engines = engines();
+    engines[2].hold_at(2);
+    let mut stream = client().gang(request(&engines));
+    assert_eq!(collect(&mut stream, 2).last, None);
+    assert!(engines.iter().all(|engine| engine.memory_used() > 0));
+    drop(stream);
+    assert_free(&engines);
+    assert_eq!(engines[2].stats().cancelled, 1);
+}
+
+#[test]
+fn a_gang_that_is_refused_memory_has_not_run_there_and_returns_the_rest() {
+    let engines = engines();
+    let mut req = request(&engines);
+    req.max_tokens = MEMORY;
+    let last = collect(&mut client().gang(req), usize::MAX).last;
+    let Some(StreamEvent::Failed { error, .. }) = last else {
+        panic!("the stream must fail: {last:?}");
+    };
+    assert!(error.is_refused(), "{error}");
+    assert_free(&engines);
+}
--- /dev/null
+++ b/crates/upstream/tests/orders.rs
@@ -0,0 +1,144 @@
+//! Orders reach each engine once, in order, and only from its owner.
+
+mod common;
+
+use common::{client, target};
+use fake::{Engine, EngineConfig};
+use std::time::{Duration, Instant};
+use upstream::{
+    Error, Reason,
+    orders::{Dispatch, Order, OrderConfig, OrderQueue, Outcome, Pending, Permits},
+};
+use wire::{Fence, Verdict};
+
+const LEASE: Duration = Duration::from_secs(3);
+const PERMIT: Duration = Duration::from_secs(10);
+
+fn engine(checks_fences: bool) -> Engine {
+    Engine::start(EngineConfig { checks_fences, ..EngineConfig::default() }).expect("a free port")
+}
+
+fn role(role: &str) -> Order {
+    Order::ChangeRole { role: role.to_string() }
+}
+
+fn load(model: &str) -> Order {
+    Order::LoadModel { model: model.to_string() }
+}
+
+fn queue(now: Instant) -> OrderQueue {
+    let permits = Permits::new(PERMIT, 1, now);
+    OrderQueue::new(OrderConfig::default(), 2, now + LEASE, permits)
+}
+
+fn sent(dispatch: Dispatch) -> Pending {
+    match dispatch {
+        Dispatch::Send(pending) => pending,
+        other => panic!("an order must be sent: {other:?}"),
+    }
+}
+
+fn lost() -> Error {
+    Error::new(Reason::Broken, Verdict::MayHaveRun, "the answer was lost")
+}
+
+#[test]
+fn an_engine_that_checks_refuses_an_older_owners_order() {
+    let (engine, client) = (engine(true), client());
+    let target = target("engine-1", &engine);
+    let newer = Fence { epoch: 2, sequence: 1 };
+    client.order(&target, &role("prefill"), newer).expect("taken");
+    let older = Fence { epoch: 1, sequence: 9 };
+    let e = client.order(&target, &role("decode"), older).expect_err("refused");
+    assert!(e.is_stale() && e.is_not_run(), "{e}");
+    assert_eq!(engine.orders().len(), 1);
+}
+
+#[test]
+fn an_order_that_is_sent_again_is_carried_out_once() {
+    let (engine, client) = (engine(true), client());
+    let target = target("engine-1", &engine);
+    let fence = Fence { epoch: 2, sequence: 1 };
+    client.order(&target, &load("large"), fence).expect("taken");
+    client.order(&target, &load("large"), fence).expect("taken again");
+    assert_eq!(engine.orders().len(), 1);
+    assert_eq!(engine.announcement().models, Some(vec!["small".into(), "large".into()]));
+}
+
+#[test]
+fn only_engines_that_ignore_fences_wait_for_the_former_owners_lease() {
+    let now = Instant::now();
+    let mut queue = queue(now);
+    queue.submit("ignores", role("prefill"), false).expect("room");
+    queue.submit("checks", role("prefill"), true).expect("room");
+    assert_eq!(sent(queue.next(now)).upstream, "checks");
+    assert!(matches!(queue.next(now), Dispatch::Wait(at) if at == now + LEASE));
+    assert_eq!(sent(queue.next(now + LEASE)).upstream, "ignores");
+}
+
+#[test]
+fn orders_to_one_engine_are_sent_one_after_the_other() {
+    let now = Instant::now();
+    let mut queue = queue(now);
+    let first = queue.submit("engine-1", role("prefill"), true).expect("room");
+    let second = queue.submit("engine-1", role("decode"), true).expect("room");
+    assert!(first < second);
+    assert_eq!(sent(queue.next(now)).fence, first);
+    assert!(matches!(queue.next(now), Dispatch::Idle));
+    assert_eq!(queue.done(first, Err(lost()), now), Outcome::Retrying);
+    let Dispatch::Wait(at) = queue.next(now) else {
+        panic!("the first order must wait for its next attempt");
+    };
+    assert_eq!(sent(queue.next(at)).fence, first);
+    assert_eq!(queue.done(first, Ok(()), at), Outcome::Executed);
+    assert_eq!(sent(queue.next(at)).fence, second);
+}
+
+#[test]
+fn orders_that_read_weights_keep_to_the_stores_rate() {
+    let now = Instant::now();
+    let mut queue = queue(now);
+    let fences: Vec<Fence> = ["engine-1", "engine-2", "engine-3"]
+        .into_iter()
+        .map(|id| queue.submit(id, load("large"), true).expect("room"))
+        .collect();
+    assert_eq!(sent(queue.next(now)).fence, fences[0]);
+    assert!(matches!(queue.next(now), Dispatch::Wait(at) if at == now + PERMIT));
+    // Another attempt of the same order reads the same weights: no new permit.
+    assert_eq!(queue.done(fences[0], Err(lost()), now), Outcome::Retrying);
+    let later = now + OrderConfig::default().retry_delay;
+    assert_eq!(sent(queue.next(later)).fence, fences[0]);
+    assert_eq!(sent(queue.next(now + PERMIT)).fence, fences[1]);
+    assert_eq!(sent(queue.next(now + 2 * PERMIT)).fence, fences[2]);
+}
+
+#[test]
+fn a_stale_order_ends_and_a_failing_one_ends_after_its_attempts() {
+    let now = Instant::now();
+    let mut queue = queue(now);
+    let stale = queue.submit("engine-1", role("prefill"), true).expect("room");
+    sent(queue.next(now));
+    let e = Error::new(Reason::Stale, Verdict::NotRun, "a newer owner");
+    assert_eq!(queue.done(stale, Err(e), now), Outcome::Superseded);
+    let failing = queue.submit("engine-1", role("prefill"), true).expect("room");
+    let cfg = OrderConfig::default();
+    let mut at = now;
+    for _ in 1..cfg.max_attempts {
+        sent(queue.next(at));
+        assert_eq!(queue.done(failing, Err(lost()), at), Outcome::Retrying);
+        at += cfg.retry_delay;
+    }
+    sent(queue.next(at));
+    assert_eq!(queue.done(failing, Err(lost()), at), Outcome::Failed(lost()));
+    assert!(queue.is_empty());
+}
+
+#[test]
+fn a_full_queue_refuses() {
+    let now = Instant::now();
+    let cfg = OrderConfig { capacity: 1, ..OrderConfig::default() };
+    let mut queue = OrderQueue::new(cfg, 2, now, Permits::new(PERMIT, 1, now));
+    queue.submit("engine-1", role("prefill"), true).expect("room");
+    let e = queue.submit("engine-1", role("decode"), true).expect_err("full");
+    assert_eq!(e.reason(), Reason::Full);
+}
--- a/crates/upstream/tests/streams.rs
+++ b/crates/upstream/tests/streams.rs
@@ -101,3 +101,50 @@
     assert_eq!(engine.memory_used(), 0);
     assert_eq!(engine.stats().cancelled, 1);
 }
+
+#[test]
+fn a_crossed_answer_is_dropped_and_the_right_one_asked_for() {
+    let engine = engine("engine-1");
+    engine.cross_next(1);
+    let target = target("engine-1", &engine);
+    let client = client();
+    let mut stream = client.stream(request("r-1", PROMPT, 20), move |_| Some(target.clone()));
+    let collected = collect(&mut stream, usize::MAX);
+    assert_eq!(collected.text, completion_text(PROMPT, 0, 20));
+    assert!(client.counters().crossed() > 0);
+}
+
+#[test]
+fn a_stream_past_its_deadline_fails_at_once_and_is_cancelled() {
+    let engine = engine("engine-1");
+    engine.hold_at(3);
+    let target = target("engine-1", &engine);
+    let mut req = request("r-1", PROMPT, 8);
+    req.deadline = std::time::Instant::now() + std::time::Duration::from_millis(200);
+    let client = client();
+    let mut stream = client.stream(req, move |_| Some(target.clone()));
+    let Some(StreamEvent::Failed { error, .. }) = collect(&mut stream, usize::MAX).last else {
+        panic!("the stream must fail");
+    };
+    assert!(error.is_deadline(), "{error}");
+    engine.wait_idle();
+    assert_eq!(engine.stats().cancelled, 1);
+}
+
+#[test]
+fn a_request_that_no_engine_may_take_is_refused_at_once() {
+    let engine = engine("engine-1");
+    let target = target("engine-1", &engine);
+    let mut req = request("r-1", PROMPT, 8);
+    req.body = br#"{"model": "unknown", "prompt": "x", "stream": true}"#.to_vec();
+    let mut asked = 0;
+    let mut stream = client().stream(req, move |_| {
+        asked += 1;
+        assert_eq!(asked, 1, "no other engine is asked");
+        Some(target.clone())
+    });
+    let Some(StreamEvent::Failed { error, .. }) = collect(&mut stream, usize::MAX).last else {
+        panic!("the stream must fail");
+    };
+    assert_eq!((error.reason(), error.verdict()), (Reason::Refused(404), Verdict::NotRun));
+}
