Reconcile each upstream before new work is sent to it

Cause: after an owner dies or ownership moves, an engine may run requests that nobody waits for, and its memory is gone until it restarts. Change: the owner compares what an engine reports with what it holds, before the first dispatch and each second after; unknown requests and caches are cancelled after 5 s unless the former owner, still streaming them, claims them; gang segments count as held. Attempts of one request no longer share names with gang segments ('+1' against '.1').

--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -242,6 +242,11 @@
         self.running.len()
     }
 
+    /// Whether a request is in flight.
+    pub fn is_in_flight(&self, request: &RequestId) -> bool {
+        self.running.contains_key(request)
+    }
+
     /// Memory promised on an upstream, in tokens.
     pub fn reserved(&self, id: &UpstreamId) -> Option<Tokens> {
         self.ids.get(id).map(|slot| self.upstream(*slot).reserved)
--- a/crates/toucansilld/src/daemon.rs
+++ b/crates/toucansilld/src/daemon.rs
@@ -69,6 +69,7 @@
         let owner = Owner::start(OwnerContext {
             session: Arc::clone(&session),
             control: Arc::clone(&control),
+            net: Arc::clone(&net),
             clock: Arc::clone(&clock),
             region: settings.region.clone(),
             data_centre: settings.data_centre.clone(),
--- a/crates/toucansilld/src/local.rs
+++ b/crates/toucansilld/src/local.rs
@@ -19,7 +19,7 @@
     path::{Path, PathBuf},
 };
 
-/// API key of the one organisation in [`sheet`].
+/// API key of the one organisation in [`sheet()`].
 pub const API_KEY: &str = "local-key-of-an-organisation";
 /// Token of the operators.
 pub const OPERATOR_TOKEN: &str = "local-token-of-operators";
--- a/crates/toucansilld/src/messages.rs
+++ b/crates/toucansilld/src/messages.rs
@@ -4,7 +4,9 @@
 //! [`service`] names.
 
 use bincode::{Decode, Encode};
-use wire::{IdempotencyKey, ModelId, OrganisationId, RequestId, ServiceId, Tokens, Verdict};
+use wire::{
+    IdempotencyKey, ModelId, OrganisationId, RequestId, ServiceId, Tokens, UpstreamId, Verdict,
+};
 
 /// Names of the services that answer messages.
 pub mod service {
@@ -92,6 +94,17 @@
     Call(PlainCall),
     /// An upstream's announcement as JSON, passed on by the daemon that received it.
     Announce(Vec<u8>),
+    /// Requests that the former owner of an upstream still has in flight there.
+    Claim(Claimed),
+}
+
+/// Requests that must not be cancelled, as a former owner waits for them.
+#[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
+pub struct Claimed {
+    /// The upstream that runs them.
+    pub upstream: UpstreamId,
+    /// Ids of the requests.
+    pub requests: Vec<RequestId>,
 }
 
 /// One frame of a job's answer.
--- a/crates/toucansilld/src/owner.rs
+++ b/crates/toucansilld/src/owner.rs
@@ -8,10 +8,12 @@
 mod convert;
 mod job;
 mod poll;
+mod reconcile;
 
 use crate::{
     control_client::ControlClient,
-    messages::{AnnounceReply, PlainCall, PlainReply},
+    messages::{AnnounceReply, Claimed, PlainCall, PlainReply},
+    net::Net,
     session::SessionService,
     sync::lock,
 };
@@ -20,6 +22,7 @@
 pub(crate) use convert::service_model;
 pub(crate) use job::{FrameSink, refused};
 use kernel::SharedClock;
+use reconcile::Reconcilers;
 use route::{Digest, Placement, Refusal};
 use std::{
     sync::{Arc, Mutex},
@@ -55,6 +58,8 @@
     pub(crate) session: Arc<SessionService>,
     /// Control group.
     pub(crate) control: Arc<ControlClient>,
+    /// Links to other daemons.
+    pub(crate) net: Arc<Net>,
     /// Clock.
     pub(crate) clock: SharedClock,
     /// Region of this daemon.
@@ -68,6 +73,7 @@
     pub(crate) cx: OwnerContext,
     tx: flume::Sender<OwnerMsg>,
     pub(crate) client: Client,
+    reconcilers: Reconcilers,
     thread: Mutex<Option<JoinHandle<()>>>,
 }
 
@@ -78,7 +84,9 @@
         let actor = Actor::new(cx.clone());
         let thread = thread::spawn(move || actor.run(&rx));
         let client = Client::new(ClientConfig::default());
-        let owner = Arc::new(Self { cx, tx, client, thread: Mutex::new(Some(thread)) });
+        let reconcilers = Reconcilers::default();
+        let thread = Mutex::new(Some(thread));
+        let owner = Arc::new(Self { cx, tx, client, reconcilers, thread });
         poll::start(&owner);
         owner
     }
@@ -92,6 +100,11 @@
             .unwrap_or_else(|_| AnnounceReply::Refused(String::from("the owner is busy")))
     }
 
+    /// Takes in claims of a former owner.
+    pub(crate) fn claimed(&self, claimed: &Claimed) {
+        self.reconcilers.claim(claimed, self.cx.clock.now());
+    }
+
     /// Calls a plain service.
     pub(crate) fn call(&self, call: &PlainCall) -> PlainReply {
         call::run(self, call)
--- a/crates/toucansilld/src/owner/actor.rs
+++ b/crates/toucansilld/src/owner/actor.rs
@@ -16,7 +16,7 @@
     Announcement, Directory, Target,
     announce::{Change, DirectoryConfig},
 };
-use wire::{RequestId, Tokens, UpstreamId};
+use wire::{Incarnation, RequestId, Tokens, UpstreamId};
 
 /// Longest time between two looks at deadlines and ownership.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
@@ -47,6 +47,8 @@
     Load { reply: flume::Sender<usize> },
     /// Asks for the upstreams to poll.
     Targets { reply: flume::Sender<Vec<PollTarget>> },
+    /// An upstream's tables were compared with the owner's.
+    Reconciled { id: UpstreamId, incarnation: Incarnation, epoch: u64 },
     /// Configuration, roster or lease have changed.
     ViewChanged,
     /// Ends the thread.
@@ -77,6 +79,25 @@
     pub(crate) target: Target,
     /// Whether it is a model engine.
     pub(crate) is_engine: bool,
+    /// Number of its present start.
+    pub(crate) incarnation: Incarnation,
+    /// Epoch of the ownership, or nothing if this daemon does not own it.
+    pub(crate) epoch: Option<u64>,
+    /// Whether its tables were compared with the owner's in this epoch.
+    pub(crate) is_reconciled: bool,
+    /// Requests that this daemon has in flight there.
+    pub(crate) held: Vec<HeldRequest>,
+}
+
+/// A request that this daemon has in flight on an upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct HeldRequest {
+    /// Id of the attempt.
+    pub(crate) request: RequestId,
+    /// When it was placed.
+    pub(crate) placed_at: Instant,
+    /// Upstreams that share it, 1 unless it is a gang.
+    pub(crate) members: usize,
 }
 
 /// State of the owner's thread.
@@ -85,9 +106,26 @@
     fleet: Fleet,
     directory: Directory,
     waiting: HashMap<RequestId, flume::Sender<PlacedResult>>,
+    /// What each request in flight was placed on.
+    placed: HashMap<RequestId, PlacedAt>,
+    reconciled: HashMap<UpstreamId, Standing>,
     digest_sequence: u64,
 }
 
+/// When and on how many upstreams a request was placed.
+#[derive(Clone, Copy)]
+struct PlacedAt {
+    at: Instant,
+    members: usize,
+}
+
+/// The start of an upstream and the epoch of its ownership.
+#[derive(Clone, Copy, Eq, PartialEq)]
+struct Standing {
+    incarnation: Incarnation,
+    epoch: u64,
+}
+
 impl Actor {
     pub(crate) fn new(cx: OwnerContext) -> Self {
         let cfg = Config {
@@ -100,6 +138,8 @@
             fleet: Fleet::new(cfg),
             directory: Directory::new(DirectoryConfig::default()),
             waiting: HashMap::new(),
+            placed: HashMap::new(),
+            reconciled: HashMap::new(),
             digest_sequence: 0,
         }
     }
@@ -158,6 +198,10 @@
             OwnerMsg::Targets { reply } => {
                 let _ = reply.send(self.targets());
             }
+            OwnerMsg::Reconciled { id, incarnation, epoch } => {
+                self.reconciled.insert(id, Standing { incarnation, epoch });
+                self.check_ownership();
+            }
             OwnerMsg::ViewChanged => self.check_ownership(),
             OwnerMsg::Stop => {}
         }
@@ -229,9 +273,12 @@
             let _ = reply.send(Err(lease_refusal()));
             return;
         };
+        let members = placed.targets.len();
         if reply.send(Ok(placed)).is_err() {
             self.fleet.cancelled(now, &dispatch.request);
+            return;
         }
+        self.placed.insert(dispatch.request, PlacedAt { at: now, members });
     }
 
     fn placed(&self, dispatch: &Dispatch) -> Option<Placed> {
@@ -262,6 +309,8 @@
             log::info!("upstream {} is silent", entry.announcement.id);
         }
         log_lost(&self.fleet.expire(now));
+        let fleet = &self.fleet;
+        self.placed.retain(|request, _| fleet.is_in_flight(request));
     }
 
     /// Lets upstreams take new work only while this daemon owns them and the
@@ -275,8 +324,14 @@
         for id in ids {
             let ownership = self.cx.session.owns(&id);
             let is_up = match &ownership {
-                Ownership::Owner { .. } => !configuration.is_retired(&id),
-                _ => false,
+                Ownership::Owner { epoch } => {
+                    self.keep_reconciled(&id, *epoch);
+                    self.is_reconciled(&id, *epoch) && !configuration.is_retired(&id)
+                }
+                _ => {
+                    self.reconciled.remove(&id);
+                    false
+                }
             };
             let directive = if is_up { Directive::Up } else { Directive::Retired };
             self.fleet.set_directive(now, &id, directive);
@@ -287,10 +342,26 @@
         }
     }
 
+    /// Ownership without a gap needs no new comparison when the roster changes.
+    fn keep_reconciled(&mut self, id: &str, epoch: u64) {
+        if let Some(standing) = self.reconciled.get_mut(id) {
+            standing.epoch = epoch;
+        }
+    }
+
+    /// Whether an upstream's tables were compared since its start and since this
+    /// daemon became its owner. Before that, nothing new is sent to it.
+    fn is_reconciled(&self, id: &str, epoch: u64) -> bool {
+        let Some(entry) = self.directory.get(id) else { return false };
+        let incarnation = entry.announcement.incarnation;
+        self.reconciled.get(id) == Some(&Standing { incarnation, epoch })
+    }
+
     fn forget(&mut self, now: Instant, id: &UpstreamId) {
         self.fleet.remove(now, id);
         self.fleet.set_directive(now, id, Directive::Up);
         self.directory.remove(id);
+        self.reconciled.remove(id);
     }
 
     fn digest(&mut self, now: Instant) -> Digest {
@@ -315,16 +386,27 @@
     }
 
     fn targets(&self) -> Vec<PollTarget> {
-        self.directory
-            .iter()
-            .map(|entry| {
-                let announcement = &entry.announcement;
-                PollTarget {
-                    target: Target::new(announcement.id.clone(), announcement.address.clone()),
-                    is_engine: announcement.kind == upstream::Kind::Engine,
-                }
-            })
-            .collect()
+        self.directory.iter().map(|entry| self.poll_target(&entry.announcement)).collect()
+    }
+
+    fn poll_target(&self, announcement: &Announcement) -> PollTarget {
+        let epoch = match self.cx.session.owns(&announcement.id) {
+            Ownership::Owner { epoch } => Some(epoch),
+            _ => None,
+        };
+        let requests = self.fleet.requests_on(&announcement.id);
+        let held = requests.into_iter().filter_map(|request| {
+            let PlacedAt { at, members } = *self.placed.get(&request)?;
+            Some(HeldRequest { request, placed_at: at, members })
+        });
+        PollTarget {
+            target: Target::new(announcement.id.clone(), announcement.address.clone()),
+            is_engine: announcement.kind == upstream::Kind::Engine,
+            incarnation: announcement.incarnation,
+            epoch,
+            is_reconciled: epoch.is_some_and(|epoch| self.is_reconciled(&announcement.id, epoch)),
+            held: held.collect(),
+        }
     }
 }
 
--- a/crates/toucansilld/src/owner/job.rs
+++ b/crates/toucansilld/src/owner/job.rs
@@ -350,6 +350,6 @@
 
     /// Id of an attempt, distinct from other attempts of the same request.
     pub(crate) fn attempt_id(request: &RequestId, attempt: u32) -> RequestId {
-        if attempt == 0 { request.clone() } else { format!("{request}.{attempt}") }
+        if attempt == 0 { request.clone() } else { format!("{request}+{attempt}") }
     }
 }
--- a/crates/toucansilld/src/owner/poll.rs
+++ b/crates/toucansilld/src/owner/poll.rs
@@ -1,6 +1,6 @@
-//! Looks at the owner's engines from time to time: their load reports.
+//! Looks at the owner's upstreams from time to time: load reports and requests.
 
-use super::{Owner, OwnerMsg, actor::PollTarget};
+use super::{Owner, OwnerMsg, actor::PollTarget, reconcile};
 use route::{Counters, Report};
 use serde::Deserialize;
 use std::{
@@ -10,8 +10,12 @@
 };
 use wire::Tokens;
 
-/// Time between two looks at an engine.
-const POLL_EVERY: Duration = Duration::from_secs(1);
+/// Time between two rounds; in each, upstreams that are not yet reconciled are looked at.
+const ROUND_EVERY: Duration = Duration::from_millis(200);
+/// Rounds between two looks at every upstream.
+const ROUNDS_PER_POLL: u64 = 5;
+/// Longest wait for the owner's thread.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest wait for an answer, in seconds.
 const POLL_TIMEOUT_S: u64 = 2;
 
@@ -21,12 +25,9 @@
 struct LoadReport {
     incarnation: u64,
     running: u32,
-    queued: u32,
-    memory_used: Tokens,
-    requests: u64,
-    prefill_tokens: Tokens,
-    prefill_millis: u64,
-    output_tokens: Tokens,
+    memory_tokens_used: Tokens,
+    prefilled_tokens: Tokens,
+    decoded_tokens: Tokens,
 }
 
 /// Starts the poller. It ends when the owner is gone.
@@ -36,17 +37,30 @@
 }
 
 fn run(owner: &Weak<Owner>) {
-    while let Some(owner) = owner.upgrade() {
+    for round in 0u64.. {
+        let Some(owner) = owner.upgrade() else { return };
         let (reply, answer) = flume::bounded(1);
         owner.send(OwnerMsg::Targets { reply });
-        let targets = answer.recv_timeout(POLL_EVERY).unwrap_or_default();
-        targets.iter().filter(|target| target.is_engine).for_each(|target| look(&owner, target));
+        let Ok(targets) = answer.recv_timeout(ANSWER_TIMEOUT) else { return };
+        let is_full_round = round % ROUNDS_PER_POLL == 0;
+        thread::scope(|scope| {
+            let due = targets.iter().filter(|target| is_full_round || !target.is_reconciled);
+            due.for_each(|target| drop(scope.spawn(|| look(&owner, target))));
+        });
         drop(owner);
-        thread::sleep(POLL_EVERY);
+        thread::sleep(ROUND_EVERY);
     }
 }
 
+/// Load first, so that memory used for others is known before new work is sent.
 fn look(owner: &Owner, target: &PollTarget) {
+    if target.is_engine {
+        look_at_load(owner, target);
+    }
+    reconcile::look(owner, target);
+}
+
+fn look_at_load(owner: &Owner, target: &PollTarget) {
     let url = format!("http://{}/load", target.target.address);
     let Ok(res) = minreq::get(url).with_timeout(POLL_TIMEOUT_S).send() else { return };
     match serde_json::from_slice::<LoadReport>(res.as_bytes()) {
@@ -62,13 +76,12 @@
     Report {
         incarnation: load.incarnation,
         running: load.running,
-        queued: load.queued,
-        memory_used: load.memory_used,
+        queued: 0,
+        memory_used: load.memory_tokens_used,
         counters: Counters {
-            requests: load.requests,
-            prefill_tokens: load.prefill_tokens,
-            prefill_millis: load.prefill_millis,
-            output_tokens: load.output_tokens,
+            prefill_tokens: load.prefilled_tokens,
+            output_tokens: load.decoded_tokens,
+            ..Counters::default()
         },
     }
 }
--- a/crates/toucansilld/src/services.rs
+++ b/crates/toucansilld/src/services.rs
@@ -69,6 +69,10 @@
             Ok(buf) => responder.reply(buf),
             Err(err) => Err(err),
         },
+        Ok(OwnerRequest::Claim(claimed)) => {
+            owner.claimed(&claimed);
+            responder.finish()
+        }
         Ok(OwnerRequest::Announce(body)) => {
             responder.reply(control::encode(&announce(owner, &body)))
         }
