Announce and order by the generated border types, resume only known requests

Cause: announcements and orders had types of their own beside the generated ones, and a resumption on an engine that had restarted ran the request again as if nothing had happened, which hid the death from the poison accounting. Change: announcements, orders and load reports use wire::border::upstream. An engine takes up only what runs or has just finished there; an unknown request is told to the placement as broken, with the worst verdict met on that upstream. is_caller_fault no longer covers 408, 409, 413 and 429. Conclusion: the placement sees each death of an upstream once.

--- a/crates/fake/src/announce.rs
+++ b/crates/fake/src/announce.rs
@@ -1,100 +1,55 @@
 //! What an upstream says about itself to a daemon.
 
 use crate::{config::Ramp, plain::PlainConfig, state::Core};
-use serde::Serialize;
 use std::{net::SocketAddr, thread, time::Duration};
-use wire::{DataCentreId, Incarnation, ModelId, ServiceId, Tokens, UpstreamId};
+use wire::border::upstream::{self as border, Announcement, UpstreamKind};
 
 /// Time between two announcements.
 const KEEP_ALIVE: Duration = Duration::from_secs(1);
 /// Time after which an announcement counts as failed, in seconds.
 const TIMEOUT_S: u64 = 5;
 
-/// Body of `POST /upstreams` on a daemon.
-#[derive(Clone, Debug, PartialEq, Serialize)]
-pub struct Announcement {
-    /// Name of the upstream.
-    pub id: UpstreamId,
-    /// `engine` or `service`.
-    pub kind: &'static str,
-    /// Where it listens, as `host:port`.
-    pub address: String,
-    /// Where it stands.
-    pub data_centre: DataCentreId,
-    /// Models of an engine.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub models: Option<Vec<ModelId>>,
-    /// Name of a plain service.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub service: Option<ServiceId>,
-    /// KV memory of an engine.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub memory_tokens: Option<Tokens>,
-    /// Prompt tokens that an engine reads a second.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub prefill_tokens_per_s: Option<f64>,
-    /// Tokens that an engine generates a second for each request.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub decode_tokens_per_s: Option<f64>,
-    /// Capacity after a start.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub ramp: Option<AnnouncedRamp>,
-    /// Number of the present start.
-    pub incarnation: Incarnation,
-    /// Whether it refuses orders with an old fencing number.
-    pub checks_fences: bool,
-}
-
-/// A [`Ramp`] as announced.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
-pub struct AnnouncedRamp {
-    /// Share of the capacity right after a start.
-    pub initial_share: f64,
-    /// Milliseconds from a start to the whole capacity.
-    pub duration_ms: u64,
-}
-
-impl From<Ramp> for AnnouncedRamp {
-    fn from(ramp: Ramp) -> Self {
-        let duration_ms = u64::try_from(ramp.duration.as_millis()).unwrap_or(u64::MAX);
-        Self { initial_share: ramp.initial_share, duration_ms }
+/// What an engine says about itself.
+pub(crate) fn of_engine(core: &Core, address: SocketAddr) -> Announcement {
+    let cfg = &core.cfg;
+    Announcement {
+        id: cfg.id.clone(),
+        kind: UpstreamKind::Engine,
+        address: address.to_string(),
+        data_centre: cfg.data_centre.clone(),
+        models: cfg.models.clone(),
+        service: None,
+        memory_tokens: cfg.memory_tokens,
+        prefill_tokens_per_s: cfg.prefill_tokens_per_s.ceil() as u64,
+        decode_tokens_per_s: cfg.decode_tokens_per_s.ceil() as u64,
+        ramp: cfg.ramp.map(announced),
+        incarnation: core.incarnation,
+        checks_fences: cfg.checks_fences,
     }
 }
 
-impl Announcement {
-    pub(crate) fn of_engine(core: &Core, address: SocketAddr) -> Self {
-        let cfg = &core.cfg;
-        Self {
-            id: cfg.id.clone(),
-            kind: "engine",
-            address: address.to_string(),
-            data_centre: cfg.data_centre.clone(),
-            models: Some(cfg.models.clone()),
-            service: None,
-            memory_tokens: Some(cfg.memory_tokens),
-            prefill_tokens_per_s: Some(cfg.prefill_tokens_per_s),
-            decode_tokens_per_s: Some(cfg.decode_tokens_per_s),
-            ramp: cfg.ramp.map(AnnouncedRamp::from),
-            incarnation: core.incarnation,
-            checks_fences: cfg.checks_fences,
-        }
+/// What a plain service says about itself.
+pub(crate) fn of_service(cfg: &PlainConfig, address: SocketAddr) -> Announcement {
+    Announcement {
+        id: cfg.id.clone(),
+        kind: UpstreamKind::Service,
+        address: address.to_string(),
+        data_centre: cfg.data_centre.clone(),
+        models: Vec::new(),
+        service: Some(cfg.service.clone()),
+        memory_tokens: 0,
+        prefill_tokens_per_s: 0,
+        decode_tokens_per_s: 0,
+        ramp: None,
+        incarnation: cfg.incarnation,
+        checks_fences: false,
     }
+}
 
-    pub(crate) fn of_service(cfg: &PlainConfig, address: SocketAddr) -> Self {
-        Self {
-            id: cfg.id.clone(),
-            kind: "service",
-            address: address.to_string(),
-            data_centre: cfg.data_centre.clone(),
-            models: None,
-            service: Some(cfg.service.clone()),
-            memory_tokens: None,
-            prefill_tokens_per_s: None,
-            decode_tokens_per_s: None,
-            ramp: None,
-            incarnation: cfg.incarnation,
-            checks_fences: false,
-        }
+fn announced(ramp: Ramp) -> border::Ramp {
+    border::Ramp {
+        duration_ms: u64::try_from(ramp.duration.as_millis()).unwrap_or(u64::MAX),
+        start_permille: (ramp.initial_share * 1000.0).floor() as u32,
     }
 }
 
--- a/crates/fake/src/batch.rs
+++ b/crates/fake/src/batch.rs
@@ -1,7 +1,10 @@
 //! Continuous batching: a pure state machine over jobs and steps.
 
 use crate::{body::Usage, text::Digest};
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 use wire::{Fence, RequestId, Tokens};
 
 /// Emissions that wait for a slow client before its job pauses.
@@ -45,6 +48,30 @@
 }
 
 impl Job {
+    /// Sends the end of an answer again, which needs no memory.
+    pub(crate) fn replay(
+        id: &RequestId,
+        next: Tokens,
+        usage: Usage,
+        tx: flume::Sender<Emission>,
+    ) -> Self {
+        Self {
+            id: id.clone(),
+            fence: None,
+            priority: 0,
+            digest: Digest::EMPTY,
+            prompt_tokens: usage.prompt_tokens,
+            cached_tokens: usage.cached_tokens,
+            prefill_left: 0,
+            next,
+            max_tokens: usage.completion_tokens,
+            memory: 0,
+            kv_retain: false,
+            blocks: Vec::new(),
+            tx: Some(tx),
+        }
+    }
+
     fn usage(&self) -> Usage {
         Usage {
             prompt_tokens: self.prompt_tokens,
@@ -142,10 +169,6 @@
         self.jobs.remove(&arrival)
     }
 
-    pub(crate) fn len(&self) -> usize {
-        self.jobs.len()
-    }
-
     /// Memory that the jobs hold.
     pub(crate) fn memory(&self) -> Tokens {
         self.jobs.values().map(|job| job.memory).sum()
@@ -218,3 +241,26 @@
         finished
     }
 }
+
+/// Finished requests that are remembered, so that a client whose connection
+/// broke near the end can ask for the rest.
+const FINISHED_CAPACITY: usize = 1024;
+
+/// The requests that finished last, with their usage.
+#[derive(Debug, Default)]
+pub(crate) struct FinishedJobs {
+    jobs: VecDeque<(RequestId, Usage)>,
+}
+
+impl FinishedJobs {
+    pub(crate) fn push(&mut self, job: &Job) {
+        if self.jobs.len() == FINISHED_CAPACITY {
+            self.jobs.pop_front();
+        }
+        self.jobs.push_back((job.id.clone(), job.usage()));
+    }
+
+    pub(crate) fn usage(&self, id: &RequestId) -> Option<Usage> {
+        self.jobs.iter().rev().find(|(finished, _)| finished == id).map(|(_, usage)| *usage)
+    }
+}
--- a/crates/fake/src/control.rs
+++ b/crates/fake/src/control.rs
@@ -5,13 +5,16 @@
     engine::Shared,
     http::{self, Refusal, Refused},
     kv::{KvState, Retained},
-    orders::{self, Order, OrderBody},
+    orders,
     state::Core,
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use std::sync::Arc;
 use tiny_http::{Method, Request};
-use wire::{Fence, Incarnation, RequestId, Tokens};
+use wire::{
+    Fence, Incarnation, RequestId, Tokens,
+    border::upstream::{Order, OrderAction, OrderResult},
+};
 
 /// A body that names a KV cache.
 #[derive(Deserialize)]
@@ -105,17 +108,17 @@
     http::respond_json(req, 200, &answer);
 }
 
-fn order(shared: &Shared, body: &[u8]) -> Result<Order, Refused> {
-    let body: OrderBody = parse(body)?;
+fn order(shared: &Shared, body: &[u8]) -> Result<OrderResult, Refused> {
+    let order: Order = parse(body)?;
     let mut core = shared.lock();
     let checks = core.cfg.checks_fences;
-    let order = core.orders.execute(body, checks)?;
-    if let Order::LoadModel { model } = &order
-        && !core.cfg.models.contains(model)
+    let done = core.orders.execute(order, checks)?;
+    if let (OrderAction::LoadModel, Some(model)) = (done.action, done.target)
+        && !core.cfg.models.contains(&model)
     {
-        core.cfg.models.push(model.clone());
+        core.cfg.models.push(model);
     }
-    Ok(order)
+    Ok(OrderResult { accepted: true, reason: None })
 }
 
 fn export(shared: &Shared, body: &[u8]) -> Result<KvState, Refused> {
--- a/crates/fake/src/engine.rs
+++ b/crates/fake/src/engine.rs
@@ -1,8 +1,8 @@
 //! The handle of a stand-in engine.
 
 use crate::{
-    announce::Announcement,
-    batch::{Emission, Rates},
+    announce,
+    batch::Emission,
     config::EngineConfig,
     http,
     orders::Executed,
@@ -17,7 +17,7 @@
     thread,
     time::Duration,
 };
-use wire::{Incarnation, Tokens};
+use wire::{Incarnation, RequestId, Tokens, border::upstream::Announcement};
 
 /// How long the batch waits for a slow client before it looks again.
 const PAUSE: Duration = Duration::from_millis(2);
@@ -89,7 +89,7 @@
 
     /// What it says about itself, as of now.
     pub fn announcement(&self) -> Announcement {
-        Announcement::of_engine(&self.shared.lock(), self.address())
+        announce::of_engine(&self.shared.lock(), self.address())
     }
 
     /// Lets no request generate the token at `offset` or a later one, until
@@ -103,6 +103,21 @@
         self.shared.lock().batch.is_paused = true;
     }
 
+    /// Runs one step of a paused engine.
+    pub fn step(&self) {
+        let mut core = self.shared.lock();
+        core.batch.is_paused = false;
+        core.step();
+        core.batch.is_paused = true;
+    }
+
+    /// Requests whose prompts are still to be read, in order of arrival.
+    pub fn waiting(&self) -> Vec<RequestId> {
+        let core = self.shared.lock();
+        let waiting = core.batch.iter().filter(|job| job.prefill_left > 0);
+        waiting.map(|job| job.id.clone()).collect()
+    }
+
     /// Ends [`Engine::hold_at`] and [`Engine::pause`].
     pub fn release(&self) {
         let mut core = self.shared.lock();
@@ -254,14 +269,7 @@
         drop(shared.wake.wait_timeout(core, IDLE_TICK));
         return Duration::ZERO;
     }
-    let rates = Rates {
-        prefill_tokens_per_s: core.cfg.prefill_tokens_per_s,
-        decode_tokens_per_s: core.cfg.decode_tokens_per_s,
-        prefill_chunk: core.cfg.prefill_chunk,
-    };
-    let mut step = core.batch.step(&rates);
-    let is_stuck = step.prefilled + step.decoded == 0 && step.finished.is_empty();
-    core.apply(&mut step);
+    let (duration, is_stuck) = core.step();
     if core.batch.is_empty() {
         shared.changed.notify_all();
     }
@@ -270,7 +278,7 @@
         drop(shared.wake.wait_timeout(core, PAUSE));
         return Duration::ZERO;
     }
-    step.duration.mul_f64(core.cfg.time_scale)
+    duration.mul_f64(core.cfg.time_scale)
 }
 
 /// Serves each request on a thread of its own.
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -37,10 +37,10 @@
 mod state;
 mod text;
 
-pub use announce::{Announcement, Announcer};
+pub use announce::Announcer;
 pub use config::{EngineConfig, Ramp};
 pub use engine::Engine;
-pub use orders::{Executed, Order};
+pub use orders::Executed;
 pub use plain::{Behaviour, Plain, PlainConfig};
 pub use relay::Relay;
 pub use state::Stats;
--- a/crates/fake/src/orders.rs
+++ b/crates/fake/src/orders.rs
@@ -1,56 +1,28 @@
 //! Orders, with or without a check of their fencing number.
 
 use crate::http::{self, Refusal, Refused};
-use serde::{Deserialize, Serialize};
 use tiny_http::Request;
-use wire::{Fence, ModelId};
-
-/// Body of an order.
-#[derive(Debug, Deserialize)]
-pub(crate) struct OrderBody {
-    #[serde(default)]
-    pub(crate) fence: Option<Fence>,
-    #[serde(flatten)]
-    pub(crate) order: Order,
-}
-
-/// What an order asks for.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(tag = "order", rename_all = "kebab-case")]
-pub enum Order {
-    /// Loads a model from the weight store.
-    LoadModel {
-        /// The model.
-        model: ModelId,
-    },
-    /// Loads an adapter of a model.
-    LoadAdapter {
-        /// The model.
-        model: ModelId,
-        /// The adapter.
-        adapter: String,
-    },
-    /// Loads a version of a model.
-    LoadVersion {
-        /// The model.
-        model: ModelId,
-        /// The version.
-        version: String,
-    },
-    /// Changes what the engine does.
-    ChangeRole {
-        /// The role.
-        role: String,
-    },
-}
+use wire::{
+    Fence,
+    border::upstream::{Order, OrderAction},
+};
 
 /// An order that was carried out.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Executed {
     /// Its fencing number.
-    pub fence: Option<Fence>,
+    pub fence: Fence,
     /// What it asked for.
-    pub order: Order,
+    pub action: OrderAction,
+    /// What it was about.
+    pub target: Option<String>,
+}
+
+impl Executed {
+    fn of(order: Order) -> Self {
+        let fence = Fence { epoch: order.fence_epoch, sequence: order.fence_sequence };
+        Self { fence, action: order.action, target: order.target }
+    }
 }
 
 /// The highest fencing number seen, and the orders carried out.
@@ -76,17 +48,17 @@
     }
 
     /// Carries an order out, once for each fencing number.
-    pub(crate) fn execute(&mut self, body: OrderBody, checks: bool) -> Result<Order, Refused> {
-        let OrderBody { fence, order } = body;
-        self.check(fence, checks)?;
-        let same = self.executed.iter().find(|done| fence.is_some() && done.fence == fence);
+    pub(crate) fn execute(&mut self, order: Order, checks: bool) -> Result<Executed, Refused> {
+        let order = Executed::of(order);
+        self.check(Some(order.fence), checks)?;
+        let same = self.executed.iter().find(|done| done.fence == order.fence);
         match same {
-            Some(done) if done.order == order => return Ok(order),
+            Some(done) if *done == order => return Ok(order),
             Some(_) if checks => {
                 let message = "the fencing number was used for another order";
                 return Err(Refused(409, Refusal::new("fence_reused", message)));
             }
-            _ => self.executed.push(Executed { fence, order: order.clone() }),
+            _ => self.executed.push(order.clone()),
         }
         Ok(order)
     }
--- a/crates/fake/src/plain.rs
+++ b/crates/fake/src/plain.rs
@@ -1,7 +1,7 @@
 //! A stand-in for a plain service that counts what it executes.
 
 use crate::{
-    announce::Announcement,
+    announce,
     http::{self, Refusal},
     relay::Relay,
 };
@@ -15,7 +15,10 @@
     time::Duration,
 };
 use tiny_http::Request;
-use wire::{DataCentreId, IdempotencyKey, Incarnation, ServiceId, UpstreamId};
+use wire::{
+    DataCentreId, IdempotencyKey, Incarnation, ServiceId, UpstreamId,
+    border::upstream::Announcement,
+};
 
 /// What a plain service does with a call.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -159,7 +162,7 @@
 
     /// What it says about itself.
     pub fn announcement(&self) -> Announcement {
-        Announcement::of_service(&self.shared.cfg, self.address())
+        announce::of_service(&self.shared.cfg, self.address())
     }
 }
 
--- a/crates/fake/src/serve.rs
+++ b/crates/fake/src/serve.rs
@@ -20,6 +20,8 @@
 use tiny_http::{Method, Request};
 use wire::{RequestId, Tokens};
 
+/// Priority of a request that is marked urgent.
+const URGENT_PRIORITY: u8 = 10;
 /// Priority of a request that names none; urgent ones have a lower number.
 const DEFAULT_PRIORITY: u8 = 100;
 
@@ -124,13 +126,7 @@
     };
     let mut accepted = Accepted { id, shown_id, model, digest, first, rx, is_overload: false };
     if resume.is_some() {
-        core.stats.resumed += 1;
-        if let Some(job) = core.batch.get_mut(&accepted.id) {
-            // The tokens are a function of the prompt: generate them again.
-            job.next = first;
-            job.tx = Some(tx);
-            return Ok(accepted);
-        }
+        return take_up(&mut core, accepted, tx);
     }
     if core.holds(&accepted.id) {
         let message = format!("request {} is running", accepted.id);
@@ -162,6 +158,26 @@
     Ok(accepted)
 }
 
+/// Takes up a request again that runs or has finished.
+fn take_up(
+    core: &mut Core,
+    accepted: Accepted,
+    tx: flume::Sender<Emission>,
+) -> Result<Accepted, Refused> {
+    if let Some(job) = core.batch.get_mut(&accepted.id) {
+        // The tokens are a function of the prompt: generate them again.
+        job.next = accepted.first;
+        job.tx = Some(tx);
+    } else if let Some(usage) = core.finished.usage(&accepted.id) {
+        core.batch.push(Job::replay(&accepted.id, accepted.first, usage, tx));
+    } else {
+        let message = format!("request {} is not known", accepted.id);
+        return Err(Refused(404, Refusal::new("unknown_request", message)));
+    }
+    core.stats.resumed += 1;
+    Ok(accepted)
+}
+
 /// The part of a prompt that this engine reads.
 struct Segment {
     /// Digest of the prompt so far, over all segments.
@@ -229,8 +245,10 @@
 }
 
 fn priority(req: &Request) -> u8 {
-    let sent = http::header(req, "toucansill-priority").and_then(|text| text.parse().ok());
-    sent.unwrap_or(DEFAULT_PRIORITY)
+    match http::header(req, "toucansill-priority") {
+        Some("urgent") => URGENT_PRIORITY,
+        sent => sent.and_then(|text| text.parse().ok()).unwrap_or(DEFAULT_PRIORITY),
+    }
 }
 
 /// Sends the answer token by token.
--- a/crates/fake/src/state.rs
+++ b/crates/fake/src/state.rs
@@ -1,15 +1,15 @@
 //! What an engine holds.
 
 use crate::{
-    batch::{Batch, Job, Step},
+    batch::{Batch, FinishedJobs, Job, Rates, Step},
     cache::PrefixCache,
     config::EngineConfig,
     kv::{KvState, KvStore, Retained},
-    load::{Load, LoadHistory},
+    load::LoadHistory,
     orders::OrderLog,
 };
-use std::time::Instant;
-use wire::{Incarnation, RequestId, Tokens};
+use std::time::{Duration, Instant};
+use wire::{Incarnation, RequestId, Tokens, border::upstream::LoadReport};
 
 /// What an engine has done since its first start.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -47,6 +47,10 @@
     /// When the present start was.
     started: Instant,
     history: LoadHistory,
+    /// Load reports since the start.
+    reports: u64,
+    /// Requests that ended while their client was away.
+    pub(crate) finished: FinishedJobs,
     /// Streams to come that answer with another request's id.
     pub(crate) cross_next: u64,
     pub(crate) stats: Stats,
@@ -64,6 +68,8 @@
             orders: OrderLog::default(),
             started: cfg.clock.now(),
             history: LoadHistory::default(),
+            reports: 0,
+            finished: FinishedJobs::default(),
             cross_next: 0,
             stats: Stats::default(),
             cfg,
@@ -103,20 +109,20 @@
     }
 
     /// The load report, as old as the settings say.
-    pub(crate) fn load(&self) -> Load {
+    pub(crate) fn load(&self) -> LoadReport {
         self.history.lagged().cloned().unwrap_or_else(|| self.load_now())
     }
 
-    fn load_now(&self) -> Load {
-        Load {
+    fn load_now(&self) -> LoadReport {
+        LoadReport {
+            id: self.cfg.id.clone(),
             incarnation: self.incarnation,
-            running: self.batch.len(),
-            prefill_tokens_waiting: self.batch.prefill_left(),
-            memory_tokens: self.cfg.memory_tokens,
-            memory_tokens_used: self.memory_used(),
-            cached_tokens: self.cache.tokens(),
-            prefilled_tokens: self.stats.prefilled,
-            decoded_tokens: self.stats.decoded,
+            sequence: self.reports,
+            age_ms: 0,
+            running: self.batch.iter().map(|job| job.id.clone()).collect(),
+            memory_used_tokens: self.memory_used(),
+            prefill_waiting_tokens: self.batch.prefill_left(),
+            exported: self.kv.retained.keys().cloned().collect(),
         }
     }
 
@@ -129,12 +135,30 @@
         self.memory_used() as f64 > ramp.share(age) * self.cfg.memory_tokens as f64
     }
 
+    /// Runs one step: the time that it takes, and whether nothing could run.
+    pub(crate) fn step(&mut self) -> (Duration, bool) {
+        let rates = Rates {
+            prefill_tokens_per_s: self.cfg.prefill_tokens_per_s,
+            decode_tokens_per_s: self.cfg.decode_tokens_per_s,
+            prefill_chunk: self.cfg.prefill_chunk,
+        };
+        let mut step = self.batch.step(&rates);
+        let is_stuck = step.prefilled + step.decoded == 0 && step.finished.is_empty();
+        self.apply(&mut step);
+        (step.duration, is_stuck)
+    }
+
     /// Takes in what a step of the batch did.
-    pub(crate) fn apply(&mut self, step: &mut Step) {
+    fn apply(&mut self, step: &mut Step) {
         self.stats.prefilled += step.prefilled;
         self.stats.decoded += step.decoded;
         self.stats.finished += step.finished.len() as u64;
-        step.finished.drain(..).filter(|job| job.kv_retain).for_each(|job| self.retain(job));
+        for job in step.finished.drain(..) {
+            self.finished.push(&job);
+            if job.kv_retain {
+                self.retain(job);
+            }
+        }
         if let Some(read) = step.read.take() {
             let capacity = self.cache_capacity();
             self.cache.store(&read.id, &read.blocks, capacity);
@@ -150,6 +174,7 @@
     }
 
     pub(crate) fn note_load(&mut self) {
+        self.reports += 1;
         let load = self.load_now();
         let lag = self.cfg.load_lag_steps;
         self.history.push(load, lag);
@@ -162,5 +187,7 @@
         self.cache = PrefixCache::default();
         self.orders = OrderLog::default();
         self.history = LoadHistory::default();
+        self.reports = 0;
+        self.finished = FinishedJobs::default();
     }
 }
--- /dev/null
+++ b/crates/fake/tests/management.rs
@@ -0,0 +1,148 @@
+//! The engine's prefix cache, reports and management API.
+
+use fake::{Engine, EngineConfig};
+use serde_json::{Value, json};
+
+fn engine(cfg: EngineConfig) -> Engine {
+    Engine::start(cfg).expect("a free port")
+}
+
+fn get(engine: &Engine, path: &str) -> Value {
+    let url = format!("http://{}{path}", engine.address());
+    let reply = minreq::get(url).with_timeout(5).send().expect("the engine answers");
+    serde_json::from_slice(reply.as_bytes()).expect("JSON")
+}
+
+fn post(engine: &Engine, path: &str, body: &Value) -> (u16, Value) {
+    let url = format!("http://{}{path}", engine.address());
+    let sent = minreq::post(url).with_body(body.to_string()).with_timeout(5).send();
+    let reply = sent.expect("the engine answers");
+    (reply.status_code, serde_json::from_slice(reply.as_bytes()).expect("JSON"))
+}
+
+fn complete(engine: &Engine, prompt: &str) -> Value {
+    let body = json!({ "model": "small", "prompt": prompt, "max_tokens": 2 });
+    let (status, answer) = post(engine, "/v1/completions", &body);
+    assert_eq!(status, 200, "{answer}");
+    answer
+}
+
+/// A prompt of whole blocks: 64 tokens of 4 bytes each.
+fn prompt(start: &str, blocks: usize) -> String {
+    format!("{start:x<256}").repeat(blocks)
+}
+
+#[test]
+fn a_known_prefix_is_not_read_again() {
+    let engine = engine(EngineConfig::default());
+    let first = complete(&engine, &prompt("a", 3));
+    assert_eq!(first["usage"]["cached_tokens"], 0);
+    let read = engine.stats().prefilled;
+    let longer = prompt("a", 3) + &prompt("b", 1);
+    let second = complete(&engine, &longer);
+    assert_eq!(second["usage"]["cached_tokens"], 3 * 64);
+    assert_eq!(engine.stats().prefilled - read, 64);
+}
+
+#[test]
+fn the_prefix_cache_keeps_to_the_memory_that_is_left() {
+    let engine = engine(EngineConfig { memory_tokens: 200, ..EngineConfig::default() });
+    complete(&engine, &prompt("a", 2));
+    complete(&engine, &prompt("b", 2));
+    let events = get(&engine, "/cache-events?since=0");
+    let evicted = |event: &&Value| event["event"] == "evicted";
+    let all = events["events"].as_array().expect("events");
+    assert!(all.iter().filter(evicted).count() > 0, "{events}");
+}
+
+#[test]
+fn cache_events_come_late_and_with_gaps() {
+    let cfg = EngineConfig { cache_event_gap: 2, cache_event_lag: 1, ..EngineConfig::default() };
+    let engine = engine(cfg);
+    ["a", "b", "c", "d"].iter().for_each(|start| drop(complete(&engine, &prompt(start, 1))));
+    let seen = |since: u64| -> Vec<u64> {
+        let events = get(&engine, &format!("/cache-events?since={since}"));
+        let events = events["events"].as_array().expect("events").clone();
+        events.iter().filter_map(|event| event["sequence"].as_u64()).collect()
+    };
+    assert_eq!(seen(0), [1, 3]);
+    assert_eq!(seen(1), [3]);
+}
+
+#[test]
+fn a_load_report_is_as_old_as_the_lag_says() {
+    let engine = engine(EngineConfig { load_lag_steps: 1_000_000, ..EngineConfig::default() });
+    complete(&engine, &prompt("a", 1));
+    let load = get(&engine, "/load");
+    assert_eq!(load["sequence"], 1, "the report from before the request");
+    assert_eq!(load["incarnation"], 1);
+}
+
+#[test]
+fn an_urgent_prompt_is_read_first() {
+    let engine = engine(EngineConfig::default());
+    engine.pause();
+    let send = |id: &str, priority: &str| {
+        let body = json!({
+            "model": "small", "prompt": id, "max_tokens": 1, "stream": true, "request_id": id,
+        });
+        let url = format!("http://{}/v1/completions", engine.address());
+        let sent = minreq::post(url)
+            .with_header("toucansill-priority", priority)
+            .with_body(body.to_string())
+            .send_lazy();
+        sent.expect("the engine answers")
+    };
+    let _ordinary = send("ordinary", "ordinary");
+    let _urgent = send("urgent", "urgent");
+    assert_eq!(get(&engine, "/requests")["requests"].as_array().map(Vec::len), Some(2));
+    engine.hold_at(0);
+    engine.step();
+    // The ordinary prompt is still to be read.
+    assert_eq!(engine.waiting(), ["ordinary"]);
+}
+
+#[test]
+fn an_exported_cache_holds_memory_until_it_is_released() {
+    let engine = engine(EngineConfig::default());
+    let body = json!({
+        "model": "small", "prompt": "hello", "max_tokens": 0, "kv_retain": true,
+        "request_id": "r-1",
+    });
+    assert_eq!(post(&engine, "/v1/completions", &body).0, 200);
+    assert_eq!(get(&engine, "/requests")["kv"][0]["id"], "r-1");
+    let handle = json!({ "handle": "r-1" });
+    assert_eq!(post(&engine, "/kv/export", &handle).0, 200);
+    assert!(engine.memory_used() > 0);
+    assert_eq!(post(&engine, "/kv/release", &handle).0, 200);
+    assert_eq!(engine.memory_used(), 0);
+    assert_eq!(post(&engine, "/kv/export", &handle).0, 404);
+}
+
+#[test]
+fn only_an_engine_that_checks_refuses_an_old_fencing_number() {
+    let order = |epoch: u64| {
+        json!({
+            "action": "set-role", "target": "prefill", "fence_epoch": epoch, "fence_sequence": 1,
+        })
+    };
+    for (checks_fences, status) in [(true, 409), (false, 200)] {
+        let engine = engine(EngineConfig { checks_fences, ..EngineConfig::default() });
+        assert_eq!(post(&engine, "/orders", &order(2)).0, 200);
+        assert_eq!(post(&engine, "/orders", &order(1)).0, status);
+    }
+}
+
+#[test]
+fn a_chosen_prompt_crashes_the_engine() {
+    let cfg = EngineConfig { crash_on: Some("poison".to_string()), ..EngineConfig::default() };
+    let engine = engine(cfg);
+    let url = format!("http://{}/v1/completions", engine.address());
+    let body = json!({ "model": "small", "prompt": "a poison prompt" });
+    let reply = minreq::post(url).with_body(body.to_string()).send();
+    assert!(!reply.is_ok_and(|reply| reply.status_code == 200));
+    assert_eq!(engine.stats().crashes, 1);
+    engine.restart().expect("the same port");
+    assert_eq!(engine.incarnation(), 2);
+    complete(&engine, "a good prompt");
+}
--- a/crates/upstream/src/announce.rs
+++ b/crates/upstream/src/announce.rs
@@ -1,13 +1,15 @@
 //! Announcements: how upstreams make themselves known, and who is alive.
 
 use crate::error::{Error, Reason, Result};
-use serde::{Deserialize, Serialize};
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
     time::{Duration, Instant},
 };
-use wire::{DataCentreId, Incarnation, ModelId, ServiceId, Tokens, UpstreamId, Verdict};
+use wire::{
+    DataCentreId, Incarnation, ModelId, ServiceId, Tokens, UpstreamId, Verdict,
+    border::upstream as border,
+};
 
 /// Largest announcement, in bytes.
 pub const MAX_BODY_BYTES: usize = 64 * 1024;
@@ -17,8 +19,7 @@
 const MAX_MODELS: usize = 256;
 
 /// What kind of upstream announces itself.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "lowercase")]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Kind {
     /// A model engine.
     Engine,
@@ -27,7 +28,7 @@
 }
 
 /// Capacity after a start: a straight line from `initial_share` to the whole.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Ramp {
     /// Share of the capacity right after a start, above 0 and at most 1.
     pub initial_share: f64,
@@ -35,8 +36,8 @@
     pub duration_ms: u64,
 }
 
-/// Body of `POST /upstreams`.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+/// Body of `POST /upstreams`, as [`wire::border::upstream`] defines it, checked.
+#[derive(Clone, Debug, PartialEq)]
 pub struct Announcement {
     /// Name of the upstream, unique in its region.
     pub id: UpstreamId,
@@ -47,27 +48,20 @@
     /// Where it stands.
     pub data_centre: DataCentreId,
     /// Models of an engine.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub models: Vec<ModelId>,
     /// Name of a plain service.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub service: Option<ServiceId>,
     /// KV memory of an engine.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub memory_tokens: Option<Tokens>,
     /// Prompt tokens that an engine reads a second.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub prefill_tokens_per_s: Option<f64>,
     /// Tokens that an engine generates a second for each request.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub decode_tokens_per_s: Option<f64>,
     /// Capacity after a start. Without it the whole capacity is there at once.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub ramp: Option<Ramp>,
     /// Number of the present start; a restart must raise it.
     pub incarnation: Incarnation,
     /// Whether it refuses orders with an old fencing number.
-    #[serde(default)]
     pub checks_fences: bool,
 }
 
@@ -93,8 +87,9 @@
         if body.len() > MAX_BODY_BYTES {
             return Err(invalid(format!("an announcement has at most {MAX_BODY_BYTES} bytes")));
         }
-        let parsed: Self =
+        let parsed: border::Announcement =
             serde_json::from_slice(body).map_err(|e| invalid(format!("announcement: {e}")))?;
+        let parsed = Self::from(parsed);
         parsed.check()?;
         Ok(parsed)
     }
@@ -114,7 +109,7 @@
         if let Some(ramp) = &self.ramp
             && !(ramp.initial_share > 0.0 && ramp.initial_share <= 1.0)
         {
-            return Err(invalid("ramp.initial_share: must be above 0 and at most 1"));
+            return Err(invalid("ramp.start_permille: must be 1 to 1000"));
         }
         match self.kind {
             Kind::Engine => self.check_engine(),
@@ -149,6 +144,32 @@
     }
 }
 
+impl From<border::Announcement> for Announcement {
+    fn from(sent: border::Announcement) -> Self {
+        let rate = |tokens_per_s: u64| (tokens_per_s > 0).then_some(tokens_per_s as f64);
+        Self {
+            id: sent.id,
+            kind: match sent.kind {
+                border::UpstreamKind::Engine => Kind::Engine,
+                border::UpstreamKind::Service => Kind::Service,
+            },
+            address: sent.address,
+            data_centre: sent.data_centre,
+            models: sent.models,
+            service: sent.service,
+            memory_tokens: (sent.memory_tokens > 0).then_some(sent.memory_tokens),
+            prefill_tokens_per_s: rate(sent.prefill_tokens_per_s),
+            decode_tokens_per_s: rate(sent.decode_tokens_per_s),
+            ramp: sent.ramp.map(|ramp| Ramp {
+                initial_share: f64::from(ramp.start_permille) / 1000.0,
+                duration_ms: ramp.duration_ms,
+            }),
+            incarnation: sent.incarnation,
+            checks_fences: sent.checks_fences,
+        }
+    }
+}
+
 fn invalid(message: impl Into<String>) -> Error {
     Error::new(Reason::Invalid, Verdict::NotRun, message)
 }
--- a/crates/upstream/src/error.rs
+++ b/crates/upstream/src/error.rs
@@ -94,8 +94,15 @@
     }
 
     /// Whether the same request would be refused by every upstream.
+    ///
+    /// Timeout (408), conflict (409), size (413) and rate (429) depend on the
+    /// upstream and the moment, so they are not the caller's fault.
     pub fn is_caller_fault(&self) -> bool {
-        matches!(self.reason, Reason::Refused(400..=499) | Reason::Invalid)
+        match self.reason {
+            Reason::Refused(408 | 409 | 413 | 429) => false,
+            Reason::Refused(400..=499) | Reason::Invalid => true,
+            _ => false,
+        }
     }
 
     /// Whether an open connection has gone silent.
--- a/crates/upstream/src/orders.rs
+++ b/crates/upstream/src/orders.rs
@@ -5,16 +5,17 @@
     error::{Error, Reason, Result},
     manage,
 };
-use serde::{Deserialize, Serialize};
 use std::{
     collections::{BTreeSet, VecDeque},
     time::{Duration, Instant},
 };
-use wire::{Fence, ModelId, UpstreamId, Verdict};
+use wire::{
+    Fence, ModelId, UpstreamId, Verdict,
+    border::upstream::{self as border, OrderAction},
+};
 
 /// What an order asks for.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(tag = "order", rename_all = "kebab-case")]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Order {
     /// Loads a model from the weight store.
     LoadModel {
@@ -47,6 +48,20 @@
     pub fn reads_weights(&self) -> bool {
         !matches!(self, Self::ChangeRole { .. })
     }
+
+    /// The action, and what it is about: an adapter or version as `model/name`.
+    fn at_border(&self) -> (OrderAction, String) {
+        match self {
+            Self::LoadModel { model } => (OrderAction::LoadModel, model.clone()),
+            Self::LoadAdapter { model, adapter } => {
+                (OrderAction::LoadAdapter, format!("{model}/{adapter}"))
+            }
+            Self::LoadVersion { model, version } => {
+                (OrderAction::LoadVersion, format!("{model}/{version}"))
+            }
+            Self::ChangeRole { role } => (OrderAction::SetRole, role.clone()),
+        }
+    }
 }
 
 /// Permits to read from the weight store: a rate with a burst.
@@ -307,14 +322,6 @@
     Ok(())
 }
 
-/// Body of `POST /orders`.
-#[derive(Serialize)]
-struct OrderBody<'a> {
-    fence: Fence,
-    #[serde(flatten)]
-    order: &'a Order,
-}
-
 impl Client {
     /// Sends an order.
     ///
@@ -323,7 +330,13 @@
     /// [`Reason::Stale`] when the engine has seen a newer fencing number; any
     /// other failure may be sent again under the same number.
     pub fn order(&self, target: &Target, order: &Order, fence: Fence) -> Result<()> {
-        let body = OrderBody { fence, order };
+        let (action, about) = order.at_border();
+        let body = border::Order {
+            action,
+            fence_epoch: fence.epoch,
+            fence_sequence: fence.sequence,
+            target: Some(about),
+        };
         manage::post(&target.address, "/orders", &body).map(|_| ())
     }
 }
--- a/crates/upstream/src/transfer.rs
+++ b/crates/upstream/src/transfer.rs
@@ -19,6 +19,9 @@
 /// Foreign events in a row after which a connection is given up.
 const MAX_FOREIGN: u32 = 16;
 
+/// Status for a request that the upstream does not know: it has started anew.
+const UNKNOWN: u16 = 404;
+
 /// Takes in an event; false once nobody wants further ones.
 pub(crate) type Sink = Box<dyn FnMut(StreamEvent) -> bool + Send>;
 
@@ -32,6 +35,22 @@
     Final,
 }
 
+/// The connections to one upstream, until the stream moves on.
+struct Stay {
+    target: Target,
+    /// Whether the next connection takes up what runs there.
+    resumes: bool,
+    /// Resumptions since the last new token.
+    resumptions: u32,
+    may_have_run: bool,
+}
+
+impl Stay {
+    fn new(target: Target, resumes: bool) -> Self {
+        Self { target, resumes, resumptions: 0, may_have_run: false }
+    }
+}
+
 /// One stream on its way through connections and upstreams.
 pub(crate) struct Transfer {
     shared: Arc<Shared>,
@@ -45,6 +64,8 @@
     /// Whether the last connection failed after forwarding a token.
     progressed: bool,
     foreign: u32,
+    /// Whether the last upstream has started anew since it took the request.
+    is_forgotten: bool,
 }
 
 impl Transfer {
@@ -56,30 +77,39 @@
     ) -> Self {
         let splice = Splice::new(req.id.clone(), req.first);
         let rng = fastrand::Rng::with_seed(shared.stream_seed());
-        let (may_have_run, progressed, foreign) = (false, false, 0);
-        Self { shared, req, presence, sink, splice, rng, may_have_run, progressed, foreign }
+        let (may_have_run, progressed, foreign, is_forgotten) = (false, false, 0, false);
+        Self {
+            shared,
+            req,
+            presence,
+            sink,
+            splice,
+            rng,
+            may_have_run,
+            progressed,
+            foreign,
+            is_forgotten,
+        }
     }
 
     /// Runs the stream to its last event.
     pub(crate) fn run(mut self, mut choose: impl FnMut(Option<&Failed>) -> Option<Target>) {
-        let Some(mut target) = choose(None) else {
+        let Some(target) = choose(None) else {
             let message = "no upstream takes this request";
             return self.fail(Error::new(Reason::NoTarget, Verdict::NotRun, message), None);
         };
-        let mut resumes = false;
-        let mut tries_here = 0;
+        let mut stay = Stay::new(target, false);
         let mut retry = self.new_retry();
         loop {
-            let error = match self.connect(&target, resumes) {
+            let error = match self.connect(&stay) {
                 Ok(()) => return,
                 Err(error) => error,
             };
-            self.note_failure(&target, &error);
+            self.note_failure(&mut stay, &error);
             if self.progressed {
                 retry = self.new_retry();
-                tries_here = 0;
             }
-            let recovery = self.recovery(&error, tries_here);
+            let recovery = self.recovery(&stay, &error);
             if matches!(recovery, Recovery::Final) {
                 return self.fail(error, None);
             }
@@ -89,24 +119,40 @@
                 Err(retry_after) => return self.fail(error, Some(retry_after)),
             }
             if matches!(recovery, Recovery::Resume) {
-                tries_here += 1;
-                resumes = true;
                 self.shared.counters.count_resumed();
+                stay.resumptions += 1;
+                stay.resumes = true;
                 continue;
             }
-            let failed = Failed { target, error, next: self.splice.next() };
+            let failed = self.leave(stay, error);
             let Some(next) = choose(Some(&failed)) else {
                 return self.fail(failed.error, None);
             };
-            resumes = next.upstream == failed.target.upstream;
-            if !resumes {
-                self.abandon(&failed);
-            }
-            tries_here = 0;
-            target = next;
+            stay = self.arrive(next, &failed);
         }
     }
 
+    /// What is told of an upstream that the stream leaves.
+    fn leave(&self, stay: Stay, error: Error) -> Failed {
+        // A refused connection after a broken one does not undo the first.
+        let error = match stay.may_have_run {
+            true => error.with_verdict(Verdict::MayHaveRun),
+            false => error,
+        };
+        Failed { target: stay.target, error, next: self.splice.next() }
+    }
+
+    fn arrive(&mut self, next: Target, failed: &Failed) -> Stay {
+        let is_same = next.upstream == failed.target.upstream;
+        if !is_same {
+            self.abandon(failed);
+        }
+        // An upstream that was down has forgotten the request.
+        let is_known = !self.is_forgotten && !failed.error.is_unreachable();
+        self.is_forgotten = false;
+        Stay::new(next, is_same && is_known)
+    }
+
     fn new_retry(&self) -> Retry {
         // A stream yields each token once, however often it is generated.
         Retry::new(self.shared.cfg.backoff, true, self.req.deadline)
@@ -114,7 +160,8 @@
 
     /// Sends the request on one connection and reads it until the stream has
     /// finished or the consumer has gone.
-    fn connect(&mut self, target: &Target, resumes: bool) -> Result<()> {
+    fn connect(&mut self, stay: &Stay) -> Result<()> {
+        let Stay { target, resumes, .. } = stay;
         self.progressed = false;
         self.foreign = 0;
         if !self.presence.enter(target, &self.req.id) {
@@ -131,7 +178,7 @@
         let mut headers = self.req.headers.clone();
         headers.push((REQUEST_ID_HEADER.to_string(), self.req.id.clone()));
         headers.push(("Content-Type".to_string(), "application/json".to_string()));
-        if resumes {
+        if *resumes {
             headers.push((RESUME_HEADER.to_string(), self.splice.next().to_string()));
         }
         let outgoing = Outgoing {
@@ -142,6 +189,10 @@
             timeout: None,
         };
         let response = http::send(&agent, &outgoing)?;
+        if *resumes && response.status() == UNKNOWN {
+            self.is_forgotten = true;
+            return Err(broken("the upstream no longer knows the request"));
+        }
         if response.status() != 200 {
             return Err(http::refusal(response));
         }
@@ -214,8 +265,12 @@
         Err(Error::new(Reason::Crossed, Verdict::MayHaveRun, message))
     }
 
-    fn note_failure(&mut self, target: &Target, error: &Error) {
+    fn note_failure(&mut self, stay: &mut Stay, error: &Error) {
         self.may_have_run |= !error.is_not_run();
+        stay.may_have_run |= !error.is_not_run();
+        if self.progressed {
+            stay.resumptions = 0;
+        }
         if error.is_not_run() {
             self.presence.leave();
         }
@@ -223,17 +278,18 @@
             self.shared.counters.count_silent();
         }
         if !error.is_refused() {
-            self.shared.forget(&target.address);
+            self.shared.forget(&stay.target.address);
         }
     }
 
-    fn recovery(&self, error: &Error, tries_here: u32) -> Recovery {
+    fn recovery(&self, stay: &Stay, error: &Error) -> Recovery {
         let is_fresh = self.splice.next() == self.req.first && !self.may_have_run;
         match error.reason() {
             Reason::Refused(_) if error.is_caller_fault() && is_fresh => Recovery::Final,
             Reason::Invalid => Recovery::Final,
             Reason::Refused(_) | Reason::Unreachable => Recovery::Move,
-            _ if tries_here > 0 => Recovery::Move,
+            _ if self.is_forgotten => Recovery::Move,
+            _ if stay.resumptions > 0 => Recovery::Move,
             _ => Recovery::Resume,
         }
     }
--- a/crates/upstream/tests/directory.rs
+++ b/crates/upstream/tests/directory.rs
@@ -30,12 +30,13 @@
         ("data_centre", "x".repeat(129).into()),
         ("models", serde_json::json!([])),
         ("memory_tokens", 0.into()),
-        ("prefill_tokens_per_s", (-1.0).into()),
-        ("decode_tokens_per_s", serde_json::Value::Null),
-        ("ramp.initial_share", 1.5.into()),
+        ("prefill_tokens_per_s", 0.into()),
+        ("decode_tokens_per_s", 0.into()),
+        ("ramp.start_permille", 1001.into()),
     ];
+    let engine = Engine::start(EngineConfig::default()).expect("a free port");
     for (field, value) in cases {
-        let mut body = serde_json::to_value(example()).expect("JSON");
+        let mut body = serde_json::to_value(engine.announcement()).expect("JSON");
         match field.split_once('.') {
             Some((outer, inner)) => {
                 body[outer] = serde_json::json!({ "duration_ms": 1 });
@@ -50,6 +51,10 @@
     let e = Announcement::parse(&vec![b' '; MAX_BODY_BYTES + 1]).expect_err("too long");
     assert_eq!(e.reason(), Reason::Invalid);
     assert!(Announcement::parse(b"{\"id\":").is_err());
+    let mut body = serde_json::to_value(engine.announcement()).expect("JSON");
+    body["adress"] = "127.0.0.1:1".into();
+    let e = Announcement::parse(body.to_string().as_bytes()).expect_err("unknown");
+    assert!(e.message().contains("adress"), "{e}");
 }
 
 #[test]
--- a/crates/upstream/tests/orders.rs
+++ b/crates/upstream/tests/orders.rs
@@ -62,7 +62,7 @@
     client.order(&target, &load("large"), fence).expect("taken");
     client.order(&target, &load("large"), fence).expect("taken again");
     assert_eq!(engine.orders().len(), 1);
-    assert_eq!(engine.announcement().models, Some(vec!["small".into(), "large".into()]));
+    assert_eq!(engine.announcement().models, ["small", "large"]);
 }
 
 #[test]
--- a/crates/upstream/tests/streams.rs
+++ b/crates/upstream/tests/streams.rs
@@ -58,6 +58,10 @@
     let targets = [target("engine-1", &first), target("engine-2", &second)];
     let client = client();
     let mut stream = client.stream(request("r-1", PROMPT, 8), move |failed| {
+        if let Some(failed) = failed {
+            // The refused resumption must not hide that the engine died at work.
+            assert_eq!(failed.error.verdict(), Verdict::MayHaveRun);
+        }
         Some(targets[usize::from(failed.is_some())].clone())
     });
     let start = collect(&mut stream, 3);
@@ -148,3 +152,43 @@
     };
     assert_eq!((error.reason(), error.verdict()), (Reason::Refused(404), Verdict::NotRun));
 }
+
+#[test]
+fn an_engine_that_started_anew_is_not_taken_for_the_one_that_ran_the_request() {
+    let engine = engine("engine-1");
+    engine.hold_at(3);
+    let target = target("engine-1", &engine);
+    let (asked, failures) = flume::unbounded();
+    let mut stream = client().stream(request("r-1", PROMPT, 8), move |failed| {
+        if let Some(failed) = failed {
+            asked.send((failed.error.reason(), failed.next)).expect("the test listens");
+        }
+        Some(target.clone())
+    });
+    let start = collect(&mut stream, 3);
+    assert_eq!(start.last, None);
+    engine.kill();
+    engine.restart().expect("the same port");
+    engine.release();
+    let text = start.text + &collect(&mut stream, usize::MAX).text;
+    assert_eq!(text, completion_text(PROMPT, 0, 8));
+    let (reason, next) = failures.recv().expect("a failure");
+    assert!(matches!(reason, Reason::Broken | Reason::Unreachable), "{reason:?}");
+    assert_eq!(next, 3);
+    assert_eq!(engine.stats().resumed, 0);
+}
+
+#[test]
+fn the_end_of_an_answer_that_went_silent_is_sent_again() {
+    let engine = engine("engine-1");
+    engine.hold_at(3);
+    let target = target("engine-1", &engine);
+    let mut stream = client().stream(request("r-1", PROMPT, 8), move |_| Some(target.clone()));
+    let start = collect(&mut stream, 3);
+    engine.relay().silence();
+    engine.release();
+    engine.wait_idle();
+    assert_eq!(engine.stats().finished, 1, "the engine has ended before the silence is noticed");
+    let text = start.text + &collect(&mut stream, usize::MAX).text;
+    assert_eq!(text, completion_text(PROMPT, 0, 8));
+}
