--- a/crates/toucansilld/src/owner.rs
+++ b/crates/toucansilld/src/owner.rs
@@ -6,6 +6,7 @@
 mod actor;
 mod call;
 mod convert;
+mod gang;
 mod job;
 mod poll;
 mod reconcile;
--- a/crates/toucansilld/src/owner/job.rs
+++ b/crates/toucansilld/src/owner/job.rs
@@ -1,14 +1,17 @@
 //! One job on an owner: placement, stream and moves to other upstreams.
 
-use super::{Owner, OwnerMsg, Placed, PlacedResult};
-use crate::messages::{Failure, Job, JobFrame};
+use super::{Owner, OwnerMsg, Placed, PlacedResult, gang};
+use crate::{
+    messages::{Failure, Job, JobFrame},
+    sync::lock,
+};
 use control::{Charge, Command, Outcome, Standing};
-use route::{Prefix, Refusal, TokenUsage};
+use route::{Placement, Prefix, Refusal, TokenUsage};
 use std::{
     sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
-use upstream::{Failed, Reason, StreamEvent, StreamRequest, Target};
+use upstream::{Failed, Reason, Stream, StreamEvent, StreamRequest, Target};
 use wire::{RequestId, UpstreamId, Verdict};
 
 /// Takes a job's frames; false once the other end is gone.
@@ -36,7 +39,12 @@
         }
         Waited::Gone => return owner.cancelled(&job.request),
     };
-    stream(owner, job, deadline, placed, sink);
+    match &placed.placement {
+        Placement::Single(_) => stream(owner, job, deadline, placed, sink),
+        Placement::Gang(segments) => {
+            gang::run(owner, job, deadline, segments, &placed.targets, sink);
+        }
+    }
 }
 
 enum Waited {
@@ -90,6 +98,7 @@
     }
 }
 
+/// Streams from one upstream, and from others if it fails.
 fn stream(owner: &Owner, job: &Job, deadline: Instant, placed: Placed, sink: &mut FrameSink<'_>) {
     let mut req =
         StreamRequest::new(job.request.clone(), job.path.clone(), job.body.clone(), deadline);
@@ -100,7 +109,18 @@
     ));
     let chooser = Chooser::new(owner, job, deadline, placed);
     let refusal = Arc::clone(&chooser.refusal);
-    let mut events = owner.client.stream(req, move |failed| chooser.choose(failed));
+    let events = owner.client.stream(req, move |failed| chooser.choose(failed));
+    forward(owner, job, events, &refusal, sink);
+}
+
+/// Hands the events of a stream on as frames.
+pub(crate) fn forward(
+    owner: &Owner,
+    job: &Job,
+    mut events: Stream,
+    refusal: &Mutex<Option<Failure>>,
+    sink: &mut FrameSink<'_>,
+) {
     let mut is_first = true;
     while let Some(event) = events.recv() {
         let is_there = match event {
@@ -127,7 +147,7 @@
             }
             StreamEvent::Failed { error, retry_after } => {
                 owner.cancelled(&job.request);
-                let refusal = crate::sync::lock(&refusal).take();
+                let refusal = lock(refusal).take();
                 let failure = refusal.unwrap_or_else(|| failure(&error, retry_after));
                 sink(JobFrame::Failed(failure))
             }
@@ -175,7 +195,7 @@
     }
 
     fn choose(&self, failed: Option<&Failed>) -> Option<Target> {
-        let mut state = crate::sync::lock(&self.next);
+        let mut state = lock(&self.next);
         if let Some(placed) = state.placed.take() {
             let target = placed.targets.first().cloned();
             state.current = Some(placed);
@@ -210,7 +230,7 @@
         };
         match self.control.propose(Command::Charge(charge), CHARGE_TIMEOUT) {
             Ok(Outcome::Standing(Standing::Quarantined { .. })) => {
-                *crate::sync::lock(&self.refusal) = Some(quarantined());
+                *lock(&self.refusal) = Some(quarantined());
                 false
             }
             Ok(Outcome::Standing(Standing::Suspect)) => {
@@ -241,6 +261,11 @@
         };
         self.tell(OwnerMsg::Submit { job: Box::new(job), reply });
         match placed.recv_deadline(self.deadline) {
+            Ok(Ok(placed)) if placed.targets.len() > 1 => {
+                // What was sent to one engine can't go on over several.
+                self.tell(OwnerMsg::Cancelled { request: self.job.request.clone() });
+                None
+            }
             Ok(Ok(placed)) => {
                 let target = placed.targets.first().cloned();
                 state.current = Some(placed);
@@ -249,7 +274,7 @@
             Ok(Err(refusal)) => {
                 let mut failure = refused(&refusal);
                 failure.verdict = Verdict::MayHaveRun;
-                *crate::sync::lock(&self.refusal) = Some(failure);
+                *lock(&self.refusal) = Some(failure);
                 None
             }
             Err(_) => None,
--- a/crates/toucansilld/tests/common/mod.rs
+++ b/crates/toucansilld/tests/common/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
-use fake::{Announcer, Engine, EngineConfig};
+use fake::{Announcer, Engine, EngineConfig, Plain, PlainConfig};
 use serde_json::Value;
 use std::{
     net::SocketAddr,
@@ -108,6 +108,46 @@
         self.announcers.push(Announcer::start(daemon, move || Some(source.announcement())));
     }
 
+    /// Starts a plain service that announces itself to daemon `via`.
+    pub(crate) fn add_plain(&mut self, cfg: PlainConfig, via: usize) -> Arc<Plain> {
+        let plain = Arc::new(Plain::start(cfg).expect("a free port"));
+        let source = Arc::clone(&plain);
+        let daemon = self.callers(via).to_string();
+        self.announcers.push(Announcer::start(daemon, move || Some(source.announcement())));
+        plain
+    }
+
+    /// A call to the service `yard` through daemon `i`.
+    pub(crate) fn book(&self, i: usize, key: &str, body: &str) -> Booked {
+        let res = minreq::post(format!("http://{}/yard/bookings", self.callers(i)))
+            .with_header("Authorization", format!("Bearer {API_KEY}"))
+            .with_header("Content-Type", "application/json")
+            .with_header("Idempotency-Key", key)
+            .with_header("toucansill-deadline-ms", "3000")
+            .with_body(body)
+            .with_timeout(30)
+            .send();
+        let Ok(res) = res else { return Booked::default() };
+        let verdict = res.header("toucansill-verdict").unwrap_or_default();
+        Booked {
+            status: res.status_code,
+            verdict: String::from(verdict),
+            body: String::from(res.as_str().unwrap_or_default()),
+        }
+    }
+
+    /// Waits until daemon `i` reaches the service `yard`.
+    pub(crate) fn await_yard(&self, i: usize) {
+        let url = format!("http://{}/yard/status", self.callers(i));
+        await_that("the service is reached", || {
+            minreq::get(&url)
+                .with_header("Authorization", format!("Bearer {API_KEY}"))
+                .with_timeout(5)
+                .send()
+                .is_ok_and(|res| res.header("toucansill-verdict") == Some("ran"))
+        });
+    }
+
     /// An operators' request to daemon `i`.
     pub(crate) fn operate(&self, i: usize, method: &str, path: &str, body: &str) -> (u16, Value) {
         let url = format!("http://{}{path}", self.settings[i].listen.operators);
@@ -176,6 +216,79 @@
     }
 }
 
+/// Answer to a booking.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(crate) struct Booked {
+    pub(crate) status: u16,
+    pub(crate) verdict: String,
+    pub(crate) body: String,
+}
+
+/// A streamed completion under way.
+pub(crate) struct Caller {
+    thread: thread::JoinHandle<Streamed>,
+}
+
+/// How a streamed completion ended.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(crate) struct Streamed {
+    pub(crate) text: String,
+    /// Whether the end mark came.
+    pub(crate) is_whole: bool,
+    /// Code of the error, empty without one.
+    pub(crate) error: String,
+}
+
+impl Caller {
+    /// Starts a streamed completion through daemon `i`.
+    pub(crate) fn start(fleet: &Fleet, i: usize, prompt: &str, tokens: u32) -> Self {
+        Self::start_with(fleet, i, prompt, tokens, "60000")
+    }
+
+    /// The same with a deadline in milliseconds.
+    pub(crate) fn start_with(
+        fleet: &Fleet,
+        i: usize,
+        prompt: &str,
+        tokens: u32,
+        deadline_ms: &str,
+    ) -> Self {
+        let body = serde_json::json!({
+            "model": "small", "prompt": prompt, "max_tokens": tokens, "stream": true,
+        });
+        let req = minreq::post(format!("http://{}/v1/completions", fleet.callers(i)))
+            .with_header("Authorization", format!("Bearer {API_KEY}"))
+            .with_header("Content-Type", "application/json")
+            .with_header("toucansill-deadline-ms", deadline_ms)
+            .with_body(body.to_string())
+            .with_timeout(60);
+        Self { thread: thread::spawn(move || streamed(req)) }
+    }
+
+    /// Waits for the end.
+    pub(crate) fn end(self) -> Streamed {
+        self.thread.join().expect("no panic")
+    }
+}
+
+fn streamed(req: minreq::Request) -> Streamed {
+    let Ok(res) = req.send() else { return Streamed::default() };
+    let text = String::from(res.as_str().unwrap_or_default());
+    let mut end = Streamed::default();
+    if res.status_code != 200 {
+        let value: Value = serde_json::from_str(&text).unwrap_or_default();
+        end.error = String::from(value["error"]["code"].as_str().unwrap_or("none"));
+        return end;
+    }
+    for data in text.lines().filter_map(|line| line.strip_prefix("data: ")) {
+        end.is_whole |= data == "[DONE]";
+        let event: Value = serde_json::from_str(data).unwrap_or_default();
+        end.text += event["choices"][0]["text"].as_str().unwrap_or_default();
+        end.error += event["error"]["code"].as_str().unwrap_or_default();
+    }
+    end
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         self.announcers.clear();
