--- /dev/null
+++ b/crates/control/tests/replay.rs
@@ -0,0 +1,118 @@
+//! Equal logs lead to equal states and outcomes, also over snapshots, and a view
+//! at an index is what the state was at that index.
+
+mod common;
+
+use bolero::{check, generator::produce_with};
+use common::{claim, claim_id, holder, join, sheet};
+use control::{Changes, Charge, Command, FenceRequest, State, View};
+use std::{collections::BTreeMap, time::Duration};
+
+fn command(op: u8, arg: u8, extra: u8, at_ms: u64) -> Command {
+    let daemon = ["a", "b", "c"][usize::from(arg % 3)];
+    let own = holder(daemon, u64::from(extra % 4));
+    let upstream = format!("u{}", arg % 4);
+    let fingerprint = [arg % 5; 32];
+    match op % 10 {
+        0 | 1 => sheet(u64::from(arg % 32), extra % 4, "ana"),
+        2 | 3 => join(daemon, own.incarnation, "dc-1"),
+        4 => Command::Leave(own),
+        5 => Command::GrantFence(FenceRequest { upstream, holder: own }),
+        6 => claim(claim_id(&format!("k{extra}"), &format!("r{arg}"), own, at_ms), 1),
+        7 => Command::AbandonKey(claim_id(&format!("k{extra}"), &format!("r{arg}"), own, at_ms)),
+        8 => {
+            let incarnation = u64::from(extra % 3);
+            let alone = extra.is_multiple_of(2);
+            Command::Charge(Charge { fingerprint, upstream, incarnation, alone, at_ms })
+        }
+        _ => Command::Acquit { fingerprint, at_ms },
+    }
+}
+
+/// Commands out of bytes, some of them in batches, with stamps that may go back.
+fn commands(ops: &[(u8, u8, u8)]) -> Vec<Command> {
+    let single = ops.iter().enumerate().map(|(place, (op, arg, extra))| {
+        command(*op, *arg, *extra, place as u64 * 2000 + u64::from(*extra) * 50)
+    });
+    let singles: Vec<Command> = single.collect();
+    singles
+        .chunks(3)
+        .flat_map(|chunk| match ops.len() % 2 {
+            0 => vec![Command::Batch(chunk.to_vec())],
+            _ => chunk.to_vec(),
+        })
+        .collect()
+}
+
+#[test]
+fn snapshots_equal_replay() {
+    let ops = produce_with::<Vec<(u8, u8, u8)>>().len(1..300usize);
+    check!().with_generator(ops).with_shrink_time(Duration::from_secs(1)).for_each(|ops| {
+        let (mut straight, mut restored) = (State::new(), State::new());
+        for (place, cmd) in commands(ops).iter().enumerate() {
+            let index = 1 + 2 * place as u64;
+            let clock_ms = straight.clock_ms();
+            assert_eq!(straight.apply(index, cmd), restored.apply(index, cmd));
+            assert!(straight.clock_ms() >= clock_ms, "the clock went back");
+            if ops[place % ops.len()].0 % 8 == 0 {
+                restored = State::restore(&restored.snapshot()).unwrap();
+            }
+        }
+        assert_eq!(straight, restored);
+        assert_eq!(straight.snapshot(), restored.snapshot());
+    });
+}
+
+#[test]
+fn a_view_is_the_state_at_its_index_and_never_goes_back() {
+    let ops = produce_with::<Vec<(u8, u8, u8)>>().len(1..200usize);
+    check!().with_generator(ops).with_shrink_time(Duration::from_secs(1)).for_each(|ops| {
+        let mut state = State::new();
+        let mut views = [View::new(), View::new()];
+        let mut at_index: BTreeMap<u64, View> = BTreeMap::from([(0, View::new())]);
+        let mut late: Vec<Changes> = Vec::new();
+        for (place, cmd) in commands(ops).iter().enumerate() {
+            state.apply(1 + place as u64, cmd);
+            let mut fresh = View::new();
+            fresh.advance(&state.changes_since(0)).unwrap();
+            at_index.insert(state.applied(), fresh);
+            let (_, arg, extra) = ops[place];
+            let view = &mut views[usize::from(arg % 2)];
+            late.push(state.changes_since(view.index()));
+            let changes = &late[late.len() - 1 - usize::from(extra) % late.len().min(6)];
+            let before = view.index();
+            let is_gap = view.advance(changes).is_err_and(|err| err.is_gap());
+            assert_eq!(is_gap, changes.from > before && changes.to > before);
+            assert!(view.index() >= before);
+            assert_eq!(*view, at_index[&view.index()]);
+        }
+    });
+}
+
+#[test]
+fn a_view_too_far_behind_gets_the_whole() {
+    let mut state = State::new();
+    let mut view = View::new();
+    state.apply(1, &join("a", 1, "dc-1"));
+    view.advance(&state.changes_since(0)).unwrap();
+    (2..3000).for_each(|number| {
+        state.apply(number, &sheet(number, number as u8, "ana"));
+    });
+    view.advance(&state.changes_since(view.index())).unwrap();
+    assert_eq!(view.configuration(), state.configuration());
+    assert_eq!(view.roster(), state.roster());
+}
+
+#[test]
+fn a_snapshot_that_is_cut_or_of_another_format_is_refused() {
+    let mut state = State::new();
+    state.apply(1, &join("a", 1, "dc-1"));
+    let buf = state.snapshot();
+    for len in 0..buf.len() {
+        assert!(State::restore(&buf[..len]).unwrap_err().is_malformed());
+    }
+    assert!(State::restore(&[&buf[..], &[0]].concat()).unwrap_err().is_malformed());
+    let mut newer = buf;
+    newer[0] += 1;
+    assert!(State::restore(&newer).unwrap_err().is_unknown_version());
+}
