--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -35,6 +35,8 @@
 mod bucket;
 mod config;
 mod limiter;
+mod predict;
+mod quota;
 mod refusal;
 mod usage;
 
--- a/crates/limit/src/limiter.rs
+++ b/crates/limit/src/limiter.rs
@@ -3,7 +3,6 @@
 use crate::{
     account::Account,
     ask::{Answer, Ask, Priority, Ticket, TicketId, TicketState},
-    bucket::Bucket,
     config::{Capacity, Config, Share},
     refusal::{Reason, Refusal, Result},
     usage::{Elsewhere, Usage},
@@ -16,7 +15,7 @@
 
 /// A request that waits.
 #[derive(Debug)]
-struct Waiting {
+pub(crate) struct Waiting {
     ask: Ask,
     latest_start: Instant,
 }
@@ -35,18 +34,18 @@
 /// [`next_wakeup`](Self::next_wakeup), call [`poll`](Self::poll).
 #[derive(Debug)]
 pub struct Limiter {
-    cfg: Config,
-    capacity: Capacity,
-    live_daemons: u32,
-    accounts: BTreeMap<OrganisationId, Account>,
-    waiting: BTreeMap<TicketId, Waiting>,
-    waiting_tokens: [Tokens; 2],
+    pub(crate) cfg: Config,
+    pub(crate) capacity: Capacity,
+    pub(crate) live_daemons: u32,
+    pub(crate) accounts: BTreeMap<OrganisationId, Account>,
+    pub(crate) waiting: BTreeMap<TicketId, Waiting>,
+    pub(crate) waiting_tokens: [Tokens; 2],
     expiry: BTreeSet<(Instant, TicketId)>,
     running: BTreeMap<TicketId, Running>,
     in_flight: Tokens,
     virtual_time: f64,
     ordinary_credit: f64,
-    elsewhere: Elsewhere,
+    pub(crate) elsewhere: Elsewhere,
     answers: Vec<Answer>,
     next_ticket: TicketId,
 }
@@ -214,14 +213,6 @@
         self.next_ticket
     }
 
-    /// Expected time from start to the end of the answer.
-    fn service_time(&self, ask: &Ask) -> Duration {
-        let output = ask.max_output_tokens as f64 * f64::from(self.cfg.expected_output_percent);
-        let prefill = ask.prompt_tokens as f64 / rate(self.capacity.prefill_tokens_per_second);
-        let decode = output / 100.0 / rate(self.capacity.decode_tokens_per_second);
-        Duration::from_secs_f64((prefill + decode).min(MAX_SECONDS))
-    }
-
     /// Whether a newcomer may pass straight through.
     fn has_room(&self, ask: &Ask) -> bool {
         let Some(account) = self.accounts.get(&ask.organisation) else { return false };
@@ -236,50 +227,10 @@
     /// A request is let in while there is any room, even if it needs more: a
     /// prompt longer than the whole room then waits for no drained daemon. The
     /// owner of an upstream knows its memory exactly; this is only pressure.
-    fn is_below_capacity(&self) -> bool {
+    pub(crate) fn is_below_capacity(&self) -> bool {
         self.in_flight < self.capacity.tokens_in_flight
     }
 
-    /// Wait for the fleet: the lesser of all work ahead at the whole rate and
-    /// the organisation's own work at its fair part of it.
-    fn load_wait(&self, ask: &Ask) -> Duration {
-        if self.is_below_capacity() && self.waiting.is_empty() {
-            return Duration::ZERO;
-        }
-        let ahead: Tokens = match ask.priority {
-            Priority::Urgent => self.waiting_tokens[Priority::Urgent.index()],
-            Priority::Ordinary => self.waiting_tokens.iter().sum(),
-        };
-        let whole = rate(self.capacity.tokens_per_second);
-        let account = &self.accounts[&ask.organisation];
-        let active: f64 = self.accounts.values().filter(|a| a.is_waiting()).map(|a| a.weight).sum();
-        let part = account.weight / active.max(account.weight);
-        let seconds = (ahead as f64 / whole).min(account.waiting_tokens as f64 / (whole * part));
-        Duration::from_secs_f64(seconds.min(MAX_SECONDS))
-    }
-
-    fn quota_wait(&self, ask: &Ask) -> Duration {
-        let account = &self.accounts[&ask.organisation];
-        account.bucket.as_ref().map_or(Duration::ZERO, |b| b.wait(account.waiting_tokens))
-    }
-
-    fn predicted_wait(&self, ask: &Ask) -> Duration {
-        self.load_wait(ask).max(self.quota_wait(ask))
-    }
-
-    /// Refuses what would wait beyond its latest start.
-    fn check_wait(&self, now: Instant, ask: &Ask, latest_start: Instant) -> Result<()> {
-        let slack = latest_start.saturating_duration_since(now);
-        let (load, quota) = (self.load_wait(ask), self.quota_wait(ask));
-        if quota > slack {
-            return Err(self.refusal(Reason::QuotaExceeded, quota - slack));
-        }
-        if load > slack {
-            return Err(self.refusal(Reason::DeadlineUnmeetable, load - slack));
-        }
-        Ok(())
-    }
-
     /// Makes room in a full queue, or refuses the newcomer.
     fn make_room(&mut self, ask: &Ask) -> Result<()> {
         while self.is_full(ask.cost()) {
@@ -318,16 +269,9 @@
             .flatten()
     }
 
-    /// Time until what waits now has drained.
-    fn drain_time(&self) -> Duration {
-        let tokens: Tokens = self.waiting_tokens.iter().sum();
-        let seconds = tokens as f64 / rate(self.capacity.tokens_per_second);
-        Duration::from_secs_f64(seconds.min(MAX_SECONDS))
-    }
-
     /// A refusal whose retry time is spread by up to a quarter, so that callers
     /// refused together do not come back together.
-    fn refusal(&self, reason: Reason, wait: Duration) -> Refusal {
+    pub(crate) fn refusal(&self, reason: Reason, wait: Duration) -> Refusal {
         let wait = wait.clamp(self.cfg.min_retry_after, self.cfg.max_retry_after);
         let spread = (self.next_ticket + self.answers.len() as u64).wrapping_mul(SPREAD) >> 56;
         Refusal { reason, retry_after: wait + wait.mul_f64(spread as f64 / 1024.0) }
@@ -436,47 +380,7 @@
             self.answers.push(Answer { ticket: id, result: Err(refusal) });
         }
     }
-
-    /// This daemon's part of a quota: a fixed part evenly over live daemons,
-    /// the rest by demand. Over daemons with the same view the parts sum to 1.
-    fn local_part(&self, here: f64, others: f64) -> f64 {
-        let even = 1.0 / f64::from(self.live_daemons);
-        let total = here + others;
-        let by_demand = if total > 0.0 { here / total } else { even };
-        let even_part = f64::from(self.cfg.even_percent.min(100)) / 100.0;
-        even_part * even + (1.0 - even_part) * by_demand
-    }
-
-    fn split_quotas(&mut self, now: Instant) {
-        let totals = self.elsewhere.totals();
-        let parts: Vec<f64> = self
-            .accounts
-            .iter()
-            .map(|(name, a)| {
-                self.local_part(a.demand.rate(now), totals.get(name).copied().unwrap_or(0.0))
-            })
-            .collect();
-        for (account, part) in self.accounts.values_mut().zip(parts) {
-            let Some(quota) = account.quota else {
-                account.bucket = None;
-                continue;
-            };
-            let rate = quota as f64 * part;
-            match &mut account.bucket {
-                Some(bucket) => bucket.set_rate(now, rate, self.cfg.burst),
-                None => account.bucket = Some(Bucket::new(now, rate, self.cfg.burst)),
-            }
-        }
-    }
 }
 
-/// Longest time that is ever predicted, in seconds.
-const MAX_SECONDS: f64 = 86_400.0;
-
 /// Odd multiplier that spreads consecutive numbers over 64 bits.
 const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
-
-/// A rate as divisor, never zero.
-fn rate(tokens_per_second: Tokens) -> f64 {
-    tokens_per_second.max(1) as f64
-}
