Measure decision times and compare policies in model time

Cause: the goals for decision time, slowdown of short prompts and goodput had no measurement. Change: two examples of route: decision_time (18 to 11,000 upstreams, 7 to 860 owners) and policies (four policies on engines that prefill in the order of arrival).

--- /dev/null
+++ b/crates/route/examples/decision_time.rs
@@ -0,0 +1,166 @@
+//! Time of one decision at several sizes.
+//!
+//! `cargo run --release -p route --example decision_time`
+
+use fastrand::Rng;
+use route::{
+    Announcement, Ask, Config, Digest, Digests, Fleet, Job, Kind, ModelDigest, Prefix, Priority,
+    Ramp, TokenUsage, choose_owner,
+};
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
+
+/// Decisions measured for each size.
+const ROUNDS: usize = 40_000;
+
+/// Requests in flight for each upstream.
+const IN_FLIGHT: usize = 4;
+
+fn main() {
+    println!("owner's fleet: submit, dispatch, first token and finish of one request");
+    println!("{:>9} {:>10} {:>10} {:>10}", "upstreams", "mean us", "p50 us", "p99 us");
+    for upstreams in [13, 18, 1_000, 11_000] {
+        print_row(upstreams, &mut fleet_times(upstreams));
+    }
+    println!("entry's choice of an owner, with a prefix");
+    println!("{:>9} {:>10} {:>10} {:>10}", "owners", "mean us", "p50 us", "p99 us");
+    for owners in [7, 143, 860] {
+        print_row(owners, &mut owner_times(owners, true));
+    }
+    println!("entry's choice of an owner, without a prefix");
+    for owners in [7, 143, 860] {
+        print_row(owners, &mut owner_times(owners, false));
+    }
+}
+
+fn print_row(size: usize, times: &mut [Duration]) {
+    times.sort_unstable();
+    let mean = times.iter().sum::<Duration>() / times.len() as u32;
+    let at = |percent: usize| times[times.len() * percent / 100];
+    let micros = |d: Duration| d.as_secs_f64() * 1e6;
+    println!("{size:>9} {:>10.2} {:>10.2} {:>10.2}", micros(mean), micros(at(50)), micros(at(99)));
+}
+
+/// Keeps a steady number of requests in flight and times each round.
+fn fleet_times(upstreams: usize) -> Vec<Duration> {
+    let mut now = Instant::now();
+    let mut rng = Rng::with_seed(7);
+    let mut fleet = Fleet::new(Config::default());
+    for i in 0..upstreams {
+        fleet.announce(now, engine(i)).expect("the table has room");
+    }
+    let mut in_flight = VecDeque::new();
+    let mut times = Vec::with_capacity(ROUNDS);
+    // Each upstream prefills 5 prompts of 2k tokens a second; half of that.
+    let gap = Duration::from_secs_f64(1.0 / (2.5 * upstreams as f64));
+    for round in 0..ROUNDS + IN_FLIGHT * upstreams {
+        now += gap;
+        if round % (8 * upstreams) == 0 {
+            (0..upstreams).for_each(|i| drop(fleet.announce(now, engine(i))));
+        }
+        let job = job(round, now, &mut rng);
+        let started = Instant::now();
+        let _ = fleet.submit(now, job);
+        for dispatch in fleet.dispatch(now) {
+            in_flight.push_back(dispatch.request);
+        }
+        if in_flight.len() > upstreams / 2 {
+            let at = in_flight.len() - upstreams / 2 - 1;
+            fleet.first_token(now, &in_flight[at], None);
+        }
+        if in_flight.len() > IN_FLIGHT * upstreams {
+            let request = in_flight.pop_front().expect("many are in flight");
+            fleet.finished(now, &request, TokenUsage::default());
+        }
+        let elapsed = started.elapsed();
+        if round >= IN_FLIGHT * upstreams {
+            times.push(elapsed);
+        }
+    }
+    times
+}
+
+fn engine(i: usize) -> Announcement {
+    Announcement {
+        id: format!("u{i:05}"),
+        incarnation: 1,
+        kind: Kind::Engine,
+        models: vec!["plan".into()],
+        memory_tokens: 400_000,
+        max_running: 32,
+        prefill_tokens_per_second: 10_000,
+        decode_tokens_per_second: 40,
+        ramp: Ramp::NONE,
+        uptime: Duration::ZERO,
+        is_leaving: false,
+        moves_kv_cache: true,
+        honours_priority: false,
+    }
+}
+
+fn job(round: usize, now: Instant, rng: &mut Rng) -> Job {
+    let prompt_tokens = if rng.u8(0..50) == 0 { 100_000 } else { rng.u64(500..4_000) };
+    let prefixes = vec![Prefix { hash: rng.u64(0..2_000), tokens: 512 }];
+    Job {
+        request: format!("r{round}"),
+        model: "plan".into(),
+        priority: Priority::Ordinary,
+        prompt_tokens,
+        max_output_tokens: 500,
+        prefixes,
+        deadline: now + Duration::from_secs(120),
+        avoid: Vec::new(),
+        is_suspect: false,
+    }
+}
+
+fn owner_times(owners: usize, with_prefix: bool) -> Vec<Duration> {
+    let now = Instant::now();
+    let mut rng = Rng::with_seed(7);
+    let mut digests = Digests::new("dc-0".into(), "region".into());
+    for i in 0..owners {
+        digests.update(now, digest(i, &mut rng));
+    }
+    (0..ROUNDS)
+        .map(|_| {
+            let ask = Ask {
+                model: "plan".into(),
+                prefix: with_prefix.then(|| rng.u64(..)),
+                prompt_tokens: 2_000,
+                max_output_tokens: 500,
+                avoid: Vec::new(),
+            };
+            let started = Instant::now();
+            let choice = choose_owner(&digests, now, &ask, &mut rng).expect("owners are there");
+            digests.note_sent(&choice.owner, &ask.model, ask.prompt_tokens);
+            started.elapsed()
+        })
+        .collect()
+}
+
+fn digest(i: usize, rng: &mut Rng) -> Digest {
+    let wait = rng.u64(0..200_000);
+    let state = ModelDigest {
+        model: "plan".into(),
+        serving: 13,
+        prefill_tokens: wait / 8,
+        prefill_tokens_per_second: 130_000,
+        upstream_tokens_per_second: 10_000,
+        free_tokens: 2_000_000,
+        largest_free_tokens: 300_000,
+        largest_memory_tokens: 400_000,
+        gang_tokens: 3_200_000,
+        wait_micros: [wait; 4],
+    };
+    Digest {
+        daemon: format!("d{i:04}"),
+        incarnation: 1,
+        sequence: 1,
+        data_centre: format!("dc-{}", i % 2),
+        region: "region".into(),
+        is_in_service: true,
+        models: vec![state],
+    }
+}
--- /dev/null
+++ b/crates/route/examples/policies.rs
@@ -0,0 +1,292 @@
+//! Compares policies in model time: first-token times of short prompts beside
+//! long ones, and what ends in time under overload.
+//!
+//! `cargo run --release -p route --example policies`
+//!
+//! An engine is a plain function: it prefills in the order of arrival at a
+//! fixed rate, and each answer then takes its tokens at a fixed rate.
+
+use fastrand::Rng;
+use route::{
+    Announcement, Config, Dispatch, Fleet, Job, Kind, LengthClass, Policy, Priority, Ramp,
+    TokenUsage,
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+/// Upstreams of one owner at the target size.
+const UPSTREAMS: usize = 13;
+/// Prompt tokens a second of one engine.
+const PREFILL: f64 = 10_000.0;
+/// Output tokens a second of one request.
+const DECODE: f64 = 50.0;
+/// Output tokens of each answer.
+const OUTPUT: u64 = 100;
+/// Model time of a run, in seconds.
+const SECONDS: f64 = 900.0;
+/// Part of a run that is not counted, in seconds.
+const WARM_UP: f64 = 60.0;
+
+/// Chance of each class in percent, with its shortest and longest prompt.
+const MIX: [(LengthClass, u64, u64, u64); 4] = [
+    (LengthClass::Short, 78, 500, 4_000),
+    (LengthClass::Medium, 15, 4_200, 30_000),
+    (LengthClass::Long, 5, 33_000, 120_000),
+    (LengthClass::Huge, 2, 140_000, 380_000),
+];
+
+const POLICIES: [Policy; 4] =
+    [Policy::Predicted, Policy::NoLengthClasses, Policy::LeastOutstanding, Policy::RoundRobin];
+
+/// One request of a run.
+#[derive(Clone, Copy, Debug)]
+struct Arrival {
+    at: f64,
+    class: LengthClass,
+    tokens: u64,
+}
+
+/// What a run gave.
+#[derive(Default)]
+struct Outcome {
+    /// First-token times by class, in seconds.
+    first_token: BTreeMap<LengthClass, Vec<f64>>,
+    offered: u32,
+    refused: u32,
+    late: u32,
+    in_time: u32,
+    tokens_in_time: f64,
+}
+
+fn main() {
+    println!("p95 time to first token in s, at a load of 0.7");
+    println!(
+        "{:<18} {:>8} {:>8} {:>7} {:>8} {:>8} {:>8}",
+        "policy", "alone", "beside", "ratio", "medium", "long", "huge"
+    );
+    for policy in POLICIES {
+        print_slowdown(policy, 0.7);
+    }
+    println!("\nended in time, by load; requests a second, prompt tokens a second, refused, late");
+    for policy in POLICIES {
+        for load in [0.5, 1.0, 1.5, 2.0, 3.0] {
+            print_goodput(policy, load);
+        }
+    }
+}
+
+fn print_slowdown(policy: Policy, load: f64) {
+    let all = arrivals(load, 7);
+    let short: Vec<Arrival> =
+        all.iter().copied().filter(|a| a.class == LengthClass::Short).collect();
+    let alone = run(policy, &short);
+    let beside = run(policy, &all);
+    let alone = p95(&alone, LengthClass::Short);
+    let p95 = LengthClass::ALL.map(|class| p95(&beside, class));
+    println!(
+        "{:<18} {alone:>8.3} {:>8.3} {:>7.2} {:>8.2} {:>8.2} {:>8.2}",
+        format!("{policy:?}"),
+        p95[0],
+        p95[0] / alone,
+        p95[1],
+        p95[2],
+        p95[3]
+    );
+}
+
+fn print_goodput(policy: Policy, load: f64) {
+    let outcome = run(policy, &arrivals(load, 11));
+    let span = SECONDS - WARM_UP;
+    println!(
+        "{:<18} load {load:>3.1}: {:>6.2}/s {:>9.0}/s {:>5.1}% {:>5.1}%",
+        format!("{policy:?}"),
+        f64::from(outcome.in_time) / span,
+        outcome.tokens_in_time / span,
+        f64::from(outcome.refused) * 100.0 / f64::from(outcome.offered),
+        f64::from(outcome.late) * 100.0 / f64::from(outcome.offered)
+    );
+}
+
+fn p95(outcome: &Outcome, class: LengthClass) -> f64 {
+    let Some(times) = outcome.first_token.get(&class) else { return f64::NAN };
+    let mut times = times.clone();
+    times.sort_by(f64::total_cmp);
+    times[times.len() * 95 / 100]
+}
+
+/// Poisson arrivals whose prompts offer `load` times what all engines prefill.
+fn arrivals(load: f64, seed: u64) -> Vec<Arrival> {
+    let mut rng = Rng::with_seed(seed);
+    let mean: f64 = MIX.iter().map(|(_, p, low, high)| (p * (low + high)) as f64 / 200.0).sum();
+    let rate = load * PREFILL * UPSTREAMS as f64 / mean;
+    let mut at = 0.0;
+    let mut arrivals = Vec::new();
+    loop {
+        at += -(1.0 - rng.f64()).ln() / rate;
+        if at > SECONDS {
+            return arrivals;
+        }
+        let mut left = rng.u64(0..100);
+        let pick = MIX.iter().find(|(_, percent, ..)| {
+            let is_here = left < *percent;
+            left = left.saturating_sub(*percent);
+            is_here
+        });
+        let (class, _, low, high) = *pick.expect("the chances sum to 100");
+        arrivals.push(Arrival { at, class, tokens: rng.u64(low..high) });
+    }
+}
+
+/// Time that a request may take: a few times what it takes on an idle engine.
+fn patience(tokens: u64) -> f64 {
+    20.0 + 4.0 * tokens as f64 / PREFILL
+}
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Event {
+    FirstToken(usize),
+    End(usize),
+    Wakeup,
+}
+
+fn run(policy: Policy, arrivals: &[Arrival]) -> Outcome {
+    let base = Instant::now();
+    let at = |seconds: f64| base + Duration::from_secs_f64(seconds);
+    let mut fleet = Fleet::new(Config { policy, ..Config::default() });
+    let mut free_at: BTreeMap<String, Instant> = BTreeMap::new();
+    let mut events: BTreeSet<(Instant, Event)> = BTreeSet::new();
+    let mut outcome = Outcome::default();
+    let mut next = 0;
+    let mut heard = base;
+    announce_all(&mut fleet, base);
+    while next < arrivals.len() || events.iter().any(|(_, e)| *e != Event::Wakeup) {
+        let arrival = arrivals.get(next).map(|a| at(a.at));
+        let event = events.first().copied();
+        let is_arrival = event.is_none_or(|(t, _)| arrival.is_some_and(|a| a <= t));
+        let now = if is_arrival { arrival.expect("one is left") } else { event.unwrap().0 };
+        if now - heard >= Duration::from_secs(1) {
+            heard = now;
+            announce_all(&mut fleet, now);
+        }
+        if is_arrival {
+            submit(&mut fleet, now, next, &arrivals[next], &mut outcome);
+            next += 1;
+        } else {
+            let (_, event) = events.pop_first().expect("an event is due");
+            take_event(&mut fleet, base, now, event, arrivals, &mut outcome, &mut events);
+        }
+        for refused in fleet.expired(now) {
+            let index = index_of(&refused.request);
+            outcome.refused += u32::from(arrivals[index].at > WARM_UP);
+        }
+        for dispatch in fleet.dispatch(now) {
+            send(now, &dispatch, arrivals, &mut free_at, &mut events);
+        }
+        if let Some(wakeup) = fleet.next_wakeup() {
+            events.retain(|(_, e)| *e != Event::Wakeup);
+            events.insert((wakeup.max(now + Duration::from_millis(1)), Event::Wakeup));
+        }
+    }
+    outcome
+}
+
+fn submit(fleet: &mut Fleet, now: Instant, index: usize, arrival: &Arrival, outcome: &mut Outcome) {
+    let job = Job {
+        request: format!("{index}"),
+        model: "plan".into(),
+        priority: Priority::Ordinary,
+        prompt_tokens: arrival.tokens,
+        max_output_tokens: OUTPUT,
+        prefixes: Vec::new(),
+        deadline: now + Duration::from_secs_f64(patience(arrival.tokens)),
+        avoid: Vec::new(),
+        is_suspect: false,
+    };
+    let is_counted = arrival.at > WARM_UP;
+    let is_refused = fleet.submit(now, job).is_err();
+    outcome.offered += u32::from(is_counted);
+    outcome.refused += u32::from(is_counted && is_refused);
+}
+
+/// The engine: prefill in the order of arrival, then the answer.
+fn send(
+    now: Instant,
+    dispatch: &Dispatch,
+    arrivals: &[Arrival],
+    free_at: &mut BTreeMap<String, Instant>,
+    events: &mut BTreeSet<(Instant, Event)>,
+) {
+    let index = index_of(&dispatch.request);
+    let upstream = dispatch.placement.grants()[0].upstream.clone();
+    let free = free_at.entry(upstream).or_insert(now);
+    let prefill = Duration::from_secs_f64(arrivals[index].tokens as f64 / PREFILL);
+    *free = (*free).max(now) + prefill;
+    events.insert((*free, Event::FirstToken(index)));
+    events.insert((*free + Duration::from_secs_f64(OUTPUT as f64 / DECODE), Event::End(index)));
+}
+
+fn take_event(
+    fleet: &mut Fleet,
+    base: Instant,
+    now: Instant,
+    event: Event,
+    arrivals: &[Arrival],
+    outcome: &mut Outcome,
+    events: &mut BTreeSet<(Instant, Event)>,
+) {
+    let seconds = (now - base).as_secs_f64();
+    match event {
+        Event::Wakeup => events.retain(|(_, e)| *e != Event::Wakeup),
+        Event::FirstToken(index) => {
+            fleet.first_token(now, &format!("{index}"), None);
+            let arrival = &arrivals[index];
+            if arrival.at > WARM_UP {
+                let times = outcome.first_token.entry(arrival.class).or_default();
+                times.push(seconds - arrival.at);
+            }
+        }
+        Event::End(index) => {
+            let arrival = &arrivals[index];
+            let used = TokenUsage {
+                prompt_tokens: arrival.tokens,
+                cached_tokens: 0,
+                output_tokens: OUTPUT,
+            };
+            fleet.finished(now, &format!("{index}"), used);
+            let is_in_time = seconds - arrival.at <= patience(arrival.tokens);
+            let is_counted = arrival.at > WARM_UP;
+            if is_counted && is_in_time && seconds <= SECONDS {
+                outcome.in_time += 1;
+                outcome.tokens_in_time += arrival.tokens as f64;
+            }
+            outcome.late += u32::from(is_counted && !is_in_time);
+        }
+    }
+}
+
+fn index_of(request: &str) -> usize {
+    request.parse().expect("requests are named by their index")
+}
+
+fn announce_all(fleet: &mut Fleet, now: Instant) {
+    for i in 0..UPSTREAMS {
+        let ann = Announcement {
+            id: format!("u{i:02}"),
+            incarnation: 1,
+            kind: Kind::Engine,
+            models: vec!["plan".into()],
+            memory_tokens: 400_000,
+            max_running: 32,
+            prefill_tokens_per_second: PREFILL as u64,
+            decode_tokens_per_second: DECODE as u64,
+            ramp: Ramp::NONE,
+            uptime: Duration::ZERO,
+            is_leaving: false,
+            moves_kv_cache: true,
+            honours_priority: false,
+        };
+        fleet.announce(now, ann).expect("the table has room");
+    }
+}
