Look at fewer upstreams for each decision

Cause: a request's four decisions took 18 us at 13, 44 us at 18 and 34 us at 11,000 upstreams (means): each waiting job that could not start was compared with up to 36 upstreams at every dispatch, and each of those was searched for prefixes. Change: jobs whose class or backlog rules out every upstream are passed over before any is looked at; 8 upstreams are looked at by prefill work, and by memory only if none fits; only known holders are asked for a hit.

--- a/crates/route/src/dispatch.rs
+++ b/crates/route/src/dispatch.rs
@@ -51,10 +51,11 @@
     }
 
     fn try_job(&mut self, now: Instant, pool: PoolId, lane: Lane, key: Key) -> Option<Dispatch> {
-        let queued = self.pools[pool].queues.get(lane, key)?.clone();
-        if queued.latest_start < now {
+        let queued = self.pools[pool].queues.get(lane, key)?;
+        if queued.latest_start < now || self.is_blocked(now, pool, queued) {
             return None;
         }
+        let queued = queued.clone();
         if queued.is_gang {
             let Some(members) = self.place_gang(now, pool, &queued) else {
                 self.hold(now, pool, &queued);
--- a/crates/route/src/place.rs
+++ b/crates/route/src/place.rs
@@ -12,8 +12,9 @@
 use std::time::{Duration, Instant};
 use wire::Tokens;
 
-/// Upstreams looked at by least prefill work, and again by most memory.
-const LOOK: usize = 16;
+/// Upstreams looked at by least prefill work and, if none of them fits, by most
+/// memory.
+const LOOK: usize = 8;
 
 /// How much a fully used batch slows down a prefill, as a part of its time.
 const BATCH_SLOWDOWN: f64 = 0.3;
@@ -44,25 +45,49 @@
         if p.largest_room() < queued.need {
             return None;
         }
-        let by_work = p.open.iter().take(LOOK).map(|(_, slot)| *slot);
-        let by_room = p
-            .roomy
-            .iter()
-            .rev()
-            .take(LOOK)
-            .take_while(|(room, _)| *room >= queued.need)
-            .map(|(_, slot)| *slot);
+        // Only holders are asked for a hit: elsewhere it is most likely none.
         let holders = self.holders(&queued.job);
-        let best = holders
-            .chain(by_work)
-            .chain(by_room)
-            .filter(|slot| self.may_take(now, pool, *slot, queued))
-            .map(|slot| Chosen { slot, first_token: self.predict(now, slot, queued) })
-            .min_by_key(|chosen| chosen.first_token)?;
+        let holders =
+            holders.map(|slot| (slot, self.upstream(slot).prefixes.hit(&queued.job.prefixes)));
+        let by_work = p.open.iter().take(LOOK).map(|(_, slot)| (*slot, 0));
+        let best = self.best_of(now, queued, holders.chain(by_work)).or_else(|| {
+            let by_room = p.roomy.iter().rev().take(LOOK).map(|(_, slot)| (*slot, 0));
+            self.best_of(now, queued, by_room)
+        })?;
         let backlog = self.upstream(best.slot).backlog(now, queued.class);
         (backlog <= self.cfg.max_backlog).then_some(best)
     }
 
+    /// The upstream with the least predicted time, of some with their hits.
+    fn best_of(
+        &self,
+        now: Instant,
+        queued: &Queued,
+        candidates: impl Iterator<Item = (Slot, Tokens)>,
+    ) -> Option<Chosen> {
+        candidates
+            .filter(|(slot, _)| self.is_possible(now, *slot, queued))
+            .filter(|(slot, _)| self.is_free_for(*slot, queued.class))
+            .map(|(slot, hit)| Chosen { slot, first_token: self.predict(now, slot, queued, hit) })
+            .min_by_key(|chosen| chosen.first_token)
+    }
+
+    /// Whether no upstream would do, whatever the memory: all have too much
+    /// prefill work, or the shorter classes' upstreams must be kept free.
+    fn is_hopeless(&self, now: Instant, pool: &Pool, class: LengthClass) -> bool {
+        let least = pool.open.first().map_or(now, |(done, _)| *done);
+        let is_busy = least.saturating_duration_since(now) > self.cfg.max_backlog;
+        let may_overtake = class == LengthClass::Short && pool.honouring_priority > 0;
+        (is_busy && !may_overtake) || !self.leaves_enough_free(now, pool, class)
+    }
+
+    /// Whether a policy with a queue would not place this job whatever the
+    /// upstream; cheap, and asked before the job is looked at closely.
+    pub(crate) fn is_blocked(&self, now: Instant, pool: PoolId, queued: &Queued) -> bool {
+        let holds_back = self.cfg.policy.holds_back();
+        holds_back && !queued.is_gang && self.is_hopeless(now, &self.pools[pool], queued.class)
+    }
+
     fn place_least_outstanding(
         &self,
         now: Instant,
@@ -73,7 +98,7 @@
         slots
             .filter(|slot| self.is_possible(now, *slot, queued))
             .min_by_key(|slot| self.upstream(*slot).running())
-            .map(|slot| Chosen { slot, first_token: self.predict(now, slot, queued) })
+            .map(|slot| Chosen { slot, first_token: self.predict(now, slot, queued, 0) })
     }
 
     fn place_round_robin(&mut self, now: Instant, pool: PoolId, queued: &Queued) -> Option<Chosen> {
@@ -84,7 +109,7 @@
         slots.rotate_left(start);
         let slot = slots.into_iter().find(|slot| self.is_possible(now, *slot, queued))?;
         self.pools[pool].next_turn = slot + 1;
-        Some(Chosen { slot, first_token: self.predict(now, slot, queued) })
+        Some(Chosen { slot, first_token: self.predict(now, slot, queued, 0) })
     }
 
     /// Whether a job may go to an upstream at all.
@@ -97,11 +122,6 @@
             && !self.is_held_against(u, queued)
     }
 
-    /// Whether a job may go to an upstream under the length classes too.
-    fn may_take(&self, now: Instant, pool: PoolId, slot: Slot, queued: &Queued) -> bool {
-        self.is_possible(now, slot, queued) && self.keeps_shares(now, pool, slot, queued.class)
-    }
-
     /// Keeps enough upstreams free of long prefills. One upstream has at most
     /// one prefill beyond the shortest class outstanding; for each shorter
     /// class, as many upstreams as its demand needs stay free of longer ones.
@@ -112,14 +132,14 @@
         slot: Slot,
         class: LengthClass,
     ) -> bool {
-        if class == LengthClass::Short {
-            return true;
-        }
-        let u = self.upstream(slot);
-        if u.has_prefill_from(LengthClass::Medium) {
-            return false;
-        }
-        let pool = &self.pools[pool];
+        self.is_free_for(slot, class) && self.leaves_enough_free(now, &self.pools[pool], class)
+    }
+
+    fn is_free_for(&self, slot: Slot, class: LengthClass) -> bool {
+        class == LengthClass::Short || !self.upstream(slot).has_prefill_from(LengthClass::Medium)
+    }
+
+    fn leaves_enough_free(&self, now: Instant, pool: &Pool, class: LengthClass) -> bool {
         LengthClass::ALL[..class.index()].iter().all(|shorter| {
             let free = pool.serving - pool.with_longer[shorter.index()];
             free > self.kept_free(now, pool, *shorter)
@@ -148,9 +168,9 @@
     }
 
     /// Predicted time to first token on an upstream.
-    fn predict(&self, now: Instant, slot: Slot, queued: &Queued) -> Duration {
+    fn predict(&self, now: Instant, slot: Slot, queued: &Queued, hit: Tokens) -> Duration {
         let u = self.upstream(slot);
-        let uncached = queued.prompt.saturating_sub(u.prefixes.hit(&queued.job.prefixes));
+        let uncached = queued.prompt.saturating_sub(hit);
         let batch = f64::from(u.running()) / f64::from(u.ann.max_running.max(1));
         let own = u.prefill_time(uncached).mul_f64(1.0 + BATCH_SLOWDOWN * batch);
         u.backlog(now, queued.class) + own
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -36,6 +36,8 @@
     pub(crate) prefill_tokens: Tokens,
     /// Upstreams in service.
     pub(crate) serving: u32,
+    /// Those of them that prefill short prompts before longer ones.
+    pub(crate) honouring_priority: u32,
     /// Sum of the prefill rates of the upstreams in service.
     pub(crate) prefill_rate: f64,
     /// Upstreams in service with a prefill longer than each class outstanding.
@@ -59,6 +61,7 @@
             memory: 0,
             prefill_tokens: 0,
             serving: 0,
+            honouring_priority: 0,
             prefill_rate: 0.0,
             with_longer: [0; CLASSES],
             demand: std::array::from_fn(|_| Meter::new(AVERAGING)),
@@ -70,6 +73,7 @@
 
     pub(crate) fn insert(&mut self, slot: Slot, keys: &Indexed) {
         self.serving += 1;
+        self.honouring_priority += u32::from(keys.honours_priority);
         self.capacity.insert((keys.memory, slot));
         self.prefill_rate += keys.prefill_rate;
         self.memory += keys.memory;
@@ -85,6 +89,7 @@
 
     pub(crate) fn remove(&mut self, slot: Slot, keys: &Indexed) {
         self.serving -= 1;
+        self.honouring_priority -= u32::from(keys.honours_priority);
         self.capacity.remove(&(keys.memory, slot));
         self.prefill_rate = (self.prefill_rate - keys.prefill_rate).max(0.0);
         self.memory -= keys.memory;
--- a/crates/route/src/upstream.rs
+++ b/crates/route/src/upstream.rs
@@ -24,6 +24,7 @@
     pub(crate) room: Tokens,
     pub(crate) memory: Tokens,
     pub(crate) prefill_tokens: Tokens,
+    pub(crate) honours_priority: bool,
     pub(crate) has_longer: [bool; CLASSES],
     pub(crate) prefill_rate: f64,
 }
@@ -223,6 +224,7 @@
             room: self.room(now),
             memory: self.ann.memory_tokens,
             prefill_tokens: self.prefill_tokens,
+            honours_priority: self.ann.honours_priority,
             has_longer,
             prefill_rate: self.prefill_rate(),
         })
