Keep upstreams free by square-root headroom

Change: kept free are the upstreams that the demand of the shorter classes keeps busy, plus headroom of half its square root (none for the middle classes).

--- a/crates/route/src/config.rs
+++ b/crates/route/src/config.rs
@@ -40,11 +40,11 @@
     pub max_upstreams: usize,
     /// Prefill work that an upstream may have ahead of a short prompt.
     pub max_backlog: Duration,
-    /// Part of an upstream's time, in percent, that short prompts may take
-    /// before one more upstream is kept free of long prefills.
-    pub short_utilisation_percent: u32,
+    /// Upstreams kept free of long prefills beyond those that short prompts
+    /// keep busy, in units of the square root of the latter.
+    pub short_headroom: f64,
     /// The same for prompts of the middle classes.
-    pub long_utilisation_percent: u32,
+    pub long_headroom: f64,
     /// A gap between reports of this length restarts the ramp.
     pub report_gap: Duration,
     /// An upstream not heard for this time gets no new work.
@@ -75,8 +75,8 @@
             max_waiting: 16_384,
             max_upstreams: 16_384,
             max_backlog: Duration::from_millis(100),
-            short_utilisation_percent: 30,
-            long_utilisation_percent: 60,
+            short_headroom: 0.5,
+            long_headroom: 0.0,
             report_gap: Duration::from_secs(10),
             silence: Duration::from_secs(3),
             removal: Duration::from_secs(30),
--- a/crates/route/src/place.rs
+++ b/crates/route/src/place.rs
@@ -146,15 +146,18 @@
         })
     }
 
-    /// Upstreams to keep free of prefills longer than this class.
+    /// Upstreams to keep free of prefills longer than this class: as many as
+    /// its demand keeps busy, and headroom that grows with the square root, as
+    /// the waits of a pool of servers do.
     pub(crate) fn kept_free(&self, now: Instant, pool: &Pool, class: LengthClass) -> u32 {
         let demand: f64 = pool.demand[..=class.index()].iter().map(|m| m.rate(now)).sum();
-        let percent = match class {
-            LengthClass::Short => self.cfg.short_utilisation_percent,
-            _ => self.cfg.long_utilisation_percent,
+        let busy = demand / pool.mean_rate().max(1.0);
+        let headroom = match class {
+            LengthClass::Short => self.cfg.short_headroom,
+            _ => self.cfg.long_headroom,
         };
-        let needed = demand / pool.mean_rate().max(1.0) * 100.0 / f64::from(percent.max(1));
-        (needed.ceil() as u32).min(pool.serving.saturating_sub(1))
+        let needed = (busy + headroom * busy.sqrt()).ceil() as u32;
+        needed.min(pool.serving.saturating_sub(1))
     }
 
     /// Whether an upstream's memory is kept for another job.
