Predict the wait of each class on the upstreams it may use

Cause: middle prompts were refused at submit (1,685 at 1.5 times the capacity) because all outstanding prefill, of enormous prompts on other upstreams too, counted as ahead of them. Change: outstanding prefill is kept by class; a class waits behind its own and shorter prefills, by half, on the upstreams neither kept free nor busy with longer ones.

--- a/crates/route/src/digest.rs
+++ b/crates/route/src/digest.rs
@@ -80,7 +80,7 @@
         ModelDigest {
             model: pool.model.clone(),
             serving: pool.serving,
-            prefill_tokens: pool.prefill_tokens + waiting,
+            prefill_tokens: pool.prefill_tokens.iter().sum::<Tokens>() + waiting,
             prefill_tokens_per_second: pool.prefill_rate as Tokens,
             upstream_tokens_per_second: pool.mean_rate() as Tokens,
             free_tokens: pool.roomy.iter().map(|(room, _)| room).sum(),
--- a/crates/route/src/events.rs
+++ b/crates/route/src/events.rs
@@ -74,10 +74,7 @@
         running.prefill = Some((index, prefill_left));
         let (class, slot) = (running.class, running.parts[index].slot);
         let u = self.upstream_mut(slot);
-        u.remove_prefill(now, class, tokens);
-        u.prefill_tokens += prefill_left;
-        u.prefills[class.index()] += 1;
-        u.prefill_done = now + u.prefill_time(u.prefill_tokens);
+        u.shrink_prefill(now, class, tokens - prefill_left);
         self.touch(now, slot);
         true
     }
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -32,8 +32,8 @@
     pub(crate) capacity: BTreeSet<(Tokens, Slot)>,
     /// Memory of the upstreams in service.
     pub(crate) memory: Tokens,
-    /// Prompt tokens in prefill on them.
-    pub(crate) prefill_tokens: Tokens,
+    /// Prompt tokens in prefill on them, by class.
+    pub(crate) prefill_tokens: [Tokens; CLASSES],
     /// Upstreams in service.
     pub(crate) serving: u32,
     /// Those of them that prefill short prompts before longer ones.
@@ -59,7 +59,7 @@
             roomy: BTreeSet::new(),
             capacity: BTreeSet::new(),
             memory: 0,
-            prefill_tokens: 0,
+            prefill_tokens: [0; CLASSES],
             serving: 0,
             honouring_priority: 0,
             prefill_rate: 0.0,
@@ -77,7 +77,9 @@
         self.capacity.insert((keys.memory, slot));
         self.prefill_rate += keys.prefill_rate;
         self.memory += keys.memory;
-        self.prefill_tokens += keys.prefill_tokens;
+        for (sum, tokens) in self.prefill_tokens.iter_mut().zip(keys.prefill_tokens) {
+            *sum += tokens;
+        }
         for (count, has) in self.with_longer.iter_mut().zip(keys.has_longer) {
             *count += u32::from(has);
         }
@@ -93,7 +95,9 @@
         self.capacity.remove(&(keys.memory, slot));
         self.prefill_rate = (self.prefill_rate - keys.prefill_rate).max(0.0);
         self.memory -= keys.memory;
-        self.prefill_tokens -= keys.prefill_tokens;
+        for (sum, tokens) in self.prefill_tokens.iter_mut().zip(keys.prefill_tokens) {
+            *sum -= tokens;
+        }
         for (count, has) in self.with_longer.iter_mut().zip(keys.has_longer) {
             *count -= u32::from(has);
         }
--- a/crates/route/src/submit.rs
+++ b/crates/route/src/submit.rs
@@ -87,15 +87,8 @@
     ) -> Duration {
         let pool = &self.pools[pool];
         let work = pool.queues.work_up_to(priority, class);
-        let (kept, ahead) = match class {
-            LengthClass::Short => (0, 0),
-            LengthClass::Medium => {
-                (self.kept_free(now, pool, LengthClass::Short), pool.prefill_tokens)
-            }
-            _ => (self.kept_free(now, pool, LengthClass::Medium), pool.prefill_tokens),
-        };
-        let usable = f64::from(pool.serving - kept) / f64::from(pool.serving.max(1));
-        let tokens = (work.prompt_tokens + ahead) as f64;
+        let tokens = (work.prompt_tokens + ahead_in_prefill(pool, class)) as f64;
+        let usable = self.usable(now, pool, class) / f64::from(pool.serving.max(1));
         let by_prefill = tokens / (pool.prefill_rate * usable).max(1.0);
         let in_memory = match class {
             LengthClass::Short => work,
@@ -106,6 +99,18 @@
         Duration::from_secs_f64(seconds.min(MAX_SECONDS))
     }
 
+    /// Upstreams that a class may use: not those kept free for shorter prompts
+    /// nor those busy with longer ones.
+    fn usable(&self, now: Instant, pool: &Pool, class: LengthClass) -> f64 {
+        let kept = match class {
+            LengthClass::Short => return f64::from(pool.serving),
+            LengthClass::Medium => self.kept_free(now, pool, LengthClass::Short),
+            LengthClass::Long => self.kept_free(now, pool, LengthClass::Medium),
+            LengthClass::Huge => self.kept_free(now, pool, LengthClass::Long),
+        };
+        f64::from(pool.serving.saturating_sub(kept + pool.with_longer[class.index()]).max(1))
+    }
+
     /// Why a pool can serve nothing, if so.
     fn closed_reason(&self, pool: PoolId) -> Option<Reason> {
         if !self.is_in_service {
@@ -191,6 +196,15 @@
     }
 }
 
+/// Prompt tokens of this class and shorter ones that are still to prefill on
+/// upstreams: half of what is outstanding, as nothing tells how far each is.
+/// Short prompts are left out: they keep to upstreams without a backlog.
+fn ahead_in_prefill(pool: &Pool, class: LengthClass) -> Tokens {
+    let from = LengthClass::Medium.index();
+    let classes = pool.prefill_tokens.get(from..=class.index()).unwrap_or_default();
+    classes.iter().sum::<Tokens>() / 2
+}
+
 /// Least step of time, to tell "before now".
 const TICK: Duration = Duration::from_nanos(1);
 
--- a/crates/route/src/upstream.rs
+++ b/crates/route/src/upstream.rs
@@ -23,7 +23,8 @@
     pub(crate) prefill_done: Instant,
     pub(crate) room: Tokens,
     pub(crate) memory: Tokens,
-    pub(crate) prefill_tokens: Tokens,
+    /// Prompt tokens in prefill, by class.
+    pub(crate) prefill_tokens: [Tokens; CLASSES],
     pub(crate) honours_priority: bool,
     pub(crate) has_longer: [bool; CLASSES],
     pub(crate) prefill_rate: f64,
@@ -46,6 +47,7 @@
     reserved_peak: Tokens,
     foreign: Tokens,
     pub(crate) prefill_tokens: Tokens,
+    prefill_by_class: [Tokens; CLASSES],
     pub(crate) prefills: [u32; CLASSES],
     pub(crate) prefill_done: Instant,
     pub(crate) short_done: Instant,
@@ -77,6 +79,7 @@
             reserved_peak: 0,
             foreign: 0,
             prefill_tokens: 0,
+            prefill_by_class: [0; CLASSES],
             prefills: [0; CLASSES],
             prefill_done: now,
             short_done: now,
@@ -170,6 +173,7 @@
 
     pub(crate) fn add_prefill(&mut self, now: Instant, class: LengthClass, tokens: Tokens) {
         self.prefill_tokens += tokens;
+        self.prefill_by_class[class.index()] += tokens;
         self.prefills[class.index()] += 1;
         let time = self.prefill_time(tokens);
         self.prefill_done = self.prefill_done.max(now) + time;
@@ -182,6 +186,7 @@
     /// predicted anew from now, so that errors do not add up.
     pub(crate) fn remove_prefill(&mut self, now: Instant, class: LengthClass, tokens: Tokens) {
         self.prefill_tokens -= tokens;
+        self.prefill_by_class[class.index()] -= tokens;
         self.prefills[class.index()] -= 1;
         let left = now + self.prefill_time(self.prefill_tokens);
         self.prefill_done = self.prefill_done.min(left);
@@ -189,6 +194,13 @@
         self.last_prefill_end = now;
     }
 
+    /// Takes in how much of an outstanding prefill is left.
+    pub(crate) fn shrink_prefill(&mut self, now: Instant, class: LengthClass, by: Tokens) {
+        self.prefill_tokens -= by;
+        self.prefill_by_class[class.index()] -= by;
+        self.prefill_done = now + self.prefill_time(self.prefill_tokens);
+    }
+
     /// Takes in the memory in use as reported. Memory beyond the most that was
     /// promised since the last report belongs to requests of someone else.
     pub(crate) fn take_report(&mut self, now: Instant, report: Report) {
@@ -223,7 +235,7 @@
             prefill_done: self.prefill_done,
             room: self.room(now),
             memory: self.ann.memory_tokens,
-            prefill_tokens: self.prefill_tokens,
+            prefill_tokens: self.prefill_by_class,
             honours_priority: self.ann.honours_priority,
             has_longer,
             prefill_rate: self.prefill_rate(),
