--- a/crates/route/examples/decision_time.rs
+++ b/crates/route/examples/decision_time.rs
@@ -19,13 +19,15 @@
 const IN_FLIGHT: usize = 4;
 
 fn main() {
-    println!("owner's fleet: submit, dispatch, first token and finish of one request");
-    println!("{:>9} {:>10} {:>10} {:>10}", "upstreams", "mean us", "p50 us", "p99 us");
+    println!("{:>9} {:>10} {:>10} {:>10}", "size", "mean us", "p50 us", "p99 us");
     for upstreams in [13, 18, 1_000, 11_000] {
-        print_row(upstreams, &mut fleet_times(upstreams));
+        let (mut decisions, mut events) = fleet_times(upstreams);
+        println!("owner's decision on one request: submit and dispatch");
+        print_row(upstreams, &mut decisions);
+        println!("owner's events of one request: first token and finish");
+        print_row(upstreams, &mut events);
     }
     println!("entry's choice of an owner, with a prefix");
-    println!("{:>9} {:>10} {:>10} {:>10}", "owners", "mean us", "p50 us", "p99 us");
     for owners in [7, 143, 860] {
         print_row(owners, &mut owner_times(owners, true));
     }
@@ -43,8 +45,9 @@
     println!("{size:>9} {:>10.2} {:>10.2} {:>10.2}", micros(mean), micros(at(50)), micros(at(99)));
 }
 
-/// Keeps a steady number of requests in flight and times each round.
-fn fleet_times(upstreams: usize) -> Vec<Duration> {
+/// Keeps a steady number of requests in flight and times, for each round, the
+/// decision and the events.
+fn fleet_times(upstreams: usize) -> (Vec<Duration>, Vec<Duration>) {
     let mut now = Instant::now();
     let mut rng = Rng::with_seed(7);
     let mut fleet = Fleet::new(Config::default());
@@ -52,7 +55,8 @@
         fleet.announce(now, engine(i)).expect("the table has room");
     }
     let mut in_flight = VecDeque::new();
-    let mut times = Vec::with_capacity(ROUNDS);
+    let mut decisions = Vec::with_capacity(ROUNDS);
+    let mut events = Vec::with_capacity(ROUNDS);
     // Each upstream prefills 5 prompts of 2k tokens a second; half of that.
     let gap = Duration::from_secs_f64(1.0 / (2.5 * upstreams as f64));
     for round in 0..ROUNDS + IN_FLIGHT * upstreams {
@@ -63,9 +67,10 @@
         let job = job(round, now, &mut rng);
         let started = Instant::now();
         let _ = fleet.submit(now, job);
-        for dispatch in fleet.dispatch(now) {
-            in_flight.push_back(dispatch.request);
-        }
+        let dispatches = fleet.dispatch(now);
+        let decided = started.elapsed();
+        in_flight.extend(dispatches.into_iter().map(|dispatch| dispatch.request));
+        let started = Instant::now();
         if in_flight.len() > upstreams / 2 {
             let at = in_flight.len() - upstreams / 2 - 1;
             fleet.first_token(now, &in_flight[at], None);
@@ -76,10 +81,11 @@
         }
         let elapsed = started.elapsed();
         if round >= IN_FLIGHT * upstreams {
-            times.push(elapsed);
+            decisions.push(decided);
+            events.push(elapsed);
         }
     }
-    times
+    (decisions, events)
 }
 
 fn engine(i: usize) -> Announcement {
