Answer idempotent calls although the kept connection is silent

Cause: an idempotent call on a kept connection that had gone silent waited for its whole deadline, although new connections worked. Change: on a kept connection it gets the silence timeout or half of the time left, and is then sent once more on a new one. Bookings never use kept ones. Both tests were seen to fail by a mutation: no second sending, and bookings on kept connections. Conclusion: a silent connection costs a lookup seconds and not its answer.

--- a/crates/upstream/src/call.rs
+++ b/crates/upstream/src/call.rs
@@ -1,4 +1,5 @@
-//! One call to a plain service, sent exactly once, with a truthful verdict.
+//! One call to a plain service, with a truthful verdict. A call that is not
+//! idempotent is sent exactly once.
 
 use crate::{
     client::{Client, Target},
@@ -32,6 +33,16 @@
     pub deadline: Instant,
 }
 
+/// The connection that a call is sent on.
+#[derive(Clone, Copy, Debug)]
+enum Connection {
+    /// One that may be open already, and may have gone silent: it gets a part
+    /// of the time that is left.
+    Kept,
+    /// One of its own.
+    New,
+}
+
 /// The answer of a plain service.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Answer {
@@ -44,7 +55,8 @@
 }
 
 impl Client {
-    /// Calls a plain service once.
+    /// Calls a plain service: once, or for an idempotent call a second time when
+    /// a kept connection was silent.
     ///
     /// An answer of any status is an [`Answer`], unless the service states
     /// with `toucansill-verdict: not-run` that it refused.
@@ -54,15 +66,28 @@
     /// With [`Verdict::NotRun`] when no byte was sent or the service refused,
     /// else with [`Verdict::MayHaveRun`].
     pub fn call(&self, target: &Target, req: &CallRequest) -> Result<Answer> {
-        let timeout = req.deadline.saturating_duration_since(Instant::now());
-        if timeout.is_zero() {
+        if !req.is_idempotent {
+            return self.send_once(target, req, Connection::New);
+        }
+        match self.send_once(target, req, Connection::Kept) {
+            // The connection may have been silent already: only a new one can tell.
+            Err(e) if e.is_silent() => self.send_once(target, req, Connection::New),
+            result => result,
+        }
+    }
+
+    fn send_once(&self, target: &Target, req: &CallRequest, on: Connection) -> Result<Answer> {
+        let left = req.deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() {
             let message = "the deadline passed before the call was sent";
             return Err(Error::new(Reason::Deadline, Verdict::NotRun, message));
         }
-        let agent = if req.is_idempotent {
-            self.shared.pooled(&target.address)
-        } else {
-            self.shared.single()
+        let (agent, timeout) = match on {
+            Connection::Kept => {
+                let limit = left.min(self.shared.cfg.silence_timeout).min(left / 2);
+                (self.shared.pooled(&target.address), limit)
+            }
+            Connection::New => (self.shared.single(), left),
         };
         let mut headers = req.headers.clone();
         headers.push((REQUEST_ID_HEADER.to_string(), req.id.clone()));
--- a/crates/upstream/tests/calls.rs
+++ b/crates/upstream/tests/calls.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{DEADLINE, client};
+use common::{DEADLINE, client, impatient_client};
 use fake::{Behaviour, Plain, PlainConfig};
 use std::time::Instant;
 use upstream::{CallRequest, Client, Error, Reason, Target};
@@ -96,3 +96,26 @@
     assert_eq!((e.reason(), e.verdict()), (Reason::Deadline, Verdict::NotRun));
     assert_eq!(plain.received(), 0);
 }
+
+#[test]
+fn an_idempotent_call_gets_its_answer_although_the_kept_connection_is_silent() {
+    let (plain, client) = (plain(), impatient_client());
+    let lookup = |key: &str| CallRequest { is_idempotent: true, ..booking(key) };
+    client.call(&target(&plain), &lookup("warm")).expect("an answer, and a kept connection");
+    plain.relay().silence();
+    let answer = client.call(&target(&plain), &lookup("k")).expect("an answer");
+    assert_eq!(answer.status, 200);
+    assert!(client.counters().silent() >= 1);
+    assert_eq!(plain.executions("k"), 1);
+}
+
+#[test]
+fn a_booking_does_not_use_the_kept_connection_that_is_silent() {
+    let (plain, client) = (plain(), impatient_client());
+    let lookup = CallRequest { is_idempotent: true, ..booking("warm") };
+    client.call(&target(&plain), &lookup).expect("an answer, and a kept connection");
+    plain.relay().silence();
+    assert_eq!(client.call(&target(&plain), &booking("k")).expect("an answer").status, 200);
+    assert_eq!(client.counters().silent(), 0);
+    assert_eq!(plain.executions("k"), 1);
+}
