--- a/crates/wire/src/link/links.rs
+++ b/crates/wire/src/link/links.rs
@@ -7,7 +7,7 @@
     counters::LinkCounters,
     exchange::{Answer, FrameReader, Open, frame_of, lost, send_all},
     responder::InboundHandler,
-    stream_in::StreamIn,
+    stream_in::{Item, StreamIn},
 };
 use crate::{Error, Message, Result, error::Kind};
 use std::{
@@ -199,7 +199,7 @@
     peer: SocketAddr,
     open: Open,
     timeout: Duration,
-    tx: &flume::Sender<Result<Vec<u8>>>,
+    tx: &flume::Sender<Item>,
 ) {
     let deadline = Instant::now() + timeout;
     let mut sent = false;
@@ -220,7 +220,7 @@
     shared: &Shared,
     peer: SocketAddr,
     open: Open,
-    tx: &flume::Sender<Result<Vec<u8>>>,
+    tx: &flume::Sender<Item>,
     sent: &mut bool,
 ) -> Result<()> {
     let max = shared.cfg.max_message_bytes;
@@ -240,12 +240,15 @@
         match rx.next().await? {
             Some(Answer::Frame(frame)) => {
                 frames += 1;
-                if tx.send_async(Ok(frame)).await.is_err() {
+                if tx.send_async(Ok(Some(frame))).await.is_err() {
                     // The reader is gone; dropping the stream cancels it.
                     return Ok(());
                 }
             }
-            Some(Answer::End) => return Ok(()),
+            Some(Answer::End) => {
+                let _ = tx.send_async(Ok(None)).await;
+                return Ok(());
+            }
             Some(Answer::Refused { overloaded, reason }) if frames == 0 => {
                 let kind = if overloaded { Kind::Overloaded } else { Kind::Refused };
                 return Err(Error::new(kind, format!("refused by {peer}: {reason}")));
--- a/crates/wire/src/link/stream_in.rs
+++ b/crates/wire/src/link/stream_in.rs
@@ -4,17 +4,21 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 
+/// What the task that reads a stream passes on: a frame, or `None` at the end
+/// of a whole answer.
+pub(crate) type Item = Result<Option<Vec<u8>>>;
+
 /// Frames of an answer. Dropped, it cancels the stream.
 #[derive(Debug)]
 pub struct StreamIn {
-    rx: flume::Receiver<Result<Vec<u8>>>,
+    rx: flume::Receiver<Item>,
     /// Closed on drop, which ends the task that reads the stream.
     _cancel: oneshot::Sender<()>,
     ended: bool,
 }
 
 impl StreamIn {
-    pub(crate) fn new(rx: flume::Receiver<Result<Vec<u8>>>, cancel: oneshot::Sender<()>) -> Self {
+    pub(crate) fn new(rx: flume::Receiver<Item>, cancel: oneshot::Sender<()>) -> Self {
         Self { rx, _cancel: cancel, ended: false }
     }
 
@@ -30,14 +34,13 @@
             return Ok(None);
         }
         match self.rx.recv_timeout(silence) {
-            Ok(Ok(frame)) => Ok(Some(frame)),
-            Ok(Err(e)) => {
-                self.ended = true;
-                Err(e)
+            Ok(item) => {
+                self.ended = !matches!(item, Ok(Some(_)));
+                item
             }
             Err(flume::RecvTimeoutError::Disconnected) => {
                 self.ended = true;
-                Ok(None)
+                Err(Error::new(Kind::Lost, "links stopped before the answer was whole"))
             }
             Err(flume::RecvTimeoutError::Timeout) => {
                 Err(Error::new(Kind::Timeout, format!("no frame in {silence:?}")))
