--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -14,5 +14,13 @@
 //! ```
 
 mod clock;
+mod error;
+mod lifecycle;
+mod mailbox;
+mod registry;
 
 pub use clock::{Clock, ManualClock, SharedClock, SystemClock};
+pub use error::{Error, Result};
+pub use lifecycle::{Lifecycle, Stop};
+pub use mailbox::{Mailbox, mailbox};
+pub use registry::Registry;
