Keep the edge alive past false lengths and replaced listeners

Cause: tiny_http makes room for a declared body when it drops a request, so one header with a length beyond memory ended the process. It also takes the rest of an oversize chunked body for the next request, and a listener that was replaced kept its thread for good.

The rest of an oversize chunked body is read first. Twice given lengths are refused. The thread of a replaced listener ends when its connections are gone. stop() returns only when the listener refuses connections.

Seen to fail by mutations: with the check off the test process aborts for want of memory, also by way of the probe path; without the drain the smuggled request reached the handler; threads kept; second length accepted.

--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -25,9 +25,11 @@
 /// Refuses a body whose length is not clear, as its rest would be taken for
 /// the next request on the connection.
 pub(crate) fn check_framing(headers: &Headers, declared: Option<usize>) -> Result<(), ApiError> {
+    let lengths = headers.all.iter().filter(|h| h.name == "content-length").count();
     let length = headers.get("content-length");
     let coding = headers.get("transfer-encoding");
     let reason = match (length, coding) {
+        _ if lengths > 1 => "content-length is given twice",
         (Some(_), Some(_)) => "content-length next to transfer-encoding",
         (Some(_), None) if declared.is_none() => "content-length is not a number",
         (None, Some(coding)) if !coding.eq_ignore_ascii_case("chunked") => {
--- a/crates/edge/src/keys.rs
+++ b/crates/edge/src/keys.rs
@@ -2,16 +2,12 @@
 
 use crate::{ApiError, Error, Headers, Result};
 use sha2::{Digest, Sha256};
-use std::{fs, os::unix::fs::PermissionsExt, path::Path};
+use std::path::Path;
 use subtle::{Choice, ConditionallySelectable, ConstantTimeEq};
 use wire::OrganisationId;
 
 /// Bytes of a SHA-256 hash.
 const HASH_BYTES: usize = 32;
-/// Permission bits of a file for anyone but its owner.
-const OTHERS: u32 = 0o077;
-/// Fewest characters of a token.
-const MIN_TOKEN_CHARS: usize = 16;
 
 /// SHA-256 of a key.
 pub type KeyHash = [u8; HASH_BYTES];
@@ -104,20 +100,8 @@
     /// Fails if the file can't be read, anyone but its owner has rights on
     /// it, or the token is shorter than 16 characters.
     pub fn read(path: &Path) -> Result<Self> {
-        let name = path.display();
-        let io = |e| Error::config(format!("token file {name}"), Some(e));
-        let mode = fs::metadata(path).map_err(io)?.permissions().mode();
-        if mode & OTHERS != 0 {
-            let reason = format!("token file {name} gives rights to others than its owner");
-            return Err(Error::config(reason, None));
-        }
-        let text = fs::read_to_string(path).map_err(io)?;
-        let token = text.lines().next().unwrap_or_default().trim();
-        if token.len() < MIN_TOKEN_CHARS {
-            let reason = format!("token in {name} is shorter than {MIN_TOKEN_CHARS} characters");
-            return Err(Error::config(reason, None));
-        }
-        Ok(Self::new(token))
+        let token = wire::read_secret_file(path).map_err(|e| Error::config(e.to_string(), None))?;
+        Ok(Self::new(&token))
     }
 
     /// A token.
--- a/crates/edge/src/listener.rs
+++ b/crates/edge/src/listener.rs
@@ -5,6 +5,7 @@
     io::{self, Read, Write},
     net::{Ipv4Addr, Ipv6Addr, SocketAddr, TcpListener, TcpStream},
     os::fd::OwnedFd,
+    thread,
     time::Duration,
 };
 
@@ -12,6 +13,10 @@
 pub(crate) const PROBE_PATH: &str = "/toucansill/probe";
 /// Longest wait for the answer to a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Checks that a listener has closed, at most.
+const CLOSE_CHECKS: u32 = 200;
+/// Time between two such checks.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Binds the address and sets the time limits.
 pub(crate) fn bind(cfg: &EdgeConfig) -> Result<TcpListener> {
@@ -53,6 +58,18 @@
     }
 }
 
+/// Waits until no more connections are accepted. The accept thread of tiny_http
+/// closes the listener on its own, a moment after its server is dropped.
+pub(crate) fn wait_until_closed(address: SocketAddr) {
+    for _ in 0..CLOSE_CHECKS {
+        match TcpStream::connect_timeout(&reachable(address), PROBE_TIMEOUT) {
+            Ok(_) => thread::sleep(CLOSE_CHECK_INTERVAL),
+            Err(_) => return,
+        }
+    }
+    log::warn!("the listener at {address} still accepts connections");
+}
+
 fn ask(mut stream: TcpStream) -> io::Result<bool> {
     stream.set_read_timeout(Some(PROBE_TIMEOUT))?;
     write!(stream, "GET {PROBE_PATH} HTTP/1.1\r\nHost: probe\r\nConnection: close\r\n\r\n")?;
--- a/crates/edge/src/reply.rs
+++ b/crates/edge/src/reply.rs
@@ -1,6 +1,6 @@
 //! Answers one request.
 
-use crate::{ApiError, Error, EventStream, Result, heartbeat::Heartbeats};
+use crate::{ApiError, Error, EventStream, Result, heartbeat::Heartbeats, in_flight::InFlight};
 use std::{fmt, io::Cursor, sync::Arc};
 use tiny_http::{Header, Request, Response, StatusCode};
 use wire::Verdict;
@@ -15,11 +15,11 @@
     request: Option<Request>,
     heartbeats: Arc<Heartbeats>,
     /// Counts the request as in flight for as long as it lives.
-    in_flight: Option<Arc<()>>,
+    in_flight: Option<InFlight>,
 }
 
 impl Reply {
-    pub(crate) fn new(request: Request, heartbeats: Arc<Heartbeats>, in_flight: Arc<()>) -> Self {
+    pub(crate) fn new(request: Request, heartbeats: Arc<Heartbeats>, in_flight: InFlight) -> Self {
         Self { request: Some(request), heartbeats, in_flight: Some(in_flight) }
     }
 
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -3,15 +3,17 @@
 use crate::{
     ApiError, CallerRequest, EdgeConfig, Error, Header, Headers, Reply, Result, body,
     heartbeat::Heartbeats,
+    in_flight::InFlight,
     listener::{self, PROBE_PATH, Probe},
+    quarantine,
     workers::Workers,
 };
 use std::{
     io,
     net::{SocketAddr, TcpListener},
     sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     thread::{self, JoinHandle},
     time::{Duration, Instant},
@@ -45,7 +47,9 @@
     refusals: Workers,
     stopping: AtomicBool,
     restarts: AtomicU64,
-    in_flight: Arc<()>,
+    in_flight: Arc<AtomicUsize>,
+    quarantined: AtomicU64,
+    pumps: AtomicUsize,
 }
 
 impl Server {
@@ -70,6 +74,8 @@
             stopping: AtomicBool::new(false),
             restarts: AtomicU64::new(0),
             in_flight: Arc::default(),
+            quarantined: AtomicU64::new(0),
+            pumps: AtomicUsize::new(0),
         });
         let first = start_generation(&listener, &shared).map_err(io_error)?;
         let supervisor = spawn("edge-listener", {
@@ -90,9 +96,22 @@
         self.shared.restarts.load(Ordering::Relaxed)
     }
 
+    /// Threads that take requests: one for the listener, and one for each
+    /// earlier listener that still has connections.
+    pub fn accept_threads(&self) -> usize {
+        self.shared.pumps.load(Ordering::Acquire)
+    }
+
     /// Requests that are not yet answered.
     pub fn in_flight(&self) -> usize {
-        Arc::strong_count(&self.shared.in_flight) - 1
+        self.shared.in_flight.load(Ordering::Acquire)
+    }
+
+    /// Connections that stay open until the process ends, as closing them
+    /// would end it at once. Each costs two threads; with many of them, stop
+    /// gracefully and start again.
+    pub fn quarantined(&self) -> u64 {
+        self.shared.quarantined.load(Ordering::Relaxed)
     }
 
     /// Stops accepting. Requests in handlers go on.
@@ -108,6 +127,7 @@
                 log::error!("a thread of the server at {} panicked", self.address);
             }
         }
+        listener::wait_until_closed(self.address);
     }
 }
 
@@ -130,7 +150,7 @@
         .map_err(|e| io::Error::other(e.to_string()))?;
     let (failed_tx, failed) = flume::bounded(1);
     let shared = shared.clone();
-    let pump = spawn("edge-accept", move || pump(&server, &shared, &failed_tx))?;
+    let pump = spawn("edge-accept", move || Pump::new(server, shared, failed_tx).run())?;
     Ok(Generation { failed, pump })
 }
 
@@ -184,46 +204,96 @@
     }
 }
 
-/// Moves requests from tiny_http to the workers until the server stops.
-fn pump(server: &tiny_http::Server, shared: &Arc<Shared>, failed: &flume::Sender<()>) {
-    while !shared.stopping.load(Ordering::Acquire) {
-        match server.recv_timeout(TICK) {
-            Ok(Some(request)) => dispatch(request, shared),
-            Ok(None) => (),
-            Err(e) => {
-                log::warn!("accept failed, the listener starts again: {e}");
-                let _ = failed.try_send(());
+/// Moves requests from one tiny_http server to the workers.
+struct Pump {
+    server: tiny_http::Server,
+    shared: Arc<Shared>,
+    failed: flume::Sender<()>,
+    /// Requests of this tiny_http server that are not yet answered.
+    in_flight: Arc<AtomicUsize>,
+    accept_ended: bool,
+    last_request: Instant,
+}
+
+impl Pump {
+    fn new(server: tiny_http::Server, shared: Arc<Shared>, failed: flume::Sender<()>) -> Self {
+        shared.pumps.fetch_add(1, Ordering::AcqRel);
+        let in_flight = Arc::default();
+        let last_request = shared.cfg.clock.now();
+        Self { server, shared, failed, in_flight, accept_ended: false, last_request }
+    }
+
+    /// Runs until the server stops, or the accept thread and all connections
+    /// have ended.
+    fn run(mut self) {
+        while !self.shared.stopping.load(Ordering::Acquire) && !self.is_over() {
+            match self.server.recv_timeout(TICK) {
+                Ok(Some(request)) => {
+                    self.last_request = self.shared.cfg.clock.now();
+                    dispatch(request, &self.shared, &self.in_flight);
+                }
+                Ok(None) => (),
+                Err(e) => {
+                    log::warn!("accept failed, the listener starts again: {e}");
+                    self.accept_ended = true;
+                    let _ = self.failed.try_send(());
+                }
             }
         }
     }
+
+    /// A connection without a request for the read timeout is closed, so after
+    /// twice that time none is left.
+    fn is_over(&self) -> bool {
+        let idle = self.shared.cfg.clock.now().saturating_duration_since(self.last_request);
+        self.accept_ended
+            && self.in_flight.load(Ordering::Acquire) == 0
+            && idle > 2 * self.shared.cfg.read_timeout
+    }
 }
 
-fn dispatch(request: Request, shared: &Arc<Shared>) {
-    if request.url() == PROBE_PATH {
+impl Drop for Pump {
+    fn drop(&mut self) {
+        self.shared.pumps.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+fn dispatch(request: Request, shared: &Arc<Shared>, generation: &Arc<AtomicUsize>) {
+    let empty = request.body_length().is_none_or(|n| n == 0);
+    if request.url() == PROBE_PATH && empty {
         let _ = request.respond(tiny_http::Response::empty(204));
         return;
     }
     let received = shared.cfg.clock.now();
-    let cell = Arc::new(std::sync::Mutex::new(Some(request)));
+    let cell = Arc::new(Mutex::new(Some((request, InFlight::new(&shared.in_flight, generation)))));
     let accepted = shared.workers.run({
         let (cell, shared) = (cell.clone(), shared.clone());
-        Box::new(move || take(&cell).into_iter().for_each(|r| serve(r, received, &shared)))
+        Box::new(move || {
+            if let Some((request, in_flight)) = take(&cell) {
+                serve(request, received, &shared, in_flight);
+            }
+        })
     });
     if accepted.is_ok() {
         return;
     }
     metrics::counter!("edge_refused_busy").increment(1);
-    let refused = shared.refusals.run({
+    let refuse_busy = {
         let (cell, shared) = (cell.clone(), shared.clone());
-        Box::new(move || take(&cell).into_iter().for_each(|r| refuse(r, busy(), &shared)))
-    });
-    if refused.is_err() {
-        take(&cell).into_iter().for_each(|r| refuse(r, busy(), shared));
+        move || {
+            if let Some((request, in_flight)) = take(&cell) {
+                refuse(request, busy(), &shared, in_flight);
+            }
+        }
+    };
+    // Refused here, at the price of a pause in accepting, if no thread is free.
+    if let Err(task) = shared.refusals.run(Box::new(refuse_busy)) {
+        task();
     }
 }
 
-fn take<T>(cell: &std::sync::Mutex<Option<T>>) -> Option<T> {
-    cell.lock().unwrap_or_else(std::sync::PoisonError::into_inner).take()
+fn take<T>(cell: &Mutex<Option<T>>) -> Option<T> {
+    cell.lock().unwrap_or_else(PoisonError::into_inner).take()
 }
 
 fn busy() -> ApiError {
@@ -231,14 +301,14 @@
 }
 
 /// Reads and checks a request, and calls the handler or refuses it.
-fn serve(mut request: Request, received: Instant, shared: &Arc<Shared>) {
+fn serve(mut request: Request, received: Instant, shared: &Arc<Shared>, in_flight: InFlight) {
     let checked = check(&mut request, received, &shared.cfg);
     let (parts, body) = match checked {
         Ok(checked) => checked,
-        Err(e) => return refuse(request, e, shared),
+        Err(e) => return refuse(request, e, shared, in_flight),
     };
     let remote = request.remote_addr().copied();
-    let reply = Reply::new(request, shared.heartbeats.clone(), shared.in_flight.clone());
+    let reply = Reply::new(request, shared.heartbeats.clone(), in_flight);
     (shared.handler)(CallerRequest {
         method: parts.method,
         path: parts.path,
@@ -251,9 +321,12 @@
     });
 }
 
-fn refuse(request: Request, e: ApiError, shared: &Shared) {
+fn refuse(mut request: Request, e: ApiError, shared: &Shared, in_flight: InFlight) {
     metrics::counter!("edge_refused", "code" => e.code.clone()).increment(1);
-    let reply = Reply::new(request, shared.heartbeats.clone(), shared.in_flight.clone());
+    if !quarantine::may_drop(&mut request, &e) {
+        return quarantine::respond(request, &e, &shared.quarantined);
+    }
+    let reply = Reply::new(request, shared.heartbeats.clone(), in_flight);
     if let Err(e) = reply.error(e) {
         log::debug!("refusal not written: {e}");
     }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -1,6 +1,6 @@
 //! Streams of server-sent events.
 
-use crate::{ApiError, Error, Result};
+use crate::{ApiError, Error, Result, in_flight::InFlight};
 use chunked_transfer::Encoder;
 use std::{
     fmt,
@@ -44,7 +44,7 @@
     gone: bool,
     /// Whether anything was sent since the last heartbeat tick.
     active: bool,
-    _in_flight: Option<Arc<()>>,
+    _in_flight: Option<InFlight>,
 }
 
 enum Sink {
@@ -57,7 +57,7 @@
     pub(crate) fn start(
         writer: Box<dyn Write + Send>,
         chunked: bool,
-        in_flight: Option<Arc<()>>,
+        in_flight: Option<InFlight>,
     ) -> Result<Self> {
         let mut writer = Writer(writer);
         write_head(&mut writer, chunked)
--- a/crates/edge/tests/server.rs
+++ b/crates/edge/tests/server.rs
@@ -140,6 +140,8 @@
         ("Content-Length: 3000", b"", 413, "body_too_large"),
         (&format!("X-Long: {long}"), b"", 431, "headers_too_large"),
         ("Content-Length: 1500", b"short", 400, "body_truncated"),
+        ("Content-Length: 4611686018427387904", b"", 413, "body_too_large"),
+        ("Content-Length: 2\r\nContent-Length: 2", b"ab", 400, "invalid_framing"),
         ("Content-Length: many", b"", 400, "invalid_framing"),
         ("Content-Length: 2\r\nTransfer-Encoding: chunked", b"", 400, "invalid_framing"),
         ("Transfer-Encoding: gzip", b"", 400, "invalid_framing"),
@@ -218,6 +220,50 @@
     Ok(())
 }
 
+#[test]
+fn a_declared_length_beyond_memory_harms_no_one() {
+    let (server, requests) = start(config());
+    let huge = "Content-Length: 4611686018427387904";
+    for path in ["/a", "/toucansill/probe"] {
+        let head = format!("POST {path} HTTP/1.1\r\nHost: x\r\n{huge}\r\n\r\n");
+        let (status, body) = answer(send(&server, &head, b"some"));
+        assert_eq!((status, body.contains("body_too_large")), (413, true), "{body}");
+    }
+    assert_eq!(server.quarantined(), 2);
+    assert!(requests.is_empty());
+}
+
+#[test]
+fn the_rest_of_a_refused_body_is_not_taken_for_a_request() -> TestResult {
+    let mut cfg = config();
+    cfg.max_body_bytes = 10;
+    let (server, requests) = start(cfg);
+    let inner = "GET /smuggled HTTP/1.1\r\nHost: x\r\n\r\n";
+    let body = format!("14\r\n{}\r\n{:x}\r\n{inner}\r\n0\r\n\r\n", "x".repeat(20), inner.len());
+    let head = "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let next = "GET /next HTTP/1.1\r\nHost: x\r\n\r\n";
+    let client = send(&server, head, format!("{body}{next}").as_bytes());
+    let req = requests.recv_timeout(PATIENCE)?;
+    assert_eq!(req.path, "/next");
+    assert_eq!(answer(client).0, 413);
+    Ok(())
+}
+
+#[test]
+fn listeners_that_were_replaced_come_to_an_end() {
+    const RESTARTS: u64 = 20;
+    let mut cfg = config();
+    cfg.read_timeout = Duration::from_millis(10);
+    cfg.probe_interval = 10 * PATIENCE;
+    let (server, _requests) = start(cfg);
+    let started = Instant::now();
+    while server.listener_restarts() < RESTARTS {
+        assert!(started.elapsed() < PATIENCE, "the listener did not start again");
+        thread::yield_now();
+    }
+    assert!(server.accept_threads() < RESTARTS as usize / 2, "{}", server.accept_threads());
+}
+
 #[test]
 fn a_stopped_server_accepts_no_more() -> TestResult {
     let (server, requests) = start(config());
