Ping idle links rarely, and close links out of use

Cause: a daemon has some 140 links at the target. Pings on all of them each second by both ends would exceed the 3 KB a second that control may take, and links to peers that left were kept for good.

Change: a link is pinged every second only while it has open streams, else every 30 s. Beyond max_peers, links that no stream holds are closed.

Seen to fail by mutations: pings by interval only, no pings when idle, links kept.

Conclusion: a silent link is still found within 2 s of its next use.

--- a/crates/wire/examples/link_bench.rs
+++ b/crates/wire/examples/link_bench.rs
@@ -16,6 +16,7 @@
 const FRAMES: usize = 400_000;
 const FRAME_BYTES: usize = 64;
 const STREAMS: usize = 64;
+const IDLE: Duration = Duration::from_secs(10);
 const TIMEOUT: Duration = Duration::from_secs(60);
 
 fn main() -> Result<()> {
@@ -25,7 +26,11 @@
     (0..WARM_UP).try_for_each(|_| round_trip(&client, peer).map(drop))?;
     measure_round_trips(&client, peer)?;
     measure_frames(&client, peer, 1)?;
-    measure_frames(&client, peer, STREAMS)
+    measure_frames(&client, peer, STREAMS)?;
+    let before = client.counters().pings();
+    thread::sleep(IDLE);
+    println!("pings of an idle link in {IDLE:?}: {}", client.counters().pings() - before);
+    Ok(())
 }
 
 fn start(id: &str, handler: impl Fn(Inbound) + Send + Sync + 'static) -> Result<Links> {
--- a/crates/wire/src/link/accept.rs
+++ b/crates/wire/src/link/accept.rs
@@ -6,7 +6,7 @@
     exchange::{Answer, FrameReader, Open, frame_of, max_frame_bytes, send_all},
     frame::append_frame,
     handshake::{self, MAX_HELLO_BYTES, Peer},
-    ping,
+    ping::{self, ActiveStream, Activity},
     responder::{Cancel, Inbound, InboundHandler, Responder},
 };
 use crate::{Error, Result, encode, error::Kind};
@@ -100,7 +100,9 @@
     let Some(ping_pong) = connection.ping_pong() else {
         return Err(Error::new(Kind::Lost, "link has no pings"));
     };
-    let silent = ping::watch(ping_pong, shared.cfg.clone(), shared.counters.clone());
+    let activity = Activity::default();
+    let silent =
+        ping::watch(ping_pong, activity.clone(), shared.cfg.clone(), shared.counters.clone());
     tokio::pin!(silent);
     loop {
         let accepted = tokio::select! {
@@ -109,7 +111,8 @@
         };
         match accepted {
             Some(Ok((request, respond))) => {
-                tokio::spawn(answer(request, respond, peer.clone(), shared.clone()));
+                let active = activity.stream();
+                tokio::spawn(answer(request, respond, peer.clone(), shared.clone(), active));
             }
             Some(Err(e)) => return Err(bad_connection(shared, &e)),
             None => return Ok(()),
@@ -199,6 +202,7 @@
     mut respond: SendResponse<Bytes>,
     peer: Peer,
     shared: Arc<Shared>,
+    _active: ActiveStream,
 ) {
     let max = shared.cfg.max_message_bytes;
     let mut rx = FrameReader::new(request.into_body(), max);
--- a/crates/wire/src/link/config.rs
+++ b/crates/wire/src/link/config.rs
@@ -9,6 +9,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time between pings.
 const PING_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between pings on a link without open streams.
+const IDLE_PING_INTERVAL: Duration = Duration::from_secs(30);
 /// Longest wait for the answer to a ping.
 const PING_TIMEOUT: Duration = Duration::from_secs(1);
 /// Failed connections in a row before a peer counts as unreachable.
@@ -19,6 +21,8 @@
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 /// Most inbound connections.
 const MAX_CONNECTIONS: usize = 4096;
+/// Most peers whose links are kept for their next use.
+const MAX_PEERS: usize = 2048;
 /// Most open streams of one connection.
 const MAX_STREAMS: u32 = 4096;
 /// Most inbound messages in handlers at once.
@@ -46,8 +50,11 @@
     pub max_message_bytes: usize,
     /// Longest wait for a connection and its handshake.
     pub connect_timeout: Duration,
-    /// Time between pings on a link.
+    /// Time between pings on a link with open streams. A link that goes silent
+    /// is found this soon after its next use.
     pub ping_interval: Duration,
+    /// Time between pings on a link without open streams.
+    pub idle_ping_interval: Duration,
     /// Longest wait for the answer to a ping. Then the link counts as lost.
     pub ping_timeout: Duration,
     /// Failed connections in a row before a peer counts as unreachable.
@@ -58,6 +65,9 @@
     pub max_backoff: Duration,
     /// Most inbound connections.
     pub max_connections: usize,
+    /// Most peers whose links are kept for their next use. Beyond it, links
+    /// that are not in use are closed.
+    pub max_peers: usize,
     /// Most open streams of one connection.
     pub max_streams: u32,
     /// Most inbound messages in handlers at once. One more is refused.
@@ -79,11 +89,13 @@
             max_message_bytes: MAX_MESSAGE_BYTES,
             connect_timeout: CONNECT_TIMEOUT,
             ping_interval: PING_INTERVAL,
+            idle_ping_interval: IDLE_PING_INTERVAL,
             ping_timeout: PING_TIMEOUT,
             connect_attempts: CONNECT_ATTEMPTS,
             min_backoff: MIN_BACKOFF,
             max_backoff: MAX_BACKOFF,
             max_connections: MAX_CONNECTIONS,
+            max_peers: MAX_PEERS,
             max_streams: MAX_STREAMS,
             max_inbound: MAX_INBOUND,
             stream_frames: STREAM_FRAMES,
--- a/crates/wire/src/link/connect.rs
+++ b/crates/wire/src/link/connect.rs
@@ -6,7 +6,7 @@
     counters::LinkCounters,
     exchange::FrameReader,
     handshake::{self, MAX_HELLO_BYTES},
-    ping,
+    ping::{self, ActiveStream, Activity},
 };
 use crate::{Error, Result, error::Kind};
 use bytes::Bytes;
@@ -53,12 +53,15 @@
 struct Link {
     send: SendRequest<Bytes>,
     closed: Arc<AtomicBool>,
+    activity: Activity,
 }
 
 /// A stream just opened: where to write, and where the answer comes from.
 pub(crate) struct Opened {
     pub(crate) tx: SendStream<Bytes>,
     pub(crate) response: ResponseFuture,
+    /// Kept for as long as the stream is open.
+    pub(crate) active: ActiveStream,
 }
 
 impl Outbound {
@@ -85,11 +88,12 @@
     }
 
     async fn open_on(&self, link: &Link) -> Result<Opened> {
+        let active = link.activity.stream();
         let ready = link.send.clone().ready();
         let mut send = ready.await.map_err(|e| self.not_opened(&e))?;
         let (response, tx) =
             send.send_request(request(), false).map_err(|e| self.not_opened(&e))?;
-        Ok(Opened { tx, response })
+        Ok(Opened { tx, response, active })
     }
 
     /// Nothing was sent, so an error here means that the peer did not act.
@@ -165,8 +169,10 @@
             .map_err(|e| self.not_opened(&e))?;
         let closed = Arc::new(AtomicBool::new(false));
         let (keep, dropped) = oneshot::channel::<()>();
+        let activity = Activity::default();
         tokio::spawn(drive(
             connection,
+            activity.clone(),
             self.cfg.clone(),
             self.counters.clone(),
             closed.clone(),
@@ -175,7 +181,7 @@
         let send = self.prove(send).await?;
         // From here on the connection lives on its own.
         let _ = keep.send(());
-        Ok(Link { send, closed })
+        Ok(Link { send, closed, activity })
     }
 
     async fn prove(&self, send: SendRequest<Bytes>) -> Result<SendRequest<Bytes>> {
@@ -222,6 +228,7 @@
 /// Moves a connection until it ends or its other end is silent.
 async fn drive(
     mut connection: Connection<TcpStream, Bytes>,
+    activity: Activity,
     cfg: Arc<LinkConfig>,
     counters: Arc<LinkCounters>,
     closed: Arc<AtomicBool>,
@@ -235,7 +242,7 @@
         };
         tokio::select! {
             ended = connection => log::debug!("link ended: {ended:?}"),
-            () = ping::watch(ping_pong, cfg, counters) => log::warn!("link lost, peer is silent"),
+            () = ping::watch(ping_pong, activity, cfg, counters) => log::warn!("link lost, peer is silent"),
             () = abandoned => (),
         }
     }
--- a/crates/wire/src/link/counters.rs
+++ b/crates/wire/src/link/counters.rs
@@ -8,6 +8,7 @@
     bad_bytes: AtomicU64,
     unproven: AtomicU64,
     version: AtomicU64,
+    pings: AtomicU64,
     ping_timeouts: AtomicU64,
     refused_busy: AtomicU64,
     dropped_notifications: AtomicU64,
@@ -29,6 +30,11 @@
         self.version.load(Ordering::Relaxed)
     }
 
+    /// Pings sent.
+    pub fn pings(&self) -> u64 {
+        self.pings.load(Ordering::Relaxed)
+    }
+
     /// Links lost because a ping was not answered.
     pub fn ping_timeouts(&self) -> u64 {
         self.ping_timeouts.load(Ordering::Relaxed)
@@ -56,6 +62,10 @@
         count(&self.version, "link_version_mismatches");
     }
 
+    pub(crate) fn count_ping(&self) {
+        self.pings.fetch_add(1, Ordering::Relaxed);
+    }
+
     pub(crate) fn count_ping_timeout(&self) {
         count(&self.ping_timeouts, "link_ping_timeouts");
     }
--- a/crates/wire/src/link/links.rs
+++ b/crates/wire/src/link/links.rs
@@ -3,7 +3,7 @@
 use super::{
     accept,
     config::LinkConfig,
-    connect::Outbound,
+    connect::{Opened, Outbound},
     counters::LinkCounters,
     exchange::{Answer, FrameReader, Open, frame_of, lost, send_all},
     responder::InboundHandler,
@@ -96,6 +96,11 @@
         &self.outbound.counters
     }
 
+    /// Peers whose links are kept for their next use.
+    pub fn peers(&self) -> usize {
+        self.outbound.peers.lock().unwrap_or_else(PoisonError::into_inner).len()
+    }
+
     /// Sends a message and waits for the one frame of its answer.
     ///
     /// # Errors
@@ -180,6 +185,10 @@
 impl Shared {
     fn peer(&self, address: SocketAddr) -> Arc<Outbound> {
         let mut peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
+        if peers.len() >= self.cfg.max_peers && !peers.contains_key(&address) {
+            // A link closes with the last stream that holds it.
+            peers.retain(|_, peer| Arc::strong_count(peer) > 1);
+        }
         let new = || Arc::new(Outbound::new(address, self.cfg.clone(), self.counters.clone()));
         peers.entry(address).or_insert_with(new).clone()
     }
@@ -230,10 +239,12 @@
         return Err(Error::new(Kind::TooLarge, context));
     }
     let frame = frame_of(&open, max)?.freeze();
-    let mut opened = shared.peer(peer).open().await?;
+    // Held to the end, so that the link is not closed under the stream.
+    let outbound = shared.peer(peer);
+    let Opened { tx: mut request, response, active: _active } = outbound.open().await?;
     *sent = true;
-    send_all(&mut opened.tx, frame, true).await?;
-    let response = opened.response.await.map_err(|e| lost("stream", &e))?;
+    send_all(&mut request, frame, true).await?;
+    let response = response.await.map_err(|e| lost("stream", &e))?;
     let mut rx = FrameReader::new(response.into_body(), max);
     let mut frames = 0_u64;
     loop {
--- a/crates/wire/tests/links.rs
+++ b/crates/wire/tests/links.rs
@@ -397,6 +397,53 @@
     assert_eq!(request(&client, address).expect("new connection"), b"hello");
 }
 
+#[test]
+fn a_link_with_open_streams_is_pinged_by_both_ends() {
+    let (keep_tx, keep) = flume::bounded(1);
+    let mut cfg = config("server");
+    cfg.ping_interval = Duration::from_millis(1);
+    cfg.idle_ping_interval = 100 * PATIENCE;
+    let server = start(cfg, move |inbound| {
+        let _ = keep_tx.send(inbound);
+    });
+    let mut cfg = config("client");
+    cfg.ping_interval = Duration::from_millis(1);
+    cfg.idle_ping_interval = 100 * PATIENCE;
+    let client = start(cfg, drop);
+    let stream = client.open_stream(server.address(), message(b""), PATIENCE).expect("open");
+    let inbound = keep.recv_timeout(PATIENCE).expect("inbound");
+    wait_for("pings", || client.counters().pings() > 1 && server.counters().pings() > 1);
+    drop((inbound, stream));
+}
+
+#[test]
+fn an_idle_link_is_pinged_as_well() {
+    let server = start(config("server"), echo);
+    let mut cfg = config("client");
+    cfg.ping_interval = Duration::from_millis(1);
+    cfg.idle_ping_interval = Duration::from_millis(3);
+    let client = start(cfg, drop);
+    request(&client, server.address()).expect("answer");
+    let before = client.counters().pings();
+    wait_for("pings", || client.counters().pings() > before + 2);
+}
+
+#[test]
+fn links_out_of_use_make_room_for_others() {
+    let servers = [start(config("a"), echo), start(config("b"), echo), start(config("c"), echo)];
+    let mut cfg = config("client");
+    cfg.max_peers = 2;
+    let client = start(cfg, drop);
+    for server in servers.iter().chain(&servers) {
+        request(&client, server.address()).expect("answer");
+    }
+    // A request may hold its link a moment longer than its caller waits.
+    wait_for("room", || {
+        servers.iter().for_each(|s| drop(request(&client, s.address())));
+        client.peers() <= 2
+    });
+}
+
 #[test]
 fn a_peer_that_never_answers_is_unreachable() {
     let silent = TcpListener::bind("127.0.0.1:0").expect("listen");
