--- a/crates/wire/src/link/links.rs
+++ b/crates/wire/src/link/links.rs
@@ -3,11 +3,11 @@
 use super::{
     accept,
     config::LinkConfig,
-    connect::Outbound,
+    connect::{Opened, Outbound},
     counters::LinkCounters,
     exchange::{Answer, FrameReader, Open, frame_of, lost, send_all},
     responder::InboundHandler,
-    stream_in::StreamIn,
+    stream_in::{Item, StreamIn},
 };
 use crate::{Error, Message, Result, error::Kind};
 use std::{
@@ -96,6 +96,11 @@
         &self.outbound.counters
     }
 
+    /// Peers whose links are kept for their next use.
+    pub fn peers(&self) -> usize {
+        self.outbound.peers.lock().unwrap_or_else(PoisonError::into_inner).len()
+    }
+
     /// Sends a message and waits for the one frame of its answer.
     ///
     /// # Errors
@@ -180,6 +185,10 @@
 impl Shared {
     fn peer(&self, address: SocketAddr) -> Arc<Outbound> {
         let mut peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
+        if peers.len() >= self.cfg.max_peers && !peers.contains_key(&address) {
+            // A link closes with the last stream that holds it.
+            peers.retain(|_, peer| Arc::strong_count(peer) > 1);
+        }
         let new = || Arc::new(Outbound::new(address, self.cfg.clone(), self.counters.clone()));
         peers.entry(address).or_insert_with(new).clone()
     }
@@ -199,7 +208,7 @@
     peer: SocketAddr,
     open: Open,
     timeout: Duration,
-    tx: &flume::Sender<Result<Vec<u8>>>,
+    tx: &flume::Sender<Item>,
 ) {
     let deadline = Instant::now() + timeout;
     let mut sent = false;
@@ -220,7 +229,7 @@
     shared: &Shared,
     peer: SocketAddr,
     open: Open,
-    tx: &flume::Sender<Result<Vec<u8>>>,
+    tx: &flume::Sender<Item>,
     sent: &mut bool,
 ) -> Result<()> {
     let max = shared.cfg.max_message_bytes;
@@ -230,22 +239,27 @@
         return Err(Error::new(Kind::TooLarge, context));
     }
     let frame = frame_of(&open, max)?.freeze();
-    let mut opened = shared.peer(peer).open().await?;
+    // Held to the end, so that the link is not closed under the stream.
+    let outbound = shared.peer(peer);
+    let Opened { tx: mut request, response, active: _active } = outbound.open().await?;
     *sent = true;
-    send_all(&mut opened.tx, frame, true).await?;
-    let response = opened.response.await.map_err(|e| lost("stream", &e))?;
+    send_all(&mut request, frame, true).await?;
+    let response = response.await.map_err(|e| lost("stream", &e))?;
     let mut rx = FrameReader::new(response.into_body(), max);
     let mut frames = 0_u64;
     loop {
         match rx.next().await? {
             Some(Answer::Frame(frame)) => {
                 frames += 1;
-                if tx.send_async(Ok(frame)).await.is_err() {
+                if tx.send_async(Ok(Some(frame))).await.is_err() {
                     // The reader is gone; dropping the stream cancels it.
                     return Ok(());
                 }
             }
-            Some(Answer::End) => return Ok(()),
+            Some(Answer::End) => {
+                let _ = tx.send_async(Ok(None)).await;
+                return Ok(());
+            }
             Some(Answer::Refused { overloaded, reason }) if frames == 0 => {
                 let kind = if overloaded { Kind::Overloaded } else { Kind::Refused };
                 return Err(Error::new(kind, format!("refused by {peer}: {reason}")));
