Bound every wait of the scenarios

Cause: two waits on a stand-in had no bound, and one scenario relied on the choice between two engines, so a run did not end within ten minutes. Change: each wait looks at a condition and gives up after 60 s; the engine that is taken out gets its request before the other one exists.

--- a/crates/toucansilld/tests/brief_holds.rs
+++ b/crates/toucansilld/tests/brief_holds.rs
@@ -47,7 +47,7 @@
     let end = caller.end();
     assert_eq!(end.error, "deadline");
     assert_eq!(end.text, completion_text("a question", 0, 3));
-    engine.wait_idle();
+    await_that("its memory is free", || engine.memory_used() == 0);
 }
 
 #[test]
@@ -59,7 +59,7 @@
     engine.hold_at(5);
     let callers: Vec<Caller> =
         (0..4).map(|n| Caller::start(&fleet, 0, &format!("prompt {n}"), 50)).collect();
-    engine.wait_admitted(4);
+    await_that("they run", || engine.stats().admitted >= 4);
     // The owner of an upstream in the second data centre is the daemon there.
     fleet.kill(1);
     engine.release();
@@ -69,7 +69,7 @@
     }
     fleet.spawn(1);
     fleet.await_ready(1);
-    engine.wait_idle();
+    await_that("its memory is free", || engine.memory_used() == 0);
 }
 
 #[test]
@@ -92,12 +92,13 @@
     let mut fleet = Fleet::start(3);
     apply(&fleet, 1, &[]);
     let gone = fleet.add_engine(engine(&fleet, 0), 0);
-    let left = fleet.add_engine(engine(&fleet, 1), 1);
-    (0..3).for_each(|i| fleet.await_model(i, "small"));
+    fleet.await_model(0, "small");
     gone.hold_at(5);
     let running = Caller::start(&fleet, 0, "long", 20);
-    gone.wait_admitted(1);
+    await_that("it runs", || gone.stats().admitted >= 1);
+    let left = fleet.add_engine(engine(&fleet, 1), 1);
     await_in_force(&fleet, apply(&fleet, 2, &["dc-1"]));
+    (0..3).for_each(|i| fleet.await_model(i, "small"));
     let admitted = gone.stats().admitted;
     for i in 0..3 {
         for n in 0..5 {
