Retry past dead upstreams, charge every death, and record one time line

Cause: with real processes, a request whose engine died failed with no_upstream while the next engine was being reconciled; one that crashes its engines killed 4 of 4 (renewals brought the quarantine up to 0.8 s late, and a death on the last attempt was not charged); a claim whose call may have run stayed open for as long as its daemon lived. Change: an entry that has tried every owner waits and tries them again, 8 attempts at most; the last death is charged too, and the daemon learns of a charge at once; a call that may have run is given up in the ledger, so that its window runs; a claim without an answer is freed later. Requests, changes and upstreams are recorded in the time line, whose clock travels with each message between daemons.

--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -50,6 +50,8 @@
     /// Several commands that share one log entry and one disk sync. A batch
     /// inside a batch is refused.
     Batch(Vec<Command>),
+    /// A call was sent and its answer will never be known.
+    GiveUpKey(ClaimId),
 }
 
 /// A sheet that an operator asks to put in force.
@@ -138,7 +140,7 @@
         match self {
             Self::ClaimKey(claim) => Some(claim.id.at_ms),
             Self::CompleteKey(completion) => Some(completion.id.at_ms),
-            Self::AbandonKey(id) => Some(id.at_ms),
+            Self::AbandonKey(id) | Self::GiveUpKey(id) => Some(id.at_ms),
             Self::Charge(charge) => Some(charge.at_ms),
             Self::Acquit { at_ms, .. } | Self::Tick { at_ms } => Some(*at_ms),
             Self::Batch(cmds) => cmds.iter().filter_map(Self::at_ms).max(),
@@ -152,7 +154,7 @@
         match self {
             Self::ClaimKey(claim) => claim.id.at_ms = now_ms,
             Self::CompleteKey(completion) => completion.id.at_ms = now_ms,
-            Self::AbandonKey(id) => id.at_ms = now_ms,
+            Self::AbandonKey(id) | Self::GiveUpKey(id) => id.at_ms = now_ms,
             Self::Charge(charge) => charge.at_ms = now_ms,
             Self::Acquit { at_ms, .. } | Self::Tick { at_ms } => *at_ms = now_ms,
             Self::Batch(cmds) => cmds.iter_mut().for_each(|cmd| cmd.stamp(now_ms)),
--- a/crates/control/src/ledger.rs
+++ b/crates/control/src/ledger.rs
@@ -232,6 +232,16 @@
         KeyOutcome::Freed
     }
 
+    /// Records that a call was sent and its answer will never be known. From then
+    /// on the entry's window runs, so that such calls do not fill the ledger.
+    pub(crate) fn give_up_one(&mut self, id: &ClaimId, now_ms: u64) -> KeyOutcome {
+        if !self.is_open(id) {
+            return KeyOutcome::NotHeld;
+        }
+        self.end(&id.key, Phase::MayHaveRun, now_ms);
+        KeyOutcome::GivenUp
+    }
+
     /// Gives up the claims of a daemon that is gone.
     pub(crate) fn give_up(&mut self, holder: &Holder, now_ms: u64) {
         let keys = self.in_progress.get(holder).cloned().unwrap_or_default();
--- a/crates/control/src/outcome.rs
+++ b/crates/control/src/outcome.rs
@@ -122,6 +122,8 @@
     Freed,
     /// The request does not hold the key, so nothing changed.
     NotHeld,
+    /// The call may have run; its answer will never be known.
+    GivenUp,
 }
 
 /// What a request for a fencing number was answered with.
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -163,6 +163,7 @@
                 Outcome::Key(self.ledger.complete(completion, self.clock_ms))
             }
             Command::AbandonKey(id) => Outcome::Key(self.ledger.abandon(id, self.clock_ms)),
+            Command::GiveUpKey(id) => Outcome::Key(self.ledger.give_up_one(id, self.clock_ms)),
             Command::Charge(charge) => {
                 let changed = self.quarantine.charge(charge, self.clock_ms);
                 self.log_standings(index, changed);
--- a/crates/control/tests/ledger.rs
+++ b/crates/control/tests/ledger.rs
@@ -82,7 +82,7 @@
                 self.keys.remove(&id.key.key);
                 self.freed.insert((id.key.key.clone(), id.request.clone()));
             }
-            KeyOutcome::NotHeld => {}
+            KeyOutcome::NotHeld | KeyOutcome::GivenUp => {}
         }
     }
 
--- a/crates/toucansill/src/command/demo.rs
+++ b/crates/toucansill/src/command/demo.rs
@@ -33,7 +33,7 @@
     if daemons == 0 || daemons > DAEMONS_MAX {
         return Err(Failure::usage("demo: --daemons takes 1 to 9").into());
     }
-    let cfg = LocalConfig { daemons, data_centres: daemons.min(3) };
+    let cfg = LocalConfig { daemons, data_centres: daemons.min(3), fresh_voters: 0 };
     let mut fleet = Fleet::start(&cfg)?;
     fleet.apply(&sheet(&cfg, 1, &[MODEL], &[]))?;
     for i in 0..ENGINES {
--- a/crates/toucansilld/src/daemon.rs
+++ b/crates/toucansilld/src/daemon.rs
@@ -15,6 +15,7 @@
     voter::{LEASE_CHECK, Voter},
 };
 use edge::{EdgeConfig, OperatorToken, Server};
+use event::{EventKind, Recorder, RecorderConfig};
 use kernel::SharedClock;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use std::{
@@ -44,6 +45,7 @@
     callers: Server,
     operators: Server,
     drain_asked: flume::Receiver<()>,
+    recorder: Arc<Recorder>,
     is_stopping: Arc<AtomicBool>,
 }
 
@@ -58,7 +60,9 @@
             .map_err(|err| Error::start("operator_token_file", err))?;
         let metrics = recorder();
         let is_stopping = Arc::new(AtomicBool::new(false));
-        let net = Net::start(settings)?;
+        let recorder = start_recorder(settings, &clock)?;
+        recorder.record(recorder.event(EventKind::DaemonStarted));
+        let net = Net::start(settings, Arc::clone(&recorder))?;
         let voter = start_voter(settings, &net, &clock, &is_stopping)?;
         let control = control_client(settings, &net, &clock, voter.as_deref());
         if voter.is_none() {
@@ -70,6 +74,7 @@
             session: Arc::clone(&session),
             control: Arc::clone(&control),
             net: Arc::clone(&net),
+            recorder: Arc::clone(&recorder),
             clock: Arc::clone(&clock),
             region: settings.region.clone(),
             data_centre: settings.data_centre.clone(),
@@ -79,11 +84,12 @@
             control: Arc::clone(&control),
             net: Arc::clone(&net),
             owner: Arc::clone(&owner),
+            recorder: Arc::clone(&recorder),
             clock: Arc::clone(&clock),
         };
         let entry = Entry::new(cx, &settings.data_centre, &settings.region);
         services::serve_work(&net, &owner, &entry);
-        follow_view(&session, &owner, &entry);
+        follow_view(&session, &owner, &entry, &recorder);
         session.start();
         gossip::start(
             Arc::clone(&net),
@@ -101,6 +107,7 @@
                 owner: Arc::clone(&owner),
                 entry: Arc::clone(&entry),
                 voter: voter.clone(),
+                recorder: Arc::clone(&recorder),
                 metrics,
                 token,
                 drain,
@@ -118,6 +125,7 @@
             callers,
             operators,
             drain_asked,
+            recorder,
             is_stopping,
         })
     }
@@ -146,6 +154,7 @@
     /// the balancer's delay, then what runs finishes, then the daemon leaves.
     pub fn drain(self) {
         log::info!("draining");
+        self.recorder.record(self.recorder.event(EventKind::DaemonStopping));
         self.entry.drain();
         thread::sleep(self.settings.drain_delay());
         self.session.end();
@@ -184,6 +193,13 @@
     }
 }
 
+fn start_recorder(settings: &Settings, clock: &SharedClock) -> Result<Arc<Recorder>> {
+    let mut cfg = RecorderConfig::new(settings.daemon.clone());
+    cfg.path = settings.timeline_file.clone();
+    let recorder = Recorder::start(cfg, Arc::clone(clock));
+    Ok(Arc::new(recorder.map_err(|err| Error::start("timeline_file", err))?))
+}
+
 /// The process has one recorder of metrics; a second daemon in it gets an empty one.
 fn recorder() -> PrometheusHandle {
     let recorder = PrometheusBuilder::new().build_recorder();
@@ -253,9 +269,17 @@
     )
 }
 
-fn follow_view(session: &Arc<SessionService>, owner: &Arc<Owner>, entry: &Arc<Entry>) {
-    let (owner, entry) = (Arc::clone(owner), Arc::clone(entry));
-    session.on_change(Box::new(move |_| {
+fn follow_view(
+    session: &Arc<SessionService>,
+    owner: &Arc<Owner>,
+    entry: &Arc<Entry>,
+    recorder: &Arc<Recorder>,
+) {
+    let (owner, entry, recorder) = (Arc::clone(owner), Arc::clone(entry), Arc::clone(recorder));
+    session.on_change(Box::new(move |session| {
+        let position = session.position();
+        let applied = recorder.event(EventKind::ChangeApplied).change(position.index);
+        recorder.record(applied.text(format!("sheet {}", position.sheet)));
         entry.view_changed();
         owner.view_changed();
     }));
--- a/crates/toucansilld/src/entry.rs
+++ b/crates/toucansilld/src/entry.rs
@@ -20,6 +20,7 @@
 pub(crate) use attempt::encode_frame;
 use control::{Configuration, Fingerprint, Refusal};
 use edge::{ApiError, ApiKeys, Call, CallerRequest};
+use event::{EventKind, Recorder};
 use http::Method;
 use kernel::SharedClock;
 use placement::Placement;
@@ -48,6 +49,8 @@
     pub(crate) net: Arc<Net>,
     /// The owner on this daemon.
     pub(crate) owner: Arc<Owner>,
+    /// Time line of this daemon.
+    pub(crate) recorder: Arc<Recorder>,
     /// Clock.
     pub(crate) clock: SharedClock,
 }
@@ -181,8 +184,7 @@
         let (accepted, call) = match self.accept(&req) {
             Ok(accepted) => accepted,
             Err(err) => {
-                metrics::counter!("toucansill_refused_total", "code" => err.code.clone())
-                    .increment(1);
+                self.refused("", &err);
                 return req.reply.error(err);
             }
         };
@@ -194,6 +196,17 @@
         }
     }
 
+    /// Records an event of a request.
+    pub(crate) fn record(&self, kind: EventKind, request: &str, text: impl Into<String>) {
+        self.cx.recorder.record(self.cx.recorder.event(kind).request(request).text(text));
+    }
+
+    /// Counts and records a refusal.
+    pub(crate) fn refused(&self, request: &str, err: &ApiError) {
+        metrics::counter!("toucansill_refused_total", "code" => err.code.clone()).increment(1);
+        self.record(EventKind::RequestRefused, request, format!("{}: {}", err.code, err.message));
+    }
+
     /// Checks key, call and lease, in this order.
     fn accept(&self, req: &CallerRequest) -> Result<(Accepted, Call), ApiError> {
         let keys = Arc::clone(&lock(&self.keys));
--- a/crates/toucansilld/src/entry/model.rs
+++ b/crates/toucansilld/src/entry/model.rs
@@ -8,9 +8,10 @@
 };
 use control::Standing;
 use edge::{ApiError, CallerRequest, ModelCall};
+use event::EventKind;
 use route::Ask;
 use serde_json::Value;
-use std::time::Duration;
+use std::{thread, time::Duration};
 use wire::{DaemonId, Tokens, Verdict};
 
 /// Tokens of an answer whose caller sets no bound.
@@ -18,7 +19,11 @@
 /// Tokens of one hashed block of the prompt.
 const BLOCK_TOKENS: Tokens = 256;
 /// Attempts at different owners for one request.
-const ATTEMPTS_MAX: u32 = 4;
+const ATTEMPTS_MAX: u32 = 8;
+/// First pause before owners that failed are tried again. It doubles with each attempt.
+const PAUSE_MIN: Duration = Duration::from_millis(100);
+/// Doublings of the pause.
+const PAUSE_DOUBLINGS_MAX: u32 = 4;
 
 /// Runs a request.
 pub(crate) fn run(
@@ -53,10 +58,16 @@
     };
     match entry.admission.admit(&ask) {
         Ok(pass) => {
+            let size = format!("{} prompt tokens, {}", job.prompt_tokens, job.organisation);
+            entry.record(EventKind::RequestAdmitted, &accepted.request, size);
             serve(entry, &accepted, job, &mut answer);
             pass.finish(answer.used());
         }
-        Err(refusal) => answer.fail_with(refused(&refusal)),
+        Err(refusal) => {
+            let err = refused(&refusal);
+            entry.refused(&accepted.request, &err);
+            answer.fail_with(err);
+        }
     }
     Ok(())
 }
@@ -128,28 +139,53 @@
         };
         let owner = match entry.placement.choose(now, &ask) {
             Ok(choice) => choice.owner,
-            Err(refusal) => {
+            Err(refusal) if avoid.is_empty() || !pause(entry, number, accepted) => {
                 let failure = crate::owner::refused(&refusal);
                 return answer.fail(&with_verdict(failure, may_have_run));
             }
+            // Every owner in reach was tried: one may have recovered by now.
+            Err(_) => {
+                avoid.clear();
+                continue;
+            }
         };
         let end =
             attempt::run(entry, &owner, &job, accepted.deadline, &mut |frame| answer.take(frame));
         let failure = match end {
-            attempt::End::Finished => return,
-            attempt::End::Gone => return log::info!("{}: the caller left", accepted.request),
+            attempt::End::Finished => {
+                let tokens = format!("{} tokens", answer.used());
+                return entry.record(EventKind::RequestAnswered, &accepted.request, tokens);
+            }
+            attempt::End::Gone => {
+                return entry.record(EventKind::RequestCancelled, &accepted.request, "");
+            }
             attempt::End::Failed(failure) => failure,
             attempt::End::LinkLost { is_sent, reason } => link_failure(is_sent, reason),
         };
         may_have_run |= failure.verdict != Verdict::NotRun;
         if !failure.is_local || !may_retry(entry, number + 1, accepted) {
-            return answer.fail(&with_verdict(failure, may_have_run));
+            let failure = with_verdict(failure, may_have_run);
+            let text = format!("{}, {}: {}", failure.code, failure.verdict, failure.reason);
+            entry.record(EventKind::RequestFailed, &accepted.request, text);
+            return answer.fail(&failure);
         }
-        log::info!("{}: {owner} failed, trying another: {}", accepted.request, failure.reason);
+        let text = format!("{owner} failed, trying another: {}", failure.reason);
+        entry.record(EventKind::RequestRetried, &accepted.request, text);
         avoid.push(owner);
     }
 }
 
+/// Waits before owners that failed are tried again. False if there is no time left.
+fn pause(entry: &Entry, number: u32, accepted: &Accepted) -> bool {
+    let pause = PAUSE_MIN * 2u32.saturating_pow(number.min(PAUSE_DOUBLINGS_MAX));
+    let has_time = entry.cx.clock.now() + pause < accepted.deadline;
+    if number >= ATTEMPTS_MAX || !has_time {
+        return false;
+    }
+    thread::sleep(pause);
+    true
+}
+
 /// Completions are idempotent, so only attempts, budget and deadline bound retries.
 fn may_retry(entry: &Entry, attempts: u32, accepted: &Accepted) -> bool {
     attempts < ATTEMPTS_MAX
--- a/crates/toucansilld/src/entry/service.rs
+++ b/crates/toucansilld/src/entry/service.rs
@@ -2,7 +2,7 @@
 
 use super::{Accepted, Entry, admission, attempt::link_verdict, model};
 use crate::{
-    control_client::ControlError,
+    control_client::{ControlClient, ControlError},
     messages::{Failure, OwnerRequest, PlainCall, PlainReply, service},
 };
 use control::{
@@ -11,13 +11,15 @@
 use edge::{ApiError, CallerRequest, ServiceCall};
 use route::Ask;
 use sha2::{Digest, Sha256};
-use std::time::Duration;
+use std::{sync::Arc, thread, time::Duration};
 use wire::{IdempotencyKey, Verdict};
 
 /// Deadline of a call that names none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 /// Longest wait for the ledger.
 const LEDGER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Attempts to free a key whose claim got no answer.
+const RELEASE_ATTEMPTS: u32 = 60;
 /// Time after the deadline in which the owner may still say how the call ended.
 const OWNER_GRACE: Duration = Duration::from_millis(500);
 /// Tokens that a call counts for in admission.
@@ -39,7 +41,7 @@
         }
         Ok(PlainReply::Failed(failure)) => req.reply.error(error_of(&failure)),
         Err(err) => {
-            metrics::counter!("toucansill_refused_total", "code" => err.code.clone()).increment(1);
+            entry.refused(&accepted.request, &err);
             req.reply.error(err)
         }
     }
@@ -115,7 +117,10 @@
     let key = plain.key.clone().ok_or_else(missing_key)?;
     let id = claim_id(entry, accepted, plain, key);
     let claim = Claim { id: id.clone(), body_hash: body_hash(plain) };
-    let claimed = entry.cx.control.propose(Command::ClaimKey(claim), LEDGER_TIMEOUT);
+    let claimed = entry.cx.control.propose(Command::ClaimKey(claim.clone()), LEDGER_TIMEOUT);
+    if claimed.as_ref().is_err_and(ControlError::is_unknown) {
+        release_later(&entry.cx.control, claim);
+    }
     if let Some(reply) = after_claim(claimed)? {
         return Ok(reply);
     }
@@ -124,6 +129,29 @@
     Ok(reply)
 }
 
+/// Frees a key whose claim got no answer: the claim may be committed yet, though
+/// its call will not be sent. Asking for the same claim again shows how it ended.
+fn release_later(control: &Arc<ControlClient>, claim: Claim) {
+    let control = Arc::clone(control);
+    thread::spawn(move || {
+        for _ in 0..RELEASE_ATTEMPTS {
+            let claimed = control.propose(Command::ClaimKey(claim.clone()), LEDGER_TIMEOUT);
+            let is_settled = match claimed {
+                Ok(Outcome::Claim(ClaimOutcome::Claimed)) => {
+                    let abandon = Command::AbandonKey(claim.id.clone());
+                    control.propose(abandon, LEDGER_TIMEOUT).is_ok()
+                }
+                Ok(_) => true,
+                Err(_) => false,
+            };
+            if is_settled {
+                return;
+            }
+        }
+        log::warn!("the key {} stays claimed until this daemon leaves", claim.id.key.key);
+    });
+}
+
 fn claim_id(entry: &Entry, accepted: &Accepted, plain: &PlainCall, key: IdempotencyKey) -> ClaimId {
     ClaimId {
         key: LedgerKey {
@@ -195,7 +223,7 @@
     }
 }
 
-/// Tells the ledger how the call ended. A call that may have run keeps its claim.
+/// Tells the ledger how the call ended.
 fn settle(entry: &Entry, id: ClaimId, reply: &PlainReply) {
     let command = match reply {
         PlainReply::Answered { status, content_type, body } => {
@@ -209,7 +237,7 @@
         PlainReply::Failed(failure) if failure.verdict == Verdict::NotRun => {
             Command::AbandonKey(id)
         }
-        PlainReply::Failed(_) => return,
+        PlainReply::Failed(_) => Command::GiveUpKey(id),
     };
     if let Err(err) = entry.cx.control.propose(command, LEDGER_TIMEOUT) {
         log::warn!("the end of a call was not recorded: {err}");
--- a/crates/toucansilld/src/local.rs
+++ b/crates/toucansilld/src/local.rs
@@ -4,7 +4,7 @@
 //! use toucansilld::local::{self, LocalConfig};
 //!
 //! let dir = tempfile::tempdir()?;
-//! let files = local::prepare(dir.path(), &LocalConfig { daemons: 3, data_centres: 3 })?;
+//! let files = local::prepare(dir.path(), &LocalConfig { daemons: 3, data_centres: 3, fresh_voters: 0 })?;
 //! let settings = toucansilld::Settings::load(&files[2])?;
 //! assert_eq!(settings.data_centre, "dc-3");
 //! # Ok::<(), Box<dyn std::error::Error>>(())
@@ -37,6 +37,8 @@
     pub daemons: usize,
     /// Data centres, over which daemons are spread in turn.
     pub data_centres: usize,
+    /// Daemons with a voter that joins a running group; they are the last ones.
+    pub fresh_voters: usize,
 }
 
 /// Addresses of one daemon.
@@ -97,7 +99,8 @@
 }
 
 fn settings(dir: &Path, cfg: &LocalConfig, all: &[Addresses], i: usize) -> String {
-    let voters = all.iter().take(VOTERS_MAX);
+    let first_fresh = cfg.daemons - cfg.fresh_voters;
+    let voters = all.iter().take(VOTERS_MAX.min(first_fresh));
     let seeds: Vec<String> = voters.clone().map(|a| format!("'{}'", a.links)).collect();
     let initial: Vec<String> =
         (1..).zip(voters).map(|(id, a)| format!("{{id: {id}, address: '{}'}}", a.links)).collect();
@@ -119,8 +122,10 @@
         dir.join("operator.token").display(),
         dir.join(format!("{name}.timeline")).display(),
     );
-    if i < VOTERS_MAX {
+    let is_fresh = i >= first_fresh;
+    if is_fresh || i < VOTERS_MAX {
         let folder = dir.join(&name);
+        let initial = if is_fresh { Vec::new() } else { initial };
         text += &format!(
             "voter: {{id: {}, data_folder: '{}', initial: [{}]}}\n",
             i + 1,
--- a/crates/toucansilld/src/net.rs
+++ b/crates/toucansilld/src/net.rs
@@ -5,7 +5,9 @@
     settings::Settings,
     sync::lock,
 };
+use bincode::{Decode, Encode};
 use control::Roster;
+use event::{HybridClock, Recorder, Timestamp};
 use std::{
     collections::BTreeMap,
     fmt,
@@ -27,6 +29,15 @@
     address: SocketAddr,
     services: Services,
     peers: Mutex<Vec<Peer>>,
+    recorder: Arc<Recorder>,
+}
+
+/// A message with the sender's time, which moves the receiver's clock of events on.
+#[derive(Decode, Encode)]
+struct Stamped {
+    wall_ms: u64,
+    counter: u64,
+    body: Vec<u8>,
 }
 
 /// Another daemon of the roster.
@@ -70,18 +81,19 @@
 
 impl Net {
     /// Listens for links. Messages are refused until their service is added.
-    pub(crate) fn start(settings: &Settings) -> Result<Arc<Self>> {
+    pub(crate) fn start(settings: &Settings, recorder: Arc<Recorder>) -> Result<Arc<Self>> {
         let fault = |err: wire::Error| Error::start("links", err);
         let secret = RegionSecret::read(&settings.secret_file)
             .map_err(|err| Error::start("secret_file", err))?;
         let cfg = LinkConfig::new(settings.daemon.clone(), settings.listen.links, secret);
         let services = Services::default();
         let known = Arc::clone(&services);
-        let handler = Arc::new(move |inbound: Inbound| dispatch(&known, inbound));
+        let clock = Arc::clone(recorder.clock());
+        let handler = Arc::new(move |inbound: Inbound| dispatch(&known, &clock, inbound));
         let links = Links::start(cfg, handler).map_err(fault)?;
         let address = links.address();
         let links = Mutex::new(Some(Arc::new(links)));
-        Ok(Arc::new(Self { links, address, services, peers: Mutex::default() }))
+        Ok(Arc::new(Self { links, address, services, peers: Mutex::default(), recorder }))
     }
 
     /// Adds a service.
@@ -132,7 +144,7 @@
         timeout: Duration,
     ) -> std::result::Result<Vec<u8>, NetError> {
         let peer = parse(address)?;
-        let message = Message { service: String::from(service), body };
+        let message = self.stamped(service, body)?;
         Ok(self.links()?.request(peer, message, timeout)?)
     }
 
@@ -145,19 +157,24 @@
         timeout: Duration,
     ) -> std::result::Result<Frames, NetError> {
         let peer = parse(address)?;
-        let message = Message { service: String::from(service), body };
+        let message = self.stamped(service, body)?;
         Ok(Frames { stream: self.links()?.open_stream(peer, message, timeout)? })
     }
 
     /// Sends a message without waiting for an answer.
     pub(crate) fn notify(&self, address: &str, service: &str, body: Vec<u8>) {
-        match parse(address).and_then(|peer| Ok((peer, self.links()?))) {
-            Ok((peer, links)) => {
-                links.notify(peer, Message { service: String::from(service), body });
-            }
-            Err(err) => log::debug!("{address}: {err}"),
+        let ready = || Ok((parse(address)?, self.links()?, self.stamped(service, body)?));
+        match ready() {
+            Ok((peer, links, message)) => links.notify(peer, message),
+            Err::<_, NetError>(err) => log::debug!("{address}: {err}"),
         }
     }
+
+    fn stamped(&self, service: &str, body: Vec<u8>) -> std::result::Result<Message, NetError> {
+        let Timestamp { wall_ms, counter } = self.recorder.clock().tick();
+        let stamped = Stamped { wall_ms, counter, body };
+        Message::encode(service, &stamped).map_err(NetError::unsent)
+    }
 }
 
 /// Frames of an answer. Dropped, it cancels the stream.
@@ -178,7 +195,17 @@
     }
 }
 
-fn dispatch(services: &Services, inbound: Inbound) {
+fn dispatch(services: &Services, clock: &HybridClock, mut inbound: Inbound) {
+    match inbound.message.decode::<Stamped>() {
+        Ok(Stamped { wall_ms, counter, body }) => {
+            clock.receive(Timestamp { wall_ms, counter });
+            inbound.message.body = body;
+        }
+        Err(err) => {
+            let _ = inbound.responder.refuse(&err.to_string());
+            return;
+        }
+    }
     let service = lock(services).get(&inbound.message.service).cloned();
     match service {
         Some(service) => service(inbound),
--- a/crates/toucansilld/src/operators.rs
+++ b/crates/toucansilld/src/operators.rs
@@ -13,6 +13,7 @@
     voter::Voter,
 };
 use edge::{ApiError, CallerRequest, OperatorToken};
+use event::Recorder;
 use metrics_exporter_prometheus::PrometheusHandle;
 use serde::Serialize;
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
@@ -33,6 +34,8 @@
     pub(crate) entry: Arc<Entry>,
     /// The voter on this VM, if there is one.
     pub(crate) voter: Option<Arc<Voter>>,
+    /// Time line of this daemon.
+    pub(crate) recorder: Arc<Recorder>,
     /// Metrics.
     pub(crate) metrics: PrometheusHandle,
     /// Token that operators send.
@@ -88,6 +91,7 @@
             ("GET", "/status") => report::status(&self.cx),
             ("POST", "/sheet/plan") => sheets::plan(&self.cx, &req.body),
             ("POST", "/sheet/apply") => sheets::apply(&self.cx, &query, &req.body),
+            ("GET", "/timeline") => to_json(&self.cx.recorder.recent()),
             ("GET", "/in-force") => sheets::in_force(&self.cx, &query),
             ("GET", "/voters") => voters::list(&self.cx),
             ("POST", "/voters/add") => voters::add(&self.cx, &query),
--- a/crates/toucansilld/src/owner.rs
+++ b/crates/toucansilld/src/owner.rs
@@ -5,6 +5,7 @@
 
 mod actor;
 mod call;
+mod chooser;
 mod convert;
 mod gang;
 mod job;
@@ -21,6 +22,7 @@
 pub(crate) use actor::UpstreamStatus;
 use actor::{Actor, OwnerMsg};
 pub(crate) use convert::service_model;
+use event::{EventKind, Recorder};
 pub(crate) use job::{FrameSink, refused};
 use kernel::SharedClock;
 use reconcile::Reconcilers;
@@ -59,6 +61,8 @@
     pub(crate) session: Arc<SessionService>,
     /// Control group.
     pub(crate) control: Arc<ControlClient>,
+    /// Time line of this daemon.
+    pub(crate) recorder: Arc<Recorder>,
     /// Links to other daemons.
     pub(crate) net: Arc<Net>,
     /// Clock.
@@ -156,6 +160,14 @@
         }
     }
 
+    /// Records an event of a request. Attempts count under the request's own id.
+    pub(crate) fn record(&self, kind: EventKind, request: &str, upstream: &str, text: String) {
+        let base = request.split('+').next().unwrap_or(request);
+        let event = self.cx.recorder.event(kind).request(base);
+        let event = if upstream.is_empty() { event } else { event.upstream(upstream) };
+        self.cx.recorder.record(event.text(text));
+    }
+
     /// Submits a job and gives the channel on which its placement comes.
     pub(crate) fn submit(&self, job: route::Job) -> flume::Receiver<PlacedResult> {
         let (reply, placed) = flume::bounded(1);
--- a/crates/toucansilld/src/owner/actor.rs
+++ b/crates/toucansilld/src/owner/actor.rs
@@ -3,6 +3,7 @@
 use super::{OwnerContext, Placed, PlacedResult, convert};
 use crate::messages::AnnounceReply;
 use control::Ownership;
+use event::EventKind;
 use route::{
     Config, Digest, Directive, Dispatch, Failure, Fleet, Hindrance, Job, Lost, Reason, Refusal,
     Report, TokenUsage,
@@ -223,11 +224,21 @@
         }
         if !matches!(change, Change::Kept) {
             log::info!("upstream {id}: {change:?}");
+            self.record_change(&id, &change);
             self.check_ownership();
         }
         AnnounceReply::Known
     }
 
+    fn record_change(&self, id: &str, change: &Change) {
+        let kind = match change {
+            Change::Restarted { .. } => EventKind::UpstreamRestarted,
+            _ => EventKind::UpstreamAnnounced,
+        };
+        let event = self.cx.recorder.event(kind).upstream(id);
+        self.cx.recorder.record(event.data_centre(self.cx.data_centre.clone()));
+    }
+
     fn submit(&mut self, now: Instant, job: Job, reply: flume::Sender<PlacedResult>) {
         if let Err(refusal) = self.cx.session.may_take_work() {
             log::info!("{} is not taken: {refusal}", job.request);
@@ -307,6 +318,8 @@
         let now = self.cx.clock.now();
         for entry in self.directory.expire(now) {
             log::info!("upstream {} is silent", entry.announcement.id);
+            let event = self.cx.recorder.event(EventKind::UpstreamLost);
+            self.cx.recorder.record(event.upstream(entry.announcement.id));
         }
         log_lost(&self.fleet.expire(now));
         let fleet = &self.fleet;
--- a/crates/toucansilld/src/owner/gang.rs
+++ b/crates/toucansilld/src/owner/gang.rs
@@ -5,7 +5,7 @@
 use job::FrameSink;
 use route::Segment;
 use serde::Deserialize;
-use std::{sync::Mutex, time::Instant};
+use std::time::Instant;
 use upstream::{
     Target,
     gang::{self, GangRequest},
@@ -44,7 +44,7 @@
         deadline,
     };
     let events = owner.client.gang(req);
-    job::forward(owner, job, events, &Mutex::default(), sink);
+    job::forward(owner, job, events, None, sink);
 }
 
 /// The prompt cut by the shares that were promised, or nothing if it is no raw text.
--- a/crates/toucansilld/src/owner/job.rs
+++ b/crates/toucansilld/src/owner/job.rs
@@ -1,26 +1,24 @@
 //! One job on an owner: placement, stream and moves to other upstreams.
 
-use super::{Owner, OwnerMsg, Placed, PlacedResult, gang};
-use crate::{
-    messages::{Failure, Job, JobFrame},
-    sync::lock,
-};
-use control::{Charge, Command, Outcome, Standing};
+use super::{Owner, OwnerMsg, Placed, PlacedResult, chooser::Chooser, gang};
+use crate::messages::{Failure, Job, JobFrame};
+use control::Command;
+use event::EventKind;
 use route::{Placement, Prefix, Refusal, TokenUsage};
 use std::{
-    sync::{Arc, Mutex},
+    sync::Arc,
     time::{Duration, Instant},
 };
-use upstream::{Failed, Reason, Stream, StreamEvent, StreamRequest, Target};
-use wire::{RequestId, UpstreamId, Verdict};
+use upstream::{Reason, Stream, StreamEvent, StreamRequest};
+use wire::{RequestId, UpstreamId};
 
 /// Takes a job's frames; false once the other end is gone.
 pub(crate) type FrameSink<'a> = dyn FnMut(JobFrame) -> bool + 'a;
 
 /// Time between two looks whether the entry daemon still waits.
 const PRESENCE_CHECK: Duration = Duration::from_millis(500);
-/// Longest wait for the answer to a charge.
-const CHARGE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait for the answer to an acquittal.
+const ACQUIT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Status of a refusal because of load or missing upstreams.
 const STATUS_UNAVAILABLE: u16 = 503;
 /// Status of a failure of an upstream.
@@ -107,10 +105,10 @@
         String::from("toucansill-priority"),
         String::from(if job.urgent { "urgent" } else { "ordinary" }),
     ));
-    let chooser = Chooser::new(owner, job, deadline, placed);
-    let refusal = Arc::clone(&chooser.refusal);
-    let events = owner.client.stream(req, move |failed| chooser.choose(failed));
-    forward(owner, job, events, &refusal, sink);
+    let chooser = Arc::new(Chooser::new(owner, job, deadline, placed));
+    let chooses = Arc::clone(&chooser);
+    let events = owner.client.stream(req, move |failed| chooses.choose(failed));
+    forward(owner, job, events, Some(&chooser), sink);
 }
 
 /// Hands the events of a stream on as frames.
@@ -118,16 +116,23 @@
     owner: &Owner,
     job: &Job,
     mut events: Stream,
-    refusal: &Mutex<Option<Failure>>,
+    chooser: Option<&Chooser>,
     sink: &mut FrameSink<'_>,
 ) {
     let mut is_first = true;
     while let Some(event) = events.recv() {
         let is_there = match event {
-            StreamEvent::Sent(_) | StreamEvent::Progress => sink(JobFrame::Waiting),
+            StreamEvent::Progress => sink(JobFrame::Waiting),
+            StreamEvent::Sent(target) => {
+                let upstream = &target.upstream;
+                owner.record(EventKind::RequestSent, &job.request, upstream, job.request.clone());
+                sink(JobFrame::Waiting)
+            }
             StreamEvent::Token(token) => {
                 if std::mem::take(&mut is_first) {
                     owner.send(OwnerMsg::FirstToken { request: job.request.clone() });
+                    let offset = format!("offset {}", token.offset);
+                    owner.record(EventKind::RequestFirstToken, &job.request, "", offset);
                 }
                 sink(JobFrame::Token { offset: token.offset, text: token.text })
             }
@@ -147,7 +152,8 @@
             }
             StreamEvent::Failed { error, retry_after } => {
                 owner.cancelled(&job.request);
-                let refusal = lock(refusal).take();
+                owner.record(EventKind::RequestFailed, &job.request, "", error.to_string());
+                let refusal = chooser.and_then(|chooser| chooser.end(&error));
                 let failure = refusal.unwrap_or_else(|| failure(&error, retry_after));
                 sink(JobFrame::Failed(failure))
             }
@@ -159,168 +165,17 @@
     }
 }
 
-/// Chooses the next upstream after a failure.
-struct Chooser {
-    tx: flume::Sender<OwnerMsg>,
-    control: Arc<crate::control_client::ControlClient>,
-    job: Job,
-    deadline: Instant,
-    next: Mutex<ChooserState>,
-    refusal: Arc<Mutex<Option<Failure>>>,
-}
-
-struct ChooserState {
-    placed: Option<Placed>,
-    avoid: Vec<UpstreamId>,
-    current: Option<Placed>,
-    is_suspect: bool,
-}
-
-impl Chooser {
-    fn new(owner: &Owner, job: &Job, deadline: Instant, placed: Placed) -> Self {
-        let state = ChooserState {
-            placed: Some(placed),
-            avoid: Vec::new(),
-            current: None,
-            is_suspect: job.is_suspect,
-        };
-        Self {
-            tx: owner.tx.clone(),
-            control: Arc::clone(&owner.cx.control),
-            job: job.clone(),
-            deadline,
-            next: Mutex::new(state),
-            refusal: Arc::default(),
-        }
-    }
-
-    fn choose(&self, failed: Option<&Failed>) -> Option<Target> {
-        let mut state = lock(&self.next);
-        if let Some(placed) = state.placed.take() {
-            let target = placed.targets.first().cloned();
-            state.current = Some(placed);
-            return target;
-        }
-        let failed = failed?;
-        self.tell(OwnerMsg::Failed {
-            request: self.job.request.clone(),
-            failure: blame(&failed.error),
-        });
-        if blame(&failed.error) == route::Failure::Request {
-            return None;
-        }
-        if is_death(&failed.error) && !self.charge(&mut state, failed) {
-            return None;
-        }
-        state.avoid.push(failed.target.upstream.clone());
-        self.place_again(&mut state)
-    }
-
-    /// Charges the death of an upstream to this request. False if the request is
-    /// refused everywhere from now on.
-    fn charge(&self, state: &mut ChooserState, failed: &Failed) -> bool {
-        let current = state.current.as_ref();
-        let grant = current.and_then(|placed| placed.placement.grants().first().copied().cloned());
-        let charge = Charge {
-            fingerprint: self.job.fingerprint,
-            upstream: failed.target.upstream.clone(),
-            incarnation: grant.map_or(0, |grant| grant.incarnation),
-            alone: current.is_some_and(|placed| placed.in_flight <= 1),
-            at_ms: 0,
-        };
-        match self.control.propose(Command::Charge(charge), CHARGE_TIMEOUT) {
-            Ok(Outcome::Standing(Standing::Quarantined { .. })) => {
-                *lock(&self.refusal) = Some(quarantined());
-                false
-            }
-            Ok(Outcome::Standing(Standing::Suspect)) => {
-                state.is_suspect = true;
-                true
-            }
-            Ok(_) => true,
-            Err(err) => {
-                log::warn!("a charge was not recorded: {err}");
-                state.is_suspect = true;
-                true
-            }
-        }
-    }
-
-    fn place_again(&self, state: &mut ChooserState) -> Option<Target> {
-        let (reply, placed) = flume::bounded(1);
-        let job = route::Job {
-            request: self.job.request.clone(),
-            model: self.job.model.clone(),
-            priority: route::Priority::Urgent,
-            prompt_tokens: self.job.prompt_tokens,
-            max_output_tokens: self.job.max_output_tokens,
-            prefixes: Vec::new(),
-            deadline: self.deadline,
-            avoid: state.avoid.clone(),
-            is_suspect: state.is_suspect,
-        };
-        self.tell(OwnerMsg::Submit { job: Box::new(job), reply });
-        match placed.recv_deadline(self.deadline) {
-            Ok(Ok(placed)) if placed.targets.len() > 1 => {
-                // What was sent to one engine can't go on over several.
-                self.tell(OwnerMsg::Cancelled { request: self.job.request.clone() });
-                None
-            }
-            Ok(Ok(placed)) => {
-                let target = placed.targets.first().cloned();
-                state.current = Some(placed);
-                target
-            }
-            Ok(Err(refusal)) => {
-                let mut failure = refused(&refusal);
-                failure.verdict = Verdict::MayHaveRun;
-                *lock(&self.refusal) = Some(failure);
-                None
-            }
-            Err(_) => None,
-        }
-    }
-
-    fn tell(&self, msg: OwnerMsg) {
-        if self.tx.send(msg).is_err() {
-            log::error!("the owner's thread has ended");
-        }
-    }
-}
-
-/// Whether the failure is the fault of the request itself.
-fn blame(err: &upstream::Error) -> route::Failure {
-    if err.is_caller_fault() { route::Failure::Request } else { route::Failure::Upstream }
-}
-
-/// Whether the upstream may have died with the request in flight.
-fn is_death(err: &upstream::Error) -> bool {
-    let is_lost = matches!(err.reason(), Reason::Broken | Reason::Unreachable);
-    is_lost && err.verdict() != Verdict::NotRun
-}
-
 /// Tells the control group that a suspect ran to its end.
 fn acquit(owner: &Owner, job: &Job) {
     if !job.is_suspect {
         return;
     }
     let acquit = Command::Acquit { fingerprint: job.fingerprint, at_ms: 0 };
-    if let Err(err) = owner.cx.control.propose(acquit, CHARGE_TIMEOUT) {
+    if let Err(err) = owner.cx.control.propose(acquit, ACQUIT_TIMEOUT) {
         log::warn!("an acquittal was not recorded: {err}");
     }
 }
 
-fn quarantined() -> Failure {
-    Failure {
-        status: 422,
-        code: String::from("quarantined"),
-        reason: String::from("upstreams died with this request in flight"),
-        verdict: Verdict::MayHaveRun,
-        retry_after_ms: None,
-        is_local: false,
-    }
-}
-
 /// A refusal by placement as the entry daemon gets it.
 pub(crate) fn refused(refusal: &Refusal) -> Failure {
     Failure {
--- a/crates/toucansilld/src/session.rs
+++ b/crates/toucansilld/src/session.rs
@@ -105,6 +105,11 @@
         self.is_stopping.store(true, Ordering::Relaxed);
     }
 
+    /// Renews at once, to learn of a change that was just committed.
+    pub(crate) fn refresh(&self) {
+        self.renew();
+    }
+
     /// This daemon and its run.
     pub(crate) fn holder(&self) -> Holder {
         lock(&self.session).holder().clone()
--- a/crates/toucansilld/tests/common/mod.rs
+++ b/crates/toucansilld/tests/common/mod.rs
@@ -36,7 +36,13 @@
 impl Fleet {
     /// Starts daemons in as many data centres and waits for their leases.
     pub(crate) fn start(daemons: usize) -> Self {
-        let cfg = LocalConfig { daemons, data_centres: daemons.min(3) };
+        Self::start_with(daemons, daemons)
+    }
+
+    /// The same; those from `first_fresh` on have a voter that is not yet a member.
+    pub(crate) fn start_with(daemons: usize, first_fresh: usize) -> Self {
+        let fresh_voters = daemons - first_fresh;
+        let cfg = LocalConfig { daemons, data_centres: daemons.min(3), fresh_voters };
         let dir = tempfile::tempdir().expect("a temporary folder");
         let files = local::prepare(dir.path(), &cfg).expect("settings");
         let settings =
@@ -85,6 +91,10 @@
         self.settings[i].listen.callers
     }
 
+    pub(crate) fn links(&self, i: usize) -> SocketAddr {
+        self.settings[i].listen.links
+    }
+
     pub(crate) fn await_ready(&self, i: usize) {
         let url = format!("http://{}/readyz", self.callers(i));
         await_that("the daemon is ready", || {
