Keep what a choice of owners looks at small

Cause: the entry's choice took 42 us among 860 owners with a prefix and 26 us without: names and digests of every owner were walked, and each age was computed as a duration. Change: a compact view per owner apart from its names; loads turned into seconds when the digest comes; ages compared with one instant; the list of candidates sized at once.

--- a/crates/route/src/owner.rs
+++ b/crates/route/src/owner.rs
@@ -1,8 +1,8 @@
 //! Choice of an owner at the entry.
 
 use crate::{
-    class::LengthClass,
-    digest::{Digest, ModelDigest},
+    class::{CLASSES, LengthClass},
+    digest::Digest,
     error::{Reason, Refusal, Result},
     job::PrefixHash,
 };
@@ -18,14 +18,14 @@
 
 /// Load that an owner may have beyond the mean before a prefix is sent to the
 /// next owner in its order: a part of the mean and a fixed time.
-const LOAD_BOUND: (f64, f64) = (1.25, 0.05);
+const LOAD_BOUND: (f32, f32) = (1.25, 0.05);
 
 /// Extra load that the own data centre may have before others are used, in
 /// seconds.
-const SPILL_SECONDS: f64 = 0.1;
+const SPILL_SECONDS: f32 = 0.1;
 
 /// Extra load that the own region may have before others are used, in seconds.
-const REGION_SPILL_SECONDS: f64 = 2.0;
+const REGION_SPILL_SECONDS: f32 = 2.0;
 
 /// What an entry daemon needs to know of a request to choose its owner.
 #[derive(Clone, Debug)]
@@ -74,25 +74,47 @@
     Elsewhere,
 }
 
-/// One owner as seen for one model.
-#[derive(Clone, Debug)]
+/// One owner as seen for one model: what each choice looks at, kept small so
+/// that hundreds fit into the processor's cache.
+#[derive(Clone, Copy, Debug)]
 struct View {
-    daemon: DaemonId,
-    data_centre: DataCentreId,
     hash: u64,
-    distance: Distance,
     at: Instant,
-    state: ModelDigest,
-    /// Prompt tokens sent there since the digest.
-    sent: Tokens,
+    /// Prefill work ahead by class as of the digest, in seconds.
+    wait: [f32; CLASSES],
+    /// Work sent there since the digest, in seconds.
+    sent: f32,
+    serving: u32,
+    reach: Tokens,
+    distance: Distance,
+    is_out_of_service: bool,
 }
 
 impl View {
     /// Prefill work ahead of a new prompt, in seconds.
-    fn load(&self, class: LengthClass) -> f64 {
-        let rate = self.state.prefill_tokens_per_second.max(1) as f64;
-        let reported = self.state.wait_micros[class.index()] as f64 / 1e6;
-        reported + self.sent as f64 / rate
+    fn load(&self, class: LengthClass) -> f32 {
+        self.wait[class.index()] + self.sent
+    }
+}
+
+/// What is needed of an owner only once it is chosen.
+#[derive(Clone, Debug)]
+struct Name {
+    daemon: DaemonId,
+    data_centre: DataCentreId,
+    prefill_tokens_per_second: Tokens,
+}
+
+/// The owners of one model, in the order of their names.
+#[derive(Debug, Default)]
+struct Owners {
+    names: Vec<Name>,
+    views: Vec<View>,
+}
+
+impl Owners {
+    fn position(&self, daemon: &DaemonId) -> std::result::Result<usize, usize> {
+        self.names.binary_search_by(|name| name.daemon.cmp(daemon))
     }
 }
 
@@ -102,7 +124,7 @@
     data_centre: DataCentreId,
     region: RegionId,
     versions: BTreeMap<DaemonId, (u64, u64)>,
-    models: BTreeMap<ModelId, Vec<View>>,
+    models: BTreeMap<ModelId, Owners>,
     out_of_service: BTreeSet<DataCentreId>,
 }
 
@@ -131,12 +153,29 @@
         }
         let distance = self.distance(&digest);
         let hash = hash_name(&digest.daemon);
+        let is_out_of_service = self.out_of_service.contains(&digest.data_centre);
         for state in digest.models {
-            let views = self.models.entry(state.model.clone()).or_default();
-            let (daemon, data_centre) = (digest.daemon.clone(), digest.data_centre.clone());
-            let at = views.partition_point(|v| v.daemon < daemon);
-            let view = View { daemon, data_centre, hash, distance, at: now, state, sent: 0 };
-            views.insert(at, view);
+            let owners = self.models.entry(state.model).or_default();
+            let Err(at) = owners.position(&digest.daemon) else { continue };
+            owners.names.insert(
+                at,
+                Name {
+                    daemon: digest.daemon.clone(),
+                    data_centre: digest.data_centre.clone(),
+                    prefill_tokens_per_second: state.prefill_tokens_per_second,
+                },
+            );
+            let view = View {
+                hash,
+                at: now,
+                wait: state.wait_micros.map(|micros| micros as f32 / 1e6),
+                sent: 0.0,
+                serving: state.serving,
+                reach: state.largest_memory_tokens.max(state.gang_tokens),
+                distance,
+                is_out_of_service,
+            };
+            owners.views.insert(at, view);
         }
         true
     }
@@ -155,24 +194,33 @@
         } else {
             self.out_of_service.insert(data_centre.clone());
         }
+        for owners in self.models.values_mut() {
+            for (view, name) in owners.views.iter_mut().zip(&owners.names) {
+                if name.data_centre == *data_centre {
+                    view.is_out_of_service = !is_in;
+                }
+            }
+        }
     }
 
     /// Counts a prompt sent to an owner until its next digest, so that a stale
     /// digest does not draw a herd.
     pub fn note_sent(&mut self, owner: &DaemonId, model: &ModelId, prompt_tokens: Tokens) {
-        let Some(views) = self.models.get_mut(model) else { return };
-        if let Ok(at) = views.binary_search_by(|v| v.daemon.cmp(owner)) {
-            views[at].sent += prompt_tokens;
+        let Some(owners) = self.models.get_mut(model) else { return };
+        if let Ok(at) = owners.position(owner) {
+            let rate = owners.names[at].prefill_tokens_per_second.max(1);
+            owners.views[at].sent += prompt_tokens as f32 / rate as f32;
         }
     }
 
     fn forget(&mut self, daemon: &DaemonId) {
-        for views in self.models.values_mut() {
-            if let Ok(at) = views.binary_search_by(|v| v.daemon.cmp(daemon)) {
-                views.remove(at);
+        for owners in self.models.values_mut() {
+            if let Ok(at) = owners.position(daemon) {
+                owners.names.remove(at);
+                owners.views.remove(at);
             }
         }
-        self.models.retain(|_, views| !views.is_empty());
+        self.models.retain(|_, owners| !owners.views.is_empty());
     }
 
     fn distance(&self, digest: &Digest) -> Distance {
@@ -184,35 +232,35 @@
             Distance::Elsewhere
         }
     }
+}
 
-    fn is_usable(&self, now: Instant, view: &View, ask: &Ask) -> bool {
-        let need = ask.prompt_tokens + ask.max_output_tokens;
-        let reach = view.state.largest_memory_tokens.max(view.state.gang_tokens);
-        view.state.serving > 0
-            && need <= reach
-            && now.saturating_duration_since(view.at) < DIGEST_LIFETIME
-            && !ask.avoid.contains(&view.daemon)
-            && !self.out_of_service.contains(&view.data_centre)
-    }
+/// Whether an owner may be chosen for a need of memory, if its digest is newer
+/// than the oldest to believe.
+fn is_usable(oldest: Option<Instant>, view: &View, need: Tokens) -> bool {
+    view.serving > 0
+        && need <= view.reach
+        && !view.is_out_of_service
+        && oldest.is_none_or(|oldest| view.at > oldest)
+}
+
+/// A usable owner: its position and its load in seconds.
+#[derive(Clone, Copy, Debug)]
+struct Candidate<'a> {
+    at: usize,
+    view: &'a View,
+    load: f32,
 }
 
-/// Owners at one distance or nearer, summed up.
+/// Owners at one distance, summed up.
 #[derive(Clone, Copy, Debug, Default)]
 struct Sum {
     owners: u32,
-    serving: u64,
-    load: f64,
+    load: f32,
 }
 
 impl Sum {
-    fn add(&mut self, view: &View, load: f64) {
-        self.owners += 1;
-        self.serving += u64::from(view.state.serving);
-        self.load += load;
-    }
-
-    fn mean(&self) -> f64 {
-        self.load / f64::from(self.owners.max(1))
+    fn mean(&self) -> f32 {
+        self.load / self.owners.max(1) as f32
     }
 }
 
@@ -230,81 +278,98 @@
 /// [`Reason::TooLong`] if one does but none has enough memory.
 pub fn choose_owner(digests: &Digests, now: Instant, ask: &Ask, rng: &mut Rng) -> Result<Choice> {
     let class = LengthClass::of(ask.prompt_tokens);
-    let views = digests.models.get(&ask.model).map_or(&[][..], Vec::as_slice);
-    let usable: Vec<(&View, f64)> = views
+    let need = ask.prompt_tokens + ask.max_output_tokens;
+    let owners = digests.models.get(&ask.model).ok_or(NO_UPSTREAM)?;
+    let is_avoided =
+        |at: usize| !ask.avoid.is_empty() && ask.avoid.contains(&owners.names[at].daemon);
+    let oldest = now.checked_sub(DIGEST_LIFETIME);
+    let usable = owners
+        .views
         .iter()
-        .filter(|view| digests.is_usable(now, view, ask))
-        .map(|view| (view, view.load(class)))
-        .collect();
-    let reach = reach(&usable).ok_or_else(|| no_owner(digests, now, views, ask))?;
-    let near: Vec<(&View, f64)> =
-        usable.into_iter().filter(|(view, _)| view.distance <= reach).collect();
-    let (view, load, reason) = match ask.prefix {
+        .enumerate()
+        .filter(|(at, view)| is_usable(oldest, view, need) && !is_avoided(*at))
+        .map(|(at, view)| Candidate { at, view, load: view.load(class) });
+    let mut near: Vec<Candidate> = Vec::with_capacity(owners.views.len());
+    near.extend(usable);
+    let Some(farthest) = farthest(&near) else {
+        let mut views = owners.views.iter().enumerate();
+        let any = views.any(|(at, view)| is_usable(oldest, view, 0) && !is_avoided(at));
+        return Err(if any { TOO_LONG } else { NO_UPSTREAM });
+    };
+    near.retain(|candidate| candidate.view.distance <= farthest);
+    let (chosen, reason) = match ask.prefix {
         Some(prefix) => by_prefix(&near, prefix),
-        None => of_two(&near, rng),
+        None => (of_two(&near, rng), ChoiceReason::TwoChoices),
     };
+    let name = &owners.names[chosen.at];
     Ok(Choice {
-        owner: view.daemon.clone(),
-        data_centre: view.data_centre.clone(),
+        owner: name.daemon.clone(),
+        data_centre: name.data_centre.clone(),
         reason,
-        predicted_wait: Duration::from_secs_f64(load),
+        predicted_wait: Duration::from_secs_f32(chosen.load),
     })
 }
 
+const NO_UPSTREAM: Refusal =
+    Refusal { reason: Reason::NoUpstream, retry_after: Duration::from_secs(1) };
+const TOO_LONG: Refusal =
+    Refusal { reason: Reason::TooLong, retry_after: Duration::from_secs(120) };
+
 /// The farthest distance to use, or none without any owner.
-fn reach(usable: &[(&View, f64)]) -> Option<Distance> {
+fn farthest(usable: &[Candidate]) -> Option<Distance> {
     let mut sums = [Sum::default(); 3];
-    for (view, load) in usable {
-        sums[view.distance as usize].add(view, *load);
+    for candidate in usable {
+        let sum = &mut sums[candidate.view.distance as usize];
+        sum.owners += 1;
+        sum.load += candidate.load;
     }
     let [own, region, elsewhere] = sums;
-    let is_fine = |near: &Sum, far: &Sum, spill: f64| {
+    let both = Sum { owners: own.owners + region.owners, load: own.load + region.load };
+    let is_fine = |near: &Sum, far: &Sum, spill: f32| {
         near.owners > 0 && (far.owners == 0 || near.mean() <= far.mean() + spill)
     };
-    if own.owners + region.owners + elsewhere.owners == 0 {
+    if usable.is_empty() {
         None
-    } else if is_fine(&own, &region, SPILL_SECONDS) {
-        Some(Distance::DataCentre)
-    } else if own.owners + region.owners > 0
-        && (elsewhere.owners == 0
-            || own.mean().max(region.mean()) <= elsewhere.mean() + REGION_SPILL_SECONDS)
-    {
+    } else if !is_fine(&both, &elsewhere, REGION_SPILL_SECONDS) {
+        Some(Distance::Elsewhere)
+    } else if !is_fine(&own, &region, SPILL_SECONDS) {
         Some(Distance::Region)
     } else {
-        Some(Distance::Elsewhere)
+        Some(Distance::DataCentre)
     }
 }
 
-fn by_prefix<'a>(near: &[(&'a View, f64)], prefix: PrefixHash) -> (&'a View, f64, ChoiceReason) {
-    let mean = near.iter().map(|(_, load)| load).sum::<f64>() / near.len() as f64;
+fn by_prefix<'a>(near: &[Candidate<'a>], prefix: PrefixHash) -> (Candidate<'a>, ChoiceReason) {
+    let mean = near.iter().map(|candidate| candidate.load).sum::<f32>() / near.len() as f32;
     let bound = mean * LOAD_BOUND.0 + LOAD_BOUND.1;
     let score = |view: &View| {
         let h = mix(view.hash ^ prefix) >> 11;
         let uniform = (h as f64 + 0.5) / (1u64 << 53) as f64;
-        f64::from(view.state.serving) / -uniform.ln()
+        f64::from(view.serving) / -uniform.ln()
     };
     let mut first = (near[0], f64::MIN);
     let mut within = (near[0], f64::MIN);
     for candidate in near {
-        let score = score(candidate.0);
+        let score = score(candidate.view);
         if score > first.1 {
             first = (*candidate, score);
         }
-        if candidate.1 <= bound && score > within.1 {
+        if candidate.load <= bound && score > within.1 {
             within = (*candidate, score);
         }
     }
-    let is_first = first.0.0.daemon == within.0.0.daemon;
+    let is_first = first.0.at == within.0.at;
     let reason = if is_first { ChoiceReason::Prefix } else { ChoiceReason::PrefixOverflow };
-    (within.0.0, within.0.1, reason)
+    (within.0, reason)
 }
 
-fn of_two<'a>(near: &[(&'a View, f64)], rng: &mut Rng) -> (&'a View, f64, ChoiceReason) {
-    let total: u64 = near.iter().map(|(view, _)| u64::from(view.state.serving)).sum();
+/// The less loaded of two taken at random, by their upstreams in service.
+fn of_two<'a>(near: &[Candidate<'a>], rng: &mut Rng) -> Candidate<'a> {
+    let total: u64 = near.iter().map(|candidate| u64::from(candidate.view.serving)).sum();
     let mut pick = || {
         let mut left = rng.u64(0..total.max(1));
-        let found = near.iter().find(|(view, _)| {
-            let serving = u64::from(view.state.serving);
+        let found = near.iter().find(|candidate| {
+            let serving = u64::from(candidate.view.serving);
             let is_here = left < serving;
             left = left.saturating_sub(serving);
             is_here
@@ -312,18 +377,7 @@
         *found.unwrap_or(&near[0])
     };
     let (a, b) = (pick(), pick());
-    let (view, load) = if b.1 < a.1 { b } else { a };
-    (view, load, ChoiceReason::TwoChoices)
-}
-
-fn no_owner(digests: &Digests, now: Instant, views: &[View], ask: &Ask) -> Refusal {
-    let short = Ask { prompt_tokens: 0, max_output_tokens: 0, ..ask.clone() };
-    let any = views.iter().any(|view| digests.is_usable(now, view, &short));
-    if any {
-        Refusal::new(Reason::TooLong, Duration::from_secs(120))
-    } else {
-        Refusal::new(Reason::NoUpstream, Duration::from_secs(1))
-    }
+    if b.load < a.load { b } else { a }
 }
 
 /// Hash of a daemon's name (FNV-1a), the same on every daemon.
