Sum up other daemons' usage as it comes

Cause: each poll and each report added up the usage of all daemons: 2.3 ms at 143 daemons and 240 organisations. Change: totals are kept up to date report by report; quotas are split anew at most four times a second, at admission too.

--- a/crates/limit/src/limiter.rs
+++ b/crates/limit/src/limiter.rs
@@ -46,6 +46,7 @@
     virtual_time: f64,
     ordinary_credit: f64,
     pub(crate) elsewhere: Elsewhere,
+    pub(crate) quotas_split: Option<Instant>,
     answers: Vec<Answer>,
     next_ticket: TicketId,
 }
@@ -66,6 +67,7 @@
             virtual_time: 0.0,
             ordinary_credit: 0.0,
             elsewhere: Elsewhere::default(),
+            quotas_split: None,
             answers: Vec::new(),
             next_ticket: 0,
         }
@@ -100,7 +102,7 @@
     /// another for leave: quotas are split by demand as it was last reported.
     pub fn set_usage_elsewhere(&mut self, now: Instant, daemon: DaemonId, usage: Vec<Usage>) {
         self.elsewhere.set(now, daemon, usage);
-        self.split_quotas(now);
+        self.split_quotas_if_due(now);
     }
 
     /// Demand here, to be sent with the next digest.
@@ -115,6 +117,7 @@
 
     /// Decides about a request: granted, waiting, or refused at once.
     pub fn admit(&mut self, now: Instant, ask: &Ask) -> Result<Ticket> {
+        self.split_quotas_if_due(now);
         let cost = ask.cost();
         let Some(account) = self.accounts.get_mut(&ask.organisation) else {
             return Err(self.refusal(Reason::UnknownOrganisation, self.cfg.max_retry_after));
@@ -163,8 +166,7 @@
     /// Final answers for requests that waited: granted, shed, or given up on
     /// because their deadline can no longer be met.
     pub fn poll(&mut self, now: Instant) -> Vec<Answer> {
-        self.elsewhere.forget_stale(now, self.cfg.usage_lifetime);
-        self.split_quotas(now);
+        self.split_quotas_if_due(now);
         self.refuse_late(now);
         while let Some(id) = self.next_waiting() {
             let waiting = self.dequeue(id).expect("a ticket taken from a queue waits");
@@ -204,7 +206,7 @@
     /// The local part of an organisation's quota, in tokens a second.
     pub fn local_quota(&self, now: Instant, organisation: &OrganisationId) -> Option<f64> {
         let account = self.accounts.get(organisation)?;
-        let others = self.elsewhere.totals().get(organisation).copied().unwrap_or(0.0);
+        let others = self.elsewhere.total(organisation);
         Some(account.quota? as f64 * self.local_part(account.demand.rate(now), others))
     }
 
--- a/crates/limit/src/usage.rs
+++ b/crates/limit/src/usage.rs
@@ -43,28 +43,53 @@
     }
 }
 
-/// Usage that other daemons reported, with the time of the report.
+/// Usage that other daemons reported, summed up as it comes.
 #[derive(Debug, Default)]
 pub(crate) struct Elsewhere {
-    reports: BTreeMap<DaemonId, (Instant, BTreeMap<OrganisationId, Tokens>)>,
+    reports: BTreeMap<DaemonId, (Instant, Vec<Usage>)>,
+    totals: BTreeMap<OrganisationId, Tokens>,
 }
 
 impl Elsewhere {
     pub(crate) fn set(&mut self, now: Instant, daemon: DaemonId, usage: Vec<Usage>) {
-        let usage = usage.into_iter().map(|u| (u.organisation, u.tokens_per_second)).collect();
+        if let Some((_, old)) = self.reports.remove(&daemon) {
+            self.subtract(&old);
+        }
+        for u in &usage {
+            match self.totals.get_mut(&u.organisation) {
+                Some(total) => *total = total.saturating_add(u.tokens_per_second),
+                None => drop(self.totals.insert(u.organisation.clone(), u.tokens_per_second)),
+            }
+        }
         self.reports.insert(daemon, (now, usage));
     }
 
     pub(crate) fn forget_stale(&mut self, now: Instant, lifetime: Duration) {
-        self.reports.retain(|_, (at, _)| now.saturating_duration_since(*at) <= lifetime);
+        let is_stale = |at: &Instant| now.saturating_duration_since(*at) > lifetime;
+        let stale: Vec<DaemonId> = self
+            .reports
+            .iter()
+            .filter(|(_, (at, _))| is_stale(at))
+            .map(|(daemon, _)| daemon.clone())
+            .collect();
+        for daemon in stale {
+            let (_, old) = self.reports.remove(&daemon).expect("it was just found");
+            self.subtract(&old);
+        }
+    }
+
+    /// Demand of an organisation on all other daemons, in tokens a second.
+    pub(crate) fn total(&self, organisation: &OrganisationId) -> f64 {
+        self.totals.get(organisation).map_or(0.0, |total| *total as f64)
     }
 
-    /// Demand per organisation, summed over the other daemons.
-    pub(crate) fn totals(&self) -> BTreeMap<&OrganisationId, f64> {
-        let mut totals = BTreeMap::new();
-        for (organisation, rate) in self.reports.values().flat_map(|(_, usage)| usage) {
-            *totals.entry(organisation).or_insert(0.0) += *rate as f64;
+    fn subtract(&mut self, usage: &[Usage]) {
+        for u in usage {
+            let Some(total) = self.totals.get_mut(&u.organisation) else { continue };
+            *total = total.saturating_sub(u.tokens_per_second);
+            if *total == 0 {
+                self.totals.remove(&u.organisation);
+            }
         }
-        totals
     }
 }
