Measure the slowdown of short prompts at more loads and seeds

Cause: one load and one seed say little. Change: the policy comparison takes loads of 0.5, 0.7 and 0.9 and three seeds.

--- a/crates/route/examples/policies.rs
+++ b/crates/route/examples/policies.rs
@@ -61,13 +61,17 @@
 }
 
 fn main() {
-    println!("p95 time to first token in s, at a load of 0.7");
+    println!("p95 time to first token in s, by load and seed");
     println!(
-        "{:<18} {:>8} {:>8} {:>7} {:>8} {:>8} {:>8}",
-        "policy", "alone", "beside", "ratio", "medium", "long", "huge"
+        "{:<18} {:>4} {:>4} {:>8} {:>8} {:>7} {:>8} {:>8} {:>8}",
+        "policy", "load", "seed", "alone", "beside", "ratio", "medium", "long", "huge"
     );
     for policy in POLICIES {
-        print_slowdown(policy, 0.7);
+        print_slowdown(policy, 0.7, 7);
+    }
+    for (load, seed) in [(0.5, 7), (0.9, 7), (0.7, 8), (0.7, 9)] {
+        print_slowdown(Policy::Predicted, load, seed);
+        print_slowdown(Policy::NoLengthClasses, load, seed);
     }
     println!("\nended in time, by load; requests a second, prompt tokens a second, refused, late");
     for policy in POLICIES {
@@ -77,8 +81,8 @@
     }
 }
 
-fn print_slowdown(policy: Policy, load: f64) {
-    let all = arrivals(load, 7);
+fn print_slowdown(policy: Policy, load: f64, seed: u64) {
+    let all = arrivals(load, seed);
     let short: Vec<Arrival> =
         all.iter().copied().filter(|a| a.class == LengthClass::Short).collect();
     let alone = run(policy, &short);
@@ -86,7 +90,7 @@
     let alone = p95(&alone, LengthClass::Short);
     let p95 = LengthClass::ALL.map(|class| p95(&beside, class));
     println!(
-        "{:<18} {alone:>8.3} {:>8.3} {:>7.2} {:>8.2} {:>8.2} {:>8.2}",
+        "{:<18} {load:>4.1} {seed:>4} {alone:>8.3} {:>8.3} {:>7.2} {:>8.2} {:>8.2} {:>8.2}",
         format!("{policy:?}"),
         p95[0],
         p95[0] / alone,
