Use the threads of streams again and bound their number

Cause: each stream started a thread, without a bound, and that was most of a short stream's cost. Its test was seen to fail without the limit, and to hang when no thread is used again.

--- a/crates/upstream/examples/client_overhead.rs
+++ b/crates/upstream/examples/client_overhead.rs
@@ -90,8 +90,9 @@
         let req = StreamRequest::new(id, "/v1/completions", stream_body(tokens), deadline);
         let target = target.clone();
         let stream = client.stream(req, move |failed| failed.is_none().then(|| target.clone()));
-        let received = stream.filter(|event| matches!(event, StreamEvent::Token(_))).count();
-        assert_eq!(received, tokens);
+        let events: Vec<StreamEvent> = stream.collect();
+        let received = events.iter().filter(|event| matches!(event, StreamEvent::Token(_)));
+        assert_eq!(received.count(), tokens, "{:?}", events.last());
     });
 }
 
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -3,6 +3,7 @@
 use crate::{
     attempt::{Backoff, Budget},
     http,
+    workers::Workers,
 };
 use std::{
     collections::BTreeMap,
@@ -33,6 +34,8 @@
     pub idle_per_upstream: usize,
     /// Largest answer of a plain service, in bytes.
     pub max_answer_bytes: usize,
+    /// Most streams at once, each of which takes a thread.
+    pub max_streams: usize,
     /// Delays and attempts without progress of a stream.
     pub backoff: Backoff,
     /// Seed of the delays' jitter.
@@ -46,6 +49,7 @@
             silence_timeout: Duration::from_secs(3),
             idle_per_upstream: 64,
             max_answer_bytes: 8 * 1024 * 1024,
+            max_streams: 4096,
             backoff: Backoff::default(),
             seed: 7,
         }
@@ -144,6 +148,7 @@
     /// Keeps connections open, by address.
     pooled: Mutex<BTreeMap<String, ureq::Agent>>,
     pub(crate) budget: Mutex<Budget>,
+    pub(crate) workers: Workers,
     cancels: flume::Sender<Cancel>,
     streams: AtomicU64,
 }
@@ -167,6 +172,7 @@
             budget: Mutex::default(),
             counters: Counters::default(),
             streams: AtomicU64::new(0),
+            workers: Workers::new(cfg.max_streams),
             cancels,
             cfg,
         };
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -41,6 +41,7 @@
 mod splice;
 pub mod stream;
 mod transfer;
+mod workers;
 
 pub use announce::{Announcement, Directory, Kind};
 pub use attempt::{Backoff, Budget, Next, Retry};
--- a/crates/upstream/src/stream.rs
+++ b/crates/upstream/src/stream.rs
@@ -8,15 +8,12 @@
 };
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    thread,
     time::{Duration, Instant},
 };
 use wire::{RequestId, Tokens, Verdict};
 
 /// Events that wait for a slow consumer before the upstream is held back.
 const EVENT_QUEUE: usize = 256;
-/// Stack of a stream's thread, in bytes.
-const STACK_BYTES: usize = 256 * 1024;
 
 /// A completion to stream.
 #[derive(Clone, Debug)]
@@ -175,7 +172,9 @@
 }
 
 impl Client {
-    /// Starts a stream on a thread of its own.
+    /// Starts a stream on a thread of its own. Beyond
+    /// [`ClientConfig::max_streams`](crate::ClientConfig::max_streams) it fails at
+    /// once, "not run".
     ///
     /// `choose` names the upstream to send to: first with `None`, and again
     /// after each failure that the same upstream can't mend. `None` from it
@@ -202,11 +201,7 @@
         let (tx, rx) = flume::bounded(EVENT_QUEUE);
         let presence = Presence::default();
         let (of_thread, refused) = (presence.clone(), tx.clone());
-        let spawned = thread::Builder::new()
-            .name("stream".to_string())
-            .stack_size(STACK_BYTES)
-            .spawn(move || work(of_thread, tx));
-        if let Err(e) = spawned {
+        if let Err(e) = self.shared.workers.run(move || work(of_thread, tx)) {
             let message = format!("no thread for stream {id}: {e}");
             let error = Error::new(Reason::Full, Verdict::NotRun, message);
             let retry_after = self.shared.cfg.backoff.cap;
--- a/crates/upstream/tests/streams.rs
+++ b/crates/upstream/tests/streams.rs
@@ -4,7 +4,7 @@
 
 use common::{client, collect, impatient_client, request, target};
 use fake::{Engine, EngineConfig, completion_text};
-use upstream::{Reason, StreamEvent};
+use upstream::{Client, ClientConfig, Reason, StreamEvent};
 use wire::Verdict;
 
 const PROMPT: &str = "why does the evaporator ice up?";
@@ -193,3 +193,34 @@
     let text = start.text + &collect(&mut stream, usize::MAX).text;
     assert_eq!(text, completion_text(PROMPT, 0, 8));
 }
+
+#[test]
+fn streams_beyond_the_limit_are_refused_and_a_finished_one_makes_room() {
+    let engine = engine("engine-1");
+    engine.hold_at(1);
+    let client = Client::new(ClientConfig { max_streams: 1, ..ClientConfig::default() });
+    let start = |id: &str| {
+        let target = target("engine-1", &engine);
+        client.stream(request(id, PROMPT, 2), move |_| Some(target.clone()))
+    };
+    let mut first = start("r-1");
+    assert_eq!(collect(&mut first, 1).last, None);
+    let Some(StreamEvent::Failed { error, .. }) = collect(&mut start("r-2"), usize::MAX).last
+    else {
+        panic!("the second stream must be refused");
+    };
+    assert_eq!((error.reason(), error.verdict()), (Reason::Full, Verdict::NotRun));
+    engine.release();
+    assert!(matches!(collect(&mut first, usize::MAX).last, Some(StreamEvent::Finished(_))));
+    // The thread is free a moment after its last event is out.
+    let mut text = String::new();
+    for n in 0.. {
+        let collected = collect(&mut start(&format!("r-{}", n + 3)), usize::MAX);
+        if matches!(collected.last, Some(StreamEvent::Finished(_))) {
+            text = collected.text;
+            break;
+        }
+        std::thread::yield_now();
+    }
+    assert_eq!(text, completion_text(PROMPT, 0, 2));
+}
