--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -32,10 +32,12 @@
     pub(crate) capacity: BTreeSet<(Tokens, Slot)>,
     /// Memory of the upstreams in service.
     pub(crate) memory: Tokens,
-    /// Prompt tokens in prefill on them.
-    pub(crate) prefill_tokens: Tokens,
+    /// Prompt tokens in prefill on them, by class.
+    pub(crate) prefill_tokens: [Tokens; CLASSES],
     /// Upstreams in service.
     pub(crate) serving: u32,
+    /// Those of them that prefill short prompts before longer ones.
+    pub(crate) honouring_priority: u32,
     /// Sum of the prefill rates of the upstreams in service.
     pub(crate) prefill_rate: f64,
     /// Upstreams in service with a prefill longer than each class outstanding.
@@ -57,8 +59,9 @@
             roomy: BTreeSet::new(),
             capacity: BTreeSet::new(),
             memory: 0,
-            prefill_tokens: 0,
+            prefill_tokens: [0; CLASSES],
             serving: 0,
+            honouring_priority: 0,
             prefill_rate: 0.0,
             with_longer: [0; CLASSES],
             demand: std::array::from_fn(|_| Meter::new(AVERAGING)),
@@ -70,10 +73,13 @@
 
     pub(crate) fn insert(&mut self, slot: Slot, keys: &Indexed) {
         self.serving += 1;
+        self.honouring_priority += u32::from(keys.honours_priority);
         self.capacity.insert((keys.memory, slot));
         self.prefill_rate += keys.prefill_rate;
         self.memory += keys.memory;
-        self.prefill_tokens += keys.prefill_tokens;
+        for (sum, tokens) in self.prefill_tokens.iter_mut().zip(keys.prefill_tokens) {
+            *sum += tokens;
+        }
         for (count, has) in self.with_longer.iter_mut().zip(keys.has_longer) {
             *count += u32::from(has);
         }
@@ -85,10 +91,13 @@
 
     pub(crate) fn remove(&mut self, slot: Slot, keys: &Indexed) {
         self.serving -= 1;
+        self.honouring_priority -= u32::from(keys.honours_priority);
         self.capacity.remove(&(keys.memory, slot));
         self.prefill_rate = (self.prefill_rate - keys.prefill_rate).max(0.0);
         self.memory -= keys.memory;
-        self.prefill_tokens -= keys.prefill_tokens;
+        for (sum, tokens) in self.prefill_tokens.iter_mut().zip(keys.prefill_tokens) {
+            *sum -= tokens;
+        }
         for (count, has) in self.with_longer.iter_mut().zip(keys.has_longer) {
             *count -= u32::from(has);
         }
