Name the term in which a read was confirmed

Cause: a caller that took the term from the status could get it before a loss of leadership and use the leases of that term after a second win.

Change: confirm_term returns index and term of the confirmation itself; the consensus notes the term when it confirms.

Measured: a test hands leadership over twice and finds two terms between the confirmations; with a wrong term it fails.

Conclusion: what a leader keeps outside the machine can be tied to a term.

--- a/crates/group/src/handle.rs
+++ b/crates/group/src/handle.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     error::{Error, Result},
-    request::{Applied, Goal, Request},
+    request::{Applied, Confirmed, Goal, Request},
     status::Status,
 };
 use flume::{Receiver, RecvTimeoutError, SendTimeoutError, Sender, TrySendError};
@@ -81,6 +81,16 @@
     /// [`Error::is_not_leader`] if another voter leads or this one lost leadership
     /// meanwhile; [`Error::is_unknown`] if no majority answers in time.
     pub fn confirm(&self, timeout: Duration) -> Result<Index> {
+        self.confirm_term(timeout).map(|confirmed| confirmed.index)
+    }
+
+    /// As [`Handle::confirm`], with the term: whatever a leader keeps outside the machine,
+    /// such as leases, is valid for one term, and the status may already show a later one.
+    ///
+    /// # Errors
+    ///
+    /// As [`Handle::confirm`].
+    pub fn confirm_term(&self, timeout: Duration) -> Result<Confirmed> {
         let (reply, rx) = flume::bounded(1);
         let deadline = self.clock.now() + timeout;
         self.request(Request::Confirm { deadline, reply }, timeout)?;
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -41,6 +41,6 @@
 pub use error::{Error, Result};
 pub use handle::{Handle, Ticket};
 pub use raft::{Change, Index, Membership, NodeId, Role, Term};
-pub use request::Applied;
+pub use request::{Applied, Confirmed};
 pub use runner::Group;
 pub use status::Status;
--- a/crates/group/src/request.rs
+++ b/crates/group/src/request.rs
@@ -2,7 +2,7 @@
 
 use crate::error::{Error, Result};
 use flume::Sender;
-use raft::{Change, Index, NodeId, Snapshot};
+use raft::{Change, Index, NodeId, Snapshot, Term};
 use std::time::Instant;
 
 /// A command that was committed and applied.
@@ -14,13 +14,22 @@
     pub output: Vec<u8>,
 }
 
+/// Proof that a voter led at some time after it was asked for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Confirmed {
+    /// Holds everything committed before the call; the machine has applied it.
+    pub index: Index,
+    /// Term in which the voter has led from the call to the proof.
+    pub term: Term,
+}
+
 /// Where an answer goes. It has room for one, so sending never blocks.
 pub(crate) type Reply<T> = Sender<Result<T>>;
 
 /// One request to the voter's thread.
 pub(crate) enum Request {
     Propose { command: Vec<u8>, deadline: Instant, reply: Reply<Applied> },
-    Confirm { deadline: Instant, reply: Reply<Index> },
+    Confirm { deadline: Instant, reply: Reply<Confirmed> },
     Await { goal: Goal, deadline: Instant, reply: Reply<Index> },
     Transfer { to: NodeId, reply: Reply<()> },
     Backup { reply: Reply<Snapshot> },
@@ -48,9 +57,8 @@
         // The caller may have given up.
         match self {
             Self::Propose { reply, .. } => drop(reply.try_send(Err(e))),
-            Self::Confirm { reply, .. } | Self::Await { reply, .. } => {
-                drop(reply.try_send(Err(e)));
-            }
+            Self::Confirm { reply, .. } => drop(reply.try_send(Err(e))),
+            Self::Await { reply, .. } => drop(reply.try_send(Err(e))),
             Self::Transfer { reply, .. } | Self::Tick { reply } => drop(reply.try_send(Err(e))),
             Self::Backup { reply } => drop(reply.try_send(Err(e))),
             Self::Stop => (),
--- a/crates/group/src/runner.rs
+++ b/crates/group/src/runner.rs
@@ -254,7 +254,7 @@
             self.apply(entry);
         }
         for read in ready.reads {
-            self.waiting.confirmed(read.context, read.index);
+            self.waiting.confirmed(read);
         }
         Ok(())
     }
--- a/crates/group/src/waiting.rs
+++ b/crates/group/src/waiting.rs
@@ -2,9 +2,9 @@
 
 use crate::{
     error::{Error, Result},
-    request::{Applied, Goal, Reply},
+    request::{Applied, Confirmed, Goal, Reply},
 };
-use raft::{Index, Position, Raft, Term};
+use raft::{Index, Position, Raft, ReadState, Term};
 use std::{collections::BTreeMap, time::Instant};
 
 /// Requests that wait for the group.
@@ -33,7 +33,7 @@
 
 struct Read {
     deadline: Instant,
-    reply: Reply<Index>,
+    reply: Reply<Confirmed>,
 }
 
 struct Awaited {
@@ -96,17 +96,18 @@
     }
 
     /// Remembers who waits for a confirmation. Returns the context to ask with.
-    pub(crate) fn add_read(&mut self, deadline: Instant, reply: Reply<Index>) -> u64 {
+    pub(crate) fn add_read(&mut self, deadline: Instant, reply: Reply<Confirmed>) -> u64 {
         self.next_read += 1;
         self.reads.insert(self.next_read, Read { deadline, reply });
         self.next_read
     }
 
-    pub(crate) fn confirmed(&mut self, context: u64, index: Index) {
-        self.answer_read(context, Ok(index));
+    pub(crate) fn confirmed(&mut self, read: ReadState) {
+        let confirmed = Confirmed { index: read.index, term: read.term };
+        self.answer_read(read.context, Ok(confirmed));
     }
 
-    pub(crate) fn answer_read(&mut self, context: u64, result: Result<Index>) {
+    pub(crate) fn answer_read(&mut self, context: u64, result: Result<Confirmed>) {
         if let Some(read) = self.reads.remove(&context) {
             drop(read.reply.try_send(result));
         }
--- a/crates/group/tests/group.rs
+++ b/crates/group/tests/group.rs
@@ -169,3 +169,17 @@
     cluster.propose("b").unwrap();
     cluster.converge(2);
 }
+
+#[test]
+fn a_confirmation_names_its_term() {
+    let mut cluster = Cluster::founded(3, |_| ());
+    let first = cluster.elect();
+    let before = cluster.run(first, |h| h.confirm_term(TIMEOUT)).unwrap();
+    cluster.run(first, |h| h.hand_over(TIMEOUT)).unwrap();
+    let second = cluster.elect();
+    cluster.run(second, |h| h.hand_over(TIMEOUT)).unwrap();
+    let third = cluster.elect();
+    let after = cluster.run(third, |h| h.confirm_term(TIMEOUT)).unwrap();
+    assert_eq!(after.term, before.term + 2);
+    assert!(after.index > before.index);
+}
--- a/crates/raft/src/read.rs
+++ b/crates/raft/src/read.rs
@@ -4,7 +4,7 @@
     error::{Error, Result},
     message::Body,
     node::Raft,
-    types::Index,
+    types::{Index, Term},
 };
 use std::collections::VecDeque;
 
@@ -17,6 +17,8 @@
     pub context: u64,
     /// Commit index at the time of the request or later.
     pub index: Index,
+    /// Term in which the node led from the request to the confirmation.
+    pub term: Term,
 }
 
 /// Reads that wait for their confirmation round.
@@ -97,13 +99,13 @@
             return;
         }
         let confirmed = self.confirmed_round();
-        let index = self.commit;
+        let (index, term) = (self.commit, self.hard_state.term);
         let mut states = Vec::new();
         while let Some(read) = self.reads.waiting.front() {
             if read.round > confirmed {
                 break;
             }
-            states.push(ReadState { context: read.context, index });
+            states.push(ReadState { context: read.context, index, term });
             self.reads.waiting.pop_front();
         }
         self.outbox.reads.extend(states);
