--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -65,7 +65,8 @@
     pub committed: u64,
     /// Time of the lease from the moment the renewal was sent, in milliseconds.
     pub lease_ms: u64,
-    /// Index that every daemon with a lease has reached.
+    /// Index that every other daemon with a lease has reached. The daemon itself
+    /// has reached the committed index once this lease counts.
     pub settled: u64,
     /// What the daemon lacks.
     pub changes: Changes,
@@ -167,7 +168,7 @@
             sequence,
             committed,
             lease_ms: millis(LEASE),
-            settled: self.settled(now, committed),
+            settled: self.settled_for(Some(&renewal.holder), now, committed),
             changes: state.changes_since(renewal.applied),
         })
     }
@@ -199,10 +200,16 @@
 
     /// Index that every daemon with a lease has reached, at most `committed`.
     pub fn settled(&self, now: Instant, committed: u64) -> u64 {
+        self.settled_for(None, now, committed)
+    }
+
+    /// The same, but for one daemon's own acknowledgement.
+    fn settled_for(&self, own: Option<&Holder>, now: Instant, committed: u64) -> u64 {
         if self.is_new(now) {
             return 0;
         }
-        let floors = self.table.values().filter_map(|lease| lease.live_floor(now));
+        let others = self.table.iter().filter(|(holder, _)| Some(*holder) != own);
+        let floors = others.filter_map(|(_, lease)| lease.live_floor(now));
         floors.min().unwrap_or(committed).min(committed)
     }
 
--- a/crates/control/src/session.rs
+++ b/crates/control/src/session.rs
@@ -115,7 +115,7 @@
         &self.view
     }
 
-    /// Index that every daemon with a lease has reached, as far as known here.
+    /// Index that every other daemon with a lease has reached, as far as known here.
     pub fn settled(&self) -> u64 {
         self.settled
     }
