Bound the headroom kept for short prompts

Cause: an owner with 6 upstreams kept one free for short prompts; their p95 first token beside long ones was 1.20 to 1.33 times that alone. Owners of today's fleets have 3 to 6. Change: headroom of the square root of what short prompts keep busy, at most 0.75 of an upstream; the comparison runs with 13, 6 and 3 upstreams.

--- a/crates/route/examples/policies.rs
+++ b/crates/route/examples/policies.rs
@@ -16,8 +16,8 @@
     time::{Duration, Instant},
 };
 
-/// Upstreams of one owner at the target size.
-const UPSTREAMS: usize = 13;
+/// Upstreams of one owner: at the target size, and less.
+const SIZES: [usize; 3] = [13, 6, 3];
 /// Prompt tokens a second of one engine.
 const PREFILL: f64 = 10_000.0;
 /// Output tokens a second of one request.
@@ -40,6 +40,13 @@
 const POLICIES: [Policy; 4] =
     [Policy::Predicted, Policy::NoLengthClasses, Policy::LeastOutstanding, Policy::RoundRobin];
 
+/// What a run is about.
+#[derive(Clone, Copy, Debug)]
+struct Setup {
+    policy: Policy,
+    upstreams: usize,
+}
+
 /// One request of a run.
 #[derive(Clone, Copy, Debug)]
 struct Arrival {
@@ -66,32 +73,38 @@
         "{:<18} {:>4} {:>4} {:>8} {:>8} {:>7} {:>8} {:>8} {:>8}",
         "policy", "load", "seed", "alone", "beside", "ratio", "medium", "long", "huge"
     );
-    for policy in POLICIES {
-        print_slowdown(policy, 0.7, 7);
-    }
-    for (load, seed) in [(0.5, 7), (0.9, 7), (0.7, 8), (0.7, 9)] {
-        print_slowdown(Policy::Predicted, load, seed);
-        print_slowdown(Policy::NoLengthClasses, load, seed);
+    for upstreams in SIZES {
+        println!("{upstreams} upstreams");
+        for policy in POLICIES {
+            print_slowdown(Setup { policy, upstreams }, 0.7, 7);
+        }
+        for (load, seed) in [(0.5, 7), (0.9, 7), (0.7, 8), (0.7, 9)] {
+            print_slowdown(Setup { policy: Policy::Predicted, upstreams }, load, seed);
+            print_slowdown(Setup { policy: Policy::NoLengthClasses, upstreams }, load, seed);
+        }
     }
     println!("\nended in time, by load; requests a second, prompt tokens a second, refused, late");
-    for policy in POLICIES {
-        for load in [0.5, 1.0, 1.5, 2.0, 3.0] {
-            print_goodput(policy, load);
+    for upstreams in SIZES {
+        println!("{upstreams} upstreams");
+        for policy in POLICIES {
+            for load in [0.5, 1.0, 1.5, 2.0, 3.0] {
+                print_goodput(Setup { policy, upstreams }, load);
+            }
         }
     }
 }
 
-fn print_slowdown(policy: Policy, load: f64, seed: u64) {
-    let all = arrivals(load, seed);
+fn print_slowdown(setup: Setup, load: f64, seed: u64) {
+    let all = arrivals(setup, load, seed);
     let short: Vec<Arrival> =
         all.iter().copied().filter(|a| a.class == LengthClass::Short).collect();
-    let alone = run(policy, &short);
-    let beside = run(policy, &all);
+    let alone = run(setup, &short);
+    let beside = run(setup, &all);
     let alone = p95(&alone, LengthClass::Short);
     let p95 = LengthClass::ALL.map(|class| p95(&beside, class));
     println!(
         "{:<18} {load:>4.1} {seed:>4} {alone:>8.3} {:>8.3} {:>7.2} {:>8.2} {:>8.2} {:>8.2}",
-        format!("{policy:?}"),
+        format!("{:?}", setup.policy),
         p95[0],
         p95[0] / alone,
         p95[1],
@@ -100,12 +113,12 @@
     );
 }
 
-fn print_goodput(policy: Policy, load: f64) {
-    let outcome = run(policy, &arrivals(load, 11));
+fn print_goodput(setup: Setup, load: f64) {
+    let outcome = run(setup, &arrivals(setup, load, 11));
     let span = SECONDS - WARM_UP;
     println!(
         "{:<18} load {load:>3.1}: {:>6.2}/s {:>9.0}/s {:>5.1}% {:>5.1}%",
-        format!("{policy:?}"),
+        format!("{:?}", setup.policy),
         f64::from(outcome.in_time) / span,
         outcome.tokens_in_time / span,
         f64::from(outcome.refused) * 100.0 / f64::from(outcome.offered),
@@ -121,10 +134,10 @@
 }
 
 /// Poisson arrivals whose prompts offer `load` times what all engines prefill.
-fn arrivals(load: f64, seed: u64) -> Vec<Arrival> {
+fn arrivals(setup: Setup, load: f64, seed: u64) -> Vec<Arrival> {
     let mut rng = Rng::with_seed(seed);
     let mean: f64 = MIX.iter().map(|(_, p, low, high)| (p * (low + high)) as f64 / 200.0).sum();
-    let rate = load * PREFILL * UPSTREAMS as f64 / mean;
+    let rate = load * PREFILL * setup.upstreams as f64 / mean;
     let mut at = 0.0;
     let mut arrivals = Vec::new();
     loop {
@@ -155,16 +168,16 @@
     Wakeup,
 }
 
-fn run(policy: Policy, arrivals: &[Arrival]) -> Outcome {
+fn run(setup: Setup, arrivals: &[Arrival]) -> Outcome {
     let base = Instant::now();
     let at = |seconds: f64| base + Duration::from_secs_f64(seconds);
-    let mut fleet = Fleet::new(Config { policy, ..Config::default() });
+    let mut fleet = Fleet::new(Config { policy: setup.policy, ..Config::default() });
     let mut free_at: BTreeMap<String, Instant> = BTreeMap::new();
     let mut events: BTreeSet<(Instant, Event)> = BTreeSet::new();
     let mut outcome = Outcome::default();
     let mut next = 0;
     let mut heard = base;
-    announce_all(&mut fleet, base);
+    announce_all(&mut fleet, base, setup.upstreams);
     while next < arrivals.len() || events.iter().any(|(_, e)| *e != Event::Wakeup) {
         let arrival = arrivals.get(next).map(|a| at(a.at));
         let event = events.first().copied();
@@ -172,7 +185,7 @@
         let now = if is_arrival { arrival.expect("one is left") } else { event.unwrap().0 };
         if now - heard >= Duration::from_secs(1) {
             heard = now;
-            announce_all(&mut fleet, now);
+            announce_all(&mut fleet, now, setup.upstreams);
         }
         if is_arrival {
             submit(&mut fleet, now, next, &arrivals[next], &mut outcome);
@@ -274,8 +287,8 @@
     request.parse().expect("requests are named by their index")
 }
 
-fn announce_all(fleet: &mut Fleet, now: Instant) {
-    for i in 0..UPSTREAMS {
+fn announce_all(fleet: &mut Fleet, now: Instant, upstreams: usize) {
+    for i in 0..upstreams {
         let ann = Announcement {
             id: format!("u{i:02}"),
             incarnation: 1,
--- a/crates/route/src/config.rs
+++ b/crates/route/src/config.rs
@@ -45,6 +45,8 @@
     pub short_headroom: f64,
     /// The same for prompts of the middle classes.
     pub long_headroom: f64,
+    /// Most headroom, in upstreams, so that overload wastes little.
+    pub max_headroom: f64,
     /// A gap between reports of this length restarts the ramp.
     pub report_gap: Duration,
     /// An upstream not heard for this time gets no new work.
@@ -75,8 +77,9 @@
             max_waiting: 16_384,
             max_upstreams: 16_384,
             max_backlog: Duration::from_millis(100),
-            short_headroom: 0.5,
+            short_headroom: 1.0,
             long_headroom: 0.0,
+            max_headroom: 0.75,
             report_gap: Duration::from_secs(10),
             silence: Duration::from_secs(3),
             removal: Duration::from_secs(30),
--- a/crates/route/src/place.rs
+++ b/crates/route/src/place.rs
@@ -156,7 +156,8 @@
             LengthClass::Short => self.cfg.short_headroom,
             _ => self.cfg.long_headroom,
         };
-        let needed = (busy + headroom * busy.sqrt()).ceil() as u32;
+        let headroom = (headroom * busy.sqrt()).min(self.cfg.max_headroom);
+        let needed = (busy + headroom).ceil() as u32;
         needed.min(pool.serving.saturating_sub(1))
     }
 
