--- a/crates/fake/src/announce.rs
+++ b/crates/fake/src/announce.rs
@@ -1,7 +1,7 @@
 //! What an upstream says about itself to a daemon.
 
 use crate::{config::Ramp, plain::PlainConfig, state::Core};
-use std::{net::SocketAddr, thread, time::Duration};
+use std::{collections::VecDeque, net::SocketAddr, thread, time::Duration};
 use wire::border::upstream::{self as border, Announcement, UpstreamKind};
 
 /// Time between two announcements.
@@ -76,12 +76,20 @@
         daemon: impl Into<String>,
         announcement: impl Fn() -> Option<Announcement> + Send + 'static,
     ) -> Self {
-        let url = format!("http://{}/upstreams", daemon.into());
+        Self::start_any(vec![daemon.into()], announcement)
+    }
+
+    /// As [`Announcer::start`], to whichever of several daemons answers.
+    pub fn start_any(
+        daemons: Vec<String>,
+        announcement: impl Fn() -> Option<Announcement> + Send + 'static,
+    ) -> Self {
         let (stop, stopped) = flume::bounded(1);
         let thread = thread::spawn(move || {
+            let mut daemons = VecDeque::from(daemons);
             loop {
                 if let Some(announcement) = announcement() {
-                    announce(&url, &announcement);
+                    announce_to_any(&mut daemons, &announcement);
                 }
                 match stopped.recv_timeout(KEEP_ALIVE) {
                     Err(flume::RecvTimeoutError::Timeout) => {}
@@ -102,16 +110,28 @@
     }
 }
 
-fn announce(url: &str, announcement: &Announcement) {
+/// Announces to the first daemon that takes it; those that don't go to the end.
+fn announce_to_any(daemons: &mut VecDeque<String>, announcement: &Announcement) {
+    for _ in 0..daemons.len() {
+        let Some(daemon) = daemons.front() else { return };
+        if announce(daemon, announcement) {
+            return;
+        }
+        daemons.rotate_left(1);
+    }
+}
+
+fn announce(daemon: &str, announcement: &Announcement) -> bool {
     let body = serde_json::to_string(announcement).unwrap_or_default();
-    let reply = minreq::post(url)
+    let reply = minreq::post(format!("http://{daemon}/upstreams"))
         .with_header("Content-Type", "application/json")
         .with_body(body)
         .with_timeout(TIMEOUT_S)
         .send();
     match reply {
-        Ok(reply) if reply.status_code < 300 => {}
-        Ok(reply) => log::warn!("{url} refused the announcement: {}", reply.status_code),
-        Err(e) => log::warn!("{url} can't be reached: {e}"),
+        Ok(reply) if reply.status_code < 300 => return true,
+        Ok(reply) => log::warn!("{daemon} refused the announcement: {}", reply.status_code),
+        Err(e) => log::warn!("{daemon} can't be reached: {e}"),
     }
+    false
 }
--- a/crates/fake/tests/management.rs
+++ b/crates/fake/tests/management.rs
@@ -1,6 +1,6 @@
 //! The engine's prefix cache, reports and management API.
 
-use fake::{Engine, EngineConfig};
+use fake::{Announcer, Engine, EngineConfig};
 use serde_json::{Value, json};
 
 fn engine(cfg: EngineConfig) -> Engine {
@@ -146,3 +146,23 @@
     assert_eq!(engine.incarnation(), 2);
     complete(&engine, "a good prompt");
 }
+
+#[test]
+fn an_announcer_moves_on_to_a_daemon_that_answers() {
+    let engine = engine(EngineConfig::default());
+    let gone = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let gone_address = gone.local_addr().expect("bound").to_string();
+    drop(gone);
+    let daemon = tiny_http::Server::http("127.0.0.1:0").expect("a free port");
+    let daemons = vec![gone_address, daemon.server_addr().to_string()];
+    let announcement = engine.announcement();
+    let _announcer = Announcer::start_any(daemons, move || Some(announcement.clone()));
+    let mut req = daemon.recv().expect("an announcement");
+    assert_eq!(req.url(), "/upstreams");
+    let mut body = String::new();
+    req.as_reader().read_to_string(&mut body).expect("a body");
+    let sent: Value = serde_json::from_str(&body).expect("JSON");
+    assert_eq!(sent["id"], "engine-1");
+    assert_eq!(sent["address"], engine.address().to_string());
+    req.respond(tiny_http::Response::empty(200)).expect("the announcer waits");
+}
