--- a/crates/toucansill/src/command.rs
+++ b/crates/toucansill/src/command.rs
@@ -1,10 +1,12 @@
 //! The subcommands.
 
+mod bench;
 mod check;
 mod demo;
 mod drain;
 mod sheet;
 mod status;
+mod timeline;
 mod voters;
 
 use crate::cli::Command;
@@ -16,6 +18,8 @@
     sheet::PLAN,
     sheet::APPLY,
     status::COMMAND,
+    timeline::COMMAND,
     voters::COMMAND,
     drain::COMMAND,
+    bench::COMMAND,
 ];
--- /dev/null
+++ b/crates/toucansill/src/command/bench.rs
@@ -0,0 +1,80 @@
+//! `bench`: load through daemons beside the same load sent to the engine itself.
+
+mod load;
+mod summary;
+
+use crate::{
+    cli::{Command, Result},
+    exit::{Exit, Failure},
+    fleet::Fleet,
+};
+use fake::EngineConfig;
+use getopts::{Matches, Options};
+use load::{Load, run as run_load};
+use std::{net::SocketAddr, time::Duration};
+use summary::Row;
+use toucansilld::local::{LocalConfig, data_centre, sheet};
+
+/// Model of the bench's engine.
+const MODEL: &str = "small";
+/// Tokens that the stand-in engine reads a second.
+const PREFILL_TOKENS_PER_S: f64 = 200_000.0;
+/// Tokens that it generates a second for each request.
+const DECODE_TOKENS_PER_S: f64 = 2_000.0;
+/// Memory of the engine, in tokens.
+const MEMORY_TOKENS: u64 = 4_000_000;
+
+pub(crate) const COMMAND: Command = Command {
+    name: "bench",
+    arguments: "",
+    summary: "Measures load through one and two daemons beside the engine called directly.",
+    examples: &["toucansill bench", "toucansill bench --callers 32 --seconds 10 --json"],
+    options,
+    run,
+};
+
+fn options(options: &mut Options) {
+    options.optopt("", "callers", "callers at once (default 16)", "N");
+    options.optopt("", "seconds", "time of each run (default 5)", "N");
+    options.optopt("", "prompt-tokens", "length of each prompt (default 1000)", "N");
+    options.optopt("", "tokens", "length of each answer (default 20)", "N");
+    options.optflag("", "json", "print JSON lines");
+}
+
+fn run(matches: &Matches) -> Result<Exit> {
+    let load = Load {
+        callers: number(matches, "callers", 16)?,
+        time: Duration::from_secs(number(matches, "seconds", 5)? as u64),
+        prompt_tokens: number(matches, "prompt-tokens", 1_000)?,
+        tokens: number(matches, "tokens", 20)?,
+    };
+    let cfg = LocalConfig { daemons: 2, data_centres: 2, fresh_voters: 0 };
+    let mut fleet = Fleet::start(&cfg)?;
+    fleet.apply(&sheet(&cfg, 1, &[MODEL], &[]))?;
+    let engine = fleet.add_engine(EngineConfig {
+        data_centre: data_centre(&cfg, 0),
+        models: vec![String::from(MODEL)],
+        prefill_tokens_per_s: PREFILL_TOKENS_PER_S,
+        decode_tokens_per_s: DECODE_TOKENS_PER_S,
+        memory_tokens: MEMORY_TOKENS,
+        time_scale: 1.0,
+        ..EngineConfig::default()
+    })?;
+    fleet.await_model(MODEL)?;
+    let callers = fleet.callers();
+    let paths: [(&'static str, SocketAddr); 3] = [
+        ("engine directly", engine.address()),
+        ("one daemon", callers[0]),
+        ("two daemons", callers[1]),
+    ];
+    let rows: Vec<Row> =
+        paths.into_iter().map(|(name, address)| Row::of(name, run_load(&load, address))).collect();
+    summary::print(&rows, matches.opt_present("json"))?;
+    Ok(Exit::Done)
+}
+
+fn number(matches: &Matches, name: &str, default: usize) -> Result<usize> {
+    matches
+        .opt_get_default(name, default)
+        .map_err(|_| Failure::usage(format!("bench: --{name} takes a whole number")).into())
+}
--- a/crates/toucansilld/src/net.rs
+++ b/crates/toucansilld/src/net.rs
@@ -145,7 +145,9 @@
     ) -> std::result::Result<Vec<u8>, NetError> {
         let peer = parse(address)?;
         let message = self.stamped(service, body)?;
-        Ok(self.links()?.request(peer, message, timeout)?)
+        let answer = self.links()?.request(peer, message, timeout)?;
+        count_bytes("in", service, answer.len());
+        Ok(answer)
     }
 
     /// Sends a message and gives the frames of its answer.
@@ -172,6 +174,7 @@
 
     fn stamped(&self, service: &str, body: Vec<u8>) -> std::result::Result<Message, NetError> {
         let Timestamp { wall_ms, counter } = self.recorder.clock().tick();
+        count_bytes("out", service, body.len());
         let stamped = Stamped { wall_ms, counter, body };
         Message::encode(service, &stamped).map_err(NetError::unsent)
     }
@@ -199,6 +202,7 @@
     match inbound.message.decode::<Stamped>() {
         Ok(Stamped { wall_ms, counter, body }) => {
             clock.receive(Timestamp { wall_ms, counter });
+            count_bytes("in", &inbound.message.service, body.len());
             inbound.message.body = body;
         }
         Err(err) => {
@@ -216,6 +220,13 @@
     }
 }
 
+/// Counts the payload of messages, without the framing of the links.
+fn count_bytes(direction: &'static str, service: &str, bytes: usize) {
+    let service = String::from(service);
+    metrics::counter!("toucansill_link_bytes_total", "direction" => direction, "service" => service)
+        .increment(bytes as u64);
+}
+
 fn parse(address: &str) -> std::result::Result<SocketAddr, NetError> {
     address.parse().map_err(|err| NetError::unsent(format!("{address}: {err}")))
 }
