--- a/crates/toucansilld/src/entry/announce.rs
+++ b/crates/toucansilld/src/entry/announce.rs
@@ -1,7 +1,10 @@
 //! Upstreams' announcements, passed on to the owner.
 
 use super::{Entry, is_post, unavailable};
-use crate::messages::{AnnounceReply, OwnerRequest, service};
+use crate::{
+    messages::{AnnounceReply, OwnerRequest, service},
+    owner::group_of,
+};
 use edge::{ApiError, CallerRequest};
 use std::time::Duration;
 use upstream::Announcement;
@@ -38,7 +41,7 @@
 
 fn pass_on(entry: &Entry, ann: Announcement, body: &[u8]) -> Result<AnnounceReply, String> {
     let roster = entry.cx.session.roster();
-    let owner = control::owner(&ann.id, &ann.data_centre, &roster)
+    let owner = control::owner(&group_of(&ann), &ann.data_centre, &roster)
         .ok_or_else(|| format!("no daemon runs in data centre {}", ann.data_centre))?;
     if owner == entry.cx.session.holder().daemon {
         return Ok(entry.cx.owner.announce(ann));
--- a/crates/toucansilld/src/owner/actor.rs
+++ b/crates/toucansilld/src/owner/actor.rs
@@ -1,6 +1,6 @@
 //! The thread that holds the state of the upstreams.
 
-use super::{OwnerContext, Placed, PlacedResult, convert};
+use super::{OwnerContext, Placed, PlacedResult, convert, group_of};
 use crate::messages::AnnounceReply;
 use control::Ownership;
 use event::EventKind;
@@ -86,6 +86,8 @@
     pub(crate) epoch: Option<u64>,
     /// Whether its tables were compared with the owner's in this epoch.
     pub(crate) is_reconciled: bool,
+    /// Name of its group.
+    pub(crate) group: String,
     /// Requests that this daemon has in flight there.
     pub(crate) held: Vec<HeldRequest>,
 }
@@ -209,7 +211,7 @@
     }
 
     fn announce(&mut self, now: Instant, announcement: Announcement) -> AnnounceReply {
-        if let Ownership::Other { owner } = self.cx.session.owns(&announcement.id) {
+        if let Ownership::Other { owner } = self.cx.session.owns(&group_of(&announcement)) {
             return AnnounceReply::Refused(format!("the owner is {owner:?}"));
         }
         let placed = convert::announcement(&announcement);
@@ -335,7 +337,7 @@
         self.fleet.set_data_centre_in_service(now, is_in_service);
         let ids: Vec<UpstreamId> = self.fleet.upstreams().cloned().collect();
         for id in ids {
-            let ownership = self.cx.session.owns(&id);
+            let ownership = self.ownership(&id);
             let is_up = match &ownership {
                 Ownership::Owner { epoch } => {
                     self.keep_reconciled(&id, *epoch);
@@ -355,6 +357,15 @@
         }
     }
 
+    /// Whether this daemon owns an upstream. One that is no longer announced stays
+    /// with its last owner until it is removed.
+    fn ownership(&self, id: &str) -> Ownership {
+        match self.directory.get(id) {
+            Some(entry) => self.cx.session.owns(&group_of(&entry.announcement)),
+            None => Ownership::Waiting,
+        }
+    }
+
     /// Ownership without a gap needs no new comparison when the roster changes.
     fn keep_reconciled(&mut self, id: &str, epoch: u64) {
         if let Some(standing) = self.reconciled.get_mut(id) {
@@ -403,7 +414,7 @@
     }
 
     fn poll_target(&self, announcement: &Announcement) -> PollTarget {
-        let epoch = match self.cx.session.owns(&announcement.id) {
+        let epoch = match self.cx.session.owns(&group_of(announcement)) {
             Ownership::Owner { epoch } => Some(epoch),
             _ => None,
         };
@@ -418,6 +429,7 @@
             incarnation: announcement.incarnation,
             epoch,
             is_reconciled: epoch.is_some_and(|epoch| self.is_reconciled(&announcement.id, epoch)),
+            group: group_of(announcement),
             held: held.collect(),
         }
     }
--- a/crates/toucansilld/src/owner/reconcile.rs
+++ b/crates/toucansilld/src/owner/reconcile.rs
@@ -119,7 +119,9 @@
     }
     let upstream = target.target.upstream.clone();
     let roster = owner.cx.session.roster();
-    let Some(now_owner) = control::owner(&upstream, &owner.cx.data_centre, &roster) else { return };
+    let Some(now_owner) = control::owner(&target.group, &owner.cx.data_centre, &roster) else {
+        return;
+    };
     let Some(address) = owner.cx.session.address_of(&now_owner) else { return };
     let requests = target.held.iter().flat_map(ids).collect();
     match wire::encode(&OwnerRequest::Claim(Claimed { upstream, requests })) {
--- a/crates/toucansilld/src/session.rs
+++ b/crates/toucansilld/src/session.rs
@@ -120,9 +120,9 @@
         lock(&self.session).may_take_work(self.clock.now())
     }
 
-    /// Whether this daemon owns an upstream of its data centre.
-    pub(crate) fn owns(&self, upstream: &str) -> Ownership {
-        lock(&self.session).owns(upstream, self.clock.now())
+    /// Whether this daemon owns a group of upstreams of its data centre.
+    pub(crate) fn owns(&self, group: &str) -> Ownership {
+        lock(&self.session).owns(group, self.clock.now())
     }
 
     /// The configuration in force here.
