Renew leases through one daemon of each data centre above 32 members

Cause: the leader would hear each of 143 daemons of a region at the target, and each consensus message carried the addresses of all voters. Change: the relay decided by the control crate is wired: it gathers renewals for 100 ms; a daemon whose relay does not answer asks the leader itself. One consensus message in 32 brings all addresses, the others the sender's.

--- a/crates/toucansilld/src/daemon.rs
+++ b/crates/toucansilld/src/daemon.rs
@@ -9,6 +9,7 @@
     net::Net,
     operators::{OperatorContext, Operators},
     owner::{Owner, OwnerContext},
+    relay::Relay,
     services,
     session::SessionService,
     settings::Settings,
@@ -69,7 +70,9 @@
             let known = Arc::clone(&control);
             services::serve_referral(&net, move || known.leader());
         }
-        let session = session(settings, &net, &clock, &control);
+        let relay = Relay::start(Arc::clone(&control), Arc::clone(&is_stopping));
+        services::serve_relay(&net, &relay);
+        let session = session(settings, &net, &clock, &control, relay);
         let owner = Owner::start(OwnerContext {
             session: Arc::clone(&session),
             control: Arc::clone(&control),
@@ -256,6 +259,7 @@
     net: &Arc<Net>,
     clock: &SharedClock,
     control: &Arc<ControlClient>,
+    relay: Arc<Relay>,
 ) -> Arc<SessionService> {
     let wall = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
     let incarnation = u64::try_from(wall.as_millis()).unwrap_or(u64::MAX);
@@ -265,6 +269,7 @@
         incarnation,
         Arc::clone(control),
         Arc::clone(net),
+        relay,
         Arc::clone(clock),
     )
 }
--- a/crates/toucansilld/src/lib.rs
+++ b/crates/toucansilld/src/lib.rs
@@ -12,6 +12,7 @@
 mod net;
 mod operators;
 mod owner;
+mod relay;
 mod services;
 mod session;
 mod settings;
--- a/crates/toucansilld/src/messages.rs
+++ b/crates/toucansilld/src/messages.rs
@@ -16,6 +16,8 @@
     pub const OWNER: &str = "owner";
     /// Consensus messages between voters.
     pub const RAFT: &str = "raft";
+    /// Renewals for the relay of a data centre.
+    pub const RELAY: &str = "relay";
     /// Digests of the owners and demand at the entries.
     pub const GOSSIP: &str = "gossip";
 }
--- a/crates/toucansilld/src/services.rs
+++ b/crates/toucansilld/src/services.rs
@@ -6,8 +6,10 @@
     messages::{AnnounceReply, Gossip, JobFrame, OwnerRequest, service},
     net::Net,
     owner::Owner,
+    relay::Relay,
     voter::Voter,
 };
+use control::Renewal;
 use std::sync::Arc;
 use upstream::Announcement;
 use wire::Inbound;
@@ -32,6 +34,29 @@
     net.serve(service::CONTROL, Arc::new(refer));
 }
 
+/// Adds the relay's service.
+pub(crate) fn serve_relay(net: &Net, relay: &Arc<Relay>) {
+    let relay = Arc::clone(relay);
+    net.serve(service::RELAY, Arc::new(move |inbound| answer_relay(&relay, inbound)));
+}
+
+fn answer_relay(relay: &Relay, inbound: Inbound) {
+    let reply = match control::decode::<Renewal>(&inbound.message.body) {
+        Ok(renewal) => relay.renew(renewal),
+        Err(err) => {
+            let _ = inbound.responder.refuse(&err.to_string());
+            return;
+        }
+    };
+    let answered = match reply {
+        Some(reply) => inbound.responder.reply(control::encode(&reply)),
+        None => inbound.responder.refuse("the leader did not answer"),
+    };
+    if let Err(err) = answered {
+        log::debug!("{}: the reply was not sent: {err}", inbound.peer);
+    }
+}
+
 /// Adds the services of owner and entry.
 pub(crate) fn serve_work(net: &Net, owner: &Arc<Owner>, entry: &Arc<Entry>) {
     let owner = Arc::clone(owner);
--- a/crates/toucansilld/src/session.rs
+++ b/crates/toucansilld/src/session.rs
@@ -3,12 +3,15 @@
 use crate::{
     control_client::ControlClient,
     control_messages::{ControlReply, ControlRequest},
+    messages::service,
     net::Net,
+    relay::{RELAY_TIMEOUT, Relay, single},
     sync::lock,
 };
 use control::{
-    Command, Configuration, Holder, Join, Ownership, Refusal, Reply, Roster, RosterOutcome,
-    Session, Standing, relay::Renewals,
+    Command, Configuration, Holder, Join, Ownership, Refusal, Renewal, Reply, Roster,
+    RosterOutcome, Session, Standing,
+    relay::{self, Path},
 };
 use kernel::SharedClock;
 use std::{
@@ -38,6 +41,7 @@
     session: Mutex<Session>,
     client: Arc<ControlClient>,
     net: Arc<Net>,
+    relay: Arc<Relay>,
     clock: SharedClock,
     address: String,
     data_centre: DataCentreId,
@@ -54,6 +58,7 @@
         incarnation: Incarnation,
         client: Arc<ControlClient>,
         net: Arc<Net>,
+        relay: Arc<Relay>,
         clock: SharedClock,
     ) -> Arc<Self> {
         let holder = Holder { daemon, incarnation };
@@ -62,6 +67,7 @@
             session: Mutex::new(Session::new(holder, data_centre.clone())),
             client,
             net,
+            relay,
             clock,
             address,
             data_centre,
@@ -161,7 +167,29 @@
     /// Renews once. False if the lease is not valid afterwards.
     fn renew(&self) -> bool {
         let renewal = lock(&self.session).renew(self.clock.now());
-        let req = ControlRequest::Renew(Renewals { renewals: vec![renewal] });
+        match self.renew_by_relay(&renewal) {
+            Some(reply) => self.accept(&reply),
+            None => self.renew_directly(renewal),
+        }
+        self.may_take_work().is_ok()
+    }
+
+    /// The reply by way of the relay, or nothing if there is none or it fails.
+    fn renew_by_relay(&self, renewal: &Renewal) -> Option<Reply> {
+        match relay::path(&renewal.holder.daemon, &self.roster()) {
+            Path::Direct => None,
+            Path::Relay => self.relay.renew(renewal.clone()),
+            Path::Via(relay) => {
+                let address = self.address_of(&relay)?;
+                let body = control::encode(renewal);
+                let answer = self.net.ask(&address, service::RELAY, body, RELAY_TIMEOUT).ok()?;
+                control::decode(&answer).ok()
+            }
+        }
+    }
+
+    fn renew_directly(&self, renewal: Renewal) {
+        let req = ControlRequest::Renew(single(renewal));
         match self.client.ask(&req, RENEW_TIMEOUT) {
             Ok(ControlReply::Renewed(replies)) => {
                 replies.split().into_iter().for_each(|(_, reply)| self.accept(&reply));
@@ -169,7 +197,6 @@
             Ok(other) => log::warn!("a renewal got {other:?}"),
             Err(err) => log::warn!("the lease was not renewed: {err}"),
         }
-        self.may_take_work().is_ok()
     }
 
     fn accept(&self, reply: &Reply) {
--- a/crates/toucansilld/src/voter.rs
+++ b/crates/toucansilld/src/voter.rs
@@ -21,10 +21,16 @@
 use std::{
     fs,
     path::{Path, PathBuf},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
+/// Consensus messages of which one brings the addresses of all voters along; the
+/// others bring the sender's.
+const MESSAGES_PER_ADDRESSES: u64 = 32;
 /// Name of the file in which a back-up is put together.
 const BACKUP_FILE: &str = "backup.new";
 /// Longest wait for a proposal to be committed.
@@ -43,6 +49,8 @@
     leader: Mutex<Option<Leader>>,
     addresses: Addresses,
     backup_file: PathBuf,
+    /// Consensus messages sent.
+    sent: AtomicU64,
     clock: SharedClock,
 }
 
@@ -62,7 +70,15 @@
         let handle = Group::start(cfg, machine::machine(&state), outbox)
             .map_err(|err| Error::start("voter", err))?;
         let backup_file = settings.data_folder.join(BACKUP_FILE);
-        Ok(Self { handle, state, leader: Mutex::default(), addresses, backup_file, clock })
+        Ok(Self {
+            handle,
+            state,
+            leader: Mutex::default(),
+            addresses,
+            backup_file,
+            sent: AtomicU64::new(0),
+            clock,
+        })
     }
 
     /// Answers one request.
@@ -87,7 +103,10 @@
     /// The envelope for an outgoing message, and where it goes.
     pub(crate) fn envelope(&self, outgoing: Outgoing) -> Option<(String, RaftEnvelope)> {
         let address = self.addresses.of(outgoing.to)?;
-        Some((address, RaftEnvelope { message: outgoing.message, voters: self.addresses.all() }))
+        let number = self.sent.fetch_add(1, Ordering::Relaxed);
+        let tells_all = number % MESSAGES_PER_ADDRESSES == 0;
+        let voters = if tells_all { self.addresses.all() } else { self.addresses.own() };
+        Some((address, RaftEnvelope { message: outgoing.message, voters }))
     }
 
     /// Link addresses of all voters that are known here.
