Name a member that lacks what it had acknowledged

Cause: a founder that lost its disk and was founded again got no entries until the leader changed, and nothing said why.

Change: an answer to a heartbeat carries the end of the log. If it was asked for after the member had acknowledged more, the member has lost entries: the leader names it, sends nothing and counts nothing of it.

Conclusion: operators see which voter to replace.

--- a/crates/group/src/status.rs
+++ b/crates/group/src/status.rs
@@ -1,7 +1,7 @@
 //! What a voter says of itself.
 
 use raft::{Index, Membership, NodeId, Raft, Role, Term};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What a voter knows of itself and its group. It may be outdated; only
 /// [`Handle::confirm`](crate::Handle::confirm) proves leadership.
@@ -27,6 +27,8 @@
     pub membership: Membership,
     /// On a leader: up to where each other member holds the log.
     pub matched: BTreeMap<NodeId, Index>,
+    /// On a leader: members that lack entries which they had acknowledged. Replace them.
+    pub lost_logs: BTreeSet<NodeId>,
     /// Why the voter takes part in nothing any more, if so.
     pub poisoned: Option<String>,
     /// Whether the voter's disk was lost; it must join again under a new id.
@@ -50,6 +52,7 @@
             last_index: raft.last_index(),
             membership,
             matched,
+            lost_logs: raft.lost_logs().collect(),
             poisoned: None,
             lost_disk: raft.has_lost_disk(),
             dropped_messages: 0,
--- a/crates/raft/src/follower.rs
+++ b/crates/raft/src/follower.rs
@@ -85,7 +85,8 @@
 
     pub(crate) fn handle_heartbeat(&mut self, from: NodeId, commit: Index, round: u64) {
         self.advance_commit(commit);
-        self.send(from, Body::HeartbeatAnswer { round });
+        let last = self.log.last_index();
+        self.send(from, Body::HeartbeatAnswer { round, last });
     }
 
     pub(crate) fn handle_chunk(
--- a/crates/raft/src/leader.rs
+++ b/crates/raft/src/leader.rs
@@ -139,15 +139,22 @@
         }
         let last = self.log.last_index();
         let Some(progress) = self.progress.get_mut(&from) else { return };
+        if progress.has_lost_log {
+            // Whatever it promises may be lost again; it counts as silent.
+            return;
+        }
         progress.silent_ticks = 0;
         match body {
             Body::Appended { matched } if matched <= last => {
-                progress.acknowledge(matched);
+                progress.acknowledge(matched, self.reads.round());
                 self.commit_by_majority();
                 self.finish_transfer();
             }
             Body::AppendRefused { refused, hint } => self.handle_refusal(from, refused, hint),
-            Body::HeartbeatAnswer { round } => self.handle_heartbeat_answer(from, round),
+            Body::HeartbeatAnswer { round, last } => {
+                progress.check_log(round, last);
+                self.handle_heartbeat_answer(from, round);
+            }
             Body::SnapshotProgress { index, offset } => {
                 if let Pace::Snapshot { snapshot, offset: sent, waiting } = &mut progress.pace
                     && snapshot.meta.index == index
@@ -176,7 +183,9 @@
 
     fn handle_heartbeat_answer(&mut self, from: NodeId, round: u64) {
         let last = self.log.last_index();
-        let Some(progress) = self.progress.get_mut(&from) else { return };
+        let Some(progress) = self.progress.get_mut(&from).filter(|p| !p.has_lost_log) else {
+            return;
+        };
         progress.round = progress.round.max(round);
         progress.resume();
         let may_have_lost = matches!(progress.pace, Pace::Replicate) && progress.matched < last;
@@ -238,7 +247,9 @@
     fn replicate_to(&mut self, id: NodeId) -> bool {
         let last = self.log.last_index();
         let first = self.log.first_index();
-        let Some(progress) = self.progress.get_mut(&id) else { return false };
+        let Some(progress) = self.progress.get_mut(&id).filter(|p| !p.has_lost_log) else {
+            return false;
+        };
         let next = progress.next;
         match &progress.pace {
             Pace::Probe { waiting: true } | Pace::Snapshot { waiting: true, .. } => return false,
--- a/crates/raft/src/message.rs
+++ b/crates/raft/src/message.rs
@@ -79,6 +79,8 @@
     HeartbeatAnswer {
         /// Round of the heartbeat.
         round: u64,
+        /// Last index of the sender's log.
+        last: Index,
     },
     /// One piece of a snapshot.
     SnapshotChunk {
--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -269,6 +269,12 @@
         self.progress.get(&id).map(|p| p.matched)
     }
 
+    /// Members that lack entries which they acknowledged to this leader: their disks are
+    /// lost in part or whole. They get nothing more and count for nothing; replace them.
+    pub fn lost_logs(&self) -> impl Iterator<Item = NodeId> + '_ {
+        self.progress.iter().filter(|(_, p)| p.has_lost_log).map(|(id, _)| *id)
+    }
+
     /// Whether the node's vote is counted although its disk was empty when it started.
     ///
     /// Such a node takes part in nothing: it may have voted and acknowledged entries
--- a/crates/raft/src/progress.rs
+++ b/crates/raft/src/progress.rs
@@ -28,6 +28,10 @@
     pub(crate) sent_commit: Index,
     /// Latest confirmation round that the node answered.
     pub(crate) round: u64,
+    /// Latest round that was sent when `matched` last rose.
+    pub(crate) matched_round: u64,
+    /// Whether the node was found to lack entries that it had acknowledged.
+    pub(crate) has_lost_log: bool,
     /// Ticks since the node was last heard of.
     pub(crate) silent_ticks: u32,
 }
@@ -41,13 +45,18 @@
             in_flight: VecDeque::new(),
             sent_commit: 0,
             round: 0,
+            matched_round: 0,
+            has_lost_log: false,
             silent_ticks: 0,
         }
     }
 
-    /// Notes that the node holds the log up to `matched`.
-    pub(crate) fn acknowledge(&mut self, matched: Index) {
-        self.matched = self.matched.max(matched);
+    /// Notes that the node holds the log up to `matched`. `round` is the latest one sent.
+    pub(crate) fn acknowledge(&mut self, matched: Index, round: u64) {
+        if matched > self.matched {
+            self.matched = matched;
+            self.matched_round = round;
+        }
         self.next = self.next.max(matched + 1);
         while self.in_flight.front().is_some_and(|last| *last <= matched) {
             self.in_flight.pop_front();
@@ -59,6 +68,15 @@
         }
     }
 
+    /// Checks what a node says of its log in answer to a heartbeat. One that was sent
+    /// after the node had acknowledged more proves that the node has lost entries.
+    pub(crate) fn check_log(&mut self, round: u64, last: Index) {
+        if round > self.matched_round && last < self.matched {
+            self.has_lost_log = true;
+            self.matched = 0;
+        }
+    }
+
     /// Goes back to one message at a time, from `next` on.
     pub(crate) fn probe(&mut self, next: Index) {
         self.next = next.max(self.matched + 1);
--- a/crates/raft/src/read.rs
+++ b/crates/raft/src/read.rs
@@ -42,6 +42,11 @@
         self.is_requested = true;
     }
 
+    /// Last round that was sent.
+    pub(crate) fn round(&self) -> u64 {
+        self.round
+    }
+
     pub(crate) fn clear(&mut self) {
         self.waiting.clear();
         self.is_requested = false;
--- a/crates/raft/tests/scenarios.rs
+++ b/crates/raft/tests/scenarios.rs
@@ -117,12 +117,14 @@
             }
             "restart" => ids(&mut args)?.into_iter().for_each(|id| self.sim.restart(id)),
             "lose-disk" => {
+                self.sim.may_lose_disks = true;
                 for id in ids(&mut args)? {
                     self.sim.add(id, Restored::default());
                 }
             }
             "found-again" => {
                 let members = self.sim.raft(1).membership().clone();
+                self.sim.may_lose_disks = true;
                 for id in ids(&mut args)? {
                     self.sim.add(id, Restored::bootstrap(members.clone()));
                 }
--- a/crates/raft/tests/sim/mod.rs
+++ b/crates/raft/tests/sim/mod.rs
@@ -4,10 +4,13 @@
 // Not every test uses every function.
 #![allow(dead_code, unreachable_pub)]
 
+mod state;
+
 use raft::{
     Body, Change, Config, Entry, Index, Membership, Message, NodeId, Payload, Raft, Ready,
     Restored, Role, Snapshot, Term,
 };
+use state::{decode, mix};
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
@@ -47,17 +50,13 @@
     written: BTreeMap<(Index, Term), (Entry, Option<Term>)>,
     next_read: u64,
     pub confirmed_reads: usize,
+    /// Set by scripts that take a node's disk.
+    pub may_lose_disks: bool,
     configure: fn(&mut Config),
 }
 
 const MAX_NETWORK: usize = 2_000;
 
-fn mix(state: u64, index: Index, payload: &Payload) -> u64 {
-    let Payload::Command(command) = payload else { return state };
-    let seed = state.wrapping_add(index).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    command.iter().fold(seed, |h, b| (h ^ u64::from(*b)).wrapping_mul(0x100_0000_01b3))
-}
-
 impl Sim {
     pub fn new(voters: u64, configure: fn(&mut Config)) -> Self {
         let mut sim = Self {
@@ -70,6 +69,7 @@
             written: BTreeMap::new(),
             next_read: 0,
             confirmed_reads: 0,
+            may_lose_disks: false,
             configure,
         };
         let members = Membership::initial(1, 1..=voters);
@@ -191,12 +191,13 @@
         let raft = self.raft(id);
         let members = raft.membership();
         format!(
-            "node {id}: {:?} in term {}, last {}, commit {}, lost disk {}, voters {:?}, learners {:?}",
+            "node {id}: {:?} in term {}, last {}, commit {}, lost disk {}, lost logs {:?}, voters {:?}, learners {:?}",
             raft.role(),
             raft.term(),
             raft.last_index(),
             raft.commit(),
             raft.has_lost_disk(),
+            raft.lost_logs().collect::<Vec<_>>(),
             members.voters,
             members.learners
         )
@@ -391,9 +392,8 @@
         for (index, (entry, _)) in self.history.range(raft.first_index()..) {
             assert_eq!(raft.entry_term(*index), Some(entry.term), "leader {id} lacks {index}");
         }
+        if !self.may_lose_disks {
+            assert_eq!(raft.lost_logs().count(), 0, "leader {id} suspects a node");
+        }
     }
 }
-
-fn decode(snapshot: &Snapshot) -> u64 {
-    snapshot.data.as_slice().try_into().map_or(0, u64::from_le_bytes)
-}
--- /dev/null
+++ b/crates/raft/tests/sim/state.rs
@@ -0,0 +1,13 @@
+//! The state machine of the simulated nodes: a hash over all commands.
+
+use raft::{Index, Payload, Snapshot};
+
+pub fn mix(state: u64, index: Index, payload: &Payload) -> u64 {
+    let Payload::Command(command) = payload else { return state };
+    let seed = state.wrapping_add(index).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    command.iter().fold(seed, |h, b| (h ^ u64::from(*b)).wrapping_mul(0x100_0000_01b3))
+}
+
+pub fn decode(snapshot: &Snapshot) -> u64 {
+    snapshot.data.as_slice().try_into().map_or(0, u64::from_le_bytes)
+}
--- a/crates/raft/tests/steps.rs
+++ b/crates/raft/tests/steps.rs
@@ -101,3 +101,22 @@
     raft.tick();
     assert!(raft.is_leader());
 }
+
+#[test]
+fn a_node_that_lost_entries_counts_for_nothing() {
+    let mut raft = leader();
+    raft.ready().unwrap();
+    raft.persisted();
+    raft.step(message(2, 1, 2, Body::Appended { matched: 2 }));
+    raft.propose(b"x".to_vec()).unwrap();
+    raft.ready().unwrap();
+    raft.step(message(3, 1, 2, Body::Appended { matched: 3 }));
+    raft.step(message(3, 1, 2, Body::HeartbeatAnswer { round: 2, last: 1 }));
+    assert_eq!(raft.lost_logs().collect::<Vec<_>>(), [3]);
+    raft.persisted();
+    assert_eq!(raft.commit(), 2, "the copy on node 3 is lost");
+    raft.step(message(3, 1, 2, Body::Appended { matched: 3 }));
+    assert_eq!(raft.commit(), 2, "node 3 may lose it again");
+    raft.step(message(2, 1, 2, Body::Appended { matched: 3 }));
+    assert_eq!(raft.commit(), 3);
+}
