--- a/crates/route/examples/policies.rs
+++ b/crates/route/examples/policies.rs
@@ -3,8 +3,9 @@
 //!
 //! `cargo run --release -p route --example policies`
 //!
-//! An engine is a plain function: it prefills in the order of arrival at a
-//! fixed rate, and each answer then takes its tokens at a fixed rate.
+//! An engine is a plain function: it prefills at a fixed rate, in the order of
+//! arrival or short prompts first, and each answer then takes its tokens at a
+//! fixed rate.
 
 use fastrand::Rng;
 use route::{
@@ -24,6 +25,8 @@
 const DECODE: f64 = 50.0;
 /// Output tokens of each answer.
 const OUTPUT: u64 = 100;
+/// Time until an engine that honours priorities turns to a short prompt.
+const CHUNK: Duration = Duration::from_millis(50);
 /// Model time of a run, in seconds.
 const SECONDS: f64 = 900.0;
 /// Part of a run that is not counted, in seconds.
@@ -45,6 +48,21 @@
 struct Setup {
     policy: Policy,
     upstreams: usize,
+    /// Whether engines prefill short prompts before longer ones.
+    honours_priority: bool,
+}
+
+/// A setup with engines that prefill in the order of arrival.
+fn in_order(policy: Policy, upstreams: usize) -> Setup {
+    Setup { policy, upstreams, honours_priority: false }
+}
+
+/// One engine, with the longer prompt that is in prefill.
+#[derive(Clone, Copy, Debug)]
+struct Engine {
+    short_done: Instant,
+    longer_done: Instant,
+    longer: usize,
 }
 
 /// One request of a run.
@@ -76,11 +94,19 @@
     for upstreams in SIZES {
         println!("{upstreams} upstreams");
         for policy in POLICIES {
-            print_slowdown(Setup { policy, upstreams }, 0.7, 7);
+            print_slowdown(in_order(policy, upstreams), 0.7, 7);
         }
         for (load, seed) in [(0.5, 7), (0.9, 7), (0.7, 8), (0.7, 9)] {
-            print_slowdown(Setup { policy: Policy::Predicted, upstreams }, load, seed);
-            print_slowdown(Setup { policy: Policy::NoLengthClasses, upstreams }, load, seed);
+            print_slowdown(in_order(Policy::Predicted, upstreams), load, seed);
+            print_slowdown(in_order(Policy::NoLengthClasses, upstreams), load, seed);
+        }
+    }
+    println!("engines that prefill short prompts first");
+    for upstreams in SIZES {
+        println!("{upstreams} upstreams");
+        let setup = Setup { honours_priority: true, ..in_order(Policy::Predicted, upstreams) };
+        for (load, seed) in [(0.5, 7), (0.7, 7), (0.7, 8), (0.7, 9), (0.9, 7)] {
+            print_slowdown(setup, load, seed);
         }
     }
     println!("\nended in time, by load; requests a second, prompt tokens a second, refused, late");
@@ -88,7 +114,7 @@
         println!("{upstreams} upstreams");
         for policy in POLICIES {
             for load in [0.5, 1.0, 1.5, 2.0, 3.0] {
-                print_goodput(Setup { policy, upstreams }, load);
+                print_goodput(in_order(policy, upstreams), load);
             }
         }
     }
@@ -172,12 +198,14 @@
     let base = Instant::now();
     let at = |seconds: f64| base + Duration::from_secs_f64(seconds);
     let mut fleet = Fleet::new(Config { policy: setup.policy, ..Config::default() });
-    let mut free_at: BTreeMap<String, Instant> = BTreeMap::new();
+    let mut engines: BTreeMap<String, Engine> = BTreeMap::new();
+    // Time that short prompts have taken from the prefill of longer ones.
+    let mut delays: BTreeMap<usize, Duration> = BTreeMap::new();
     let mut events: BTreeSet<(Instant, Event)> = BTreeSet::new();
     let mut outcome = Outcome::default();
     let mut next = 0;
     let mut heard = base;
-    announce_all(&mut fleet, base, setup.upstreams);
+    announce_all(&mut fleet, base, setup);
     while next < arrivals.len() || events.iter().any(|(_, e)| *e != Event::Wakeup) {
         let arrival = arrivals.get(next).map(|a| at(a.at));
         let event = events.first().copied();
@@ -185,13 +213,19 @@
         let now = if is_arrival { arrival.expect("one is left") } else { event.unwrap().0 };
         if now - heard >= Duration::from_secs(1) {
             heard = now;
-            announce_all(&mut fleet, now, setup.upstreams);
+            announce_all(&mut fleet, now, setup);
         }
         if is_arrival {
             submit(&mut fleet, now, next, &arrivals[next], &mut outcome);
             next += 1;
         } else {
             let (_, event) = events.pop_first().expect("an event is due");
+            if let Event::FirstToken(index) = event
+                && let Some(delay) = delays.remove(&index)
+            {
+                events.insert((now + delay, event));
+                continue;
+            }
             take_event(&mut fleet, base, now, event, arrivals, &mut outcome, &mut events);
         }
         for refused in fleet.expired(now) {
@@ -199,7 +233,8 @@
             outcome.refused += u32::from(arrivals[index].at > WARM_UP);
         }
         for dispatch in fleet.dispatch(now) {
-            send(now, &dispatch, arrivals, &mut free_at, &mut events);
+            let (at, event) = send(now, setup, &dispatch, arrivals, &mut engines, &mut delays);
+            events.insert((at, event));
         }
         if let Some(wakeup) = fleet.next_wakeup() {
             events.retain(|(_, e)| *e != Event::Wakeup);
@@ -227,21 +262,35 @@
     outcome.refused += u32::from(is_counted && is_refused);
 }
 
-/// The engine: prefill in the order of arrival, then the answer.
+/// The engine: when the first token comes.
 fn send(
     now: Instant,
+    setup: Setup,
     dispatch: &Dispatch,
     arrivals: &[Arrival],
-    free_at: &mut BTreeMap<String, Instant>,
-    events: &mut BTreeSet<(Instant, Event)>,
-) {
+    engines: &mut BTreeMap<String, Engine>,
+    delays: &mut BTreeMap<usize, Duration>,
+) -> (Instant, Event) {
     let index = index_of(&dispatch.request);
     let upstream = dispatch.placement.grants()[0].upstream.clone();
-    let free = free_at.entry(upstream).or_insert(now);
+    let idle = Engine { short_done: now, longer_done: now, longer: index };
+    let engine = engines.entry(upstream).or_insert(idle);
     let prefill = Duration::from_secs_f64(arrivals[index].tokens as f64 / PREFILL);
-    *free = (*free).max(now) + prefill;
-    events.insert((*free, Event::FirstToken(index)));
-    events.insert((*free + Duration::from_secs_f64(OUTPUT as f64 / DECODE), Event::End(index)));
+    let is_short = arrivals[index].class == LengthClass::Short;
+    if setup.honours_priority && is_short && engine.longer_done > now {
+        engine.short_done = engine.short_done.max(now + CHUNK) + prefill;
+        engine.longer_done += prefill;
+        *delays.entry(engine.longer).or_default() += prefill;
+        return (engine.short_done, Event::FirstToken(index));
+    }
+    let done = now.max(engine.short_done).max(engine.longer_done) + prefill;
+    if is_short {
+        engine.short_done = done;
+    } else {
+        engine.longer_done = done;
+        engine.longer = index;
+    }
+    (done, Event::FirstToken(index))
 }
 
 fn take_event(
@@ -263,6 +312,8 @@
                 let times = outcome.first_token.entry(arrival.class).or_default();
                 times.push(seconds - arrival.at);
             }
+            let answer = Duration::from_secs_f64(OUTPUT as f64 / DECODE);
+            events.insert((now + answer, Event::End(index)));
         }
         Event::End(index) => {
             let arrival = &arrivals[index];
@@ -287,8 +338,8 @@
     request.parse().expect("requests are named by their index")
 }
 
-fn announce_all(fleet: &mut Fleet, now: Instant, upstreams: usize) {
-    for i in 0..upstreams {
+fn announce_all(fleet: &mut Fleet, now: Instant, setup: Setup) {
+    for i in 0..setup.upstreams {
         let ann = Announcement {
             id: format!("u{i:02}"),
             incarnation: 1,
@@ -302,7 +353,7 @@
             uptime: Duration::ZERO,
             is_leaving: false,
             moves_kv_cache: true,
-            honours_priority: false,
+            honours_priority: setup.honours_priority,
         };
         fleet.announce(now, ann).expect("the table has room");
     }
