Count further refusals of streams against a budget that fills up

Cause: every refusal of a stream took from a budget that nothing ever filled, so after twenty refusals in a daemon's life a full engine failed its streams although another had room. And a request that the same engine refused twice was taken for one that it had forgotten: "may have run", when it had not. Change: the first move is free, further refusals are budgeted, each new stream deposits; only what may have run somewhere is resumed there. A deadline also tells when to come back. Each test was seen to fail by a mutation: first refusal budgeted, none budgeted, no deposit, resumed after a refusal. Measured: 60 streams refused once each all finish; the tests of both crates pass. Conclusion: refusals move streams; only repeated ones are throttled.

--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -147,7 +147,7 @@
     single: ureq::Agent,
     /// Keeps connections open, by address.
     pooled: Mutex<BTreeMap<String, ureq::Agent>>,
-    pub(crate) budget: Mutex<Budget>,
+    budget: Mutex<Budget>,
     pub(crate) workers: Workers,
     cancels: flume::Sender<Cancel>,
     streams: AtomicU64,
@@ -227,6 +227,11 @@
         }
     }
 
+    /// The retry budget of all streams.
+    pub(crate) fn budget(&self) -> MutexGuard<'_, Budget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Seed of one stream's jitter.
     pub(crate) fn stream_seed(&self) -> u64 {
         self.cfg.seed.wrapping_add(self.streams.fetch_add(1, Ordering::Relaxed))
--- a/crates/upstream/src/stream.rs
+++ b/crates/upstream/src/stream.rs
@@ -242,7 +242,7 @@
             false => Verdict::NotRun,
         };
         let error = Error::new(Reason::Deadline, verdict, "the deadline has passed");
-        StreamEvent::Failed { error, retry_after: Duration::ZERO }
+        StreamEvent::Failed { error, retry_after: self.shared.cfg.backoff.cap }
     }
 
     /// Cancels the request where it may be running, and says whether it may.
--- a/crates/upstream/src/transfer.rs
+++ b/crates/upstream/src/transfer.rs
@@ -1,7 +1,7 @@
 //! The thread of one stream: connections, and what follows when one fails.
 
 use crate::{
-    attempt::{Next, Retry},
+    attempt::{Budget, Next, Retry},
     client::{Shared, Target},
     error::{Error, Reason, Result},
     events::{self, Line},
@@ -11,7 +11,7 @@
 };
 use std::{
     io::BufReader,
-    sync::{Arc, PoisonError},
+    sync::Arc,
     time::{Duration, Instant},
 };
 use wire::Verdict;
@@ -98,6 +98,7 @@
             let message = "no upstream takes this request";
             return self.fail(Error::new(Reason::NoTarget, Verdict::NotRun, message), None);
         };
+        self.shared.budget().deposit();
         let mut stay = Stay::new(target, false);
         let mut retry = self.new_retry();
         loop {
@@ -147,8 +148,10 @@
         if !is_same {
             self.abandon(failed);
         }
-        // An upstream that was down has forgotten the request.
-        let is_known = !self.is_forgotten && !failed.error.is_unreachable();
+        // An upstream that refused the request never had it, and one that was
+        // down has forgotten it.
+        let had_it = !failed.error.is_not_run();
+        let is_known = had_it && !self.is_forgotten && !failed.error.is_unreachable();
         self.is_forgotten = false;
         Stay::new(next, is_same && is_known)
     }
@@ -297,11 +300,12 @@
     /// When the next connection may be made, or when the caller may come back.
     fn next_attempt(&mut self, retry: &mut Retry, error: &Error) -> Result<Instant, Duration> {
         let now = Instant::now();
-        let mut budget = self.shared.budget.lock().unwrap_or_else(PoisonError::into_inner);
-        // Only refusals count against the budget: when an engine dies, each of
-        // its streams moves once, and that is no storm.
-        let mut unlimited = crate::attempt::Budget::new(0.0, 1.0);
-        let budget = if error.is_refused() { &mut *budget } else { &mut unlimited };
+        let mut budget = self.shared.budget();
+        // Only further refusals count against the budget: when an engine dies or
+        // fills up, each of its streams moves once, and that is no storm.
+        let is_budgeted = error.is_refused() && retry.attempts() > 0;
+        let mut unlimited = Budget::new(0.0, 1.0);
+        let budget = if is_budgeted { &mut *budget } else { &mut unlimited };
         match retry.next(error.verdict(), now, budget, &mut self.rng) {
             Next::RetryAt(_) if retry.attempts() == 1 && !error.is_refused() => Ok(now),
             Next::RetryAt(at) => Ok(at),
--- a/crates/upstream/tests/streams.rs
+++ b/crates/upstream/tests/streams.rs
@@ -224,3 +224,54 @@
     }
     assert_eq!(text, completion_text(PROMPT, 0, 2));
 }
+
+/// An engine that refuses every request, and one that takes them.
+fn full_and_free() -> [Engine; 2] {
+    let full = EngineConfig { memory_tokens: 1, ..EngineConfig::default() };
+    [Engine::start(full).expect("a free port"), engine("engine-2")]
+}
+
+/// Whether a stream finishes that is refused a number of times first.
+fn finishes_after(client: &Client, engines: &[Engine; 2], id: &str, refusals: usize) -> bool {
+    let targets = [target("engine-1", &engines[0]), target("engine-2", &engines[1])];
+    let mut asked = 0;
+    let mut stream = client.stream(request(id, PROMPT, 2), move |_| {
+        asked += 1;
+        Some(targets[usize::from(asked > refusals)].clone())
+    });
+    matches!(collect(&mut stream, usize::MAX).last, Some(StreamEvent::Finished(_)))
+}
+
+#[test]
+fn a_stream_that_one_engine_refuses_always_gets_another() {
+    let (engines, client) = (full_and_free(), client());
+    for n in 0..60 {
+        assert!(finishes_after(&client, &engines, &format!("r-{n}"), 1), "stream {n}");
+    }
+}
+
+#[test]
+fn repeated_refusals_use_up_a_budget_that_new_streams_fill() {
+    let (engines, client) = (full_and_free(), client());
+    let exhausted = (0..60).any(|n| !finishes_after(&client, &engines, &format!("r-{n}"), 2));
+    assert!(exhausted, "an overload must not be answered by unlimited retries");
+    for n in 0..10 {
+        assert!(finishes_after(&client, &engines, &format!("fill-{n}"), 0));
+    }
+    assert!(finishes_after(&client, &engines, "again", 2));
+}
+
+#[test]
+fn a_request_that_an_engine_refused_twice_has_not_run() {
+    let (engines, client) = (full_and_free(), client());
+    let target = target("engine-1", &engines[0]);
+    let mut asked = 0;
+    let mut stream = client.stream(request("r-1", PROMPT, 2), move |_| {
+        asked += 1;
+        (asked <= 2).then(|| target.clone())
+    });
+    let Some(StreamEvent::Failed { error, .. }) = collect(&mut stream, usize::MAX).last else {
+        panic!("the stream must fail");
+    };
+    assert_eq!((error.reason(), error.verdict()), (Reason::Refused(413), Verdict::NotRun));
+}
