Find a dead listener whose queue is full

Cause: without file descriptors the accept thread of tiny_http can panic unseen. New callers then fill the queue of the listener, the probe could not connect, and that counted as a probe that did not run: the listener stayed dead for good. A restart that failed was not tried again until the next probe.

Change: a connect that times out counts as silent. A due restart is tried again until it succeeds.

--- a/crates/edge/src/listener.rs
+++ b/crates/edge/src/listener.rs
@@ -41,7 +41,7 @@
 pub(crate) enum Probe {
     /// The listener answered.
     Alive,
-    /// Connected, but no answer came.
+    /// No answer came.
     Silent,
     /// The probe itself could not run, for example without file descriptors.
     NotRun,
@@ -49,8 +49,11 @@
 
 /// Sends one request to the server's own listener.
 pub(crate) fn probe(address: SocketAddr) -> Probe {
-    let Ok(stream) = TcpStream::connect_timeout(&reachable(address), PROBE_TIMEOUT) else {
-        return Probe::NotRun;
+    let stream = match TcpStream::connect_timeout(&reachable(address), PROBE_TIMEOUT) {
+        Ok(stream) => stream,
+        // The queue of connections is full, as no one accepts them.
+        Err(e) if e.kind() == io::ErrorKind::TimedOut => return Probe::Silent,
+        Err(_) => return Probe::NotRun,
     };
     match ask(stream) {
         Ok(true) => Probe::Alive,
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -163,21 +163,24 @@
     stopped: &flume::Receiver<()>,
 ) {
     let mut generations = vec![first];
+    let mut must_replace = false;
     while !shared.stopping.load(Ordering::Acquire) {
-        let dead = generations.last().is_none_or(|g| wait_for_failure(g, address, shared, stopped));
+        must_replace |=
+            generations.last().is_none_or(|g| wait_for_failure(g, address, shared, stopped));
         generations.retain(|g| !g.pump.is_finished());
-        if !dead || shared.stopping.load(Ordering::Acquire) {
-            continue;
-        }
-        match start_generation(listener, shared) {
-            Ok(generation) => {
-                shared.restarts.fetch_add(1, Ordering::Relaxed);
-                metrics::counter!("edge_listener_restarts").increment(1);
-                generations.push(generation);
+        // Stays due until it succeeds: without file descriptors it fails as well.
+        while must_replace && !shared.stopping.load(Ordering::Acquire) {
+            match start_generation(listener, shared) {
+                Ok(generation) => {
+                    must_replace = false;
+                    shared.restarts.fetch_add(1, Ordering::Relaxed);
+                    metrics::counter!("edge_listener_restarts").increment(1);
+                    generations.push(generation);
+                }
+                Err(e) => log::error!("listener at {address} not started again: {e}"),
             }
-            Err(e) => log::error!("listener at {address} not started again: {e}"),
+            let _ = stopped.recv_timeout(ACCEPT_BACKOFF);
         }
-        let _ = stopped.recv_timeout(ACCEPT_BACKOFF);
     }
     for generation in generations {
         let _ = generation.pump.join();
