--- a/crates/fake/src/announce.rs
+++ b/crates/fake/src/announce.rs
@@ -1,6 +1,7 @@
 //! What an upstream says about itself to a daemon.
 
 use crate::{config::Ramp, plain::PlainConfig, state::Core};
+use serde::Deserialize;
 use std::{collections::VecDeque, net::SocketAddr, thread, time::Duration};
 use wire::border::upstream::{self as border, Announcement, UpstreamKind};
 
@@ -88,10 +89,9 @@
         let thread = thread::spawn(move || {
             let mut daemons = VecDeque::from(daemons);
             loop {
-                if let Some(announcement) = announcement() {
-                    announce_to_any(&mut daemons, &announcement);
-                }
-                match stopped.recv_timeout(KEEP_ALIVE) {
+                let again = announcement()
+                    .and_then(|announcement| announce_to_any(&mut daemons, &announcement));
+                match stopped.recv_timeout(again.unwrap_or(KEEP_ALIVE)) {
                     Err(flume::RecvTimeoutError::Timeout) => {}
                     _ => return,
                 }
@@ -110,18 +110,31 @@
     }
 }
 
-/// Announces to the first daemon that takes it; those that don't go to the end.
-fn announce_to_any(daemons: &mut VecDeque<String>, announcement: &Announcement) {
+/// Announces to the first daemon that takes it, and gives the time until the next
+/// announcement; daemons that don't take it go to the end.
+fn announce_to_any(
+    daemons: &mut VecDeque<String>,
+    announcement: &Announcement,
+) -> Option<Duration> {
     for _ in 0..daemons.len() {
-        let Some(daemon) = daemons.front() else { return };
-        if announce(daemon, announcement) {
-            return;
+        let taken = announce(daemons.front()?, announcement);
+        if taken.is_some() {
+            return taken;
         }
         daemons.rotate_left(1);
     }
+    None
+}
+
+/// Answer to an announcement that was taken.
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct Taken {
+    /// Time until the next announcement, in milliseconds.
+    announce_again_ms: Option<u64>,
 }
 
-fn announce(daemon: &str, announcement: &Announcement) -> bool {
+fn announce(daemon: &str, announcement: &Announcement) -> Option<Duration> {
     let body = serde_json::to_string(announcement).unwrap_or_default();
     let reply = minreq::post(format!("http://{daemon}/upstreams"))
         .with_header("Content-Type", "application/json")
@@ -129,9 +142,12 @@
         .with_timeout(TIMEOUT_S)
         .send();
     match reply {
-        Ok(reply) if reply.status_code < 300 => return true,
+        Ok(reply) if reply.status_code < 300 => {
+            let taken: Taken = serde_json::from_slice(reply.as_bytes()).unwrap_or_default();
+            return Some(taken.announce_again_ms.map_or(KEEP_ALIVE, Duration::from_millis));
+        }
         Ok(reply) => log::warn!("{daemon} refused the announcement: {}", reply.status_code),
         Err(e) => log::warn!("{daemon} can't be reached: {e}"),
     }
-    false
+    None
 }
--- a/crates/toucansilld/src/entry/announce.rs
+++ b/crates/toucansilld/src/entry/announce.rs
@@ -2,8 +2,8 @@
 
 use super::{Entry, is_post, unavailable};
 use crate::{
-    messages::{AnnounceReply, OwnerRequest, service},
-    owner::group_of,
+    messages::{Alive, AnnounceReply, OwnerRequest, service},
+    owner::{announcement_hash, group_of},
 };
 use edge::{ApiError, CallerRequest};
 use std::time::Duration;
@@ -12,7 +12,11 @@
 
 /// Longest wait for the owner.
 const OWNER_TIMEOUT: Duration = Duration::from_secs(2);
-/// When an upstream may announce itself again.
+/// Time between two announcements of an engine.
+const ENGINE_AGAIN: Duration = Duration::from_secs(2);
+/// Time between two announcements of a plain service.
+const SERVICE_AGAIN: Duration = Duration::from_secs(1);
+/// When an upstream may announce itself again after a refusal.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Handles `POST /upstreams`.
@@ -28,8 +32,13 @@
             return req.reply.error(e);
         }
     };
+    let again = again_json(&announcement);
     match pass_on(entry, announcement, &req.body) {
-        Ok(AnnounceReply::Known) => req.reply.json(200, "{}", Verdict::Ran),
+        Ok(AnnounceReply::Known) => req.reply.json(200, again, Verdict::Ran),
+        Ok(AnnounceReply::Unknown) => {
+            let reason = "the owner has just changed";
+            req.reply.error(unavailable("not_taken", reason).with_retry_after(RETRY_AFTER))
+        }
         Ok(AnnounceReply::Refused(reason)) => {
             req.reply.error(unavailable("not_taken", &reason).with_retry_after(RETRY_AFTER))
         }
@@ -39,24 +48,41 @@
     }
 }
 
+/// Engines are looked at by their owners and need fewer announcements.
+fn again_json(announcement: &Announcement) -> String {
+    let again = match announcement.service {
+        Some(_) => SERVICE_AGAIN,
+        None => ENGINE_AGAIN,
+    };
+    format!(r#"{{"announce_again_ms":{}}}"#, again.as_millis())
+}
+
 fn pass_on(entry: &Entry, ann: Announcement, body: &[u8]) -> Result<AnnounceReply, String> {
+    let hash = announcement_hash(body);
     let roster = entry.cx.session.roster();
     let owner = control::owner(&group_of(&ann), &ann.data_centre, &roster)
         .ok_or_else(|| format!("no daemon runs in data centre {}", ann.data_centre))?;
     if owner == entry.cx.session.holder().daemon {
-        return Ok(entry.cx.owner.announce(ann));
+        return Ok(entry.cx.owner.announce(ann, hash));
     }
     let address = entry
         .cx
         .session
         .address_of(&owner)
         .ok_or_else(|| format!("the owner {owner} has no address"))?;
-    let req =
-        wire::encode(&OwnerRequest::Announce(body.to_vec())).map_err(|err| err.to_string())?;
+    let alive = Alive { upstream: ann.id, hash };
+    match ask(entry, &address, &OwnerRequest::Alive(alive))? {
+        AnnounceReply::Unknown => ask(entry, &address, &OwnerRequest::Announce(body.to_vec())),
+        reply => Ok(reply),
+    }
+}
+
+fn ask(entry: &Entry, address: &str, req: &OwnerRequest) -> Result<AnnounceReply, String> {
+    let body = wire::encode(req).map_err(|err| err.to_string())?;
     let answer = entry
         .cx
         .net
-        .ask(&address, service::OWNER, req, OWNER_TIMEOUT)
-        .map_err(|err| format!("the owner {owner} did not answer: {err}"))?;
+        .ask(address, service::OWNER, body, OWNER_TIMEOUT)
+        .map_err(|err| format!("the owner at {address} did not answer: {err}"))?;
     control::decode(&answer).map_err(|err| err.to_string())
 }
--- a/crates/toucansilld/src/messages.rs
+++ b/crates/toucansilld/src/messages.rs
@@ -96,10 +96,21 @@
     Call(PlainCall),
     /// An upstream's announcement as JSON, passed on by the daemon that received it.
     Announce(Vec<u8>),
+    /// An upstream repeated an announcement that this owner has taken before.
+    Alive(Alive),
     /// Requests that the former owner of an upstream still has in flight there.
     Claim(Claimed),
 }
 
+/// A repeated announcement.
+#[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
+pub struct Alive {
+    /// Name of the upstream.
+    pub upstream: UpstreamId,
+    /// Hash of the announcement as it came.
+    pub hash: u64,
+}
+
 /// Requests that must not be cancelled, as a former owner waits for them.
 #[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
 pub struct Claimed {
@@ -172,6 +183,8 @@
 pub enum AnnounceReply {
     /// The owner knows the upstream.
     Known,
+    /// The owner does not know this announcement; it needs the whole one.
+    Unknown,
     /// The announcement is refused.
     Refused(String),
 }
--- a/crates/toucansilld/src/net.rs
+++ b/crates/toucansilld/src/net.rs
@@ -8,8 +8,8 @@
 use bincode::{Decode, Encode};
 use control::Roster;
 use event::{HybridClock, Recorder, Timestamp};
+use kernel::Registry;
 use std::{
-    collections::BTreeMap,
     fmt,
     net::SocketAddr,
     sync::{Arc, Mutex},
@@ -20,14 +20,12 @@
 /// Answers the messages for one service.
 pub(crate) type ServiceFn = Arc<dyn Fn(Inbound) + Send + Sync>;
 
-type Services = Arc<Mutex<BTreeMap<String, ServiceFn>>>;
-
 /// Links of one daemon.
 pub(crate) struct Net {
     /// Taken out at a stop.
     links: Mutex<Option<Arc<Links>>>,
     address: SocketAddr,
-    services: Services,
+    services: Arc<Registry>,
     peers: Mutex<Vec<Peer>>,
     recorder: Arc<Recorder>,
 }
@@ -86,7 +84,7 @@
         let secret = RegionSecret::read(&settings.secret_file)
             .map_err(|err| Error::start("secret_file", err))?;
         let cfg = LinkConfig::new(settings.daemon.clone(), settings.listen.links, secret);
-        let services = Services::default();
+        let services = Arc::new(Registry::new());
         let known = Arc::clone(&services);
         let clock = Arc::clone(recorder.clock());
         let handler = Arc::new(move |inbound: Inbound| dispatch(&known, &clock, inbound));
@@ -98,7 +96,9 @@
 
     /// Adds a service.
     pub(crate) fn serve(&self, name: &str, service: ServiceFn) {
-        lock(&self.services).insert(String::from(name), service);
+        if let Err(err) = self.services.register(name, service) {
+            log::error!("{err}");
+        }
     }
 
     /// The address that is listened on.
@@ -198,7 +198,7 @@
     }
 }
 
-fn dispatch(services: &Services, clock: &HybridClock, mut inbound: Inbound) {
+fn dispatch(services: &Registry, clock: &HybridClock, mut inbound: Inbound) {
     match inbound.message.decode::<Stamped>() {
         Ok(Stamped { wall_ms, counter, body }) => {
             clock.receive(Timestamp { wall_ms, counter });
@@ -210,10 +210,9 @@
             return;
         }
     }
-    let service = lock(services).get(&inbound.message.service).cloned();
-    match service {
-        Some(service) => service(inbound),
-        None => {
+    match services.find::<ServiceFn>(&inbound.message.service) {
+        Ok(service) => service(inbound),
+        Err(_) => {
             let reason = format!("no service {}", inbound.message.service);
             let _ = inbound.responder.refuse(&reason);
         }
--- a/crates/toucansilld/src/owner.rs
+++ b/crates/toucansilld/src/owner.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     control_client::ControlClient,
-    messages::{AnnounceReply, Claimed, PlainCall, PlainReply},
+    messages::{Alive, AnnounceReply, Claimed, PlainCall, PlainReply},
     net::Net,
     session::SessionService,
     sync::lock,
@@ -42,6 +42,11 @@
 /// Longest wait for an answer of the owner's thread.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Hash of an announcement as it came, to tell a repetition from a new one.
+pub(crate) fn announcement_hash(body: &[u8]) -> u64 {
+    control::stable_hash(&[&String::from_utf8_lossy(body)])
+}
+
 /// Where a job was placed, with the address of each upstream in the placement.
 #[derive(Clone, Debug)]
 pub(crate) struct Placed {
@@ -99,9 +104,19 @@
     }
 
     /// Takes in an announcement of an upstream that this daemon owns.
-    pub(crate) fn announce(&self, announcement: Announcement) -> AnnounceReply {
+    pub(crate) fn announce(&self, announcement: Announcement, hash: u64) -> AnnounceReply {
+        let (reply, answer) = flume::bounded(1);
+        let announcement = Box::new(announcement);
+        self.send(OwnerMsg::Announce { announcement, hash, reply });
+        answer
+            .recv_timeout(ANSWER_TIMEOUT)
+            .unwrap_or_else(|_| AnnounceReply::Refused(String::from("the owner is busy")))
+    }
+
+    /// Takes in the repetition of an announcement.
+    pub(crate) fn alive(&self, alive: Alive) -> AnnounceReply {
         let (reply, answer) = flume::bounded(1);
-        self.send(OwnerMsg::Announce { announcement: Box::new(announcement), reply });
+        self.send(OwnerMsg::Alive { alive, reply });
         answer
             .recv_timeout(ANSWER_TIMEOUT)
             .unwrap_or_else(|_| AnnounceReply::Refused(String::from("the owner is busy")))
--- a/crates/toucansilld/src/owner/actor.rs
+++ b/crates/toucansilld/src/owner/actor.rs
@@ -1,7 +1,7 @@
 //! The thread that holds the state of the upstreams.
 
 use super::{OwnerContext, Placed, PlacedResult, convert, group_of};
-use crate::messages::AnnounceReply;
+use crate::messages::{Alive, AnnounceReply};
 use control::Ownership;
 use event::EventKind;
 use route::{
@@ -19,6 +19,8 @@
 };
 use wire::{Incarnation, RequestId, Tokens, UpstreamId};
 
+/// Time without an announcement after which an upstream counts as gone.
+const ANNOUNCEMENT_LEASE: Duration = Duration::from_secs(7);
 /// Longest time between two looks at deadlines and ownership.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// When a caller may come back after the daemon lost its lease.
@@ -27,7 +29,9 @@
 /// What the owner's thread is told or asked.
 pub(crate) enum OwnerMsg {
     /// An upstream has announced itself.
-    Announce { announcement: Box<Announcement>, reply: flume::Sender<AnnounceReply> },
+    Announce { announcement: Box<Announcement>, hash: u64, reply: flume::Sender<AnnounceReply> },
+    /// An upstream has repeated its announcement.
+    Alive { alive: Alive, reply: flume::Sender<AnnounceReply> },
     /// Places a job; the answer may come later.
     Submit { job: Box<Job>, reply: flume::Sender<PlacedResult> },
     /// The prefill of a request is over.
@@ -112,6 +116,8 @@
     /// What each request in flight was placed on.
     placed: HashMap<RequestId, PlacedAt>,
     reconciled: HashMap<UpstreamId, Standing>,
+    /// Hash of each upstream's last announcement as it came.
+    hashes: HashMap<UpstreamId, u64>,
     digest_sequence: u64,
 }
 
@@ -139,10 +145,14 @@
         Self {
             cx,
             fleet: Fleet::new(cfg),
-            directory: Directory::new(DirectoryConfig::default()),
+            directory: Directory::new(DirectoryConfig {
+                lease: ANNOUNCEMENT_LEASE,
+                ..DirectoryConfig::default()
+            }),
             waiting: HashMap::new(),
             placed: HashMap::new(),
             reconciled: HashMap::new(),
+            hashes: HashMap::new(),
             digest_sequence: 0,
         }
     }
@@ -168,9 +178,13 @@
     fn handle(&mut self, msg: OwnerMsg) {
         let now = self.cx.clock.now();
         match msg {
-            OwnerMsg::Announce { announcement, reply } => {
+            OwnerMsg::Announce { announcement, hash, reply } => {
+                self.hashes.insert(announcement.id.clone(), hash);
                 let _ = reply.send(self.announce(now, *announcement));
             }
+            OwnerMsg::Alive { alive, reply } => {
+                let _ = reply.send(self.alive(now, &alive));
+            }
             OwnerMsg::Submit { job, reply } => self.submit(now, *job, reply),
             OwnerMsg::FirstToken { request } => {
                 self.fleet.first_token(now, &request, None);
@@ -210,6 +224,16 @@
         }
     }
 
+    fn alive(&mut self, now: Instant, alive: &Alive) -> AnnounceReply {
+        if self.hashes.get(&alive.upstream) != Some(&alive.hash) {
+            return AnnounceReply::Unknown;
+        }
+        match self.directory.get(&alive.upstream).map(|entry| entry.announcement.clone()) {
+            Some(announcement) => self.announce(now, announcement),
+            None => AnnounceReply::Unknown,
+        }
+    }
+
     fn announce(&mut self, now: Instant, announcement: Announcement) -> AnnounceReply {
         if let Ownership::Other { owner } = self.cx.session.owns(&group_of(&announcement)) {
             return AnnounceReply::Refused(format!("the owner is {owner:?}"));
@@ -320,6 +344,7 @@
         let now = self.cx.clock.now();
         for entry in self.directory.expire(now) {
             log::info!("upstream {} is silent", entry.announcement.id);
+            self.hashes.remove(&entry.announcement.id);
             let event = self.cx.recorder.event(EventKind::UpstreamLost);
             self.cx.recorder.record(event.upstream(entry.announcement.id));
         }
--- a/crates/toucansilld/src/owner/poll.rs
+++ b/crates/toucansilld/src/owner/poll.rs
@@ -13,7 +13,7 @@
 /// Time between two rounds; in each, upstreams that are not yet reconciled are looked at.
 const ROUND_EVERY: Duration = Duration::from_millis(200);
 /// Rounds between two looks at every upstream.
-const ROUNDS_PER_POLL: u64 = 5;
+const ROUNDS_PER_POLL: u64 = 10;
 /// Longest wait for the owner's thread.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest wait for an answer, in seconds.
--- a/crates/toucansilld/src/services.rs
+++ b/crates/toucansilld/src/services.rs
@@ -5,7 +5,7 @@
     entry::{Entry, encode_frame},
     messages::{AnnounceReply, Gossip, JobFrame, OwnerRequest, service},
     net::Net,
-    owner::Owner,
+    owner::{Owner, announcement_hash},
     relay::Relay,
     voter::Voter,
 };
@@ -94,6 +94,7 @@
             Ok(buf) => responder.reply(buf),
             Err(err) => Err(err),
         },
+        Ok(OwnerRequest::Alive(alive)) => responder.reply(control::encode(&owner.alive(alive))),
         Ok(OwnerRequest::Claim(claimed)) => {
             owner.claimed(&claimed);
             responder.finish()
@@ -110,7 +111,7 @@
 
 fn announce(owner: &Owner, body: &[u8]) -> AnnounceReply {
     match Announcement::parse(body) {
-        Ok(announcement) => owner.announce(announcement),
+        Ok(announcement) => owner.announce(announcement, announcement_hash(body)),
         Err(err) => AnnounceReply::Refused(err.to_string()),
     }
 }
--- a/crates/toucansilld/src/voter.rs
+++ b/crates/toucansilld/src/voter.rs
@@ -129,12 +129,7 @@
 
     /// Hands leadership on, so that a planned stop costs no election.
     pub(crate) fn hand_over(&self) {
-        let status = self.handle.status();
-        let next = status.matched.iter().filter(|(id, _)| status.membership.is_voter(**id));
-        let Some((next, _)) = next.max_by_key(|(_, matched)| **matched) else { return };
-        if status.is_leader()
-            && let Err(err) = self.handle.transfer(*next)
-        {
+        if let Err(err) = self.handle.hand_over(CONFIRM_TIMEOUT) {
             log::warn!("leadership was not handed on: {err}");
         }
     }
@@ -229,15 +224,15 @@
         &self,
         f: impl FnOnce(&mut Leader, &State, std::time::Instant) -> T,
     ) -> group::Result<T> {
-        let term = self.handle.status().term;
-        self.handle.confirm(CONFIRM_TIMEOUT)?;
+        let term = self.handle.confirm_term(CONFIRM_TIMEOUT)?.term;
         let now = self.clock.now();
         let state = lock(&self.state);
         let mut leader = lock(&self.leader);
-        if leader.as_ref().is_none_or(|leader| leader.term() < term) {
-            *leader = Some(Leader::new(term, now, &state));
-        }
-        let leader = leader.get_or_insert_with(|| Leader::new(term, now, &state));
+        // Answers of two terms may come crossed; the newer term's leases stay.
+        let leader = match &mut *leader {
+            Some(leader) if leader.term() >= term => leader,
+            leader => leader.insert(Leader::new(term, now, &state)),
+        };
         Ok(f(leader, &state, now))
     }
 
