Renew early to acknowledge changes, but not for claims

Cause: with a renewal each second, a change waits up to a second for the acknowledgement of a daemon that already has it, and so does every hand-over. Renewing at once on each new index would instead follow every claim of the region.

Change: Session::is_renewal_due tells when: after a second, or 100 ms after the last renewal if changes of the view arrived. lease_left tells how long the lease runs.

Checked: the new test fails under five mutations (claims count as changes, the mark is never cleared, a whole view does not count, a rejoin keeps the old time, the interval off by one). No time was measured: it needs the wired daemon.

--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -16,6 +16,12 @@
 /// Time for which a daemon may go on after the moment it sent a renewal.
 pub const LEASE: Duration = Duration::from_secs(3);
 
+/// Time between two renewals of a daemon, so that two may be lost in a lease.
+pub const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time after which a daemon renews again to acknowledge changes that it got.
+pub const ACKNOWLEDGE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Bound on how much faster one monotonic clock may run than another, in
 /// thousandths. Beyond it a lease may end at the leader before it ends at the
 /// daemon.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -87,7 +87,10 @@
 pub use delta::{ConfigurationDelta, MapDelta};
 pub use error::{Error, Result};
 pub use hash::stable_hash;
-pub use lease::{Grant, InForce, LEASE, Lagging, Leases, MAX_DRIFT_PER_MILLE, Renewal, Reply};
+pub use lease::{
+    ACKNOWLEDGE_INTERVAL, Grant, InForce, LEASE, Lagging, Leases, MAX_DRIFT_PER_MILLE,
+    RENEWAL_INTERVAL, Renewal, Reply,
+};
 pub use ledger::{Answer, Ledger, LedgerKey, LedgerLimits};
 pub use outcome::{ClaimOutcome, FenceOutcome, KeyOutcome, Outcome, RosterOutcome, SheetOutcome};
 pub use quarantine::{Quarantine, Standing};
--- a/crates/control/src/session.rs
+++ b/crates/control/src/session.rs
@@ -1,8 +1,9 @@
 //! The daemon's side of its session lease.
 
 use crate::{
+    changes::Contents,
     error::{Error, Result},
-    lease::{Grant, Renewal, Reply},
+    lease::{ACKNOWLEDGE_INTERVAL, Grant, RENEWAL_INTERVAL, Renewal, Reply},
     roster::{Holder, Roster, owner},
     view::{Passed, View},
 };
@@ -80,6 +81,9 @@
     view: View,
     sequence: u64,
     outstanding: BTreeMap<u64, Instant>,
+    last_sent: Option<Instant>,
+    /// Whether changes have arrived since the last renewal.
+    has_unacknowledged: bool,
     valid_until: Option<Instant>,
     named: u64,
     settled: u64,
@@ -97,6 +101,8 @@
             view: View::new(),
             sequence: 0,
             outstanding: BTreeMap::new(),
+            last_sent: None,
+            has_unacknowledged: false,
             valid_until: None,
             named: 0,
             settled: 0,
@@ -120,9 +126,24 @@
         self.settled
     }
 
+    /// Time for which the lease still runs, zero without one.
+    pub fn lease_left(&self, now: Instant) -> Duration {
+        self.valid_until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
+    /// Whether a renewal is due: after [`RENEWAL_INTERVAL`], or sooner if changes
+    /// wait to be acknowledged, as others may wait for that.
+    pub fn is_renewal_due(&self, now: Instant) -> bool {
+        let interval =
+            if self.has_unacknowledged { ACKNOWLEDGE_INTERVAL } else { RENEWAL_INTERVAL };
+        self.last_sent.is_none_or(|sent| now.saturating_duration_since(sent) >= interval)
+    }
+
     /// Makes a renewal. `now` is read before the renewal is sent.
     pub fn renew(&mut self, now: Instant) -> Renewal {
         self.sequence += 1;
+        self.last_sent = Some(now);
+        self.has_unacknowledged = false;
         self.outstanding.insert(self.sequence, now);
         if self.outstanding.len() > MAX_OUTSTANDING {
             self.outstanding.pop_first();
@@ -201,6 +222,7 @@
     pub fn rejoin(&mut self, incarnation: Incarnation) {
         self.holder.incarnation = incarnation;
         self.outstanding.clear();
+        self.last_sent = None;
         self.valid_until = None;
     }
 
@@ -208,6 +230,10 @@
         self.named = self.named.max(grant.committed);
         let passed = self.view.advance_through(&grant.changes)?;
         self.remember(passed);
+        self.has_unacknowledged |= match &grant.changes.contents {
+            Contents::Steps(steps) => !steps.is_empty(),
+            Contents::Whole(_) => true,
+        };
         self.settled = self.settled.max(grant.settled);
         self.forget_settled();
         if self.view.index() >= grant.committed {
--- a/crates/control/tests/session.rs
+++ b/crates/control/tests/session.rs
@@ -3,7 +3,10 @@
 mod common;
 
 use common::{holder, join, sheet};
-use control::{Command, Grant, InForce, LEASE, Leases, Ownership, Refusal, Reply, Session, State};
+use control::{
+    ACKNOWLEDGE_INTERVAL, Command, Grant, InForce, LEASE, Leases, Ownership, RENEWAL_INTERVAL,
+    Refusal, Reply, Session, State,
+};
 use std::time::{Duration, Instant};
 
 const DATA_CENTRE: &str = "dc-1";
@@ -59,6 +62,24 @@
     assert!(sessions[0].accept(&reply).unwrap_err().is_not_member());
 }
 
+#[test]
+fn changes_are_acknowledged_soon_and_claims_are_not() {
+    let now = Instant::now();
+    let (mut state, mut leases, mut sessions) = region(&["a"], now);
+    assert!(sessions[0].is_renewal_due(now));
+    renew(&mut sessions[0], &mut leases, &state, now);
+    assert!(!sessions[0].is_renewal_due(now + ACKNOWLEDGE_INTERVAL - MS));
+    assert!(sessions[0].is_renewal_due(now + ACKNOWLEDGE_INTERVAL));
+    state.apply(9, &Command::Tick { at_ms: 5 });
+    renew(&mut sessions[0], &mut leases, &state, now);
+    assert!(!sessions[0].is_renewal_due(now + RENEWAL_INTERVAL - MS));
+    assert!(sessions[0].is_renewal_due(now + RENEWAL_INTERVAL));
+    assert_eq!(sessions[0].lease_left(now + MS), LEASE - MS);
+    sessions[0].rejoin(2);
+    assert!(sessions[0].is_renewal_due(now));
+    assert_eq!(sessions[0].lease_left(now), Duration::ZERO);
+}
+
 #[test]
 fn a_copy_of_a_reply_does_not_count() {
     let now = Instant::now();
