State which terms a lease table may be used with

Cause: the documentation of grant asked for a state that is new enough, but not for one that is old enough. A replaced leader whose state has applied entries of the next term would call them settled from a table that does not know the next leader's leases, and two daemons could own one upstream.

--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -159,6 +159,12 @@
     /// read index, and must pass a state that has applied at least that index.
     /// Otherwise a leader that was replaced without noticing could grant a lease
     /// under an old state.
+    ///
+    /// The state must hold no entry of a later term than the leader's either:
+    /// this table does not know the leases that a later leader granted, and would
+    /// call its entries settled. So the caller checks, with the state locked, that
+    /// the voter's term is still the one in which the table was made. The same
+    /// holds for [`in_force`](Self::in_force) and [`expired`](Self::expired).
     pub fn grant(&mut self, now: Instant, renewal: &Renewal, state: &State) -> Reply {
         let sequence = renewal.sequence;
         let committed = state.applied();
