--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -16,6 +16,12 @@
 /// Time for which a daemon may go on after the moment it sent a renewal.
 pub const LEASE: Duration = Duration::from_secs(3);
 
+/// Time between two renewals of a daemon, so that two may be lost in a lease.
+pub const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time after which a daemon renews again to acknowledge changes that it got.
+pub const ACKNOWLEDGE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Bound on how much faster one monotonic clock may run than another, in
 /// thousandths. Beyond it a lease may end at the leader before it ends at the
 /// daemon.
@@ -153,6 +159,12 @@
     /// read index, and must pass a state that has applied at least that index.
     /// Otherwise a leader that was replaced without noticing could grant a lease
     /// under an old state.
+    ///
+    /// The state must hold no entry of a later term than the leader's either:
+    /// this table does not know the leases that a later leader granted, and would
+    /// call its entries settled. So the caller checks, with the state locked, that
+    /// the voter's term is still the one in which the table was made. The same
+    /// holds for [`in_force`](Self::in_force) and [`expired`](Self::expired).
     pub fn grant(&mut self, now: Instant, renewal: &Renewal, state: &State) -> Reply {
         let sequence = renewal.sequence;
         let committed = state.applied();
