Count the time that a short prompt takes to overtake

Cause: an engine that honours priorities looked free to short prompts while a longer one was in prefill, so they went there though idle engines were at hand. Change: overtaking counts as 50 ms of work ahead.

--- a/crates/route/src/upstream.rs
+++ b/crates/route/src/upstream.rs
@@ -144,9 +144,12 @@
 
     /// Prefill work ahead of a new request of this class.
     pub(crate) fn backlog(&self, now: Instant, class: LengthClass) -> Duration {
-        let first = self.ann.honours_priority && class == LengthClass::Short;
-        let done = if first { self.short_done } else { self.prefill_done };
-        done.saturating_duration_since(now)
+        if !self.ann.honours_priority || class != LengthClass::Short {
+            return self.prefill_done.saturating_duration_since(now);
+        }
+        let ahead = self.short_done.saturating_duration_since(now);
+        let must_overtake = self.has_prefill_from(LengthClass::Medium);
+        if must_overtake { ahead.max(OVERTAKING) } else { ahead }
     }
 
     /// Whether a prefill of this class or a longer one is outstanding.
@@ -252,6 +255,10 @@
     }
 }
 
+/// Time until an engine that honours priorities turns from a longer prefill to
+/// a short one.
+const OVERTAKING: Duration = Duration::from_millis(50);
+
 /// How often a ramping upstream's allowance is looked at.
 const RAMP_STEP: Duration = Duration::from_millis(250);
 
