--- a/crates/route/examples/policies.rs
+++ b/crates/route/examples/policies.rs
@@ -108,6 +108,9 @@
         for (load, seed) in [(0.5, 7), (0.7, 7), (0.7, 8), (0.7, 9), (0.9, 7)] {
             print_slowdown(setup, load, seed);
         }
+        for load in [0.5, 1.0, 1.5, 2.0, 3.0] {
+            print_goodput(setup, load);
+        }
     }
     println!("\nended in time, by load; requests a second, prompt tokens a second, refused, late");
     for upstreams in SIZES {
--- a/crates/route/tests/fleet/learning.rs
+++ b/crates/route/tests/fleet/learning.rs
@@ -156,3 +156,23 @@
         assert_eq!(short.is_some(), honours_priority);
     }
 }
+
+/// With demand for short prompts one engine is kept free of longer prefills,
+/// unless all engines let short prompts overtake.
+#[test]
+fn nothing_is_kept_free_where_short_prompts_overtake() {
+    let now = Instant::now();
+    let deadline = now + Duration::from_secs(120);
+    for honours_priority in [false, true] {
+        let mut fleet = Fleet::new(Config::default());
+        for id in ["a", "b"] {
+            let ann = engine(id, 1, Duration::from_secs(600));
+            fleet.announce(now, route::Announcement { honours_priority, ..ann }).unwrap();
+        }
+        assert!(sent_to(&mut fleet, now, job("short", 1_000, deadline)).is_some());
+        fleet.finished(now, &"short".into(), TokenUsage::default());
+        assert!(sent_to(&mut fleet, now, job("middle", 20_000, deadline)).is_some());
+        let second = sent_to(&mut fleet, now, job("middle-2", 20_000, deadline));
+        assert_eq!(second.is_some(), honours_priority);
+    }
+}
