Stop at once while the listener is dead

Cause: a tiny_http server connects to its own address when it is dropped. With a dead listener and a full queue that waits for minutes, and stop() with it.

Change: the kept copy of the listener is closed first, so that the connect is refused.

Conclusion: stop() has an end in this case too.

--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -80,7 +80,7 @@
         let first = start_generation(&listener, &shared).map_err(io_error)?;
         let supervisor = spawn("edge-listener", {
             let shared = shared.clone();
-            move || supervise(&listener, address, first, &shared, &stopped)
+            move || supervise(listener, address, first, &shared, &stopped)
         })
         .map_err(io_error)?;
         Ok(Self { address, shared, threads: vec![heartbeat, supervisor], stop: Some(stop) })
@@ -156,7 +156,7 @@
 
 /// Replaces a generation whose accept thread has ended, until the server stops.
 fn supervise(
-    listener: &TcpListener,
+    listener: TcpListener,
     address: SocketAddr,
     first: Generation,
     shared: &Arc<Shared>,
@@ -170,7 +170,7 @@
         generations.retain(|g| !g.pump.is_finished());
         // Stays due until it succeeds: without file descriptors it fails as well.
         while must_replace && !shared.stopping.load(Ordering::Acquire) {
-            match start_generation(listener, shared) {
+            match start_generation(&listener, shared) {
                 Ok(generation) => {
                     must_replace = false;
                     shared.restarts.fetch_add(1, Ordering::Relaxed);
@@ -182,6 +182,9 @@
             let _ = stopped.recv_timeout(ACCEPT_BACKOFF);
         }
     }
+    // Before the rest, as each generation connects to the address when it ends,
+    // which would wait for minutes if no one accepts.
+    drop(listener);
     for generation in generations {
         let _ = generation.pump.join();
     }
