--- a/crates/control/src/ledger.rs
+++ b/crates/control/src/ledger.rs
@@ -23,8 +23,9 @@
 };
 use wire::{IdempotencyKey, OrganisationId, RequestId, ServiceId};
 
-/// Fixed part of what an entry is counted with, in bytes.
-const ENTRY_BYTES: usize = 256;
+/// Fixed part of what an entry is counted with, in bytes: the entry, its place in
+/// the indexes and what the allocator adds.
+const ENTRY_BYTES: usize = 384;
 
 /// Entries that one command may expire, so that no command takes long.
 const MAX_EXPIRED_PER_COMMAND: usize = 64;
@@ -78,7 +79,7 @@
             retention_ms: 24 * 60 * 60 * 1000,
             abandoned_ms: 60 * 1000,
             max_entries: 200_000,
-            max_bytes: 128 * 1024 * 1024,
+            max_bytes: 64 * 1024 * 1024,
             max_answer_bytes: 16 * 1024,
         }
     }
@@ -232,6 +233,16 @@
         KeyOutcome::Freed
     }
 
+    /// Records that a call was sent and its answer will never be known. From then
+    /// on the entry's window runs, so that such calls do not fill the ledger.
+    pub(crate) fn give_up_one(&mut self, id: &ClaimId, now_ms: u64) -> KeyOutcome {
+        if !self.is_open(id) {
+            return KeyOutcome::NotHeld;
+        }
+        self.end(&id.key, Phase::MayHaveRun, now_ms);
+        KeyOutcome::GivenUp
+    }
+
     /// Gives up the claims of a daemon that is gone.
     pub(crate) fn give_up(&mut self, holder: &Holder, now_ms: u64) {
         let keys = self.in_progress.get(holder).cloned().unwrap_or_default();
