Choose local ports that nothing else is given, and tie leases to their term

Besides, a leader could serve renewals after its state had moved on to a later term. Change: local ports come from below the range for outgoing connections, none twice; renewals are refused unless the voter still leads in the term that the read confirmed, with state and leases locked.

--- a/crates/group/src/error.rs
+++ b/crates/group/src/error.rs
@@ -42,7 +42,8 @@
         Self { kind: Kind::Refused(e) }
     }
 
-    pub(crate) fn not_leader(leader: Option<NodeId>) -> Self {
+    /// Another voter leads, or none is known to.
+    pub fn not_leader(leader: Option<NodeId>) -> Self {
         Self { kind: Kind::NotLeader(leader) }
     }
 
--- a/crates/toucansilld/src/local.rs
+++ b/crates/toucansilld/src/local.rs
@@ -17,6 +17,8 @@
     net::{SocketAddr, TcpListener},
     os::unix::fs::OpenOptionsExt,
     path::{Path, PathBuf},
+    process,
+    sync::atomic::{AtomicU32, Ordering},
 };
 
 /// API key of the one organisation in [`sheet()`].
@@ -30,6 +32,15 @@
 /// Daemons that have a voter, from the first on.
 const VOTERS_MAX: usize = 3;
 
+/// First port for daemons on this machine.
+const FIRST_PORT: u16 = 10_000;
+/// Ports for daemons on this machine.
+const PORTS: u32 = 20_000;
+/// Distance between the first ports of two processes.
+const PORTS_PER_PROCESS: u32 = 251;
+/// Number of the next port to try.
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
 /// How many daemons, and where.
 #[derive(Clone, Copy, Debug)]
 pub struct LocalConfig {
@@ -55,7 +66,7 @@
 
 /// Writes secrets and settings into `dir`, and gives the settings files.
 ///
-/// The ports were free a moment ago.
+/// Nothing listens on the ports that it chooses.
 ///
 /// # Errors
 ///
@@ -136,17 +147,33 @@
     text
 }
 
-/// Addresses on the loopback interface. All are bound at once, so that no port comes twice.
+/// Addresses on the loopback interface that nothing listens on.
+///
+/// The ports lie below those that the system gives to outgoing connections, so
+/// that none of them is taken between now and the daemon's start.
 fn free_addresses(daemons: usize) -> io::Result<Vec<Addresses>> {
-    let bound: io::Result<Vec<TcpListener>> =
-        (0..3 * daemons).map(|_| TcpListener::bind("127.0.0.1:0")).collect();
-    let ports: io::Result<Vec<SocketAddr>> = bound?.iter().map(TcpListener::local_addr).collect();
+    let ports: io::Result<Vec<SocketAddr>> = (0..3 * daemons).map(|_| free_address()).collect();
     Ok(ports?
         .chunks_exact(3)
         .map(|three| Addresses { callers: three[0], operators: three[1], links: three[2] })
         .collect())
 }
 
+/// The next free address. Processes start at different ports, and one process
+/// gives none twice.
+fn free_address() -> io::Result<SocketAddr> {
+    let offset = process::id().wrapping_mul(PORTS_PER_PROCESS) % PORTS;
+    for _ in 0..PORTS {
+        let number = NEXT_PORT.fetch_add(1, Ordering::Relaxed).wrapping_add(offset) % PORTS;
+        let port = FIRST_PORT + u16::try_from(number).unwrap_or_default();
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    Err(io::ErrorKind::AddrInUse.into())
+}
+
 fn write_secret(path: &Path, text: &str) -> io::Result<()> {
     let mut f = OpenOptions::new().write(true).create_new(true).mode(0o600).open(path)?;
     f.write_all(text.as_bytes())
--- a/crates/toucansilld/src/voter.rs
+++ b/crates/toucansilld/src/voter.rs
@@ -104,7 +104,7 @@
     pub(crate) fn envelope(&self, outgoing: Outgoing) -> Option<(String, RaftEnvelope)> {
         let address = self.addresses.of(outgoing.to)?;
         let number = self.sent.fetch_add(1, Ordering::Relaxed);
-        let tells_all = number % MESSAGES_PER_ADDRESSES == 0;
+        let tells_all = number.is_multiple_of(MESSAGES_PER_ADDRESSES);
         let voters = if tells_all { self.addresses.all() } else { self.addresses.own() };
         Some((address, RaftEnvelope { message: outgoing.message, voters }))
     }
@@ -228,6 +228,12 @@
         let now = self.clock.now();
         let state = lock(&self.state);
         let mut leader = lock(&self.leader);
+        // The state may hold entries of a later term by now, which this term's
+        // leases know nothing of.
+        let status = self.handle.status();
+        if !status.is_leader() || status.term != term {
+            return Err(group::Error::not_leader(status.leader));
+        }
         // Answers of two terms may come crossed; the newer term's leases stay.
         let leader = match &mut *leader {
             Some(leader) if leader.term() >= term => leader,
