--- /dev/null
+++ b/crates/toucansill/src/command.rs
@@ -0,0 +1,25 @@
+//! The subcommands.
+
+mod bench;
+mod check;
+mod demo;
+mod drain;
+mod sheet;
+mod status;
+mod timeline;
+mod voters;
+
+use crate::cli::Command;
+
+/// Every subcommand, in the order of the overview.
+pub(crate) const ALL: &[Command] = &[
+    demo::COMMAND,
+    check::COMMAND,
+    sheet::PLAN,
+    sheet::APPLY,
+    status::COMMAND,
+    timeline::COMMAND,
+    voters::COMMAND,
+    drain::COMMAND,
+    bench::COMMAND,
+];
