Wake when an upstream has room for what waits

Cause: a job waits until an upstream has less than 100 ms of prefill ahead, but next_wakeup did not give that time, so the job went out at the next event only and the engine could be idle for a round trip. Change: next_wakeup counts it, once for each dispatch so that a call that did not help is not asked for again. The cutting of segments moves to the module of gangs. Conclusion: kept for real links, where it is still to be measured.

--- a/crates/route/src/dispatch.rs
+++ b/crates/route/src/dispatch.rs
@@ -1,8 +1,8 @@
 //! Sends jobs that wait to upstreams that have become free.
 
 use crate::{
-    fleet::{Fleet, Part, Running, segments},
-    gang::Member,
+    fleet::{Fleet, Part, Running},
+    gang::{Member, segments},
     job::{Dispatch, Grant, Placement},
     place::Chosen,
     pool::PoolId,
@@ -20,6 +20,7 @@
     /// most once. Pools take turns, one job each.
     pub fn dispatch(&mut self, now: Instant) -> Vec<Dispatch> {
         self.run_timers(now);
+        self.dispatched = Some(now);
         let mut dispatches = Vec::new();
         if !self.is_in_service || self.queued.is_empty() {
             return dispatches;
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -5,7 +5,7 @@
     class::LengthClass,
     config::Config,
     error::{Reason, Refusal},
-    job::{Lost, Refused, Segment},
+    job::{Lost, Refused},
     pool::{Pool, PoolId},
     prefix::{CacheEvent, Holders},
     queue::{Key, Lane},
@@ -72,6 +72,8 @@
     pub(crate) shed: Vec<Refused>,
     pub(crate) next_sequence: u64,
     pub(crate) first_pool: PoolId,
+    /// When jobs were last dispatched.
+    pub(crate) dispatched: Option<Instant>,
 }
 
 impl Fleet {
@@ -94,6 +96,7 @@
             shed: Vec::new(),
             next_sequence: 0,
             first_pool: 0,
+            dispatched: None,
         }
     }
 
@@ -229,7 +232,18 @@
         let late = self.pools.iter().filter_map(|p| p.queues.latest_start().map(|(at, ..)| at));
         let timer = self.timers.first().map(|(at, _)| *at);
         let deadline = self.deadlines.first().map(|(at, _)| *at);
-        late.chain(timer).chain(deadline).min()
+        let room = self.pools.iter().filter_map(|p| self.next_room(p));
+        late.chain(timer).chain(deadline).chain(room).min()
+    }
+
+    /// When the upstream with the least prefill work will have little enough of
+    /// it for a request that waits. Only times after the last dispatch count, so
+    /// that one which did not help is not given again.
+    fn next_room(&self, pool: &Pool) -> Option<Instant> {
+        let (done, _) = pool.open.first()?;
+        let at = done.checked_sub(self.cfg.max_backlog)?;
+        let is_new = self.dispatched.is_some_and(|last| at > last);
+        (!pool.queues.is_empty() && self.cfg.policy.holds_back() && is_new).then_some(at)
     }
 
     /// Number of requests that wait.
@@ -384,16 +398,3 @@
 
 /// Odd multiplier that spreads consecutive numbers over 64 bits.
 const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
-
-/// Cuts a prompt into the segments of a gang.
-pub(crate) fn segments(grants: Vec<(crate::job::Grant, Tokens)>) -> Vec<Segment> {
-    let mut start = 0;
-    grants
-        .into_iter()
-        .map(|(grant, prompt)| {
-            let segment = Segment { grant, start, end: start + prompt };
-            start += prompt;
-            segment
-        })
-        .collect()
-}
--- a/crates/route/src/gang.rs
+++ b/crates/route/src/gang.rs
@@ -3,6 +3,7 @@
 use crate::{
     class::LengthClass,
     fleet::Fleet,
+    job::{Grant, Segment},
     place::SHORT_PART_OF_HELD,
     pool::PoolId,
     queue::Queued,
@@ -143,3 +144,16 @@
         others -= 1;
     }
 }
+
+/// Cuts a prompt into the segments of a gang.
+pub(crate) fn segments(grants: Vec<(Grant, Tokens)>) -> Vec<Segment> {
+    let mut start = 0;
+    grants
+        .into_iter()
+        .map(|(grant, prompt)| {
+            let segment = Segment { grant, start, end: start + prompt };
+            start += prompt;
+            segment
+        })
+        .collect()
+}
--- a/crates/route/tests/fleet/learning.rs
+++ b/crates/route/tests/fleet/learning.rs
@@ -176,3 +176,20 @@
         assert_eq!(second.is_some(), honours_priority);
     }
 }
+
+/// A short prompt is sent a little before the prefill ahead of it ends, so that
+/// the engine is never idle; the fleet says when.
+#[test]
+fn the_next_prompt_is_sent_before_the_engine_is_idle() {
+    let now = Instant::now();
+    let mut fleet = Fleet::new(Config::default());
+    fleet.announce(now, engine("a", 1, Duration::from_secs(600))).unwrap();
+    let deadline = now + Duration::from_secs(60);
+    assert!(sent_to(&mut fleet, now, job("first", 3_000, deadline)).is_some());
+    assert_eq!(sent_to(&mut fleet, now, job("second", 3_000, deadline)), None);
+    // 300 ms of prefill, of which 100 ms may be left.
+    let wakeup = fleet.next_wakeup().unwrap();
+    assert_eq!(wakeup, now + Duration::from_millis(200));
+    assert_eq!(fleet.dispatch(wakeup).len(), 1);
+    assert!(fleet.next_wakeup().unwrap() > wakeup + Duration::from_secs(1));
+}
