Check that a wait for memory does not spin

Cause: the guard that next_wakeup gives a time of room only once had no test. Change: a case with a job that waits for memory while the prefill ahead is over. Conclusion: passes; it was seen to fail by a temporary mutation that left the guard out.

--- a/crates/route/tests/fleet/learning.rs
+++ b/crates/route/tests/fleet/learning.rs
@@ -193,3 +193,18 @@
     assert_eq!(fleet.dispatch(wakeup).len(), 1);
     assert!(fleet.next_wakeup().unwrap() > wakeup + Duration::from_secs(1));
 }
+
+/// A job that waits for memory and not for prefill must not be woken for again
+/// and again.
+#[test]
+fn a_wait_for_memory_does_not_spin() {
+    let now = Instant::now();
+    let mut fleet = Fleet::new(Config::default());
+    fleet.announce(now, engine("a", 1, Duration::from_secs(600))).unwrap();
+    let deadline = now + Duration::from_secs(300);
+    assert!(sent_to(&mut fleet, now, job("first", 390_000, deadline)).is_some());
+    let now = now + Duration::from_secs(1);
+    assert!(fleet.first_token(now, &"first".into(), None));
+    assert_eq!(sent_to(&mut fleet, now, job("second", 30_000, deadline)), None);
+    assert!(fleet.next_wakeup().unwrap() > now);
+}
