Tell only pressing demand, tick the consensus at 100 ms, measure requests

Cause: the demand of 240 organisations, told twice a second to eight daemons, would be about 80 KB/s at the target against 3 KB/s; an idle voter took 1.6% of a core beside 0.5% for another daemon, most of it for consensus messages (example capacity, shared machine).

--- a/crates/toucansilld/examples/capacity.rs
+++ b/crates/toucansilld/examples/capacity.rs
@@ -7,34 +7,21 @@
 //! Starts real daemons on the loopback interface, one fleet after the other, and
 //! reads processor time and memory of each process and its link bytes.
 
+mod harness;
+
 use fake::{Announcer, Engine, EngineConfig};
+use harness::{Process, Result, Sample, Usage, apply, await_ready, sample, spawn, usage};
 use std::{
-    error::Error,
-    fs,
-    net::SocketAddr,
-    path::PathBuf,
-    process::{Child, Command, Stdio},
     sync::Arc,
     thread,
     time::{Duration, Instant},
 };
-use toucansilld::{
-    Settings,
-    local::{self, LocalConfig, OPERATOR_TOKEN, data_centre, sheet},
-};
-
-type Result<T> = std::result::Result<T, Box<dyn Error>>;
+use toucansilld::local::{self, LocalConfig, data_centre, sheet};
 
 /// Models that the engines of a data centre serve.
 const MODELS: usize = 4;
 /// Time over which a fleet is watched.
 const WATCH: Duration = Duration::from_secs(10);
-/// Longest wait for a daemon.
-const PATIENCE: Duration = Duration::from_secs(60);
-/// Clock ticks a second in the process table.
-const TICKS_PER_S: f64 = 100.0;
-/// Bytes of a page of memory.
-const PAGE_BYTES: u64 = 4_096;
 
 /// One case.
 struct Case {
@@ -59,26 +46,6 @@
     Ok(())
 }
 
-/// What one process used.
-#[derive(Clone, Copy, Default)]
-struct Usage {
-    core_percent: f64,
-    memory_mb: f64,
-    bytes_per_s: f64,
-}
-
-struct Process {
-    child: Child,
-    settings: Settings,
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 fn measure(case: &Case) -> Result<()> {
     let cfg = LocalConfig { daemons: case.daemons, data_centres: 3, fresh_voters: 0 };
     let dir = tempfile::tempdir()?;
@@ -145,80 +112,6 @@
     }
 }
 
-/// Readings of one process at one moment.
-struct Sample {
-    ticks: u64,
-    pages: u64,
-    bytes: f64,
-}
-
-fn sample(process: &Process) -> Result<Sample> {
-    let id = process.child.id();
-    let stat = fs::read_to_string(format!("/proc/{id}/stat"))?;
-    let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split(' ').collect();
-    let field = |at: usize| fields.get(at).and_then(|text| text.parse::<u64>().ok());
-    // Counted after the name: user time is the 12th field, system time the 13th.
-    let ticks = field(12).unwrap_or_default() + field(13).unwrap_or_default();
-    let pages = field(22).unwrap_or_default();
-    Ok(Sample { ticks, pages, bytes: link_bytes(process.settings.listen.operators)? })
-}
-
-fn usage(before: &Sample, after: &Sample, elapsed: f64) -> Usage {
-    let seconds = (after.ticks - before.ticks) as f64 / TICKS_PER_S;
-    Usage {
-        core_percent: 100.0 * seconds / elapsed,
-        memory_mb: (after.pages * PAGE_BYTES) as f64 / 1e6,
-        bytes_per_s: (after.bytes - before.bytes) / elapsed,
-    }
-}
-
-/// Payload bytes in and out over links.
-fn link_bytes(operators: SocketAddr) -> Result<f64> {
-    let res = minreq::get(format!("http://{operators}/metrics")).with_timeout(5).send()?;
-    let values = res
-        .as_str()?
-        .lines()
-        .filter(|line| line.starts_with("toucansill_link_bytes_total"))
-        .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
-    Ok(values.sum())
-}
-
-fn spawn(file: &PathBuf) -> Result<Process> {
-    let program = std::env::current_exe()?;
-    let folder = program.parent().and_then(|folder| folder.parent()).ok_or("no build folder")?;
-    let child = Command::new(folder.join("toucansilld"))
-        .arg(file)
-        .env("TOUCANSILL_LOG", "error")
-        .stdin(Stdio::null())
-        .spawn()?;
-    Ok(Process { child, settings: Settings::load(file)? })
-}
-
-fn await_ready(callers: SocketAddr) -> Result<()> {
-    let until = Instant::now() + PATIENCE;
-    let url = format!("http://{callers}/readyz");
-    while !minreq::get(&url).with_timeout(2).send().is_ok_and(|res| res.status_code == 200) {
-        if Instant::now() >= until {
-            return Err(format!("{callers} is not ready in time").into());
-        }
-        thread::sleep(Duration::from_millis(50));
-    }
-    Ok(())
-}
-
-fn apply(process: &Process, csv: &str) -> Result<()> {
-    let operators = process.settings.listen.operators;
-    let res = minreq::post(format!("http://{operators}/sheet/apply?operator=capacity"))
-        .with_header("Authorization", format!("Bearer {OPERATOR_TOKEN}"))
-        .with_body(csv)
-        .with_timeout(10)
-        .send()?;
-    match res.status_code {
-        200 => Ok(()),
-        _ => Err(format!("the sheet was refused: {}", res.as_str()?).into()),
-    }
-}
-
 /// Stand-in engines that announce themselves to the daemons of their data centre in turn.
 fn engines(case: &Case, cfg: &LocalConfig, processes: &[Process]) -> Result<Vec<Stand>> {
     let mut stands = Vec::new();
--- /dev/null
+++ b/crates/toucansilld/examples/request_cost.rs
@@ -0,0 +1,159 @@
+//! Measures what requests cost a daemon: processor time a request at a given
+//! rate, and memory a request in flight.
+//!
+//! ```text
+//! cargo build --release && cargo run --release -p toucansilld --example request_cost
+//! ```
+
+mod harness;
+
+use fake::{Announcer, Engine, EngineConfig};
+use harness::{Process, Result, apply, await_ready, sample, spawn, usage};
+use serde_json::json;
+use std::{
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+use toucansilld::local::{self, API_KEY, LocalConfig, data_centre, sheet};
+
+/// Requests a second that reach one daemon at the target.
+const RATE_PER_S: f64 = 63.0;
+/// Time of each run.
+const WATCH: Duration = Duration::from_secs(10);
+/// Tokens of each answer.
+const TOKENS: u32 = 50;
+/// Requests held in flight.
+const HELD: usize = 400;
+
+fn main() -> Result<()> {
+    println!("{RATE_PER_S} requests/s of 1,000 prompt tokens and {TOKENS} answer tokens:");
+    for (name, entry) in [("entry and owner in one", 0), ("entry and owner apart", 1)] {
+        let fleet = Fleet::start()?;
+        let idle = fleet.watch(|| thread::sleep(WATCH))?;
+        let busy = fleet.watch(|| fleet.send(entry))?;
+        let cost = |i: usize| (busy[i] - idle[i]) / RATE_PER_S * 10.0;
+        println!(
+            "{name}: first daemon {:.2} ms, second {:.2} ms of a core a request (idle {:.2}% and {:.2}%)",
+            cost(0),
+            cost(1),
+            idle[0],
+            idle[1]
+        );
+    }
+    held()
+}
+
+/// Memory of requests in flight.
+fn held() -> Result<()> {
+    let fleet = Fleet::start()?;
+    fleet.engine.hold_at(1);
+    let before = sample(&fleet.processes[0])?;
+    let address = fleet.processes[0].settings.listen.callers;
+    for n in 0..HELD {
+        thread::spawn(move || call(address, &format!("held {n}")));
+    }
+    fleet.engine.wait_admitted(HELD as u64);
+    thread::sleep(Duration::from_secs(2));
+    let after = sample(&fleet.processes[0])?;
+    let used = usage(&before, &after, 1.0).memory_mb - usage(&before, &before, 1.0).memory_mb;
+    println!("memory of a request in flight: {:.0} KB ({HELD} held)", used * 1_000.0 / HELD as f64);
+    Ok(())
+}
+
+/// Two daemons in two data centres, an engine in the first.
+struct Fleet {
+    processes: Vec<Process>,
+    engine: Arc<Engine>,
+    _announcer: Announcer,
+    _dir: tempfile::TempDir,
+}
+
+impl Fleet {
+    fn start() -> Result<Self> {
+        let cfg = LocalConfig { daemons: 2, data_centres: 2, fresh_voters: 0 };
+        let dir = tempfile::tempdir()?;
+        let files = local::prepare(dir.path(), &cfg)?;
+        let processes: Result<Vec<Process>> = files.iter().map(spawn).collect();
+        let processes = processes?;
+        for process in &processes {
+            await_ready(process.settings.listen.callers)?;
+        }
+        apply(&processes[0], &sheet(&cfg, 1, &["small"], &[]))?;
+        let engine = Arc::new(Engine::start(EngineConfig {
+            data_centre: data_centre(&cfg, 0),
+            prefill_tokens_per_s: 1e6,
+            decode_tokens_per_s: 1e3,
+            memory_tokens: 4_000_000,
+            time_scale: 1.0,
+            ..EngineConfig::default()
+        })?);
+        let source = Arc::clone(&engine);
+        let callers = processes[0].settings.listen.callers.to_string();
+        let announcer = Announcer::start(callers, move || Some(source.announcement()));
+        for process in &processes {
+            await_model(process.settings.listen.callers)?;
+        }
+        Ok(Self { processes, engine, _announcer: announcer, _dir: dir })
+    }
+
+    /// Percent of a core that each daemon uses while `f` runs.
+    fn watch(&self, f: impl FnOnce()) -> Result<Vec<f64>> {
+        let before: Result<Vec<_>> = self.processes.iter().map(sample).collect();
+        let before = before?;
+        let started = Instant::now();
+        f();
+        let elapsed = started.elapsed().as_secs_f64();
+        self.processes
+            .iter()
+            .zip(&before)
+            .map(|(process, before)| Ok(usage(before, &sample(process)?, elapsed).core_percent))
+            .collect()
+    }
+
+    /// Sends requests at a fixed rate.
+    fn send(&self, entry: usize) {
+        let address = self.processes[entry].settings.listen.callers;
+        let started = Instant::now();
+        let total = (RATE_PER_S * WATCH.as_secs_f64()) as u32;
+        let calls: Vec<_> = (0..total)
+            .map(|n| {
+                let due = started + Duration::from_secs_f64(f64::from(n) / RATE_PER_S);
+                thread::sleep(due.saturating_duration_since(Instant::now()));
+                thread::spawn(move || call(address, &format!("{entry} {n}")))
+            })
+            .collect();
+        let failed = calls.into_iter().filter_map(|call| call.join().ok()).filter(|ok| !ok).count();
+        if failed > 0 {
+            println!("{failed} requests failed");
+        }
+    }
+}
+
+fn await_model(callers: SocketAddr) -> Result<()> {
+    let until = Instant::now() + Duration::from_secs(30);
+    while !call(callers, "is it there") {
+        if Instant::now() >= until {
+            return Err(format!("{callers} does not serve").into());
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    Ok(())
+}
+
+/// One streamed completion; whether it was answered whole.
+fn call(address: SocketAddr, name: &str) -> bool {
+    let prompt = format!("{name} {}", "word".repeat(1_000));
+    let body = json!({"model": "small", "prompt": prompt, "max_tokens": TOKENS, "stream": true});
+    let sent = minreq::post(format!("http://{address}/v1/completions"))
+        .with_header("Authorization", format!("Bearer {API_KEY}"))
+        .with_header("Content-Type", "application/json")
+        .with_body(body.to_string())
+        .with_timeout(60)
+        .send_lazy();
+    let Ok(res) = sent else { return false };
+    let mut lines = BufReader::new(res).lines().map_while(std::result::Result::ok);
+    lines.any(|line| line == "data: [DONE]")
+}
--- a/crates/toucansilld/src/entry.rs
+++ b/crates/toucansilld/src/entry.rs
@@ -128,9 +128,9 @@
         self.admission.set_capacity(capacity);
     }
 
-    /// Demand of the organisations at this entry.
+    /// Demand at this entry of the organisations that come near their quota.
     pub(crate) fn demand(&self) -> Vec<Demand> {
-        let usage = self.admission.usage(self.cx.clock.now());
+        let usage = self.admission.pressing_usage(self.cx.clock.now());
         usage
             .into_iter()
             .map(|usage| Demand {
--- a/crates/toucansilld/src/entry/admission.rs
+++ b/crates/toucansilld/src/entry/admission.rs
@@ -14,6 +14,8 @@
 
 /// Longest time between two looks at those that wait.
 const POLL_EVERY: Duration = Duration::from_millis(20);
+/// Part of its local quota from which an organisation's demand is told to others.
+const PRESSING_PART: f64 = 0.5;
 /// Pause while nobody waits.
 const IDLE_POLL_EVERY: Duration = Duration::from_millis(100);
 
@@ -99,9 +101,18 @@
         lock(&self.shared.state).limiter.set_usage_elsewhere(now, daemon, usage);
     }
 
-    /// Demand at this entry.
-    pub(crate) fn usage(&self, now: Instant) -> Vec<Usage> {
-        lock(&self.shared.state).limiter.usage(now)
+    /// Demand at this entry of the organisations that come near their local quota.
+    ///
+    /// Only theirs moves a quota between daemons; telling that of all would cost
+    /// many times what control may.
+    pub(crate) fn pressing_usage(&self, now: Instant) -> Vec<Usage> {
+        let state = lock(&self.shared.state);
+        let mut usage = state.limiter.usage(now);
+        usage.retain(|usage| {
+            let quota = state.limiter.local_quota(now, &usage.organisation);
+            quota.is_some_and(|quota| usage.tokens_per_second as f64 >= quota * PRESSING_PART)
+        });
+        usage
     }
 
     /// Requests that wait.
--- a/crates/toucansilld/src/voter.rs
+++ b/crates/toucansilld/src/voter.rs
@@ -28,6 +28,9 @@
     time::Duration,
 };
 
+/// Time between two ticks of the consensus. Heartbeats and elections take several;
+/// an election ends well before a session lease does.
+const TICK: Duration = Duration::from_millis(100);
 /// Consensus messages of which one brings the addresses of all voters along; the
 /// others bring the sender's.
 const MESSAGES_PER_ADDRESSES: u64 = 32;
@@ -66,6 +69,7 @@
         let addresses = Addresses::open(settings, own_address)?;
         let mut cfg = Config::new(settings.id, settings.data_folder.join("group"));
         cfg.clock = Arc::clone(&clock);
+        cfg.tick = Some(TICK);
         cfg.start = start_of(settings);
         let handle = Group::start(cfg, machine::machine(&state), outbox)
             .map_err(|err| Error::start("voter", err))?;
