Give a group restored from a back-up a state that revives nothing

A back-up holds members, claims and indexes of the group it was taken from, which may have gone on for hours after it. Started as it is, a new group would count dead runs as members, give out fencing numbers again, and its indexes would stand below views that daemons still hold.

State::renewed empties the roster, keeps last incarnations, turns claims in progress into MayHaveRun, and puts all further indexes on a base that only the new epoch uses (2^40 for each). The state adds that base to the log's index, so consensus is untouched. A view that holds a later sheet than the restored group refuses its changes and takes no work until a sheet of at least that number is applied again.

--- a/crates/control/src/changes.rs
+++ b/crates/control/src/changes.rs
@@ -95,6 +95,11 @@
 }
 
 impl ChangeLog {
+    /// A log without steps, complete only after this index.
+    pub(crate) fn after(floor: u64) -> Self {
+        Self { floor, ..Self::default() }
+    }
+
     pub(crate) fn push(&mut self, index: u64, step: Step) {
         let bytes = codec::encode(&step).len();
         self.bytes += bytes;
--- a/crates/control/src/error.rs
+++ b/crates/control/src/error.rs
@@ -25,6 +25,8 @@
     Gap { view: u64, from: u64 },
     UnknownReply { sequence: u64 },
     NotMember { last_incarnation: Option<u64> },
+    OlderSheet { view: u64, found: u64 },
+    Epoch { epoch: u64, applied: u64 },
 }
 
 impl Error {
@@ -48,6 +50,14 @@
         Self { kind: Kind::NotMember { last_incarnation } }
     }
 
+    pub(crate) fn older_sheet(view: u64, found: u64) -> Self {
+        Self { kind: Kind::OlderSheet { view, found } }
+    }
+
+    pub(crate) fn epoch(epoch: u64, applied: u64) -> Self {
+        Self { kind: Kind::Epoch { epoch, applied } }
+    }
+
     /// Whether bytes could not be decoded.
     pub fn is_malformed(&self) -> bool {
         matches!(self.kind, Kind::Malformed(_))
@@ -73,6 +83,18 @@
     pub fn is_not_member(&self) -> bool {
         matches!(self.kind, Kind::NotMember { .. })
     }
+
+    /// Whether changes would put an older sheet in force than the view holds. A
+    /// group restored from an old back-up sends such changes until a sheet of at
+    /// least the view's number is applied again.
+    pub fn is_older_sheet(&self) -> bool {
+        matches!(self.kind, Kind::OlderSheet { .. })
+    }
+
+    /// Whether the epoch of a restored group does not fit the state of its back-up.
+    pub fn is_epoch(&self) -> bool {
+        matches!(self.kind, Kind::Epoch { .. })
+    }
 }
 
 impl fmt::Display for Error {
@@ -92,6 +114,12 @@
             Kind::NotMember { last_incarnation: Some(last) } => {
                 write!(f, "not a member; join with an incarnation above {last}")
             }
+            Kind::OlderSheet { view, found } => {
+                write!(f, "the control group has sheet {found}, the view has sheet {view}")
+            }
+            Kind::Epoch { epoch, applied } => {
+                write!(f, "epoch {epoch} does not fit a state at index {applied}")
+            }
             Kind::NotMember { last_incarnation: None } => write!(f, "not a member; join first"),
         }
     }
--- a/crates/control/src/roster.rs
+++ b/crates/control/src/roster.rs
@@ -82,6 +82,11 @@
         self.members.is_empty()
     }
 
+    /// A roster that lost all members at this log index.
+    pub(crate) fn emptied(index: u64) -> Self {
+        Self { epoch: index, members: BTreeMap::new() }
+    }
+
     pub(crate) fn insert(&mut self, index: u64, daemon: DaemonId, member: Arc<Member>) {
         self.epoch = index;
         self.members.insert(daemon, member);
--- a/crates/control/src/session.rs
+++ b/crates/control/src/session.rs
@@ -156,9 +156,10 @@
     /// # Errors
     ///
     /// [`Error::is_not_member`] if the daemon has to join again,
-    /// [`Error::is_unknown_reply`] for a copy or a reply that came too late, and
-    /// [`Error::is_gap`] if the changes do not fit the view; the next renewal
-    /// mends that.
+    /// [`Error::is_unknown_reply`] for a copy or a reply that came too late,
+    /// [`Error::is_gap`] if the changes do not fit the view, which the next renewal
+    /// mends, and [`Error::is_older_sheet`] if the group was restored from a back-up
+    /// older than the view; the lease then does not count.
     pub fn accept(&mut self, reply: &Reply) -> Result<()> {
         let sequence = reply.sequence();
         let sent = self.outstanding.remove(&sequence);
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -18,7 +18,14 @@
 use wire::Incarnation;
 
 /// Format of the snapshots that this build writes.
-const SNAPSHOT_VERSION: u32 = 1;
+const SNAPSHOT_VERSION: u32 = 2;
+
+/// Format without the base of indexes, which was 0 then.
+const VERSION_WITHOUT_BASE: u32 = 1;
+
+/// Indexes that each epoch of a region has for itself. No group comes near it:
+/// at 100,000 commands per second it would take four months.
+const INDEXES_PER_EPOCH: u64 = 1 << 40;
 
 /// Bytes of a snapshot that tell its format.
 const VERSION_BYTES: usize = size_of::<u32>();
@@ -27,8 +34,14 @@
 ///
 /// Equal commands at equal indexes lead to equal states and outcomes: the state
 /// reads no clock and uses no randomness.
+///
+/// The indexes that the state gives out are those of the log plus a base, which
+/// is 0 until the region is restored from a back-up; see [`State::renewed`].
 #[derive(Clone, Debug, Decode, Default, Encode, Eq, PartialEq)]
 pub struct State {
+    /// What is added to an index of the log. The first field, so that the former
+    /// format can be read.
+    base: u64,
     applied: u64,
     clock_ms: u64,
     sheets: Sheets,
@@ -51,7 +64,7 @@
         Self { ledger: Ledger::new(limits), ..Self::default() }
     }
 
-    /// Index of the last applied log entry.
+    /// Index of the last applied log entry, on top of the base.
     pub fn applied(&self) -> u64 {
         self.applied
     }
@@ -98,8 +111,10 @@
         [self.ledger.next_expiry_ms(), self.quarantine.next_expiry_ms()].into_iter().flatten().min()
     }
 
-    /// Applies a committed command. Indexes rise; one that does not is skipped.
+    /// Applies a committed command at its index in the log. Indexes rise; one that
+    /// does not is skipped.
     pub fn apply(&mut self, index: u64, cmd: &Command) -> Outcome {
+        let index = self.base + index;
         if index <= self.applied {
             return Outcome::Skipped;
         }
@@ -116,7 +131,7 @@
 
     /// Passes a log entry that holds no command, such as the first of a term.
     pub fn skip(&mut self, index: u64) {
-        self.applied = self.applied.max(index);
+        self.applied = self.applied.max(self.base + index);
     }
 
     /// What a daemon lacks that has applied everything up to `index`.
@@ -128,6 +143,42 @@
         Changes { from: index, to: self.applied, contents }
     }
 
+    /// The state for a new group that starts from a back-up of this one.
+    ///
+    /// Configuration, sheets, ledger and quarantine stay. Nobody is a member any
+    /// more, so that every daemon has to join again above its last incarnation,
+    /// and calls in progress count as calls that may have run. Indexes go on from
+    /// a base that only this epoch uses: no index, roster epoch or fencing number
+    /// of the former group is as high as one of the new group, whatever it did
+    /// after the back-up.
+    ///
+    /// ```
+    /// use control::State;
+    ///
+    /// let renewed = State::new().renewed(2).unwrap();
+    /// assert!(renewed.applied() > State::new().applied());
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// [`Error::is_epoch`] if the epoch is not above all former ones, or too high.
+    pub fn renewed(mut self, epoch: u64) -> Result<Self> {
+        let base = epoch
+            .checked_mul(INDEXES_PER_EPOCH)
+            .filter(|base| *base > self.applied && *base < u64::MAX - INDEXES_PER_EPOCH)
+            .ok_or_else(|| Error::epoch(epoch, self.applied))?;
+        let index = base + (self.applied - self.base);
+        for holder in self.roster.holders() {
+            self.ledger.give_up(&holder, self.clock_ms);
+            self.departed.record(index, &holder.daemon, holder.incarnation);
+        }
+        self.base = base;
+        self.applied = index;
+        self.roster = Arc::new(Roster::emptied(index));
+        self.log = ChangeLog::after(index);
+        Ok(self)
+    }
+
     /// The state as bytes, with the format in front.
     pub fn snapshot(&self) -> Vec<u8> {
         let mut buf = SNAPSHOT_VERSION.to_le_bytes().to_vec();
@@ -147,6 +198,7 @@
             .ok_or_else(|| Error::malformed("shorter than the format number"))?;
         match u32::from_le_bytes(*version) {
             SNAPSHOT_VERSION => codec::decode(body),
+            VERSION_WITHOUT_BASE => codec::decode(&[codec::encode(&0u64), body.to_vec()].concat()),
             other => Err(Error::unknown_version(other, SNAPSHOT_VERSION)),
         }
     }
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -70,8 +70,9 @@
     ///
     /// # Errors
     ///
-    /// [`Error::is_gap`] if the changes start above the view's index; the view
-    /// then stays as it is.
+    /// [`Error::is_gap`] if the changes start above the view's index, and
+    /// [`Error::is_older_sheet`] if they hold a sheet below the view's, as a group
+    /// restored from an old back-up does. The view then stays as it is.
     pub fn advance(&mut self, changes: &Changes) -> Result<()> {
         self.advance_through(changes).map(|_| ())
     }
@@ -81,6 +82,9 @@
             return Ok(Passed::default());
         }
         let passed = match &changes.contents {
+            Contents::Whole(whole) if whole.sheet < self.whole.sheet => {
+                return Err(Error::older_sheet(self.whole.sheet, whole.sheet));
+            }
             Contents::Whole(whole) => self.replace(whole),
             Contents::Steps(_) if changes.from > self.index => {
                 return Err(Error::gap(self.index, changes.from));
--- /dev/null
+++ b/crates/control/tests/renewed.rs
@@ -0,0 +1,141 @@
+//! The state that a new group starts with from a back-up.
+
+mod common;
+
+use bolero::{check, generator::produce_with};
+use common::{claim, claim_id, holder, join, sheet};
+use control::{
+    ClaimOutcome, Command, FenceOutcome, FenceRequest, LEASE, Leases, Outcome, Ownership, Refusal,
+    Reply, RosterOutcome, Session, State,
+};
+use std::time::{Duration, Instant};
+
+const DATA_CENTRE: &str = "dc-1";
+const EPOCH: u64 = 2;
+
+/// A state at log index 3 in which `a` runs, has a key in progress, and sheet 5 is in force.
+fn backed_up() -> State {
+    let mut state = State::new();
+    state.apply(1, &join("a", 7, DATA_CENTRE));
+    state.apply(2, &sheet(5, 1, "ana"));
+    state.apply(3, &claim(claim_id("key", "r-1", holder("a", 7), 9), 1));
+    state
+}
+
+fn fence(state: &mut State, index: u64, incarnation: u64) -> Option<u64> {
+    let req = FenceRequest { holder: holder("a", incarnation), upstream: String::from("u") };
+    match state.apply(index, &Command::GrantFence(req)) {
+        Outcome::Fence(FenceOutcome::Granted { epoch }) => Some(epoch),
+        _ => None,
+    }
+}
+
+#[test]
+fn truth_stays_and_everyone_who_ran_is_gone() {
+    let former = backed_up();
+    let mut state = former.clone().renewed(EPOCH).unwrap();
+    assert_eq!(state.configuration(), former.configuration());
+    assert_eq!(state.sheet(), former.sheet());
+    assert!(state.roster().is_empty());
+    assert_eq!(state.last_incarnation("a"), Some(7));
+    let stale = state.apply(4, &join("a", 7, DATA_CENTRE));
+    assert_eq!(stale, Outcome::Roster(RosterOutcome::StaleIncarnation { last: 7 }));
+    assert_eq!(fence(&mut state, 5, 7), None);
+    state.apply(6, &join("a", 8, DATA_CENTRE));
+    let again = state.apply(7, &claim(claim_id("key", "r-2", holder("a", 8), 10), 1));
+    assert_eq!(again, Outcome::Claim(ClaimOutcome::MayHaveRun));
+}
+
+#[test]
+fn whatever_the_former_group_gave_out_later_is_older() {
+    let indexes = produce_with::<Vec<u32>>().len(1..20usize);
+    check!().with_generator(indexes).with_shrink_time(Duration::from_secs(1)).for_each(|indexes| {
+        let mut former = backed_up();
+        let mut renewed = former.clone().renewed(EPOCH).unwrap();
+        renewed.apply(4, &join("a", 8, DATA_CENTRE));
+        let least = fence(&mut renewed, 5, 8).unwrap();
+        assert!(renewed.roster().epoch() > former.roster().epoch());
+        let mut index = former.applied();
+        for step in indexes {
+            index += 1 + u64::from(*step);
+            assert!(fence(&mut former, index, 7).unwrap() < least);
+        }
+        let twice = State::restore(&renewed.snapshot()).unwrap().renewed(EPOCH + 1).unwrap();
+        assert!(twice.applied() > renewed.applied());
+    });
+}
+
+#[test]
+fn a_session_that_lived_through_gets_work_and_ownership_only_anew() {
+    let now = Instant::now();
+    let former = backed_up();
+    let mut session = Session::new(holder("a", 7), DATA_CENTRE);
+    let mut leases = Leases::new(now, State::new().roster());
+    let renewal = session.renew(now);
+    session.accept(&leases.grant(now, &renewal, &former)).unwrap();
+    assert_eq!(session.may_take_work(now), Ok(()));
+
+    let mut state = former.renewed(EPOCH).unwrap();
+    let mut leases = Leases::new(now, state.roster());
+    let renewal = session.renew(now);
+    assert!(session.accept(&leases.grant(now, &renewal, &state)).unwrap_err().is_not_member());
+    assert_eq!(session.may_take_work(now), Err(Refusal::NotConfirmed));
+
+    session.rejoin(8);
+    state.apply(4, &join("a", 8, DATA_CENTRE));
+    let renewal = session.renew(now);
+    session.accept(&leases.grant(now, &renewal, &state)).unwrap();
+    assert_eq!(session.may_take_work(now), Ok(()));
+    assert_eq!(session.view().index(), state.applied());
+    // Daemons of the former group may still act until their leases have run out.
+    assert_eq!(session.owns("u", now), Ownership::Waiting);
+    let later = now + LEASE * 2;
+    let renewal = session.renew(later);
+    session.accept(&leases.grant(later, &renewal, &state)).unwrap();
+    assert!(matches!(session.owns("u", later), Ownership::Owner { .. }));
+}
+
+#[test]
+fn a_session_refuses_a_group_whose_sheet_is_older_until_one_is_applied() {
+    let now = Instant::now();
+    let mut session = Session::new(holder("b", 1), DATA_CENTRE);
+    let mut former = backed_up();
+    let mut state = former.clone().renewed(EPOCH).unwrap();
+    former.apply(4, &join("b", 1, DATA_CENTRE));
+    former.apply(5, &sheet(6, 2, "ana"));
+    let mut leases = Leases::new(now, State::new().roster());
+    let renewal = session.renew(now);
+    session.accept(&leases.grant(now, &renewal, &former)).unwrap();
+
+    session.rejoin(2);
+    state.apply(4, &join("b", 2, DATA_CENTRE));
+    let mut leases = Leases::new(now, state.roster());
+    let renewal = session.renew(now);
+    assert!(session.accept(&leases.grant(now, &renewal, &state)).unwrap_err().is_older_sheet());
+    assert_eq!(session.view().sheet(), 6);
+    assert!(session.may_take_work(now).is_err());
+
+    state.apply(5, &sheet(6, 2, "ana"));
+    let renewal = session.renew(now);
+    let reply = leases.grant(now, &renewal, &state);
+    assert!(matches!(reply, Reply::Granted(_)));
+    session.accept(&reply).unwrap();
+    assert_eq!(session.may_take_work(now), Ok(()));
+}
+
+#[test]
+fn an_epoch_that_is_not_above_the_former_is_refused() {
+    let state = backed_up().renewed(EPOCH).unwrap();
+    for epoch in [0, 1, EPOCH, 1 << 24, u64::MAX] {
+        assert!(state.clone().renewed(epoch).unwrap_err().is_epoch());
+    }
+}
+
+#[test]
+fn a_snapshot_of_the_format_before_is_read() {
+    let state = backed_up();
+    let buf = state.snapshot();
+    // The base, 0 here and one byte long, was added behind the format number.
+    let former = [&1u32.to_le_bytes(), &buf[5..]].concat();
+    assert_eq!(State::restore(&former).unwrap(), state);
+}
