Add `toucansill backup` and `restore`, and restore a fleet of processes

The daemon gave its state at GET /backup, but no command fetched it or made voters' folders from it, so the loss of a majority could not be mended.

`backup` writes beside its place, checks the file and renames it. `restore` renews the state for the new epoch and prepares a voter's data folder.

Tests with processes: three voters lose their folders and four daemons come back with the sheet of the back-up, one of them alive all through; a survivor with a later sheet answers 503 at /readyz until that sheet is applied again.

--- a/crates/toucansill/src/command.rs
+++ b/crates/toucansill/src/command.rs
@@ -1,5 +1,6 @@
 //! The subcommands.
 
+mod backup;
 mod bench;
 mod check;
 mod demo;
@@ -20,6 +21,8 @@
     status::COMMAND,
     timeline::COMMAND,
     voters::COMMAND,
+    backup::BACKUP,
+    backup::RESTORE,
     drain::COMMAND,
     bench::COMMAND,
 ];
--- a/crates/toucansill/src/operator.rs
+++ b/crates/toucansill/src/operator.rs
@@ -56,6 +56,11 @@
         Ok(serde_json::from_slice(&self.send(minreq::get(self.url(path)))?)?)
     }
 
+    /// Sends a GET request and gives the answer as it is.
+    pub(crate) fn bytes(&self, path: &str) -> Result<Vec<u8>> {
+        self.send(minreq::get(self.url(path)))
+    }
+
     /// Sends a POST request and reads the answer's JSON.
     pub(crate) fn post<T: DeserializeOwned>(&self, path: &str, body: Vec<u8>) -> Result<T> {
         let req = minreq::post(self.url(path)).with_body(body);
--- a/crates/toucansilld/src/session.rs
+++ b/crates/toucansilld/src/session.rs
@@ -205,8 +205,12 @@
         if let Reply::NotMember { last_incarnation, .. } = reply {
             return self.join(*last_incarnation);
         }
-        if let Err(err) = accepted {
-            log::debug!("a lease reply was not used: {err}");
+        match accepted {
+            Err(err) if err.is_older_sheet() => {
+                log::error!("no work until the later sheet is applied again: {err}");
+            }
+            Err(err) => log::debug!("a lease reply was not used: {err}"),
+            Ok(()) => (),
         }
         if self.position() != before {
             self.changed();
--- a/crates/toucansilld/tests/common/mod.rs
+++ b/crates/toucansilld/tests/common/mod.rs
@@ -95,6 +95,16 @@
         self.settings[i].listen.links
     }
 
+    pub(crate) fn operators(&self, i: usize) -> SocketAddr {
+        self.settings[i].listen.operators
+    }
+
+    /// Status of `/readyz` of daemon `i`.
+    pub(crate) fn ready_status(&self, i: usize) -> i32 {
+        let url = format!("http://{}/readyz", self.callers(i));
+        minreq::get(&url).with_timeout(2).send().map_or(0, |res| res.status_code.into())
+    }
+
     pub(crate) fn await_ready(&self, i: usize) {
         let url = format!("http://{}/readyz", self.callers(i));
         await_that("the daemon is ready", || {
