--- a/crates/toucansill/src/command.rs
+++ b/crates/toucansill/src/command.rs
@@ -4,6 +4,7 @@
 mod check;
 mod demo;
 mod drain;
+mod replay;
 mod sheet;
 mod status;
 mod timeline;
@@ -22,4 +23,5 @@
     voters::COMMAND,
     drain::COMMAND,
     bench::COMMAND,
+    replay::COMMAND,
 ];
--- /dev/null
+++ b/crates/toucansill/src/command/replay/trace.rs
@@ -0,0 +1,353 @@
+//! The trace file: deployment, load, events and stated outcomes.
+
+use crate::{
+    cli::Result,
+    exit::{Exit, Failure},
+};
+use serde::{Deserialize, Serialize};
+use std::{collections::BTreeSet, fs};
+
+/// Most requests of one trace.
+const REQUESTS_MAX: u64 = 10_000;
+/// Latest start in a trace, in milliseconds.
+const AT_MAX_MS: u64 = 600_000;
+/// Longest deadline of a request, in milliseconds.
+const DEADLINE_MAX_MS: u64 = 600_000;
+/// Longest prompt, in tokens.
+const PROMPT_MAX: usize = 1_000_000;
+/// Longest answer, in tokens.
+const OUTPUT_MAX: usize = 100_000;
+/// Most daemons of a trace.
+const DAEMONS_MAX: usize = 9;
+/// Most engines of a trace.
+const ENGINES_MAX: usize = 64;
+
+/// A whole trace.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Trace {
+    pub(crate) deployment: Deployment,
+    /// Sheet that replaces the first one in the course of the run.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) morning_sheet: Option<MorningSheet>,
+    pub(crate) load: Vec<Phase>,
+    #[serde(default)]
+    pub(crate) events: Vec<Event>,
+    pub(crate) outcomes: Outcomes,
+}
+
+/// What runs.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Deployment {
+    pub(crate) daemons: usize,
+    /// Data centres, named `dc-1` and on.
+    pub(crate) data_centres: usize,
+    pub(crate) organisations: Vec<Organisation>,
+    pub(crate) engines: Vec<EngineSpec>,
+    pub(crate) service: ServiceSpec,
+}
+
+/// One organisation of a sheet.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Organisation {
+    pub(crate) name: String,
+    pub(crate) priority: Priority,
+    pub(crate) weight: u32,
+    pub(crate) tokens_per_second: u64,
+}
+
+/// Priority of an organisation.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Priority {
+    Urgent,
+    Ordinary,
+    Low,
+}
+
+impl Priority {
+    /// The word in a sheet.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Urgent => "urgent",
+            Self::Ordinary => "ordinary",
+            Self::Low => "low",
+        }
+    }
+}
+
+/// One stand-in engine.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct EngineSpec {
+    pub(crate) id: String,
+    pub(crate) data_centre: String,
+    pub(crate) prefill_tokens_per_s: f64,
+    pub(crate) decode_tokens_per_s: f64,
+    pub(crate) memory_tokens: u64,
+}
+
+/// The plain service.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct ServiceSpec {
+    pub(crate) data_centre: String,
+    /// Time that each call takes, in milliseconds.
+    pub(crate) delay_ms: u64,
+}
+
+/// Organisations from a time on.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct MorningSheet {
+    pub(crate) at_ms: u64,
+    pub(crate) organisations: Vec<Organisation>,
+}
+
+/// Kind of a request.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Kind {
+    Chat,
+    Booking,
+    Status,
+}
+
+/// Equal requests at a steady distance; without `count`, a single one.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Phase {
+    pub(crate) at_ms: u64,
+    pub(crate) kind: Kind,
+    pub(crate) organisation: String,
+    pub(crate) deadline_ms: u64,
+    #[serde(default = "one", skip_serializing_if = "is_one")]
+    pub(crate) count: u64,
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub(crate) every_ms: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) prompt_tokens: Option<usize>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) output_tokens: Option<usize>,
+    /// Idempotency key of each booking of this phase, numbered if `count` is above 1.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) key: Option<String>,
+}
+
+/// What happens to the deployment.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Action {
+    DataCentreOut,
+    DataCentreIn,
+    EngineKilled,
+    EngineRestarted,
+}
+
+/// One event.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Event {
+    pub(crate) at_ms: u64,
+    pub(crate) action: Action,
+    /// Name of the data centre or engine.
+    pub(crate) target: String,
+}
+
+/// Stated outcomes. Those left out are not checked.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub(crate) struct Outcomes {
+    /// Least share of requests answered whole, in percent.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) answered_percent_min: Option<f64>,
+    /// Most requests that ended without an answer or a refusal that says "not run".
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) lost_max: Option<u64>,
+    /// Most requests that the system ended for their deadline.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) deadline_verdicts_max: Option<u64>,
+    /// Most requests answered after their deadline by the caller's clock.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) late_max: Option<u64>,
+    /// Most answers with a lost, doubled or foreign token.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) wrong_text_max: Option<u64>,
+    /// Most executions of one booking.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) executions_per_booking_max: Option<u64>,
+    /// Most requests newly sent to a data centre later than 3 s after it is out.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) sent_to_out_max: Option<u64>,
+    /// Bounds on the first token, by length of the prompt.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub(crate) first_token_p95: Vec<FirstToken>,
+}
+
+/// Bound on the first token of prompts longer than the previous class and up to this length.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct FirstToken {
+    pub(crate) up_to_tokens: usize,
+    pub(crate) ms: f64,
+}
+
+fn one() -> u64 {
+    1
+}
+
+#[allow(clippy::trivially_copy_pass_by_ref, reason = "serde's signature")]
+fn is_one(n: &u64) -> bool {
+    *n == 1
+}
+
+#[allow(clippy::trivially_copy_pass_by_ref, reason = "serde's signature")]
+fn is_zero(n: &u64) -> bool {
+    *n == 0
+}
+
+/// A fault: key and reason.
+type Checked = std::result::Result<(), (String, String)>;
+
+impl Trace {
+    /// Reads and checks a trace. A fault is one line with file, key and reason.
+    pub(crate) fn load(file: &str) -> Result<Self> {
+        let text = fs::read_to_string(file)
+            .map_err(|err| Failure::new(Exit::Faults, format!("{file}: {err}")))?;
+        let trace: Self = serde_yaml_ng::from_str(&text).map_err(|err| {
+            let reason = err.to_string();
+            let line = reason.lines().next().unwrap_or_default();
+            Failure::new(Exit::Faults, format!("{file}: {line}"))
+        })?;
+        trace.check().map_err(|(key, reason)| {
+            Failure::new(Exit::Faults, format!("{file}: {key}: {reason}"))
+        })?;
+        Ok(trace)
+    }
+
+    fn check(&self) -> Checked {
+        let deployment = &self.deployment;
+        within("deployment.daemons", deployment.daemons, 1, DAEMONS_MAX)?;
+        within("deployment.data_centres", deployment.data_centres, 1, DAEMONS_MAX)?;
+        within("deployment.engines", deployment.engines.len(), 1, ENGINES_MAX)?;
+        let centres = self.centres();
+        known("deployment.service.data_centre", &deployment.service.data_centre, &centres)?;
+        for (i, engine) in deployment.engines.iter().enumerate() {
+            check_engine(&format!("deployment.engines[{i}]"), engine, &centres)?;
+        }
+        check_organisations("deployment.organisations", &deployment.organisations)?;
+        if let Some(sheet) = &self.morning_sheet {
+            within("morning_sheet.at_ms", sheet.at_ms, 0, AT_MAX_MS)?;
+            check_organisations("morning_sheet.organisations", &sheet.organisations)?;
+        }
+        self.check_load()?;
+        self.check_events(&centres)?;
+        self.outcomes.check()
+    }
+
+    fn check_load(&self) -> Checked {
+        let later = self.morning_sheet.iter().flat_map(|sheet| &sheet.organisations);
+        let names: BTreeSet<String> =
+            self.deployment.organisations.iter().chain(later).map(|o| o.name.clone()).collect();
+        for (i, phase) in self.load.iter().enumerate() {
+            phase.check(&format!("load[{i}]"), &names)?;
+        }
+        let requests = self.load.iter().map(|phase| phase.count).sum();
+        within("load", requests, 1, REQUESTS_MAX)
+    }
+
+    fn check_events(&self, centres: &BTreeSet<String>) -> Checked {
+        let engines = self.deployment.engines.iter().map(|engine| engine.id.clone()).collect();
+        for (i, event) in self.events.iter().enumerate() {
+            within(&format!("events[{i}].at_ms"), event.at_ms, 0, AT_MAX_MS)?;
+            let names = match event.action {
+                Action::DataCentreOut | Action::DataCentreIn => centres,
+                Action::EngineKilled | Action::EngineRestarted => &engines,
+            };
+            known(&format!("events[{i}].target"), &event.target, names)?;
+        }
+        Ok(())
+    }
+
+    fn centres(&self) -> BTreeSet<String> {
+        (1..=self.deployment.data_centres).map(|i| format!("dc-{i}")).collect()
+    }
+}
+
+impl Phase {
+    fn check(&self, at: &str, organisations: &BTreeSet<String>) -> Checked {
+        known(&format!("{at}.organisation"), &self.organisation, organisations)?;
+        within(&format!("{at}.count"), self.count, 1, REQUESTS_MAX)?;
+        within(&format!("{at}.every_ms"), self.every_ms, 0, AT_MAX_MS)?;
+        within(&format!("{at}.at_ms"), self.at_ms, 0, AT_MAX_MS)?;
+        within(&format!("{at}.deadline_ms"), self.deadline_ms, 1, DEADLINE_MAX_MS)?;
+        let is_chat = self.kind == Kind::Chat;
+        only_if(&format!("{at}.prompt_tokens"), self.prompt_tokens.is_some(), is_chat, "chat")?;
+        only_if(&format!("{at}.output_tokens"), self.output_tokens.is_some(), is_chat, "chat")?;
+        let is_booking = self.kind == Kind::Booking;
+        only_if(&format!("{at}.key"), self.key.is_some(), is_booking, "booking")?;
+        within(&format!("{at}.prompt_tokens"), self.prompt_tokens.unwrap_or(10), 10, PROMPT_MAX)?;
+        within(&format!("{at}.output_tokens"), self.output_tokens.unwrap_or(1), 1, OUTPUT_MAX)
+    }
+}
+
+impl Outcomes {
+    fn check(&self) -> Checked {
+        let percent = self.answered_percent_min.unwrap_or_default();
+        within("outcomes.answered_percent_min", percent, 0.0, 100.0)?;
+        for (i, class) in self.first_token_p95.iter().enumerate() {
+            let at = format!("outcomes.first_token_p95[{i}]");
+            within(&format!("{at}.up_to_tokens"), class.up_to_tokens, 1, PROMPT_MAX)?;
+            within(&format!("{at}.ms"), class.ms, f64::MIN_POSITIVE, f64::MAX)?;
+        }
+        Ok(())
+    }
+}
+
+fn check_engine(at: &str, engine: &EngineSpec, centres: &BTreeSet<String>) -> Checked {
+    known(&format!("{at}.data_centre"), &engine.data_centre, centres)?;
+    let rates = [
+        ("prefill_tokens_per_s", engine.prefill_tokens_per_s),
+        ("decode_tokens_per_s", engine.decode_tokens_per_s),
+    ];
+    for (key, rate) in rates {
+        within(&format!("{at}.{key}"), rate, 1.0, 1e9)?;
+    }
+    within(&format!("{at}.memory_tokens"), engine.memory_tokens, 1, 1_000_000_000)
+}
+
+fn check_organisations(at: &str, organisations: &[Organisation]) -> Checked {
+    within(at, organisations.len(), 1, 1_000)?;
+    for (i, organisation) in organisations.iter().enumerate() {
+        let is_name = |c: char| c.is_ascii_alphanumeric() || c == '-';
+        if organisation.name.is_empty() || !organisation.name.chars().all(is_name) {
+            let reason = String::from("takes letters, digits and hyphens");
+            return Err((format!("{at}[{i}].name"), reason));
+        }
+    }
+    Ok(())
+}
+
+fn within<T: PartialOrd + std::fmt::Display>(key: &str, value: T, min: T, max: T) -> Checked {
+    match value >= min && value <= max {
+        true => Ok(()),
+        false => Err((key.to_string(), format!("{value} is not within {min} to {max}"))),
+    }
+}
+
+fn known(key: &str, name: &str, names: &BTreeSet<String>) -> Checked {
+    match names.contains(name) {
+        true => Ok(()),
+        false => Err((key.to_string(), format!("'{name}' is not in the deployment"))),
+    }
+}
+
+fn only_if(key: &str, is_given: bool, is_needed: bool, kind: &str) -> Checked {
+    match (is_given, is_needed) {
+        (false, true) => Err((key.to_string(), format!("is missing; kind {kind} needs it"))),
+        (true, false) => Err((key.to_string(), format!("belongs to kind {kind} only"))),
+        _ => Ok(()),
+    }
+}
