--- a/crates/toucansill/src/command.rs
+++ b/crates/toucansill/src/command.rs
@@ -5,6 +5,7 @@
 mod check;
 mod demo;
 mod drain;
+mod replay;
 mod sheet;
 mod status;
 mod timeline;
@@ -25,4 +26,5 @@
     backup::RESTORE,
     drain::COMMAND,
     bench::COMMAND,
+    replay::COMMAND,
 ];
