Count what a data centre gets from 3 s after its sheet is accepted

Cause: the watch began at the trace's time, and ended with the last start. Change: it begins 3 s after acceptance and ends with the data centre's return or the last answer; the surge falls into it. A booking that was answered but not executed counts as lost; a phase's last start is bounded.

--- a/crates/toucansill/src/command/replay/generate.rs
+++ b/crates/toucansill/src/command/replay/generate.rs
@@ -117,14 +117,15 @@
     let [first, second, third] = mix.organisations;
     let [short, middle, long, longest] = mix.chats;
     let mut load = vec![
-        chat(rng, first, 0, short, 200, 1_000),
+        chat(rng, first, 0, short, 150, 1_000),
         chat(rng, second, 300, middle, 600, 10_000),
         chat(rng, second, 1_000, long, 1_500, 100_000),
         chat(rng, third, 2_000, longest, 4_000, 1_000_000),
         call(rng, Kind::Booking, first, mix.bookings, 350),
         call(rng, Kind::Status, first, mix.lookups, 200),
-        // The weekend's migration: many short prompts of one organisation at once.
-        chat(rng, third, 4_000, mix.surge, 20, 1_000),
+        // The weekend's migration: many short prompts of one organisation at once. It
+        // falls into the time in which a data centre must get nothing new.
+        chat(rng, third, 5_500, mix.surge, 20, 1_000),
     ];
     // Callers that repeat their first bookings, as after a lost answer.
     let mut repeats = call(rng, Kind::Booking, first, REPEATED_BOOKINGS, 350);
--- a/crates/toucansill/src/command/replay/run.rs
+++ b/crates/toucansill/src/command/replay/run.rs
@@ -1,14 +1,14 @@
 //! Runs a trace against daemons and stand-ins in this process.
 
 use super::{
-    call::{Call, Seen},
+    call::{Call, End, Seen},
     trace::{Action, EngineSpec, Event, Organisation, Trace},
 };
 use crate::{cli::Result, fleet::Fleet};
 use eyre::eyre;
 use fake::{Announcer, Engine, EngineConfig, Plain, PlainConfig};
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     net::SocketAddr,
     sync::Arc,
     thread,
@@ -56,7 +56,8 @@
 struct Progress {
     number: u64,
     organisations: Vec<Organisation>,
-    out: BTreeSet<String>,
+    /// Data centres that are out, with the time at which the sheet was accepted.
+    out: BTreeMap<String, Instant>,
     /// Requests that a watched data centre had got when the watch began.
     watched: BTreeMap<String, u64>,
     sent_to_out: u64,
@@ -68,7 +69,7 @@
     let calls = calls(trace);
     let addresses = site.fleet.callers();
     let started = Instant::now();
-    let (sent_to_out, seen) = thread::scope(|scope| {
+    let (progress, mut seen) = thread::scope(|scope| {
         let steps = scope.spawn(|| site.follow(trace, started));
         let callers: Vec<_> = calls
             .iter()
@@ -81,10 +82,12 @@
         let seen: Vec<Seen> = callers.into_iter().filter_map(|caller| caller.join().ok()).collect();
         (steps.join(), seen)
     });
-    let sent_to_out = sent_to_out.map_err(|_| eyre!("the events ended early"))??;
+    let progress = progress.map_err(|_| eyre!("the events ended early"))??;
+    let sent_to_out = site.sent_to_out(progress);
     if seen.len() != calls.len() {
         return Err(eyre!("{} callers ended early", calls.len() - seen.len()));
     }
+    site.find_lost_bookings(&calls, &mut seen);
     let executions = calls
         .iter()
         .filter_map(Call::key)
@@ -102,7 +105,7 @@
             fresh_voters: 0,
         };
         let mut fleet = Fleet::start(&cfg)?;
-        fleet.apply(&sheet(&cfg, 1, &deployment.organisations, &BTreeSet::new()))?;
+        fleet.apply(&sheet(&cfg, 1, &deployment.organisations, &[]))?;
         let engines: Result<Vec<(EngineSpec, Arc<Engine>)>> = deployment
             .engines
             .iter()
@@ -122,13 +125,12 @@
         Ok(Self { cfg, fleet, engines: engines?, plain, _announcers: announcers })
     }
 
-    /// Takes the steps in order of time, and gives the requests sent to data centres
-    /// that were out.
-    fn follow(&self, trace: &Trace, started: Instant) -> Result<u64> {
+    /// Takes the steps in order of time.
+    fn follow(&self, trace: &Trace, started: Instant) -> Result<Progress> {
         let mut progress = Progress {
             number: 1,
             organisations: trace.deployment.organisations.clone(),
-            out: BTreeSet::new(),
+            out: BTreeMap::new(),
             watched: BTreeMap::new(),
             sent_to_out: 0,
         };
@@ -136,11 +138,25 @@
             sleep_until(started + at);
             self.take(step, &mut progress)?;
         }
-        let last = calls(trace).last().map(|call| call.at).unwrap_or_default();
-        sleep_until(started + last);
+        Ok(progress)
+    }
+
+    /// Requests sent to data centres that were out, once all requests have ended.
+    fn sent_to_out(&self, mut progress: Progress) -> u64 {
         let watched: Vec<String> = progress.watched.keys().cloned().collect();
         watched.iter().for_each(|name| self.unwatch(name, &mut progress));
-        Ok(progress.sent_to_out)
+        progress.sent_to_out
+    }
+
+    /// Counts bookings that were answered without an execution as lost.
+    fn find_lost_bookings(&self, calls: &[Call], seen: &mut [Seen]) {
+        for (call, seen) in calls.iter().zip(seen) {
+            let is_executed = call.key().is_none_or(|key| self.plain.executions(&key) > 0);
+            if seen.end == End::Answered && !is_executed {
+                seen.end = End::Lost;
+                seen.reason = String::from("a booking was answered but not executed");
+            }
+        }
     }
 
     fn take(&self, step: Step, progress: &mut Progress) -> Result<()> {
@@ -150,7 +166,8 @@
                 self.apply(progress)
             }
             Step::Watch(name) => {
-                if progress.out.contains(&name) {
+                if let Some(since) = progress.out.get(&name) {
+                    sleep_until(*since + OUT_AFTER);
                     let received = self.received(&name);
                     progress.watched.insert(name, received);
                 }
@@ -163,8 +180,10 @@
     fn change(&self, event: Event, progress: &mut Progress) -> Result<()> {
         match event.action {
             Action::DataCentreOut => {
-                progress.out.insert(event.target);
-                self.apply(progress)
+                progress.out.insert(event.target.clone(), Instant::now());
+                self.apply(progress)?;
+                progress.out.insert(event.target, Instant::now());
+                Ok(())
             }
             Action::DataCentreIn => {
                 self.unwatch(&event.target, progress);
@@ -181,7 +200,8 @@
 
     fn apply(&self, progress: &mut Progress) -> Result<()> {
         progress.number += 1;
-        self.fleet.apply(&sheet(&self.cfg, progress.number, &progress.organisations, &progress.out))
+        let out: Vec<&str> = progress.out.keys().map(String::as_str).collect();
+        self.fleet.apply(&sheet(&self.cfg, progress.number, &progress.organisations, &out))
     }
 
     fn unwatch(&self, name: &str, progress: &mut Progress) {
@@ -225,14 +245,8 @@
     format!("replay-key-of-{organisation}")
 }
 
-fn sheet(
-    cfg: &LocalConfig,
-    number: u64,
-    organisations: &[Organisation],
-    out: &BTreeSet<String>,
-) -> String {
-    let out: Vec<&str> = out.iter().map(String::as_str).collect();
-    let mut csv = local::sheet(cfg, number, &[super::MODEL], &out);
+fn sheet(cfg: &LocalConfig, number: u64, organisations: &[Organisation], out: &[&str]) -> String {
+    let mut csv = local::sheet(cfg, number, &[super::MODEL], out);
     for organisation in organisations {
         let Organisation { name, priority, weight, tokens_per_second } = organisation;
         let hash = edge::hash_key(&api_key(name));
--- a/crates/toucansill/src/command/replay/trace.rs
+++ b/crates/toucansill/src/command/replay/trace.rs
@@ -281,7 +281,8 @@
         known(&format!("{at}.organisation"), &self.organisation, organisations)?;
         within(&format!("{at}.count"), self.count, 1, REQUESTS_MAX)?;
         within(&format!("{at}.every_ms"), self.every_ms, 0, AT_MAX_MS)?;
-        within(&format!("{at}.at_ms"), self.at_ms, 0, AT_MAX_MS)?;
+        let last_ms = self.at_ms.saturating_add((self.count - 1) * self.every_ms);
+        within(&format!("{at}.at_ms of the last request"), last_ms, 0, AT_MAX_MS)?;
         within(&format!("{at}.deadline_ms"), self.deadline_ms, 1, DEADLINE_MAX_MS)?;
         let is_chat = self.kind == Kind::Chat;
         only_if(&format!("{at}.prompt_tokens"), self.prompt_tokens.is_some(), is_chat, "chat")?;
