--- a/crates/toucansill/src/command/replay/generate.rs
+++ b/crates/toucansill/src/command/replay/generate.rs
@@ -81,7 +81,7 @@
             late_max: Some(0),
             wrong_text_max: Some(0),
             executions_per_booking_max: Some(1),
-            sent_to_out_max: Some(0),
+            sent_to_out_max: mix.data_centre_out.then_some(0),
             first_token_p95: Vec::new(),
         },
     }
