Acknowledge changes after 100 ms instead of at the next renewal

The daemon renewed every 800 ms by a constant of its own, so a change needed one renewal to arrive and a whole further one to be acknowledged before the leader could call it in force.

SessionService now asks Session::is_renewal_due, which renews after 1 s, or 100 ms after a renewal that brought changes. Without a valid lease it renews at once and retries after 200 ms, as before.

What is left is the wait for the next ordinary renewal. The renewal thread itself has no unit test; the interval has one in control.

--- a/crates/toucansilld/src/session.rs
+++ b/crates/toucansilld/src/session.rs
@@ -24,8 +24,8 @@
 };
 use wire::{DaemonId, DataCentreId, Incarnation};
 
-/// Time between two renewals of the lease.
-const RENEW_EVERY: Duration = Duration::from_millis(800);
+/// Time between two looks whether a renewal is due.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
 /// Time between two attempts while there is no lease.
 const RETRY_EVERY: Duration = Duration::from_millis(200);
 /// Longest wait for the answer to a renewal.
@@ -159,11 +159,25 @@
 
     fn run(&self) {
         while !self.is_stopping.load(Ordering::Relaxed) {
-            let pause = if self.renew() { RENEW_EVERY } else { RETRY_EVERY };
-            thread::sleep(pause);
+            thread::sleep(self.step());
         }
     }
 
+    /// Renews if that is due, and gives the time until the next look. Changes are
+    /// acknowledged sooner than the lease needs, as operators wait for that.
+    fn step(&self) -> Duration {
+        if self.is_renewal_due() && !self.renew() {
+            return RETRY_EVERY;
+        }
+        LOOK_EVERY
+    }
+
+    fn is_renewal_due(&self) -> bool {
+        let now = self.clock.now();
+        let session = lock(&self.session);
+        session.is_renewal_due(now) || session.may_take_work(now).is_err()
+    }
+
     /// Renews once. False if the lease is not valid afterwards.
     fn renew(&self) -> bool {
         let renewal = lock(&self.session).renew(self.clock.now());
