Propose all due expiries as one command

Voter::check_leases proposed each run-out lease as a command of its own and waited for each commit, so the loss of many daemons at once cost a sync and a round trip for every one of them.

They now go as one Command::Batch, with the tick that may be due.

--- a/crates/toucansilld/src/voter.rs
+++ b/crates/toucansilld/src/voter.rs
@@ -120,10 +120,13 @@
             return;
         }
         let due = self.with_leader(|leader, state, now| leader.due_commands(now, state));
-        for command in due.unwrap_or_default() {
-            if let Err(err) = self.propose(command) {
-                log::warn!("a due command was not applied: {err}");
-            }
+        let due = due.unwrap_or_default();
+        if due.is_empty() {
+            return;
+        }
+        // One entry for all: the loss of a data centre must not cost a sync for each daemon.
+        if let Err(err) = self.propose(Command::Batch(due)) {
+            log::warn!("due commands were not applied: {err}");
         }
     }
 
