Show lost disks, definite refusals and gauges to operators

Cause: trying the operators' pages showed that a voter with a lost disk looked healthy in 'status', that a definite refusal of a change of voters was asked again for 5 s and came back as 'no answer', that such a change was cut off at 5 s, that 'voters add' could not be repeated, and that no gauge or time to first token was exported.

--- a/crates/toucansill/src/command/status.rs
+++ b/crates/toucansill/src/command/status.rs
@@ -59,8 +59,16 @@
         Some(fault) => format!(", STOPPED: {fault}"),
         None => String::new(),
     };
+    let lost = match voter["lost_disk"] == true {
+        true => ", LOST ITS DISK: replace it under a new id",
+        false => "",
+    };
+    let others = match voter["lost_logs"].as_array() {
+        Some(ids) if !ids.is_empty() => format!(", voters that lost their disk: {ids:?}"),
+        _ => String::new(),
+    };
     format!(
-        "voter {} is {} in term {}, leader {}, committed {}{fault}\n",
+        "voter {} is {} in term {}, leader {}, committed {}{fault}{lost}{others}\n",
         voter["id"],
         word(&voter["role"]),
         voter["term"],
--- a/crates/toucansilld/src/control_client.rs
+++ b/crates/toucansilld/src/control_client.rs
@@ -29,12 +29,23 @@
 #[derive(Clone, Debug)]
 pub(crate) struct ControlError {
     may_have_applied: bool,
+    /// Whether the leader itself refused, so that asking again is of no use.
+    is_refusal: bool,
     reason: String,
 }
 
 impl ControlError {
     fn new(may_have_applied: bool, reason: impl Into<String>) -> Self {
-        Self { may_have_applied, reason: reason.into() }
+        Self { may_have_applied, is_refusal: false, reason: reason.into() }
+    }
+
+    fn refused(reason: impl Into<String>) -> Self {
+        Self { may_have_applied: false, is_refusal: true, reason: reason.into() }
+    }
+
+    /// Whether the leader itself refused, with its reason.
+    pub(crate) fn is_refusal(&self) -> bool {
+        self.is_refusal
     }
 
     /// Whether the command may have been applied or may yet be.
@@ -45,6 +56,9 @@
 
 impl fmt::Display for ControlError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.is_refusal {
+            return f.write_str(&self.reason);
+        }
         let applied = if self.may_have_applied { "may have been applied" } else { "not applied" };
         write!(f, "the control group gave no answer ({applied}): {}", self.reason)
     }
@@ -96,12 +110,16 @@
     pub(crate) fn ask(&self, req: &ControlRequest, timeout: Duration) -> Result<ControlReply> {
         let until = self.clock.now() + timeout;
         let body = control::encode(req);
+        let is_change = matches!(req, ControlRequest::ChangeVoters(_));
         let mut last = ControlError::new(false, "no daemon is known");
         let mut may_have_applied = false;
         loop {
             for address in self.candidates() {
                 match self.attempt(&address, &body, attempt_timeout(req), until) {
                     Ok(reply) => return Ok(reply),
+                    Err(err) if err.is_refusal && is_change => {
+                        return Err(ControlError { may_have_applied, ..err });
+                    }
                     Err(err) => {
                         may_have_applied |= err.may_have_applied;
                         last = err;
@@ -137,7 +155,7 @@
                 lock(&self.known).leader = leader;
                 Err(ControlError::new(false, "no leader is known"))
             }
-            ControlReply::Refused(reason) => Err(self.failed(address, false, &reason)),
+            ControlReply::Refused(reason) => Err(ControlError::refused(reason)),
             ControlReply::Unknown(reason) => Err(self.failed(address, true, &reason)),
             reply => {
                 lock(&self.known).leader = Some(String::from(address));
--- a/crates/toucansilld/src/daemon.rs
+++ b/crates/toucansilld/src/daemon.rs
@@ -31,6 +31,8 @@
 
 /// Consensus messages that wait to be sent; further ones are dropped.
 const OUTBOX: usize = 4_096;
+/// Time between two sums of metric samples.
+const METRICS_UPKEEP: Duration = Duration::from_secs(5);
 /// Time between two looks whether running requests have ended.
 const DRAIN_CHECK: Duration = Duration::from_millis(50);
 
@@ -61,6 +63,7 @@
             .map_err(|err| Error::start("operator_token_file", err))?;
         let metrics = recorder();
         let is_stopping = Arc::new(AtomicBool::new(false));
+        keep_up(&metrics, &is_stopping);
         let recorder = start_recorder(settings, &clock)?;
         recorder.record(recorder.event(EventKind::DaemonStarted));
         let net = Net::start(settings, Arc::clone(&recorder))?;
@@ -213,6 +216,17 @@
     handle
 }
 
+/// Sums up samples from time to time, so that they don't pile up between scrapes.
+fn keep_up(metrics: &PrometheusHandle, is_stopping: &Arc<AtomicBool>) {
+    let (metrics, is_stopping) = (metrics.clone(), Arc::clone(is_stopping));
+    thread::spawn(move || {
+        while !is_stopping.load(Ordering::Relaxed) {
+            metrics.run_upkeep();
+            thread::sleep(METRICS_UPKEEP);
+        }
+    });
+}
+
 fn start_voter(
     settings: &Settings,
     net: &Arc<Net>,
--- a/crates/toucansilld/src/entry.rs
+++ b/crates/toucansilld/src/entry.rs
@@ -165,6 +165,16 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 
+    /// Brings the gauges up to date.
+    pub(crate) fn measure(&self) {
+        let takes_work = self.cx.session.may_take_work().is_ok() && !self.is_draining();
+        metrics::gauge!("toucansill_takes_work").set(if takes_work { 1.0 } else { 0.0 });
+        metrics::gauge!("toucansill_requests_in_flight").set(self.in_flight() as f64);
+        metrics::gauge!("toucansill_requests_waiting").set(self.waiting() as f64);
+        let position = self.cx.session.position();
+        metrics::gauge!("toucansill_sheet").set(position.sheet as f64);
+    }
+
     /// Requests that wait for admission.
     pub(crate) fn waiting(&self) -> usize {
         self.admission.waiting()
--- a/crates/toucansilld/src/entry/answer.rs
+++ b/crates/toucansilld/src/entry/answer.rs
@@ -3,9 +3,18 @@
 use crate::messages::{Failure, JobFrame};
 use edge::{ApiError, EventStream, Reply};
 use serde_json::{Value, json};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use wire::{ModelId, RequestId, Tokens, Verdict};
 
+/// When a request came, by both clocks.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Received {
+    /// Monotonic time.
+    pub(crate) at: Instant,
+    /// Wall-clock time.
+    pub(crate) wall: SystemTime,
+}
+
 /// Builds the answer to one request.
 pub(crate) struct Answer {
     request: RequestId,
@@ -14,6 +23,8 @@
     is_streamed: bool,
     /// Unix time of the request, in seconds.
     created: u64,
+    /// When the request came.
+    received: Instant,
     state: State,
     next: Tokens,
     text: String,
@@ -37,12 +48,24 @@
         model: ModelId,
         is_chat: bool,
         is_streamed: bool,
-        wall: SystemTime,
+        received: Received,
     ) -> Self {
+        let Received { at, wall } = received;
         let created = wall.duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
         let state = State::Unanswered(reply);
         let (next, text, used) = (0, String::new(), 0);
-        Self { request, model, is_chat, is_streamed, created, state, next, text, used }
+        Self {
+            request,
+            model,
+            is_chat,
+            is_streamed,
+            created,
+            received: at,
+            state,
+            next,
+            text,
+            used,
+        }
     }
 
     /// Offset of the next token wanted.
@@ -123,6 +146,10 @@
             metrics::counter!("toucansill_tokens_out_of_order_total").increment(1);
             return true;
         }
+        if self.next == 0 {
+            let waited = self.received.elapsed().as_secs_f64();
+            metrics::histogram!("toucansill_first_token_seconds").record(waited);
+        }
         self.next += 1;
         if !self.is_streamed {
             self.text.push_str(text);
--- a/crates/toucansilld/src/entry/model.rs
+++ b/crates/toucansilld/src/entry/model.rs
@@ -1,6 +1,10 @@
 //! A request to a model, from admission to the end of its answer.
 
-use super::{Accepted, Entry, admission, answer::Answer, attempt};
+use super::{
+    Accepted, Entry, admission,
+    answer::{Answer, Received},
+    attempt,
+};
 use crate::{
     messages::{Failure, Job, PromptPrefix},
     owner::Owner,
@@ -40,14 +44,14 @@
         Ok(job) => job,
         Err(err) => return req.reply.error(err),
     };
-    let wall = entry.cx.clock.wall();
+    let received = Received { at: req.received, wall: entry.cx.clock.wall() };
     let mut answer = Answer::new(
         req.reply,
         accepted.request.clone(),
         call.model.clone(),
         is_chat,
         call.stream,
-        wall,
+        received,
     );
     let ask = limit::Ask {
         organisation: accepted.organisation.clone(),
--- a/crates/toucansilld/src/gossip.rs
+++ b/crates/toucansilld/src/gossip.rs
@@ -40,6 +40,7 @@
 
 fn round(net: &Net, owner: &Owner, entry: &Entry, rng: &mut Rng) {
     let Some(digest) = owner.digest() else { return };
+    entry.measure();
     let gossip = Gossip { digest, usage: entry.demand() };
     let buf = control::encode(&gossip);
     for peer in chosen(net.peers(), rng) {
--- a/crates/toucansilld/src/operators.rs
+++ b/crates/toucansilld/src/operators.rs
@@ -22,6 +22,9 @@
 /// Longest wait for the control group.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Longest wait for a change of voters or a back-up.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(120);
+
 /// Services that operators' requests use.
 pub(crate) struct OperatorContext {
     /// Session of this daemon.
@@ -123,10 +126,17 @@
     cx: &OperatorContext,
     req: &ControlRequest,
 ) -> Result<crate::control_messages::ControlReply> {
-    cx.control.ask(req, CONTROL_TIMEOUT).map_err(|err| no_answer(&err))
+    let timeout = match req {
+        ControlRequest::ChangeVoters(_) | ControlRequest::BackUp => CHANGE_TIMEOUT,
+        _ => CONTROL_TIMEOUT,
+    };
+    cx.control.ask(req, timeout).map_err(|err| no_answer(&err))
 }
 
 fn no_answer(err: &ControlError) -> ApiError {
+    if err.is_refusal() {
+        return ApiError::refusal(409, "refused", err.to_string());
+    }
     let verdict = if err.is_unknown() { Verdict::MayHaveRun } else { Verdict::NotRun };
     ApiError::new(503, "no_control_group", err.to_string(), verdict)
         .with_retry_after(Duration::from_secs(1))
--- a/crates/toucansilld/src/operators/report.rs
+++ b/crates/toucansilld/src/operators/report.rs
@@ -47,6 +47,10 @@
     commit: u64,
     applied: u64,
     fault: Option<String>,
+    /// Whether the disk was lost; the voter must come back under a new id.
+    lost_disk: bool,
+    /// Voters that the leader found without a log that they had held.
+    lost_logs: Vec<u64>,
 }
 
 /// The status of this daemon as JSON.
@@ -92,5 +96,7 @@
         commit: status.commit,
         applied: status.applied,
         fault: status.poisoned.clone(),
+        lost_disk: status.lost_disk,
+        lost_logs: status.lost_logs.iter().copied().collect(),
     }
 }
--- a/crates/toucansilld/src/owner.rs
+++ b/crates/toucansilld/src/owner.rs
@@ -12,6 +12,7 @@
 mod job;
 mod poll;
 mod reconcile;
+mod status;
 
 use crate::{
     control_client::ControlClient,
@@ -20,7 +21,6 @@
     session::SessionService,
     sync::lock,
 };
-pub(crate) use actor::UpstreamStatus;
 use actor::{Actor, OwnerMsg};
 pub(crate) use convert::service_model;
 use event::{EventKind, Recorder};
@@ -29,6 +29,7 @@
 use kernel::SharedClock;
 use reconcile::Reconcilers;
 use route::{Digest, Placement, Refusal};
+pub(crate) use status::UpstreamStatus;
 use std::{
     sync::{Arc, Mutex},
     thread::{self, JoinHandle},
--- a/crates/toucansilld/src/owner/actor.rs
+++ b/crates/toucansilld/src/owner/actor.rs
@@ -1,14 +1,13 @@
 //! The thread that holds the state of the upstreams.
 
-use super::{OwnerContext, Placed, PlacedResult, convert, group_of};
+use super::{OwnerContext, Placed, PlacedResult, convert, group_of, status::UpstreamStatus};
 use crate::messages::{Alive, AnnounceReply};
 use control::Ownership;
 use event::EventKind;
 use route::{
-    Config, Digest, Directive, Dispatch, Failure, Fleet, Hindrance, Job, Lost, Reason, Refusal,
-    Report, TokenUsage,
+    Config, Digest, Directive, Dispatch, Failure, Fleet, Job, Lost, Reason, Refusal, Report,
+    TokenUsage,
 };
-use serde::Serialize;
 use std::{
     collections::HashMap,
     time::{Duration, Instant},
@@ -17,7 +16,7 @@
     Announcement, Directory, Target,
     announce::{Change, DirectoryConfig},
 };
-use wire::{Incarnation, RequestId, Tokens, UpstreamId};
+use wire::{Incarnation, RequestId, UpstreamId};
 
 /// Time without an announcement after which an upstream counts as gone.
 const ANNOUNCEMENT_LEASE: Duration = Duration::from_secs(7);
@@ -60,23 +59,6 @@
     Stop,
 }
 
-/// One upstream in `status`.
-#[derive(Clone, Debug, Serialize)]
-pub(crate) struct UpstreamStatus {
-    /// Name of the upstream.
-    pub(crate) id: UpstreamId,
-    /// Number of its start.
-    pub(crate) incarnation: u64,
-    /// Requests in flight.
-    pub(crate) running: u32,
-    /// Memory promised, in tokens.
-    pub(crate) reserved_tokens: Tokens,
-    /// Memory that may still be promised, in tokens.
-    pub(crate) room_tokens: Tokens,
-    /// Why it gets no new work or only some, empty if nothing hinders it.
-    pub(crate) hindrances: Vec<String>,
-}
-
 /// An upstream that the owner looks at from time to time.
 #[derive(Clone, Debug)]
 pub(crate) struct PollTarget {
@@ -423,14 +405,7 @@
         self.fleet
             .upstreams()
             .filter_map(|id| self.fleet.explain(now, id))
-            .map(|explanation| UpstreamStatus {
-                id: explanation.upstream,
-                incarnation: explanation.incarnation,
-                running: explanation.running,
-                reserved_tokens: explanation.reserved,
-                room_tokens: explanation.room,
-                hindrances: explanation.hindrances.iter().map(hindrance_text).collect(),
-            })
+            .map(UpstreamStatus::of)
             .collect()
     }
 
@@ -464,20 +439,6 @@
     Refusal { reason: Reason::NoUpstream, retry_after: LEASE_RETRY_AFTER }
 }
 
-fn hindrance_text(hindrance: &Hindrance) -> String {
-    match hindrance {
-        Hindrance::DataCentreOut => String::from("the data centre is out of service"),
-        Hindrance::Retired => String::from("retired by the sheet, or owned by another daemon"),
-        Hindrance::Leaving => String::from("it is leaving"),
-        Hindrance::Silent(time) => format!("not heard for {} ms", time.as_millis()),
-        Hindrance::Paused(time) => format!("paused for {} ms after a failure", time.as_millis()),
-        Hindrance::ColdStart { .. } => String::from("cold start"),
-        Hindrance::Full => String::from("its memory is promised"),
-        Hindrance::HeldFor(request) => format!("its memory is held for {request}"),
-        Hindrance::LongPrefill => String::from("it prefills a long prompt"),
-    }
-}
-
 fn log_lost(lost: &[Lost]) {
     for lost in lost {
         log::warn!("{} was in flight on {}, which is gone", lost.request, lost.upstream);
--- a/crates/toucansilld/src/voter.rs
+++ b/crates/toucansilld/src/voter.rs
@@ -15,7 +15,7 @@
 };
 use addresses::Addresses;
 use control::{Command, InForce, Outcome, RosterOutcome, State, relay};
-use group::{Change, Config, Group, Handle, Membership, NodeId, Outgoing, Start};
+use group::{Change, Config, Group, Handle, Membership, NodeId, Outgoing, Role, Start};
 use kernel::SharedClock;
 use leader::Leader;
 use std::{
@@ -209,7 +209,12 @@
     }
 
     fn add(&self, id: NodeId) -> group::Result<u64> {
-        let members = self.handle.status().membership;
+        let status = self.handle.status();
+        let members = status.membership;
+        if members.is_voter(id) && status.role == Role::Leader {
+            // Asked again after a lost answer.
+            return Ok(status.commit);
+        }
         if !members.contains(id) {
             self.handle.change(Change::AddLearner(id), CHANGE_TIMEOUT)?;
         }
