Stop the daemon's services through the kernel's lifecycle

Cause: the kernel's ordered shutdown and mailboxes stood unused beside a list of stops by hand, and a start that failed half-way left the services before it running. Change: each service is noted as it starts and stopped in reverse; the owner's queue is a kernel mailbox, whose refusals name it. Conclusion: one way to start and stop.

--- a/crates/toucansilld/src/daemon.rs
+++ b/crates/toucansilld/src/daemon.rs
@@ -13,16 +13,17 @@
     services,
     session::SessionService,
     settings::Settings,
+    sync::lock,
     voter::{LEASE_CHECK, Voter},
 };
 use edge::{EdgeConfig, OperatorToken, Server};
 use event::{EventKind, Recorder, RecorderConfig};
-use kernel::SharedClock;
+use kernel::{Lifecycle, SharedClock, Stop};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use std::{
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
     thread,
@@ -36,7 +37,7 @@
 /// Time between two looks whether running requests have ended.
 const DRAIN_CHECK: Duration = Duration::from_millis(50);
 
-/// A daemon with its services. Dropping it without [`Daemon::drain`] is like a crash.
+/// A daemon with its services. Dropped without [`Daemon::drain`], it stops at once.
 pub struct Daemon {
     settings: Settings,
     clock: SharedClock,
@@ -45,11 +46,18 @@
     session: Arc<SessionService>,
     owner: Arc<Owner>,
     entry: Arc<Entry>,
-    callers: Server,
-    operators: Server,
+    addresses: Addresses,
     drain_asked: flume::Receiver<()>,
     recorder: Arc<Recorder>,
-    is_stopping: Arc<AtomicBool>,
+    /// Stops the services, the last one started first. The lock lets threads share
+    /// the daemon.
+    lifecycle: Mutex<Lifecycle>,
+}
+
+/// Addresses of the HTTP servers, with the ports that were taken.
+struct Addresses {
+    callers: SocketAddr,
+    operators: SocketAddr,
 }
 
 impl Daemon {
@@ -63,11 +71,17 @@
             .map_err(|err| Error::start("operator_token_file", err))?;
         let metrics = recorder();
         let is_stopping = Arc::new(AtomicBool::new(false));
+        let mut lifecycle = Lifecycle::new();
         keep_up(&metrics, &is_stopping);
         let recorder = start_recorder(settings, &clock)?;
         recorder.record(recorder.event(EventKind::DaemonStarted));
         let net = Net::start(settings, Arc::clone(&recorder))?;
+        let links = Arc::clone(&net);
+        started(&mut lifecycle, "links", move || links.stop())?;
         let voter = start_voter(settings, &net, &clock, &is_stopping)?;
+        if let Some(voter) = voter.clone() {
+            started(&mut lifecycle, "voter", move || voter.stop())?;
+        }
         let control = control_client(settings, &net, &clock, voter.as_deref());
         if voter.is_none() {
             let known = Arc::clone(&control);
@@ -85,6 +99,8 @@
             region: settings.region.clone(),
             data_centre: settings.data_centre.clone(),
         });
+        let owner_service = Arc::clone(&owner);
+        started(&mut lifecycle, "owner", move || owner_service.stop())?;
         let cx = EntryContext {
             session: Arc::clone(&session),
             control: Arc::clone(&control),
@@ -97,6 +113,11 @@
         services::serve_work(&net, &owner, &entry);
         follow_view(&session, &owner, &entry, &recorder);
         session.start();
+        let (renewer, stopping) = (Arc::clone(&session), Arc::clone(&is_stopping));
+        started(&mut lifecycle, "session", move || {
+            stopping.store(true, Ordering::Relaxed);
+            renewer.stop();
+        })?;
         gossip::start(
             Arc::clone(&net),
             Arc::clone(&owner),
@@ -119,6 +140,9 @@
                 drain,
             },
         )?;
+        let addresses = Addresses { callers: callers.address(), operators: operators.address() };
+        started(&mut lifecycle, "operators", move || operators.stop())?;
+        started(&mut lifecycle, "callers", move || callers.stop())?;
         let settings = settings.clone();
         Ok(Self {
             settings,
@@ -128,22 +152,21 @@
             session,
             owner,
             entry,
-            callers,
-            operators,
+            addresses,
             drain_asked,
             recorder,
-            is_stopping,
+            lifecycle: Mutex::new(lifecycle),
         })
     }
 
     /// Address of the callers' HTTP.
     pub fn callers_address(&self) -> SocketAddr {
-        self.callers.address()
+        self.addresses.callers
     }
 
     /// Address of the operators' HTTP.
     pub fn operators_address(&self) -> SocketAddr {
-        self.operators.address()
+        self.addresses.operators
     }
 
     /// Address of the links.
@@ -176,21 +199,13 @@
 
     /// Stops at once, as after a crash: nothing is handed over.
     pub fn stop(self) {
-        self.is_stopping.store(true, Ordering::Relaxed);
-        self.session.stop();
-        self.callers.stop();
-        self.operators.stop();
-        self.owner.stop();
-        if let Some(voter) = &self.voter {
-            voter.stop();
-        }
-        self.net.stop();
+        lock(&self.lifecycle).shut_down();
     }
 
     /// Waits until no request waits or runs, at most for the drain limit.
     fn await_idle(&self) {
         let until = self.clock.now() + self.settings.drain_limit();
-        while self.callers.in_flight() + self.owner.load() > 0 {
+        while self.entry.in_flight() + self.owner.load() > 0 {
             if self.clock.now() >= until {
                 return log::warn!("requests still run at the end of the drain limit");
             }
@@ -199,6 +214,16 @@
     }
 }
 
+/// Notes a service that runs, with the way to stop it.
+fn started(
+    lifecycle: &mut Lifecycle,
+    name: &str,
+    stop: impl FnOnce() + Send + 'static,
+) -> Result<()> {
+    let stop: Stop = Box::new(stop);
+    lifecycle.start(name, || Ok::<Stop, Error>(stop)).map_err(|err| Error::start(name, err))
+}
+
 fn start_recorder(settings: &Settings, clock: &SharedClock) -> Result<Arc<Recorder>> {
     let mut cfg = RecorderConfig::new(settings.daemon.clone());
     cfg.path = settings.timeline_file.clone();
--- a/crates/toucansilld/src/owner.rs
+++ b/crates/toucansilld/src/owner.rs
@@ -26,7 +26,7 @@
 use event::{EventKind, Recorder};
 pub(crate) use group_of::group_of;
 pub(crate) use job::{FrameSink, refused};
-use kernel::SharedClock;
+use kernel::{Mailbox, SharedClock};
 use reconcile::Reconcilers;
 use route::{Digest, Placement, Refusal};
 pub(crate) use status::UpstreamStatus;
@@ -84,7 +84,7 @@
 /// The owner service of one daemon.
 pub(crate) struct Owner {
     pub(crate) cx: OwnerContext,
-    tx: flume::Sender<OwnerMsg>,
+    tx: Mailbox<OwnerMsg>,
     pub(crate) client: Client,
     reconcilers: Reconcilers,
     thread: Mutex<Option<JoinHandle<()>>>,
@@ -93,7 +93,7 @@
 impl Owner {
     /// Starts the owner's thread and the poller of its upstreams.
     pub(crate) fn start(cx: OwnerContext) -> Arc<Self> {
-        let (tx, rx) = flume::bounded(MAILBOX);
+        let (tx, rx) = kernel::mailbox("owner", MAILBOX);
         let actor = Actor::new(cx.clone());
         let thread = thread::spawn(move || actor.run(&rx));
         let client = Client::new(ClientConfig::default());
@@ -173,8 +173,8 @@
     }
 
     pub(crate) fn send(&self, msg: OwnerMsg) {
-        if self.tx.send_timeout(msg, ANSWER_TIMEOUT).is_err() {
-            log::error!("the owner's mailbox is full or closed");
+        if let Err(err) = self.tx.send_timeout(msg, ANSWER_TIMEOUT) {
+            log::error!("{err}");
         }
     }
 
--- a/crates/toucansilld/src/owner/chooser.rs
+++ b/crates/toucansilld/src/owner/chooser.rs
@@ -8,6 +8,7 @@
     sync::lock,
 };
 use control::{Charge, Command, Outcome, Standing};
+use kernel::Mailbox;
 use std::{
     sync::{Arc, Mutex},
     time::{Duration, Instant},
@@ -17,10 +18,12 @@
 
 /// Longest wait for the answer to a charge.
 const CHARGE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait for room in the owner's mailbox.
+const TELL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Chooses the upstreams of one job: the placed one, then others after failures.
 pub(crate) struct Chooser {
-    tx: flume::Sender<OwnerMsg>,
+    tx: Mailbox<OwnerMsg>,
     control: Arc<ControlClient>,
     session: Arc<SessionService>,
     job: Job,
@@ -158,8 +161,8 @@
     }
 
     fn tell(&self, msg: OwnerMsg) {
-        if self.tx.send(msg).is_err() {
-            log::error!("the owner's thread has ended");
+        if let Err(err) = self.tx.send_timeout(msg, TELL_TIMEOUT) {
+            log::error!("{err}");
         }
     }
 }
