--- a/crates/toucansilld/src/entry.rs
+++ b/crates/toucansilld/src/entry.rs
@@ -261,7 +261,7 @@
     ApiError::new(503, code, reason, Verdict::NotRun)
 }
 
-/// Whether the method reads only; used for announcements' routes.
+/// Whether the method is the one that announcements take.
 pub(crate) fn is_post(method: &Method) -> bool {
     *method == Method::POST
 }
--- a/crates/toucansilld/src/owner/job.rs
+++ b/crates/toucansilld/src/owner/job.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 use upstream::{Reason, Stream, StreamEvent, StreamRequest};
-use wire::{RequestId, UpstreamId};
+use wire::RequestId;
 
 /// Takes a job's frames; false once the other end is gone.
 pub(crate) type FrameSink<'a> = dyn FnMut(JobFrame) -> bool + 'a;
@@ -19,6 +19,8 @@
 const PRESENCE_CHECK: Duration = Duration::from_millis(500);
 /// Longest wait for the answer to an acquittal.
 const ACQUIT_TIMEOUT: Duration = Duration::from_secs(2);
+/// When a caller may come back to an owner that has stopped.
+const STOPPED_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Status of a refusal because of load or missing upstreams.
 const STATUS_UNAVAILABLE: u16 = 503;
 /// Status of a failure of an upstream.
@@ -29,7 +31,7 @@
 /// Runs a job and hands its frames to `sink`.
 pub(crate) fn run(owner: &Owner, job: &Job, sink: &mut FrameSink<'_>) {
     let deadline = owner.cx.clock.now() + Duration::from_millis(job.deadline_ms);
-    let placed = match wait(owner, submit(owner, job, deadline, Vec::new(), job.is_suspect), sink) {
+    let placed = match wait(&submit(owner, job, deadline), sink) {
         Waited::Placed(placed) => placed,
         Waited::Refused(refusal) => {
             sink(JobFrame::Failed(refused(&refusal)));
@@ -45,19 +47,18 @@
     }
 }
 
+/// How the wait for a placement ended.
 enum Waited {
+    /// There is an upstream.
     Placed(Placed),
+    /// The final answer is that there is none.
     Refused(Refusal),
+    /// The other end no longer waits.
     Gone,
 }
 
-fn submit(
-    owner: &Owner,
-    job: &Job,
-    deadline: Instant,
-    avoid: Vec<UpstreamId>,
-    is_suspect: bool,
-) -> flume::Receiver<PlacedResult> {
+/// Submits the first attempt of a job on this owner.
+fn submit(owner: &Owner, job: &Job, deadline: Instant) -> flume::Receiver<PlacedResult> {
     let priority = if job.urgent { route::Priority::Urgent } else { route::Priority::Ordinary };
     let prefixes = job
         .prefixes
@@ -72,13 +73,13 @@
         max_output_tokens: job.max_output_tokens,
         prefixes,
         deadline,
-        avoid,
-        is_suspect,
+        avoid: Vec::new(),
+        is_suspect: job.is_suspect,
     })
 }
 
 /// Waits for the placement, and looks now and then whether the other end is there.
-fn wait(owner: &Owner, rx: flume::Receiver<PlacedResult>, sink: &mut FrameSink<'_>) -> Waited {
+fn wait(rx: &flume::Receiver<PlacedResult>, sink: &mut FrameSink<'_>) -> Waited {
     loop {
         match rx.recv_timeout(PRESENCE_CHECK) {
             Ok(Ok(placed)) => return Waited::Placed(placed),
@@ -89,8 +90,10 @@
                 }
             }
             Err(flume::RecvTimeoutError::Disconnected) => {
-                let retry_after = owner.client_retry_after();
-                return Waited::Refused(Refusal { reason: route::Reason::NoUpstream, retry_after });
+                return Waited::Refused(Refusal {
+                    reason: route::Reason::NoUpstream,
+                    retry_after: STOPPED_RETRY_AFTER,
+                });
             }
         }
     }
@@ -228,10 +231,6 @@
 }
 
 impl Owner {
-    fn client_retry_after(&self) -> Duration {
-        super::ANSWER_TIMEOUT
-    }
-
     /// Id of an attempt, distinct from other attempts of the same request.
     pub(crate) fn attempt_id(request: &RequestId, attempt: u32) -> RequestId {
         if attempt == 0 { request.clone() } else { format!("{request}+{attempt}") }
--- a/crates/toucansilld/tests/brief_fails.rs
+++ b/crates/toucansilld/tests/brief_fails.rs
@@ -172,3 +172,30 @@
     assert_eq!(whole, 30);
     assert_eq!(engine.stats().overloads, 0);
 }
+
+#[test]
+fn a_voter_that_lost_its_disk_is_named_and_loses_no_change() {
+    let mut fleet = Fleet::start(3);
+    for number in 1..10 {
+        fleet.apply(0, &sheet(&fleet.cfg, number, &["small"], &[]));
+    }
+    fleet.kill(0);
+    std::fs::remove_dir_all(fleet.dir.path().join("daemon-1")).expect("a data folder");
+    fleet.spawn(0);
+    await_that("a voter is named", || {
+        let own = fleet.status(0)["voter"]["lost_disk"] == true;
+        let by_leader = (1..3).any(|i| {
+            let lost = &fleet.status(i)["voter"]["lost_logs"];
+            lost.as_array().is_some_and(|ids| ids.contains(&1.into()))
+        });
+        own || by_leader
+    });
+    let index = fleet.apply(1, &sheet(&fleet.cfg, 10, &["small"], &["dc-2"]));
+    await_that("the change is in force", || {
+        let (_, force) = fleet.operate(1, "GET", &format!("/in-force?index={index}"), "");
+        force["in_force"] == true
+    });
+    for i in 1..3 {
+        assert_eq!(fleet.status(i)["sheet"], 10);
+    }
+}
