Tell digests to all daemons in turn, so that none goes unheard

Cause: a digest is believed for 5 s, and each round told eight peers chosen by chance, twice a second: at 143 daemons a peer is told every 9 s on average, so most owners would be unknown to most entries; at 40 daemons about one in eight pairs (e^-2). Found by reading, worked out, not measured. Change: rounds go through the peers in a fixed order, at least eight and at least an eighth of them a round, so each is told within 4 s; a digest is believed for 10 s; an owner that has nothing tells no one. Conclusion: the region's size no longer decides whether owners are known.

--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -68,6 +68,7 @@
 mod queue;
 mod ramp;
 mod retry;
+mod rotation;
 mod submit;
 mod upstream;
 
@@ -89,3 +90,4 @@
 pub use prefix::CacheEvent;
 pub use ramp::Ramp;
 pub use retry::{Backoff, HedgeInput, RetryBudget, should_hedge};
+pub use rotation::Rotation;
--- a/crates/route/src/owner.rs
+++ b/crates/route/src/owner.rs
@@ -14,7 +14,7 @@
 use wire::{DaemonId, DataCentreId, ModelId, RegionId, Tokens};
 
 /// Age at which a digest is no longer believed.
-const DIGEST_LIFETIME: Duration = Duration::from_secs(5);
+const DIGEST_LIFETIME: Duration = Duration::from_secs(10);
 
 /// Load that an owner may have beyond the mean before a prefix is sent to the
 /// next owner in its order: a part of the mean and a fixed time.
--- a/crates/toucansilld/src/gossip.rs
+++ b/crates/toucansilld/src/gossip.rs
@@ -4,10 +4,10 @@
 use crate::{
     entry::Entry,
     messages::{Gossip, service},
-    net::{Net, Peer},
+    net::Net,
     owner::Owner,
 };
-use fastrand::Rng;
+use route::Rotation;
 use std::{
     sync::{
         Arc,
@@ -17,10 +17,10 @@
     time::Duration,
 };
 
+/// Rounds in which an owner still tells that it has nothing left, twice to each peer.
+const IDLE_ROUNDS_TOLD: u32 = 16;
 /// Time between two rounds.
 const ROUND_EVERY: Duration = Duration::from_millis(500);
-/// Most daemons told in one round, so that the cost does not grow with the region.
-const PEERS_PER_ROUND: usize = 8;
 
 /// Starts to tell.
 pub(crate) fn start(
@@ -30,27 +30,41 @@
     is_stopping: Arc<AtomicBool>,
 ) {
     thread::spawn(move || {
-        let mut rng = Rng::new();
+        let mut teller = Teller::default();
         while !is_stopping.load(Ordering::Relaxed) {
-            round(&net, &owner, &entry, &mut rng);
+            teller.round(&net, &owner, &entry);
             thread::sleep(ROUND_EVERY);
         }
     });
 }
 
-fn round(net: &Net, owner: &Owner, entry: &Entry, rng: &mut Rng) {
-    let Some(digest) = owner.digest() else { return };
-    entry.measure();
-    let gossip = Gossip { digest, usage: entry.demand() };
-    let buf = control::encode(&gossip);
-    for peer in chosen(net.peers(), rng) {
-        net.notify(&peer.address, service::GOSSIP, buf.clone());
-    }
-    entry.hear(gossip);
+/// Tells one peer after the other.
+#[derive(Default)]
+struct Teller {
+    rotation: Rotation,
+    /// Rounds since there was last something to tell.
+    idle_rounds: u32,
 }
 
-fn chosen(mut peers: Vec<Peer>, rng: &mut Rng) -> Vec<Peer> {
-    rng.shuffle(&mut peers);
-    peers.truncate(PEERS_PER_ROUND);
-    peers
+impl Teller {
+    fn round(&mut self, net: &Net, owner: &Owner, entry: &Entry) {
+        let Some(digest) = owner.digest() else { return };
+        entry.measure();
+        let gossip = Gossip { digest, usage: entry.demand() };
+        if self.is_worth_telling(&gossip) {
+            let buf = control::encode(&gossip);
+            let peers = net.peers();
+            for at in self.rotation.next(peers.len()) {
+                net.notify(&peers[at].address, service::GOSSIP, buf.clone());
+            }
+        }
+        entry.hear(gossip);
+    }
+
+    /// An owner without upstreams need not be known, once all have been told so.
+    fn is_worth_telling(&mut self, gossip: &Gossip) -> bool {
+        let is_idle = gossip.digest.models.is_empty() && gossip.usage.is_empty();
+        self.idle_rounds = if is_idle { self.idle_rounds.saturating_add(1) } else { 0 };
+        self.idle_rounds <= IDLE_ROUNDS_TOLD
+    }
 }
