List only models of data centres in service

The list still offered what stands in the departed data centre, so the scenario went on before the other engine was known. Ruled out: work sent to the departed data centre (the refusal was no_upstream, and the count there had not moved). Change: an owner out of service, or in a data centre out of service, offers no models and no capacity. Conclusion: the list says what can be served now.

--- a/crates/toucansilld/src/entry/placement.rs
+++ b/crates/toucansilld/src/entry/placement.rs
@@ -35,7 +35,8 @@
     /// Takes in a digest, and gives this daemon's part of the region's capacity.
     pub(crate) fn update(&self, now: Instant, digest: Digest, live_daemons: usize) -> Capacity {
         let mut state = lock(&self.state);
-        let (daemon, models) = (digest.daemon.clone(), digest.models.clone());
+        let daemon = digest.daemon.clone();
+        let models = if digest.is_in_service { digest.models.clone() } else { Vec::new() };
         if state.digests.update(now, digest) {
             state.models.insert(daemon, models);
         }
@@ -49,12 +50,18 @@
             let is_in = cfg.is_in_service(data_centre);
             state.digests.set_data_centre_in_service(data_centre, is_in);
         }
+        let is_gone = |daemon: &DaemonId| roster.member(daemon).is_none();
         let gone: Vec<DaemonId> =
-            state.models.keys().filter(|daemon| roster.member(daemon).is_none()).cloned().collect();
+            state.models.keys().filter(|daemon| is_gone(daemon)).cloned().collect();
         for daemon in gone {
             state.models.remove(&daemon);
             state.digests.remove(&daemon);
         }
+        // What stands in a data centre out of service is not on offer.
+        state.models.retain(|daemon, _| {
+            let member = roster.member(daemon);
+            member.is_some_and(|member| cfg.is_in_service(&member.data_centre))
+        });
     }
 
     /// Chooses an owner and counts the prompt as sent to it.
