--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -52,6 +52,26 @@
     Batch(Vec<Command>),
     /// A call was sent and its answer will never be known.
     GiveUpKey(ClaimId),
+    /// Puts a routing document in force, unless one as high is held.
+    PublishRouting(Published),
+    /// Takes a data centre out of service, or back into it.
+    CloseDataCentre {
+        /// The data centre.
+        data_centre: DataCentreId,
+        /// Whether it gets no new work from now on.
+        is_closed: bool,
+    },
+}
+
+/// A routing document.
+#[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
+pub struct Published {
+    /// Number of the document. The highest one is in force.
+    pub version: u64,
+    /// The document as the operator sent it.
+    pub document: Vec<u8>,
+    /// What daemons follow: the document, decoded and checked, in their own encoding.
+    pub compiled: Vec<u8>,
 }
 
 /// A sheet that an operator asks to put in force.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -78,7 +78,8 @@
 pub use clock::LeaderClock;
 pub use codec::{decode, encode};
 pub use command::{
-    Charge, Claim, ClaimId, Command, Completion, FenceRequest, Fingerprint, Join, SheetChange,
+    Charge, Claim, ClaimId, Command, Completion, FenceRequest, Fingerprint, Join, Published,
+    SheetChange,
 };
 pub use configuration::{
     Configuration, DataCentre, Digest, Directive, KeyHash, Model, Organisation, Priority, Repeat,
@@ -92,7 +93,9 @@
     RENEWAL_INTERVAL, Renewal, Reply,
 };
 pub use ledger::{Answer, Ledger, LedgerKey, LedgerLimits};
-pub use outcome::{ClaimOutcome, FenceOutcome, KeyOutcome, Outcome, RosterOutcome, SheetOutcome};
+pub use outcome::{
+    ClaimOutcome, FenceOutcome, KeyOutcome, Outcome, RosterOutcome, RoutingOutcome, SheetOutcome,
+};
 pub use quarantine::{Quarantine, Standing};
 pub use roster::{Holder, Member, Roster, owner};
 pub use session::{Ownership, Refusal, Session};
--- a/crates/control/src/outcome.rs
+++ b/crates/control/src/outcome.rs
@@ -27,6 +27,22 @@
     Skipped,
     /// The command was not applied: a batch stood inside a batch.
     Nested,
+    /// Answer to a routing document.
+    Routing(RoutingOutcome),
+    /// The data centre is as it was asked to be.
+    DataCentre,
+}
+
+/// What became of a routing document.
+#[derive(Clone, Copy, Debug, Decode, Encode, Eq, PartialEq)]
+pub enum RoutingOutcome {
+    /// It is in force.
+    Accepted,
+    /// Nothing changed: a version as high or higher is in force.
+    Held {
+        /// The version in force.
+        version: u64,
+    },
 }
 
 /// What became of a sheet.
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -3,22 +3,25 @@
 use crate::{
     changes::{ChangeLog, Changes, Contents, Step, Whole},
     codec,
-    command::{Claim, Command, FenceRequest, Fingerprint, Join, SheetChange},
+    command::{Claim, Command, FenceRequest, Fingerprint, Join, Published, SheetChange},
     configuration::Configuration,
     delta::ConfigurationDelta,
     error::{Error, Result},
     ledger::{Ledger, LedgerLimits},
-    outcome::{ClaimOutcome, FenceOutcome, Outcome, RosterOutcome, SheetOutcome},
+    outcome::{ClaimOutcome, FenceOutcome, Outcome, RosterOutcome, RoutingOutcome, SheetOutcome},
     quarantine::{Quarantine, Standing},
     roster::{Departed, Holder, MAX_MEMBERS, Member, Roster, owner},
     sheets::{AcceptedSheet, Sheets},
 };
 use bincode::{Decode, Encode};
-use std::sync::Arc;
-use wire::Incarnation;
+use std::{collections::BTreeSet, sync::Arc};
+use wire::{DataCentreId, Incarnation};
 
 /// Format of the snapshots that this build writes.
-const SNAPSHOT_VERSION: u32 = 2;
+const SNAPSHOT_VERSION: u32 = 3;
+
+/// Format without routing and closed data centres.
+const VERSION_WITHOUT_ROUTING: u32 = 2;
 
 /// Format without the base of indexes, which was 0 then.
 const VERSION_WITHOUT_BASE: u32 = 1;
@@ -51,6 +54,9 @@
     ledger: Ledger,
     quarantine: Quarantine,
     log: ChangeLog,
+    /// Fields from here on are lacking in the former format.
+    routing: Option<Arc<Published>>,
+    closed: BTreeSet<DataCentreId>,
 }
 
 impl State {
@@ -99,6 +105,16 @@
         &self.quarantine
     }
 
+    /// The routing document in force.
+    pub fn routing(&self) -> Option<&Arc<Published>> {
+        self.routing.as_ref()
+    }
+
+    /// Data centres that get no new work.
+    pub fn closed(&self) -> &BTreeSet<DataCentreId> {
+        &self.closed
+    }
+
     /// Highest run of a daemon that was ever a member, as far as remembered.
     pub fn last_incarnation(&self, daemon: &str) -> Option<Incarnation> {
         let member = self.roster.member(daemon).map(|member| member.incarnation);
@@ -198,7 +214,10 @@
             .ok_or_else(|| Error::malformed("shorter than the format number"))?;
         match u32::from_le_bytes(*version) {
             SNAPSHOT_VERSION => codec::decode(body),
-            VERSION_WITHOUT_BASE => codec::decode(&[codec::encode(&0u64), body.to_vec()].concat()),
+            VERSION_WITHOUT_ROUTING => codec::decode(&[body, &no_routing()].concat()),
+            VERSION_WITHOUT_BASE => {
+                codec::decode(&[&codec::encode(&0u64), body, &no_routing()].concat())
+            }
             other => Err(Error::unknown_version(other, SNAPSHOT_VERSION)),
         }
     }
@@ -229,6 +248,26 @@
             Command::GrantFence(req) => Outcome::Fence(self.grant_fence(index, req)),
             Command::Tick { .. } => Outcome::Ticked,
             Command::Batch(_) => Outcome::Nested,
+            Command::PublishRouting(published) => Outcome::Routing(self.publish(published)),
+            Command::CloseDataCentre { data_centre, is_closed } => {
+                match is_closed {
+                    true => self.closed.insert(data_centre.clone()),
+                    false => self.closed.remove(data_centre),
+                };
+                Outcome::DataCentre
+            }
+        }
+    }
+
+    fn publish(&mut self, published: &Published) -> RoutingOutcome {
+        match &self.routing {
+            Some(held) if held.version >= published.version => {
+                RoutingOutcome::Held { version: held.version }
+            }
+            _ => {
+                self.routing = Some(Arc::new(published.clone()));
+                RoutingOutcome::Accepted
+            }
         }
     }
 
@@ -334,3 +373,8 @@
         }
     }
 }
+
+/// The fields that the former format lacks, as they were then.
+fn no_routing() -> Vec<u8> {
+    codec::encode(&(None::<Arc<Published>>, BTreeSet::<DataCentreId>::new()))
+}
--- /dev/null
+++ b/crates/control/tests/routing.rs
@@ -0,0 +1,48 @@
+//! Routing documents and closed data centres in the replicated state.
+
+use control::{Command, Outcome, Published, RoutingOutcome, State};
+
+fn publish(state: &mut State, index: u64, version: u64, text: &str) -> Outcome {
+    let document = text.as_bytes().to_vec();
+    let published = Published { version, compiled: document.clone(), document };
+    state.apply(index, &Command::PublishRouting(published))
+}
+
+#[test]
+fn the_highest_version_stays_in_force() {
+    let mut state = State::new();
+    let accepted = Outcome::Routing(RoutingOutcome::Accepted);
+    let held = Outcome::Routing(RoutingOutcome::Held { version: 7 });
+    assert_eq!(publish(&mut state, 1, 5, "five"), accepted);
+    assert_eq!(publish(&mut state, 2, 7, "seven"), accepted);
+    assert_eq!(publish(&mut state, 3, 6, "late"), held);
+    assert_eq!(publish(&mut state, 4, 7, "another operator's"), held);
+    let routing = state.routing().expect("published");
+    assert_eq!((routing.version, routing.document.as_slice()), (7, b"seven".as_slice()));
+}
+
+#[test]
+fn a_data_centre_is_closed_until_it_is_opened() {
+    let mut state = State::new();
+    let close = |is_closed| Command::CloseDataCentre { data_centre: "a".to_owned(), is_closed };
+    assert_eq!(state.apply(1, &close(true)), Outcome::DataCentre);
+    assert_eq!(state.apply(2, &close(true)), Outcome::DataCentre);
+    assert!(state.closed().contains("a"));
+    assert_eq!(state.apply(3, &close(false)), Outcome::DataCentre);
+    assert!(state.closed().is_empty());
+}
+
+#[test]
+fn a_snapshot_keeps_both_and_the_former_format_has_neither() {
+    let mut state = State::new();
+    let empty = state.snapshot();
+    publish(&mut state, 1, 5, "five");
+    let close = Command::CloseDataCentre { data_centre: "a".to_owned(), is_closed: true };
+    state.apply(2, &close);
+    assert_eq!(State::restore(&state.snapshot()).expect("restored"), state);
+
+    // The former format ends where the two fields begin; each is one byte when empty.
+    let mut former = 2u32.to_le_bytes().to_vec();
+    former.extend(&empty[4..empty.len() - 2]);
+    assert_eq!(State::restore(&former).expect("restored"), State::new());
+}
--- /dev/null
+++ b/crates/grant/src/dispatcher.rs
@@ -0,0 +1,413 @@
+//! The exact state of all streams of a region, and who runs next.
+
+use crate::{
+    ask::{Ask, AskId, Decision, End, Grant, GrantId, Helper, Refusal, Running},
+    directory::{Directory, Entry},
+    engine::{Engine, Main, part},
+    place::{Candidate, Place, choose, is_short, least_time},
+    waiting::Waiting,
+};
+use route::{Poison, PoisonConfig, RetryBudget};
+use routing::{EngineProfile, Service};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+use wire::{DaemonId, ServiceId, UpstreamId};
+
+/// Time beyond a request's deadline after which its grant returns by itself.
+const GRANT_MARGIN: Duration = Duration::from_secs(2);
+/// Time for which a request that crashed upstreams is refused; longer than callers resend.
+const QUARANTINE: Duration = Duration::from_secs(600);
+/// Crashes that are charged to a request before it is refused: the second one shows that
+/// it is no coincidence, the third that no other request was to blame.
+const CRASHES: u32 = 3;
+/// Part of the allowed repeats that the dispatcher gives out. The rest is for entry
+/// daemons that can't reach it.
+const BUDGET_SHARE: f64 = 0.8;
+/// Time within which an answer shows that an upstream works although it is not heard.
+const ANSWER_WINDOW: Duration = Duration::from_secs(3);
+/// Shortest and longest time that a refused caller is told to stay away.
+const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(5));
+
+/// Bounds of a dispatcher, from the settings of the deployment.
+#[derive(Clone, Debug)]
+pub struct DispatcherConfig {
+    /// Repeats for each first send.
+    pub retry_ratio: f64,
+    /// Repeats that are allowed beside.
+    pub retry_slack: u32,
+    /// Time without a word after which an upstream is doubtful.
+    pub silence: Duration,
+}
+
+impl Default for DispatcherConfig {
+    fn default() -> Self {
+        Self { retry_ratio: 0.2, retry_slack: 100, silence: Duration::from_millis(4_600) }
+    }
+}
+
+#[derive(Debug)]
+struct Pool {
+    profile: EngineProfile,
+    cold_rate: f64,
+    budget: RetryBudget,
+}
+
+#[derive(Debug)]
+struct Live {
+    ask: Ask,
+    grant: Grant,
+    granted: Instant,
+    expires: Instant,
+    has_begun: bool,
+}
+
+/// Places requests on engines. See the [crate] for its place among the daemons.
+#[derive(Debug)]
+pub struct Dispatcher {
+    cfg: DispatcherConfig,
+    pools: BTreeMap<ServiceId, Pool>,
+    /// Engines by name, with the start of the run that the state is of.
+    engines: BTreeMap<UpstreamId, (u64, Engine)>,
+    live: BTreeMap<GrantId, Live>,
+    by_ask: BTreeMap<AskId, GrantId>,
+    waiting: Waiting,
+    poison: Poison,
+    next_grant: GrantId,
+}
+
+impl Dispatcher {
+    /// A dispatcher that knows of no stream.
+    pub fn new(cfg: DispatcherConfig) -> Self {
+        let poison =
+            PoisonConfig { deaths: CRASHES, quarantine: QUARANTINE, ..PoisonConfig::default() };
+        Self {
+            cfg,
+            pools: BTreeMap::new(),
+            engines: BTreeMap::new(),
+            live: BTreeMap::new(),
+            by_ask: BTreeMap::new(),
+            waiting: Waiting::default(),
+            poison: Poison::new(poison),
+            next_grant: 1,
+        }
+    }
+
+    /// Sets the services. One without engines is not placed here.
+    pub fn set_services(&mut self, services: &[Service]) {
+        let percent = (self.cfg.retry_ratio * BUDGET_SHARE * 100.0) as u32;
+        let slack = (f64::from(self.cfg.retry_slack) * BUDGET_SHARE) as u32;
+        let mut former = std::mem::take(&mut self.pools);
+        for service in services {
+            let Some(profile) = service.engine.clone() else { continue };
+            let budget = former.remove(&service.name).map(|pool| pool.budget);
+            let budget = budget.unwrap_or_else(|| RetryBudget::new(percent, slack));
+            let pool = Pool { profile, cold_rate: service.cold_rate, budget };
+            self.pools.insert(service.name.clone(), pool);
+        }
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Requests that hold a grant.
+    pub fn running(&self) -> usize {
+        self.live.len()
+    }
+
+    /// Answers a question at once if possible. Asked again, a request keeps its place, and
+    /// gets the same grant if the first answer was lost.
+    pub fn ask(&mut self, now: Instant, directory: &Directory, ask: Ask) -> Decision {
+        if let Some(live) = self.by_ask.get(&ask.id).and_then(|id| self.live.get(id)) {
+            return Decision::Granted(live.grant.clone());
+        }
+        if self.waiting.contains(&ask.id) {
+            self.waiting.add(now, ask);
+            return Decision::Waiting;
+        }
+        if let Err(refusal) = self.admit(now, &ask) {
+            return self.refuse(&ask, refusal);
+        }
+        match self.place(now, directory, &ask) {
+            Some(grant) => Decision::Granted(grant),
+            None => self.wait(now, directory, ask),
+        }
+    }
+
+    /// Places requests that wait, as far as possible now, and drops those without hope.
+    pub fn poll(&mut self, now: Instant, directory: &Directory) -> Vec<(AskId, Decision)> {
+        self.expire(now);
+        self.waiting.forget_silent(now);
+        let mut decided = Vec::new();
+        // One that finds no place closes its kind to those behind it.
+        let mut blocked: BTreeSet<(ServiceId, bool)> = BTreeSet::new();
+        for ask in self.waiting.in_order(now) {
+            let Some(pool) = self.pools.get(&ask.service) else {
+                decided.push((ask.id.clone(), self.refuse(&ask, Refusal::NoUpstream)));
+                continue;
+            };
+            let kind = (ask.service.clone(), is_short(&pool.profile, &ask));
+            if least_time(&pool.profile, &ask) > ask.deadline_left {
+                decided.push((ask.id.clone(), self.refuse(&ask, Refusal::NoTime)));
+            } else if !blocked.contains(&kind) {
+                match self.place(now, directory, &ask) {
+                    Some(grant) => decided.push((ask.id.clone(), Decision::Granted(grant))),
+                    None => drop(blocked.insert(kind)),
+                }
+            }
+        }
+        for (id, _) in &decided {
+            self.waiting.remove(id);
+        }
+        decided
+    }
+
+    /// The first event of a granted request has come.
+    pub fn began(&mut self, now: Instant, ask: &AskId) {
+        if let Some(id) = self.by_ask.get(ask) {
+            self.has_begun(now, *id);
+        }
+    }
+
+    fn has_begun(&mut self, now: Instant, id: GrantId) {
+        let Some(live) = self.live.get_mut(&id).filter(|live| !live.has_begun) else { return };
+        live.has_begun = true;
+        let took = now.saturating_duration_since(live.granted);
+        let expected = live.grant.expected_first;
+        let main = live.grant.upstream.clone();
+        let helpers: Vec<UpstreamId> =
+            live.grant.helpers.iter().map(|h| h.upstream.clone()).collect();
+        for upstream in helpers.iter().chain([&main]) {
+            if let Some((_, engine)) = self.engines.get_mut(upstream) {
+                engine.advance(now);
+                engine.has_read(id);
+            }
+        }
+        if let Some((_, engine)) = self.engines.get_mut(&main) {
+            engine.measured(expected, took);
+        }
+    }
+
+    /// A granted request has ended.
+    pub fn ended(&mut self, now: Instant, ask: &AskId, end: End) {
+        self.waiting.remove(ask);
+        let Some(id) = self.by_ask.get(ask).copied() else { return };
+        let Some(live) = self.release(now, id) else { return };
+        let main = &live.grant.upstream;
+        if let Some((_, engine)) = self.engines.get_mut(main) {
+            match end {
+                End::Whole => engine.succeeded(now),
+                end if end.is_failure() => engine.failed(now),
+                _ => {}
+            }
+        }
+        match end {
+            End::Whole => self.poison.finished(live.ask.fingerprint),
+            End::Broken => drop(self.poison.upstream_died(now, &[live.ask.fingerprint])),
+            _ => {}
+        }
+    }
+
+    /// The grants of a daemon that is gone return.
+    pub fn daemon_lost(&mut self, now: Instant, daemon: &DaemonId) {
+        let lost: Vec<GrantId> = self
+            .live
+            .iter()
+            .filter(|(_, live)| live.ask.id.daemon == *daemon)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in lost {
+            self.release(now, id);
+        }
+    }
+
+    /// Takes over a request that a former leader granted. One whose service or upstream
+    /// is not known here any more needs no place.
+    pub fn adopt(&mut self, now: Instant, directory: &Directory, running: &Running) {
+        if self.by_ask.contains_key(&running.ask.id) {
+            return;
+        }
+        let Some(pool) = self.pools.get(&running.ask.service) else { return };
+        let Some(entry) = directory.get(&running.upstream) else { return };
+        let profile = pool.profile.clone();
+        let own = part(&profile, running.ask.prompt, running.helpers.len() + 1);
+        let helpers = running.helpers.iter().filter_map(|id| directory.get(id)).map(helper);
+        let place = (own.read, own.per_pass);
+        let grant = Grant {
+            id: self.next_grant,
+            upstream: running.upstream.clone(),
+            address: entry.registration.address,
+            helpers: helpers.collect(),
+            expected_first: own.read,
+        };
+        self.start(now, directory, &running.ask, grant.clone(), place);
+        if running.has_begun {
+            self.has_begun(now, grant.id);
+        }
+    }
+
+    fn admit(&mut self, now: Instant, ask: &Ask) -> Result<(), Refusal> {
+        if self.poison.check(now, ask.fingerprint).is_err() {
+            return Err(Refusal::Quarantined);
+        }
+        let Some(pool) = self.pools.get_mut(&ask.service) else {
+            return Err(Refusal::NoUpstream);
+        };
+        if ask.prompt + ask.output > pool.profile.memory_tokens {
+            return Err(Refusal::TooLarge);
+        }
+        if least_time(&pool.profile, ask) > ask.deadline_left {
+            return Err(Refusal::NoTime);
+        }
+        match ask.is_retry {
+            true => pool.budget.spend().map_err(|_| Refusal::RetryBudget),
+            false => {
+                pool.budget.earn();
+                Ok(())
+            }
+        }
+    }
+
+    fn wait(&mut self, now: Instant, directory: &Directory, ask: Ask) -> Decision {
+        if directory.open(&ask.service).next().is_none() {
+            return self.refuse(&ask, Refusal::NoUpstream);
+        }
+        self.waiting.add(now, ask);
+        Decision::Waiting
+    }
+
+    /// Says when to come back: when what is being read now is read.
+    fn refuse(&self, ask: &Ask, refusal: Refusal) -> Decision {
+        let engines = self.engines.values().map(|(_, engine)| engine.reading_left());
+        let free_in = engines.min().unwrap_or_default();
+        let retry_after = free_in
+            .clamp(RETRY_AFTER.0, RETRY_AFTER.1.min(ask.deadline_left / 3).max(RETRY_AFTER.0));
+        Decision::Refused { refusal, retry_after }
+    }
+
+    fn place(&mut self, now: Instant, directory: &Directory, ask: &Ask) -> Option<Grant> {
+        self.follow(now, directory, &ask.service);
+        let pool = self.pools.get(&ask.service)?;
+        let entries = self.eligible(directory, ask);
+        let candidates: Vec<Candidate<'_>> =
+            entries.iter().map(|entry| self.candidate(now, directory, pool, entry)).collect();
+        let place = choose(&pool.profile, ask, &candidates)?;
+        drop(candidates);
+        let Place { main, helpers, part, expected } = place;
+        let grant = Grant {
+            id: self.next_grant,
+            upstream: entries[main].registration.id.clone(),
+            address: entries[main].registration.address,
+            helpers: helpers.iter().map(|i| helper(entries[*i])).collect(),
+            expected_first: expected,
+        };
+        self.start(now, directory, ask, grant.clone(), part);
+        Some(grant)
+    }
+
+    /// Upstreams that take work, without those that were tried, unless all were.
+    fn eligible<'a>(&self, directory: &'a Directory, ask: &Ask) -> Vec<&'a Entry> {
+        let open: Vec<&Entry> = directory.open(&ask.service).collect();
+        let fresh: Vec<&Entry> =
+            open.iter().copied().filter(|e| !ask.tried.contains(&e.registration.id)).collect();
+        if fresh.is_empty() { open } else { fresh }
+    }
+
+    fn candidate<'a>(
+        &'a self,
+        now: Instant,
+        directory: &Directory,
+        pool: &Pool,
+        entry: &Entry,
+    ) -> Candidate<'a> {
+        let id = &entry.registration.id;
+        let (_, engine) = &self.engines[id];
+        let is_silent = directory.silence(now, id) > self.cfg.silence
+            && !engine.answered_within(now, ANSWER_WINDOW);
+        let is_cold = directory.is_cold(now, id);
+        // The bound on cold upstreams holds for all, as the news of a cold start is late.
+        let is_full = pool.cold_rate > 0.0 && engine.recent_sends() as f64 >= pool.cold_rate;
+        Candidate {
+            engine,
+            slots: if is_full { 0 } else { entry.registration.slots as usize },
+            is_doubtful: is_silent || is_cold || engine.is_suspect(now),
+        }
+    }
+
+    /// Keeps the state of the engines in step with the directory.
+    fn follow(&mut self, now: Instant, directory: &Directory, service: &str) {
+        for entry in directory.open(service) {
+            let said = &entry.registration;
+            let (born, engine) = self
+                .engines
+                .entry(said.id.clone())
+                .or_insert_with(|| (said.born_ms, Engine::new(now)));
+            if *born != said.born_ms {
+                // A new run knows nothing of what the former one was given.
+                (*born, *engine) = (said.born_ms, Engine::new(now));
+            }
+            engine.advance(now);
+        }
+        let is_known = |id: &UpstreamId| directory.get(id).is_some_and(|entry| !entry.is_gone);
+        self.engines.retain(|id, _| is_known(id));
+    }
+
+    fn start(
+        &mut self,
+        now: Instant,
+        directory: &Directory,
+        ask: &Ask,
+        grant: Grant,
+        (read, per_pass): (Duration, Duration),
+    ) {
+        self.follow(now, directory, &ask.service);
+        self.next_grant += 1;
+        let main = Main {
+            tokens: ask.prompt + ask.output,
+            pause_target: ask.pause_target,
+            has_begun: false,
+        };
+        if let Some((_, engine)) = self.engines.get_mut(&grant.upstream) {
+            engine.add_main(now, grant.id, main);
+        }
+        let readers = grant.helpers.iter().map(|helper| &helper.upstream).chain([&grant.upstream]);
+        for reader in readers {
+            if let Some((_, engine)) = self.engines.get_mut(reader) {
+                engine.add_reading(grant.id, read, per_pass);
+            }
+        }
+        self.by_ask.insert(ask.id.clone(), grant.id);
+        let expires = now + ask.deadline_left + GRANT_MARGIN;
+        let live = Live { ask: ask.clone(), granted: now, expires, has_begun: false, grant };
+        self.live.insert(live.grant.id, live);
+    }
+
+    fn release(&mut self, now: Instant, id: GrantId) -> Option<Live> {
+        let live = self.live.remove(&id)?;
+        self.by_ask.remove(&live.ask.id);
+        let readers = live.grant.helpers.iter().map(|helper| &helper.upstream);
+        for upstream in readers.chain([&live.grant.upstream]) {
+            if let Some((_, engine)) = self.engines.get_mut(upstream) {
+                engine.advance(now);
+                engine.remove(id);
+            }
+        }
+        Some(live)
+    }
+
+    /// Returns grants whose holders should have ended them long ago.
+    fn expire(&mut self, now: Instant) {
+        let due = self.live.iter().filter(|(_, live)| live.expires <= now);
+        let due: Vec<GrantId> = due.map(|(id, _)| *id).collect();
+        for id in due {
+            self.release(now, id);
+        }
+    }
+}
+
+fn helper(entry: &Entry) -> Helper {
+    Helper { upstream: entry.registration.id.clone(), address: entry.registration.address }
+}
--- /dev/null
+++ b/crates/grant/src/place.rs
@@ -0,0 +1,204 @@
+//! Which engine reads and writes a request.
+//!
+//! Engines write in passes, and a pass grows by what it reads. Three rules follow:
+//!
+//! * A request goes to an engine only where the next pass stays within the pauses that
+//!   the requests there hope for. So long prompts are read where nobody writes.
+//! * Short prompts fill engines that run short prompts already, up to a comfortable
+//!   load, before they open another one. What is left stays free for long prompts.
+//! * A long prompt is read by as many idle engines as its first event needs to be on
+//!   time, and by no more.
+
+use crate::{
+    ask::Ask,
+    engine::{Engine, Part, part},
+};
+use routing::EngineProfile;
+use std::time::Duration;
+
+/// Part of the time left at which a first event counts as comfortably on time.
+const COMFORTABLE: f64 = 0.5;
+/// Part of the time left that an expectation may take; the rest is for what it omits:
+/// connections, network and the pass under way.
+const ON_TIME: f64 = 0.8;
+/// Part of the slots that short prompts fill before another engine is opened for them.
+const COMFORTABLE_SLOTS: f64 = 0.75;
+/// Part of a pause target that an expected pass may take.
+const PAUSE_SHARE: f64 = 0.85;
+/// Part of a pause target up to which reading a prompt fits between the events of others.
+const SHORT_SHARE: f64 = 0.8;
+/// Part of the engines that long prompts leave free, so that a short one finds a place.
+const RESERVED_SHARE: f64 = 0.05;
+/// What reading takes beyond the profile's rates, for the steps around the pieces.
+const STEP_OVERHEAD: f64 = 1.06;
+/// Most engines that read one prompt: the upstreams take 16 helpers.
+const MAX_READERS: usize = 17;
+/// Readers of a prompt that will be late anyway.
+const LATE_READERS: usize = 2;
+
+/// An engine that a request might run on.
+pub(crate) struct Candidate<'a> {
+    pub(crate) engine: &'a Engine,
+    pub(crate) slots: usize,
+    /// Whether it failed a short time ago, is cold, or was not heard of for long.
+    pub(crate) is_doubtful: bool,
+}
+
+/// Where a request runs, as indexes of the candidates.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Place {
+    pub(crate) main: usize,
+    pub(crate) helpers: Vec<usize>,
+    pub(crate) part: (Duration, Duration),
+    pub(crate) expected: Duration,
+}
+
+impl Place {
+    fn alone(main: usize, part: Part, expected: Duration) -> Self {
+        Self { main, helpers: Vec::new(), part: (part.read, part.per_pass), expected }
+    }
+}
+
+/// Whether a prompt can be read between the events of requests like itself.
+pub(crate) fn is_short(profile: &EngineProfile, ask: &Ask) -> bool {
+    profile.read_time(ask.prompt) <= ask.pause_target.mul_f64(SHORT_SHARE)
+}
+
+/// Least time in which any engine answers a request whole.
+pub(crate) fn least_time(profile: &EngineProfile, ask: &Ask) -> Duration {
+    let readers = if is_short(profile, ask) { 1 } else { MAX_READERS };
+    part(profile, ask.prompt, readers).read + profile.write_time(ask.output.min(SURE_OUTPUT))
+}
+
+/// Tokens of an answer that are expected at least; most answers are shorter than their bound.
+const SURE_OUTPUT: u64 = 256;
+
+/// Chooses where a request runs now; `None` if it had better wait.
+pub(crate) fn choose(
+    profile: &EngineProfile,
+    ask: &Ask,
+    candidates: &[Candidate<'_>],
+) -> Option<Place> {
+    match is_short(profile, ask) {
+        true => choose_short(profile, ask, candidates),
+        false => choose_long(profile, ask, candidates),
+    }
+}
+
+fn choose_short(profile: &EngineProfile, ask: &Ask, candidates: &[Candidate<'_>]) -> Option<Place> {
+    let own = part(profile, ask.prompt, 1);
+    let mut fitting: Vec<(usize, Duration)> = candidates
+        .iter()
+        .enumerate()
+        .filter(|(_, c)| fits(profile, ask, c, own))
+        .map(|(i, c)| (i, expect(profile, c.engine, own)))
+        .collect();
+    // The sort is stable, so equal engines keep their order.
+    fitting.sort_by_key(|(i, _)| (candidates[*i].is_doubtful, openness(ask, &candidates[*i])));
+    let limit = ask.target_left;
+    let comfortable = fitting.iter().find(|(i, expected)| {
+        let c = &candidates[*i];
+        let slots = (c.slots as f64 * COMFORTABLE_SLOTS) as usize;
+        !c.is_doubtful && c.engine.mains() < slots.max(1) && *expected <= limit.mul_f64(COMFORTABLE)
+    });
+    let quickest = || fitting.iter().min_by_key(|(i, e)| (candidates[*i].is_doubtful, *e));
+    let is_late = own.read + profile.pass_time() > limit.mul_f64(ON_TIME);
+    let (main, expected) = match comfortable {
+        Some(found) => *found,
+        None => {
+            let (main, expected) = *quickest()?;
+            let is_on_time = expected <= limit.mul_f64(ON_TIME);
+            if !is_on_time && !is_late {
+                return None;
+            }
+            (main, expected)
+        }
+    };
+    Some(Place::alone(main, own, expected))
+}
+
+fn choose_long(profile: &EngineProfile, ask: &Ask, candidates: &[Candidate<'_>]) -> Option<Place> {
+    let sound =
+        |c: &Candidate<'_>| !c.is_doubtful && c.engine.is_idle() && has_room(profile, ask, c);
+    // Taken from the end, as short prompts fill from the beginning.
+    let idle: Vec<usize> = (0..candidates.len()).rev().filter(|i| sound(&candidates[*i])).collect();
+    let reserved = (candidates.len() as f64 * RESERVED_SHARE).ceil() as usize;
+    let reserved = if candidates.len() > 2 { reserved } else { 0 };
+    let free = idle.len().saturating_sub(reserved);
+    let limit = ask.target_left.mul_f64(ON_TIME);
+    let expected = |readers| {
+        part(profile, ask.prompt, readers).read.mul_f64(STEP_OVERHEAD) + profile.pass_time()
+    };
+    let needed = (1..=MAX_READERS.min(candidates.len())).find(|n| expected(*n) <= limit);
+    if needed == Some(1)
+        && let Some(place) = join_long(profile, ask, candidates)
+    {
+        return Some(place);
+    }
+    let readers = match needed {
+        Some(needed) if needed <= free => needed,
+        Some(_) => return None,
+        None => LATE_READERS.min(free),
+    };
+    let (main, helpers) = idle.get(..readers)?.split_first()?;
+    let own = part(profile, ask.prompt, readers);
+    Some(Place {
+        main: *main,
+        helpers: helpers.to_vec(),
+        part: (own.read, own.per_pass),
+        expected: expected(readers),
+    })
+}
+
+/// An engine that runs requests alike and can read one more beside them on time.
+fn join_long(profile: &EngineProfile, ask: &Ask, candidates: &[Candidate<'_>]) -> Option<Place> {
+    let own = part(profile, ask.prompt, 1);
+    let limit = ask.target_left.mul_f64(ON_TIME);
+    let is_alike = |c: &Candidate<'_>| c.engine.pause_target() == Some(ask.pause_target);
+    (0..candidates.len())
+        .rev()
+        .filter(|i| !candidates[*i].is_doubtful && is_alike(&candidates[*i]))
+        .filter(|i| fits(profile, ask, &candidates[*i], own))
+        .map(|i| (i, expect(profile, candidates[i].engine, own)))
+        .find(|(_, expected)| *expected <= limit)
+        .map(|(main, expected)| Place::alone(main, own, expected))
+}
+
+/// Whether an engine has a slot and memory, and its requests bear one more to read.
+fn fits(profile: &EngineProfile, ask: &Ask, c: &Candidate<'_>, own: Part) -> bool {
+    has_room(profile, ask, c) && keeps_pauses(profile, ask, c.engine, own)
+}
+
+fn has_room(profile: &EngineProfile, ask: &Ask, c: &Candidate<'_>) -> bool {
+    let tokens = c.engine.tokens() + ask.prompt + ask.output;
+    c.engine.mains() < c.slots && tokens <= profile.memory_tokens
+}
+
+fn keeps_pauses(profile: &EngineProfile, ask: &Ask, engine: &Engine, own: Part) -> bool {
+    let Some(target) = engine.pause_target() else { return true };
+    let total = engine.reading_left() + own.read;
+    let read = total.min(engine.longest_per_pass().max(own.per_pass));
+    let pass = profile.pass_time() + read.mul_f64(engine.believed_slowness());
+    pass <= target.min(ask.pause_target).mul_f64(PAUSE_SHARE)
+}
+
+/// Time to the first event: the pass under way, what is to be read before, the prompt
+/// itself and the pass that writes the first event.
+fn expect(profile: &EngineProfile, engine: &Engine, own: Part) -> Duration {
+    let under_way = match engine.mains() {
+        0 => Duration::ZERO,
+        _ => (profile.pass_time() + engine.reading_in_pass()) / 2,
+    };
+    let rest = own.read + profile.pass_time();
+    under_way + engine.reading_left() + rest.mul_f64(engine.believed_slowness())
+}
+
+/// Order in which engines are filled: those that already run requests at least as
+/// sensitive, then idle ones, then those that this request would close to others.
+fn openness(ask: &Ask, c: &Candidate<'_>) -> u8 {
+    match c.engine.pause_target() {
+        Some(target) if target <= ask.pause_target => 0,
+        None => 1,
+        Some(_) => 2,
+    }
+}
--- /dev/null
+++ b/crates/grant/src/waiting.rs
@@ -0,0 +1,73 @@
+//! Requests that wait for an engine.
+
+use crate::ask::{Ask, AskId};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+/// Time after which a question that is not asked again is dropped: several times the
+/// interval at which entry daemons repeat it.
+const FORGET: Duration = Duration::from_millis(1_000);
+
+/// A request that waits.
+#[derive(Clone, Debug)]
+pub(crate) struct Waiter {
+    pub(crate) ask: Ask,
+    pub(crate) arrived: Instant,
+    asked: Instant,
+}
+
+impl Waiter {
+    /// The request with the times that are left now.
+    pub(crate) fn at(&self, now: Instant) -> Ask {
+        let passed = now.saturating_duration_since(self.arrived);
+        let mut ask = self.ask.clone();
+        ask.target_left = ask.target_left.saturating_sub(passed);
+        ask.deadline_left = ask.deadline_left.saturating_sub(passed);
+        ask
+    }
+}
+
+/// All requests that wait, in the order in which they are served.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Waiting {
+    waiters: BTreeMap<AskId, Waiter>,
+}
+
+impl Waiting {
+    pub(crate) fn len(&self) -> usize {
+        self.waiters.len()
+    }
+
+    /// Adds a request, or notes that it still waits.
+    pub(crate) fn add(&mut self, now: Instant, ask: Ask) {
+        let waiter = Waiter { arrived: now, asked: now, ask };
+        self.waiters.entry(waiter.ask.id.clone()).or_insert(waiter).asked = now;
+    }
+
+    pub(crate) fn contains(&self, id: &AskId) -> bool {
+        self.waiters.contains_key(id)
+    }
+
+    pub(crate) fn remove(&mut self, id: &AskId) {
+        self.waiters.remove(id);
+    }
+
+    /// Those that wait, the most urgent first: by rank, then those that can still be on
+    /// time before those that can't, then by what time they have left.
+    pub(crate) fn in_order(&self, now: Instant) -> Vec<Ask> {
+        let mut asks: Vec<Ask> = self.waiters.values().map(|waiter| waiter.at(now)).collect();
+        asks.sort_by_key(|ask| {
+            let is_late = ask.target_left.is_zero();
+            let left = if is_late { ask.deadline_left } else { ask.target_left };
+            (ask.priority, is_late, left)
+        });
+        asks
+    }
+
+    /// Drops those whose entry daemon no longer asks.
+    pub(crate) fn forget_silent(&mut self, now: Instant) {
+        self.waiters.retain(|_, w| now.saturating_duration_since(w.asked) < FORGET);
+    }
+}
--- a/crates/group/src/status.rs
+++ b/crates/group/src/status.rs
@@ -27,6 +27,8 @@
     pub membership: Membership,
     /// On a leader: up to where each other member holds the log.
     pub matched: BTreeMap<NodeId, Index>,
+    /// On a leader: ticks since each other member was last heard of.
+    pub silent_ticks: BTreeMap<NodeId, u32>,
     /// On a leader: members that lack entries which they had acknowledged. Replace them.
     pub lost_logs: BTreeSet<NodeId>,
     /// Why the voter takes part in nothing any more, if so.
@@ -52,6 +54,7 @@
             last_index: raft.last_index(),
             membership,
             matched,
+            silent_ticks: raft.silent_ticks().collect(),
             lost_logs: raft.lost_logs().collect(),
             poisoned: None,
             lost_disk: raft.has_lost_disk(),
--- /dev/null
+++ b/crates/proxy/src/retry.rs
@@ -0,0 +1,76 @@
+//! What follows a send that brought no answer to pass on.
+
+use routing::Repeat;
+
+/// How a send to an upstream failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+    /// No connection was made, so nothing was sent.
+    Unreachable,
+    /// The upstream proved that it did not run the request.
+    NotRun,
+    /// The connection broke, or bytes came that are no answer to this request.
+    Broken,
+    /// Nothing came for too long.
+    Silent,
+    /// The upstream ran the request and answered with a failure.
+    Failed,
+}
+
+/// What was sent for one request so far.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Sent {
+    /// Upstreams that got the request.
+    pub sends: u32,
+    /// Whether one of them may have run it.
+    pub may_have_run: bool,
+}
+
+impl Sent {
+    /// Takes in how a send ended.
+    pub fn record(&mut self, fault: Fault) {
+        if fault != Fault::Unreachable {
+            self.sends += 1;
+        }
+        if !matches!(fault, Fault::Unreachable | Fault::NotRun) {
+            self.may_have_run = true;
+        }
+    }
+}
+
+/// What to do next.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// Send it to another upstream.
+    Again,
+    /// Tell the caller that it was not run and when to come back.
+    RefuseNotRun,
+    /// Pass on the upstream's failure.
+    PassOn,
+    /// Tell the caller that it may have run.
+    Fail,
+}
+
+/// Decides what follows a fault. `sent` includes the send that failed.
+///
+/// A request that may have run is sent again only on a route that allows it. Once one
+/// upstream may have run it, no answer says "not run" any more.
+///
+/// ```
+/// use proxy::{Fault, Sent, Step, next_step};
+/// use routing::Repeat;
+///
+/// let mut sent = Sent::default();
+/// sent.record(Fault::Broken);
+/// assert_eq!(next_step(Repeat::Idempotent, 2, sent, Fault::Broken), Step::Again);
+/// assert_eq!(next_step(Repeat::Once, 2, sent, Fault::Broken), Step::Fail);
+/// ```
+pub fn next_step(repeat: Repeat, max_attempts: u32, sent: Sent, fault: Fault) -> Step {
+    let may_send = sent.sends < max_attempts && (!sent.may_have_run || repeat.may_repeat());
+    match fault {
+        _ if may_send => Step::Again,
+        Fault::Failed => Step::PassOn,
+        _ if sent.may_have_run => Step::Fail,
+        _ => Step::RefuseNotRun,
+    }
+}
--- /dev/null
+++ b/crates/proxy/tests/events.rs
@@ -0,0 +1,49 @@
+//! Streams are cut at events only.
+
+use proxy::{Events, Piece};
+
+fn pieces(events: &mut Events) -> Vec<Piece> {
+    std::iter::from_fn(|| events.next_piece()).collect()
+}
+
+#[test]
+fn an_event_is_passed_on_when_it_is_whole() {
+    let mut events = Events::new();
+    events.push(b"id: 7\ndata: a");
+    assert!(events.next_piece().is_none());
+    events.push(b"b\n");
+    assert!(events.next_piece().is_none());
+    events.push(b"\nid: 8\ndata");
+    let piece = events.next_piece().expect("whole");
+    assert_eq!((&piece.bytes[..], piece.id), (&b"id: 7\ndata: ab\n\n"[..], Some(7)));
+    assert_eq!(events.rest(), b"id: 8\ndata");
+    assert!(events.next_piece().is_none());
+}
+
+#[test]
+fn several_events_at_once_carry_the_last_id() {
+    let mut events = Events::new();
+    events.push(b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\n");
+    let piece = events.next_piece().expect("whole");
+    assert_eq!((piece.bytes.len(), piece.id), (42, Some(2)));
+    assert!(events.rest().is_empty());
+}
+
+#[test]
+fn any_cut_of_a_stream_gives_the_same_bytes() {
+    bolero::check!().with_type::<(Vec<u8>, Vec<u8>)>().for_each(|(bytes, cuts)| {
+        let mut events = Events::new();
+        let mut out = Vec::new();
+        let mut rest = bytes.as_slice();
+        for cut in cuts {
+            let (head, tail) = rest.split_at(usize::from(*cut).min(rest.len()));
+            events.push(head);
+            pieces(&mut events).iter().for_each(|piece| out.extend_from_slice(&piece.bytes));
+            rest = tail;
+        }
+        events.push(rest);
+        pieces(&mut events).iter().for_each(|piece| out.extend_from_slice(&piece.bytes));
+        out.extend_from_slice(events.rest());
+        assert_eq!(&out, bytes);
+    });
+}
--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -269,6 +269,11 @@
         self.progress.get(&id).map(|p| p.matched)
     }
 
+    /// On a leader: ticks since each other member was last heard of.
+    pub fn silent_ticks(&self) -> impl Iterator<Item = (NodeId, u32)> + '_ {
+        self.progress.iter().map(|(id, progress)| (*id, progress.silent_ticks))
+    }
+
     /// Members that lack entries which they acknowledged to this leader: their disks are
     /// lost in part or whole. They get nothing more and count for nothing; replace them.
     pub fn lost_logs(&self) -> impl Iterator<Item = NodeId> + '_ {
--- /dev/null
+++ b/crates/routing/src/engine.rs
@@ -0,0 +1,65 @@
+//! What an engine does in which time.
+
+use bincode::{Decode, Encode};
+use std::time::Duration;
+use wire::Tokens;
+
+/// Rates of the engines of a service.
+///
+/// An engine works in passes. A pass reads pieces of prompts, and while any request
+/// writes it runs a fixed number of steps, each of which writes a token of each.
+#[derive(Clone, Debug, Decode, Encode, PartialEq)]
+pub struct EngineProfile {
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Tokens that the memory holds.
+    pub memory_tokens: Tokens,
+    /// Steps of a pass in which a request writes.
+    pub steps_per_pass: u32,
+    /// Milliseconds of a step.
+    pub step_ms: f64,
+    /// Milliseconds that a step takes longer for each request that writes.
+    pub step_ms_per_writer: f64,
+    /// Milliseconds that a step takes longer for each 1,000 tokens of context.
+    pub step_ms_per_context_k: f64,
+    /// Prompt tokens read per second.
+    pub read_per_s: f64,
+    /// Milliseconds for each million pairs of a token and an earlier one.
+    pub read_ms_per_pair_m: f64,
+    /// Most prompt tokens that one step reads.
+    pub chunk_tokens: Tokens,
+}
+
+impl EngineProfile {
+    /// Time to read a prompt on an otherwise idle engine.
+    ///
+    /// The second term grows with the square of the length: each token is compared with
+    /// all earlier ones.
+    pub fn read_time(&self, prompt: Tokens) -> Duration {
+        let tokens = prompt as f64;
+        let linear_ms = tokens / self.read_per_s.max(1.0) * 1e3;
+        let pairs_m = tokens * tokens / 2.0 / 1e6;
+        millis(linear_ms + pairs_m * self.read_ms_per_pair_m)
+    }
+
+    /// Time of a pass that writes and reads nothing.
+    pub fn pass_time(&self) -> Duration {
+        millis(self.step_ms * f64::from(self.steps_per_pass))
+    }
+
+    /// Most reading that one writing pass takes in, for a prompt of this length.
+    pub fn read_per_pass(&self, prompt: Tokens) -> Duration {
+        let pieces = prompt.div_ceil(self.chunk_tokens.max(1)).max(1);
+        let share = (f64::from(self.steps_per_pass) / pieces as f64).min(1.0);
+        self.read_time(prompt).mul_f64(share)
+    }
+
+    /// Time to write an answer in a batch of its own.
+    pub fn write_time(&self, output: Tokens) -> Duration {
+        millis(self.step_ms * output as f64)
+    }
+}
+
+fn millis(ms: f64) -> Duration {
+    Duration::from_secs_f64((ms / 1e3).clamp(0.0, 86_400.0))
+}
--- /dev/null
+++ b/crates/routing/tests/routes.rs
@@ -0,0 +1,95 @@
+//! Lookup and check of routing documents.
+
+use routing::{EngineProfile, Organisation, Route, Routing, Service, Share, Table};
+use std::time::Duration;
+
+fn route(name: &str, prefix: &str) -> Route {
+    let mut route = Route::new(name, "a.example", prefix);
+    route.split = vec![Share { service: "s".to_owned(), weight: 1 }];
+    route
+}
+
+fn routing(routes: Vec<Route>) -> Routing {
+    let mut routing = Routing::new(1);
+    routing.services = vec![Service::new("s")];
+    routing.routes = routes;
+    routing
+}
+
+fn organisation(name: &str, key: &str) -> Organisation {
+    Organisation { name: name.to_owned(), keys: vec![key.to_owned()], priority: None }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let table = Table::new(routing(vec![route("short", "/a/"), route("long", "/a/b/")]));
+    let name = |host, path| table.route(host, path).map(|r| r.name.clone());
+    assert_eq!(name("a.example", "/a/b/c").as_deref(), Some("long"));
+    assert_eq!(name("A.example:80", "/a/c").as_deref(), Some("short"));
+    assert_eq!(name("a.example", "/b/"), None);
+    assert_eq!(name("b.example", "/a/"), None);
+}
+
+#[test]
+fn a_split_follows_its_weights() {
+    let mut split = route("r", "/");
+    let share = |service: &str, weight| Share { service: service.to_owned(), weight };
+    split.split = vec![share("none", 0), share("most", 9), share("few", 1)];
+    assert_eq!(split.pick(0.0).map(String::as_str), Some("most"));
+    assert_eq!(split.pick(0.89).map(String::as_str), Some("most"));
+    assert_eq!(split.pick(0.95).map(String::as_str), Some("few"));
+    assert_eq!(split.pick(1.0).map(String::as_str), Some("few"));
+}
+
+#[test]
+fn a_document_that_no_request_could_follow_is_refused() {
+    let refused = |change: &dyn Fn(&mut Routing)| {
+        let mut routing = routing(vec![route("r", "/a/")]);
+        routing.check().expect("valid before the change");
+        change(&mut routing);
+        routing.check().expect_err("invalid").to_string()
+    };
+    assert!(refused(&|r| r.services.clear()).contains("unknown service"));
+    assert!(refused(&|r| r.routes.push(route("t", "/a/"))).contains("same host and prefix"));
+    assert!(refused(&|r| r.routes[0].split[0].weight = 0).contains("add up to 0"));
+    assert!(refused(&|r| r.routes[0].timeout = Duration::ZERO).contains("timeout"));
+    assert!(refused(&|r| r.routes[0].prefix = "a/".to_owned()).contains("slash"));
+    let shared = |r: &mut Routing| {
+        r.organisations = vec![organisation("x", "k"), organisation("y", "k")];
+    };
+    assert!(refused(&shared).contains("same key"));
+}
+
+#[test]
+fn a_key_names_its_organisation() {
+    let mut routing = routing(vec![route("r", "/")]);
+    let open = Table::new(routing.clone());
+    assert!(!open.needs_key(&open.routing().routes[0]), "no organisation, no key");
+    routing.organisations = vec![organisation("x", "k"), organisation("y", "l")];
+    let table = Table::new(routing);
+    assert_eq!(table.organisation("l").map(|o| o.name.as_str()), Some("y"));
+    assert!(table.organisation("m").is_none());
+    assert!(table.needs_key(&table.routing().routes[0]));
+}
+
+#[test]
+fn reading_grows_with_the_square_of_the_prompt() {
+    let engine = EngineProfile {
+        slots: 16,
+        memory_tokens: 405_000,
+        steps_per_pass: 34,
+        step_ms: 1.31,
+        step_ms_per_writer: 0.000917,
+        step_ms_per_context_k: 0.00213,
+        read_per_s: 154_000.0,
+        read_ms_per_pair_m: 0.162,
+        chunk_tokens: 2_048,
+    };
+    let ms = |tokens| engine.read_time(tokens).as_secs_f64() * 1e3;
+    assert!((ms(4_960) - 34.2).abs() < 0.5, "{}", ms(4_960));
+    assert!((ms(182_000) - 3_865.0).abs() < 5.0, "{}", ms(182_000));
+    // A writing pass takes in at most 34 pieces of 2,048 tokens.
+    let pass = engine.read_per_pass(182_000).as_secs_f64() * 1e3;
+    assert!((pass - 3_865.0 * 34.0 / 89.0).abs() < 5.0, "{pass}");
+    assert_eq!(engine.read_per_pass(4_960), engine.read_time(4_960));
+}
--- a/crates/toucansilld/src/daemon.rs
+++ b/crates/toucansilld/src/daemon.rs
@@ -14,7 +14,7 @@
     session::SessionService,
     settings::Settings,
     sync::lock,
-    voter::{LEASE_CHECK, Voter},
+    voter::{LEASE_CHECK, TICK, Voter},
 };
 use edge::{EdgeConfig, OperatorToken, Server};
 use event::{EventKind, Recorder, RecorderConfig};
@@ -261,7 +261,7 @@
     let Some(cfg) = &settings.voter else { return Ok(None) };
     let (outbox, outgoing) = flume::bounded(OUTBOX);
     let address = net.address().to_string();
-    let voter = Arc::new(Voter::start(cfg, &address, Arc::clone(clock), outbox)?);
+    let voter = Arc::new(Voter::start(cfg, &address, TICK, Arc::clone(clock), outbox)?);
     services::serve_voter(net, &voter);
     let (sender, links) = (Arc::clone(&voter), Arc::clone(net));
     thread::spawn(move || {
--- /dev/null
+++ b/crates/toucansilld/src/gateway/follow.rs
@@ -0,0 +1,104 @@
+//! Keeps a daemon's view up to date.
+
+use super::{
+    bus::Bus,
+    entry::InFlight,
+    lead::FOLLOW_WAIT,
+    messages::{Follow, Question, Reply},
+    settings::GatewaySettings,
+    view::View,
+};
+use kernel::SharedClock;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::time::sleep;
+
+/// Time beyond the leader's own wait until it counts as silent: a few scheduling delays
+/// of a busy VM.
+const SILENCE: Duration = Duration::from_millis(350);
+/// Pause before another daemon is asked, while no leader is known.
+const PAUSE: Duration = Duration::from_millis(40);
+
+/// What the task needs.
+pub(crate) struct Follower {
+    pub(crate) settings: Arc<GatewaySettings>,
+    pub(crate) bus: Arc<Bus>,
+    pub(crate) view: Arc<View>,
+    pub(crate) clock: SharedClock,
+    pub(crate) in_flight: Arc<InFlight>,
+}
+
+impl Follower {
+    /// Asks the leader for changes, one question after the other, until the task ends.
+    pub(crate) async fn run(self) {
+        let mut turn = usize::from(self.settings.links.port());
+        let mut hint: Option<SocketAddr> = None;
+        let mut known_term = 0;
+        loop {
+            let target = hint.take().or_else(|| self.view.with(|state| state.leader));
+            let Some(target) = target.or_else(|| self.candidate(&mut turn)) else {
+                sleep(PAUSE).await;
+                continue;
+            };
+            match self.ask(target, known_term).await {
+                Ok(Reply::View(change)) => {
+                    let now = self.clock.now();
+                    known_term = change.position.term;
+                    self.view.with(|state| {
+                        if state.leader != Some(target) {
+                            log::info!(leader:% = target, term = known_term; "leader followed");
+                        }
+                        state.leader = Some(target);
+                        state.apply(now, *change);
+                    });
+                }
+                Ok(Reply::NotLeader { leader }) => {
+                    self.lose(target, "leads no more");
+                    hint = leader.and_then(|leader| leader.parse().ok()).filter(|l| *l != target);
+                    if hint.is_none() {
+                        sleep(PAUSE).await;
+                    }
+                }
+                Ok(_) => log::error!("{target}: unexpected answer"),
+                Err(err) => {
+                    self.lose(target, &err.to_string());
+                    sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn ask(&self, target: SocketAddr, known_term: u64) -> wire::Result<Reply> {
+        let position = self.view.with(|state| state.position);
+        // A leader that has just changed needs to know what runs.
+        let running = match position.term == known_term {
+            true => self.in_flight.take_unreported(known_term),
+            false => Vec::new(),
+        };
+        let follow = Follow {
+            daemon: self.settings.daemon.clone(),
+            is_entry: self.settings.entry.is_some(),
+            position,
+            running,
+        };
+        self.bus.ask(target, &Question::Follow(follow), FOLLOW_WAIT + SILENCE).await
+    }
+
+    fn lose(&self, target: SocketAddr, reason: &str) {
+        self.view.with(|state| {
+            if state.leader == Some(target) {
+                log::warn!(leader:% = target; "leader lost: {reason}");
+                state.leader = None;
+            }
+        });
+    }
+
+    /// The daemons of the control group in turn: those that a leader named, and the seeds.
+    fn candidate(&self, turn: &mut usize) -> Option<SocketAddr> {
+        let mut known = self.view.with(|state| state.controls.clone());
+        known.extend(self.settings.seed_links());
+        known.sort_unstable();
+        known.dedup();
+        *turn = turn.wrapping_add(1);
+        known.get(*turn % known.len().max(1)).copied()
+    }
+}
--- /dev/null
+++ b/crates/toucansilld/src/gateway/identity.rs
@@ -0,0 +1,101 @@
+//! Which member of the control group this daemon is.
+
+use super::settings::{ControlSettings, GatewaySettings};
+use crate::{
+    error::{Error, Result},
+    settings::{InitialVoter, VoterSettings},
+};
+use std::{
+    fs::{self, File},
+    io::{self, Write},
+    net::{IpAddr, SocketAddr},
+    path::Path,
+};
+
+/// Name of the file that holds the id.
+const FILE: &str = "member-id";
+/// Ids below are made from the addresses of founders; a daemon that joins draws a higher
+/// one, so that no id is used twice.
+const FIRST_DRAWN_ID: u64 = 1 << 40;
+
+/// Settings of this daemon's voter.
+///
+/// The seeds of a region that starts for the first time found the group: all know the
+/// same seeds, so all derive the same members from them. Any other daemon without a
+/// stored id draws one and asks to be admitted. So does one that has lost its disk: it
+/// may have voted under its former id, which must not vote again.
+pub(crate) fn voter_settings(
+    settings: &GatewaySettings,
+    control: &ControlSettings,
+) -> Result<VoterSettings> {
+    let fault = |err: io::Error| Error::start("control.data_folder", err);
+    fs::create_dir_all(&control.data_folder).map_err(fault)?;
+    let file = control.data_folder.join(FILE);
+    let is_founder = control.founds_group && settings.seeds.contains(&control.listen);
+    let stored = read(&file).map_err(fault)?;
+    let id = match stored {
+        Some(id) => id,
+        None => {
+            let id = if is_founder { founder_id(control.listen) } else { drawn_id() };
+            write(&file, id).map_err(fault)?;
+            id
+        }
+    };
+    let founders = settings.seeds.iter().zip(settings.seed_links());
+    let initial = founders.map(|(seed, address)| InitialVoter { id: founder_id(*seed), address });
+    Ok(VoterSettings {
+        id,
+        data_folder: control.data_folder.clone(),
+        initial: if is_founder && id < FIRST_DRAWN_ID { initial.collect() } else { Vec::new() },
+    })
+}
+
+/// Removes all that the former member held. The next start draws a new id.
+pub(crate) fn forget(control: &ControlSettings) -> io::Result<()> {
+    let file = control.data_folder.join(FILE);
+    match fs::remove_file(&file) {
+        Err(err) if err.kind() != io::ErrorKind::NotFound => return Err(err),
+        _ => {}
+    }
+    for entry in fs::read_dir(&control.data_folder)? {
+        let path = entry?.path();
+        if path.is_dir() { fs::remove_dir_all(&path)? } else { fs::remove_file(&path)? }
+    }
+    File::open(&control.data_folder)?.sync_all()
+}
+
+fn founder_id(seed: SocketAddr) -> u64 {
+    match seed.ip() {
+        IpAddr::V4(ip) => u64::from(u32::from(ip)),
+        // Regions use IPv4; the low half of another address tells its hosts apart.
+        IpAddr::V6(ip) => (u128::from(ip) as u64) % FIRST_DRAWN_ID,
+    }
+}
+
+fn drawn_id() -> u64 {
+    fastrand::u64(FIRST_DRAWN_ID..u64::MAX)
+}
+
+fn read(file: &Path) -> io::Result<Option<u64>> {
+    match fs::read_to_string(file) {
+        Ok(text) => match text.trim().parse() {
+            Ok(id) => Ok(Some(id)),
+            Err(err) => Err(io::Error::new(io::ErrorKind::InvalidData, err)),
+        },
+        Err(err) if err.kind() == io::ErrorKind::NotFound => Ok(None),
+        Err(err) => Err(err),
+    }
+}
+
+/// Writes aside and renames, so that a loss of power leaves the whole id or none.
+fn write(file: &Path, id: u64) -> io::Result<()> {
+    let aside = file.with_extension("new");
+    let mut f = File::create(&aside)?;
+    f.write_all(id.to_string().as_bytes())?;
+    f.sync_all()?;
+    fs::rename(&aside, file)?;
+    match file.parent() {
+        Some(folder) => File::open(folder)?.sync_all(),
+        None => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/toucansilld/src/gateway/lead.rs
@@ -0,0 +1,226 @@
+//! What only the leader of the control group holds. It ends with its term.
+
+use super::messages::{Follow, Position, Progress, ViewChange};
+use grant::{Ask, AskId, Decision, Directory, Dispatcher, DispatcherConfig};
+use routing::Routing;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use wire::{DaemonId, Responder};
+
+/// Longest time that the leader holds a question of a daemon that lacks nothing. Daemons
+/// notice within it, and a margin, that a leader is gone.
+pub(crate) const FOLLOW_WAIT: Duration = Duration::from_millis(400);
+/// Time for which a daemon counts as a follower after it was last heard: several
+/// questions. One that is silent for longer is down, frozen or cut off.
+const FOLLOWER: Duration = Duration::from_millis(1_200);
+/// Time after which the grants of a silent daemon return: its streams are dead or will be
+/// reported again.
+const DAEMON_LOST: Duration = Duration::from_secs(4);
+/// Time after which a request that waits is told so, and asks again. Entry daemons take
+/// longer silence for a lost leader.
+pub(crate) const PLACE_WAIT: Duration = Duration::from_millis(100);
+
+struct FollowerState {
+    is_entry: bool,
+    heard: Instant,
+    position: Position,
+}
+
+struct Pending {
+    responder: Responder,
+    asked: Instant,
+}
+
+/// State of one leader's term.
+pub(crate) struct Lead {
+    term: u64,
+    pub(crate) directory: Directory,
+    dispatcher: Dispatcher,
+    pending: BTreeMap<AskId, Pending>,
+    followers: BTreeMap<DaemonId, FollowerState>,
+    routing: Option<(u64, Arc<control::Published>)>,
+    closed_changes: u64,
+}
+
+/// A question that can be answered now.
+pub(crate) type Answered = (Responder, Decision);
+
+impl Lead {
+    /// The leader of a term, with the directory that it has followed so far.
+    pub(crate) fn new(term: u64, cfg: DispatcherConfig, directory: Directory) -> Self {
+        Self {
+            term,
+            directory,
+            dispatcher: Dispatcher::new(cfg),
+            pending: BTreeMap::new(),
+            followers: BTreeMap::new(),
+            routing: None,
+            closed_changes: 0,
+        }
+    }
+
+    /// The term.
+    pub(crate) fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Requests that wait for an upstream, and that run.
+    pub(crate) fn load(&self) -> (usize, usize) {
+        (self.dispatcher.waiting(), self.dispatcher.running())
+    }
+
+    /// Takes over what the replicated state says. Returns whether that is news.
+    pub(crate) fn follow_state(&mut self, state: &control::State) -> bool {
+        let mut is_news = false;
+        let held = self.routing.as_ref().map_or(0, |(version, _)| *version);
+        if let Some(published) = state.routing().filter(|p| p.version > held) {
+            match wire::decode::<Routing>(&published.compiled) {
+                Ok(routing) => self.dispatcher.set_services(&routing.services),
+                Err(err) => log::error!("routing document not read: {err}"),
+            }
+            self.routing = Some((published.version, Arc::clone(published)));
+            is_news = true;
+        }
+        if state.closed() != self.directory.closed() {
+            self.directory.set_closed(state.closed().clone());
+            self.closed_changes += 1;
+            is_news = true;
+        }
+        is_news
+    }
+
+    /// Where a view is that lacks nothing.
+    pub(crate) fn position(&self) -> Position {
+        Position {
+            term: self.term,
+            routing: self.routing.as_ref().map_or(0, |(version, _)| *version),
+            directory: self.directory.revision(),
+            closed: self.closed_changes,
+        }
+    }
+
+    /// Notes a follower, and what it runs.
+    pub(crate) fn hear(&mut self, now: Instant, follow: &Follow) {
+        let heard =
+            FollowerState { is_entry: follow.is_entry, heard: now, position: follow.position };
+        if self.followers.insert(follow.daemon.clone(), heard).is_none() {
+            log::info!(daemon = follow.daemon.as_str(), term = self.term; "daemon follows");
+        }
+        for running in &follow.running {
+            self.dispatcher.adopt(now, &self.directory, running);
+        }
+    }
+
+    /// What a follower lacks.
+    pub(crate) fn change_for(
+        &self,
+        now: Instant,
+        has: Position,
+        controls: &[String],
+    ) -> ViewChange {
+        let position = self.position();
+        let is_whole = has.term != self.term || !self.directory.remembers_since(has.directory);
+        let since = if is_whole { 0 } else { has.directory };
+        let newer = self.routing.as_ref().filter(|(version, _)| *version > has.routing);
+        ViewChange {
+            position,
+            routing: newer.map(|(_, published)| published.compiled.clone()),
+            is_whole,
+            entries: self.directory.changes_since(now, since),
+            closed: self.directory.closed().clone(),
+            entry_daemons: self.entry_daemons(now),
+            controls: controls.to_vec(),
+        }
+    }
+
+    /// Whether each daemon that is in touch has all that the leader had at `position`.
+    pub(crate) fn is_followed(&self, now: Instant, position: &Position) -> bool {
+        self.live(now).all(|follower| follower.position.covers(position))
+    }
+
+    /// Names of the daemons that lack something of `position`.
+    pub(crate) fn lagging(&self, now: Instant, position: &Position) -> Vec<DaemonId> {
+        let is_live = |f: &FollowerState| now.saturating_duration_since(f.heard) < FOLLOWER;
+        let followers = self.followers.iter();
+        let lagging = followers.filter(|(_, f)| is_live(f) && !f.position.covers(position));
+        lagging.map(|(daemon, _)| daemon.clone()).collect()
+    }
+
+    /// Answers a question, or keeps it until there is an answer.
+    pub(crate) fn place(&mut self, now: Instant, ask: Ask, responder: Responder) -> Vec<Answered> {
+        let id = ask.id.clone();
+        let decision = self.dispatcher.ask(now, &self.directory, ask);
+        if decision != Decision::Waiting {
+            return vec![(responder, decision)];
+        }
+        self.pending.insert(id, Pending { responder, asked: now });
+        Vec::new()
+    }
+
+    /// Takes in how requests go on.
+    pub(crate) fn progress(&mut self, now: Instant, progress: Vec<Progress>) -> Vec<Answered> {
+        for one in progress {
+            match one {
+                Progress::Began(id) => self.dispatcher.began(now, &id),
+                Progress::Ended(id, end) => self.dispatcher.ended(now, &id, end),
+            }
+        }
+        self.poll(now)
+    }
+
+    /// Answers that time or a change has made possible.
+    pub(crate) fn poll(&mut self, now: Instant) -> Vec<Answered> {
+        let mut answered = Vec::new();
+        for (id, decision) in self.dispatcher.poll(now, &self.directory) {
+            // Without a responder, the entry daemon is between two questions; it gets the
+            // same grant when it asks again.
+            if let Some(pending) = self.pending.remove(&id) {
+                answered.push((pending.responder, decision));
+            }
+        }
+        let due = |p: &Pending| now.saturating_duration_since(p.asked) >= PLACE_WAIT;
+        let waited: Vec<AskId> =
+            self.pending.iter().filter(|(_, p)| due(p)).map(|(id, _)| id.clone()).collect();
+        for id in waited {
+            if let Some(pending) = self.pending.remove(&id) {
+                answered.push((pending.responder, Decision::Waiting));
+            }
+        }
+        answered
+    }
+
+    /// Whether any request waits.
+    pub(crate) fn has_waiting(&self) -> bool {
+        self.dispatcher.waiting() > 0 || !self.pending.is_empty()
+    }
+
+    /// Returns the grants of daemons that are gone, and forgets old departures.
+    pub(crate) fn clean_up(&mut self, now: Instant) {
+        let is_lost = |f: &FollowerState| now.saturating_duration_since(f.heard) >= DAEMON_LOST;
+        let lost: BTreeSet<DaemonId> = self
+            .followers
+            .iter()
+            .filter(|(_, f)| is_lost(f))
+            .map(|(daemon, _)| daemon.clone())
+            .collect();
+        for daemon in lost {
+            log::warn!(daemon = daemon.as_str(), term = self.term; "daemon lost");
+            self.followers.remove(&daemon);
+            self.dispatcher.daemon_lost(now, &daemon);
+        }
+        self.directory.forget_departed(now);
+    }
+
+    fn live(&self, now: Instant) -> impl Iterator<Item = &FollowerState> {
+        let is_live = move |f: &&FollowerState| now.saturating_duration_since(f.heard) < FOLLOWER;
+        self.followers.values().filter(is_live)
+    }
+
+    fn entry_daemons(&self, now: Instant) -> u32 {
+        let entries = self.live(now).filter(|follower| follower.is_entry).count();
+        u32::try_from(entries.max(1)).unwrap_or(u32::MAX)
+    }
+}
--- /dev/null
+++ b/crates/toucansilld/src/gateway/placer.rs
@@ -0,0 +1,280 @@
+//! Asks where a request runs, and tells how it went on.
+
+use super::{
+    bus::Bus,
+    messages::{Progress, Question, Reply},
+    view::View,
+};
+use crate::sync::lock;
+use grant::{Ask, AskId, Decision, End, Grant, Refusal, Running};
+use kernel::SharedClock;
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+use tokio::time::sleep;
+use wire::{DaemonId, UpstreamId};
+
+/// Time without an answer of the leader after which it is not asked any more: as long as
+/// it may hold a follower's question, and a margin.
+const LEADER_WINDOW: Duration = Duration::from_millis(900);
+/// Longest wait for the leader's answer to one question, which it gives within 100 ms.
+const PLACE_TIMEOUT: Duration = Duration::from_millis(350);
+/// Longest wait for a leader before this daemon decides alone. An election takes longer;
+/// short prompts that wait for its end are late.
+const LEADER_PATIENCE: Duration = Duration::from_millis(150);
+/// Pause between two looks for a leader.
+const LEADER_CHECK: Duration = Duration::from_millis(25);
+/// Time for which news of requests are collected into one message.
+const PROGRESS_DELAY: Duration = Duration::from_millis(15);
+/// Longest wait until the leader has noted news.
+const PROGRESS_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which a caller that found no upstream may try again: about the time in which
+/// a lost upstream is replaced in the directory.
+const NO_UPSTREAM_RETRY: Duration = Duration::from_millis(500);
+
+/// Requests of this daemon that hold a grant of a leader.
+pub(crate) struct InFlight {
+    running: Mutex<BTreeMap<AskId, (u64, Running)>>,
+}
+
+impl InFlight {
+    /// None.
+    pub(crate) fn new() -> Arc<Self> {
+        Arc::new(Self { running: Mutex::default() })
+    }
+
+    /// Those that the leader of this term did not grant and was not told of yet.
+    pub(crate) fn take_unreported(&self, term: u64) -> Vec<Running> {
+        let mut running = lock(&self.running);
+        let unreported = running.values_mut().filter(|(known, _)| *known != term);
+        unreported
+            .map(|(known, running)| {
+                *known = term;
+                running.clone()
+            })
+            .collect()
+    }
+
+    fn add(&self, term: u64, running: Running) {
+        lock(&self.running).insert(running.ask.id.clone(), (term, running));
+    }
+
+    fn began(&self, id: &AskId) {
+        if let Some((_, running)) = lock(&self.running).get_mut(id) {
+            running.has_begun = true;
+        }
+    }
+
+    fn remove(&self, id: &AskId) {
+        lock(&self.running).remove(id);
+    }
+}
+
+/// Finds upstreams for requests of one entry daemon.
+pub(crate) struct Placer {
+    daemon: DaemonId,
+    view: Arc<View>,
+    bus: Arc<Bus>,
+    clock: SharedClock,
+    in_flight: Arc<InFlight>,
+    next: AtomicU64,
+    news: flume::Sender<Progress>,
+}
+
+/// Where a request runs, until it ends. Dropped before [`Hold::end`], the request counts
+/// as abandoned.
+pub(crate) struct Hold {
+    placer: Arc<Placer>,
+    ask: AskId,
+    /// Where to send it.
+    pub(crate) grant: Grant,
+    is_local: bool,
+    has_begun: bool,
+    has_ended: bool,
+}
+
+impl Placer {
+    /// A placer, and the task that brings its news to the leader.
+    pub(crate) fn new(
+        daemon: DaemonId,
+        view: Arc<View>,
+        bus: Arc<Bus>,
+        clock: SharedClock,
+        in_flight: Arc<InFlight>,
+    ) -> (Arc<Self>, impl Future<Output = ()> + Send) {
+        let (news, rx) = flume::unbounded();
+        let teller = tell(rx, Arc::clone(&view), Arc::clone(&bus));
+        let start = fastrand::u64(..u64::from(u32::MAX)) << 32;
+        let next = AtomicU64::new(start);
+        (Arc::new(Self { daemon, view, bus, clock, in_flight, next, news }), teller)
+    }
+
+    /// A name for the next question; differs from those of earlier runs of this daemon.
+    pub(crate) fn next_id(&self) -> AskId {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        AskId { daemon: self.daemon.clone(), number }
+    }
+
+    /// Finds an upstream for a stream: the leader decides, or this daemon alone while
+    /// there is none. `is_dispatched` is false for services that daemons place alone.
+    pub(crate) async fn place(
+        self: &Arc<Self>,
+        ask: Ask,
+        is_dispatched: bool,
+    ) -> Result<Hold, (Refusal, Duration)> {
+        if !is_dispatched {
+            return self.place_alone(&ask);
+        }
+        let asked = self.clock.now();
+        let deadline = asked + ask.deadline_left;
+        let mut without_leader = None;
+        loop {
+            let now = self.clock.now();
+            if now >= deadline {
+                self.tell(Progress::Ended(ask.id.clone(), End::Abandoned));
+                return Err((Refusal::NoTime, NO_UPSTREAM_RETRY));
+            }
+            let Some(leader) = self.view.leader(now, LEADER_WINDOW) else {
+                let since = *without_leader.get_or_insert(now);
+                if now.saturating_duration_since(since) >= LEADER_PATIENCE {
+                    return self.place_alone(&ask);
+                }
+                sleep(LEADER_CHECK).await;
+                continue;
+            };
+            let mut left = ask.clone();
+            let passed = now.saturating_duration_since(asked);
+            left.target_left = left.target_left.saturating_sub(passed);
+            left.deadline_left = left.deadline_left.saturating_sub(passed);
+            let term = self.view.with(|state| state.position.term);
+            match self.bus.ask(leader, &Question::Place(left), PLACE_TIMEOUT).await {
+                Ok(Reply::Placed(Decision::Granted(grant))) => {
+                    return Ok(self.hold(ask, grant, term));
+                }
+                Ok(Reply::Placed(Decision::Refused { refusal, retry_after })) => {
+                    return Err((refusal, retry_after));
+                }
+                Ok(Reply::Placed(Decision::Waiting)) => without_leader = None,
+                Ok(_) => {
+                    without_leader.get_or_insert(now);
+                    sleep(LEADER_CHECK).await;
+                }
+                Err(err) => {
+                    log::debug!("{leader}: {err}");
+                    let since = *without_leader.get_or_insert(now);
+                    if self.clock.now().saturating_duration_since(since) >= LEADER_PATIENCE {
+                        return self.place_alone(&ask);
+                    }
+                }
+            }
+        }
+    }
+
+    fn hold(self: &Arc<Self>, ask: Ask, grant: Grant, term: u64) -> Hold {
+        let running = Running {
+            upstream: grant.upstream.clone(),
+            helpers: grant.helpers.iter().map(|helper| helper.upstream.clone()).collect(),
+            has_begun: false,
+            ask,
+        };
+        let ask = running.ask.id.clone();
+        self.in_flight.add(term, running);
+        let placer = Arc::clone(self);
+        Hold { placer, ask, grant, is_local: false, has_begun: false, has_ended: false }
+    }
+
+    fn place_alone(self: &Arc<Self>, ask: &Ask) -> Result<Hold, (Refusal, Duration)> {
+        let now = self.clock.now();
+        let chosen = self.view.with(|state| {
+            let spread = ask.id.number;
+            let service = &ask.service;
+            let entry = state.local.choose(now, &state.directory, service, &ask.tried, spread)?;
+            let said = &entry.registration;
+            let grant = Grant {
+                id: 0,
+                upstream: said.id.clone(),
+                address: said.address,
+                helpers: Vec::new(),
+                expected_first: Duration::ZERO,
+            };
+            state.local.started(&grant.upstream);
+            Some(grant)
+        });
+        let Some(grant) = chosen else { return Err((Refusal::NoUpstream, NO_UPSTREAM_RETRY)) };
+        let (placer, ask) = (Arc::clone(self), ask.id.clone());
+        Ok(Hold { placer, ask, grant, is_local: true, has_begun: false, has_ended: false })
+    }
+
+    fn tell(&self, progress: Progress) {
+        // The receiver lives as long as the daemon.
+        let _ = self.news.send(progress);
+    }
+}
+
+impl Hold {
+    /// Whether this daemon decided alone.
+    pub(crate) fn is_local(&self) -> bool {
+        self.is_local
+    }
+
+    /// The upstream that runs it.
+    pub(crate) fn upstream(&self) -> &UpstreamId {
+        &self.grant.upstream
+    }
+
+    /// The first event of the answer has come.
+    pub(crate) fn began(&mut self) {
+        if self.has_begun || self.is_local {
+            return;
+        }
+        self.has_begun = true;
+        self.placer.in_flight.began(&self.ask);
+        self.placer.tell(Progress::Began(self.ask.clone()));
+    }
+
+    /// The request has ended there.
+    pub(crate) fn end(mut self, end: End) {
+        self.conclude(end);
+    }
+
+    fn conclude(&mut self, end: End) {
+        if std::mem::replace(&mut self.has_ended, true) {
+            return;
+        }
+        if self.is_local {
+            let now = self.placer.clock.now();
+            let id = &self.grant.upstream;
+            return self.placer.view.with(|state| state.local.ended(now, id, end.is_failure()));
+        }
+        self.placer.in_flight.remove(&self.ask);
+        self.placer.tell(Progress::Ended(self.ask.clone(), end));
+    }
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        self.conclude(End::Abandoned);
+    }
+}
+
+/// Brings news to the leader, in order, several in one message. What a leader missed, its
+/// successor learns from the requests that still run.
+async fn tell(rx: flume::Receiver<Progress>, view: Arc<View>, bus: Arc<Bus>) {
+    while let Ok(first) = rx.recv_async().await {
+        sleep(PROGRESS_DELAY).await;
+        let news: Vec<Progress> = std::iter::once(first).chain(rx.try_iter()).collect();
+        let count = news.len();
+        let Some(leader) = view.leader(Instant::now(), LEADER_WINDOW) else {
+            log::warn!(count = count; "news of requests dropped: no leader");
+            continue;
+        };
+        if let Err(err) = bus.ask(leader, &Question::Progress(news), PROGRESS_TIMEOUT).await {
+            log::warn!(count = count, leader:% = leader; "news of requests not confirmed: {err}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/toucansilld/src/gateway/record.rs
@@ -0,0 +1,115 @@
+//! What is logged of one request.
+
+use super::flight::SendEnd;
+use http::StatusCode;
+use kernel::SharedClock;
+use std::{sync::Arc, time::Instant};
+use wire::{OrganisationId, RequestId, ServiceId, UpstreamId};
+
+/// Collects what decided a request. It becomes one line of the log and one sample of each
+/// metric when the request ends, or when it is dropped because the caller has left.
+pub(crate) struct Record {
+    request: RequestId,
+    arrived: Instant,
+    clock: SharedClock,
+    /// Version of the routing document that the request was handled by.
+    pub(crate) version: u64,
+    /// Its route.
+    pub(crate) route: String,
+    /// Its organisation, empty without one.
+    pub(crate) organisation: OrganisationId,
+    /// Its service.
+    pub(crate) service: ServiceId,
+    sends: Vec<String>,
+    first_event_ms: Option<u64>,
+    outcome: Option<(StatusCode, String)>,
+    is_handed_over: bool,
+}
+
+impl Record {
+    /// A request that has just come.
+    pub(crate) fn new(arrived: Instant, clock: &SharedClock, request: Option<RequestId>) -> Self {
+        Self {
+            request: request.unwrap_or_default(),
+            arrived,
+            clock: Arc::clone(clock),
+            version: 0,
+            route: String::new(),
+            organisation: String::new(),
+            service: String::new(),
+            sends: Vec::new(),
+            first_event_ms: None,
+            outcome: None,
+            is_handed_over: false,
+        }
+    }
+
+    /// Notes how a send ended: where, who decided, after which time, and how.
+    pub(crate) fn sent(&mut self, upstream: &UpstreamId, is_local: bool, ms: u64, end: &SendEnd) {
+        let by = if is_local { "entry" } else { "leader" };
+        self.sends.push(format!("{upstream} by {by}: {end} after {ms} ms"));
+    }
+
+    /// Notes the first event of a stream.
+    pub(crate) fn first_event(&mut self) {
+        if self.first_event_ms.is_none() {
+            self.first_event_ms = Some(self.elapsed_ms());
+        }
+    }
+
+    /// Notes how the request ended.
+    pub(crate) fn finish(&mut self, status: StatusCode, reason: impl Into<String>) {
+        self.outcome = Some((status, reason.into()));
+    }
+
+    /// The record for a task that goes on with the request; this one logs nothing.
+    pub(crate) fn hand_over(&mut self) -> Self {
+        self.is_handed_over = true;
+        Self {
+            request: std::mem::take(&mut self.request),
+            arrived: self.arrived,
+            clock: Arc::clone(&self.clock),
+            version: self.version,
+            route: std::mem::take(&mut self.route),
+            organisation: std::mem::take(&mut self.organisation),
+            service: std::mem::take(&mut self.service),
+            sends: std::mem::take(&mut self.sends),
+            first_event_ms: self.first_event_ms,
+            outcome: None,
+            is_handed_over: false,
+        }
+    }
+
+    fn elapsed_ms(&self) -> u64 {
+        let elapsed = self.clock.now().saturating_duration_since(self.arrived);
+        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+    }
+}
+
+impl Drop for Record {
+    fn drop(&mut self) {
+        if self.is_handed_over {
+            return;
+        }
+        let ms = self.elapsed_ms();
+        let (status, reason) = match self.outcome.take() {
+            Some((status, reason)) => (status.as_u16(), reason),
+            None => (0, String::from("the caller left")),
+        };
+        log::info!(
+            request = self.request.as_str(), route = self.route.as_str(),
+            organisation = self.organisation.as_str(), service = self.service.as_str(),
+            version = self.version, status = status, ms = ms,
+            first_event_ms = self.first_event_ms.unwrap_or(0), sends:? = self.sends;
+            "request ended: {reason}"
+        );
+        let labels = [("route", self.route.clone()), ("status", status.to_string())];
+        metrics::counter!("toucansill_requests_total", &labels).increment(1);
+        let route = [("route", self.route.clone())];
+        metrics::histogram!("toucansill_request_seconds", &route).record(ms as f64 / 1e3);
+        if let Some(first) = self.first_event_ms {
+            metrics::histogram!("toucansill_first_event_seconds", &route)
+                .record(first as f64 / 1e3);
+        }
+    }
+}
--- /dev/null
+++ b/crates/toucansilld/src/gateway/run.rs
@@ -0,0 +1,377 @@
+//! Starts a gateway daemon, and stops it as planned.
+
+use super::{
+    bus::{Answerer, Bus, Stepper},
+    control::{Control, status_of},
+    entry::{Entry, InFlight},
+    follow::Follower,
+    identity,
+    members::TICK,
+    messages::{Call, Question, Reply},
+    placer::Placer,
+    settings::{ControlSettings, EntrySettings, GatewaySettings},
+    view::View,
+};
+use crate::{
+    error::{Error, Result},
+    logs,
+    voter::Voter,
+};
+use group::Outgoing;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use kernel::{SharedClock, SystemClock};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use proxy::{Body, Connections, Server, ServerConfig, empty, full, read_body, serve};
+use routing::HttpLimits;
+use std::{
+    net::SocketAddr,
+    path::Path,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::{
+    runtime::Builder,
+    signal::unix::{SignalKind, signal},
+    sync::watch,
+    time::sleep,
+};
+
+/// Threads for work that waits for the disk or for other voters.
+const BLOCKING_THREADS: usize = 16;
+/// Consensus messages that wait to be sent; further ones are dropped and sent again.
+const OUTBOX: usize = 4_096;
+/// Most connections to the control, readiness and metrics addresses: several times the
+/// upstreams of a region.
+const SIDE_CONNECTIONS: usize = 512;
+/// Largest body of a call of an operator: a routing document of tens of thousands of routes.
+const CALL_BYTES_MAX: u64 = 16 << 20;
+/// Longest wait for the body of a call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time between two sums of metric samples, which would pile up otherwise.
+const METRICS_UPKEEP: Duration = Duration::from_secs(5);
+/// Time after the signal to stop within which a balancer still sends connections here: it
+/// asks once a second and needs two answers.
+const BALANCER_DELAY: Duration = Duration::from_millis(2_600);
+/// Time before the process is killed at which it ends by itself.
+const STOP_MARGIN: Duration = Duration::from_millis(300);
+/// Time between two looks whether requests still run, or settings have changed.
+const CHECK: Duration = Duration::from_millis(50);
+
+/// Runs a daemon by a settings file until a signal stops it.
+///
+/// # Errors
+///
+/// Names the setting at fault, or what could not be started.
+pub fn run(path: &Path) -> Result<()> {
+    let settings = Arc::new(GatewaySettings::load(path)?);
+    logs::install_bounded(&settings.daemon);
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .max_blocking_threads(BLOCKING_THREADS)
+        .build()
+        .map_err(|err| Error::start("runtime", err))?;
+    log::info!(
+        entry = settings.entry.is_some(), control = settings.control.is_some(),
+        data_centre = settings.data_centre.as_str(); "starting"
+    );
+    let stopped = runtime.block_on(run_daemon(path, settings));
+    match &stopped {
+        Ok(()) => log::info!("stopped"),
+        Err(err) => log::error!("stopped: {err}"),
+    }
+    logs::flush();
+    runtime.shutdown_background();
+    stopped
+}
+
+async fn run_daemon(path: &Path, settings: Arc<GatewaySettings>) -> Result<()> {
+    let clock: SharedClock = Arc::new(SystemClock);
+    let metrics = install_metrics();
+    let view = View::new();
+    let in_flight = InFlight::new();
+    let (is_stopping_tx, is_stopping) = watch::channel(false);
+
+    let mut raft_out = None;
+    let control = match &settings.control {
+        Some(cfg) => {
+            let (outbox, outgoing) = flume::bounded(OUTBOX);
+            raft_out = Some(outgoing);
+            let own = settings.links.to_string();
+            let voter = identity::voter_settings(&settings, cfg)?;
+            let voter = Arc::new(Voter::start(&voter, &own, TICK, Arc::clone(&clock), outbox)?);
+            let (view, clock) = (Arc::clone(&view), Arc::clone(&clock));
+            Some(Control::new(Arc::clone(&settings), cfg.clone(), voter, view, clock))
+        }
+        None => None,
+    };
+    let bus = Bus::start(&settings, answerer(control.clone()), stepper(control.clone())).await?;
+    if let (Some(control), Some(outgoing)) = (&control, raft_out) {
+        control.set_bus(Arc::clone(&bus));
+        tokio::spawn(send_raft(Arc::clone(control), outgoing));
+        tokio::spawn(Arc::clone(control).watch_leadership());
+        tokio::spawn(Arc::clone(control).watch_waiting());
+    }
+    let follower = Follower {
+        settings: Arc::clone(&settings),
+        bus: Arc::clone(&bus),
+        view: Arc::clone(&view),
+        clock: Arc::clone(&clock),
+        in_flight: Arc::clone(&in_flight),
+    };
+    tokio::spawn(follower.run());
+    serve_metrics(&settings, metrics, is_stopping.clone())?;
+
+    let mut callers = None;
+    if let Some(cfg) = &settings.entry {
+        let (placer, teller) = Placer::new(
+            settings.daemon.clone(),
+            Arc::clone(&view),
+            Arc::clone(&bus),
+            Arc::clone(&clock),
+            in_flight,
+        );
+        tokio::spawn(teller);
+        let entry = Arc::new(Entry { view: Arc::clone(&view), placer, clock: Arc::clone(&clock) });
+        callers = Some(serve_entry(cfg, entry, is_stopping.clone())?);
+        serve_readiness(cfg, Arc::clone(&view), is_stopping.clone())?;
+    }
+    let mut member = None;
+    if let (Some(cfg), Some(control)) = (&settings.control, &control) {
+        serve_control(cfg, Arc::clone(control), is_stopping.clone())?;
+        member = Some(tokio::spawn(Arc::clone(control).stay_member()));
+    }
+
+    await_stop(path, &settings, member).await?;
+    let stopping = Instant::now();
+    log::info!("stopping");
+    // Nobody listens any more if all tasks have ended, which is as good.
+    let _ = is_stopping_tx.send(true);
+    if let Some(control) = &control {
+        let voter = Arc::clone(control.voter());
+        let handed = tokio::task::spawn_blocking(move || {
+            voter.hand_over();
+            voter.stop();
+        });
+        if let Err(err) = handed.await {
+            log::error!("the voter did not stop: {err}");
+        }
+    }
+    if let Some(callers) = callers {
+        drain(&callers, stopping, Duration::from_millis(settings.bounds.stop_ms)).await;
+    }
+    Ok(())
+}
+
+/// Waits for the signal to stop, or until this member has to start anew.
+async fn await_stop(
+    path: &Path,
+    settings: &GatewaySettings,
+    member: Option<tokio::task::JoinHandle<()>>,
+) -> Result<()> {
+    let fault = |err| Error::start("signals", err);
+    let mut term = signal(SignalKind::terminate()).map_err(fault)?;
+    let mut int = signal(SignalKind::interrupt()).map_err(fault)?;
+    let mut hup = signal(SignalKind::hangup()).map_err(fault)?;
+    let member = async {
+        match member {
+            // The task ends only when its member is gone; a panic is as final.
+            Some(member) => drop(member.await),
+            None => std::future::pending().await,
+        }
+    };
+    tokio::pin!(member);
+    loop {
+        tokio::select! {
+            _ = term.recv() => return Ok(()),
+            _ = int.recv() => return Ok(()),
+            () = &mut member => return Ok(()),
+            _ = hup.recv() => reload(path, settings),
+        }
+    }
+}
+
+/// Reads the settings again. Addresses and bounds hold until the next start; seeds matter
+/// only there, as a running daemon knows the members of the control group.
+fn reload(path: &Path, settings: &GatewaySettings) {
+    match GatewaySettings::load(path) {
+        Ok(read) => log::info!(
+            seeds:? = read.seeds, former:? = settings.seeds; "settings read again"
+        ),
+        Err(err) => log::error!("settings not read again, the former ones hold: {err}"),
+    }
+}
+
+/// Lets requests that run finish, as far as the time allows.
+async fn drain(callers: &Connections, since: Instant, limit: Duration) {
+    let until = limit.saturating_sub(STOP_MARGIN);
+    loop {
+        let passed = since.elapsed();
+        if passed >= until {
+            return log::warn!(open = callers.len(); "requests still run, time is over");
+        }
+        if passed >= BALANCER_DELAY && callers.is_empty() {
+            return;
+        }
+        sleep(CHECK).await;
+    }
+}
+
+fn answerer(control: Option<Arc<Control>>) -> Answerer {
+    Arc::new(move |question: Question, responder| match &control {
+        Some(control) => control.answer(question, responder),
+        None => super::bus::reply(responder, &Reply::NotLeader { leader: None }),
+    })
+}
+
+fn stepper(control: Option<Arc<Control>>) -> Option<Stepper> {
+    control.map(|control| -> Stepper { Arc::new(move |envelope| control.voter().step(envelope)) })
+}
+
+async fn send_raft(control: Arc<Control>, outgoing: flume::Receiver<Outgoing>) {
+    while let Ok(outgoing) = outgoing.recv_async().await {
+        let Some((address, envelope)) = control.voter().envelope(outgoing) else { continue };
+        match address.parse() {
+            Ok(address) => control.bus().send_raft(address, &envelope),
+            Err(err) => log::error!("{address}: {err}"),
+        }
+    }
+}
+
+fn serve_entry(
+    cfg: &EntrySettings,
+    entry: Arc<Entry>,
+    is_stopping: watch::Receiver<bool>,
+) -> Result<Connections> {
+    let limits = HttpLimits::default();
+    let server_cfg = ServerConfig {
+        head_bytes: usize::try_from(limits.head_bytes).unwrap_or(usize::MAX),
+        idle_timeout: limits.idle_timeout,
+        max_connections: cfg.max_connections,
+    };
+    let server = bind("entry.callers", cfg.callers, server_cfg)?;
+    let connections = server.connections();
+    tokio::spawn(serve(server, is_stopping, move |req| Arc::clone(&entry).handle(req)));
+    Ok(connections)
+}
+
+fn serve_readiness(
+    cfg: &EntrySettings,
+    view: Arc<View>,
+    is_stopping: watch::Receiver<bool>,
+) -> Result<()> {
+    let server = bind("entry.readiness", cfg.readiness, side_config())?;
+    let stopping = is_stopping.clone();
+    let handler = move |req: Request<Incoming>| {
+        let is_ready = !*stopping.borrow() && view.table().is_some();
+        let status = match (req.uri().path(), is_ready) {
+            (platform::control::READY_PATH, true) => StatusCode::OK,
+            (platform::control::READY_PATH, false) => StatusCode::SERVICE_UNAVAILABLE,
+            _ => StatusCode::NOT_FOUND,
+        };
+        async move { with_status(status) }
+    };
+    // Goes on while the daemon drains, to say that it does.
+    let (keep, never) = watch::channel(false);
+    tokio::spawn(async move {
+        serve(server, never, handler).await;
+        drop(keep);
+    });
+    drop(is_stopping);
+    Ok(())
+}
+
+fn serve_control(
+    cfg: &ControlSettings,
+    control: Arc<Control>,
+    is_stopping: watch::Receiver<bool>,
+) -> Result<()> {
+    let server = bind("control.listen", cfg.listen, side_config())?;
+    let handler = move |req: Request<Incoming>| answer_call(Arc::clone(&control), req);
+    tokio::spawn(serve(server, is_stopping, handler));
+    Ok(())
+}
+
+async fn answer_call(control: Arc<Control>, req: Request<Incoming>) -> Response<Body> {
+    let (parts, body) = req.into_parts();
+    let body = match read_body(body, CALL_BYTES_MAX, CALL_TIMEOUT).await {
+        Ok(body) => body,
+        Err(status) => {
+            log::warn!(path = parts.uri.path(), status = status.as_u16(); "call not read");
+            return with_status(status);
+        }
+    };
+    let call = Call {
+        method: parts.method.to_string(),
+        path: parts.uri.path().to_owned(),
+        body: body.to_vec(),
+    };
+    let answer = control.call(call).await;
+    let status = status_of(&answer);
+    if status.is_server_error() {
+        log::warn!(
+            method:% = parts.method, path = parts.uri.path(), status = answer.status;
+            "call not answered: {}", String::from_utf8_lossy(&answer.body)
+        );
+    }
+    let mut response = Response::new(full(answer.body));
+    *response.status_mut() = status;
+    let json = http::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(http::header::CONTENT_TYPE, json);
+    response
+}
+
+fn serve_metrics(
+    settings: &GatewaySettings,
+    metrics: PrometheusHandle,
+    is_stopping: watch::Receiver<bool>,
+) -> Result<()> {
+    let server = bind("metrics", settings.metrics, side_config())?;
+    let upkeep = metrics.clone();
+    tokio::spawn(async move {
+        loop {
+            sleep(METRICS_UPKEEP).await;
+            upkeep.run_upkeep();
+        }
+    });
+    let handler = move |req: Request<Incoming>| {
+        let text = (req.uri().path() == "/metrics").then(|| metrics.render());
+        async move {
+            match text {
+                Some(text) => Response::new(full(text)),
+                None => with_status(StatusCode::NOT_FOUND),
+            }
+        }
+    };
+    tokio::spawn(serve(server, is_stopping, handler));
+    Ok(())
+}
+
+fn bind(setting: &str, address: SocketAddr, cfg: ServerConfig) -> Result<Server> {
+    Server::bind(address, cfg).map_err(|err| Error::start(setting, format!("{address}: {err}")))
+}
+
+fn side_config() -> ServerConfig {
+    let limits = HttpLimits::default();
+    ServerConfig {
+        head_bytes: usize::try_from(limits.head_bytes).unwrap_or(usize::MAX),
+        idle_timeout: limits.idle_timeout,
+        max_connections: SIDE_CONNECTIONS,
+    }
+}
+
+fn with_status(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(empty());
+    *response.status_mut() = status;
+    response
+}
+
+/// The process has one recorder of metrics.
+fn install_metrics() -> PrometheusHandle {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let handle = recorder.handle();
+    if metrics::set_global_recorder(recorder).is_err() {
+        log::warn!("another daemon in this process records the metrics");
+    }
+    handle
+}
--- /dev/null
+++ b/crates/toucansilld/src/gateway/settings.rs
@@ -0,0 +1,148 @@
+//! Settings of a gateway daemon.
+
+use crate::error::{Error, Result};
+use serde::Deserialize;
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    time::Duration,
+};
+use wire::{DaemonId, DataCentreId};
+
+/// Settings of a daemon that passes HTTP requests on to upstreams, or decides where they go.
+///
+/// ```
+/// use toucansilld::gateway::GatewaySettings;
+///
+/// let text = "
+/// daemon: entry-1
+/// data_centre: dc-1
+/// links: 127.0.0.1:7340
+/// metrics: 127.0.0.1:9464
+/// seeds: ['127.0.0.2:8229']
+/// entry: {callers: '127.0.0.1:80', readiness: '127.0.0.1:81', max_connections: 1000}
+/// ";
+/// let settings = GatewaySettings::parse("entry.yaml", text)?;
+/// assert_eq!(settings.seed_links()[0].to_string(), "127.0.0.2:7340");
+/// # Ok::<(), toucansilld::Error>(())
+/// ```
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewaySettings {
+    /// Name of this daemon, unique in its region.
+    pub daemon: DaemonId,
+    /// Data centre of this daemon.
+    pub data_centre: DataCentreId,
+    /// Address of the links between daemons. All daemons use the same port.
+    pub links: SocketAddr,
+    /// Address of `/metrics`.
+    pub metrics: SocketAddr,
+    /// Control addresses of daemons to contact first.
+    pub seeds: Vec<SocketAddr>,
+    /// Set on a daemon that takes requests of callers.
+    pub entry: Option<EntrySettings>,
+    /// Set on a daemon that takes part in the control group.
+    pub control: Option<ControlSettings>,
+    /// Bounds of the deployment.
+    #[serde(default)]
+    pub bounds: Bounds,
+}
+
+/// Settings of a daemon that takes requests of callers.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address at which a balancer asks whether this daemon takes connections.
+    pub readiness: SocketAddr,
+    /// Most connections of callers.
+    pub max_connections: usize,
+}
+
+/// Settings of a daemon that takes part in the control group.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ControlSettings {
+    /// Address for operators and upstreams.
+    pub listen: SocketAddr,
+    /// Folder of the control group's log.
+    pub data_folder: PathBuf,
+    /// Whether the whole region starts for the first time, so that the seeds may found
+    /// its control group.
+    #[serde(default)]
+    pub founds_group: bool,
+    /// Disks that may be lost at once.
+    pub tolerated_losses: usize,
+}
+
+/// Bounds of the deployment, in milliseconds where a name ends so.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Bounds {
+    /// Time between two statements of an upstream.
+    pub registration_interval_ms: u64,
+    /// Time from the request to stop until the process is killed.
+    pub stop_ms: u64,
+    /// Time from the acknowledgement of a change until it must be in force.
+    pub apply_ms: u64,
+    /// Repeats for each first send to upstreams.
+    pub retry_ratio: f64,
+    /// Repeats that are allowed beside.
+    pub retry_slack: u32,
+}
+
+impl Default for Bounds {
+    /// Bounds for a region without stated ones.
+    fn default() -> Self {
+        Self {
+            registration_interval_ms: 1_000,
+            stop_ms: 10_000,
+            apply_ms: 2_000,
+            retry_ratio: 0.2,
+            retry_slack: 100,
+        }
+    }
+}
+
+impl Bounds {
+    /// Time without a word after which an upstream is doubtful: three statements lost.
+    pub(crate) fn silence(&self) -> Duration {
+        Duration::from_millis(self.registration_interval_ms * 3 + 1_000)
+    }
+}
+
+impl GatewaySettings {
+    /// Reads and checks a settings file.
+    pub fn load(path: &Path) -> Result<Self> {
+        let name = path.display().to_string();
+        let text = fs::read_to_string(path)
+            .map_err(|err| Error::settings(&name, "file", &err.to_string()))?;
+        Self::parse(&name, &text)
+    }
+
+    /// Parses and checks the text of a settings file. `name` appears in errors.
+    pub fn parse(name: &str, text: &str) -> Result<Self> {
+        let settings: Self = serde_yaml_ng::from_str(text)
+            .map_err(|err| Error::settings(name, "settings", &err.to_string()))?;
+        if settings.entry.is_none() && settings.control.is_none() {
+            return Err(Error::settings(name, "entry", "give entry, control or both"));
+        }
+        if settings.control.is_none() && settings.seeds.is_empty() {
+            return Err(Error::settings(name, "seeds", "an entry needs a seed"));
+        }
+        Ok(settings)
+    }
+
+    /// Whether a settings file is one of a gateway.
+    pub fn is_gateway(path: &Path) -> bool {
+        let text = fs::read_to_string(path).unwrap_or_default();
+        text.lines().any(|line| line.starts_with("entry:") || line.starts_with("control:"))
+    }
+
+    /// Link addresses of the seeds.
+    pub fn seed_links(&self) -> Vec<SocketAddr> {
+        self.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), self.links.port())).collect()
+    }
+}
--- /dev/null
+++ b/crates/toucansilld/src/gateway/view.rs
@@ -0,0 +1,119 @@
+//! What a daemon knows of its region.
+
+use super::messages::{Position, ViewChange};
+use crate::sync::lock;
+use grant::{Directory, Local};
+use routing::{Routing, Table};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+/// What a daemon has learnt from the leaders of the control group. Routing only advances;
+/// the directory is replaced by that of a new leader.
+pub(crate) struct View {
+    state: Mutex<ViewState>,
+}
+
+/// The view at one moment.
+pub(crate) struct ViewState {
+    /// How far it goes.
+    pub(crate) position: Position,
+    /// The routing document in force.
+    pub(crate) table: Option<Arc<Table>>,
+    /// The upstreams.
+    pub(crate) directory: Directory,
+    /// This daemon's own sends.
+    pub(crate) local: Local,
+    /// Link address of the leader.
+    pub(crate) leader: Option<SocketAddr>,
+    /// When the leader last answered.
+    pub(crate) heard: Option<Instant>,
+    /// Daemons that take requests of callers.
+    pub(crate) entry_daemons: u32,
+    /// Link addresses of the control group, as the leaders named them.
+    pub(crate) controls: Vec<SocketAddr>,
+}
+
+impl View {
+    /// A view that knows nothing.
+    pub(crate) fn new() -> Arc<Self> {
+        let state = ViewState {
+            position: Position::default(),
+            table: None,
+            directory: Directory::new(),
+            local: Local::new(),
+            leader: None,
+            heard: None,
+            entry_daemons: 1,
+            controls: Vec::new(),
+        };
+        Arc::new(Self { state: Mutex::new(state) })
+    }
+
+    /// Reads or changes the view.
+    pub(crate) fn with<T>(&self, f: impl FnOnce(&mut ViewState) -> T) -> T {
+        f(&mut lock(&self.state))
+    }
+
+    /// The routing document in force.
+    pub(crate) fn table(&self) -> Option<Arc<Table>> {
+        self.with(|state| state.table.clone())
+    }
+
+    /// The leader, if it answered within `window`.
+    pub(crate) fn leader(&self, now: Instant, window: Duration) -> Option<SocketAddr> {
+        self.with(|state| {
+            let heard = state.heard?;
+            state.leader.filter(|_| now.saturating_duration_since(heard) < window)
+        })
+    }
+}
+
+impl ViewState {
+    /// Takes in what a leader says. One of an earlier term is ignored.
+    pub(crate) fn apply(&mut self, now: Instant, change: ViewChange) {
+        if change.position.term < self.position.term {
+            return log::info!(
+                term = change.position.term, known = self.position.term;
+                "view of a former leader ignored"
+            );
+        }
+        let version = self.position.routing;
+        if let Some(buf) = change.routing {
+            self.follow_routing(&buf);
+        }
+        if change.is_whole || !change.entries.is_empty() {
+            log::info!(
+                term = change.position.term, revision = change.position.directory,
+                entries = change.entries.len(), is_whole = change.is_whole;
+                "directory changed"
+            );
+        }
+        let revision = change.position.directory;
+        self.directory.adopt(now, change.is_whole, revision, change.entries);
+        if *self.directory.closed() != change.closed {
+            log::info!(closed:? = change.closed; "data centres out of service changed");
+        }
+        self.directory.set_closed(change.closed);
+        self.entry_daemons = change.entry_daemons;
+        self.controls = change.controls.iter().filter_map(|a| a.parse().ok()).collect();
+        let routing = self.table.as_ref().map_or(0, |table| table.routing().version);
+        self.position = Position { routing, ..change.position };
+        self.heard = Some(now);
+        if routing != version {
+            log::info!(version = routing, former = version; "routing in force");
+        }
+    }
+
+    fn follow_routing(&mut self, buf: &[u8]) {
+        match wire::decode::<Routing>(buf) {
+            Ok(routing) if routing.version > self.position.routing => {
+                self.table = Some(Arc::new(Table::new(routing)));
+            }
+            Ok(_) => {}
+            Err(err) => log::error!("routing document not read: {err}"),
+        }
+    }
+}
--- a/crates/toucansilld/src/lib.rs
+++ b/crates/toucansilld/src/lib.rs
@@ -5,6 +5,7 @@
 mod daemon;
 mod entry;
 mod error;
+pub mod gateway;
 mod gossip;
 pub mod local;
 pub mod logs;
--- a/crates/toucansilld/src/logs.rs
+++ b/crates/toucansilld/src/logs.rs
@@ -1,13 +1,35 @@
-//! Logs as JSON lines on standard error.
+//! Logs as JSON lines.
+//!
+//! [`install`] writes them on standard error as they come. [`install_bounded`] writes them
+//! on standard output from a thread of its own: a reader that is slow or stuck holds up
+//! nothing. Lines beyond a rate, or beyond those that wait, are dropped and counted.
 
-use env_logger::{Builder, Env, fmt::Formatter};
-use log::Record;
+use env_logger::{Builder, Env, Target, fmt::Formatter};
+use flume::Sender;
+use log::{
+    Record,
+    kv::{Error as KvError, Key, Value, VisitSource},
+};
 use serde::Serialize;
+use serde_json::{Map, Value as Json};
 use std::{
     io::{self, Write},
-    time::{SystemTime, UNIX_EPOCH},
+    sync::{
+        Mutex, OnceLock,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
+/// Lines that wait for the writer; further ones are dropped.
+const WAITING_MAX: usize = 2_048;
+/// Lines in one second; further ones are dropped. Ten times what a daemon writes at the
+/// load of today's sites.
+const LINES_PER_SECOND: u64 = 400;
+/// Longest wait for the last lines when a process stops.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// One line of the log.
 #[derive(Serialize)]
 struct Line<'a> {
@@ -17,15 +39,107 @@
     target: &'a str,
     daemon: &'a str,
     text: String,
+    #[serde(flatten)]
+    fields: Map<String, Json>,
 }
 
 /// Installs the logger. The level comes from `TOUCANSILL_LOG`, `info` without it.
 ///
 /// A second call in the same process changes nothing.
 pub fn install(daemon: &str) {
+    install_to(daemon, Target::Stderr);
+}
+
+/// As [`install`], on standard output, without ever holding up a caller.
+pub fn install_bounded(daemon: &str) {
+    let (tx, rx) = flume::bounded::<Message>(WAITING_MAX);
+    let spawned = thread::Builder::new().name(String::from("logs")).spawn(move || {
+        let mut out = io::stdout().lock();
+        for message in rx {
+            let written = match message {
+                Message::Line(line) => out.write_all(&line),
+                Message::Flush(done) => {
+                    let flushed = out.flush();
+                    drop(done);
+                    flushed
+                }
+            };
+            if written.is_err() {
+                // Nobody reads the log any more; there is nowhere to say so.
+                DROPPED.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+    });
+    if spawned.is_ok() && WRITER.set(tx.clone()).is_ok() {
+        let window = Mutex::new(Window { start: Instant::now(), lines: 0 });
+        install_to(daemon, Target::Pipe(Box::new(BoundedWriter { tx, window })));
+    }
+}
+
+/// Waits a short time until the lines so far are written.
+pub fn flush() {
+    let Some(tx) = WRITER.get() else { return };
+    let (done, written) = flume::bounded::<()>(0);
+    if tx.try_send(Message::Flush(done)).is_ok() {
+        // Either the writer drops its end, or the time is over.
+        let _ = written.recv_timeout(FLUSH_TIMEOUT);
+    }
+}
+
+/// Lines dropped since the start.
+pub fn dropped() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+static WRITER: OnceLock<Sender<Message>> = OnceLock::new();
+
+enum Message {
+    Line(Vec<u8>),
+    Flush(Sender<()>),
+}
+
+/// Lines of the current second.
+struct Window {
+    start: Instant,
+    lines: u64,
+}
+
+struct BoundedWriter {
+    tx: Sender<Message>,
+    window: Mutex<Window>,
+}
+
+impl BoundedWriter {
+    fn is_over_rate(&self) -> bool {
+        let mut window = crate::sync::lock(&self.window);
+        if window.start.elapsed() >= Duration::from_secs(1) {
+            *window = Window { start: Instant::now(), lines: 0 };
+        }
+        window.lines += 1;
+        window.lines > LINES_PER_SECOND
+    }
+}
+
+impl Write for BoundedWriter {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        if self.is_over_rate() || self.tx.try_send(Message::Line(buf.to_vec())).is_err() {
+            let dropped = DROPPED.fetch_add(1, Ordering::Relaxed) + 1;
+            metrics::counter!("toucansill_log_lines_dropped_total").absolute(dropped);
+        }
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn install_to(daemon: &str, target: Target) {
     let daemon = String::from(daemon);
     let env = Env::new().filter_or("TOUCANSILL_LOG", "info");
     let installed = Builder::from_env(env)
+        .target(target)
         .format(move |buf, record| write_line(buf, &daemon, record))
         .try_init();
     if installed.is_err() {
@@ -35,13 +149,33 @@
 
 fn write_line(buf: &mut Formatter, daemon: &str, record: &Record<'_>) -> io::Result<()> {
     let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let mut fields = Fields(Map::new());
+    if record.key_values().visit(&mut fields).is_err() {
+        log::debug!("a field of a log line has no text");
+    }
     let line = Line {
         at_ms: at.as_millis(),
         level: record.level().as_str(),
         target: record.target(),
         daemon,
         text: record.args().to_string(),
+        fields: fields.0,
     };
     serde_json::to_writer(&mut *buf, &line)?;
     buf.write_all(b"\n")
 }
+
+/// Collects the fields of a line.
+struct Fields(Map<String, Json>);
+
+impl<'a> VisitSource<'a> for Fields {
+    fn visit_pair(&mut self, key: Key<'a>, value: Value<'a>) -> Result<(), KvError> {
+        let json = match (value.to_u64(), value.to_bool()) {
+            (Some(number), _) => Json::from(number),
+            (None, Some(flag)) => Json::from(flag),
+            (None, None) => Json::from(value.to_string()),
+        };
+        self.0.insert(key.to_string(), json);
+        Ok(())
+    }
+}
--- a/crates/toucansilld/src/main.rs
+++ b/crates/toucansilld/src/main.rs
@@ -8,7 +8,11 @@
     iterator::Signals,
 };
 use std::{env, path::Path, process::ExitCode, sync::Arc, time::Duration};
-use toucansilld::{Daemon, Settings, logs};
+use toucansilld::{
+    Daemon, Settings,
+    gateway::{self, GatewaySettings},
+    logs,
+};
 
 /// Time between two looks for signals.
 const SIGNAL_CHECK: Duration = Duration::from_millis(100);
@@ -46,7 +50,11 @@
     let [path] = matches.free.as_slice() else {
         return Err(eyre!("give one settings file; see toucansilld --help"));
     };
-    let settings = Settings::load(Path::new(path))?;
+    let path = Path::new(path);
+    if GatewaySettings::is_gateway(path) {
+        return Ok(gateway::run(path)?);
+    }
+    let settings = Settings::load(path)?;
     logs::install(&settings.daemon);
     let mut signals = Signals::new([SIGTERM, SIGINT])?;
     let daemon = Daemon::start(&settings, Arc::new(SystemClock))?;
--- a/crates/toucansilld/src/voter.rs
+++ b/crates/toucansilld/src/voter.rs
@@ -30,7 +30,7 @@
 
 /// Time between two ticks of the consensus. Heartbeats and elections take several;
 /// an election ends well before a session lease does.
-const TICK: Duration = Duration::from_millis(100);
+pub(crate) const TICK: Duration = Duration::from_millis(100);
 /// Consensus messages of which one brings the addresses of all voters along; the
 /// others bring the sender's.
 const MESSAGES_PER_ADDRESSES: u64 = 32;
@@ -62,6 +62,7 @@
     pub(crate) fn start(
         settings: &VoterSettings,
         own_address: &str,
+        tick: Duration,
         clock: SharedClock,
         outbox: flume::Sender<Outgoing>,
     ) -> Result<Self> {
@@ -69,7 +70,7 @@
         let addresses = Addresses::open(settings, own_address)?;
         let mut cfg = Config::new(settings.id, settings.data_folder.join("group"));
         cfg.clock = Arc::clone(&clock);
-        cfg.tick = Some(TICK);
+        cfg.tick = Some(tick);
         cfg.start = start_of(settings);
         let handle = Group::start(cfg, machine::machine(&state), outbox)
             .map_err(|err| Error::start("voter", err))?;
@@ -141,6 +142,26 @@
         }
     }
 
+    /// The state, after a majority has confirmed this voter as the leader.
+    pub(crate) fn read<T>(&self, f: impl FnOnce(&State) -> T) -> group::Result<T> {
+        self.with_leader(|_, state, _| f(state))
+    }
+
+    /// The state as it is here, which may lag behind the leader's.
+    pub(crate) fn peek<T>(&self, f: impl FnOnce(&State) -> T) -> T {
+        f(&lock(&self.state))
+    }
+
+    /// Address of a voter, if known.
+    pub(crate) fn address_of(&self, id: NodeId) -> Option<String> {
+        self.addresses.of(id)
+    }
+
+    /// Adds a voter, or replaces one by it.
+    pub(crate) fn admit(&self, change: VoterChange) -> group::Result<()> {
+        self.change(change).map(drop)
+    }
+
     /// What the voter says of itself.
     pub(crate) fn status(&self) -> group::Status {
         self.handle.status()
@@ -157,7 +178,8 @@
         })
     }
 
-    fn propose(&self, mut command: Command) -> group::Result<Outcome> {
+    /// Proposes a command and waits until it is applied.
+    pub(crate) fn propose(&self, mut command: Command) -> group::Result<Outcome> {
         let at_ms = self.with_leader(|leader, _, now| leader.at_ms(now))?;
         command.stamp(at_ms);
         let applied = self.handle.propose(control::encode(&command), PROPOSE_TIMEOUT)?;
--- a/crates/wire/src/link/accept.rs
+++ b/crates/wire/src/link/accept.rs
@@ -268,6 +268,10 @@
 
 fn call_handler(inbound: Inbound, shared: &Arc<Shared>, permit: OwnedSemaphorePermit) {
     let handler = shared.handler.clone();
+    if shared.cfg.is_inline {
+        handler(inbound);
+        return drop(permit);
+    }
     spawn_blocking(move || {
         handler(inbound);
         drop(permit);
--- a/crates/wire/src/link/config.rs
+++ b/crates/wire/src/link/config.rs
@@ -76,6 +76,9 @@
     pub stream_frames: usize,
     /// Notifications under way before further ones are dropped.
     pub max_notifications: usize,
+    /// Whether the handler is called on the task that reads the message, which it must
+    /// not hold up. Otherwise it gets a thread that may wait.
+    pub is_inline: bool,
 }
 
 impl LinkConfig {
@@ -100,6 +103,7 @@
             max_inbound: MAX_INBOUND,
             stream_frames: STREAM_FRAMES,
             max_notifications: MAX_NOTIFICATIONS,
+            is_inline: false,
         }
     }
 }
--- a/crates/wire/src/link/links.rs
+++ b/crates/wire/src/link/links.rs
@@ -18,7 +18,7 @@
 };
 use tokio::{
     net::TcpListener,
-    runtime::{Builder, Runtime},
+    runtime::{Builder, Handle, Runtime},
     sync::{Semaphore, oneshot},
     time::{Instant, timeout_at},
 };
@@ -37,6 +37,8 @@
     address: SocketAddr,
     outbound: Arc<Shared>,
     /// None once stopped.
+    handle: Option<Handle>,
+    /// None on a runtime of the caller's, and once stopped.
     runtime: Option<Runtime>,
 }
 
@@ -61,13 +63,24 @@
             .enable_all()
             .build()
             .map_err(|e| Error::io(Kind::Config, "threads of links", e))?;
+        let mut links = runtime.block_on(Self::attach(cfg, handler))?;
+        links.runtime = Some(runtime);
+        Ok(links)
+    }
+
+    /// As [`Links::start`], on the runtime of the caller.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be listened on.
+    pub async fn attach(cfg: LinkConfig, handler: InboundHandler) -> Result<Self> {
         let context = format!("can't listen on {}", cfg.listen);
         let config_error = |e| Error::io(Kind::Config, context.clone(), e);
-        let listener = runtime.block_on(TcpListener::bind(cfg.listen)).map_err(config_error)?;
+        let listener = TcpListener::bind(cfg.listen).await.map_err(config_error)?;
         let address = listener.local_addr().map_err(config_error)?;
         let cfg = Arc::new(cfg);
         let counters = Arc::new(LinkCounters::default());
-        runtime.spawn(accept::run(
+        tokio::spawn(accept::run(
             listener,
             Arc::new(accept::Shared {
                 counters: counters.clone(),
@@ -83,7 +96,7 @@
             counters,
             peers: Mutex::default(),
         });
-        Ok(Self { address, outbound, runtime: Some(runtime) })
+        Ok(Self { address, outbound, handle: Some(Handle::current()), runtime: None })
     }
 
     /// The address that is listened on, with the port that was taken.
@@ -121,6 +134,27 @@
         }
     }
 
+    /// As [`Links::request`], for callers on a runtime.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::verdict`] says whether the peer may have acted on the message.
+    pub async fn ask(
+        &self,
+        peer: SocketAddr,
+        message: Message,
+        timeout: Duration,
+    ) -> Result<Vec<u8>> {
+        let (tx, rx) = flume::bounded(self.outbound.cfg.stream_frames);
+        let open = Open { message, timeout_ms: millis(timeout), notify: false };
+        run_stream(&self.outbound, peer, open, timeout, &tx).await;
+        match rx.try_recv() {
+            Ok(Ok(Some(frame))) => Ok(frame),
+            Ok(Err(e)) => Err(e),
+            _ => Err(Error::new(Kind::Malformed, "the answer has no frame")),
+        }
+    }
+
     /// Sends a message and gives its answer frame by frame, at most `timeout`
     /// from now to its end.
     ///
@@ -131,7 +165,7 @@
         message: Message,
         timeout: Duration,
     ) -> Result<StreamIn> {
-        let runtime = self.runtime.as_ref().ok_or_else(stopped)?;
+        let runtime = self.handle.as_ref().ok_or_else(stopped)?;
         let (tx, rx) = flume::bounded(self.outbound.cfg.stream_frames);
         let (cancel, cancelled) = oneshot::channel();
         let shared = self.outbound.clone();
@@ -150,7 +184,7 @@
     pub fn notify(&self, peer: SocketAddr, message: Message) {
         let shared = self.outbound.clone();
         let permit = shared.notifications.clone().try_acquire_owned();
-        let (Some(runtime), Ok(permit)) = (self.runtime.as_ref(), permit) else {
+        let (Some(runtime), Ok(permit)) = (self.handle.as_ref(), permit) else {
             return shared.counters.count_dropped_notification();
         };
         runtime.spawn(async move {
@@ -170,6 +204,7 @@
     }
 
     fn shut_down(&mut self) {
+        self.handle = None;
         if let Some(runtime) = self.runtime.take() {
             runtime.shutdown_timeout(STOP_TIMEOUT);
         }
--- a/crates/wire/tests/links.rs
+++ b/crates/wire/tests/links.rs
@@ -455,3 +455,26 @@
     assert!(e.is_unreachable() && e.verdict() == Verdict::NotRun, "{e}");
     assert!(e.to_string().contains("no handshake in time"), "{e}");
 }
+
+#[test]
+fn links_share_the_runtime_of_their_caller() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let answer = runtime.block_on(async {
+        let secret = RegionSecret::new("a secret of this test").unwrap();
+        let config = |id: &str| {
+            let address = "127.0.0.1:0".parse().unwrap();
+            let mut cfg = LinkConfig::new(id.to_owned(), address, secret.clone());
+            cfg.is_inline = true;
+            cfg
+        };
+        let reverse = |inbound: Inbound| {
+            let body = inbound.message.body.into_iter().rev().collect::<Vec<u8>>();
+            let _ = inbound.responder.reply(body);
+        };
+        let server = Links::attach(config("a"), Arc::new(reverse)).await.unwrap();
+        let client = Links::attach(config("b"), Arc::new(|_| ())).await.unwrap();
+        let message = Message { service: "reverse".to_owned(), body: b"abc".to_vec() };
+        client.ask(server.address(), message, Duration::from_secs(10)).await
+    });
+    assert_eq!(answer.unwrap(), b"cba");
+}
