--- a/crates/disk/src/lib.rs
+++ b/crates/disk/src/lib.rs
@@ -32,5 +32,5 @@
 pub use error::{Error, Result};
 pub use files::{Files, RenameFn, SyncFn, WriteFn};
 pub use recovery::Recovered;
-pub use snapshot::{read_backup, write_backup};
+pub use snapshot::{read_backup, replace_file, write_backup};
 pub use store::{Options, Store};
--- a/crates/disk/src/snapshot.rs
+++ b/crates/disk/src/snapshot.rs
@@ -56,12 +56,27 @@
     Ok(Snapshot { meta: content.meta, data: Arc::new(content.data) })
 }
 
-/// Writes a snapshot aside, syncs it, gives it its name and syncs the folder.
+/// Writes a snapshot.
 pub(crate) fn write(path: &Path, snapshot: &Snapshot, files: &mut Files) -> Result<()> {
+    replace(path, "write a snapshot", &encode(snapshot), files)
+}
+
+/// Replaces a file: writes aside, syncs, gives it its name and syncs the folder. After a
+/// loss of power at any moment the file holds the former content or all of the new one,
+/// and after the call the new one.
+///
+/// # Errors
+///
+/// Any failure to write.
+pub fn replace_file(path: &Path, content: &[u8], files: &mut Files) -> Result<()> {
+    replace(path, "write", content, files)
+}
+
+fn replace(path: &Path, what: &'static str, content: &[u8], files: &mut Files) -> Result<()> {
     let partial = partial_path(path);
-    let fail = |e| Error::io(&partial, "write a snapshot", e);
+    let fail = |e| Error::io(&partial, what, e);
     let mut f = File::create(&partial).map_err(fail)?;
-    (files.write)(&mut f, &partial, &encode(snapshot)).map_err(fail)?;
+    (files.write)(&mut f, &partial, content).map_err(fail)?;
     (files.sync)(&f, &partial).map_err(fail)?;
     (files.rename)(&partial, path).map_err(fail)?;
     sync_folder(path.parent().unwrap_or(Path::new(".")), files)
--- a/crates/disk/src/store.rs
+++ b/crates/disk/src/store.rs
@@ -335,12 +335,6 @@
 }
 
 fn write_node(dir: &Path, node: NodeId, files: &mut Files) -> Result<()> {
-    let path = dir.join(NODE_FILE);
-    let partial = dir.join(format!("{NODE_FILE}{}", segment::PARTIAL_SUFFIX));
-    let fail = |e| Error::io(&path, "write", e);
-    let mut f = File::create(&partial).map_err(fail)?;
-    (files.write)(&mut f, &partial, node_line(&node.to_string()).as_bytes()).map_err(fail)?;
-    (files.sync)(&f, &partial).map_err(fail)?;
-    (files.rename)(&partial, &path).map_err(fail)?;
-    snapshot::sync_folder(dir, files)
+    let line = node_line(&node.to_string());
+    snapshot::replace_file(&dir.join(NODE_FILE), line.as_bytes(), files)
 }
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -16,6 +16,8 @@
 //! # Ok::<(), std::io::Error>(())
 //! ```
 //!
+//! [`PassEngines`] work in virtual time by published rates, for trials of placement.
+//!
 //! A [`Relay`] stands between the engine and its clients, so that open
 //! connections can be cut, or go silent while new ones work.
 
@@ -31,6 +33,7 @@
 mod kv;
 mod load;
 mod orders;
+mod passes;
 mod plain;
 mod relay;
 mod serve;
@@ -41,6 +44,7 @@
 pub use config::{EngineConfig, Ramp};
 pub use engine::Engine;
 pub use orders::Executed;
+pub use passes::{Course, Millis, PassEngines, RequestNumber};
 pub use plain::{Behaviour, Plain, PlainConfig};
 pub use relay::Relay;
 pub use state::Stats;
--- /dev/null
+++ b/crates/fake/src/passes.rs
@@ -0,0 +1,201 @@
+//! Engines that work in passes, in virtual time and without sockets.
+//!
+//! The model follows what the users publish of their engines. A pass in which a request
+//! writes has a fixed number of steps; each step writes a token of each writer and reads a
+//! piece of the prompts that wait, in their order, parts read for other engines first. A
+//! pass without writers has one step. A prompt is compared with itself, so each of its
+//! tokens costs more the longer it is.
+
+use routing::EngineProfile;
+use std::collections::{BTreeMap, VecDeque};
+use wire::Tokens;
+
+/// Milliseconds since the start of a run.
+pub type Millis = f64;
+/// Number of a request in a run.
+pub type RequestNumber = usize;
+
+/// What a request went through.
+#[derive(Clone, Debug, Default)]
+pub struct Course {
+    /// When its first event came.
+    pub first_event: Option<Millis>,
+    /// Longest time between two of its events.
+    pub longest_pause: Millis,
+    /// When its last event came.
+    pub ended: Option<Millis>,
+    last_event: Millis,
+    parts_left: usize,
+    output_left: Tokens,
+    prompt: Tokens,
+}
+
+#[derive(Debug)]
+struct Reading {
+    request: RequestNumber,
+    main: usize,
+    tokens_left: f64,
+    ms_per_token: f64,
+}
+
+#[derive(Debug, Default)]
+struct Engine {
+    helping: VecDeque<Reading>,
+    reading: VecDeque<Reading>,
+    writers: Vec<RequestNumber>,
+    /// End of the pass under way, and whether writers took part in it.
+    pass: Option<(Millis, bool)>,
+}
+
+/// Engines of one profile.
+///
+/// ```
+/// use fake::PassEngines;
+/// use routing::EngineProfile;
+///
+/// let profile = EngineProfile {
+///     slots: 16, memory_tokens: 405_000, steps_per_pass: 34, step_ms: 1.31,
+///     step_ms_per_writer: 0.0, step_ms_per_context_k: 0.0,
+///     read_per_s: 154_000.0, read_ms_per_pair_m: 0.162, chunk_tokens: 2_048,
+/// };
+/// let mut engines = PassEngines::new(profile, 1);
+/// engines.submit(0.0, 0, 0, &[], 4_960, 68);
+/// engines.advance(1_000.0);
+/// let course = engines.course(0).expect("submitted");
+/// // 34 ms to read, three pieces with a step each, and a pass of 34 steps to write.
+/// assert!(course.first_event.is_some_and(|at| (80.0..90.0).contains(&at)));
+/// assert!(course.ended.is_some());
+/// ```
+#[derive(Debug)]
+pub struct PassEngines {
+    profile: EngineProfile,
+    engines: Vec<Engine>,
+    courses: BTreeMap<RequestNumber, Course>,
+}
+
+impl PassEngines {
+    /// Idle engines.
+    pub fn new(profile: EngineProfile, count: usize) -> Self {
+        let engines = (0..count).map(|_| Engine::default()).collect();
+        Self { profile, engines, courses: BTreeMap::new() }
+    }
+
+    /// Hands a request to an engine, with others that read parts of its prompt.
+    pub fn submit(
+        &mut self,
+        now: Millis,
+        request: RequestNumber,
+        main: usize,
+        helpers: &[usize],
+        prompt: Tokens,
+        output: Tokens,
+    ) {
+        let parts = helpers.len() + 1;
+        let ms = self.profile.read_time(prompt).as_secs_f64() * 1e3;
+        let part = || Reading {
+            request,
+            main,
+            tokens_left: prompt as f64 / parts as f64,
+            ms_per_token: ms / prompt.max(1) as f64,
+        };
+        for helper in helpers {
+            self.engines[*helper].helping.push_back(part());
+        }
+        self.engines[main].reading.push_back(part());
+        let course = Course { parts_left: parts, output_left: output, prompt, ..Course::default() };
+        self.courses.insert(request, course);
+        for engine in helpers.iter().chain([&main]) {
+            self.start_pass(*engine, now);
+        }
+    }
+
+    /// Lets the engines work up to a time.
+    pub fn advance(&mut self, until: Millis) {
+        while let Some((engine, at)) = self.next_end().filter(|(_, at)| *at <= until) {
+            self.end_pass(engine, at);
+            self.start_pass(engine, at);
+        }
+    }
+
+    /// When the next pass of any engine ends.
+    pub fn next_change(&self) -> Option<Millis> {
+        self.next_end().map(|(_, at)| at)
+    }
+
+    /// What a request went through so far.
+    pub fn course(&self, request: RequestNumber) -> Option<&Course> {
+        self.courses.get(&request)
+    }
+
+    fn next_end(&self) -> Option<(usize, Millis)> {
+        let ends = self.engines.iter().enumerate();
+        let ends = ends.filter_map(|(i, engine)| engine.pass.map(|(at, _)| (i, at)));
+        ends.min_by(|a, b| a.1.total_cmp(&b.1))
+    }
+
+    fn start_pass(&mut self, engine: usize, now: Millis) {
+        let Self { profile, engines, courses } = self;
+        let Engine { helping, reading, writers, pass } = &mut engines[engine];
+        if pass.is_some() || (helping.is_empty() && reading.is_empty() && writers.is_empty()) {
+            return;
+        }
+        let steps = if writers.is_empty() { 1 } else { profile.steps_per_pass };
+        let context: Tokens = writers.iter().map(|request| courses[request].prompt).sum();
+        let step_ms = profile.step_ms
+            + profile.step_ms_per_writer * writers.len() as f64
+            + profile.step_ms_per_context_k * context as f64 / 1e3;
+        let mut tokens = f64::from(steps) * profile.chunk_tokens as f64;
+        let mut read_ms = 0.0;
+        for part in helping.iter_mut().chain(reading) {
+            let taken = part.tokens_left.min(tokens);
+            part.tokens_left -= taken;
+            tokens -= taken;
+            read_ms += taken * part.ms_per_token;
+        }
+        *pass = Some((now + f64::from(steps) * step_ms + read_ms, !writers.is_empty()));
+    }
+
+    fn end_pass(&mut self, engine: usize, now: Millis) {
+        let Some((_, had_writers)) = self.engines[engine].pass.take() else { return };
+        if had_writers {
+            self.write(engine, now);
+        }
+        let is_read = |part: &Reading| part.tokens_left < 0.5;
+        let Engine { helping, reading, .. } = &mut self.engines[engine];
+        let (read, left): (VecDeque<_>, VecDeque<_>) =
+            std::mem::take(helping).into_iter().partition(is_read);
+        *helping = left;
+        let (own, left): (VecDeque<_>, VecDeque<_>) =
+            std::mem::take(reading).into_iter().partition(is_read);
+        *reading = left;
+        for part in read.into_iter().chain(own) {
+            let Some(course) = self.courses.get_mut(&part.request) else { continue };
+            course.parts_left -= 1;
+            if course.parts_left == 0 {
+                self.engines[part.main].writers.push(part.request);
+                if part.main != engine {
+                    self.start_pass(part.main, now);
+                }
+            }
+        }
+    }
+
+    fn write(&mut self, engine: usize, now: Millis) {
+        let per_pass = Tokens::from(self.profile.steps_per_pass);
+        let courses = &mut self.courses;
+        self.engines[engine].writers.retain(|request| {
+            let Some(course) = courses.get_mut(request) else { return false };
+            if course.first_event.is_none() {
+                course.first_event = Some(now);
+            } else {
+                course.longest_pause = course.longest_pause.max(now - course.last_event);
+            }
+            course.last_event = now;
+            course.output_left = course.output_left.saturating_sub(per_pass);
+            if course.output_left == 0 {
+                course.ended = Some(now);
+            }
+            course.output_left > 0
+        });
+    }
+}
--- a/crates/grant/src/dispatcher.rs
+++ b/crates/grant/src/dispatcher.rs
@@ -4,13 +4,13 @@
     ask::{Ask, AskId, Decision, End, Grant, GrantId, Helper, Refusal, Running},
     directory::{Directory, Entry},
     engine::{Engine, Main, part},
-    place::{Candidate, Place, choose, is_short, least_time},
+    place::{Candidate, Place, choose, least_time, needs_idle},
     waiting::Waiting,
 };
 use route::{Poison, PoisonConfig, RetryBudget};
 use routing::{EngineProfile, Service};
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     time::{Duration, Instant},
 };
 use wire::{DaemonId, ServiceId, UpstreamId};
@@ -142,21 +142,18 @@
         self.expire(now);
         self.waiting.forget_silent(now);
         let mut decided = Vec::new();
-        // One that finds no place closes its kind to those behind it.
-        let mut blocked: BTreeSet<(ServiceId, bool)> = BTreeSet::new();
         for ask in self.waiting.in_order(now) {
             let Some(pool) = self.pools.get(&ask.service) else {
                 decided.push((ask.id.clone(), self.refuse(&ask, Refusal::NoUpstream)));
                 continue;
             };
-            let kind = (ask.service.clone(), is_short(&pool.profile, &ask));
             if least_time(&pool.profile, &ask) > ask.deadline_left {
                 decided.push((ask.id.clone(), self.refuse(&ask, Refusal::NoTime)));
-            } else if !blocked.contains(&kind) {
-                match self.place(now, directory, &ask) {
-                    Some(grant) => decided.push((ask.id.clone(), Decision::Granted(grant))),
-                    None => drop(blocked.insert(kind)),
-                }
+                continue;
+            }
+            // One that finds no place does not hold up those behind it, which may need less.
+            if let Some(grant) = self.place(now, directory, &ask) {
+                decided.push((ask.id.clone(), Decision::Granted(grant)));
             }
         }
         for (id, _) in &decided {
@@ -183,7 +180,7 @@
         for upstream in helpers.iter().chain([&main]) {
             if let Some((_, engine)) = self.engines.get_mut(upstream) {
                 engine.advance(now);
-                engine.has_read(id);
+                engine.has_read(now, id);
             }
         }
         if let Some((_, engine)) = self.engines.get_mut(&main) {
@@ -294,7 +291,8 @@
         let entries = self.eligible(directory, ask);
         let candidates: Vec<Candidate<'_>> =
             entries.iter().map(|entry| self.candidate(now, directory, pool, entry)).collect();
-        let place = choose(&pool.profile, ask, &candidates)?;
+        let is_pressed = self.waiting.any(now, &ask.service, |ask| needs_idle(&pool.profile, ask));
+        let place = choose(&pool.profile, ask, &candidates, is_pressed)?;
         drop(candidates);
         let Place { main, helpers, part, expected } = place;
         let grant = Grant {
@@ -332,6 +330,7 @@
         let is_full = pool.cold_rate > 0.0 && engine.recent_sends() as f64 >= pool.cold_rate;
         Candidate {
             engine,
+            now,
             slots: if is_full { 0 } else { entry.registration.slots as usize },
             is_doubtful: is_silent || is_cold || engine.is_suspect(now),
         }
@@ -339,15 +338,16 @@
 
     /// Keeps the state of the engines in step with the directory.
     fn follow(&mut self, now: Instant, directory: &Directory, service: &str) {
+        let Some(pool) = self.pools.get(service) else { return };
         for entry in directory.open(service) {
             let said = &entry.registration;
             let (born, engine) = self
                 .engines
                 .entry(said.id.clone())
-                .or_insert_with(|| (said.born_ms, Engine::new(now)));
+                .or_insert_with(|| (said.born_ms, Engine::new(&pool.profile)));
             if *born != said.born_ms {
                 // A new run knows nothing of what the former one was given.
-                (*born, *engine) = (said.born_ms, Engine::new(now));
+                (*born, *engine) = (said.born_ms, Engine::new(&pool.profile));
             }
             engine.advance(now);
         }
@@ -368,7 +368,7 @@
         let main = Main {
             tokens: ask.prompt + ask.output,
             pause_target: ask.pause_target,
-            has_begun: false,
+            is_read: false,
         };
         if let Some((_, engine)) = self.engines.get_mut(&grant.upstream) {
             engine.add_main(now, grant.id, main);
@@ -376,7 +376,7 @@
         let readers = grant.helpers.iter().map(|helper| &helper.upstream).chain([&grant.upstream]);
         for reader in readers {
             if let Some((_, engine)) = self.engines.get_mut(reader) {
-                engine.add_reading(grant.id, read, per_pass);
+                engine.add_reading(now, grant.id, read, per_pass);
             }
         }
         self.by_ask.insert(ask.id.clone(), grant.id);
--- a/crates/grant/src/engine.rs
+++ b/crates/grant/src/engine.rs
@@ -21,12 +21,17 @@
 /// Window over which sends are counted, as the bound on cold upstreams is per second.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 
+/// Delay from an event at an engine to its report here: the entry daemons collect news for
+/// 15 ms.
+const REPORT_DELAY: Duration = Duration::from_millis(16);
+
 /// A request that an engine runs.
 #[derive(Clone, Debug)]
 pub(crate) struct Main {
     pub(crate) tokens: Tokens,
     pub(crate) pause_target: Duration,
-    pub(crate) has_begun: bool,
+    /// Whether its prompt is read, as reported or as expected.
+    pub(crate) is_read: bool,
 }
 
 /// A part of a prompt that an engine has yet to read.
@@ -36,14 +41,23 @@
     left: Duration,
     /// Most of it that one writing pass takes in.
     per_pass: Duration,
+    /// What the pass under way takes in.
+    taken: Duration,
 }
 
 /// Load and health of one engine.
+///
+/// Its passes are followed by the profile's rates: what comes during a pass is read in the
+/// next one, and its first event comes with the one after. Reports of first events correct
+/// where the passes begin.
 #[derive(Clone, Debug)]
 pub(crate) struct Engine {
+    /// Time of a pass that writes and reads nothing, and its steps.
+    pass_time: Duration,
+    steps: u32,
     mains: BTreeMap<GrantId, Main>,
     readings: VecDeque<Reading>,
-    read_at: Instant,
+    pass_ends: Option<Instant>,
     sends: VecDeque<Instant>,
     failures: u32,
     penalty_until: Option<Instant>,
@@ -52,11 +66,13 @@
 }
 
 impl Engine {
-    pub(crate) fn new(now: Instant) -> Self {
+    pub(crate) fn new(profile: &EngineProfile) -> Self {
         Self {
+            pass_time: profile.pass_time(),
+            steps: profile.steps_per_pass.max(1),
             mains: BTreeMap::new(),
             readings: VecDeque::new(),
-            read_at: now,
+            pass_ends: None,
             sends: VecDeque::new(),
             failures: 0,
             penalty_until: None,
@@ -65,39 +81,84 @@
         }
     }
 
-    /// Lets the engine read up to `now`. It reads prompts in the order of their arrival.
+    /// Lets the engine work up to `now`.
     pub(crate) fn advance(&mut self, now: Instant) {
-        let mut passed =
-            now.saturating_duration_since(self.read_at).div_f64(self.believed_slowness());
-        self.read_at = now;
-        while let Some(first) = self.readings.front_mut().filter(|_| !passed.is_zero()) {
-            let step = first.left.min(passed);
-            first.left -= step;
-            passed -= step;
-            if first.left.is_zero() {
-                self.readings.pop_front();
-            }
+        while let Some(ends) = self.pass_ends.filter(|ends| *ends <= now) {
+            self.end_pass();
+            self.start_pass(ends);
         }
+        self.start_pass(now);
         while self.sends.front().is_some_and(|at| now.duration_since(*at) >= RATE_WINDOW) {
             self.sends.pop_front();
         }
     }
 
+    /// Starts a pass, if none is under way and there is anything to do.
+    fn start_pass(&mut self, at: Instant) {
+        if self.pass_ends.is_some() || self.is_idle() {
+            return;
+        }
+        let has_writers = self.mains.values().any(|main| main.is_read);
+        let mut time = Duration::ZERO;
+        if has_writers {
+            for reading in &mut self.readings {
+                reading.taken = reading.left.min(reading.per_pass);
+                time += reading.taken;
+            }
+            time += self.pass_time;
+        } else if let Some(first) = self.readings.front_mut() {
+            // Without writers a pass is one step.
+            first.taken = first.left.min((first.per_pass / self.steps).max(STEP_MIN));
+            time = first.taken;
+        } else {
+            // Helpers elsewhere still read; the engine waits for them.
+            return;
+        }
+        self.pass_ends = Some(at + time.mul_f64(self.believed_slowness()));
+    }
+
+    fn end_pass(&mut self) {
+        self.pass_ends = None;
+        for reading in &mut self.readings {
+            reading.left -= reading.taken;
+            reading.taken = Duration::ZERO;
+        }
+        let read = self.readings.iter().filter(|reading| reading.left.is_zero());
+        let read: Vec<GrantId> = read.map(|reading| reading.grant).collect();
+        self.readings.retain(|reading| !reading.left.is_zero());
+        for grant in read {
+            if let Some(main) = self.mains.get_mut(&grant) {
+                main.is_read = true;
+            }
+        }
+    }
+
     pub(crate) fn add_main(&mut self, now: Instant, grant: GrantId, main: Main) {
         self.mains.insert(grant, main);
         self.sends.push_back(now);
     }
 
-    pub(crate) fn add_reading(&mut self, grant: GrantId, left: Duration, per_pass: Duration) {
-        self.readings.push_back(Reading { grant, left, per_pass });
+    pub(crate) fn add_reading(
+        &mut self,
+        now: Instant,
+        grant: GrantId,
+        left: Duration,
+        per_pass: Duration,
+    ) {
+        let taken = Duration::ZERO;
+        self.readings.push_back(Reading { grant, left, per_pass, taken });
+        self.start_pass(now);
     }
 
-    /// The prompt of a grant is read.
-    pub(crate) fn has_read(&mut self, grant: GrantId) {
+    /// The first event of a grant has come, so a pass has just ended.
+    pub(crate) fn has_read(&mut self, now: Instant, grant: GrantId) {
         self.readings.retain(|reading| reading.grant != grant);
-        if let Some(main) = self.mains.get_mut(&grant) {
-            main.has_begun = true;
+        let Some(main) = self.mains.get_mut(&grant) else { return };
+        main.is_read = true;
+        if self.pass_ends.is_some() {
+            self.end_pass();
         }
+        self.start_pass(now.checked_sub(REPORT_DELAY).unwrap_or(now));
     }
 
     /// A grant has ended.
@@ -106,6 +167,19 @@
         self.mains.remove(&grant);
     }
 
+    /// Time until the pass under way ends, if it writes.
+    pub(crate) fn pass_left(&self, now: Instant) -> Duration {
+        let has_writers = self.mains.values().any(|main| main.is_read);
+        let left = self.pass_ends.map(|ends| ends.saturating_duration_since(now));
+        left.filter(|_| has_writers).unwrap_or_default()
+    }
+
+    /// Reading that the next pass takes in, or that goes before a new request.
+    pub(crate) fn next_reading(&self) -> Duration {
+        let left: Duration = self.readings.iter().map(|r| r.left - r.taken).sum();
+        left.mul_f64(self.believed_slowness())
+    }
+
     /// Requests that it runs.
     pub(crate) fn mains(&self) -> usize {
         self.mains.len()
@@ -127,11 +201,6 @@
         left.mul_f64(self.believed_slowness())
     }
 
-    /// Most reading that the next writing pass takes in.
-    pub(crate) fn reading_in_pass(&self) -> Duration {
-        self.reading_left().min(self.longest_per_pass())
-    }
-
     /// Most reading of one prompt that a writing pass takes in.
     pub(crate) fn longest_per_pass(&self) -> Duration {
         self.readings.iter().map(|reading| reading.per_pass).max().unwrap_or_default()
@@ -187,6 +256,9 @@
     }
 }
 
+/// Shortest step that is followed by itself.
+const STEP_MIN: Duration = Duration::from_millis(5);
+
 /// What a prompt costs an engine that reads a part of it.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Part {
--- a/crates/grant/src/place.rs
+++ b/crates/grant/src/place.rs
@@ -14,17 +14,19 @@
     engine::{Engine, Part, part},
 };
 use routing::EngineProfile;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Part of the time left at which a first event counts as comfortably on time.
-const COMFORTABLE: f64 = 0.5;
+const COMFORTABLE: f64 = 0.55;
 /// Part of the time left that an expectation may take; the rest is for what it omits:
 /// connections, network and the pass under way.
-const ON_TIME: f64 = 0.8;
+const ON_TIME: f64 = 0.85;
+/// The same while long prompts wait for idle engines.
+const COMFORTABLE_PRESSED: f64 = 0.7;
 /// Part of the slots that short prompts fill before another engine is opened for them.
-const COMFORTABLE_SLOTS: f64 = 0.75;
+const COMFORTABLE_SLOTS: f64 = 0.9;
 /// Part of a pause target that an expected pass may take.
-const PAUSE_SHARE: f64 = 0.85;
+const PAUSE_SHARE: f64 = 0.97;
 /// Part of a pause target up to which reading a prompt fits between the events of others.
 const SHORT_SHARE: f64 = 0.8;
 /// Part of the engines that long prompts leave free, so that a short one finds a place.
@@ -33,12 +35,16 @@
 const STEP_OVERHEAD: f64 = 1.06;
 /// Most engines that read one prompt: the upstreams take 16 helpers.
 const MAX_READERS: usize = 17;
-/// Readers of a prompt that will be late anyway.
-const LATE_READERS: usize = 2;
+/// Part of the engines that prompts that are late leave free besides, for others that can
+/// be on time.
+const LATE_RESERVED_SHARE: f64 = 0.2;
+/// Part of the time left that the work of a late prompt may take before it goes first.
+const URGENT_SHARE: f64 = 0.85;
 
 /// An engine that a request might run on.
 pub(crate) struct Candidate<'a> {
     pub(crate) engine: &'a Engine,
+    pub(crate) now: Instant,
     pub(crate) slots: usize,
     /// Whether it failed a short time ago, is cold, or was not heard of for long.
     pub(crate) is_doubtful: bool,
@@ -64,6 +70,11 @@
     profile.read_time(ask.prompt) <= ask.pause_target.mul_f64(SHORT_SHARE)
 }
 
+/// Whether a prompt can be on time only on engines where nobody writes.
+pub(crate) fn needs_idle(profile: &EngineProfile, ask: &Ask) -> bool {
+    !ask.target_left.is_zero() && profile.read_time(ask.prompt) > ask.pause_target
+}
+
 /// Least time in which any engine answers a request whole.
 pub(crate) fn least_time(profile: &EngineProfile, ask: &Ask) -> Duration {
     let readers = if is_short(profile, ask) { 1 } else { MAX_READERS };
@@ -73,36 +84,47 @@
 /// Tokens of an answer that are expected at least; most answers are shorter than their bound.
 const SURE_OUTPUT: u64 = 256;
 
-/// Chooses where a request runs now; `None` if it had better wait.
+/// Chooses where a request runs now; `None` if it had better wait. `is_pressed` tells that
+/// long prompts wait for idle engines.
 pub(crate) fn choose(
     profile: &EngineProfile,
     ask: &Ask,
     candidates: &[Candidate<'_>],
+    is_pressed: bool,
 ) -> Option<Place> {
     match is_short(profile, ask) {
-        true => choose_short(profile, ask, candidates),
+        true => choose_short(profile, ask, candidates, is_pressed),
         false => choose_long(profile, ask, candidates),
     }
 }
 
-fn choose_short(profile: &EngineProfile, ask: &Ask, candidates: &[Candidate<'_>]) -> Option<Place> {
+fn choose_short(
+    profile: &EngineProfile,
+    ask: &Ask,
+    candidates: &[Candidate<'_>],
+    is_pressed: bool,
+) -> Option<Place> {
     let own = part(profile, ask.prompt, 1);
     let mut fitting: Vec<(usize, Duration)> = candidates
         .iter()
         .enumerate()
         .filter(|(_, c)| fits(profile, ask, c, own))
-        .map(|(i, c)| (i, expect(profile, c.engine, own)))
+        .map(|(i, c)| (i, expect(profile, c, own)))
         .collect();
     // The sort is stable, so equal engines keep their order.
     fitting.sort_by_key(|(i, _)| (candidates[*i].is_doubtful, openness(ask, &candidates[*i])));
     let limit = ask.target_left;
+    let share = if is_pressed { COMFORTABLE_PRESSED } else { COMFORTABLE };
     let comfortable = fitting.iter().find(|(i, expected)| {
         let c = &candidates[*i];
         let slots = (c.slots as f64 * COMFORTABLE_SLOTS) as usize;
-        !c.is_doubtful && c.engine.mains() < slots.max(1) && *expected <= limit.mul_f64(COMFORTABLE)
+        !c.is_doubtful && c.engine.mains() < slots.max(1) && *expected <= limit.mul_f64(share)
     });
     let quickest = || fitting.iter().min_by_key(|(i, e)| (candidates[*i].is_doubtful, *e));
     let is_late = own.read + profile.pass_time() > limit.mul_f64(ON_TIME);
+    if fitting.is_empty() && is_late {
+        return least_harm(profile, ask, candidates, own);
+    }
     let (main, expected) = match comfortable {
         Some(found) => *found,
         None => {
@@ -117,6 +139,19 @@
     Some(Place::alone(main, own, expected))
 }
 
+/// An engine with room whose requests are few, for a short prompt that nobody bears on
+/// time and that is late already.
+fn least_harm(
+    profile: &EngineProfile,
+    ask: &Ask,
+    candidates: &[Candidate<'_>],
+    own: Part,
+) -> Option<Place> {
+    let roomy = candidates.iter().enumerate().filter(|(_, c)| has_room(profile, ask, c));
+    let (main, c) = roomy.min_by_key(|(_, c)| (c.is_doubtful, c.engine.mains()))?;
+    Some(Place::alone(main, own, expect(profile, c, own)))
+}
+
 fn choose_long(profile: &EngineProfile, ask: &Ask, candidates: &[Candidate<'_>]) -> Option<Place> {
     let sound =
         |c: &Candidate<'_>| !c.is_doubtful && c.engine.is_idle() && has_room(profile, ask, c);
@@ -125,6 +160,7 @@
     let reserved = (candidates.len() as f64 * RESERVED_SHARE).ceil() as usize;
     let reserved = if candidates.len() > 2 { reserved } else { 0 };
     let free = idle.len().saturating_sub(reserved);
+    let late_reserve = (candidates.len() as f64 * LATE_RESERVED_SHARE).ceil() as usize;
     let limit = ask.target_left.mul_f64(ON_TIME);
     let expected = |readers| {
         part(profile, ask.prompt, readers).read.mul_f64(STEP_OVERHEAD) + profile.pass_time()
@@ -138,7 +174,10 @@
     let readers = match needed {
         Some(needed) if needed <= free => needed,
         Some(_) => return None,
-        None => LATE_READERS.min(free),
+        None => {
+            let spare = if is_urgent(profile, ask) { 0 } else { late_reserve };
+            late_readers(profile, ask, free.saturating_sub(spare))
+        }
     };
     let (main, helpers) = idle.get(..readers)?.split_first()?;
     let own = part(profile, ask.prompt, readers);
@@ -150,16 +189,34 @@
     })
 }
 
+/// Whether a prompt that is late has to start soon to be finished at all.
+fn is_urgent(profile: &EngineProfile, ask: &Ask) -> bool {
+    let least = part(profile, ask.prompt, 1).read + profile.write_time(ask.output);
+    least > ask.deadline_left.mul_f64(URGENT_SHARE)
+}
+
+/// Engines that read a prompt that is late: as few as its deadline allows, so that others
+/// can be on time.
+fn late_readers(profile: &EngineProfile, ask: &Ask, free: usize) -> usize {
+    let write = profile.write_time(ask.output);
+    let is_enough = |readers: &usize| {
+        let read = part(profile, ask.prompt, *readers).read.mul_f64(STEP_OVERHEAD);
+        read + write <= ask.deadline_left.mul_f64(ON_TIME)
+    };
+    (1..=free).find(is_enough).unwrap_or(0)
+}
+
 /// An engine that runs requests alike and can read one more beside them on time.
 fn join_long(profile: &EngineProfile, ask: &Ask, candidates: &[Candidate<'_>]) -> Option<Place> {
     let own = part(profile, ask.prompt, 1);
     let limit = ask.target_left.mul_f64(ON_TIME);
-    let is_alike = |c: &Candidate<'_>| c.engine.pause_target() == Some(ask.pause_target);
+    let is_alike =
+        |c: &Candidate<'_>| c.engine.pause_target().is_some_and(|t| t >= ask.pause_target);
     (0..candidates.len())
         .rev()
         .filter(|i| !candidates[*i].is_doubtful && is_alike(&candidates[*i]))
         .filter(|i| fits(profile, ask, &candidates[*i], own))
-        .map(|i| (i, expect(profile, candidates[i].engine, own)))
+        .map(|i| (i, expect(profile, &candidates[i], own)))
         .find(|(_, expected)| *expected <= limit)
         .map(|(main, expected)| Place::alone(main, own, expected))
 }
@@ -176,21 +233,24 @@
 
 fn keeps_pauses(profile: &EngineProfile, ask: &Ask, engine: &Engine, own: Part) -> bool {
     let Some(target) = engine.pause_target() else { return true };
+    // What the pass under way takes in is counted as well: where it began is a guess.
     let total = engine.reading_left() + own.read;
     let read = total.min(engine.longest_per_pass().max(own.per_pass));
     let pass = profile.pass_time() + read.mul_f64(engine.believed_slowness());
     pass <= target.min(ask.pause_target).mul_f64(PAUSE_SHARE)
 }
 
-/// Time to the first event: the pass under way, what is to be read before, the prompt
-/// itself and the pass that writes the first event.
-fn expect(profile: &EngineProfile, engine: &Engine, own: Part) -> Duration {
-    let under_way = match engine.mains() {
-        0 => Duration::ZERO,
-        _ => (profile.pass_time() + engine.reading_in_pass()) / 2,
+/// Time to the first event. Beside writers, a prompt waits for the end of the pass under
+/// way, is read in the next one and writes in the one after.
+fn expect(profile: &EngineProfile, c: &Candidate<'_>, own: Part) -> Duration {
+    let engine = c.engine;
+    let passes = if engine.mains() > 0 { 2 } else { 1 };
+    let rest = own.read + profile.pass_time() * passes;
+    let before = match engine.mains() {
+        0 => engine.reading_left(),
+        _ => engine.pass_left(c.now) + engine.next_reading(),
     };
-    let rest = own.read + profile.pass_time();
-    under_way + engine.reading_left() + rest.mul_f64(engine.believed_slowness())
+    before + rest.mul_f64(engine.believed_slowness())
 }
 
 /// Order in which engines are filled: those that already run requests at least as
--- a/crates/grant/src/waiting.rs
+++ b/crates/grant/src/waiting.rs
@@ -40,6 +40,11 @@
         self.waiters.len()
     }
 
+    /// Whether any request for a service that waits is of a kind.
+    pub(crate) fn any(&self, now: Instant, service: &str, is_kind: impl Fn(&Ask) -> bool) -> bool {
+        self.waiters.values().any(|w| w.ask.service == service && is_kind(&w.at(now)))
+    }
+
     /// Adds a request, or notes that it still waits.
     pub(crate) fn add(&mut self, now: Instant, ask: Ask) {
         let waiter = Waiter { arrived: now, asked: now, ask };
--- /dev/null
+++ b/crates/grant/tests/heavy/main.rs
@@ -0,0 +1,92 @@
+//! The heaviest load patterns of the users' first sites, in virtual time.
+//!
+//! Eighteen engines serve drafts of 5,000 tokens, reviews of 45,000 and digests of
+//! 182,000. Bursts alternate between many digests and many drafts. The bound is the
+//! users' target for the mean worth of a day with trouble.
+
+mod day;
+
+use day::{Kind, Tally, play};
+use std::collections::BTreeMap;
+
+/// Part of what is owed that the users hope for on a day with trouble.
+const TARGET: f64 = 0.74;
+/// Engines of the first sites.
+const ENGINES: usize = 18;
+
+const DRAFT: Kind = Kind {
+    name: "draft",
+    per_s: 35.9,
+    prompt_mean: 4_960.0,
+    prompt_spread: 0.9,
+    prompt_max: 23_800.0,
+    events: 38.5,
+    target_ms: 300,
+    pause_ms: 250,
+    deadline_ms: 10_000,
+    worth: 1.3,
+    late_worth: 0.33,
+};
+const REVIEW: Kind = Kind {
+    name: "review",
+    per_s: 2.01,
+    prompt_mean: 45_000.0,
+    prompt_spread: 0.5,
+    prompt_max: 110_000.0,
+    events: 23.1,
+    target_ms: 1_500,
+    pause_ms: 600,
+    deadline_ms: 10_000,
+    worth: 3.9,
+    late_worth: 0.97,
+};
+const DIGEST: Kind = Kind {
+    name: "digest",
+    per_s: 0.933,
+    prompt_mean: 182_000.0,
+    prompt_spread: 0.55,
+    prompt_max: 400_000.0,
+    events: 19.2,
+    target_ms: 3_000,
+    pause_ms: 1_000,
+    deadline_ms: 15_000,
+    worth: 24.0,
+    late_worth: 6.1,
+};
+
+fn times(kind: Kind, factor: f64) -> Kind {
+    Kind { per_s: kind.per_s * factor, ..kind }
+}
+
+fn part_earned(tallies: &BTreeMap<&'static str, Tally>) -> f64 {
+    let owed: f64 = tallies.values().map(|t| t.owed).sum();
+    let earned: f64 = tallies.values().map(|t| t.earned).sum();
+    earned / owed
+}
+
+/// The mean over a few runs, as the users' target is one.
+fn assert_target(kinds: &[Kind]) {
+    const SEEDS: u64 = 4;
+    let runs: Vec<_> = (1..=SEEDS).map(|seed| play(kinds, ENGINES, 20.0, seed)).collect();
+    let mean = runs.iter().map(part_earned).sum::<f64>() / SEEDS as f64;
+    for run in &runs {
+        println!("{:.3} of what is owed: {run:?}", part_earned(run));
+    }
+    println!("mean {mean:.3}");
+    assert!(mean >= TARGET, "{mean:.3} of what is owed, target {TARGET}");
+}
+
+#[test]
+fn many_digests_beside_few_drafts() {
+    assert_target(&[times(DRAFT, 0.35), times(REVIEW, 1.3), times(DIGEST, 2.7)]);
+}
+
+#[test]
+fn many_drafts_beside_few_digests() {
+    assert_target(&[times(DRAFT, 2.5), times(REVIEW, 0.5), times(DIGEST, 0.05)]);
+}
+
+#[test]
+fn an_ordinary_hour() {
+    assert_target(&[DRAFT, REVIEW, DIGEST]);
+}
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -3,7 +3,7 @@
 use super::{
     bus::{Bus, reply},
     lead::{Answered, FOLLOW_WAIT, Lead, PLACE_WAIT},
-    members::members_for,
+    members::{self, members_for},
     messages::{Call, CallAnswer, Follow, Position, Question, Reply},
     settings::{ControlSettings, GatewaySettings},
     view::View,
@@ -11,6 +11,7 @@
 use crate::{sync::lock, voter::Voter};
 use control::{Command, Outcome, Published, RoutingOutcome};
 use grant::{DispatcherConfig, Merge, Registration};
+use group::Status;
 use http::{Method, StatusCode};
 use kernel::SharedClock;
 use platform::control as calls;
@@ -153,12 +154,26 @@
                     lead.load()
                 });
                 let (waiting, running) = load.unwrap_or_default();
+                self.measure_group(&status);
                 metrics::gauge!("toucansill_streams_waiting").set(waiting as f64);
                 metrics::gauge!("toucansill_streams_running").set(running as f64);
             }
         }
     }
 
+    /// Members, and those of them that the leader hears; 0 on other daemons.
+    fn measure_group(&self, status: &Status) {
+        let voters = &status.membership.voters;
+        let silent = status
+            .silent_ticks
+            .iter()
+            .filter(|(id, ticks)| voters.contains(*id) && **ticks >= members::UNHEARD_TICKS);
+        let leads = f64::from(u8::from(status.is_leader()));
+        let heard = voters.len() - silent.count();
+        metrics::gauge!("toucansill_group_members").set(leads * voters.len() as f64);
+        metrics::gauge!("toucansill_group_members_heard").set(leads * heard as f64);
+    }
+
     /// Answers requests that wait, as engines go on.
     pub(crate) async fn watch_waiting(self: Arc<Self>) {
         loop {
--- a/crates/toucansilld/src/gateway/entry.rs
+++ b/crates/toucansilld/src/gateway/entry.rs
@@ -65,6 +65,7 @@
             .route(host.unwrap_or_default(), req.uri().path())
             .ok_or(Final::refused(StatusCode::NOT_FOUND, "no route"))?;
         record.route = route.name.clone();
+        record.prompt = head.tokens.map_or(0, |(prompt, _)| prompt);
         let organisation = organisation(&table, route, &head)?;
         record.organisation = organisation.map(|o| o.name.clone()).unwrap_or_default();
         let time = route.timeout.min(head.deadline.unwrap_or(DEADLINE_MAX));
--- a/crates/toucansilld/src/gateway/flight.rs
+++ b/crates/toucansilld/src/gateway/flight.rs
@@ -2,7 +2,7 @@
 
 use super::{
     placer::{Hold, Placer},
-    record::Record,
+    record::{Placed, Record},
 };
 use bytes::Bytes;
 use grant::{Ask, End, Refusal};
@@ -199,13 +199,13 @@
     /// Sends the request until there is an answer to pass on.
     pub(crate) async fn next_answer(&mut self, record: &mut Record) -> Result<Answered, Final> {
         loop {
+            let asked = self.now();
             let ask = self.ask();
             let placed = self.cx.placer.place(ask, self.order.is_dispatched).await;
             let hold = placed.map_err(|(refusal, after)| self.unplaced(refusal, after))?;
             let started = self.now();
-            let upstream = hold.upstream().clone();
-            let is_local = hold.is_local();
-            self.tried.push(upstream.clone());
+            let placed = Placed::new(&hold, started.saturating_duration_since(asked));
+            self.tried.push(hold.upstream().clone());
             let result = self.send(hold, started).await;
             let ms = self.now().saturating_duration_since(started).as_millis();
             let ms = u64::try_from(ms).unwrap_or(u64::MAX);
@@ -214,13 +214,13 @@
                     self.sent.sends += 1;
                     self.sent.may_have_run = true;
                     let end = SendEnd::Answered(answered.head.status);
-                    record.sent(&upstream, is_local, ms, &end);
+                    record.sent(&placed, ms, &end);
                     return Ok(answered);
                 }
                 Err(failed) => failed,
             };
             let end = SendEnd::Fault(failed.fault, failed.reason);
-            record.sent(&upstream, is_local, ms, &end);
+            record.sent(&placed, ms, &end);
             self.sent.record(failed.fault);
             let route = &self.order.route;
             match next_step(route.repeat, route.max_attempts, self.sent, failed.fault) {
--- a/crates/toucansilld/src/gateway/identity.rs
+++ b/crates/toucansilld/src/gateway/identity.rs
@@ -5,9 +5,10 @@
     error::{Error, Result},
     settings::{InitialVoter, VoterSettings},
 };
+use disk::Files;
 use std::{
     fs::{self, File},
-    io::{self, Write},
+    io,
     net::{IpAddr, SocketAddr},
     path::Path,
 };
@@ -37,7 +38,8 @@
         Some(id) => id,
         None => {
             let id = if is_founder { founder_id(control.listen) } else { drawn_id() };
-            write(&file, id).map_err(fault)?;
+            disk::replace_file(&file, id.to_string().as_bytes(), &mut Files::default())
+                .map_err(|err| Error::start("control.data_folder", err))?;
             id
         }
     };
@@ -86,16 +88,3 @@
         Err(err) => Err(err),
     }
 }
-
-/// Writes aside and renames, so that a loss of power leaves the whole id or none.
-fn write(file: &Path, id: u64) -> io::Result<()> {
-    let aside = file.with_extension("new");
-    let mut f = File::create(&aside)?;
-    f.write_all(id.to_string().as_bytes())?;
-    f.sync_all()?;
-    fs::rename(&aside, file)?;
-    match file.parent() {
-        Some(folder) => File::open(folder)?.sync_all(),
-        None => Ok(()),
-    }
-}
--- a/crates/toucansilld/src/gateway/members.rs
+++ b/crates/toucansilld/src/gateway/members.rs
@@ -15,6 +15,8 @@
 /// Ticks of silence after which a member may be replaced by a daemon that wants to join:
 /// longer than an election, shorter than the time that a successor has to catch up.
 const SILENT_TICKS: u32 = 50;
+/// Ticks of silence after which a member counts as not heard: two heartbeats and a margin.
+pub(crate) const UNHEARD_TICKS: u32 = 6;
 /// Pause between two requests to be admitted.
 const JOIN_PAUSE: Duration = Duration::from_millis(200);
 /// Pause between two looks whether this daemon is still a member.
--- a/crates/toucansilld/src/gateway/record.rs
+++ b/crates/toucansilld/src/gateway/record.rs
@@ -1,10 +1,14 @@
 //! What is logged of one request.
 
-use super::flight::SendEnd;
+use super::{flight::SendEnd, placer::Hold};
 use http::StatusCode;
 use kernel::SharedClock;
-use std::{sync::Arc, time::Instant};
-use wire::{OrganisationId, RequestId, ServiceId, UpstreamId};
+use std::{
+    fmt,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use wire::{OrganisationId, RequestId, ServiceId, Tokens, UpstreamId};
 
 /// Collects what decided a request. It becomes one line of the log and one sample of each
 /// metric when the request ends, or when it is dropped because the caller has left.
@@ -20,6 +24,8 @@
     pub(crate) organisation: OrganisationId,
     /// Its service.
     pub(crate) service: ServiceId,
+    /// Length of its prompt.
+    pub(crate) prompt: Tokens,
     sends: Vec<String>,
     first_event_ms: Option<u64>,
     outcome: Option<(StatusCode, String)>,
@@ -37,6 +43,7 @@
             route: String::new(),
             organisation: String::new(),
             service: String::new(),
+            prompt: 0,
             sends: Vec::new(),
             first_event_ms: None,
             outcome: None,
@@ -45,9 +52,8 @@
     }
 
     /// Notes how a send ended: where, who decided, after which time, and how.
-    pub(crate) fn sent(&mut self, upstream: &UpstreamId, is_local: bool, ms: u64, end: &SendEnd) {
-        let by = if is_local { "entry" } else { "leader" };
-        self.sends.push(format!("{upstream} by {by}: {end} after {ms} ms"));
+    pub(crate) fn sent(&mut self, placed: &Placed, ms: u64, end: &SendEnd) {
+        self.sends.push(format!("{placed}: {end} after {ms} ms"));
     }
 
     /// Notes the first event of a stream.
@@ -73,6 +79,7 @@
             route: std::mem::take(&mut self.route),
             organisation: std::mem::take(&mut self.organisation),
             service: std::mem::take(&mut self.service),
+            prompt: self.prompt,
             sends: std::mem::take(&mut self.sends),
             first_event_ms: self.first_event_ms,
             outcome: None,
@@ -86,6 +93,38 @@
     }
 }
 
+/// Where a request was sent, for the log.
+pub(crate) struct Placed {
+    upstream: UpstreamId,
+    by: &'static str,
+    readers: usize,
+    expected_ms: u128,
+    waited_ms: u128,
+}
+
+impl Placed {
+    /// Notes a grant, and the time that it took.
+    pub(crate) fn new(hold: &Hold, waited: Duration) -> Self {
+        Self {
+            upstream: hold.upstream().clone(),
+            by: if hold.is_local() { "entry" } else { "leader" },
+            readers: hold.grant.helpers.len() + 1,
+            expected_ms: hold.grant.expected_first.as_millis(),
+            waited_ms: waited.as_millis(),
+        }
+    }
+}
+
+impl fmt::Display for Placed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { upstream, by, readers, expected_ms, waited_ms } = self;
+        write!(
+            f,
+            "{upstream} by {by} after {waited_ms} ms, {readers} read, {expected_ms} ms expected"
+        )
+    }
+}
+
 impl Drop for Record {
     fn drop(&mut self) {
         if self.is_handed_over {
@@ -99,7 +138,7 @@
         log::info!(
             request = self.request.as_str(), route = self.route.as_str(),
             organisation = self.organisation.as_str(), service = self.service.as_str(),
-            version = self.version, status = status, ms = ms,
+            version = self.version, prompt = self.prompt, status = status, ms = ms,
             first_event_ms = self.first_event_ms.unwrap_or(0), sends:? = self.sends;
             "request ended: {reason}"
         );
--- a/crates/toucansilld/src/gateway/stream.rs
+++ b/crates/toucansilld/src/gateway/stream.rs
@@ -2,7 +2,7 @@
 
 use super::{
     flight::{Answered, Flight, Running, end_of},
-    record::Record,
+    record::{Placed, Record},
 };
 use grant::End;
 use http::StatusCode;
@@ -50,7 +50,7 @@
             PartEnd::Fault(fault, reason) => (fault, reason),
         };
         let end = super::flight::SendEnd::Fault(fault, reason);
-        record.sent(hold.upstream(), hold.is_local(), ms, &end);
+        record.sent(&Placed::new(&hold, Duration::ZERO), ms, &end);
         hold.end(end_of(fault));
         flight.broke_off(fault);
         if !flight.may_resume() {
--- a/crates/toucansilld/src/voter/addresses.rs
+++ b/crates/toucansilld/src/voter/addresses.rs
@@ -6,10 +6,10 @@
     settings::VoterSettings,
     sync::lock,
 };
+use disk::Files;
 use group::NodeId;
 use std::{
-    fs::{self, File},
-    io::{self, Write},
+    fs, io,
     path::{Path, PathBuf},
     sync::Mutex,
 };
@@ -32,8 +32,13 @@
         let file = settings.data_folder.join(FILE);
         let initial = settings.initial.iter().map(|v| (v.id, v.address.to_string()));
         let mut known: VoterAddresses = initial.collect();
-        known.extend(read(&file).map_err(fault)?);
+        let stored = read(&file).map_err(fault)?;
+        known.extend(stored.clone());
         known.insert(settings.id, String::from(own_address));
+        if known != stored {
+            // The settings name the first voters only once.
+            write(&file, &known).map_err(|err| Error::start("voter.data_folder", err))?;
+        }
         Ok(Self { file, own: settings.id, known: Mutex::new(known) })
     }
 
@@ -79,10 +84,7 @@
     }
 }
 
-fn write(file: &Path, known: &VoterAddresses) -> io::Result<()> {
-    let aside = file.with_extension("new");
-    let mut f = File::create(&aside)?;
-    f.write_all(&serde_json::to_vec(known)?)?;
-    f.sync_all()?;
-    fs::rename(&aside, file)
+fn write(file: &Path, known: &VoterAddresses) -> disk::Result<()> {
+    let text = serde_json::json!(known).to_string();
+    disk::replace_file(file, text.as_bytes(), &mut Files::default())
 }
--- /dev/null
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -0,0 +1,310 @@
+//! A region of gateway daemons as separate processes on this machine.
+
+use std::{
+    fs,
+    io::{BufRead, BufReader, Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+use tempfile::TempDir;
+
+/// Longest wait for an event that a test expects. Reached only by a failure.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Pause between two looks for such an event.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Ports and addresses of one daemon. Each has a loopback address of its own, as all use
+/// the same ports.
+struct Place {
+    ip: String,
+    name: String,
+    is_control: bool,
+}
+
+/// Daemons, with their folders.
+pub(crate) struct Region {
+    dir: TempDir,
+    base_port: u16,
+    places: Vec<Place>,
+    seeds: usize,
+    running: Vec<Option<Child>>,
+    attempts: AtomicU64,
+}
+
+impl Region {
+    /// A region of control daemons and one entry, all stopped.
+    pub(crate) fn new(controls: usize) -> Self {
+        let (subnet, base_port) = free_subnet();
+        let place = |i: usize, is_control| Place {
+            ip: format!("127.{}.{}.{}", subnet.0, subnet.1, i + 1),
+            name: format!("{}-{i}", if is_control { "control" } else { "entry" }),
+            is_control,
+        };
+        let mut places: Vec<Place> = (0..controls).map(|i| place(i, true)).collect();
+        places.push(place(controls, false));
+        let running = places.iter().map(|_| None).collect();
+        let dir = tempfile::tempdir().expect("a folder");
+        let attempts = AtomicU64::new(1);
+        Self { dir, base_port, places, seeds: controls.min(3), running, attempts }
+    }
+
+    /// Number of the entry.
+    pub(crate) fn entry(&self) -> usize {
+        self.places.len() - 1
+    }
+
+    /// Starts a daemon. `founds_group` is true only at a region's first start.
+    pub(crate) fn start(&mut self, i: usize, founds_group: bool) {
+        let file = self.dir.path().join(format!("{}.yaml", self.places[i].name));
+        fs::write(&file, self.settings(i, founds_group)).expect("written");
+        let child = Command::new(env!("CARGO_BIN_EXE_toucansilld"))
+            .arg(&file)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("started");
+        self.running[i] = Some(child);
+    }
+
+    /// Starts all daemons.
+    pub(crate) fn start_all(&mut self, founds_group: bool) {
+        (0..self.places.len()).for_each(|i| self.start(i, founds_group));
+    }
+
+    /// Kills a daemon.
+    pub(crate) fn kill(&mut self, i: usize) {
+        if let Some(mut child) = self.running[i].take() {
+            child.kill().expect("killed");
+            child.wait().expect("ended");
+        }
+    }
+
+    /// Kills all daemons.
+    pub(crate) fn kill_all(&mut self) {
+        (0..self.places.len()).for_each(|i| self.kill(i));
+    }
+
+    /// Sends SIGTERM to a daemon and waits for its end.
+    pub(crate) fn stop(&mut self, i: usize) {
+        let Some(mut child) = self.running[i].take() else { return };
+        let id = child.id().to_string();
+        let sent = Command::new("kill").args(["-TERM", &id]).status().expect("sent");
+        assert!(sent.success());
+        child.wait().expect("ended");
+    }
+
+    /// Empties the folder of a control daemon, as a lost disk does.
+    pub(crate) fn lose_disk(&self, i: usize) {
+        fs::remove_dir_all(self.data_folder(i)).expect("removed");
+    }
+
+    /// Calls the control address of a daemon: status and body, or nothing.
+    pub(crate) fn call(
+        &self,
+        i: usize,
+        method: &str,
+        path: &str,
+        body: &str,
+    ) -> Option<(u16, String)> {
+        let address = format!("{}:{}", self.places[i].ip, self.base_port + 1);
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nHost: control\r\nConnection: close\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
+        exchange(&address, &format!("{head}{body}"))
+    }
+
+    /// Repeats a call to a daemon until it is answered 200; returns the body.
+    pub(crate) fn call_until_done(&self, i: usize, method: &str, path: &str, body: &str) -> String {
+        eventually(path, || {
+            let answer = self.call(i, method, path, body);
+            answer.filter(|(status, _)| *status == 200).map(|(_, body)| body)
+        })
+    }
+
+    /// Waits until a leader hears exactly this many members.
+    pub(crate) fn await_members(&self, count: usize) {
+        let expected = [
+            format!("toucansill_group_members {count}"),
+            format!("toucansill_group_members_heard {count}"),
+        ];
+        eventually("members", || {
+            let pages = self.places.iter().filter_map(|place| {
+                let address = format!("{}:{}", place.ip, self.base_port + 4);
+                let head = "GET /metrics HTTP/1.1\r\nHost: metrics\r\nConnection: close\r\n\r\n";
+                exchange(&address, head).map(|(_, page)| page)
+            });
+            let mut pages =
+                pages.filter(|page| expected.iter().all(|line| page.lines().any(|l| l == line)));
+            pages.next().map(drop)
+        });
+    }
+
+    /// Sends a request of a caller to the entry.
+    pub(crate) fn request(&self, path: &str) -> Option<(u16, String)> {
+        let entry = &self.places[self.entry()];
+        let address = format!("{}:{}", entry.ip, self.base_port + 2);
+        let attempt = self.attempts.fetch_add(1, Ordering::Relaxed);
+        exchange(
+            &address,
+            &format!(
+                "POST {path} HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\nAttempt-Id: r{attempt}\r\n\
+                 Deadline-Ms: 5000\r\nContent-Length: 2\r\n\r\nhi"
+            ),
+        )
+    }
+
+    fn data_folder(&self, i: usize) -> PathBuf {
+        self.dir.path().join(&self.places[i].name)
+    }
+
+    fn settings(&self, i: usize, founds_group: bool) -> String {
+        let Place { ip, name, is_control } = &self.places[i];
+        let port = self.base_port;
+        let seeds = self.places[..self.seeds].iter();
+        let seeds: Vec<String> = seeds.map(|p| format!("'{}:{}'", p.ip, port + 1)).collect();
+        let part = if *is_control {
+            format!(
+                "control: {{listen: '{ip}:{}', data_folder: '{}', founds_group: {founds_group}, \
+                 tolerated_losses: {}}}",
+                port + 1,
+                self.data_folder(i).display(),
+                (self.places.len() - 2) / 2
+            )
+        } else {
+            format!(
+                "entry: {{callers: '{ip}:{}', readiness: '{ip}:{}', max_connections: 64}}",
+                port + 2,
+                port + 3
+            )
+        };
+        format!(
+            "daemon: {name}\ndata_centre: dc-1\nlinks: '{ip}:{port}'\nmetrics: '{ip}:{}'\n\
+             seeds: [{}]\n{part}\nbounds: {{stop_ms: 4000}}\n",
+            port + 4,
+            seeds.join(", ")
+        )
+    }
+}
+
+impl Drop for Region {
+    fn drop(&mut self) {
+        self.kill_all();
+    }
+}
+
+/// Waits until `look` finds something.
+pub(crate) fn eventually<T>(what: &str, look: impl FnMut() -> Option<T>) -> T {
+    let mut look = look;
+    let start = Instant::now();
+    loop {
+        if let Some(found) = look() {
+            return found;
+        }
+        assert!(start.elapsed() < PATIENCE, "not in time: {what}");
+        thread::sleep(PAUSE);
+    }
+}
+
+fn exchange(address: &str, request: &str) -> Option<(u16, String)> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(10))).ok()?;
+    stream.write_all(request.as_bytes()).ok()?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).ok()?;
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    Some((head.split(' ').nth(1)?.parse().ok()?, body.to_owned()))
+}
+
+/// Loopback addresses and ports that nobody else uses: the process id makes the addresses
+/// its own, and the system names a free port below which five are tried.
+fn free_subnet() -> ((u8, u8), u16) {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let turn = NEXT.fetch_add(1, Ordering::Relaxed);
+    let id = u64::from(std::process::id()) * 8 + turn;
+    let subnet = (1 + (id / 250 % 250) as u8, 1 + (id % 250) as u8);
+    let ip = format!("127.{}.{}.1", subnet.0, subnet.1);
+    let listener = TcpListener::bind((ip.as_str(), 0)).expect("a port");
+    let port = listener.local_addr().expect("an address").port();
+    (subnet, port.min(u16::MAX - 8))
+}
+
+/// A stand-in for an upstream. It answers every request with its name, echoes the
+/// attempt's id and counts what it runs.
+pub(crate) struct Upstream {
+    pub(crate) address: SocketAddr,
+    runs: Arc<Mutex<Vec<String>>>,
+}
+
+impl Upstream {
+    pub(crate) fn start(name: &'static str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let runs = Arc::new(Mutex::new(Vec::new()));
+        let seen = Arc::clone(&runs);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let seen = Arc::clone(&seen);
+                thread::spawn(move || answer(stream, name, &seen));
+            }
+        });
+        Self { address, runs }
+    }
+
+    /// Ids of the attempts that it ran.
+    pub(crate) fn runs(&self) -> Vec<String> {
+        self.runs.lock().expect("not poisoned").clone()
+    }
+
+    /// What it says of itself.
+    pub(crate) fn statement(&self, service: &str, sequence: u64, state: &str) -> String {
+        format!(
+            r#"{{"service":"{service}","address":"{}","zone":"dc-1","slots":4,"state":"{state}","sequence":{sequence},"born":1}}"#,
+            self.address
+        )
+    }
+}
+
+fn answer(stream: TcpStream, name: &str, runs: &Mutex<Vec<String>>) {
+    let mut rx = BufReader::new(stream.try_clone().expect("cloned"));
+    let (mut attempt, mut length) = (String::new(), 0);
+    let mut line = String::new();
+    while rx.read_line(&mut line).is_ok_and(|n| n > 2) {
+        let lower = line.to_ascii_lowercase();
+        if let Some(value) = lower.strip_prefix("attempt-id:") {
+            attempt = value.trim().to_owned();
+        }
+        if let Some(value) = lower.strip_prefix("content-length:") {
+            length = value.trim().parse().unwrap_or(0);
+        }
+        line.clear();
+    }
+    let mut body = vec![0; length];
+    if rx.read_exact(&mut body).is_err() {
+        return;
+    }
+    runs.lock().expect("not poisoned").push(attempt.clone());
+    let answer = format!(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Signature: s\r\nContent-Length: {}\r\n\r\n{name}",
+        name.len()
+    );
+    let mut stream = stream;
+    // A caller that has left needs no answer.
+    let _ = stream.write_all(answer.as_bytes());
+}
+
+/// A document with one route to one service.
+pub(crate) fn document(version: u64, path: &str, service: &str) -> String {
+    format!(
+        r#"{{"version":{version},"routes":[{{"name":"r","host":"a.example","pathPrefix":"{path}",
+        "routeType":"non_idempotent","timeoutMs":4000,"service":"{service}"}}],
+        "services":[{{"name":"s1"}},{{"name":"s2"}}]}}"#
+    )
+}
