Pack documents, bound repeats over changes of leader, send waiters away at a stop

Test: a_request_that_waits_is_sent_away_when_its_daemon_stops (failed before: the connection closed without an answer). - The test of two lost disks counted members as heard right after an election; the gauge now counts only those that have answered in the term.

--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -68,10 +68,8 @@
 pub struct Published {
     /// Number of the document. The highest one is in force.
     pub version: u64,
-    /// The document as the operator sent it.
+    /// The document as the operator sent it, packed by the daemons.
     pub document: Vec<u8>,
-    /// What daemons follow: the document, decoded and checked, in their own encoding.
-    pub compiled: Vec<u8>,
 }
 
 /// A sheet that an operator asks to put in force.
--- a/crates/control/tests/routing.rs
+++ b/crates/control/tests/routing.rs
@@ -3,8 +3,7 @@
 use control::{Command, Outcome, Published, RoutingOutcome, State};
 
 fn publish(state: &mut State, index: u64, version: u64, text: &str) -> Outcome {
-    let document = text.as_bytes().to_vec();
-    let published = Published { version, compiled: document.clone(), document };
+    let published = Published { version, document: text.as_bytes().to_vec() };
     state.apply(index, &Command::PublishRouting(published))
 }
 
--- a/crates/grant/src/ask.rs
+++ b/crates/grant/src/ask.rs
@@ -93,6 +93,8 @@
     RetryBudget,
     /// It has crashed upstreams.
     Quarantined,
+    /// The daemon that it came to stops.
+    Stopping,
 }
 
 /// The right to send one request to one upstream, now.
--- a/crates/grant/src/dispatcher.rs
+++ b/crates/grant/src/dispatcher.rs
@@ -25,6 +25,9 @@
 /// Part of the allowed repeats that the dispatcher gives out. The rest is for entry
 /// daemons that can't reach it.
 const BUDGET_SHARE: f64 = 0.8;
+/// Part of the saved-up repeats with which a dispatcher starts: its predecessors may have
+/// spent theirs within the same window, and three leaders in one window are rare.
+const FIRST_BUDGET_SHARE: f64 = 0.3;
 /// Time within which an answer shows that an upstream works although it is not heard.
 const ANSWER_WINDOW: Duration = Duration::from_secs(3);
 /// Shortest and longest time that a refused caller is told to stay away.
@@ -102,7 +105,8 @@
         for service in services {
             let Some(profile) = service.engine.clone() else { continue };
             let budget = former.remove(&service.name).map(|pool| pool.budget);
-            let budget = budget.unwrap_or_else(|| RetryBudget::new(percent, slack));
+            let budget = budget
+                .unwrap_or_else(|| RetryBudget::new(percent, slack).with_part(FIRST_BUDGET_SHARE));
             let pool = Pool { profile, cold_rate: service.cold_rate, budget };
             self.pools.insert(service.name.clone(), pool);
         }
--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -35,6 +35,13 @@
         Self { percent, max, balance: max * 100 }
     }
 
+    /// The same with only a part of what it may save up, for a successor that does not know
+    /// what was spent a moment ago.
+    pub fn with_part(mut self, part: f64) -> Self {
+        self.balance = (f64::from(self.balance) * part.clamp(0.0, 1.0)) as u32;
+        self
+    }
+
     /// Counts a first attempt.
     pub fn earn(&mut self) {
         self.balance = (self.balance + self.percent).min(self.max * 100);
--- a/crates/routing/src/document.rs
+++ b/crates/routing/src/document.rs
@@ -1,7 +1,6 @@
 //! What operators publish.
 
 use crate::engine::EngineProfile;
-use bincode::{Decode, Encode};
 use std::time::Duration;
 use wire::{OrganisationId, ServiceId};
 
@@ -11,7 +10,7 @@
 pub type RouteId = String;
 
 /// All routes, services and keys of a region, as of one version.
-#[derive(Clone, Debug, Decode, Encode, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Routing {
     /// Number of the document.
     pub version: Version,
@@ -44,7 +43,7 @@
 }
 
 /// Where requests of one host and path prefix go.
-#[derive(Clone, Debug, Decode, Encode, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Route {
     /// Name of the route, for logs and metrics.
     pub name: RouteId,
@@ -91,7 +90,7 @@
 }
 
 /// What may be sent again after a failure that does not prove "not run".
-#[derive(Clone, Copy, Debug, Decode, Encode, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Repeat {
     /// The whole request.
     Idempotent,
@@ -116,7 +115,7 @@
 }
 
 /// A service's part of a route.
-#[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Share {
     /// The service.
     pub service: ServiceId,
@@ -125,7 +124,7 @@
 }
 
 /// A set of upstreams that answer alike.
-#[derive(Clone, Debug, Decode, Encode, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Service {
     /// Name of the service.
     pub name: ServiceId,
@@ -143,7 +142,7 @@
 }
 
 /// Bounds on what a caller may send, and for how long it may take.
-#[derive(Clone, Copy, Debug, Decode, Encode, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct HttpLimits {
     /// Bytes of a request's head.
     pub head_bytes: u64,
@@ -168,7 +167,7 @@
 }
 
 /// A firm whose callers present one of its keys.
-#[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Organisation {
     /// Name of the organisation, which upstreams are told.
     pub name: OrganisationId,
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -1,6 +1,5 @@
 //! What an engine does in which time.
 
-use bincode::{Decode, Encode};
 use std::time::Duration;
 use wire::Tokens;
 
@@ -8,7 +7,7 @@
 ///
 /// An engine works in passes. A pass reads pieces of prompts, and while any request
 /// writes it runs a fixed number of steps, each of which writes a token of each.
-#[derive(Clone, Debug, Decode, Encode, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct EngineProfile {
     /// Requests that run at once.
     pub slots: u32,
--- a/crates/toucansilld/src/gateway.rs
+++ b/crates/toucansilld/src/gateway.rs
@@ -24,6 +24,7 @@
 mod lead;
 mod members;
 mod messages;
+mod pack;
 mod placer;
 mod record;
 mod run;
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -5,6 +5,7 @@
     lead::{Answered, FOLLOW_WAIT, Lead, PLACE_WAIT},
     members::{self, members_for},
     messages::{Call, CallAnswer, Follow, Position, Question, Reply},
+    pack::{pack, unpack},
     settings::{ControlSettings, GatewaySettings},
     view::View,
 };
@@ -164,12 +165,13 @@
     /// Members, and those of them that the leader hears; 0 on other daemons.
     fn measure_group(&self, status: &Status) {
         let voters = &status.membership.voters;
-        let silent = status
-            .silent_ticks
-            .iter()
-            .filter(|(id, ticks)| voters.contains(*id) && **ticks >= members::UNHEARD_TICKS);
+        // One that has acknowledged nothing yet was not heard in this term.
+        let has_answered = |id| status.matched.get(id).is_some_and(|matched| *matched > 0);
+        let others = status.silent_ticks.iter().filter(|(id, ticks)| {
+            voters.contains(*id) && **ticks < members::UNHEARD_TICKS && has_answered(*id)
+        });
         let leads = f64::from(u8::from(status.is_leader()));
-        let heard = voters.len() - silent.count();
+        let heard = others.count() + 1;
         metrics::gauge!("toucansill_group_members").set(leads * voters.len() as f64);
         metrics::gauge!("toucansill_group_members_heard").set(leads * heard as f64);
     }
@@ -277,11 +279,11 @@
         if !self.is_formed() {
             return Some(CallAnswer::new(503, "the control group is not complete yet"));
         }
-        let compiled = match wire::encode(&routing) {
-            Ok(compiled) => compiled,
+        let document = match pack(&document) {
+            Ok(document) => document,
             Err(err) => return Some(CallAnswer::new(500, &err.to_string())),
         };
-        let published = Published { version: routing.version, document, compiled };
+        let published = Published { version: routing.version, document };
         let outcome = match self.propose(Command::PublishRouting(published)).await {
             Ok(outcome) => outcome,
             Err(answer) => return Some(answer),
@@ -323,7 +325,10 @@
         let voter = Arc::clone(&self.voter);
         let read = spawn_blocking(move || voter.read(|state| state.routing().cloned())).await;
         match read {
-            Ok(Ok(Some(published))) => CallAnswer { status: 200, body: published.document.clone() },
+            Ok(Ok(Some(published))) => match unpack(&published.document) {
+                Ok(body) => CallAnswer { status: 200, body },
+                Err(err) => CallAnswer::new(500, &err.to_string()),
+            },
             Ok(Ok(None)) => CallAnswer::new(503, "no routing was published yet"),
             Ok(Err(err)) => CallAnswer::new(503, &format!("not sure of the newest: {err}")),
             Err(err) => CallAnswer::new(500, &err.to_string()),
--- a/crates/toucansilld/src/gateway/entry.rs
+++ b/crates/toucansilld/src/gateway/entry.rs
@@ -22,7 +22,7 @@
     sync::Arc,
     time::{Duration, Instant},
 };
-use tokio::time::timeout;
+use tokio::{sync::watch, time::timeout};
 
 /// Time after which a caller that came before this daemon knew any routing may try again.
 const NOT_READY_RETRY: Duration = Duration::from_millis(500);
@@ -34,6 +34,7 @@
     pub(crate) view: Arc<View>,
     pub(crate) placer: Arc<Placer>,
     pub(crate) clock: SharedClock,
+    pub(crate) ends_soon: watch::Receiver<bool>,
 }
 
 impl Entry {
@@ -94,7 +95,11 @@
             arrived,
             deadline: arrived + time,
         };
-        let cx = FlightContext { placer: Arc::clone(&self.placer), clock: Arc::clone(&self.clock) };
+        let cx = FlightContext {
+            placer: Arc::clone(&self.placer),
+            clock: Arc::clone(&self.clock),
+            ends_soon: self.ends_soon.clone(),
+        };
         self.run(Flight::new(cx, order), record).await
     }
 
--- a/crates/toucansilld/src/gateway/flight.rs
+++ b/crates/toucansilld/src/gateway/flight.rs
@@ -17,7 +17,7 @@
     sync::Arc,
     time::{Duration, Instant},
 };
-use tokio::time::timeout;
+use tokio::{sync::watch, time::timeout};
 use wire::{OrganisationId, ServiceId, UpstreamId};
 
 /// Longest wait for a connection: hundreds of round trips within a region. A lost opening
@@ -27,11 +27,14 @@
 /// so that a broken one can be asked for again.
 const WHOLE_BYTES_MAX: usize = 4 << 20;
 /// Least time for an answer that may be asked for again.
-const PATIENCE_MIN: Duration = Duration::from_millis(1_200);
+const PATIENCE_MIN: Duration = Duration::from_millis(1_600);
 /// How many times the expected time an answer may take before it is asked for elsewhere.
 const PATIENCE_FACTOR: u32 = 4;
 /// Time after which a caller may try again whose request no upstream ran.
 const NOT_RUN_RETRY: Duration = Duration::from_millis(300);
+/// Time after which a caller may try again that a daemon about to stop sends away: another
+/// daemon can take the request at once.
+const STOPPING_RETRY: Duration = Duration::ZERO;
 /// Pause target of a stream whose route states none: so long that it decides nothing.
 const NO_PAUSE_TARGET: Duration = Duration::from_secs(10);
 
@@ -56,6 +59,17 @@
 pub(crate) struct FlightContext {
     pub(crate) placer: Arc<Placer>,
     pub(crate) clock: SharedClock,
+    /// Turns true when this daemon stops so soon that a request which is not sent yet had
+    /// better go to another.
+    pub(crate) ends_soon: watch::Receiver<bool>,
+}
+
+impl FlightContext {
+    async fn ends_soon(&self) {
+        let mut ends_soon = self.ends_soon.clone();
+        // The sender is gone only when the daemon has ended.
+        let _ = ends_soon.wait_for(|ends_soon| *ends_soon).await;
+    }
 }
 
 /// An answer of this system's own, which ends a request.
@@ -204,7 +218,10 @@
         loop {
             let asked = self.now();
             let ask = self.ask();
-            let placed = self.cx.placer.place(ask, self.order.is_dispatched).await;
+            let placed = tokio::select! {
+                placed = self.cx.placer.place(ask, self.order.is_dispatched) => placed,
+                () = self.cx.ends_soon() => Err((Refusal::Stopping, STOPPING_RETRY)),
+            };
             let hold = placed.map_err(|(refusal, after)| self.unplaced(refusal, after))?;
             let started = self.now();
             let placed = Placed::new(&hold, started.saturating_duration_since(asked));
@@ -264,6 +281,7 @@
             Refusal::NoTime => "no time is left to run it",
             Refusal::RetryBudget => "too many repeats",
             Refusal::Quarantined => "it has crashed upstreams",
+            Refusal::Stopping => "this daemon stops",
         };
         match self.sent.may_have_run {
             true => Final::failed(reason),
--- a/crates/toucansilld/src/gateway/lead.rs
+++ b/crates/toucansilld/src/gateway/lead.rs
@@ -1,8 +1,10 @@
 //! What only the leader of the control group holds. It ends with its term.
 
-use super::messages::{Follow, Position, Progress, ViewChange};
+use super::{
+    messages::{Follow, Position, Progress, ViewChange},
+    view::read_document,
+};
 use grant::{Ask, AskId, Decision, Directory, Dispatcher, DispatcherConfig};
-use routing::Routing;
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
@@ -77,7 +79,7 @@
         let mut is_news = false;
         let held = self.routing.as_ref().map_or(0, |(version, _)| *version);
         if let Some(published) = state.routing().filter(|p| p.version > held) {
-            match wire::decode::<Routing>(&published.compiled) {
+            match read_document(&published.document) {
                 Ok(routing) => self.dispatcher.set_services(&routing.services),
                 Err(err) => log::error!("routing document not read: {err}"),
             }
@@ -127,7 +129,7 @@
         let newer = self.routing.as_ref().filter(|(version, _)| *version > has.routing);
         ViewChange {
             position,
-            routing: newer.map(|(_, published)| published.compiled.clone()),
+            routing: newer.map(|(_, published)| published.document.clone()),
             is_whole,
             entries: self.directory.changes_since(now, since),
             closed: self.directory.closed().clone(),
--- a/crates/toucansilld/src/gateway/messages.rs
+++ b/crates/toucansilld/src/gateway/messages.rs
@@ -96,7 +96,7 @@
 pub(crate) struct ViewChange {
     /// Where the view is after the change.
     pub(crate) position: Position,
-    /// The routing document in the daemons' encoding, if newer.
+    /// The routing document, packed, if newer.
     pub(crate) routing: Option<Vec<u8>>,
     /// Whether the entries replace all that the view holds.
     pub(crate) is_whole: bool,
--- a/crates/toucansilld/src/gateway/placer.rs
+++ b/crates/toucansilld/src/gateway/placer.rs
@@ -3,11 +3,13 @@
 use super::{
     bus::Bus,
     messages::{Progress, Question, Reply},
+    settings::Bounds,
     view::View,
 };
 use crate::sync::lock;
 use grant::{Ask, AskId, Decision, End, Grant, Refusal, Running};
 use kernel::SharedClock;
+use route::RetryBudget;
 use std::{
     collections::BTreeMap,
     sync::{
@@ -17,7 +19,7 @@
     time::{Duration, Instant},
 };
 use tokio::time::sleep;
-use wire::{DaemonId, UpstreamId};
+use wire::{DaemonId, ServiceId, UpstreamId};
 
 /// Time without an answer of the leader after which it is not asked any more: as long as
 /// it may hold a follower's question, and a margin.
@@ -33,6 +35,9 @@
 const PROGRESS_DELAY: Duration = Duration::from_millis(15);
 /// Longest wait until the leader has noted news.
 const PROGRESS_TIMEOUT: Duration = Duration::from_millis(500);
+/// Part of the allowed repeats that entry daemons may send while they reach no leader. The
+/// leader gives out the rest.
+const OWN_SHARE: f64 = 0.15;
 /// Time after which a caller that found no upstream may try again: about the time in which
 /// a lost upstream is replaced in the directory.
 const NO_UPSTREAM_RETRY: Duration = Duration::from_millis(500);
@@ -84,6 +89,41 @@
     in_flight: Arc<InFlight>,
     next: AtomicU64,
     news: flume::Sender<Progress>,
+    retries: OwnRetries,
+}
+
+/// Repeats that this daemon may send by its own decision.
+struct OwnRetries {
+    ratio: f64,
+    slack: u32,
+    /// By service; with the number of entry daemons that share the slack.
+    budgets: Mutex<BTreeMap<ServiceId, (u32, RetryBudget)>>,
+}
+
+impl OwnRetries {
+    /// Counts a send, or takes a repeat if one is left. `is_dispatched` services get most
+    /// of their repeats from the leader.
+    fn admit(&self, ask: &Ask, is_dispatched: bool, entries: u32) -> bool {
+        let share = if is_dispatched { OWN_SHARE } else { 1.0 - OWN_SHARE };
+        let fresh = || {
+            let percent = (self.ratio * share * 100.0) as u32;
+            let slack = f64::from(self.slack) * share / f64::from(entries.max(1));
+            (entries, RetryBudget::new(percent, slack as u32))
+        };
+        let mut budgets = lock(&self.budgets);
+        let budget = budgets.entry(ask.service.clone()).or_insert_with(fresh);
+        if budget.0 < entries {
+            // More daemons share what is saved up.
+            *budget = fresh();
+        }
+        match ask.is_retry {
+            true => budget.1.spend().is_ok(),
+            false => {
+                budget.1.earn();
+                true
+            }
+        }
+    }
 }
 
 /// Where a request runs, until it ends. Dropped before [`Hold::end`], the request counts
@@ -106,12 +146,18 @@
         bus: Arc<Bus>,
         clock: SharedClock,
         in_flight: Arc<InFlight>,
+        bounds: Bounds,
     ) -> (Arc<Self>, impl Future<Output = ()> + Send) {
         let (news, rx) = flume::unbounded();
         let teller = tell(rx, Arc::clone(&view), Arc::clone(&bus));
         let start = fastrand::u64(..u64::from(u32::MAX)) << 32;
         let next = AtomicU64::new(start);
-        (Arc::new(Self { daemon, view, bus, clock, in_flight, next, news }), teller)
+        let retries = OwnRetries {
+            ratio: bounds.retry_ratio,
+            slack: bounds.retry_slack,
+            budgets: Mutex::default(),
+        };
+        (Arc::new(Self { daemon, view, bus, clock, in_flight, next, news, retries }), teller)
     }
 
     /// A name for the next question; differs from those of earlier runs of this daemon.
@@ -128,7 +174,7 @@
         is_dispatched: bool,
     ) -> Result<Hold, (Refusal, Duration)> {
         if !is_dispatched {
-            return self.place_alone(&ask);
+            return self.place_alone(&ask, false);
         }
         let asked = self.clock.now();
         let deadline = asked + ask.deadline_left;
@@ -142,7 +188,7 @@
             let Some(leader) = self.view.leader(now, LEADER_WINDOW) else {
                 let since = *without_leader.get_or_insert(now);
                 if now.saturating_duration_since(since) >= LEADER_PATIENCE {
-                    return self.place_alone(&ask);
+                    return self.place_alone(&ask, true);
                 }
                 sleep(LEADER_CHECK).await;
                 continue;
@@ -168,7 +214,7 @@
                     log::debug!("{leader}: {err}");
                     let since = *without_leader.get_or_insert(now);
                     if self.clock.now().saturating_duration_since(since) >= LEADER_PATIENCE {
-                        return self.place_alone(&ask);
+                        return self.place_alone(&ask, true);
                     }
                 }
             }
@@ -188,8 +234,16 @@
         Hold { placer, ask, grant, is_local: false, has_begun: false, has_ended: false }
     }
 
-    fn place_alone(self: &Arc<Self>, ask: &Ask) -> Result<Hold, (Refusal, Duration)> {
+    fn place_alone(
+        self: &Arc<Self>,
+        ask: &Ask,
+        is_dispatched: bool,
+    ) -> Result<Hold, (Refusal, Duration)> {
         let now = self.clock.now();
+        let entries = self.view.with(|state| state.entry_daemons);
+        if !self.retries.admit(ask, is_dispatched, entries) {
+            return Err((Refusal::RetryBudget, NO_UPSTREAM_RETRY));
+        }
         let chosen = self.view.with(|state| {
             let spread = ask.id.number;
             let service = &ask.service;
--- a/crates/toucansilld/src/gateway/run.rs
+++ b/crates/toucansilld/src/gateway/run.rs
@@ -8,6 +8,7 @@
     identity,
     members::TICK,
     messages::{Call, Question, Reply},
+    pack::DOCUMENT_BYTES_MAX,
     placer::Placer,
     settings::{ControlSettings, EntrySettings, GatewaySettings},
     view::View,
@@ -44,8 +45,6 @@
 /// Most connections to the control, readiness and metrics addresses: several times the
 /// upstreams of a region.
 const SIDE_CONNECTIONS: usize = 512;
-/// Largest body of a call of an operator: a routing document of tens of thousands of routes.
-const CALL_BYTES_MAX: u64 = 16 << 20;
 /// Longest wait for the body of a call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time between two sums of metric samples, which would pile up otherwise.
@@ -95,6 +94,7 @@
     let view = View::new();
     let in_flight = InFlight::new();
     let (is_stopping_tx, is_stopping) = watch::channel(false);
+    let (ends_soon_tx, ends_soon) = watch::channel(false);
 
     let mut raft_out = None;
     let control = match &settings.control {
@@ -134,9 +134,15 @@
             Arc::clone(&bus),
             Arc::clone(&clock),
             in_flight,
+            settings.bounds.clone(),
         );
         tokio::spawn(teller);
-        let entry = Arc::new(Entry { view: Arc::clone(&view), placer, clock: Arc::clone(&clock) });
+        let entry = Arc::new(Entry {
+            view: Arc::clone(&view),
+            placer,
+            clock: Arc::clone(&clock),
+            ends_soon: ends_soon.clone(),
+        });
         callers = Some(serve_entry(cfg, entry, is_stopping.clone())?);
         serve_readiness(cfg, Arc::clone(&view), is_stopping.clone())?;
     }
@@ -162,7 +168,8 @@
         }
     }
     if let Some(callers) = callers {
-        drain(callers, stopping, Duration::from_millis(settings.bounds.stop_ms)).await;
+        let limit = Duration::from_millis(settings.bounds.stop_ms);
+        drain(callers, stopping, limit, &ends_soon_tx).await;
     }
     Ok(())
 }
@@ -214,7 +221,7 @@
 }
 
 /// Lets requests that run finish, as far as the time allows.
-async fn drain(callers: Callers, since: Instant, limit: Duration) {
+async fn drain(callers: Callers, since: Instant, limit: Duration, ends_soon: &watch::Sender<bool>) {
     let Callers { connections: callers, listener } = callers;
     let until = limit.saturating_sub(STOP_MARGIN);
     loop {
@@ -222,6 +229,9 @@
         if passed >= CLOSE_DELAY {
             listener.abort();
         }
+        if passed >= limit / 2 {
+            ends_soon.send_replace(true);
+        }
         if passed >= until {
             return log::warn!(open = callers.len(); "requests still run, time is over");
         }
@@ -310,7 +320,7 @@
 
 async fn answer_call(control: Arc<Control>, req: Request<Incoming>) -> Response<Body> {
     let (parts, body) = req.into_parts();
-    let body = match read_body(body, CALL_BYTES_MAX, CALL_TIMEOUT).await {
+    let body = match read_body(body, DOCUMENT_BYTES_MAX, CALL_TIMEOUT).await {
         Ok(body) => body,
         Err(status) => {
             log::warn!(path = parts.uri.path(), status = status.as_u16(); "call not read");
--- a/crates/toucansilld/src/gateway/view.rs
+++ b/crates/toucansilld/src/gateway/view.rs
@@ -1,8 +1,12 @@
 //! What a daemon knows of its region.
 
-use super::messages::{Position, ViewChange};
+use super::{
+    messages::{Position, ViewChange},
+    pack::unpack,
+};
 use crate::sync::lock;
 use grant::{Directory, Local};
+use platform::control::decode_document;
 use routing::{Routing, Table};
 use std::{
     net::SocketAddr,
@@ -107,8 +111,8 @@
         }
     }
 
-    fn follow_routing(&mut self, buf: &[u8]) {
-        match wire::decode::<Routing>(buf) {
+    fn follow_routing(&mut self, packed: &[u8]) {
+        match read_document(packed) {
             Ok(routing) if routing.version > self.position.routing => {
                 self.table = Some(Arc::new(Table::new(routing)));
             }
@@ -117,3 +121,9 @@
         }
     }
 }
+
+/// Reads a packed document.
+pub(crate) fn read_document(packed: &[u8]) -> Result<Routing, String> {
+    let document = unpack(packed).map_err(|err| err.to_string())?;
+    decode_document(&document).map_err(|err| err.to_string())
+}
--- a/crates/toucansilld/tests/gateway/main.rs
+++ b/crates/toucansilld/tests/gateway/main.rs
@@ -2,7 +2,8 @@
 
 mod region;
 
-use region::{Region, Upstream, document, eventually};
+use region::{Region, Upstream, document, engine_document, eventually};
+use std::thread;
 
 const CONFIGURATION: &str = "/toucansill/config";
 
@@ -99,3 +100,30 @@
     region.stop(region.entry());
     region.stop(0);
 }
+
+/// A request that waits for an engine when its daemon stops goes to another daemon; it
+/// must not end with the process.
+#[test]
+fn a_request_that_waits_is_sent_away_when_its_daemon_stops() {
+    let mut region = Region::new(1);
+    region.start_all(true);
+    region.call_until_done(0, "PUT", CONFIGURATION, &engine_document(1, "/x/"));
+    eventually("the entry follows", || {
+        region.request("/none/").filter(|(status, _)| *status == 404)
+    });
+    let upstream = Upstream::silent();
+    let path = "/toucansill/replicas/u1";
+    region.call_until_done(0, "PUT", path, &upstream.statement("s1", 1, "ready"));
+    thread::scope(|scope| {
+        let region = &region;
+        let running = scope.spawn(|| region.request("/x/1"));
+        eventually("the first one runs", || (upstream.runs().len() == 1).then_some(()));
+        let waiting = scope.spawn(|| region.request("/x/2"));
+        eventually("the second one waits", || region.is_waiting().then_some(()));
+        region.terminate(region.entry());
+        let (status, _) = waiting.join().expect("joined").expect("an answer");
+        assert_eq!(status, 503, "not run");
+        assert_eq!(running.join().expect("joined"), None, "cut at the end of the time");
+    });
+    assert_eq!(upstream.runs().len(), 1);
+}
--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -91,13 +91,20 @@
         (0..self.places.len()).for_each(|i| self.kill(i));
     }
 
-    /// Sends SIGTERM to a daemon and waits for its end.
-    pub(crate) fn stop(&mut self, i: usize) {
-        let Some(mut child) = self.running[i].take() else { return };
+    /// Sends SIGTERM to a daemon.
+    pub(crate) fn terminate(&self, i: usize) {
+        let Some(child) = &self.running[i] else { return };
         let id = child.id().to_string();
         let sent = Command::new("kill").args(["-TERM", &id]).status().expect("sent");
         assert!(sent.success());
-        child.wait().expect("ended");
+    }
+
+    /// Sends SIGTERM to a daemon and waits for its end.
+    pub(crate) fn stop(&mut self, i: usize) {
+        self.terminate(i);
+        if let Some(mut child) = self.running[i].take() {
+            child.wait().expect("ended");
+        }
     }
 
     /// Empties the folder of a control daemon, as a lost disk does.
@@ -129,6 +136,11 @@
         })
     }
 
+    /// Whether the leader says that a request waits for an upstream.
+    pub(crate) fn is_waiting(&self) -> bool {
+        self.metrics().any(|page| page.lines().any(|l| l == "toucansill_streams_waiting 1"))
+    }
+
     /// Waits until a leader hears exactly this many members.
     pub(crate) fn await_members(&self, count: usize) {
         let expected = [
@@ -136,17 +148,20 @@
             format!("toucansill_group_members_heard {count}"),
         ];
         eventually("members", || {
-            let pages = self.places.iter().filter_map(|place| {
-                let address = format!("{}:{}", place.ip, self.base_port + 4);
-                let head = "GET /metrics HTTP/1.1\r\nHost: metrics\r\nConnection: close\r\n\r\n";
-                exchange(&address, head).map(|(_, page)| page)
-            });
-            let mut pages =
-                pages.filter(|page| expected.iter().all(|line| page.lines().any(|l| l == line)));
-            pages.next().map(drop)
+            let is_expected =
+                |page: &String| expected.iter().all(|line| page.lines().any(|l| l == line));
+            self.metrics().find(is_expected).map(drop)
         });
     }
 
+    fn metrics(&self) -> impl Iterator<Item = String> {
+        const HEAD: &str = "GET /metrics HTTP/1.1\r\nHost: metrics\r\nConnection: close\r\n\r\n";
+        self.places.iter().filter_map(|place| {
+            let address = format!("{}:{}", place.ip, self.base_port + 4);
+            exchange(&address, HEAD).map(|(_, page)| page)
+        })
+    }
+
     /// Sends a request of a caller to the entry.
     pub(crate) fn request(&self, path: &str) -> Option<(u16, String)> {
         let entry = &self.places[self.entry()];
@@ -156,7 +171,7 @@
             &address,
             &format!(
                 "POST {path} HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\nAttempt-Id: r{attempt}\r\n\
-                 Deadline-Ms: 5000\r\nContent-Length: 2\r\n\r\nhi"
+                 Token-Count: 1000,100\r\nDeadline-Ms: 30000\r\nContent-Length: 2\r\n\r\nhi"
             ),
         )
     }
@@ -258,6 +273,22 @@
         Self { address, runs }
     }
 
+    /// One that takes requests and never answers.
+    pub(crate) fn silent() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let runs = Arc::new(Mutex::new(Vec::new()));
+        let seen = Arc::clone(&runs);
+        thread::spawn(move || {
+            let mut kept = Vec::new();
+            for stream in listener.incoming().flatten() {
+                seen.lock().expect("not poisoned").push(String::new());
+                kept.push(stream);
+            }
+        });
+        Self { address, runs }
+    }
+
     /// Ids of the attempts that it ran.
     pub(crate) fn runs(&self) -> Vec<String> {
         self.runs.lock().expect("not poisoned").clone()
@@ -266,7 +297,7 @@
     /// What it says of itself.
     pub(crate) fn statement(&self, service: &str, sequence: u64, state: &str) -> String {
         format!(
-            r#"{{"service":"{service}","address":"{}","zone":"dc-1","slots":4,"state":"{state}","sequence":{sequence},"born":1}}"#,
+            r#"{{"service":"{service}","address":"{}","zone":"dc-1","slots":1,"state":"{state}","sequence":{sequence},"born":1}}"#,
             self.address
         )
     }
@@ -300,6 +331,16 @@
     let _ = stream.write_all(answer.as_bytes());
 }
 
+/// A document with one route to a service of engines with one slot.
+pub(crate) fn engine_document(version: u64, path: &str) -> String {
+    format!(
+        r#"{{"version":{version},"routes":[{{"name":"r","host":"a.example","pathPrefix":"{path}",
+        "routeType":"streaming","timeoutMs":30000,"service":"s1"}}],
+        "services":[{{"name":"s1","engine":{{"slots":1,"kvCapacityTokens":100000,"stride":4,"step_ms":1.0,
+        "read_per_s":100000.0,"chunk":2048}}}}]}}"#
+    )
+}
+
 /// A document with one route to one service.
 pub(crate) fn document(version: u64, path: &str, service: &str) -> String {
     format!(
