--- a/crates/grant/src/place.rs
+++ b/crates/grant/src/place.rs
@@ -29,7 +29,9 @@
 /// Part of a pause target that an expected pass may take.
 const PAUSE_SHARE: f64 = 0.97;
 /// Part of a pause target up to which reading a prompt fits between the events of others.
-const SHORT_SHARE: f64 = 0.8;
+const SHORT_SHARE: f64 = 0.81;
+/// Most of a pause target that a short prompt which is late may make of a pass.
+const HARM_MAX: f64 = 1.25;
 /// Part of the engines that long prompts leave free, so that a short one finds a place.
 const RESERVED_SHARE: f64 = 0.05;
 /// What reading takes beyond the profile's rates, for the steps around the pieces.
@@ -151,7 +153,12 @@
     candidates: &[Candidate<'_>],
     own: Part,
 ) -> Option<Place> {
-    let roomy = candidates.iter().enumerate().filter(|(_, c)| has_room(profile, ask, c));
+    let bears = |c: &Candidate<'_>| {
+        let target = c.engine.pause_target();
+        target.is_none_or(|t| own.read + profile.pass_time() <= t.mul_f64(HARM_MAX))
+    };
+    let candidates = candidates.iter().enumerate();
+    let roomy = candidates.filter(|(_, c)| has_room(profile, ask, c) && bears(c));
     let (main, c) = roomy.min_by_key(|(_, c)| (c.is_doubtful, c.engine.mains()))?;
     Some(Place::alone(main, own, expect(profile, c, own)))
 }
