--- a/crates/grant/src/ask.rs
+++ b/crates/grant/src/ask.rs
@@ -34,7 +34,7 @@
     pub target_left: Duration,
     /// Longest pause between two events that counts as on time.
     pub pause_target: Duration,
-    /// Time left until the caller gives up.
+    /// Time left until the caller gives up, if no event has come by then.
     pub deadline_left: Duration,
     /// Upstreams that it was sent to before.
     pub tried: Vec<UpstreamId>,
--- a/crates/grant/src/dispatcher.rs
+++ b/crates/grant/src/dispatcher.rs
@@ -15,8 +15,9 @@
 };
 use wire::{DaemonId, ServiceId, Tokens, UpstreamId};
 
-/// Time beyond a request's deadline after which its grant returns by itself.
-const GRANT_MARGIN: Duration = Duration::from_secs(2);
+/// Time beyond the wait for a first event after which a grant returns by itself: longer than
+/// any stream of the users takes to write.
+const GRANT_MARGIN: Duration = Duration::from_secs(15);
 /// Time for which a request that crashed upstreams is refused; longer than callers resend.
 const QUARANTINE: Duration = Duration::from_secs(600);
 /// Crashes that are charged to a request before it is refused: the second one shows that
--- a/crates/grant/src/place.rs
+++ b/crates/grant/src/place.rs
@@ -45,7 +45,7 @@
 /// their blocks.
 const RESERVE_SHARE: f64 = 0.98;
 /// Part of the time left that the work of a late prompt may take before it goes first.
-const URGENT_SHARE: f64 = 0.85;
+const URGENT_SHARE: f64 = 0.95;
 
 /// An engine that a request might run on.
 pub(crate) struct Candidate<'a> {
@@ -81,15 +81,12 @@
     !ask.target_left.is_zero() && profile.read_time(ask.prompt) > ask.pause_target
 }
 
-/// Least time in which any engine answers a request whole.
+/// Least time in which any engine brings the first event of a request.
 pub(crate) fn least_time(profile: &EngineProfile, ask: &Ask) -> Duration {
     let readers = if is_short(profile, ask) { 1 } else { MAX_READERS };
-    part(profile, ask.prompt, readers).read + profile.write_time(ask.output.min(SURE_OUTPUT))
+    part(profile, ask.prompt, readers).read + profile.pass_time()
 }
 
-/// Tokens of an answer that are expected at least; most answers are shorter than their bound.
-const SURE_OUTPUT: u64 = 256;
-
 /// Chooses where a request runs now; `None` if it had better wait. `is_pressed` tells that
 /// long prompts wait for idle engines.
 pub(crate) fn choose(
@@ -219,17 +216,16 @@
 
 /// Whether a prompt that is late has to start soon to be finished at all.
 fn is_urgent(profile: &EngineProfile, ask: &Ask) -> bool {
-    let least = part(profile, ask.prompt, 1).read + profile.write_time(ask.output);
+    let least = part(profile, ask.prompt, 1).read + profile.pass_time();
     least > ask.deadline_left.mul_f64(URGENT_SHARE)
 }
 
 /// Engines that read a prompt that is late: as few as its deadline allows, so that others
 /// can be on time.
 fn late_readers(profile: &EngineProfile, ask: &Ask, free: usize) -> usize {
-    let write = profile.write_time(ask.output);
     let is_enough = |readers: &usize| {
         let read = part(profile, ask.prompt, *readers).read.mul_f64(STEP_OVERHEAD);
-        read + write <= ask.deadline_left.mul_f64(ON_TIME)
+        read + profile.pass_time() <= ask.deadline_left.mul_f64(ON_TIME)
     };
     let least = reserves(profile, ask).len() + 1;
     (least..=free).find(is_enough).unwrap_or(0)
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -52,11 +52,6 @@
         let share = (f64::from(self.steps_per_pass) / pieces as f64).min(1.0);
         self.read_time(prompt).mul_f64(share)
     }
-
-    /// Time to write an answer in a batch of its own.
-    pub fn write_time(&self, output: Tokens) -> Duration {
-        millis(self.step_ms * output as f64)
-    }
 }
 
 fn millis(ms: f64) -> Duration {
--- a/crates/toucansilld/src/gateway/flight.rs
+++ b/crates/toucansilld/src/gateway/flight.rs
@@ -9,7 +9,7 @@
 use grant::{Ask, End, Refusal};
 use http::{StatusCode, request, response};
 use kernel::SharedClock;
-use platform::head::{CallerHead, ToUpstream, read_answer, upstream_headers};
+use platform::head::{CallerHead, ToUpstream, read_answer, stream_patience, upstream_headers};
 use proxy::{AnswerBody, Fault, Sent, Step, exchange, gather, next_step};
 use routing::{Repeat, Route};
 use std::{
@@ -156,12 +156,15 @@
     tried: Vec<UpstreamId>,
     /// Last event that the caller was sent.
     last_event: Option<u64>,
+    /// When the caller was last sent an event.
+    progressed: Option<Instant>,
 }
 
 impl Flight {
     pub(crate) fn new(cx: FlightContext, order: Order) -> Self {
         let last_event = order.head.last_event;
-        Self { cx, order, sent: Sent::default(), tried: Vec::new(), last_event }
+        let (sent, tried) = (Sent::default(), Vec::new());
+        Self { cx, order, sent, tried, last_event, progressed: None }
     }
 
     pub(crate) fn now(&self) -> Instant {
@@ -181,6 +184,7 @@
     /// Notes the last event that the caller was sent.
     pub(crate) fn passed_on(&mut self, event: Option<u64>) {
         self.last_event = event.or(self.last_event);
+        self.progressed = Some(self.now());
     }
 
     /// Longest pause between two events before the rest is asked for elsewhere, if it may.
@@ -257,16 +261,26 @@
     fn ask(&self) -> Ask {
         let route = &self.order.route;
         let (prompt, output) = self.order.head.tokens.unwrap_or((0, 0));
-        let passed = self.now().saturating_duration_since(self.order.arrived);
+        let pause_target = route.pause_target.unwrap_or(NO_PAUSE_TARGET);
+        // A stream that goes on elsewhere hopes for its next event, another one for its first.
+        let (since, target) = match self.progressed {
+            Some(progressed) => (progressed, pause_target),
+            None => (self.order.arrived, route.target),
+        };
+        let passed = self.now().saturating_duration_since(since);
+        let patience = match self.is_stream() {
+            true => stream_patience(route.target, pause_target).saturating_sub(passed),
+            false => self.time_left(),
+        };
         Ask {
             id: self.cx.placer.next_id(),
             service: self.order.service.clone(),
             prompt,
             output,
             priority: self.order.priority,
-            target_left: route.target.saturating_sub(passed),
-            pause_target: route.pause_target.unwrap_or(NO_PAUSE_TARGET),
-            deadline_left: self.time_left(),
+            target_left: target.saturating_sub(passed),
+            pause_target,
+            deadline_left: self.time_left().min(patience),
             tried: self.tried.clone(),
             is_retry: self.sent.sends > 0,
             fingerprint: self.order.fingerprint,
