Refuse a long prompt at once when those before it take too long

A long prompt is now refused on arrival when reading all that wait takes over a quarter of its target on all engines, with the time of that backlog as Retry-After; late ones go first at 0.8 of their time. The load tests now also subtract the worth of requests that were held and then refused.

--- a/crates/grant/src/dispatcher.rs
+++ b/crates/grant/src/dispatcher.rs
@@ -4,7 +4,7 @@
     ask::{Ask, AskId, Decision, End, Grant, GrantId, Helper, Refusal, Running},
     directory::{Directory, Entry},
     engine::{Engine, Main, part},
-    place::{Candidate, MAX_READERS, Place, choose, least_time, needs_idle, reserves},
+    place::{Candidate, MAX_READERS, Place, choose, is_short, least_time, needs_idle, reserves},
     waiting::Waiting,
 };
 use route::{Poison, PoisonConfig, RetryBudget};
@@ -31,6 +31,9 @@
 const FIRST_BUDGET_SHARE: f64 = 0.3;
 /// Time within which an answer shows that an upstream works although it is not heard.
 const ANSWER_WINDOW: Duration = Duration::from_secs(3);
+/// Part of a long prompt's target within which those before it have to be read, or it is
+/// refused at once.
+const BACKLOG_SHARE: f64 = 0.25;
 /// Shortest and longest time that a refused caller is told to stay away.
 const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(5));
 
@@ -278,10 +281,31 @@
         if directory.open(&ask.service).next().is_none() {
             return self.refuse(&ask, Refusal::NoUpstream);
         }
+        if let Some(backlog) = self.backlog(directory, &ask)
+            && backlog > ask.target_left.mul_f64(BACKLOG_SHARE)
+        {
+            let retry_after = backlog.clamp(RETRY_AFTER.0, RETRY_AFTER.1);
+            return Decision::Refused { refusal: Refusal::NoTime, retry_after };
+        }
         self.waiting.add(now, ask);
         Decision::Waiting
     }
 
+    /// Time until all long prompts that wait are read, if this one is long too.
+    fn backlog(&self, directory: &Directory, ask: &Ask) -> Option<Duration> {
+        let profile = &self.pools.get(&ask.service)?.profile;
+        let cost = |ask: &Ask| match is_short(profile, ask) {
+            true => Duration::ZERO,
+            false => profile.read_time(ask.prompt),
+        };
+        if is_short(profile, ask) {
+            return None;
+        }
+        let engines = directory.open(&ask.service).count().max(1);
+        let total = self.waiting.sum(&ask.service, cost) + cost(ask);
+        Some(total / u32::try_from(engines).unwrap_or(u32::MAX))
+    }
+
     /// Says when to come back: when what is being read now is read.
     fn refuse(&self, ask: &Ask, refusal: Refusal) -> Decision {
         let engines = self.engines.values().map(|(_, engine)| engine.reading_left());
--- a/crates/grant/src/place.rs
+++ b/crates/grant/src/place.rs
@@ -45,7 +45,7 @@
 /// their blocks.
 const RESERVE_SHARE: f64 = 0.98;
 /// Part of the time left that the work of a late prompt may take before it goes first.
-const URGENT_SHARE: f64 = 0.95;
+const URGENT_SHARE: f64 = 0.8;
 
 /// An engine that a request might run on.
 pub(crate) struct Candidate<'a> {
--- a/crates/grant/src/waiting.rs
+++ b/crates/grant/src/waiting.rs
@@ -45,6 +45,11 @@
         self.waiters.values().any(|w| w.ask.service == service && is_kind(&w.at(now)))
     }
 
+    /// Sum over the requests for a service that wait.
+    pub(crate) fn sum(&self, service: &str, cost: impl Fn(&Ask) -> Duration) -> Duration {
+        self.waiters.values().filter(|w| w.ask.service == service).map(|w| cost(&w.ask)).sum()
+    }
+
     /// Adds a request, or notes that it still waits.
     pub(crate) fn add(&mut self, now: Instant, ask: Ask) {
         let waiter = Waiter { arrived: now, asked: now, ask };
--- a/crates/grant/tests/heavy/day.rs
+++ b/crates/grant/tests/heavy/day.rs
@@ -34,6 +34,10 @@
     pub(crate) late: usize,
     pub(crate) refused: usize,
     pub(crate) owed: f64,
+    /// Worth of requests that were held for long and then refused: nothing for those
+    /// refused within an eighth of their target, all for those held for three quarters of
+    /// their time.
+    pub(crate) held: f64,
     pub(crate) earned: f64,
 }
 
@@ -45,6 +49,7 @@
     is_placed: bool,
     has_begun: bool,
     has_ended: bool,
+    refused_at: Option<Millis>,
 }
 
 /// Engines of the users' first sites, as their configuration states them.
@@ -153,6 +158,7 @@
         is_placed: false,
         has_begun: false,
         has_ended: false,
+        refused_at: None,
     }
 }
 
@@ -171,7 +177,10 @@
             let ask = &request.ask;
             fleet.submit(now, number, index(&grant.upstream), &helpers, ask.prompt, ask.output);
         }
-        Decision::Refused { .. } => request.has_ended = true,
+        Decision::Refused { .. } => {
+            request.has_ended = true;
+            request.refused_at = Some(now);
+        }
         Decision::Granted(_) | Decision::Waiting => {}
     }
 }
@@ -201,6 +210,9 @@
         let began = course.and_then(|c| c.first_event).map(|at| at - request.arrived);
         if began.is_none_or(|ms| ms > kind.deadline_ms as f64) {
             tally.refused += 1;
+            if course.is_none() {
+                tally.held += kind.worth * request.worth * part_held(request);
+            }
             continue;
         }
         let first = course.and_then(|c| c.first_event).unwrap_or(f64::MAX) - request.arrived;
@@ -215,3 +227,13 @@
     }
     tallies
 }
+
+/// How long a refused request was held, between an eighth of its target and three quarters
+/// of its time.
+fn part_held(request: &Request) -> f64 {
+    let kind = &request.kind;
+    let held = request.refused_at.unwrap_or(f64::MAX) - request.arrived;
+    let free = kind.target_ms as f64 / 8.0;
+    let most = kind.deadline_ms as f64 * 0.75;
+    ((held - free) / (most - free)).clamp(0.0, 1.0)
+}
--- a/crates/grant/tests/heavy/main.rs
+++ b/crates/grant/tests/heavy/main.rs
@@ -59,10 +59,12 @@
     Kind { per_s: kind.per_s * factor, ..kind }
 }
 
+/// What is earned, less the worth of requests that were held for long and then refused.
 fn part_earned(tallies: &BTreeMap<&'static str, Tally>) -> f64 {
     let owed: f64 = tallies.values().map(|t| t.owed).sum();
     let earned: f64 = tallies.values().map(|t| t.earned).sum();
-    earned / owed
+    let held: f64 = tallies.values().map(|t| t.held).sum();
+    (earned - held) / owed
 }
 
 /// The mean over a few runs, as the users' target is one.
