--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -39,6 +39,7 @@
 mod serve;
 mod state;
 mod text;
+mod watchdog;
 
 pub use announce::Announcer;
 pub use config::{EngineConfig, Ramp};
@@ -49,3 +50,4 @@
 pub use relay::Relay;
 pub use state::Stats;
 pub use text::{completion_text, count_tokens};
+pub use watchdog::Watchdog;
--- a/crates/fake/tests/management.rs
+++ b/crates/fake/tests/management.rs
@@ -150,6 +150,7 @@
 
 #[test]
 fn an_announcer_moves_on_to_a_daemon_that_answers() {
+    let _watchdog = fake::Watchdog::start("an_announcer_moves_on_to_a_daemon_that_answers");
     let engine = engine(EngineConfig::default());
     let gone = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
     let gone_address = gone.local_addr().expect("bound").to_string();
@@ -170,6 +171,7 @@
 
 #[test]
 fn a_waiting_request_shows_that_the_engine_is_alive() {
+    let _watchdog = fake::Watchdog::start("a_waiting_request_shows_that_the_engine_is_alive");
     let engine = engine(EngineConfig::default());
     engine.pause();
     let body = json!({ "model": "small", "prompt": "hello", "stream": true });
--- a/crates/upstream/tests/gangs.rs
+++ b/crates/upstream/tests/gangs.rs
@@ -86,6 +86,7 @@
 
 #[test]
 fn a_gang_returns_all_memory_when_its_caller_goes() {
+    let _watchdog = fake::Watchdog::start("a_gang_returns_all_memory_when_its_caller_goes");
     let engines = engines();
     engines[2].hold_at(2);
     let mut stream = client().gang(request(&engines));
@@ -98,6 +99,9 @@
 
 #[test]
 fn a_gang_that_is_refused_memory_has_not_run_there_and_returns_the_rest() {
+    let _watchdog = fake::Watchdog::start(
+        "a_gang_that_is_refused_memory_has_not_run_there_and_returns_the_rest",
+    );
     let engines = engines();
     let mut req = request(&engines);
     req.max_tokens = MEMORY;
--- a/crates/upstream/tests/streams.rs
+++ b/crates/upstream/tests/streams.rs
@@ -92,6 +92,7 @@
 
 #[test]
 fn a_dropped_stream_cancels_its_request() {
+    let _watchdog = fake::Watchdog::start("a_dropped_stream_cancels_its_request");
     let engine = engine("engine-1");
     engine.hold_at(3);
     let target = target("engine-1", &engine);
@@ -160,6 +161,9 @@
 
 #[test]
 fn an_engine_that_started_anew_is_not_taken_for_the_one_that_ran_the_request() {
+    let _watchdog = fake::Watchdog::start(
+        "an_engine_that_started_anew_is_not_taken_for_the_one_that_ran_the_request",
+    );
     let engine = engine("engine-1");
     engine.hold_at(3);
     let target = target("engine-1", &engine);
@@ -201,6 +205,8 @@
 
 #[test]
 fn streams_beyond_the_limit_are_refused_and_a_finished_one_makes_room() {
+    let _watchdog =
+        fake::Watchdog::start("streams_beyond_the_limit_are_refused_and_a_finished_one_makes_room");
     let engine = engine("engine-1");
     engine.hold_at(1);
     let client = Client::new(ClientConfig { max_streams: 1, ..ClientConfig::default() });
