Bound the bodies under way together; prompts beyond one engine are never short

Bodies under way share a quarter of the VM's memory (setting memory_mb); one more is refused as not run. Test: bodies_under_way_are_bounded_together.

--- a/crates/grant/src/place.rs
+++ b/crates/grant/src/place.rs
@@ -74,6 +74,7 @@
 /// Whether a prompt can be read between the events of requests like itself.
 pub(crate) fn is_short(profile: &EngineProfile, ask: &Ask) -> bool {
     profile.read_time(ask.prompt) <= ask.pause_target.mul_f64(SHORT_SHARE)
+        && reserves(profile, ask).is_empty()
 }
 
 /// Whether a prompt can be on time only on engines where nobody writes.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -18,12 +18,14 @@
 //! ```
 
 mod body;
+mod budget;
 mod events;
 mod exchange;
 mod retry;
 mod server;
 
 pub use body::{Body, BodySender, channel, empty, full};
+pub use budget::{BodyBudget, BodyRoom};
 pub use events::{Events, Piece};
 pub use exchange::{Answer, AnswerBody, ExchangeError, exchange, gather};
 pub use retry::{Fault, Sent, Step, next_step};
--- a/crates/proxy/tests/server.rs
+++ b/crates/proxy/tests/server.rs
@@ -245,3 +245,14 @@
         assert_eq!(fetch(nobody).await, Err(false), "nothing was sent");
     });
 }
+
+#[test]
+fn bodies_under_way_are_bounded_together() {
+    let budget = proxy::BodyBudget::new(64 << 10);
+    let held: Vec<_> = (0..100).filter_map(|_| budget.take(10_000)).collect();
+    assert_eq!(held.len(), 6, "ten units each of 64");
+    drop(held);
+    assert!(budget.take(64 << 10).is_some());
+    assert!(budget.take((64 << 10) + 1).is_none());
+    assert!(budget.take(0).is_some());
+}
--- a/crates/toucansilld/src/gateway/entry.rs
+++ b/crates/toucansilld/src/gateway/entry.rs
@@ -12,10 +12,10 @@
     HeaderValue, Request, Response, StatusCode,
     header::{CONNECTION, RETRY_AFTER},
 };
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use kernel::SharedClock;
 use platform::head::{CallerHead, caller_headers, read_caller};
-use proxy::{Body, full, read_body};
+use proxy::{Body, BodyBudget, full, read_body};
 use routing::{Route, Table};
 use std::{
     hash::{DefaultHasher, Hash, Hasher},
@@ -35,6 +35,7 @@
     pub(crate) placer: Arc<Placer>,
     pub(crate) clock: SharedClock,
     pub(crate) ends_soon: watch::Receiver<bool>,
+    pub(crate) bodies: BodyBudget,
 }
 
 impl Entry {
@@ -74,7 +75,12 @@
         record.organisation = organisation.map(|o| o.name.clone()).unwrap_or_default();
         let time = route.timeout.min(head.deadline.unwrap_or(DEADLINE_MAX));
         let (parts, body) = req.into_parts();
-        let body = read_body(body, table.routing().limits.body_bytes, time).await;
+        // A body without a stated length may become as long as any.
+        let most = table.routing().limits.body_bytes;
+        let length = body.size_hint().upper().unwrap_or(most).min(most);
+        let room = self.bodies.take(length);
+        let room = room.ok_or(Final::not_run("too many bytes are under way", NOT_READY_RETRY))?;
+        let body = read_body(body, most, time).await;
         let body = body.map_err(|status| Final::refused(status, "body not read"))?;
         let service = route
             .pick(fastrand::f64())
@@ -87,6 +93,7 @@
             head,
             parts,
             body,
+            _room: room,
             organisation: organisation.map(|o| o.name.clone()),
             priority: organisation.and_then(|o| o.priority).unwrap_or(route.priority),
             route: route.clone(),
--- a/crates/toucansilld/src/gateway/flight.rs
+++ b/crates/toucansilld/src/gateway/flight.rs
@@ -10,7 +10,7 @@
 use http::{StatusCode, request, response};
 use kernel::SharedClock;
 use platform::head::{CallerHead, ToUpstream, read_answer, stream_patience, upstream_headers};
-use proxy::{AnswerBody, Fault, Sent, Step, exchange, gather, next_step};
+use proxy::{AnswerBody, BodyRoom, Fault, Sent, Step, exchange, gather, next_step};
 use routing::{Repeat, Route};
 use std::{
     fmt,
@@ -43,6 +43,8 @@
     pub(crate) head: CallerHead,
     pub(crate) parts: request::Parts,
     pub(crate) body: Bytes,
+    /// Memory of the body.
+    pub(crate) _room: BodyRoom,
     pub(crate) organisation: Option<OrganisationId>,
     pub(crate) priority: u8,
     pub(crate) route: Route,
--- a/crates/toucansilld/src/gateway/run.rs
+++ b/crates/toucansilld/src/gateway/run.rs
@@ -23,7 +23,7 @@
 use hyper::body::Incoming;
 use kernel::{SharedClock, SystemClock};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
-use proxy::{Body, Connections, Server, ServerConfig, empty, full, read_body, serve};
+use proxy::{Body, BodyBudget, Connections, Server, ServerConfig, empty, full, read_body, serve};
 use routing::HttpLimits;
 use std::{
     net::SocketAddr,
@@ -142,6 +142,7 @@
             placer,
             clock: Arc::clone(&clock),
             ends_soon: ends_soon.clone(),
+            bodies: BodyBudget::new(cfg.body_bytes()),
         });
         callers = Some(serve_entry(cfg, entry, is_stopping.clone())?);
         serve_readiness(cfg, Arc::clone(&view), is_stopping.clone())?;
--- a/crates/toucansilld/src/gateway/settings.rs
+++ b/crates/toucansilld/src/gateway/settings.rs
@@ -59,6 +59,21 @@
     pub readiness: SocketAddr,
     /// Most connections of callers.
     pub max_connections: usize,
+    /// Memory of the VM, in MiB. A quarter is for bodies of requests under way.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u64,
+}
+
+/// Memory of a small VM.
+fn default_memory_mb() -> u64 {
+    256
+}
+
+impl EntrySettings {
+    /// Bytes for bodies of requests under way.
+    pub(crate) fn body_bytes(&self) -> u64 {
+        (self.memory_mb << 20) / 4
+    }
 }
 
 /// Settings of a daemon that takes part in the control group.
