--- a/crates/fake/src/passes.rs
+++ b/crates/fake/src/passes.rs
@@ -53,12 +53,7 @@
 /// use fake::PassEngines;
 /// use routing::EngineProfile;
 ///
-/// let profile = EngineProfile {
-///     slots: 16, memory_tokens: 405_000, steps_per_pass: 34, step_ms: 1.31,
-///     step_ms_per_writer: 0.0, step_ms_per_context_k: 0.0,
-///     read_per_s: 154_000.0, read_ms_per_pair_m: 0.162, chunk_tokens: 2_048,
-/// };
-/// let mut engines = PassEngines::new(profile, 1);
+/// let mut engines = PassEngines::new(EngineProfile::example(), 1);
 /// engines.submit(0.0, 0, 0, &[], 4_960, 68);
 /// engines.advance(1_000.0);
 /// let course = engines.course(0).expect("submitted");
--- a/crates/grant/src/lib.rs
+++ b/crates/grant/src/lib.rs
@@ -15,17 +15,7 @@
 //!
 //! let now = Instant::now();
 //! let mut service = Service::new("plans");
-//! service.engine = Some(EngineProfile {
-//!     slots: 16,
-//!     memory_tokens: 405_000,
-//!     steps_per_pass: 34,
-//!     step_ms: 1.31,
-//!     step_ms_per_writer: 0.001,
-//!     step_ms_per_context_k: 0.002,
-//!     read_per_s: 154_000.0,
-//!     read_ms_per_pair_m: 0.162,
-//!     chunk_tokens: 2_048,
-//! });
+//! service.engine = Some(EngineProfile::example());
 //! let mut directory = Directory::new();
 //! directory.register(now, Registration::new("engine-1", "plans", "10.0.0.1:80".parse().unwrap()));
 //! let mut dispatcher = Dispatcher::new(DispatcherConfig::default());
--- a/crates/grant/tests/dispatcher.rs
+++ b/crates/grant/tests/dispatcher.rs
@@ -28,17 +28,7 @@
         }
         let mut service = Service::new(SERVICE);
         service.cold_rate = 4.0;
-        service.engine = Some(EngineProfile {
-            slots: 16,
-            memory_tokens: 405_000,
-            steps_per_pass: 34,
-            step_ms: 1.31,
-            step_ms_per_writer: 0.001,
-            step_ms_per_context_k: 0.002,
-            read_per_s: 154_000.0,
-            read_ms_per_pair_m: 0.162,
-            chunk_tokens: 2_048,
-        });
+        service.engine = Some(EngineProfile::example());
         let cfg = DispatcherConfig { retry_ratio: 0.2, retry_slack: 100, ..Default::default() };
         let mut dispatcher = Dispatcher::new(cfg);
         dispatcher.set_services(&[service]);
--- a/crates/grant/tests/heavy/day.rs
+++ b/crates/grant/tests/heavy/day.rs
@@ -52,21 +52,6 @@
     refused_at: Option<Millis>,
 }
 
-/// Engines of the users' first sites, as their configuration states them.
-pub(crate) fn profile() -> EngineProfile {
-    EngineProfile {
-        slots: 16,
-        memory_tokens: 405_000,
-        steps_per_pass: 34,
-        step_ms: 1.31,
-        step_ms_per_writer: 0.000917,
-        step_ms_per_context_k: 0.00213,
-        read_per_s: 154_000.0,
-        read_ms_per_pair_m: 0.162,
-        chunk_tokens: 2_048,
-    }
-}
-
 /// Plays `seconds` of a pattern on `engines` engines and lets it run out.
 pub(crate) fn play(
     kinds: &[Kind],
@@ -83,12 +68,12 @@
         directory.register(start, Registration::new(&format!("e{i:03}"), "s", address));
     }
     let mut service = Service::new("s");
-    service.engine = Some(profile());
+    service.engine = Some(EngineProfile::example());
     // The directory is never refreshed here, so silence must not count.
     let cfg = DispatcherConfig { silence: Duration::MAX, ..DispatcherConfig::default() };
     let mut dispatcher = Dispatcher::new(cfg);
     dispatcher.set_services(&[service]);
-    let mut fleet = PassEngines::new(profile(), engines);
+    let mut fleet = PassEngines::new(EngineProfile::example(), engines);
     let mut next = 0;
     let mut now: Millis = 0.0;
     let end = seconds * 1e3 + 20_000.0;
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -30,6 +30,22 @@
 }
 
 impl EngineProfile {
+    /// The engines of the users' first sites as their configuration states them, for
+    /// examples and tests.
+    pub fn example() -> Self {
+        Self {
+            slots: 16,
+            memory_tokens: 405_000,
+            steps_per_pass: 34,
+            step_ms: 1.31,
+            step_ms_per_writer: 0.000917,
+            step_ms_per_context_k: 0.00213,
+            read_per_s: 154_000.0,
+            read_ms_per_pair_m: 0.162,
+            chunk_tokens: 2_048,
+        }
+    }
+
     /// Time to read a prompt on an otherwise idle engine.
     ///
     /// The second term grows with the square of the length: each token is compared with
--- a/crates/routing/tests/routes.rs
+++ b/crates/routing/tests/routes.rs
@@ -74,17 +74,7 @@
 
 #[test]
 fn reading_grows_with_the_square_of_the_prompt() {
-    let engine = EngineProfile {
-        slots: 16,
-        memory_tokens: 405_000,
-        steps_per_pass: 34,
-        step_ms: 1.31,
-        step_ms_per_writer: 0.000917,
-        step_ms_per_context_k: 0.00213,
-        read_per_s: 154_000.0,
-        read_ms_per_pair_m: 0.162,
-        chunk_tokens: 2_048,
-    };
+    let engine = EngineProfile::example();
     let ms = |tokens| engine.read_time(tokens).as_secs_f64() * 1e3;
     assert!((ms(4_960) - 34.2).abs() < 0.5, "{}", ms(4_960));
     assert!((ms(182_000) - 3_865.0).abs() < 5.0, "{}", ms(182_000));
--- a/crates/toucansilld/src/gateway.rs
+++ b/crates/toucansilld/src/gateway.rs
@@ -16,6 +16,7 @@
 //! All tasks of a daemon share one thread; the voter has one of its own.
 
 mod bus;
+mod calls;
 mod control;
 mod entry;
 mod flight;
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -5,18 +5,14 @@
     lead::{Answered, FOLLOW_WAIT, Lead, PLACE_WAIT},
     members::{self, members_for},
     messages::{Call, CallAnswer, Follow, Position, Question, Reply},
-    pack::{pack, unpack},
     settings::{ControlSettings, GatewaySettings},
     view::View,
 };
 use crate::{sync::lock, voter::Voter};
-use control::{Command, Outcome, Published, RoutingOutcome};
-use grant::{DispatcherConfig, Merge, Registration};
+use grant::DispatcherConfig;
 use group::Status;
-use http::{Method, StatusCode};
+use http::StatusCode;
 use kernel::SharedClock;
-use platform::control as calls;
-use routing::Routing;
 use std::{
     sync::{
         Arc, Mutex, OnceLock,
@@ -29,7 +25,7 @@
     task::spawn_blocking,
     time::{sleep, timeout},
 };
-use wire::{DataCentreId, Responder};
+use wire::Responder;
 
 /// Time between two looks at the consensus: a new leader is noticed in a part of the time
 /// that its election took.
@@ -41,9 +37,6 @@
 /// Longest wait for the leader's answer to a call that came here. Callers go on to
 /// another daemon after a second.
 const FORWARD_TIMEOUT: Duration = Duration::from_millis(900);
-/// Longest wait until the daemons in touch follow a change before it is acknowledged. A
-/// daemon that takes longer has lost its link.
-const FOLLOWED_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time after which a group that has fewer members than it needs takes changes anyway: no
 /// more daemons seem to come.
 const FORMATION_PATIENCE: Duration = Duration::from_secs(20);
@@ -111,14 +104,27 @@
         self.bus.get().expect("the links are set before any task runs")
     }
 
+    /// The voter of this daemon.
     pub(crate) fn voter(&self) -> &Arc<Voter> {
         &self.voter
     }
 
+    /// What this daemon knows of its region.
     pub(crate) fn view(&self) -> &View {
         &self.view
     }
 
+    /// The time.
+    pub(super) fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// Changes when a follower says how far it is.
+    pub(super) fn positions_heard(&self) -> watch::Receiver<u64> {
+        self.heard.subscribe()
+    }
+
+    /// The settings of this part.
     pub(crate) fn settings(&self) -> &ControlSettings {
         &self.control
     }
@@ -249,137 +255,8 @@
         }
     }
 
-    /// `None` if this daemon does not lead.
-    async fn call_as_leader(self: &Arc<Self>, call: Call) -> Option<CallAnswer> {
-        lock(&self.lead).as_ref()?;
-        let method = Method::from_bytes(call.method.as_bytes());
-        let Ok(method) = method else { return Some(CallAnswer::new(400, "unknown method")) };
-        let decoded = match calls::decode(&method, &call.path, &call.body) {
-            Ok(decoded) => decoded,
-            Err(err) => {
-                log::warn!(
-                    method = call.method.as_str(), path = call.path.as_str(),
-                    bytes = call.body.len(); "call refused: {err}"
-                );
-                return Some(CallAnswer::new(err.status().as_u16(), &err.to_string()));
-            }
-        };
-        match decoded {
-            calls::Call::Publish(routing) => self.publish(*routing, call.body).await,
-            calls::Call::ReadRouting => Some(self.read_routing().await),
-            calls::Call::CloseDataCentre { data_centre, is_closed } => {
-                self.close_data_centre(data_centre, is_closed).await
-            }
-            calls::Call::Register(registration) => self.register(registration).await,
-            calls::Call::Deregister(id) => self.deregister(&id).await,
-        }
-    }
-
-    async fn publish(self: &Arc<Self>, routing: Routing, document: Vec<u8>) -> Option<CallAnswer> {
-        if !self.is_formed() {
-            return Some(CallAnswer::new(503, "the control group is not complete yet"));
-        }
-        let document = match pack(&document) {
-            Ok(document) => document,
-            Err(err) => return Some(CallAnswer::new(500, &err.to_string())),
-        };
-        let published = Published { version: routing.version, document };
-        let outcome = match self.propose(Command::PublishRouting(published)).await {
-            Ok(outcome) => outcome,
-            Err(answer) => return Some(answer),
-        };
-        let followed = self.await_followed().await;
-        let version = routing.version;
-        log::info!(version = version, followed = followed, outcome:? = outcome; "routing published");
-        match outcome {
-            Outcome::Routing(RoutingOutcome::Accepted) => Some(CallAnswer::new(200, "in force")),
-            Outcome::Routing(RoutingOutcome::Held { version }) => {
-                Some(CallAnswer::new(200, &format!("version {version} stays in force")))
-            }
-            _ => Some(CallAnswer::new(503, "not applied")),
-        }
-    }
-
-    async fn close_data_centre(
-        self: &Arc<Self>,
-        data_centre: DataCentreId,
-        is_closed: bool,
-    ) -> Option<CallAnswer> {
-        if !self.is_formed() {
-            return Some(CallAnswer::new(503, "the control group is not complete yet"));
-        }
-        let command = Command::CloseDataCentre { data_centre: data_centre.clone(), is_closed };
-        if let Err(answer) = self.propose(command).await {
-            return Some(answer);
-        }
-        let followed = self.await_followed().await;
-        log::info!(
-            data_centre = data_centre.as_str(), is_closed = is_closed, followed = followed;
-            "data centre changed"
-        );
-        Some(CallAnswer::new(200, "in force"))
-    }
-
-    /// The document in force, proven to be the newest.
-    async fn read_routing(&self) -> CallAnswer {
-        let voter = Arc::clone(&self.voter);
-        let read = spawn_blocking(move || voter.read(|state| state.routing().cloned())).await;
-        match read {
-            Ok(Ok(Some(published))) => match unpack(&published.document) {
-                Ok(body) => CallAnswer { status: 200, body },
-                Err(err) => CallAnswer::new(500, &err.to_string()),
-            },
-            Ok(Ok(None)) => CallAnswer::new(503, "no routing was published yet"),
-            Ok(Err(err)) => CallAnswer::new(503, &format!("not sure of the newest: {err}")),
-            Err(err) => CallAnswer::new(500, &err.to_string()),
-        }
-    }
-
-    async fn register(&self, registration: Registration) -> Option<CallAnswer> {
-        let now = self.clock.now();
-        let id = registration.id.clone();
-        let (born, sequence, is_draining) =
-            (registration.born_ms, registration.sequence, registration.is_draining);
-        let merge = self.with_lead(|lead| lead.directory.register(now, registration))?;
-        if merge.is_news() || merge == Merge::Stale {
-            log::info!(
-                upstream = id.as_str(), born = born, sequence = sequence,
-                is_draining = is_draining, merge:? = merge; "upstream registered"
-            );
-        }
-        if merge.is_news() {
-            self.tell_followers();
-        }
-        if merge == Merge::Changed && is_draining {
-            self.await_followed().await;
-        }
-        Some(CallAnswer { status: 200, body: calls::registration_answer(None) })
-    }
-
-    async fn deregister(&self, id: &str) -> Option<CallAnswer> {
-        let now = self.clock.now();
-        if self.with_lead(|lead| lead.directory.deregister(now, id))? {
-            log::info!(upstream = id; "upstream has left");
-            self.tell_followers();
-            self.await_followed().await;
-        }
-        Some(CallAnswer { status: 200, body: calls::registration_answer(None) })
-    }
-
-    async fn propose(&self, command: Command) -> Result<Outcome, CallAnswer> {
-        let voter = Arc::clone(&self.voter);
-        let proposed = spawn_blocking(move || voter.propose(command)).await;
-        let outcome = match proposed {
-            Ok(Ok(outcome)) => outcome,
-            Ok(Err(err)) => return Err(CallAnswer::new(503, &err.to_string())),
-            Err(err) => return Err(CallAnswer::new(500, &err.to_string())),
-        };
-        self.follow_state();
-        Ok(outcome)
-    }
-
     /// Whether the group has all members that it needs to keep what it acknowledges.
-    fn is_formed(&self) -> bool {
+    pub(super) fn is_formed(&self) -> bool {
         let needed = members_for(self.control.tolerated_losses);
         let now = self.clock.now();
         let patience_is_over = lock(&self.led_since)
@@ -387,30 +264,6 @@
         self.voter.status().membership.voters.len() >= needed || patience_is_over
     }
 
-    /// Waits until the daemons in touch have what the leader has now. Returns whether
-    /// they have.
-    async fn await_followed(&self) -> bool {
-        let Some(position) = self.with_lead(|lead| lead.position()) else { return false };
-        let mut heard = self.heard.subscribe();
-        let is_followed = || {
-            let now = self.clock.now();
-            self.with_lead(|lead| lead.is_followed(now, &position)).unwrap_or(false)
-        };
-        let followed = async {
-            while !is_followed() {
-                // The sender lives as long as this daemon.
-                let _ = heard.changed().await;
-            }
-        };
-        if timeout(FOLLOWED_TIMEOUT, followed).await.is_ok() {
-            return true;
-        }
-        let now = self.clock.now();
-        let lagging = self.with_lead(|lead| lead.lagging(now, &position)).unwrap_or_default();
-        log::warn!(lagging:? = lagging, term = position.term; "daemons in touch lag behind");
-        false
-    }
-
     fn answer_follow(self: &Arc<Self>, follow: Follow, responder: Responder) {
         let now = self.clock.now();
         let has = follow.position;
@@ -473,20 +326,20 @@
     }
 
     /// Takes the replicated state over into the leader's work.
-    fn follow_state(&self) {
+    pub(super) fn follow_state(&self) {
         let is_news = self.voter.peek(|state| self.with_lead(|lead| lead.follow_state(state)));
         if is_news.unwrap_or(false) {
             self.tell_followers();
         }
     }
 
-    fn tell_followers(&self) {
+    pub(super) fn tell_followers(&self) {
         self.changed.send_modify(|n| *n += 1);
         let now = self.clock.now();
         send(self.with_lead(|lead| lead.poll(now)).unwrap_or_default());
     }
 
-    fn with_lead<T>(&self, f: impl FnOnce(&mut Lead) -> T) -> Option<T> {
+    pub(super) fn with_lead<T>(&self, f: impl FnOnce(&mut Lead) -> T) -> Option<T> {
         lock(&self.lead).as_mut().map(f)
     }
 }
