--- a/crates/toucansilld/src/gateway/run.rs
+++ b/crates/toucansilld/src/gateway/run.rs
@@ -38,6 +38,9 @@
     time::sleep,
 };
 
+/// Bounds of the latency histograms, in seconds: the targets of the users' routes and steps
+/// between them.
+const LATENCY_BUCKETS_S: [f64; 11] = [0.05, 0.1, 0.15, 0.3, 0.6, 1.0, 1.5, 3.0, 6.0, 10.0, 15.0];
 /// Threads for work that waits for the disk or for other voters.
 const BLOCKING_THREADS: usize = 16;
 /// Consensus messages that wait to be sent; further ones are dropped and sent again.
@@ -90,7 +93,7 @@
 
 async fn run_daemon(path: &Path, settings: Arc<GatewaySettings>) -> Result<()> {
     let clock: SharedClock = Arc::new(SystemClock);
-    let metrics = install_metrics();
+    let metrics = install_metrics()?;
     let view = View::new();
     let in_flight = InFlight::new();
     let (is_stopping_tx, is_stopping) = watch::channel(false);
@@ -394,11 +397,12 @@
 }
 
 /// The process has one recorder of metrics.
-fn install_metrics() -> PrometheusHandle {
-    let recorder = PrometheusBuilder::new().build_recorder();
+fn install_metrics() -> Result<PrometheusHandle> {
+    let builder = PrometheusBuilder::new().set_buckets(&LATENCY_BUCKETS_S);
+    let recorder = builder.map_err(|err| Error::start("metrics", err))?.build_recorder();
     let handle = recorder.handle();
     if metrics::set_global_recorder(recorder).is_err() {
         log::warn!("another daemon in this process records the metrics");
     }
-    handle
+    Ok(handle)
 }
--- a/crates/toucansilld/tests/gateway/main.rs
+++ b/crates/toucansilld/tests/gateway/main.rs
@@ -2,11 +2,10 @@
 
 mod region;
 
-use region::{Region, Upstream, document, engine_document, eventually};
+use platform::stand_in::{DOCUMENT_PATH, document, engine_document, upstream_path};
+use region::{Region, Upstream, eventually};
 use std::thread;
 
-const CONFIGURATION: &str = "/toucansill/config";
-
 fn version(body: &str) -> u64 {
     let document: serde_json::Value = serde_json::from_str(body).expect("JSON");
     document["version"].as_u64().expect("a version")
@@ -17,8 +16,8 @@
     let mut region = Region::new(1);
     region.start_all(true);
     let upstream = Upstream::start("here");
-    region.call_until_done(0, "PUT", CONFIGURATION, &document(1, "/x/", "s1"));
-    let path = "/toucansill/replicas/u1";
+    region.call_until_done(0, "PUT", DOCUMENT_PATH, &document(1, "/x/", "s1"));
+    let path = &upstream_path("u1");
     region.call_until_done(0, "PUT", path, &upstream.statement("s1", 1, "ready"));
     let answer = eventually("an answer", || region.request("/x/1").filter(|(s, _)| *s == 200));
     assert!(answer.1.starts_with("here "), "{}", answer.1);
@@ -36,23 +35,23 @@
     let mut region = Region::new(3);
     region.start_all(true);
     let (first, second) = (Upstream::start("first"), Upstream::start("second"));
-    region.call_until_done(1, "PUT", CONFIGURATION, &document(1, "/x/", "s1"));
+    region.call_until_done(1, "PUT", DOCUMENT_PATH, &document(1, "/x/", "s1"));
     for (id, upstream, service) in [("u1", &first, "s1"), ("u2", &second, "s2")] {
-        let path = format!("/toucansill/replicas/{id}");
+        let path = upstream_path(id);
         region.call_until_done(2, "PUT", &path, &upstream.statement(service, 1, "ready"));
     }
     eventually("an answer", || region.request("/x/1").filter(|(s, _)| *s == 200));
     for turn in 2..12 {
         let service = if turn % 2 == 0 { "s2" } else { "s1" };
         let body = document(turn * 3, "/x/", service);
-        region.call_until_done((turn % 3) as usize, "PUT", CONFIGURATION, &body);
+        region.call_until_done((turn % 3) as usize, "PUT", DOCUMENT_PATH, &body);
         let (status, name) = region.request("/x/1").expect("an answer");
         let expected = if turn % 2 == 0 { "second" } else { "first" };
         assert!(status == 200 && name.starts_with(expected), "turn {turn}: {status} {name}");
     }
     // A late copy of an older change is acknowledged and changes nothing.
-    region.call_until_done(0, "PUT", CONFIGURATION, &document(9, "/x/", "s2"));
-    assert_eq!(version(&region.call_until_done(1, "GET", CONFIGURATION, "")), 33);
+    region.call_until_done(0, "PUT", DOCUMENT_PATH, &document(9, "/x/", "s2"));
+    assert_eq!(version(&region.call_until_done(1, "GET", DOCUMENT_PATH, "")), 33);
 }
 
 /// Founders learn each other's addresses from settings that name them only once.
@@ -60,23 +59,23 @@
 fn a_group_whose_processes_were_all_killed_comes_back() {
     let mut region = Region::new(3);
     region.start_all(true);
-    region.call_until_done(0, "PUT", CONFIGURATION, &document(7, "/x/", "s1"));
+    region.call_until_done(0, "PUT", DOCUMENT_PATH, &document(7, "/x/", "s1"));
     region.kill_all();
     region.start_all(false);
-    assert_eq!(version(&region.call_until_done(2, "GET", CONFIGURATION, "")), 7);
+    assert_eq!(version(&region.call_until_done(2, "GET", DOCUMENT_PATH, "")), 7);
 }
 
 #[test]
 fn two_lost_disks_of_five_cost_nothing_that_was_acknowledged() {
     let mut region = Region::new(5);
     region.start_all(true);
-    region.call_until_done(3, "PUT", CONFIGURATION, &document(7, "/x/", "s1"));
+    region.call_until_done(3, "PUT", DOCUMENT_PATH, &document(7, "/x/", "s1"));
     for round in 0..2 {
         region.kill_all();
         region.lose_disk(round);
         region.lose_disk(round + 2);
         region.start_all(false);
-        assert_eq!(version(&region.call_until_done(0, "GET", CONFIGURATION, "")), 7);
+        assert_eq!(version(&region.call_until_done(0, "GET", DOCUMENT_PATH, "")), 7);
         region.await_members(5);
     }
 }
@@ -85,18 +84,18 @@
 fn an_invalid_document_is_refused_and_changes_nothing() {
     let mut region = Region::new(1);
     region.start_all(true);
-    region.call_until_done(0, "PUT", CONFIGURATION, &document(1, "/x/", "s1"));
+    region.call_until_done(0, "PUT", DOCUMENT_PATH, &document(1, "/x/", "s1"));
     let (status, _) =
-        region.call(0, "PUT", CONFIGURATION, &document(2, "/x/", "s9")).expect("an answer");
+        region.call(0, "PUT", DOCUMENT_PATH, &document(2, "/x/", "s9")).expect("an answer");
     assert_eq!(status, 400);
-    assert_eq!(version(&region.call_until_done(0, "GET", CONFIGURATION, "")), 1);
+    assert_eq!(version(&region.call_until_done(0, "GET", DOCUMENT_PATH, "")), 1);
 }
 
 #[test]
 fn a_planned_stop_ends_by_itself() {
     let mut region = Region::new(1);
     region.start_all(true);
-    region.call_until_done(0, "PUT", CONFIGURATION, &document(1, "/x/", "s1"));
+    region.call_until_done(0, "PUT", DOCUMENT_PATH, &document(1, "/x/", "s1"));
     region.stop(region.entry());
     region.stop(0);
 }
@@ -107,12 +106,12 @@
 fn a_request_that_waits_is_sent_away_when_its_daemon_stops() {
     let mut region = Region::new(1);
     region.start_all(true);
-    region.call_until_done(0, "PUT", CONFIGURATION, &engine_document(1, "/x/"));
+    region.call_until_done(0, "PUT", DOCUMENT_PATH, &engine_document(1, "/x/"));
     eventually("the entry follows", || {
         region.request("/none/").filter(|(status, _)| *status == 404)
     });
     let upstream = Upstream::silent();
-    let path = "/toucansill/replicas/u1";
+    let path = &upstream_path("u1");
     region.call_until_done(0, "PUT", path, &upstream.statement("s1", 1, "ready"));
     thread::scope(|scope| {
         let region = &region;
--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -1,5 +1,6 @@
 //! A region of gateway daemons as separate processes on this machine.
 
+use platform::stand_in::{answer_headers, attempt_of, caller_headers, statement};
 use std::{
     fs,
     io::{BufRead, BufReader, Read, Write},
@@ -201,8 +202,8 @@
         exchange(
             &address,
             &format!(
-                "POST {path} HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\nAttempt-Id: r{attempt}\r\n\
-                 Token-Count: 1000,100\r\nDeadline-Ms: 30000\r\nContent-Length: 2\r\n\r\nhi"
+                "POST {path} HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n{}Content-Length: 2\r\n\r\nhi",
+                caller_headers(&format!("r{attempt}"), 30_000)
             ),
         )
     }
@@ -339,9 +340,7 @@
         sequence: u64,
         state: &str,
     ) -> String {
-        format!(
-            r#"{{"service":"{service}","address":"{address}","zone":"dc-1","slots":1,"state":"{state}","sequence":{sequence},"born":1}}"#
-        )
+        statement(address, service, sequence, state)
     }
 }
 
@@ -350,10 +349,10 @@
     let (mut attempt, mut length) = (String::new(), 0);
     let mut line = String::new();
     while rx.read_line(&mut line).is_ok_and(|n| n > 0) && line != "\r\n" {
-        let lower = line.to_ascii_lowercase();
-        if let Some(value) = lower.strip_prefix("attempt-id:") {
-            attempt = value.trim().to_owned();
+        if let Some(value) = attempt_of(&line) {
+            attempt = value.to_owned();
         }
+        let lower = line.to_ascii_lowercase();
         if let Some(value) = lower.strip_prefix("content-length:") {
             length = value.trim().parse().unwrap_or(0);
         }
@@ -367,29 +366,11 @@
     runs.lock().expect("not poisoned").push(attempt.clone());
     let body = format!("{name} {attempt}");
     let answer = format!(
-        "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Signature: s\r\nContent-Length: {}\r\n\r\n{body}",
+        "HTTP/1.1 200 OK\r\n{}Content-Length: {}\r\n\r\n{body}",
+        answer_headers(&attempt),
         body.len()
     );
     let mut stream = stream;
     // A caller that has left needs no answer.
     let _ = stream.write_all(answer.as_bytes());
 }
-
-/// A document with one route to a service of engines with one slot.
-pub(crate) fn engine_document(version: u64, path: &str) -> String {
-    format!(
-        r#"{{"version":{version},"routes":[{{"name":"r","host":"a.example","pathPrefix":"{path}",
-        "routeType":"streaming","timeoutMs":30000,"service":"s1"}}],
-        "services":[{{"name":"s1","engine":{{"slots":1,"kvCapacityTokens":100000,"stride":4,"step_ms":1.0,
-        "read_per_s":100000.0,"chunk":2048}}}}]}}"#
-    )
-}
-
-/// A document with one route to one service.
-pub(crate) fn document(version: u64, path: &str, service: &str) -> String {
-    format!(
-        r#"{{"version":{version},"routes":[{{"name":"r","host":"a.example","pathPrefix":"{path}",
-        "routeType":"non_idempotent","timeoutMs":4000,"service":"{service}"}}],
-        "services":[{{"name":"s1"}},{{"name":"s2"}}]}}"#
-    )
-}
--- a/crates/toucansilld/tests/soak/main.rs
+++ b/crates/toucansilld/tests/soak/main.rs
@@ -16,7 +16,8 @@
 mod region;
 mod world;
 
-use region::{Region, document, eventually};
+use platform::stand_in::{DOCUMENT_PATH, document};
+use region::{Region, eventually};
 use std::{
     env,
     sync::atomic::{AtomicBool, Ordering},
@@ -83,7 +84,7 @@
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut region = Region::with_entries(CONTROLS, ENTRIES);
     region.start_all(true);
-    region.call_until_done(0, "PUT", "/toucansill/config", &document(1, "/x/", "s1"));
+    region.call_until_done(0, "PUT", DOCUMENT_PATH, &document(1, "/x/", "s1"));
     let upstreams = Upstreams::start(4);
     let is_over = AtomicBool::new(false);
     let operator = Operator::new();
--- a/crates/toucansilld/tests/soak/world.rs
+++ b/crates/toucansilld/tests/soak/world.rs
@@ -1,7 +1,8 @@
 //! Callers, operators and upstreams, and what each of them must never see.
 
-use crate::region::{Upstream, document, eventually, exchange};
+use crate::region::{Upstream, eventually, exchange};
 use fake::Relay;
+use platform::stand_in::{DOCUMENT_PATH, caller_headers, document, upstream_path};
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::{
@@ -18,7 +19,6 @@
 const CHANGE_PAUSE: Duration = Duration::from_millis(120);
 /// Time between two requests of a caller.
 const CALL_PAUSE: Duration = Duration::from_millis(10);
-const CONFIGURATION: &str = "/toucansill/config";
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -52,7 +52,7 @@
             sequence += 1;
             for (i, (upstream, relay)) in self.0.iter().enumerate() {
                 let body = upstream.statement_at(relay.address(), "s1", sequence, "ready");
-                let request = put(&format!("/toucansill/replicas/u{i}"), &body);
+                let request = put(&upstream_path(&format!("u{i}")), &body);
                 // Any daemon will do; the next statement comes soon if none answers.
                 let _ = controls.iter().find(|c| is_ok(exchange(c, &request).as_ref()));
             }
@@ -99,7 +99,7 @@
     /// Publishes one version after the other; each is sent until it is acknowledged.
     pub(crate) fn publish(&self, controls: &[String], is_over: &AtomicBool) {
         for version in 2.. {
-            let request = put(CONFIGURATION, &document(version, "/x/", "s1"));
+            let request = put(DOCUMENT_PATH, &document(version, "/x/", "s1"));
             let mut turn = version as usize;
             while !is_ok(exchange(&controls[turn % controls.len()], &request).as_ref()) {
                 if is_over.load(Ordering::SeqCst) {
@@ -137,7 +137,7 @@
 }
 
 fn read_version(control: &str) -> Option<u64> {
-    let request = format!("GET {CONFIGURATION} HTTP/1.1\r\nHost: c\r\nConnection: close\r\n\r\n");
+    let request = format!("GET {DOCUMENT_PATH} HTTP/1.1\r\nHost: c\r\nConnection: close\r\n\r\n");
     let (_, body) = exchange(control, &request).filter(|(status, _)| *status == 200)?;
     serde_json::from_str::<serde_json::Value>(&body).ok()?["version"].as_u64()
 }
@@ -168,8 +168,8 @@
             turn += 1;
             let attempt = format!("a{}", self.next.fetch_add(1, Ordering::SeqCst));
             let request = format!(
-                "POST /x/{attempt} HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n\
-                 Attempt-Id: {attempt}\r\nDeadline-Ms: 3000\r\nContent-Length: 2\r\n\r\nhi"
+                "POST /x/{attempt} HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n{}Content-Length: 2\r\n\r\nhi",
+                caller_headers(&attempt, 3_000)
             );
             match exchange(&self.entries[turn % self.entries.len()], &request) {
                 Some((200, body)) => {
