Take the wait for followers from the bound on changes; time by the clock

Cause: the bound of 600 ms was assumed, where deployments state 2,000 or 2,500 ms for a change to be in force; a third of it is used. The task that tells news read the system's time instead of the clock that is passed in. No other behaviour changes.

--- a/crates/toucansilld/src/gateway/calls.rs
+++ b/crates/toucansilld/src/gateway/calls.rs
@@ -10,14 +10,10 @@
 use http::Method;
 use platform::control as calls;
 use routing::Routing;
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 use tokio::{task::spawn_blocking, time::timeout};
 use wire::DataCentreId;
 
-/// Longest wait until the daemons in touch follow a change before it is acknowledged. A
-/// daemon that takes longer has lost its link.
-const FOLLOWED_TIMEOUT: Duration = Duration::from_millis(600);
-
 impl Control {
     /// `None` if this daemon does not lead.
     pub(super) async fn call_as_leader(self: &Arc<Self>, call: Call) -> Option<CallAnswer> {
@@ -163,7 +159,7 @@
                 let _ = heard.changed().await;
             }
         };
-        if timeout(FOLLOWED_TIMEOUT, followed).await.is_ok() {
+        if timeout(self.bounds().followed_timeout(), followed).await.is_ok() {
             return true;
         }
         let now = self.now();
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -5,7 +5,7 @@
     lead::{Answered, FOLLOW_WAIT, Lead, PLACE_WAIT},
     members::{self, members_for},
     messages::{Call, CallAnswer, Follow, Position, Question, Reply},
-    settings::{ControlSettings, GatewaySettings},
+    settings::{Bounds, ControlSettings, GatewaySettings},
     view::View,
 };
 use crate::{sync::lock, voter::Voter};
@@ -124,6 +124,11 @@
         self.heard.subscribe()
     }
 
+    /// Bounds of the deployment.
+    pub(super) fn bounds(&self) -> &Bounds {
+        &self.settings.bounds
+    }
+
     /// The settings of this part.
     pub(crate) fn settings(&self) -> &ControlSettings {
         &self.control
--- a/crates/toucansilld/src/gateway/placer.rs
+++ b/crates/toucansilld/src/gateway/placer.rs
@@ -16,7 +16,7 @@
         Arc, Mutex,
         atomic::{AtomicU64, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 use tokio::time::sleep;
 use wire::{DaemonId, ServiceId, UpstreamId};
@@ -149,7 +149,7 @@
         bounds: Bounds,
     ) -> (Arc<Self>, impl Future<Output = ()> + Send) {
         let (news, rx) = flume::unbounded();
-        let teller = tell(rx, Arc::clone(&view), Arc::clone(&bus));
+        let teller = tell(rx, Arc::clone(&view), Arc::clone(&bus), Arc::clone(&clock));
         let start = fastrand::u64(..u64::from(u32::MAX)) << 32;
         let next = AtomicU64::new(start);
         let retries = OwnRetries {
@@ -323,12 +323,12 @@
 
 /// Brings news to the leader, in order, several in one message. What a leader missed, its
 /// successor learns from the requests that still run.
-async fn tell(rx: flume::Receiver<Progress>, view: Arc<View>, bus: Arc<Bus>) {
+async fn tell(rx: flume::Receiver<Progress>, view: Arc<View>, bus: Arc<Bus>, clock: SharedClock) {
     while let Ok(first) = rx.recv_async().await {
         sleep(PROGRESS_DELAY).await;
         let news: Vec<Progress> = std::iter::once(first).chain(rx.try_iter()).collect();
         let count = news.len();
-        let Some(leader) = view.leader(Instant::now(), LEADER_WINDOW) else {
+        let Some(leader) = view.leader(clock.now(), LEADER_WINDOW) else {
             log::warn!(count = count; "news of requests dropped: no leader");
             continue;
         };
--- a/crates/toucansilld/src/gateway/settings.rs
+++ b/crates/toucansilld/src/gateway/settings.rs
@@ -122,6 +122,13 @@
 }
 
 impl Bounds {
+    /// Longest wait until the daemons in touch follow a change before it is acknowledged: a
+    /// third of the time in which it has to be in force, so that the rest is left for those
+    /// that are slower.
+    pub(crate) fn followed_timeout(&self) -> Duration {
+        Duration::from_millis(self.apply_ms / 3)
+    }
+
     /// Time without a word after which an upstream is doubtful: three statements lost.
     pub(crate) fn silence(&self) -> Duration {
         Duration::from_millis(self.registration_interval_ms * 3 + 1_000)
