--- a/crates/grant/src/dispatcher.rs
+++ b/crates/grant/src/dispatcher.rs
@@ -145,7 +145,8 @@
         }
     }
 
-    /// Places requests that wait, as far as possible now, and drops those without hope.
+    /// Places requests that wait, as far as possible now, and refuses those whose deadline
+    /// can no longer be met.
     pub fn poll(&mut self, now: Instant, directory: &Directory) -> Vec<(AskId, Decision)> {
         self.expire(now);
         self.waiting.forget_silent(now);
--- a/crates/grant/src/engine.rs
+++ b/crates/grant/src/engine.rs
@@ -218,7 +218,7 @@
         self.readings.iter().map(|reading| reading.per_pass).max().unwrap_or_default()
     }
 
-    /// Shortest pause that its requests hope for.
+    /// Shortest pause target of its requests.
     pub(crate) fn pause_target(&self) -> Option<Duration> {
         self.mains.values().map(|main| main.pause_target).min()
     }
--- a/crates/grant/src/place.rs
+++ b/crates/grant/src/place.rs
@@ -2,8 +2,8 @@
 //!
 //! Engines write in passes, and a pass grows by what it reads. Three rules follow:
 //!
-//! * A request goes to an engine only where the next pass stays within the pauses that
-//!   the requests there hope for. So long prompts are read where nobody writes.
+//! * A request goes to an engine only where the next pass stays within the pause targets
+//!   of the requests there. So long prompts are read on engines without writers.
 //! * Short prompts fill engines that run short prompts already, up to a comfortable
 //!   load, before they open another one. What is left stays free for long prompts.
 //! * A long prompt is read by as many idle engines as its first event needs to be on
@@ -17,6 +17,9 @@
 use std::time::{Duration, Instant};
 use wire::Tokens;
 
+// Shares without a source of their own are those that earn most on the load patterns of
+// `tests/heavy`.
+
 /// Part of the time left at which a first event counts as comfortably on time.
 const COMFORTABLE: f64 = 0.55;
 /// Part of the time left that an expectation may take; the rest is for what it omits:
@@ -77,7 +80,7 @@
         && reserves(profile, ask).is_empty()
 }
 
-/// Whether a prompt can be on time only on engines where nobody writes.
+/// Whether a prompt can be on time only on engines without writers.
 pub(crate) fn needs_idle(profile: &EngineProfile, ask: &Ask) -> bool {
     !ask.target_left.is_zero() && profile.read_time(ask.prompt) > ask.pause_target
 }
--- a/crates/grant/tests/heavy/main.rs
+++ b/crates/grant/tests/heavy/main.rs
@@ -10,7 +10,7 @@
 use day::{Kind, Tally, play};
 use std::collections::BTreeMap;
 
-/// Part of what is owed that the users hope for on a day with trouble.
+/// The users' target for the part of the owed worth that a day with trouble earns.
 const TARGET: f64 = 0.74;
 /// Engines of the first sites.
 const ENGINES: usize = 18;
--- a/crates/routing/src/document.rs
+++ b/crates/routing/src/document.rs
@@ -55,7 +55,7 @@
     pub repeat: Repeat,
     /// Longest time that a caller is kept waiting, to the end of the answer.
     pub timeout: Duration,
-    /// Time to the answer, or to the first event of a stream, that callers hope for.
+    /// Target for the time to the answer, or to the first event of a stream.
     pub target: Duration,
     /// Rank among routes; 0 is the most urgent.
     pub priority: u8,
@@ -65,7 +65,7 @@
     pub max_attempts: u32,
     /// Whether a caller needs a key, where the document has organisations.
     pub needs_key: bool,
-    /// Longest pause between two events of a stream that callers hope for.
+    /// Target for the longest pause between two events of a stream.
     pub pause_target: Option<Duration>,
 }
 
--- a/crates/toucansilld/src/gateway/flight.rs
+++ b/crates/toucansilld/src/gateway/flight.rs
@@ -264,7 +264,7 @@
         let route = &self.order.route;
         let (prompt, output) = self.order.head.tokens.unwrap_or((0, 0));
         let pause_target = route.pause_target.unwrap_or(NO_PAUSE_TARGET);
-        // A stream that goes on elsewhere hopes for its next event, another one for its first.
+        // A resumed stream is due its next event, a new one its first.
         let (since, target) = match self.progressed {
             Some(progressed) => (progressed, pause_target),
             None => (self.order.arrived, route.target),
