--- a/crates/grant/src/dispatcher.rs
+++ b/crates/grant/src/dispatcher.rs
@@ -282,7 +282,7 @@
         if directory.open(&ask.service).next().is_none() {
             return self.refuse(&ask, Refusal::NoUpstream);
         }
-        if let Some(backlog) = self.backlog(directory, &ask)
+        if let Some(backlog) = self.backlog(now, directory, &ask)
             && backlog > ask.target_left.mul_f64(BACKLOG_SHARE)
         {
             let retry_after = backlog.clamp(RETRY_AFTER.0, RETRY_AFTER.1);
@@ -292,8 +292,8 @@
         Decision::Waiting
     }
 
-    /// Time until all long prompts that wait are read, if this one is long too.
-    fn backlog(&self, directory: &Directory, ask: &Ask) -> Option<Duration> {
+    /// Time until the long prompts that go before this one are read, if it is long too.
+    fn backlog(&self, now: Instant, directory: &Directory, ask: &Ask) -> Option<Duration> {
         let profile = &self.pools.get(&ask.service)?.profile;
         let cost = |ask: &Ask| match is_short(profile, ask) {
             true => Duration::ZERO,
@@ -303,7 +303,7 @@
             return None;
         }
         let engines = directory.open(&ask.service).count().max(1);
-        let total = self.waiting.sum(&ask.service, cost) + cost(ask);
+        let total = self.waiting.before(now, ask, cost) + cost(ask);
         Some(total / u32::try_from(engines).unwrap_or(u32::MAX))
     }
 
--- a/crates/grant/src/waiting.rs
+++ b/crates/grant/src/waiting.rs
@@ -45,9 +45,16 @@
         self.waiters.values().any(|w| w.ask.service == service && is_kind(&w.at(now)))
     }
 
-    /// Sum over the requests for a service that wait.
-    pub(crate) fn sum(&self, service: &str, cost: impl Fn(&Ask) -> Duration) -> Duration {
-        self.waiters.values().filter(|w| w.ask.service == service).map(|w| cost(&w.ask)).sum()
+    /// Sum over the requests for the same service that wait and go before this one.
+    pub(crate) fn before(
+        &self,
+        now: Instant,
+        ask: &Ask,
+        cost: impl Fn(&Ask) -> Duration,
+    ) -> Duration {
+        let waiting = self.waiters.values().filter(|w| w.ask.service == ask.service);
+        let waiting = waiting.map(|w| w.at(now)).filter(|other| rank(other) <= rank(ask));
+        waiting.map(|other| cost(&other)).sum()
     }
 
     /// Adds a request, or notes that it still waits.
@@ -68,11 +75,7 @@
     /// time before those that can't, then by what time they have left.
     pub(crate) fn in_order(&self, now: Instant) -> Vec<Ask> {
         let mut asks: Vec<Ask> = self.waiters.values().map(|waiter| waiter.at(now)).collect();
-        asks.sort_by_key(|ask| {
-            let is_late = ask.target_left.is_zero();
-            let left = if is_late { ask.deadline_left } else { ask.target_left };
-            (ask.priority, is_late, left)
-        });
+        asks.sort_by_key(rank);
         asks
     }
 
@@ -81,3 +84,10 @@
         self.waiters.retain(|_, w| now.saturating_duration_since(w.asked) < FORGET);
     }
 }
+
+/// Place among those that wait: the least goes first.
+fn rank(ask: &Ask) -> (u8, bool, Duration) {
+    let is_late = ask.target_left.is_zero();
+    let left = if is_late { ask.deadline_left } else { ask.target_left };
+    (ask.priority, is_late, left)
+}
--- a/crates/grant/tests/dispatcher.rs
+++ b/crates/grant/tests/dispatcher.rs
@@ -236,6 +236,30 @@
     assert_eq!(world.dispatcher.running(), 0);
 }
 
+/// A review must not pay for a queue of digests that goes behind it.
+#[test]
+fn a_backlog_counts_only_what_goes_first() {
+    let mut world = World::new(18);
+    let hurried = |world: &mut World, prompt, target_ms| {
+        let mut ask = world.ask(prompt);
+        ask.target_left = Duration::from_millis(target_ms);
+        ask.pause_target = Duration::from_millis(600);
+        world.decide(ask)
+    };
+    // Digests take all engines, and more of them wait or are sent away.
+    for _ in 0..14 {
+        hurried(&mut world, 200_000, 3_000);
+    }
+    let waiting = world.dispatcher.waiting();
+    assert!(waiting > 0, "some wait");
+    assert!(matches!(
+        hurried(&mut world, 200_000, 3_000),
+        Decision::Refused { refusal: Refusal::NoTime, .. }
+    ));
+    assert_eq!(hurried(&mut world, 80_000, 1_500), Decision::Waiting);
+    assert_eq!(world.dispatcher.waiting(), waiting + 1);
+}
+
 #[test]
 fn a_request_without_time_is_refused_at_once() {
     let mut world = World::new(1);
