--- a/crates/grant/src/place.rs
+++ b/crates/grant/src/place.rs
@@ -27,6 +27,9 @@
 const ON_TIME: f64 = 0.85;
 /// The same while long prompts wait for idle engines.
 const COMFORTABLE_PRESSED: f64 = 0.7;
+/// How many pause targets a prompt reads for that short ones make room for. Those below, the
+/// longer reviews, are worth less than the short prompts that would be late.
+const NEEDS_IDLE: f64 = 2.0;
 /// Part of the slots that short prompts fill before another engine is opened for them.
 const COMFORTABLE_SLOTS: f64 = 0.9;
 /// Part of a pause target that an expected pass may take.
@@ -80,9 +83,10 @@
         && reserves(profile, ask).is_empty()
 }
 
-/// Whether a prompt can be on time only on engines without writers.
+/// Whether a prompt can still be on time, and short ones should make room for it.
 pub(crate) fn needs_idle(profile: &EngineProfile, ask: &Ask) -> bool {
-    !ask.target_left.is_zero() && profile.read_time(ask.prompt) > ask.pause_target
+    let most = ask.pause_target.mul_f64(NEEDS_IDLE);
+    !ask.target_left.is_zero() && profile.read_time(ask.prompt) > most
 }
 
 /// Least time in which any engine brings the first event of a request.
