--- a/crates/toucansilld/src/voter.rs
+++ b/crates/toucansilld/src/voter.rs
@@ -21,19 +21,13 @@
 use std::{
     fs,
     path::{Path, PathBuf},
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicU64, Ordering},
-    },
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
 /// Time between two ticks of the consensus. Heartbeats and elections take several;
 /// an election ends well before a session lease does.
 pub(crate) const TICK: Duration = Duration::from_millis(100);
-/// Consensus messages of which one brings the addresses of all voters along; the
-/// others bring the sender's.
-const MESSAGES_PER_ADDRESSES: u64 = 32;
 /// Name of the file in which a back-up is put together.
 const BACKUP_FILE: &str = "backup.new";
 /// Longest wait for a proposal to be committed.
@@ -52,8 +46,6 @@
     leader: Mutex<Option<Leader>>,
     addresses: Addresses,
     backup_file: PathBuf,
-    /// Consensus messages sent.
-    sent: AtomicU64,
     clock: SharedClock,
 }
 
@@ -75,15 +67,7 @@
         let handle = Group::start(cfg, machine::machine(&state), outbox)
             .map_err(|err| Error::start("voter", err))?;
         let backup_file = settings.data_folder.join(BACKUP_FILE);
-        Ok(Self {
-            handle,
-            state,
-            leader: Mutex::default(),
-            addresses,
-            backup_file,
-            sent: AtomicU64::new(0),
-            clock,
-        })
+        Ok(Self { handle, state, leader: Mutex::default(), addresses, backup_file, clock })
     }
 
     /// Answers one request.
@@ -108,9 +92,8 @@
     /// The envelope for an outgoing message, and where it goes.
     pub(crate) fn envelope(&self, outgoing: Outgoing) -> Option<(String, RaftEnvelope)> {
         let address = self.addresses.of(outgoing.to)?;
-        let number = self.sent.fetch_add(1, Ordering::Relaxed);
-        let tells_all = number.is_multiple_of(MESSAGES_PER_ADDRESSES);
-        let voters = if tells_all { self.addresses.all() } else { self.addresses.own() };
+        // All, each time: a member must know the others before its leader may be lost.
+        let voters = self.addresses.all();
         Some((address, RaftEnvelope { message: outgoing.message, voters }))
     }
 
--- a/crates/toucansilld/src/voter/addresses.rs
+++ b/crates/toucansilld/src/voter/addresses.rs
@@ -47,12 +47,6 @@
         lock(&self.known).get(&id).cloned()
     }
 
-    /// The own address.
-    pub(crate) fn own(&self) -> VoterAddresses {
-        let known = lock(&self.known);
-        known.get(&self.own).map(|address| (self.own, address.clone())).into_iter().collect()
-    }
-
     /// All addresses.
     pub(crate) fn all(&self) -> VoterAddresses {
         lock(&self.known).clone()
