Log who had a departure when it was acknowledged, and the age of local views

The logs could not tell a departure that was acknowledged without waiting from one that a daemon missed. The leader now logs "departure acknowledged" for each drain and deregistration, repeated ones too: whether the live followers had confirmed it, how many there were, how long it waited. An entry that places a request itself logs term, revision and age of its view. Counter toucansill_departures_acknowledged_total, gauge toucansill_view_age_seconds.

--- a/crates/toucansilld/src/gateway/calls.rs
+++ b/crates/toucansilld/src/gateway/calls.rs
@@ -13,7 +13,7 @@
 use http::Method;
 use platform::control as control_api;
 use routing::RoutingDocument;
-use std::sync::Arc;
+use std::{sync::Arc, time::Instant};
 use tokio::{task::spawn_blocking, time::timeout};
 use wire::DataCentreId;
 
@@ -145,8 +145,11 @@
         if outcome.is_change() {
             self.notify_followers();
         }
-        if outcome == RegistrationOutcome::Changed && is_draining {
-            self.await_followers().await;
+        if is_draining {
+            let since = self.now();
+            let is_confirmed =
+                outcome == RegistrationOutcome::Changed && self.await_followers().await;
+            self.record_departure(&id, outcome, is_confirmed, since);
         }
         Some(ControlHttpResponse { status: 200, body: control_api::registration_response(None) })
     }
@@ -155,14 +158,41 @@
     /// [`register`](Self::register) does.
     async fn deregister(&self, id: &str) -> Option<ControlHttpResponse> {
         let now = self.now();
-        if self.with_leader(|leader| leader.directory.deregister(now, id))? {
+        let is_change = self.with_leader(|leader| leader.directory.deregister(now, id))?;
+        let mut is_confirmed = false;
+        if is_change {
             log::info!(upstream = id; "upstream has left");
             self.notify_followers();
-            self.await_followers().await;
+            is_confirmed = self.await_followers().await;
         }
+        let outcome =
+            if is_change { RegistrationOutcome::Changed } else { RegistrationOutcome::Stale };
+        self.record_departure(id, outcome, is_confirmed, now);
         Some(ControlHttpResponse { status: 200, body: control_api::registration_response(None) })
     }
 
+    /// Logs and counts the acknowledgement of a departure that was received at `since`, and whether
+    /// all live followers had confirmed it by then.
+    fn record_departure(
+        &self,
+        upstream: &str,
+        outcome: RegistrationOutcome,
+        is_confirmed: bool,
+        since: Instant,
+    ) {
+        let now = self.now();
+        let waited_ms = now.saturating_duration_since(since).as_millis() as u64;
+        let leader =
+            self.with_leader(|leader| (leader.position(), leader.live_follower_count(now)));
+        let (position, followers) = leader.unwrap_or_default();
+        log::info!(
+            upstream, merge:? = outcome, followed = is_confirmed, followers, waited_ms,
+            term = position.term, revision = position.directory; "departure acknowledged"
+        );
+        let labels = [("followed", is_confirmed.to_string())];
+        metrics::counter!("toucansill_departures_acknowledged_total", &labels).increment(1);
+    }
+
     /// Proposes a command and waits until it is applied. An error is the response to send.
     async fn propose(&self, command: Command) -> Result<Outcome, ControlHttpResponse> {
         let voter = Arc::clone(self.voter());
--- a/crates/toucansilld/src/gateway/follow.rs
+++ b/crates/toucansilld/src/gateway/follow.rs
@@ -37,6 +37,10 @@
         let mut named_leader: Option<SocketAddr> = None;
         let mut known_term = 0;
         loop {
+            if let Some(heard) = self.view.with(|state| state.leader_heard) {
+                let age = self.clock.now().saturating_duration_since(heard);
+                metrics::gauge!("toucansill_view_age_seconds").set(age.as_secs_f64());
+            }
             let target = named_leader.take().or_else(|| self.view.with(|state| state.leader));
             let Some(target) = target.or_else(|| self.next_control_daemon(&mut turn)) else {
                 sleep(RETRY_PAUSE).await;
--- a/crates/toucansilld/src/gateway/lead.rs
+++ b/crates/toucansilld/src/gateway/lead.rs
@@ -245,6 +245,11 @@
         self.followers.values().filter(is_live)
     }
 
+    /// Number of live followers.
+    pub(crate) fn live_follower_count(&self, now: Instant) -> usize {
+        self.live_followers(now).count()
+    }
+
     /// Number of live followers that accept requests of callers, at least 1.
     fn entry_daemons(&self, now: Instant) -> u32 {
         let entries = self.live_followers(now).filter(|follower| follower.is_entry).count();
--- a/crates/toucansilld/src/gateway/placer.rs
+++ b/crates/toucansilld/src/gateway/placer.rs
@@ -5,7 +5,7 @@
     bus::DaemonLinks,
     messages::{LeaderReply, LeaderRequest, Progress},
     settings::Bounds,
-    view::View,
+    view::{View, ViewAge},
 };
 use crate::sync::lock;
 use grant::{
@@ -150,8 +150,8 @@
     request_id: PlacementRequestId,
     /// Upstream and helpers to send the request to.
     pub(crate) grant: Grant,
-    /// Whether this daemon placed the request itself.
-    is_local: bool,
+    /// View by which this daemon placed the request itself; `None` if the leader placed it.
+    local_view: Option<ViewAge>,
     has_first_event: bool,
     has_ended: bool,
 }
@@ -284,7 +284,7 @@
             placer,
             request_id,
             grant,
-            is_local: false,
+            local_view: None,
             has_first_event: false,
             has_ended: false,
         }
@@ -315,9 +315,9 @@
                 expected_first_event: Duration::ZERO,
             };
             state.local.request_started(&grant.upstream);
-            Some(grant)
+            Some((grant, state.age(now)))
         });
-        let Some(grant) = chosen else {
+        let Some((grant, view_age)) = chosen else {
             return Err((RefusalReason::NoUpstream, REFUSED_RETRY_AFTER));
         };
         let (placer, request_id) = (Arc::clone(self), request.id.clone());
@@ -325,7 +325,7 @@
             placer,
             request_id,
             grant,
-            is_local: true,
+            local_view: Some(view_age),
             has_first_event: false,
             has_ended: false,
         })
@@ -339,9 +339,9 @@
 }
 
 impl GrantGuard {
-    /// Whether this daemon placed the request itself.
-    pub(crate) fn is_local(&self) -> bool {
-        self.is_local
+    /// View by which this daemon placed the request itself; `None` if the leader placed it.
+    pub(crate) fn local_view(&self) -> Option<ViewAge> {
+        self.local_view
     }
 
     /// Name for the request's reservations on helpers, unique in the region.
@@ -356,7 +356,7 @@
 
     /// Reports the first event of the response to the leader. Later calls change nothing.
     pub(crate) fn first_event_received(&mut self) {
-        if self.has_first_event || self.is_local {
+        if self.has_first_event || self.local_view.is_some() {
             return;
         }
         self.has_first_event = true;
@@ -373,7 +373,7 @@
         if std::mem::replace(&mut self.has_ended, true) {
             return;
         }
-        if self.is_local {
+        if self.local_view.is_some() {
             let now = self.placer.clock.now();
             let id = &self.grant.upstream;
             return self
--- a/crates/toucansilld/src/gateway/record.rs
+++ b/crates/toucansilld/src/gateway/record.rs
@@ -1,6 +1,6 @@
 //! Log line and metrics of one request.
 
-use super::{forward::LoggedAttemptOutcome, placer::GrantGuard};
+use super::{forward::LoggedAttemptOutcome, placer::GrantGuard, view::ViewAge};
 use http::StatusCode;
 use kernel::SharedClock;
 use std::{
@@ -106,8 +106,8 @@
 /// Placement of one attempt, for the log.
 pub(crate) struct PlacementSummary {
     upstream: UpstreamId,
-    /// Who placed it: `entry` or `leader`.
-    by: &'static str,
+    /// View by which the entry placed it; `None` if the leader did.
+    local_view: Option<ViewAge>,
     /// Number of engines that prefill the prompt.
     engines: usize,
     /// Expected time to the first event.
@@ -120,7 +120,7 @@
     pub(crate) fn new(guard: &GrantGuard, waited: Duration) -> Self {
         Self {
             upstream: guard.upstream().clone(),
-            by: if guard.is_local() { "entry" } else { "leader" },
+            local_view: guard.local_view(),
             engines: guard.grant.helpers.len() + 1,
             expected_ms: guard.grant.expected_first_event.as_millis(),
             waited_ms: waited.as_millis(),
@@ -130,11 +130,15 @@
 
 impl fmt::Display for PlacementSummary {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { upstream, by, engines, expected_ms, waited_ms } = self;
-        write!(
-            f,
-            "{upstream} by {by} after {waited_ms} ms, {engines} prefill, {expected_ms} ms expected"
-        )
+        let Self { upstream, local_view, engines, expected_ms, waited_ms } = self;
+        write!(f, "{upstream} by ")?;
+        match local_view {
+            Some(ViewAge { term, revision, age }) => {
+                write!(f, "entry (view {term}/{revision}, {} ms old)", age.as_millis())?;
+            }
+            None => f.write_str("leader")?,
+        }
+        write!(f, " after {waited_ms} ms, {engines} prefill, {expected_ms} ms expected")
     }
 }
 
--- a/crates/toucansilld/src/gateway/view.rs
+++ b/crates/toucansilld/src/gateway/view.rs
@@ -5,7 +5,7 @@
     messages::{DirectoryViewPosition, ViewChange},
 };
 use crate::sync::lock;
-use grant::{Directory, LocalPlacer};
+use grant::{Directory, LocalPlacer, Revision};
 use platform::control::decode_document;
 use routing::{RoutingDocument, RoutingTable};
 use std::{
@@ -43,6 +43,17 @@
     pub(crate) control_addresses: Vec<SocketAddr>,
 }
 
+/// How old a view was when it was used, for the log.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ViewAge {
+    /// Term of the leader that sent the view.
+    pub(crate) term: u64,
+    /// Revision of its directory.
+    pub(crate) revision: Revision,
+    /// Time since a leader last confirmed it; [`Duration::MAX`] if none has.
+    pub(crate) age: Duration,
+}
+
 impl View {
     /// Creates a view without routing, upstreams or a leader.
     pub(crate) fn new() -> Arc<Self> {
@@ -79,6 +90,16 @@
 }
 
 impl ViewState {
+    /// Age of the view at `now`.
+    pub(crate) fn age(&self, now: Instant) -> ViewAge {
+        let age = self.leader_heard.map(|heard| now.saturating_duration_since(heard));
+        ViewAge {
+            term: self.position.term,
+            revision: self.position.directory,
+            age: age.unwrap_or(Duration::MAX),
+        }
+    }
+
     /// Applies a change sent by a leader, received at `now`. A change of an earlier term than
     /// the view's comes from a former leader and is ignored.
     pub(crate) fn apply(&mut self, now: Instant, change: ViewChange) {
