Tests that fail: departures that are acknowledged and then forgotten

What upstreams saw: an upstream that had left, and whose departure was acknowledged, got requests again.

The next leader starts from an older copy of the directory, in which the upstream is ready, and that replaces the directory of every entry, also of those that knew better.

No change of logic.

--- /dev/null
+++ b/crates/toucansilld/tests/gateway/departures.rs
@@ -0,0 +1,118 @@
+//! Tests of upstreams that announce their departure: once it is acknowledged, no request may reach
+//! them, whatever happens to the daemons that knew of it.
+
+use crate::region::{Region, Upstream, eventually};
+use platform::stand_in::{DOCUMENT_PATH, document, upstream_path};
+use std::time::{Duration, Instant};
+
+/// Requests sent to find out which upstreams get any.
+const REQUESTS: usize = 20;
+
+/// Registers an upstream as `state` at daemon `i` and returns the status of the response.
+fn register(
+    region: &Region,
+    i: usize,
+    (id, upstream): (&str, &Upstream),
+    sequence: u64,
+    state: &str,
+) -> Option<u16> {
+    let body = upstream.registration("s1", sequence, state);
+    region.control_request(i, "PUT", &upstream_path(id), &body).map(|(status, _)| status)
+}
+
+/// Registers an upstream at daemon `i` and waits until it gets requests, which shows that the entry
+/// follows the leader that knows it.
+fn add_upstream(region: &Region, i: usize, id: &str, upstream: &Upstream) {
+    let accepted = || (register(region, i, (id, upstream), 1, "ready") == Some(200)).then_some(());
+    eventually("the upstream is registered", accepted);
+    eventually("requests reach the upstream", || {
+        region.request("/x/");
+        (!upstream.runs().is_empty()).then_some(())
+    });
+}
+
+/// Starts a region whose entry has the routing document.
+fn start(control_count: usize) -> Region {
+    let mut region = Region::new(control_count);
+    region.start_all(true);
+    region.await_members(control_count);
+    region.control_request_until_ok(0, "PUT", DOCUMENT_PATH, &document(1, "/x/", "s1"));
+    region
+}
+
+/// Sends requests and checks that none of them reaches `upstream`.
+fn assert_gets_no_requests(region: &Region, upstream: &Upstream) {
+    let before = upstream.runs();
+    (0..REQUESTS).for_each(|_| drop(region.request("/x/")));
+    assert_eq!(upstream.runs(), before, "requests sent to an upstream that has left");
+}
+
+/// Guards against a departure that only the leader knows when it acknowledges it: the next leader
+/// would bring the upstream back.
+#[test]
+fn a_departure_acknowledged_just_before_the_leader_is_lost_stays_known() {
+    let mut region = start(3);
+    let (leaving, staying, new) =
+        (Upstream::start("leaving"), Upstream::start("staying"), Upstream::start("new"));
+    add_upstream(&region, 0, "u1", &leaving);
+    add_upstream(&region, 0, "u2", &staying);
+    let leader = region.await_leader(3);
+    let others: Vec<usize> = (0..3).filter(|i| *i != leader).collect();
+
+    others.iter().for_each(|i| region.signal(*i, "-STOP"));
+    // The other members have a request for the next change under way. This change is the reply, so
+    // that the departure is not.
+    register(&region, leader, ("u4", &staying), 1, "ready");
+    let response = region.control_request(leader, "DELETE", &upstream_path("u1"), "");
+    region.kill(leader);
+    others.iter().for_each(|i| region.signal(*i, "-CONT"));
+    region.await_group(3, 2);
+    if response.is_none_or(|(status, _)| status != 200) {
+        // It was not acknowledged, so the upstream repeats it.
+        region.control_request_until_ok(others[0], "DELETE", &upstream_path("u1"), "");
+    }
+
+    add_upstream(&region, others[0], "u3", &new);
+    assert_gets_no_requests(&region, &leaving);
+}
+
+/// Guards against a group that forgets departures when its processes restart: a registration that
+/// was delayed on its way would bring the upstream back.
+#[test]
+fn a_late_registration_does_not_revive_a_departed_upstream_after_a_restart() {
+    let mut region = start(1);
+    let (leaving, staying) = (Upstream::start("leaving"), Upstream::start("staying"));
+    add_upstream(&region, 0, "u1", &leaving);
+    region.control_request_until_ok(0, "DELETE", &upstream_path("u1"), "");
+    region.kill(0);
+    region.start(0, false);
+    add_upstream(&region, 0, "u2", &staying);
+
+    register(&region, 0, ("u1", &leaving), 2, "ready");
+    assert_gets_no_requests(&region, &leaving);
+}
+
+/// Guards against the acknowledgement of a departure, first or repeated, while the entry is known to
+/// lack it.
+#[test]
+fn a_departure_is_not_acknowledged_while_the_entry_lacks_it() {
+    /// Time for which the leader surely counts a silent entry as running.
+    const SILENCE: Duration = Duration::from_millis(1_000);
+    let region = start(1);
+    let upstreams: Vec<Upstream> = (0..20).map(|_| Upstream::start("leaving")).collect();
+    let is_conclusive = |(i, upstream): (usize, &Upstream)| {
+        let id = format!("u{i}");
+        add_upstream(&region, 0, &id, upstream);
+        region.signal(region.entry(), "-STOP");
+        let frozen = Instant::now();
+        let statuses: Vec<_> = (2..4)
+            .map(|sequence| register(&region, 0, (&id, upstream), sequence, "draining"))
+            .take_while(|_| frozen.elapsed() < SILENCE)
+            .collect();
+        region.signal(region.entry(), "-CONT");
+        assert!(!statuses.contains(&Some(200)), "acknowledged: {statuses:?}");
+        !statuses.is_empty()
+    };
+    // A response that took too long, on a busy computer, says nothing.
+    assert!(upstreams.iter().enumerate().any(is_conclusive), "no response came in time");
+}
--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -210,13 +210,26 @@
         self.metrics().any(|page| is_expected(&page))
     }
 
+    /// Index of the daemon that leads a group of `members` members, by its metrics, once it hears
+    /// them all.
+    pub(crate) fn await_leader(&self, members: usize) -> usize {
+        let line = format!("toucansill_group_members_heard {members}");
+        eventually("a leader", || {
+            (0..self.control_count)
+                .find(|i| self.metrics_of(*i).is_some_and(|page| page.lines().any(|l| l == line)))
+        })
+    }
+
     /// Metrics pages of the daemons that respond.
     fn metrics(&self) -> impl Iterator<Item = String> {
+        (0..self.daemons.len()).filter_map(|i| self.metrics_of(i))
+    }
+
+    /// Metrics page of a daemon, if it responds.
+    fn metrics_of(&self, i: usize) -> Option<String> {
         const HEAD: &str = "GET /metrics HTTP/1.1\r\nHost: metrics\r\nConnection: close\r\n\r\n";
-        self.daemons.iter().filter_map(|daemon| {
-            let address = format!("{}:{}", daemon.ip, self.base_port + 4);
-            exchange(&address, HEAD).map(|(_, page)| page)
-        })
+        let address = format!("{}:{}", self.daemons[i].ip, self.base_port + 4);
+        exchange(&address, HEAD).map(|(_, page)| page)
     }
 
     /// Sends a caller's request with a prompt of 1,000 tokens to the first entry. Returns status
