Replicate the departures of upstreams before they are acknowledged

Cause: departures were kept in the leader's memory only. The next leader starts from the copy of the directory that it has followed, which may be older, and its directory replaces that of every daemon. An upstream that deregisters sends nothing after that, so nothing corrects it. After a restart of the group a delayed registration had the same effect.

A departure (run, drain or deregistration) is now a command of the replicated log, committed before the response. A leader applies all of them to its copy before it serves, and keeps those of upstreams without an entry, so that late registrations stay stale.

--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -3,6 +3,7 @@
 
 use crate::{
     configuration::{Configuration, SheetHash},
+    departures::UpstreamDeparture,
     ledger::{LedgerKey, StoredResponse},
     roster::DaemonInstance,
 };
@@ -69,6 +70,8 @@
         /// Whether the data centre is out of service, that is, gets no new work.
         is_closed: bool,
     },
+    /// Records that an upstream takes no new requests any more.
+    RecordDeparture(UpstreamDeparture),
 }
 
 /// A routing document that an operator published.
@@ -174,6 +177,7 @@
             Self::AbandonKey(id) | Self::GiveUpKey(id) => Some(id.at_ms),
             Self::Charge(charge) => Some(charge.at_ms),
             Self::Acquit { at_ms, .. } | Self::Tick { at_ms } => Some(*at_ms),
+            Self::RecordDeparture(departure) => Some(departure.at_ms),
             Self::Batch(cmds) => cmds.iter().filter_map(Self::at_ms).max(),
             _ => None,
         }
@@ -188,6 +192,7 @@
             Self::AbandonKey(id) | Self::GiveUpKey(id) => id.at_ms = now_ms,
             Self::Charge(charge) => charge.at_ms = now_ms,
             Self::Acquit { at_ms, .. } | Self::Tick { at_ms } => *at_ms = now_ms,
+            Self::RecordDeparture(departure) => departure.at_ms = now_ms,
             Self::Batch(cmds) => cmds.iter_mut().for_each(|cmd| cmd.stamp(now_ms)),
             _ => {}
         }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -69,6 +69,7 @@
 mod command;
 mod configuration;
 mod delta;
+mod departures;
 mod error;
 mod hash;
 mod lease;
@@ -94,6 +95,7 @@
     RetryPolicy, Service, ServiceRoute, SheetHash,
 };
 pub use delta::{ConfigurationDelta, MapDelta};
+pub use departures::{DEPARTURE_RETENTION, Departures, UpstreamDeparture};
 pub use error::{Error, Result};
 pub use hash::stable_hash;
 pub use lease::{
--- a/crates/control/src/outcome.rs
+++ b/crates/control/src/outcome.rs
@@ -32,6 +32,8 @@
     Routing(RoutingOutcome),
     /// The data centre is in or out of service, as requested.
     DataCentre,
+    /// The departure, or a newer one of the same upstream, is recorded.
+    Departure,
 }
 
 /// Outcome of publishing a routing document.
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -9,6 +9,7 @@
     },
     configuration::Configuration,
     delta::ConfigurationDelta,
+    departures::Departures,
     error::{Error, Result},
     ledger::{Ledger, LedgerLimits},
     outcome::{
@@ -23,7 +24,10 @@
 use wire::{DataCentreId, Incarnation};
 
 /// Version of the snapshot format that this build writes.
-const SNAPSHOT_VERSION: u32 = 3;
+const SNAPSHOT_VERSION: u32 = 4;
+
+/// Version of the format without the departures of upstreams.
+const SNAPSHOT_VERSION_WITHOUT_DEPARTURES: u32 = 3;
 
 /// Version of the format without the routing document and the data centres out of
 /// service.
@@ -65,6 +69,7 @@
     /// them can be read.
     routing: Option<Arc<PublishedRouting>>,
     out_of_service: BTreeSet<DataCentreId>,
+    departures: Departures,
 }
 
 impl State {
@@ -126,6 +131,11 @@
         &self.out_of_service
     }
 
+    /// Returns the upstreams that have announced their departure.
+    pub fn departures(&self) -> &Departures {
+        &self.departures
+    }
+
     /// Returns the highest incarnation of a daemon that was ever a member, as far as it is
     /// remembered.
     pub fn last_incarnation(&self, daemon: &str) -> Option<Incarnation> {
@@ -136,7 +146,12 @@
     /// Returns the time at which a [`Command::Tick`] is due, in milliseconds of the state's
     /// clock, if any entry is waiting to expire.
     pub fn next_expiry_ms(&self) -> Option<u64> {
-        [self.ledger.next_expiry_ms(), self.quarantine.next_expiry_ms()].into_iter().flatten().min()
+        let expiries = [
+            self.ledger.next_expiry_ms(),
+            self.quarantine.next_expiry_ms(),
+            self.departures.next_expiry_ms(),
+        ];
+        expiries.into_iter().flatten().min()
     }
 
     /// Applies a committed command at its log index. A command whose index is not above
@@ -208,14 +223,19 @@
         Ok(self)
     }
 
-    /// Encodes the state, preceded by the version of the format.
+    /// Encodes the state, preceded by the version of the format. A state without departures is
+    /// written in the former format, which earlier builds can read.
     pub fn snapshot(&self) -> Vec<u8> {
-        let mut buf = SNAPSHOT_VERSION.to_le_bytes().to_vec();
-        buf.extend(codec::encode(self));
-        buf
+        let mut body = codec::encode(self);
+        let mut version = SNAPSHOT_VERSION;
+        if self.departures.is_empty() {
+            version = SNAPSHOT_VERSION_WITHOUT_DEPARTURES;
+            body.truncate(body.len() - no_departures().len());
+        }
+        [version.to_le_bytes().to_vec(), body].concat()
     }
 
-    /// Decodes a snapshot of this format or of one of the two before it.
+    /// Decodes a snapshot of this format or of one of the three before it.
     ///
     /// # Errors
     ///
@@ -227,10 +247,15 @@
             .ok_or_else(|| Error::malformed("shorter than the format number"))?;
         match u32::from_le_bytes(*version) {
             SNAPSHOT_VERSION => codec::decode(body),
-            SNAPSHOT_VERSION_WITHOUT_ROUTING => codec::decode(&[body, &no_routing()].concat()),
-            SNAPSHOT_VERSION_WITHOUT_BASE => {
-                codec::decode(&[&codec::encode(&0u64), body, &no_routing()].concat())
+            SNAPSHOT_VERSION_WITHOUT_DEPARTURES => {
+                codec::decode(&[body, &no_departures()].concat())
             }
+            SNAPSHOT_VERSION_WITHOUT_ROUTING => {
+                codec::decode(&[body, &no_routing(), &no_departures()].concat())
+            }
+            SNAPSHOT_VERSION_WITHOUT_BASE => codec::decode(
+                &[&codec::encode(&0u64), body, &no_routing(), &no_departures()].concat(),
+            ),
             unknown => Err(Error::unknown_version(unknown, SNAPSHOT_VERSION)),
         }
     }
@@ -269,6 +294,10 @@
                 };
                 Outcome::DataCentre
             }
+            Command::RecordDeparture(departure) => {
+                self.departures.record(departure);
+                Outcome::Departure
+            }
         }
     }
 
@@ -376,6 +405,7 @@
     /// Forgets ledger entries and quarantine records whose time has passed.
     fn expire(&mut self, index: u64) {
         self.ledger.expire(self.clock_ms);
+        self.departures.expire(self.clock_ms);
         let changed = self.quarantine.expire(self.clock_ms);
         self.log_quarantine_changes(index, changed);
     }
@@ -402,7 +432,12 @@
     }
 }
 
-/// Returns the encoding of the fields that formats before the current one lack: no
+/// Returns the encoding of the field that the format before the current one lacks.
+fn no_departures() -> Vec<u8> {
+    codec::encode(&Departures::default())
+}
+
+/// Returns the encoding of the fields that formats before those with routing lack: no
 /// routing document, and no data centre out of service.
 fn no_routing() -> Vec<u8> {
     codec::encode(&(None::<Arc<PublishedRouting>>, BTreeSet::<DataCentreId>::new()))
--- a/crates/control/tests/replay.rs
+++ b/crates/control/tests/replay.rs
@@ -6,7 +6,9 @@
 
 use bolero::generator::produce_with;
 use common::{claim, claim_id, holder, join, sheet};
-use control::{ChangeSet, Command, CrashCharge, FencingTokenRequest, RegionView, State};
+use control::{
+    ChangeSet, Command, CrashCharge, FencingTokenRequest, RegionView, State, UpstreamDeparture,
+};
 use std::collections::BTreeMap;
 
 /// Returns the command that the bytes select.
@@ -15,7 +17,7 @@
     let own = holder(daemon, u64::from(extra % 4));
     let upstream = format!("u{}", arg % 4);
     let fingerprint = [arg % 5; 32];
-    match op % 10 {
+    match op % 11 {
         0 | 1 => sheet(u64::from(arg % 32), extra % 4, "ana"),
         2 | 3 => join(daemon, own.incarnation, "dc-1"),
         4 => Command::Leave(own),
@@ -27,6 +29,13 @@
             let alone = extra.is_multiple_of(2);
             Command::Charge(CrashCharge { fingerprint, upstream, incarnation, alone, at_ms })
         }
+        9 => Command::RecordDeparture(UpstreamDeparture {
+            upstream,
+            started_at_ms: u64::from(extra % 3),
+            has_left: extra.is_multiple_of(2),
+            sequence: u64::from(arg),
+            at_ms,
+        }),
         _ => Command::Acquit { fingerprint, at_ms },
     }
 }
@@ -110,11 +119,23 @@
 fn a_truncated_snapshot_or_one_of_another_format_is_refused() {
     let mut state = State::new();
     state.apply(1, &join("a", 1, "dc-1"));
+    let former = state.snapshot();
+    let departure = UpstreamDeparture {
+        upstream: "u".to_owned(),
+        started_at_ms: 1,
+        has_left: true,
+        sequence: 1,
+        at_ms: 0,
+    };
+    state.apply(2, &Command::RecordDeparture(departure));
+    // A state with departures has the newest format, one without them the format before it.
     let buf = state.snapshot();
-    for len in 0..buf.len() {
-        assert!(State::restore(&buf[..len]).unwrap_err().is_malformed());
+    for buf in [&former, &buf] {
+        for len in 0..buf.len() {
+            assert!(State::restore(&buf[..len]).unwrap_err().is_malformed());
+        }
+        assert!(State::restore(&[&buf[..], &[0]].concat()).unwrap_err().is_malformed());
     }
-    assert!(State::restore(&[&buf[..], &[0]].concat()).unwrap_err().is_malformed());
     let mut newer = buf;
     newer[0] += 1;
     assert!(State::restore(&newer).unwrap_err().is_unknown_version());
--- a/crates/grant/src/directory.rs
+++ b/crates/grant/src/directory.rs
@@ -2,6 +2,7 @@
 
 use crate::registration::{Registration, RegistrationOutcome};
 use bincode::{Decode, Encode};
+use control::{DEPARTURE_RETENTION, Departures, UpstreamDeparture};
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
@@ -11,10 +12,6 @@
 /// Number of changes made to a directory. Each entry carries the revision of its last change.
 pub type Revision = u64;
 
-/// Time for which a departed upstream is remembered, so that a delayed registration doesn't bring
-/// it back: several times the longest delay of a registration.
-const DEPARTED_RETENTION: Duration = Duration::from_secs(120);
-
 /// One upstream of the directory.
 #[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
 pub struct DirectoryEntry {
@@ -63,6 +60,8 @@
     entries: BTreeMap<UpstreamId, DirectoryEntry>,
     timestamps: BTreeMap<UpstreamId, Timestamps>,
     out_of_service: BTreeSet<DataCentreId>,
+    /// Departures that were replicated, also those of upstreams without an entry.
+    departures: Departures,
     /// Highest revision among the departed entries that were purged.
     purged_revision: Revision,
 }
@@ -82,7 +81,7 @@
     ///
     /// A new run at an address marks any other upstream at that address as departed.
     pub fn register(&mut self, now: Instant, registration: Registration) -> RegistrationOutcome {
-        if self.is_displaced(&registration) {
+        if self.is_displaced(&registration) || self.precedes_departure(&registration) {
             return RegistrationOutcome::Stale;
         }
         let known = self.entries.get(&registration.id);
@@ -133,12 +132,60 @@
         true
     }
 
+    /// Departure of an upstream to be replicated, if it drains or has left.
+    pub fn departure_of(&self, id: &str) -> Option<UpstreamDeparture> {
+        let DirectoryEntry { registration, is_departed, .. } =
+            self.entries.get(id).filter(|entry| !entry.accepts_requests())?;
+        Some(UpstreamDeparture {
+            upstream: registration.id.clone(),
+            started_at_ms: registration.started_at_ms,
+            has_left: *is_departed,
+            sequence: registration.sequence,
+            at_ms: 0,
+        })
+    }
+
+    /// Takes over the replicated departures. Returns whether an entry has changed.
+    pub fn set_departures(&mut self, departures: &Departures) -> bool {
+        if self.departures == *departures {
+            return false;
+        }
+        self.departures = departures.clone();
+        let former = self.revision;
+        departures.iter().for_each(|departure| self.apply_departure(departure));
+        self.revision != former
+    }
+
+    /// Marks the entry of a departed run, or of one before it, as draining or departed.
+    fn apply_departure(&mut self, departure: &UpstreamDeparture) {
+        let Some(entry) = self.entries.get_mut(&departure.upstream) else { return };
+        let registration = &mut entry.registration;
+        if entry.is_departed || !announces_after(departure, registration) {
+            return;
+        }
+        match departure.has_left || departure.started_at_ms > registration.started_at_ms {
+            true => entry.is_departed = true,
+            false => {
+                registration.is_draining = true;
+                registration.sequence = departure.sequence;
+            }
+        }
+        self.revision += 1;
+        entry.revision = self.revision;
+    }
+
+    /// Whether the upstream announced its departure after it sent this registration.
+    fn precedes_departure(&self, registration: &Registration) -> bool {
+        let departure = self.departures.get(&registration.id);
+        departure.is_some_and(|departure| announces_after(departure, registration))
+    }
+
     /// Removes departed entries that no delayed registration can bring back any more.
     pub fn purge_departed(&mut self, now: Instant) {
         let (timestamps, purged_revision) = (&self.timestamps, &mut self.purged_revision);
         self.entries.retain(|id, entry| {
             let age = timestamps.get(id).map(|t| now.saturating_duration_since(t.last_heard));
-            let is_kept = !entry.is_departed || age.is_some_and(|age| age < DEPARTED_RETENTION);
+            let is_kept = !entry.is_departed || age.is_some_and(|age| age < DEPARTURE_RETENTION);
             if !is_kept {
                 *purged_revision = entry.revision.max(*purged_revision);
             }
@@ -274,6 +321,13 @@
     }
 }
 
+/// Whether an upstream announced a departure after it sent a registration.
+fn announces_after(departure: &UpstreamDeparture, registration: &Registration) -> bool {
+    let is_same_run = departure.started_at_ms == registration.started_at_ms;
+    departure.started_at_ms > registration.started_at_ms
+        || is_same_run && (departure.has_left || departure.sequence > registration.sequence)
+}
+
 fn known_revision(entries: &BTreeMap<UpstreamId, DirectoryEntry>, id: &str) -> Option<Revision> {
     entries.get(id).map(|entry| entry.revision)
 }
--- a/crates/grant/tests/directory.rs
+++ b/crates/grant/tests/directory.rs
@@ -1,5 +1,6 @@
 //! Registrations that arrive late, out of order, or from runs that have ended.
 
+use control::{Command, Departures, State, UpstreamDeparture};
 use grant::{Directory, Registration, RegistrationOutcome};
 use std::{
     collections::BTreeSet,
@@ -57,6 +58,46 @@
     assert_eq!(available(&directory), ["new"]);
 }
 
+/// Replicated departures, as the state of a control group has them.
+fn departures(departures: &[UpstreamDeparture]) -> Departures {
+    let mut state = State::new();
+    for (index, departure) in (1..).zip(departures) {
+        state.apply(index, &Command::RecordDeparture(departure.clone()));
+    }
+    state.departures().clone()
+}
+
+/// A new leader starts from a copy of the directory that is older than the departures that its
+/// predecessor acknowledged. The upstreams must not come back, not even by a registration that
+/// arrives late or after a restart; a later run under the same name must.
+#[test]
+fn replicated_departures_survive_an_older_copy_of_the_directory() {
+    let now = Instant::now();
+    let mut leader = Directory::new();
+    leader.register(now, registration("left", 1, 5, 2));
+    leader.register(now, registration("drains", 2, 5, 2));
+    let older_copy = leader.clone();
+    leader.deregister(now, "left");
+    let draining = Registration { is_draining: true, ..registration("drains", 2, 5, 4) };
+    leader.register(now, draining);
+    let announced: Vec<UpstreamDeparture> =
+        ["left", "drains"].iter().filter_map(|id| leader.departure_of(id)).collect();
+    let replicated = departures(&announced);
+
+    for mut directory in [older_copy, Directory::new()] {
+        let has_entries = directory.entries().next().is_some();
+        assert_eq!(directory.set_departures(&replicated), has_entries, "followers must be told");
+        assert!(available(&directory).is_empty());
+        for id in ["left", "drains"] {
+            let late = registration(id, 1, 5, 3);
+            assert_eq!(directory.register(now, late), RegistrationOutcome::Stale);
+        }
+        assert!(available(&directory).is_empty());
+        directory.register(now, registration("left", 1, 6, 1));
+        assert_eq!(available(&directory), ["left"]);
+    }
+}
+
 #[test]
 fn a_data_centre_out_of_service_has_no_available_upstream() {
     let now = Instant::now();
--- a/crates/toucansilld/src/gateway/calls.rs
+++ b/crates/toucansilld/src/gateway/calls.rs
@@ -146,6 +146,9 @@
             self.notify_followers();
         }
         if is_draining {
+            if let Err(response) = self.replicate_departure(&id, outcome.is_change()).await {
+                return Some(response);
+            }
             let since = self.now();
             let is_confirmed =
                 outcome == RegistrationOutcome::Changed && self.await_followers().await;
@@ -163,6 +166,11 @@
         if is_change {
             log::info!(upstream = id; "upstream has left");
             self.notify_followers();
+        }
+        if let Err(response) = self.replicate_departure(id, is_change).await {
+            return Some(response);
+        }
+        if is_change {
             is_confirmed = self.await_followers().await;
         }
         let outcome =
@@ -171,6 +179,18 @@
         Some(ControlHttpResponse { status: 200, body: control_api::registration_response(None) })
     }
 
+    /// Replicates the departure of an upstream, so that the next leader knows it. A repeated one is
+    /// replicated only if it is not yet. An error is the response to send.
+    async fn replicate_departure(&self, id: &str, is_new: bool) -> Result<(), ControlHttpResponse> {
+        let departure = self.with_leader(|leader| leader.directory.departure_of(id));
+        let departure = departure.ok_or(ControlHttpResponse::new(503, "the leader has changed"))?;
+        let Some(departure) = departure else { return Ok(()) };
+        if !is_new && self.voter().peek(|state| state.departures().covers(&departure)) {
+            return Ok(());
+        }
+        self.propose(Command::RecordDeparture(departure)).await.map(drop)
+    }
+
     /// Logs and counts the acknowledgement of a departure that was received at `since`, and whether
     /// all live followers had confirmed it by then.
     fn record_departure(
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -359,9 +359,12 @@
         let mut directory = self.view.with(|state| state.directory.clone());
         directory.mark_all_heard(self.clock.now());
         log::info!(term = term, revision = directory.revision(); "this daemon leads");
-        *lock(&self.leader) = Some(LeaderState::new(term, cfg, directory));
+        let mut leader = LeaderState::new(term, cfg, directory);
+        // The copy may lack departures that the former leader acknowledged.
+        self.voter.peek(|state| leader.apply_state(state));
+        *lock(&self.leader) = Some(leader);
         *lock(&self.leading_since) = Some(self.clock.now());
-        self.apply_state();
+        self.notify_followers();
     }
 
     /// Applies the replicated state to the leader's, and notifies followers of a change.
--- a/crates/toucansilld/src/gateway/lead.rs
+++ b/crates/toucansilld/src/gateway/lead.rs
@@ -80,7 +80,7 @@
         (self.dispatcher.waiting(), self.dispatcher.running())
     }
 
-    /// Applies the replicated routing and data centres. Returns whether any of them changed.
+    /// Applies the replicated routing, data centres and departures. Returns whether any of them changed.
     pub(crate) fn apply_state(&mut self, state: &control::State) -> bool {
         let mut is_changed = false;
         let known = self.routing.as_ref().map_or(0, |(version, _)| *version);
@@ -97,7 +97,7 @@
             self.out_of_service_changes += 1;
             is_changed = true;
         }
-        is_changed
+        is_changed | self.directory.set_departures(state.departures())
     }
 
     /// Position of an up-to-date view.
