Acknowledge a departure only when the live followers know it

An upstream repeats its departure after 1 s without a response, so with a slow leader the second one went unchecked. A new leader had no followers to wait for in its first moments and acknowledged at once as well.

The response is now 200 only if the departure is replicated and all live followers have confirmed it, for repeated ones too; otherwise 503, and the upstream repeats it. A leader counts its followers as unknown for the first 1.2 s of its term, the time after which a silent daemon is not live. The counter is toucansill_departures_total, by whether it was acknowledged.

--- a/crates/toucansilld/src/gateway/calls.rs
+++ b/crates/toucansilld/src/gateway/calls.rs
@@ -127,9 +127,8 @@
         }
     }
 
-    /// Applies the registration of an upstream. If the registration starts a drain, the
-    /// response waits until the live followers know it, so that none sends the upstream a request
-    /// afterwards.
+    /// Applies the registration of an upstream. One by which it drains is acknowledged as a
+    /// departure.
     async fn register(&self, registration: Registration) -> Option<ControlHttpResponse> {
         let now = self.now();
         let id = registration.id.clone();
@@ -146,37 +145,56 @@
             self.notify_followers();
         }
         if is_draining {
-            if let Err(response) = self.replicate_departure(&id, outcome.is_change()).await {
-                return Some(response);
-            }
-            let since = self.now();
-            let is_confirmed =
-                outcome == RegistrationOutcome::Changed && self.await_followers().await;
-            self.record_departure(&id, outcome, is_confirmed, since);
+            return Some(self.acknowledge_departure(&id, outcome, now).await);
         }
-        Some(ControlHttpResponse { status: 200, body: control_api::registration_response(None) })
+        Some(registered())
     }
 
-    /// Marks an upstream as departed, and waits for the live followers as
-    /// [`register`](Self::register) does.
+    /// Marks an upstream as departed and acknowledges that.
     async fn deregister(&self, id: &str) -> Option<ControlHttpResponse> {
         let now = self.now();
         let is_change = self.with_leader(|leader| leader.directory.deregister(now, id))?;
-        let mut is_confirmed = false;
+        let outcome = match is_change {
+            true => RegistrationOutcome::Changed,
+            false => RegistrationOutcome::Stale,
+        };
         if is_change {
             log::info!(upstream = id; "upstream has left");
             self.notify_followers();
         }
-        if let Err(response) = self.replicate_departure(id, is_change).await {
-            return Some(response);
-        }
-        if is_change {
-            is_confirmed = self.await_followers().await;
+        Some(self.acknowledge_departure(id, outcome, now).await)
+    }
+
+    /// Acknowledges a departure that was received at `since`, the first time or again, once it is
+    /// replicated and the live followers know it, so that none sends the upstream a request
+    /// afterwards.
+    async fn acknowledge_departure(
+        &self,
+        id: &str,
+        outcome: RegistrationOutcome,
+        since: Instant,
+    ) -> ControlHttpResponse {
+        let replicated = self.replicate_departure(id, outcome.is_change()).await;
+        let response = match replicated {
+            Err(response) => response,
+            Ok(()) if self.await_followers().await => registered(),
+            Ok(()) => ControlHttpResponse::new(503, "not all daemons know of the departure yet"),
+        };
+        let is_acknowledged = response.status == 200;
+        if is_acknowledged {
+            let now = self.now();
+            let waited_ms = now.saturating_duration_since(since).as_millis() as u64;
+            let leader =
+                self.with_leader(|leader| (leader.position(), leader.live_follower_count(now)));
+            let (position, followers) = leader.unwrap_or_default();
+            log::info!(
+                upstream = id, merge:? = outcome, followers, waited_ms, term = position.term,
+                revision = position.directory; "departure acknowledged"
+            );
         }
-        let outcome =
-            if is_change { RegistrationOutcome::Changed } else { RegistrationOutcome::Stale };
-        self.record_departure(id, outcome, is_confirmed, now);
-        Some(ControlHttpResponse { status: 200, body: control_api::registration_response(None) })
+        let labels = [("acknowledged", is_acknowledged.to_string())];
+        metrics::counter!("toucansill_departures_total", &labels).increment(1);
+        response
     }
 
     /// Replicates the departure of an upstream, so that the next leader knows it. A repeated one is
@@ -184,6 +202,7 @@
     async fn replicate_departure(&self, id: &str, is_new: bool) -> Result<(), ControlHttpResponse> {
         let departure = self.with_leader(|leader| leader.directory.departure_of(id));
         let departure = departure.ok_or(ControlHttpResponse::new(503, "the leader has changed"))?;
+        // An upstream that is unknown here, or has returned, gets no departure recorded.
         let Some(departure) = departure else { return Ok(()) };
         if !is_new && self.voter().peek(|state| state.departures().covers(&departure)) {
             return Ok(());
@@ -191,28 +210,6 @@
         self.propose(Command::RecordDeparture(departure)).await.map(drop)
     }
 
-    /// Logs and counts the acknowledgement of a departure that was received at `since`, and whether
-    /// all live followers had confirmed it by then.
-    fn record_departure(
-        &self,
-        upstream: &str,
-        outcome: RegistrationOutcome,
-        is_confirmed: bool,
-        since: Instant,
-    ) {
-        let now = self.now();
-        let waited_ms = now.saturating_duration_since(since).as_millis() as u64;
-        let leader =
-            self.with_leader(|leader| (leader.position(), leader.live_follower_count(now)));
-        let (position, followers) = leader.unwrap_or_default();
-        log::info!(
-            upstream, merge:? = outcome, followed = is_confirmed, followers, waited_ms,
-            term = position.term, revision = position.directory; "departure acknowledged"
-        );
-        let labels = [("followed", is_confirmed.to_string())];
-        metrics::counter!("toucansill_departures_acknowledged_total", &labels).increment(1);
-    }
-
     /// Proposes a command and waits until it is applied. An error is the response to send.
     async fn propose(&self, command: Command) -> Result<Outcome, ControlHttpResponse> {
         let voter = Arc::clone(self.voter());
@@ -251,3 +248,8 @@
         false
     }
 }
+
+/// Response to a registration or a departure that took effect.
+fn registered() -> ControlHttpResponse {
+    ControlHttpResponse { status: 200, body: control_api::registration_response(None) }
+}
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -357,13 +357,14 @@
             silence_timeout: bounds.silence_timeout(),
         };
         let mut directory = self.view.with(|state| state.directory.clone());
-        directory.mark_all_heard(self.clock.now());
+        let now = self.clock.now();
+        directory.mark_all_heard(now);
         log::info!(term = term, revision = directory.revision(); "this daemon leads");
-        let mut leader = LeaderState::new(term, cfg, directory);
+        let mut leader = LeaderState::new(now, term, cfg, directory);
         // The copy may lack departures that the former leader acknowledged.
         self.voter.peek(|state| leader.apply_state(state));
         *lock(&self.leader) = Some(leader);
-        *lock(&self.leading_since) = Some(self.clock.now());
+        *lock(&self.leading_since) = Some(now);
         self.notify_followers();
     }
 
--- a/crates/toucansilld/src/gateway/lead.rs
+++ b/crates/toucansilld/src/gateway/lead.rs
@@ -44,6 +44,7 @@
 /// State of a leader during its term.
 pub(crate) struct LeaderState {
     term: u64,
+    since: Instant,
     pub(crate) directory: Directory,
     dispatcher: Dispatcher,
     pending: BTreeMap<PlacementRequestId, PendingPlacement>,
@@ -58,9 +59,15 @@
 
 impl LeaderState {
     /// Creates the state of a new leader, with the directory that it has followed so far.
-    pub(crate) fn new(term: u64, cfg: DispatcherConfig, directory: Directory) -> Self {
+    pub(crate) fn new(
+        now: Instant,
+        term: u64,
+        cfg: DispatcherConfig,
+        directory: Directory,
+    ) -> Self {
         Self {
             term,
+            since: now,
             directory,
             dispatcher: Dispatcher::new(cfg),
             pending: BTreeMap::new(),
@@ -146,9 +153,11 @@
         }
     }
 
-    /// Whether the views of all live followers cover `position`.
+    /// Whether the views of all live followers cover `position`. False for [`FOLLOWER_TIMEOUT`]
+    /// after the term began, as daemons that followed the former leader may be missing until then.
     pub(crate) fn is_up_to_date(&self, now: Instant, position: &DirectoryViewPosition) -> bool {
-        self.live_followers(now).all(|follower| follower.position.covers(position))
+        now.saturating_duration_since(self.since) >= FOLLOWER_TIMEOUT
+            && self.live_followers(now).all(|follower| follower.position.covers(position))
     }
 
     /// Live followers whose views don't cover `position`.
