Wait for the followers only up to the change that is acknowledged

A response waited until the followers had the leader's whole position, so a departure, also a repeated one, waited for later changes of other upstreams as well. It now waits for the revision of that upstream, the version of that document, or the data centres out of service.

--- a/crates/toucansilld/src/gateway/calls.rs
+++ b/crates/toucansilld/src/gateway/calls.rs
@@ -6,7 +6,8 @@
 use super::{
     compress::{compress, decompress},
     control::ControlMember,
-    messages::{ControlHttpRequest, ControlHttpResponse},
+    lead::LeaderState,
+    messages::{ControlHttpRequest, ControlHttpResponse, DirectoryViewPosition},
 };
 use control::{Command, Outcome, PublishedRouting, RoutingOutcome};
 use grant::{Registration, RegistrationOutcome};
@@ -68,8 +69,8 @@
             Ok(outcome) => outcome,
             Err(response) => return Some(response),
         };
-        let followed = self.await_followers().await;
         let version = routing.version;
+        let followed = self.await_followers(|leader| leader.position().of_routing(version)).await;
         log::info!(
             version = version, followed = followed, outcome:? = outcome; "routing published"
         );
@@ -101,7 +102,7 @@
         if let Err(response) = self.propose(command).await {
             return Some(response);
         }
-        let followed = self.await_followers().await;
+        let followed = self.await_followers(|leader| leader.position().of_out_of_service()).await;
         log::info!(
             data_centre = data_centre.as_str(), is_closed = is_out_of_service, followed = followed;
             "data centre changed"
@@ -177,7 +178,7 @@
         let replicated = self.replicate_departure(id, outcome.is_change()).await;
         let response = match replicated {
             Err(response) => response,
-            Ok(()) if self.await_followers().await => registered(),
+            Ok(()) if self.await_followers(|leader| leader.position_of(id)).await => registered(),
             Ok(()) => ControlHttpResponse::new(503, "not all daemons know of the departure yet"),
         };
         let is_acknowledged = response.status == 200;
@@ -223,11 +224,14 @@
         Ok(outcome)
     }
 
-    /// Waits until the views of all live followers cover the leader's present position, for
+    /// Waits until the views of all live followers cover a position, for
     /// [`followed_timeout`](super::settings::Bounds::followed_timeout) at most. Returns whether
     /// they do.
-    async fn await_followers(&self) -> bool {
-        let Some(position) = self.with_leader(|leader| leader.position()) else { return false };
+    async fn await_followers(
+        &self,
+        position: impl FnOnce(&LeaderState) -> DirectoryViewPosition,
+    ) -> bool {
+        let Some(position) = self.with_leader(|leader| position(leader)) else { return false };
         let mut positions = self.watch_positions();
         let is_up_to_date = || {
             let now = self.now();
--- a/crates/toucansilld/src/gateway/lead.rs
+++ b/crates/toucansilld/src/gateway/lead.rs
@@ -117,6 +117,13 @@
         }
     }
 
+    /// Position from which on a view has the latest change of an upstream. Any view has it if the
+    /// upstream is unknown.
+    pub(crate) fn position_of(&self, id: &str) -> DirectoryViewPosition {
+        let directory = self.directory.get(id).map_or(0, |entry| entry.revision);
+        DirectoryViewPosition { term: self.term, directory, ..DirectoryViewPosition::default() }
+    }
+
     /// Records that a follower was heard, with its position and the requests that it reports as
     /// running.
     pub(crate) fn record_follower(&mut self, now: Instant, follow: &FollowRequest) {
--- a/crates/toucansilld/src/gateway/messages.rs
+++ b/crates/toucansilld/src/gateway/messages.rs
@@ -81,6 +81,17 @@
 }
 
 impl DirectoryViewPosition {
+    /// The part for the routing document, with this version.
+    pub(crate) fn of_routing(&self, version: u64) -> Self {
+        Self { term: self.term, routing: version, ..Self::default() }
+    }
+
+    /// The part for the data centres out of service.
+    pub(crate) fn of_out_of_service(&self) -> Self {
+        let Self { term, out_of_service_changes, .. } = *self;
+        Self { term, out_of_service_changes, ..Self::default() }
+    }
+
     /// Whether a view at this position is at least as new in every part as one at `other`.
     pub(crate) fn covers(&self, other: &Self) -> bool {
         self.term == other.term
