Let a link's handshake go on when the request that began it gives up

A new link needs three turns of the leader, and the whole attempt had 0.4 s; it was repeated for up to 7 s ("no handshake in time") and cost the leader time.

The attempt is now a task of its own, which requests wait for as long as they have time; it goes on without them. The time to connect and the time for the handshake (3 s) are limits of their own.

Two tests that bound the handshake set the new limit.

--- a/crates/wire/src/link/accept.rs
+++ b/crates/wire/src/link/accept.rs
@@ -82,7 +82,7 @@
 /// Performs the handshake on a connection, then spawns a task for each of its streams until the
 /// connection ends.
 async fn serve_connection(stream: TcpStream, server: &Arc<ServerState>) -> Result<()> {
-    let deadline = Instant::now() + server.cfg.connect_timeout;
+    let deadline = Instant::now() + server.cfg.handshake_timeout;
     let io = |e| Error::io(Kind::Lost, "link", e);
     stream.set_nodelay(true).map_err(io)?;
     let h2_handshake = h2::server::Builder::new()
--- a/crates/wire/src/link/config.rs
+++ b/crates/wire/src/link/config.rs
@@ -5,8 +5,10 @@
 
 /// Protocol versions that this program supports.
 const VERSIONS: VersionRange = 1..=1;
-/// Longest time to connect and complete the handshake.
+/// Longest time until a TCP connection is open.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time for the handshake. It takes three turns of the peer, which may be busy.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time between pings.
 const PING_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between pings on a link without open streams.
@@ -48,8 +50,11 @@
     pub versions: VersionRange,
     /// Largest size of a message body or reply frame, in bytes.
     pub max_message_bytes: usize,
-    /// Longest time to connect and complete the handshake.
+    /// Longest time until a TCP connection is open.
     pub connect_timeout: Duration,
+    /// Longest time for the handshake on an open connection. A peer that is busy needs longer for
+    /// it than its operating system needs to accept the connection.
+    pub handshake_timeout: Duration,
     /// Time between pings on a link with open streams. When an idle link whose peer no longer
     /// responds is used again, its next ping is sent within this time.
     pub ping_interval: Duration,
@@ -91,6 +96,7 @@
             versions: VERSIONS,
             max_message_bytes: MAX_MESSAGE_BYTES,
             connect_timeout: CONNECT_TIMEOUT,
+            handshake_timeout: HANDSHAKE_TIMEOUT,
             ping_interval: PING_INTERVAL,
             idle_ping_interval: IDLE_PING_INTERVAL,
             ping_timeout: PING_TIMEOUT,
--- a/crates/wire/src/link/connect.rs
+++ b/crates/wire/src/link/connect.rs
@@ -37,7 +37,7 @@
     address: SocketAddr,
     cfg: Arc<LinkConfig>,
     counters: Arc<LinkCounters>,
-    state: Mutex<ConnectionState>,
+    state: Arc<Mutex<ConnectionState>>,
 }
 
 #[derive(Default)]
@@ -71,11 +71,11 @@
         cfg: Arc<LinkConfig>,
         counters: Arc<LinkCounters>,
     ) -> Self {
-        Self { address, cfg, counters, state: Mutex::default() }
+        Self { address, cfg, counters, state: Arc::default() }
     }
 
     /// Opens a stream, on a new connection if none is open.
-    pub(crate) async fn open(&self) -> Result<OpenStream> {
+    pub(crate) async fn open(self: &Arc<Self>) -> Result<OpenStream> {
         let link = self.get_or_connect().await?;
         match self.open_on(&link).await {
             Ok(opened) => Ok(opened),
@@ -103,17 +103,22 @@
     }
 
     /// Returns the open connection, or establishes one. Concurrent callers wait for the same
-    /// attempt.
-    async fn get_or_connect(&self) -> Result<Link> {
-        let mut state = self.state.lock().await;
+    /// attempt, which goes on when all of them have given up: a request may have less time than a
+    /// busy peer needs for the handshake.
+    async fn get_or_connect(self: &Arc<Self>) -> Result<Link> {
+        let mut state = Arc::clone(&self.state).lock_owned().await;
         if let Some(link) = state.link.as_ref().filter(|l| !l.closed.load(Ordering::Acquire)) {
             return Ok(link.clone());
         }
         state.link = None;
         self.check_backoff(&state)?;
-        let link = self.connect_with_retries(&mut state).await?;
-        state.link = Some(link.clone());
-        Ok(link)
+        let peer = Arc::clone(self);
+        let attempt = tokio::spawn(async move {
+            let link = peer.connect_with_retries(&mut state).await?;
+            state.link = Some(link.clone());
+            Ok(link)
+        });
+        attempt.await.unwrap_or_else(|e| Err(self.unreachable_error(&e.to_string())))
     }
 
     /// Fails without an attempt while the delay after a failure lasts.
@@ -153,14 +158,18 @@
     }
 
     async fn connect(&self) -> Result<Link> {
-        match timeout(self.cfg.connect_timeout, self.connect_and_authenticate()).await {
+        let connected = timeout(self.cfg.connect_timeout, TcpStream::connect(self.address)).await;
+        let stream = match connected {
+            Ok(stream) => stream.map_err(|e| self.io_error(e))?,
+            Err(_) => return Err(self.unreachable_error("no connection in time")),
+        };
+        match timeout(self.cfg.handshake_timeout, self.authenticate_on(stream)).await {
             Ok(link) => link,
             Err(_) => Err(self.unreachable_error("no handshake in time")),
         }
     }
 
-    async fn connect_and_authenticate(&self) -> Result<Link> {
-        let stream = TcpStream::connect(self.address).await.map_err(|e| self.io_error(e))?;
+    async fn authenticate_on(&self, stream: TcpStream) -> Result<Link> {
         stream.set_nodelay(true).map_err(|e| self.io_error(e))?;
         let (send, connection) = h2::client::Builder::new()
             .initial_window_size(STREAM_WINDOW_BYTES)
--- a/crates/wire/tests/links.rs
+++ b/crates/wire/tests/links.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -271,7 +271,7 @@
 fn message_before_the_handshake_is_ignored() {
     let (tx, seen) = flume::unbounded();
     let mut cfg = config("server");
-    cfg.connect_timeout = Duration::from_millis(200);
+    cfg.handshake_timeout = Duration::from_millis(200);
     let server = start(cfg, move |inbound| {
         let _ = tx.send(inbound);
     });
@@ -475,13 +475,13 @@
     });
 }
 
-/// A peer that accepts connections but never responds must fail requests at the connection timeout,
+/// A peer that accepts connections but never responds must fail requests at the handshake timeout,
 /// with the verdict that it did not run.
 #[test]
 fn peer_that_never_completes_the_handshake_is_unreachable() {
     let silent = TcpListener::bind("127.0.0.1:0").expect("listen");
     let mut cfg = config("client");
-    cfg.connect_timeout = Duration::from_millis(50);
+    cfg.handshake_timeout = Duration::from_millis(50);
     cfg.connect_attempts = 2;
     let client = start(cfg, drop);
     let e = request(&client, silent.local_addr().expect("address")).expect_err("silent");
@@ -512,3 +512,45 @@
     });
     assert_eq!(reply.unwrap(), b"cba");
 }
+
+/// Forwards connections to `target`, with a delay for all that is sent in either direction. Returns
+/// its address.
+fn delaying_proxy(target: SocketAddr, delay: Duration) -> SocketAddr {
+    fn forward(mut from: TcpStream, mut to: TcpStream, delay: Duration) {
+        let mut buf = [0; 4096];
+        while let Ok(n @ 1..) = from.read(&mut buf) {
+            thread::sleep(delay);
+            if to.write_all(&buf[..n]).is_err() {
+                break;
+            }
+        }
+        let _ = to.shutdown(Shutdown::Both);
+    }
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for inbound in listener.incoming().flatten() {
+            let outbound = TcpStream::connect(target).expect("connected");
+            let reverse =
+                (outbound.try_clone().expect("a copy"), inbound.try_clone().expect("a copy"));
+            thread::spawn(move || forward(inbound, outbound, delay));
+            thread::spawn(move || forward(reverse.0, reverse.1, delay));
+        }
+    });
+    address
+}
+
+/// A busy peer needs longer for the handshake than a request waits. If each request gave up the
+/// attempt that it had begun, there would never be a link to that peer.
+#[test]
+fn a_link_is_established_although_requests_wait_less_than_the_handshake_takes() {
+    const DELAY: Duration = Duration::from_millis(100);
+    /// Less than the four delays of the handshake, more than the two of a request.
+    const REQUEST_TIMEOUT: Duration = Duration::from_millis(350);
+    let server = start(config("server"), echo);
+    let peer = delaying_proxy(server.address(), DELAY);
+    let client = client();
+    let first = client.request(peer, message(b"hello"), REQUEST_TIMEOUT);
+    assert!(first.is_err(), "the handshake takes longer");
+    wait_for("a reply", || client.request(peer, message(b"hello"), REQUEST_TIMEOUT).is_ok());
+}
