Let daemons without a leader learn what is replicated from any member

Departures, routing and data centres out of service are replicated, so every member has them. A daemon that gets "not the leader" from a member now reads them there. As the member may lag behind, only additions are applied; the next change of a leader replaces the data centres. The request is the last variant of its enum: a member of an earlier build refuses it, which is ignored.

--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -7,7 +7,7 @@
     members::{self, members_for},
     messages::{
         ControlHttpRequest, ControlHttpResponse, DirectoryViewPosition, FollowRequest, LeaderReply,
-        LeaderRequest,
+        LeaderRequest, ReplicatedState,
     },
     settings::{Bounds, ControlSettings, GatewaySettings},
     view::View,
@@ -246,6 +246,9 @@
                     );
                 });
             }
+            LeaderRequest::ReadReplicated { routing } => {
+                reply(responder, &LeaderReply::Replicated(self.replicated_state(routing)));
+            }
             LeaderRequest::Join { id, address } => {
                 let control = Arc::clone(self);
                 tokio::spawn(async move {
@@ -255,6 +258,18 @@
         }
     }
 
+    /// Replicated state as this member has applied it, for a daemon with this routing version.
+    fn replicated_state(&self, routing: u64) -> ReplicatedState {
+        self.voter.peek(|state| ReplicatedState {
+            routing: state
+                .routing()
+                .filter(|published| published.version > routing)
+                .map(|published| published.document.clone()),
+            out_of_service: state.out_of_service().clone(),
+            departures: state.departures().clone(),
+        })
+    }
+
     /// Reply of a daemon that does not lead.
     pub(crate) fn not_leader(&self) -> LeaderReply {
         let status = self.voter.status();
--- a/crates/toucansilld/src/gateway/follow.rs
+++ b/crates/toucansilld/src/gateway/follow.rs
@@ -15,6 +15,8 @@
 /// Time beyond [`FOLLOW_WAIT`] after which a reply of the leader is overdue: a few scheduling
 /// delays of a busy VM.
 const REPLY_MARGIN: Duration = Duration::from_millis(350);
+/// Timeout for the replicated state of a member that does not lead.
+const READ_TIMEOUT: Duration = Duration::from_millis(500);
 /// Pause before the next daemon is tried, while no leader is known.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
 
@@ -60,6 +62,7 @@
                 }
                 Ok(LeaderReply::NotLeader { leader }) => {
                     self.leader_lost(target, "leads no more");
+                    self.read_replicated(target);
                     named_leader =
                         leader.and_then(|leader| leader.parse().ok()).filter(|l| *l != target);
                     if named_leader.is_none() {
@@ -98,6 +101,27 @@
         self.links.request(target, &LeaderRequest::Follow(follow), FOLLOW_WAIT + REPLY_MARGIN).await
     }
 
+    /// Requests what is replicated from a member that does not lead, on a task of its own: the search
+    /// for the leader goes on meanwhile.
+    fn read_replicated(&self, target: SocketAddr) {
+        let (links, view) = (Arc::clone(&self.links), Arc::clone(&self.view));
+        let routing = view.with(|state| state.position.routing);
+        let request = LeaderRequest::ReadReplicated { routing };
+        tokio::spawn(async move {
+            match links.request(target, &request, READ_TIMEOUT).await {
+                Ok(LeaderReply::Replicated(replicated)) => view.with(|state| {
+                    // A leader that was found meanwhile knows more.
+                    if state.leader.is_none() {
+                        state.apply_replicated(replicated);
+                    }
+                }),
+                Ok(_) => log::error!("{target}: unexpected reply"),
+                // A daemon of an earlier build refuses the request.
+                Err(err) => log::debug!("{target}: replicated state not read: {err}"),
+            }
+        });
+    }
+
     /// Stops following `target`, unless the view has another leader by now.
     fn leader_lost(&self, target: SocketAddr, reason: &str) {
         self.view.with(|state| {
--- a/crates/toucansilld/src/gateway/messages.rs
+++ b/crates/toucansilld/src/gateway/messages.rs
@@ -3,6 +3,7 @@
 //! They are encoded by position: the order of fields and variants is part of the format.
 
 use bincode::{Decode, Encode};
+use control::Departures;
 use grant::{
     Decision, DirectoryEntry, PlacementRequest, PlacementRequestId, RequestOutcome, Revision,
     RunningRequest,
@@ -12,13 +13,13 @@
 
 /// Names of the message services, which address the parts of a daemon.
 pub(crate) mod message_service {
-    /// [`LeaderRequest`](super::LeaderRequest)s, which only the leader of the control group serves.
+    /// [`LeaderRequest`](super::LeaderRequest)s, which members of the control group serve.
     pub(crate) const LEADER: &str = "leader";
     /// Raft messages between voters.
     pub(crate) const RAFT: &str = "raft";
 }
 
-/// Request of a daemon to the leader of the control group.
+/// Request of a daemon to a member of the control group, mostly to its leader.
 #[derive(Clone, Debug, Decode, Encode)]
 pub(crate) enum LeaderRequest {
     /// Requests what has changed since the daemon's view. Held open while nothing has.
@@ -40,6 +41,12 @@
         /// Link address of the daemon.
         address: String,
     },
+    /// Requests the replicated part of the region's state. Unlike the others, any member of the
+    /// control group serves it, for daemons that don't reach the leader.
+    ReadReplicated {
+        /// Version of the routing document that the daemon has, 0 without one.
+        routing: u64,
+    },
 }
 
 /// Reply to a [`LeaderRequest`].
@@ -64,6 +71,8 @@
         /// Link address of the leader, if the receiver knows one.
         leader: Option<String>,
     },
+    /// Reply to [`LeaderRequest::ReadReplicated`].
+    Replicated(ReplicatedState),
 }
 
 /// Versions of the parts of a view. All but the routing version are comparable only within one
@@ -134,6 +143,18 @@
     pub(crate) control_addresses: Vec<String>,
 }
 
+/// What a member of the control group has applied of the replicated log. It may lag behind the
+/// leader's.
+#[derive(Clone, Debug, Decode, Encode)]
+pub(crate) struct ReplicatedState {
+    /// Routing document, compressed, if it is newer than that of the requester.
+    pub(crate) routing: Option<Vec<u8>>,
+    /// All data centres out of service.
+    pub(crate) out_of_service: BTreeSet<DataCentreId>,
+    /// Upstreams that have announced their departure.
+    pub(crate) departures: Departures,
+}
+
 /// Progress of a request that the leader placed.
 #[derive(Clone, Debug, Decode, Encode)]
 pub(crate) enum Progress {
--- a/crates/toucansilld/src/gateway/view.rs
+++ b/crates/toucansilld/src/gateway/view.rs
@@ -2,17 +2,19 @@
 
 use super::{
     compress::decompress,
-    messages::{DirectoryViewPosition, ViewChange},
+    messages::{DirectoryViewPosition, ReplicatedState, ViewChange},
 };
 use crate::sync::lock;
 use grant::{Directory, LocalPlacer, Revision};
 use platform::control::decode_document;
 use routing::{RoutingDocument, RoutingTable};
 use std::{
+    collections::BTreeSet,
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
+use wire::DataCentreId;
 
 /// State that a daemon has learnt from the leaders of the control group.
 ///
@@ -137,6 +139,38 @@
         }
     }
 
+    /// Applies what a member of the control group has replicated, while no leader is heard. The
+    /// member may lag behind, so this only adds to what the view knows: newer routing, data centres
+    /// out of service and departures. The next change of a leader replaces the data centres.
+    ///
+    /// Ignored by a view that no leader has sent yet: routing without upstreams is of no use.
+    pub(crate) fn apply_replicated(&mut self, replicated: ReplicatedState) {
+        if self.leader_heard.is_none() {
+            return;
+        }
+        if let Some(buf) = replicated.routing {
+            let former = self.position.routing;
+            self.apply_routing(&buf);
+            self.position.routing = self.table.as_ref().map_or(0, |table| table.document().version);
+            log::info!(
+                version = self.position.routing, former = former;
+                "routing in force, by a member that does not lead"
+            );
+        }
+        let known = self.directory.out_of_service();
+        if !replicated.out_of_service.is_subset(known) {
+            let closed: BTreeSet<DataCentreId> = known | &replicated.out_of_service;
+            log::info!(
+                closed:? = closed;
+                "data centres out of service changed, by a member that does not lead"
+            );
+            self.directory.set_out_of_service(closed);
+        }
+        if self.directory.set_departures(&replicated.departures) {
+            log::info!("upstreams have left, by a member that does not lead");
+        }
+    }
+
     /// Replaces the routing table if the document is valid and newer.
     fn apply_routing(&mut self, compressed: &[u8]) {
         match read_document(compressed) {
--- a/crates/toucansilld/tests/gateway/departures.rs
+++ b/crates/toucansilld/tests/gateway/departures.rs
@@ -116,3 +116,29 @@
     // A response that took too long, on a busy computer, says nothing.
     assert!(upstreams.iter().enumerate().any(is_conclusive), "no response came in time");
 }
+
+/// Guards against an entry that acts on what it knew before it lost the leader, although a member of
+/// the control group that it reaches knows of the departure.
+#[test]
+fn an_entry_without_a_leader_learns_departures_from_another_member() {
+    let mut region = start(3);
+    let (leaving, staying) = (Upstream::start("leaving"), Upstream::start("staying"));
+    add_upstream(&region, 0, "u1", &leaving);
+    add_upstream(&region, 0, "u2", &staying);
+    let leader = region.await_leader(3);
+    let others: Vec<usize> = (0..3).filter(|i| *i != leader).collect();
+
+    // Without the frozen member, the remaining one can't elect a leader later.
+    region.signal(others[0], "-STOP");
+    region.signal(region.entry(), "-STOP");
+    region.control_request_until_ok(leader, "DELETE", &upstream_path("u1"), "");
+    // The next log entry tells the other member that the one before it is committed.
+    region.control_request_until_ok(leader, "PUT", DOCUMENT_PATH, &document(2, "/x/", "s1"));
+    region.kill(leader);
+    region.signal(region.entry(), "-CONT");
+    eventually("no requests reach the upstream that has left", || {
+        let before = (leaving.runs(), staying.runs());
+        (0..REQUESTS).for_each(|_| drop(region.request("/x/")));
+        (leaving.runs() == before.0 && staying.runs() != before.1).then_some(())
+    });
+}
