Let a new leader wait for its followers only until they are back

For 1.2 s after its election a leader acknowledged nothing, as daemons could be missing among its followers.

It now waits until as many entry daemons follow as the former leader counted.

--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -371,11 +371,12 @@
             retry_slack: bounds.retry_slack,
             silence_timeout: bounds.silence_timeout(),
         };
-        let mut directory = self.view.with(|state| state.directory.clone());
+        let (mut directory, entry_daemons) =
+            self.view.with(|state| (state.directory.clone(), state.entry_daemons));
         let now = self.clock.now();
         directory.mark_all_heard(now);
         log::info!(term = term, revision = directory.revision(); "this daemon leads");
-        let mut leader = LeaderState::new(now, term, cfg, directory);
+        let mut leader = LeaderState::new(now, term, cfg, directory, entry_daemons);
         // The copy may lack departures that the former leader acknowledged.
         self.voter.peek(|state| leader.apply_state(state));
         *lock(&self.leader) = Some(leader);
--- a/crates/toucansilld/src/gateway/lead.rs
+++ b/crates/toucansilld/src/gateway/lead.rs
@@ -45,6 +45,8 @@
 pub(crate) struct LeaderState {
     term: u64,
     since: Instant,
+    /// Number of entry daemons that followed the former leader.
+    former_entry_daemons: u32,
     pub(crate) directory: Directory,
     dispatcher: Dispatcher,
     pending: BTreeMap<PlacementRequestId, PendingPlacement>,
@@ -58,16 +60,19 @@
 pub(crate) type PlacementReply = (Responder, Decision);
 
 impl LeaderState {
-    /// Creates the state of a new leader, with the directory that it has followed so far.
+    /// Creates the state of a new leader, with the directory that it has followed so far, and the
+    /// number of entry daemons that the former leader counted.
     pub(crate) fn new(
         now: Instant,
         term: u64,
         cfg: DispatcherConfig,
         directory: Directory,
+        former_entry_daemons: u32,
     ) -> Self {
         Self {
             term,
             since: now,
+            former_entry_daemons,
             directory,
             dispatcher: Dispatcher::new(cfg),
             pending: BTreeMap::new(),
@@ -160,11 +165,13 @@
         }
     }
 
-    /// Whether the views of all live followers cover `position`. False for [`FOLLOWER_TIMEOUT`]
-    /// after the term began, as daemons that followed the former leader may be missing until then.
+    /// Whether the views of all live followers cover `position`. False at the start of a term,
+    /// until as many entry daemons follow as followed the former leader, or for
+    /// [`FOLLOWER_TIMEOUT`].
     pub(crate) fn is_up_to_date(&self, now: Instant, position: &DirectoryViewPosition) -> bool {
-        now.saturating_duration_since(self.since) >= FOLLOWER_TIMEOUT
-            && self.live_followers(now).all(|follower| follower.position.covers(position))
+        let has_followers = self.entry_daemons(now) >= self.former_entry_daemons
+            || now.saturating_duration_since(self.since) >= FOLLOWER_TIMEOUT;
+        has_followers && self.live_followers(now).all(|follower| follower.position.covers(position))
     }
 
     /// Live followers whose views don't cover `position`.
