Let upstreams depart in the soak

No test and no run of the soak had an upstream that leaves. One after the other now drains or deregisters, repeats that until it is acknowledged, and returns as a new run; a registration from before arrives late. From the drain time (2 s) after the acknowledgement on, none may get a request, unless an entry was paused meanwhile. The time that they take is that of the faults, as before.

--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -393,18 +393,7 @@
 
     /// Its registration, as a JSON body.
     pub(crate) fn registration(&self, service: &str, sequence: u64, state: &str) -> String {
-        self.registration_at(self.address, service, sequence, state)
-    }
-
-    /// Its registration with another address, for example that of a relay in front of it.
-    pub(crate) fn registration_at(
-        &self,
-        address: SocketAddr,
-        service: &str,
-        sequence: u64,
-        state: &str,
-    ) -> String {
-        registration_body(address, service, sequence, state)
+        registration_body(self.address, service, 1, sequence, state)
     }
 }
 
--- a/crates/toucansilld/tests/soak/main.rs
+++ b/crates/toucansilld/tests/soak/main.rs
@@ -12,6 +12,7 @@
 //! - A read of the routing document returns no version older than one acknowledged before the
 //!   read was sent.
 //! - No acknowledged change is lost.
+//! - No request reaches an upstream later than the drain time after its departure was acknowledged.
 //! - Requests are served again after the faults.
 
 // The soak test uses only a part of the module.
@@ -125,6 +126,7 @@
     let callers = Callers::new(entry_addresses);
     thread::scope(|scope| {
         scope.spawn(|| upstreams.register(&control_addresses, &is_done));
+        scope.spawn(|| upstreams.depart(&control_addresses, &is_done));
         scope.spawn(|| operator.publish(&control_addresses, &is_done));
         scope.spawn(|| operator.read(&control_addresses, &is_done));
         for caller in 0..4 {
@@ -149,9 +151,10 @@
     operator.check_kept(&control_addresses);
     callers.check(&upstreams);
     println!(
-        "  {} requests answered, {} changes acknowledged",
+        "  {} requests answered, {} changes acknowledged, {} departures checked",
         callers.answered_count(),
-        operator.acknowledged()
+        operator.acknowledged(),
+        upstreams.departures()
     );
 }
 
@@ -169,7 +172,11 @@
             (0..CONTROL_COUNT).for_each(|i| region.start(i, false));
         }
         Fault::FreezeControl => freeze(region, control, pause),
-        Fault::FreezeEntry => freeze(region, entry, pause),
+        Fault::FreezeEntry => {
+            upstreams.entry_paused();
+            freeze(region, entry, pause);
+            upstreams.entry_paused();
+        }
         Fault::StopEntry => {
             region.stop(entry);
             region.start(entry, false);
@@ -209,10 +216,12 @@
             region.signal(control, "-CONT");
         }
         Fault::StopAfterFreeze => {
+            upstreams.entry_paused();
             region.signal(entry, "-STOP");
             upstreams.proxies().for_each(|proxy| proxy.cut());
             thread::sleep(pause);
             region.signal(entry, "-CONT");
+            upstreams.entry_paused();
             region.stop(entry);
             region.start(entry, false);
         }
--- a/crates/toucansilld/tests/soak/world.rs
+++ b/crates/toucansilld/tests/soak/world.rs
@@ -2,7 +2,9 @@
 
 use crate::region::{Upstream, eventually, exchange};
 use fake::FaultProxy;
-use platform::stand_in::{DOCUMENT_PATH, document, request_header_lines, upstream_path};
+use platform::stand_in::{
+    DOCUMENT_PATH, document, registration_body, request_header_lines, upstream_path,
+};
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::{
@@ -15,6 +17,10 @@
 
 /// Interval at which upstreams repeat their registration.
 const REGISTRATION_INTERVAL: Duration = Duration::from_millis(300);
+/// Time after the acknowledgement of a departure for which requests may still arrive.
+const DRAIN_TIME: Duration = Duration::from_millis(2_000);
+/// Time after [`DRAIN_TIME`] in which no request may arrive, and after which the upstream returns.
+const WATCH_TIME: Duration = Duration::from_millis(1_500);
 /// Pause between changes of the operator.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(120);
 /// Pause between requests of a caller or an operator.
@@ -25,7 +31,25 @@
 }
 
 /// Upstreams of one service, each behind a proxy that injects network faults.
-pub(crate) struct Upstreams(Vec<(Upstream, FaultProxy)>);
+pub(crate) struct Upstreams {
+    upstreams: Vec<(Upstream, FaultProxy)>,
+    /// The run of each upstream, and how it registers.
+    states: Mutex<Vec<RunState>>,
+    /// Counts how often an entry was paused or continued: it may have missed a departure.
+    entry_pauses: AtomicU64,
+    departures: AtomicU64,
+}
+
+/// Run of an upstream.
+#[derive(Clone, Copy, Debug)]
+struct RunState {
+    /// Start time of the run, in milliseconds.
+    run: u64,
+    /// Sequence number of its last registration.
+    sequence: u64,
+    /// State that it registers; `None` once it has deregistered.
+    state: Option<&'static str>,
+}
 
 impl Upstreams {
     pub(crate) fn start(count: usize) -> Self {
@@ -34,25 +58,38 @@
             let proxy = FaultProxy::start(upstream.address).expect("a port");
             (upstream, proxy)
         };
-        Self((0..count).map(one).collect())
+        let state = RunState { run: 1, sequence: 0, state: Some("ready") };
+        Self {
+            upstreams: (0..count).map(one).collect(),
+            states: Mutex::new(vec![state; count]),
+            entry_pauses: AtomicU64::new(0),
+            departures: AtomicU64::new(0),
+        }
     }
 
     pub(crate) fn proxies(&self) -> impl Iterator<Item = &FaultProxy> {
-        self.0.iter().map(|(_, proxy)| proxy)
+        self.upstreams.iter().map(|(_, proxy)| proxy)
     }
 
     pub(crate) fn proxy(&self, i: usize) -> &FaultProxy {
-        &self.0[i].1
+        &self.upstreams[i].1
+    }
+
+    /// Records that an entry is about to be paused, or was continued.
+    pub(crate) fn entry_paused(&self) {
+        self.entry_pauses.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// Number of departures after which it was checked that no request arrived.
+    pub(crate) fn departures(&self) -> u64 {
+        self.departures.load(Ordering::SeqCst)
     }
 
     /// Registers all upstreams again and again, at the first control daemon that accepts it.
     pub(crate) fn register(&self, controls: &[String], is_done: &AtomicBool) {
-        let mut sequence = 0;
         while !is_done.load(Ordering::SeqCst) {
-            sequence += 1;
-            for (i, (upstream, proxy)) in self.0.iter().enumerate() {
-                let body = upstream.registration_at(proxy.address(), "s1", sequence, "ready");
-                let request = put(&upstream_path(&format!("u{i}")), &body);
+            for i in 0..self.upstreams.len() {
+                let Some(request) = self.next_registration(i) else { continue };
                 // If no daemon accepts it, the next registration follows soon.
                 let _ = controls.iter().find(|c| is_ok(exchange(c, &request).as_ref()));
             }
@@ -60,10 +97,65 @@
         }
     }
 
+    /// Next registration of an upstream; `None` once it has deregistered.
+    fn next_registration(&self, i: usize) -> Option<String> {
+        let mut states = lock(&self.states);
+        let RunState { run, sequence, state } = &mut states[i];
+        *sequence += 1;
+        let state = (*state)?;
+        let address = self.upstreams[i].1.address();
+        let body = registration_body(address, "s1", *run, *sequence, state);
+        Some(put(&upstream_path(&format!("u{i}")), &body))
+    }
+
+    /// Lets one upstream after the other depart, by a drain or at once, and return as a new run. No
+    /// request may reach it from [`DRAIN_TIME`] after the acknowledgement on, unless an entry was
+    /// paused meanwhile.
+    pub(crate) fn depart(&self, controls: &[String], is_done: &AtomicBool) {
+        for turn in 0.. {
+            let i = turn % self.upstreams.len();
+            let path = upstream_path(&format!("u{i}"));
+            let late = self.next_registration(i).unwrap_or_default();
+            lock(&self.states)[i].state = (turn % 2 == 0).then_some("draining");
+            let pauses = || self.entry_pauses.load(Ordering::SeqCst);
+            let pauses_before = pauses();
+            let mut next_control = turn;
+            loop {
+                let request = self.next_registration(i).unwrap_or_else(|| delete(&path));
+                let control = &controls[next_control % controls.len()];
+                if is_ok(exchange(control, &request).as_ref()) {
+                    break;
+                }
+                if is_done.load(Ordering::SeqCst) {
+                    return;
+                }
+                next_control += 1;
+                thread::sleep(REQUEST_INTERVAL);
+            }
+            thread::sleep(DRAIN_TIME);
+            // A registration from before the departure, delayed on its way.
+            let _ = exchange(&controls[next_control % controls.len()], &late);
+            let upstream = &self.upstreams[i].0;
+            let runs_before = upstream.runs().len();
+            thread::sleep(WATCH_TIME);
+            if pauses() == pauses_before {
+                let late_runs = upstream.runs().len() - runs_before;
+                assert_eq!(late_runs, 0, "requests sent to u{i}, which has left (turn {turn})");
+                self.departures.fetch_add(1, Ordering::SeqCst);
+            }
+            if is_done.load(Ordering::SeqCst) {
+                return;
+            }
+            let mut states = lock(&self.states);
+            let run = states[i].run + 1;
+            states[i] = RunState { run, sequence: 0, state: Some("ready") };
+        }
+    }
+
     /// Number of runs of each attempt.
     fn runs(&self) -> BTreeMap<String, usize> {
         let mut runs = BTreeMap::new();
-        for attempt in self.0.iter().flat_map(|(upstream, _)| upstream.runs()) {
+        for attempt in self.upstreams.iter().flat_map(|(upstream, _)| upstream.runs()) {
             *runs.entry(attempt).or_default() += 1;
         }
         runs
@@ -78,6 +170,11 @@
     )
 }
 
+/// DELETE request to a control address.
+fn delete(path: &str) -> String {
+    format!("DELETE {path} HTTP/1.1\r\nHost: control\r\nConnection: close\r\n\r\n")
+}
+
 /// Whether a response has the status 200.
 fn is_ok(response: Option<&(u16, String)>) -> bool {
     response.is_some_and(|(status, _)| *status == 200)
