Apply departures to a full copy, and limit reads from members

Reading the diff: a view that had read departures from a member would not have applied them again to a full copy of the directory that lacks them. Reads from members are at most one in 200 ms for each daemon, as a search for a leader asks a member every 40 ms. Log texts say "read from a member".

--- a/crates/grant/src/directory.rs
+++ b/crates/grant/src/directory.rs
@@ -299,6 +299,8 @@
         if is_full_copy {
             self.entries.clear();
             self.timestamps.clear();
+            // They have to be applied to the new entries.
+            self.departures = Departures::default();
         }
         self.revision = revision;
         for entry in entries {
--- a/crates/grant/tests/directory.rs
+++ b/crates/grant/tests/directory.rs
@@ -102,8 +102,8 @@
     }
 }
 
-/// After a restart of the group, an upstream may leave before it has registered again. Its run isn't
-/// known, so a first registration counts as delayed for a while, and a new run comes back later.
+/// After a restart of the group, an upstream may leave before it has registered again. Its run is
+/// not known, so a first registration counts as delayed for a while, and a new run comes back later.
 #[test]
 fn a_registration_soon_after_an_unknown_upstream_has_left_is_stale() {
     let now = Instant::now();
--- a/crates/toucansilld/src/gateway/calls.rs
+++ b/crates/toucansilld/src/gateway/calls.rs
@@ -202,7 +202,8 @@
     /// replicated only if it is not yet. An error is the response to send.
     async fn replicate_departure(&self, id: &str, is_new: bool) -> Result<(), ControlHttpResponse> {
         let departure = self.with_leader(|leader| leader.directory.departure_of(id));
-        let departure = departure.ok_or(ControlHttpResponse::new(503, "the leader has changed"))?;
+        let departure =
+            departure.ok_or_else(|| ControlHttpResponse::new(503, "the leader has changed"))?;
         // An upstream that has returned since gets no departure recorded.
         let Some(departure) = departure else { return Ok(()) };
         if !is_new && self.voter().peek(|state| state.departures().covers(&departure)) {
--- a/crates/toucansilld/src/gateway/follow.rs
+++ b/crates/toucansilld/src/gateway/follow.rs
@@ -9,12 +9,18 @@
     view::View,
 };
 use kernel::SharedClock;
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 use tokio::time::sleep;
 
 /// Time beyond [`FOLLOW_WAIT`] after which a reply of the leader is overdue: a few scheduling
 /// delays of a busy VM.
 const REPLY_MARGIN: Duration = Duration::from_millis(350);
+/// Shortest interval between requests for the replicated state.
+const READ_INTERVAL: Duration = Duration::from_millis(200);
 /// Timeout for the replicated state of a member that does not lead.
 const READ_TIMEOUT: Duration = Duration::from_millis(500);
 /// Pause before the next daemon is tried, while no leader is known.
@@ -38,6 +44,7 @@
         let mut turn = usize::from(self.settings.links.port());
         let mut named_leader: Option<SocketAddr> = None;
         let mut known_term = 0;
+        let mut last_read: Option<Instant> = None;
         loop {
             if let Some(heard) = self.view.with(|state| state.leader_heard) {
                 let age = self.clock.now().saturating_duration_since(heard);
@@ -62,7 +69,12 @@
                 }
                 Ok(LeaderReply::NotLeader { leader }) => {
                     self.leader_lost(target, "leads no more");
-                    self.read_replicated(target);
+                    let now = self.clock.now();
+                    if last_read.is_none_or(|at| now.saturating_duration_since(at) >= READ_INTERVAL)
+                    {
+                        last_read = Some(now);
+                        self.read_replicated(target);
+                    }
                     named_leader =
                         leader.and_then(|leader| leader.parse().ok()).filter(|l| *l != target);
                     if named_leader.is_none() {
@@ -101,8 +113,8 @@
         self.links.request(target, &LeaderRequest::Follow(follow), FOLLOW_WAIT + REPLY_MARGIN).await
     }
 
-    /// Requests what is replicated from a member that does not lead, on a task of its own: the search
-    /// for the leader goes on meanwhile.
+    /// Requests what is replicated from a member that does not lead, on a task of its own: the
+    /// search for the leader goes on meanwhile.
     fn read_replicated(&self, target: SocketAddr) {
         let (links, view, clock) =
             (Arc::clone(&self.links), Arc::clone(&self.view), Arc::clone(&self.clock));
--- a/crates/toucansilld/src/gateway/lead.rs
+++ b/crates/toucansilld/src/gateway/lead.rs
@@ -92,7 +92,8 @@
         (self.dispatcher.waiting(), self.dispatcher.running())
     }
 
-    /// Applies the replicated routing, data centres and departures. Returns whether any of them changed.
+    /// Applies the replicated routing, data centres and departures. Returns whether any of them
+    /// changed.
     pub(crate) fn apply_state(&mut self, now: Instant, state: &control::State) -> bool {
         let mut is_changed = false;
         let known = self.routing.as_ref().map_or(0, |(version, _)| *version);
@@ -109,7 +110,8 @@
             self.out_of_service_changes += 1;
             is_changed = true;
         }
-        is_changed | self.directory.set_departures(now, state.departures())
+        let has_departures = self.directory.set_departures(now, state.departures());
+        is_changed || has_departures
     }
 
     /// Position of an up-to-date view.
--- a/crates/toucansilld/src/gateway/messages.rs
+++ b/crates/toucansilld/src/gateway/messages.rs
@@ -90,12 +90,12 @@
 }
 
 impl DirectoryViewPosition {
-    /// The part for the routing document, with this version.
+    /// Lowest position of a view with this version of the routing document.
     pub(crate) fn of_routing(&self, version: u64) -> Self {
         Self { term: self.term, routing: version, ..Self::default() }
     }
 
-    /// The part for the data centres out of service.
+    /// Lowest position of a view with the same data centres out of service.
     pub(crate) fn of_out_of_service(&self) -> Self {
         let Self { term, out_of_service_changes, .. } = *self;
         Self { term, out_of_service_changes, ..Self::default() }
--- a/crates/toucansilld/src/gateway/view.rs
+++ b/crates/toucansilld/src/gateway/view.rs
@@ -154,7 +154,7 @@
             self.position.routing = self.table.as_ref().map_or(0, |table| table.document().version);
             log::info!(
                 version = self.position.routing, former = former;
-                "routing in force, by a member that does not lead"
+                "routing in force, read from a member"
             );
         }
         let known = self.directory.out_of_service();
@@ -162,12 +162,12 @@
             let closed: BTreeSet<DataCentreId> = known | &replicated.out_of_service;
             log::info!(
                 closed:? = closed;
-                "data centres out of service changed, by a member that does not lead"
+                "data centres out of service read from a member"
             );
             self.directory.set_out_of_service(closed);
         }
         if self.directory.set_departures(now, &replicated.departures) {
-            log::info!("upstreams have left, by a member that does not lead");
+            log::info!("departures read from a member");
         }
     }
 
--- a/crates/toucansilld/tests/gateway/departures.rs
+++ b/crates/toucansilld/tests/gateway/departures.rs
@@ -108,8 +108,8 @@
     assert_gets_no_requests(&region, &leaving);
 }
 
-/// Guards against the acknowledgement of a departure, first or repeated, while the entry is known to
-/// lack it.
+/// Guards against the acknowledgement of a departure, first or repeated, while the entry is known
+/// to lack it.
 #[test]
 fn a_departure_is_not_acknowledged_while_the_entry_lacks_it() {
     /// Time for which the leader surely counts a silent entry as running.
@@ -133,8 +133,8 @@
     assert!(upstreams.iter().enumerate().any(is_conclusive), "no response came in time");
 }
 
-/// Guards against an entry that acts on what it knew before it lost the leader, although a member of
-/// the control group that it reaches knows of the departure.
+/// Guards against an entry that acts on what it knew before it lost the leader, although a member
+/// of the control group that it reaches knows of the departure.
 #[test]
 fn an_entry_without_a_leader_learns_departures_from_another_member() {
     let mut region = start(3);
