Keep the departure of an unknown run beside that of an earlier one

The deregistration of a run that isn't present is now recorded on its own, by name and time, and again when it is repeated. For 10 s no run under that name can start, unless one is present. Types lose the Option for the run.

--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -72,6 +72,14 @@
     },
     /// Records that an upstream takes no new requests any more.
     RecordDeparture(UpstreamDeparture),
+    /// Records that an upstream has deregistered whose run the leader does not know, because the
+    /// group has restarted since the run registered.
+    RecordUnknownDeparture {
+        /// Name of the upstream.
+        upstream: UpstreamId,
+        /// Timestamp of the leader, in milliseconds.
+        at_ms: u64,
+    },
 }
 
 /// A routing document that an operator published.
@@ -176,7 +184,9 @@
             Self::CompleteKey(completion) => Some(completion.id.at_ms),
             Self::AbandonKey(id) | Self::GiveUpKey(id) => Some(id.at_ms),
             Self::Charge(charge) => Some(charge.at_ms),
-            Self::Acquit { at_ms, .. } | Self::Tick { at_ms } => Some(*at_ms),
+            Self::Acquit { at_ms, .. }
+            | Self::Tick { at_ms }
+            | Self::RecordUnknownDeparture { at_ms, .. } => Some(*at_ms),
             Self::RecordDeparture(departure) => Some(departure.at_ms),
             Self::Batch(cmds) => cmds.iter().filter_map(Self::at_ms).max(),
             _ => None,
@@ -191,7 +201,9 @@
             Self::CompleteKey(completion) => completion.id.at_ms = now_ms,
             Self::AbandonKey(id) | Self::GiveUpKey(id) => id.at_ms = now_ms,
             Self::Charge(charge) => charge.at_ms = now_ms,
-            Self::Acquit { at_ms, .. } | Self::Tick { at_ms } => *at_ms = now_ms,
+            Self::Acquit { at_ms, .. }
+            | Self::Tick { at_ms }
+            | Self::RecordUnknownDeparture { at_ms, .. } => *at_ms = now_ms,
             Self::RecordDeparture(departure) => departure.at_ms = now_ms,
             Self::Batch(cmds) => cmds.iter_mut().for_each(|cmd| cmd.stamp(now_ms)),
             _ => {}
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -298,6 +298,10 @@
                 self.departures.record(departure);
                 Outcome::Departure
             }
+            Command::RecordUnknownDeparture { upstream, at_ms } => {
+                self.departures.record_unknown_run(upstream, *at_ms);
+                Outcome::Departure
+            }
         }
     }
 
--- a/crates/control/tests/departures.rs
+++ b/crates/control/tests/departures.rs
@@ -4,13 +4,7 @@
 
 /// Departure of the upstream `u`.
 fn departure(started_at_ms: u64, has_left: bool, sequence: u64) -> UpstreamDeparture {
-    UpstreamDeparture {
-        upstream: "u".to_owned(),
-        started_at_ms: Some(started_at_ms),
-        has_left,
-        sequence,
-        at_ms: 0,
-    }
+    UpstreamDeparture { upstream: "u".to_owned(), started_at_ms, has_left, sequence, at_ms: 0 }
 }
 
 /// Records a departure at a time of the leader's clock.
@@ -38,6 +32,22 @@
     assert!(!state.departures().covers(&departure(7, false, 1)));
 }
 
+/// A departure of a run that is not known must neither replace nor be taken for that of another
+/// run, and counts from its last announcement.
+#[test]
+fn a_departure_of_an_unknown_run_is_kept_beside_the_newest() {
+    let mut state = State::new();
+    let newest = departure(6, true, 9);
+    record(&mut state, 1, &newest, 0);
+    for at_ms in [1_000, 5_000] {
+        let upstream = "u".to_owned();
+        state.apply(1 + at_ms, &Command::RecordUnknownDeparture { upstream, at_ms });
+        assert_eq!(state.departures().of_unknown_runs().get("u"), Some(&at_ms));
+    }
+    assert_eq!(state.departures().get("u"), Some(&newest));
+    assert!(!state.departures().covers(&departure(7, true, 1)));
+}
+
 /// Departures must not pile up: a name that nobody uses any more is forgotten.
 #[test]
 fn a_departure_is_forgotten_after_its_retention() {
@@ -49,6 +59,13 @@
     assert!(!state.departures().is_empty());
     state.apply(3, &Command::Tick { at_ms: 1_000 + retention_ms });
     assert!(state.departures().is_empty());
+
+    let upstream = "u".to_owned();
+    let at_ms = 2_000 + retention_ms;
+    state.apply(4, &Command::RecordUnknownDeparture { upstream, at_ms });
+    assert_eq!(state.next_expiry_ms(), Some(at_ms + retention_ms));
+    state.apply(5, &Command::Tick { at_ms: at_ms + retention_ms });
+    assert!(state.departures().is_empty());
 }
 
 /// A snapshot that lost departures would bring upstreams back at the members that restore it. One
--- a/crates/control/tests/replay.rs
+++ b/crates/control/tests/replay.rs
@@ -17,7 +17,7 @@
     let own = holder(daemon, u64::from(extra % 4));
     let upstream = format!("u{}", arg % 4);
     let fingerprint = [arg % 5; 32];
-    match op % 11 {
+    match op % 12 {
         0 | 1 => sheet(u64::from(arg % 32), extra % 4, "ana"),
         2 | 3 => join(daemon, own.incarnation, "dc-1"),
         4 => Command::Leave(own),
@@ -31,11 +31,12 @@
         }
         9 => Command::RecordDeparture(UpstreamDeparture {
             upstream,
-            started_at_ms: (!extra.is_multiple_of(4)).then_some(u64::from(extra % 3)),
+            started_at_ms: u64::from(extra % 3),
             has_left: extra.is_multiple_of(2),
             sequence: u64::from(arg),
             at_ms,
         }),
+        10 => Command::RecordUnknownDeparture { upstream, at_ms },
         _ => Command::Acquit { fingerprint, at_ms },
     }
 }
@@ -122,7 +123,7 @@
     let former = state.snapshot();
     let departure = UpstreamDeparture {
         upstream: "u".to_owned(),
-        started_at_ms: Some(1),
+        started_at_ms: 1,
         has_left: true,
         sequence: 1,
         at_ms: 0,
--- a/crates/grant/src/directory.rs
+++ b/crates/grant/src/directory.rs
@@ -65,8 +65,8 @@
     out_of_service: BTreeSet<DataCentreId>,
     /// Departures that were replicated, also those of upstreams without an entry.
     departures: Departures,
-    /// When each departure of an unknown run was taken over.
-    unknown_departures: BTreeMap<UpstreamId, Instant>,
+    /// Deregistrations of unknown runs: their timestamp, and when they were taken over.
+    unknown_departures: BTreeMap<UpstreamId, (u64, Instant)>,
     /// Highest revision among the departed entries that were purged.
     purged_revision: Revision,
 }
@@ -137,24 +137,16 @@
         true
     }
 
-    /// Departure to be replicated of an upstream that drains, has left or is unknown; `None` if it
-    /// may get requests.
+    /// Departure to be replicated of an upstream that drains or has left; `None` if it may get
+    /// requests or is unknown.
     pub fn departure_of(&self, id: &str) -> Option<UpstreamDeparture> {
-        let Some(entry) = self.entries.get(id) else {
-            let unknown = || UpstreamDeparture {
-                upstream: id.to_owned(),
-                started_at_ms: None,
-                has_left: true,
-                sequence: 0,
-                at_ms: 0,
-            };
-            return Some(self.departures.get(id).cloned().unwrap_or_else(unknown));
-        };
-        (!entry.accepts_requests()).then(|| UpstreamDeparture {
-            upstream: id.to_owned(),
-            started_at_ms: Some(entry.registration.started_at_ms),
-            has_left: entry.is_departed,
-            sequence: entry.registration.sequence,
+        let DirectoryEntry { registration, is_departed, .. } =
+            self.entries.get(id).filter(|entry| !entry.accepts_requests())?;
+        Some(UpstreamDeparture {
+            upstream: registration.id.clone(),
+            started_at_ms: registration.started_at_ms,
+            has_left: *is_departed,
+            sequence: registration.sequence,
             at_ms: 0,
         })
     }
@@ -165,11 +157,14 @@
             return false;
         }
         self.departures = departures.clone();
-        let of_unknown_run = departures.iter().filter(|d| d.started_at_ms.is_none());
-        self.unknown_departures = of_unknown_run
-            .map(|d| {
-                (d.upstream.clone(), *self.unknown_departures.get(&d.upstream).unwrap_or(&now))
-            })
+        let known = std::mem::take(&mut self.unknown_departures);
+        let taken_over = |id, at_ms| match known.get(id) {
+            Some((known_at_ms, since)) if *known_at_ms == at_ms => *since,
+            _ => now,
+        };
+        let of_unknown_runs = departures.of_unknown_runs().iter();
+        self.unknown_departures = of_unknown_runs
+            .map(|(id, at_ms)| (id.clone(), (*at_ms, taken_over(id, *at_ms))))
             .collect();
         let former = self.revision;
         departures.iter().for_each(|departure| self.apply_departure(departure));
@@ -183,7 +178,7 @@
         if entry.is_departed || !announces_after(departure, registration) {
             return;
         }
-        match departure.has_left || departure.started_at_ms > Some(registration.started_at_ms) {
+        match departure.has_left || departure.started_at_ms > registration.started_at_ms {
             true => entry.is_departed = true,
             false => {
                 registration.is_draining = true;
@@ -195,16 +190,15 @@
     }
 
     /// Whether the upstream announced its departure after it sent this registration. If the run
-    /// that has left isn't known, this counts for a first registration soon after the departure: it
-    /// may have been delayed on its way.
+    /// that has left isn't known, this is assumed of any run that would start soon after the
+    /// departure: its registration may have been delayed on its way.
     fn precedes_departure(&self, now: Instant, registration: &Registration) -> bool {
         let id = &registration.id;
-        let unknown_since = self.unknown_departures.get(id);
-        let is_delayed = |since: &Instant| {
-            !self.entries.contains_key(id)
-                && now.saturating_duration_since(*since) < REGISTRATION_DELAY_MAX
+        let is_present = self.entries.get(id).is_some_and(|entry| !entry.is_departed);
+        let is_delayed = |(_, since): &(u64, Instant)| {
+            !is_present && now.saturating_duration_since(*since) < REGISTRATION_DELAY_MAX
         };
-        unknown_since.is_some_and(is_delayed)
+        self.unknown_departures.get(id).is_some_and(is_delayed)
             || self.departures.get(id).is_some_and(|d| announces_after(d, registration))
     }
 
@@ -353,9 +347,8 @@
 
 /// Whether an upstream announced a departure after it sent a registration.
 fn announces_after(departure: &UpstreamDeparture, registration: &Registration) -> bool {
-    let run = Some(registration.started_at_ms);
-    let is_same_run = departure.started_at_ms == run;
-    departure.started_at_ms > run
+    let is_same_run = departure.started_at_ms == registration.started_at_ms;
+    departure.started_at_ms > registration.started_at_ms
         || is_same_run && (departure.has_left || departure.sequence > registration.sequence)
 }
 
--- a/crates/grant/tests/directory.rs
+++ b/crates/grant/tests/directory.rs
@@ -1,6 +1,6 @@
 //! Registrations that arrive late, out of order, or from runs that have ended.
 
-use control::{Command, Departures, State, UpstreamDeparture};
+use control::{Command, Departures, State};
 use grant::{Directory, Registration, RegistrationOutcome};
 use std::{
     collections::BTreeSet,
@@ -58,11 +58,11 @@
     assert_eq!(available(&directory), ["new"]);
 }
 
-/// Replicated departures, as the state of a control group has them.
-fn departures(departures: &[UpstreamDeparture]) -> Departures {
+/// Departures, as the state of a control group has them after these commands.
+fn departures(commands: Vec<Command>) -> Departures {
     let mut state = State::new();
-    for (index, departure) in (1..).zip(departures) {
-        state.apply(index, &Command::RecordDeparture(departure.clone()));
+    for (index, command) in (1..).zip(commands) {
+        state.apply(index, &command);
     }
     state.departures().clone()
 }
@@ -80,9 +80,8 @@
     leader.deregister(now, "left");
     let draining = Registration { is_draining: true, ..registration("drains", 2, 5, 4) };
     leader.register(now, draining);
-    let announced: Vec<UpstreamDeparture> =
-        ["left", "drains"].iter().filter_map(|id| leader.departure_of(id)).collect();
-    let replicated = departures(&announced);
+    let announced = ["left", "drains"].iter().filter_map(|id| leader.departure_of(id));
+    let replicated = departures(announced.map(Command::RecordDeparture).collect());
 
     for mut directory in [older_copy, Directory::new()] {
         let has_entries = directory.entries().next().is_some();
@@ -103,20 +102,27 @@
 }
 
 /// After a restart of the group, an upstream may leave before it has registered again. Its run is
-/// not known, so a first registration counts as delayed for a while, and a new run comes back later.
+/// not known, so any run that registers first counts as delayed for a while, also if an earlier run
+/// is known to have left. A new run comes back later.
 #[test]
-fn a_registration_soon_after_an_unknown_upstream_has_left_is_stale() {
+fn a_registration_soon_after_an_unknown_run_has_left_is_stale() {
     let now = Instant::now();
     let mut directory = Directory::new();
-    let departure = directory.departure_of("u").expect("unknown");
-    directory.set_departures(now, &departures(&[departure]));
-    let soon = now + Duration::from_secs(9);
-    assert_eq!(directory.register(soon, registration("u", 1, 5, 3)), RegistrationOutcome::Stale);
-    let later = now + Duration::from_secs(10);
-    assert_eq!(directory.register(later, registration("u", 1, 6, 1)), RegistrationOutcome::Started);
+    directory.register(now, registration("u", 1, 5, 3));
+    directory.deregister(now, "u");
+    let unknown = |at_ms| vec![Command::RecordUnknownDeparture { upstream: "u".to_owned(), at_ms }];
+    directory.set_departures(now, &departures(unknown(1)));
+    let repeated = now + Duration::from_secs(4);
+    directory.set_departures(repeated, &departures(unknown(2)));
+    let soon = repeated + Duration::from_secs(9);
+    assert_eq!(directory.register(soon, registration("u", 1, 6, 3)), RegistrationOutcome::Stale);
+    let later = repeated + Duration::from_secs(10);
+    assert_eq!(directory.register(later, registration("u", 1, 7, 1)), RegistrationOutcome::Started);
+    directory.set_departures(later, &departures(unknown(3)));
     assert_eq!(
-        directory.register(later, registration("u", 1, 6, 2)),
-        RegistrationOutcome::Refreshed
+        directory.register(later, registration("u", 1, 7, 2)),
+        RegistrationOutcome::Refreshed,
+        "an upstream that is present is not held back"
     );
 }
 
--- a/crates/toucansilld/src/gateway/calls.rs
+++ b/crates/toucansilld/src/gateway/calls.rs
@@ -146,37 +146,48 @@
             self.notify_followers();
         }
         if is_draining {
-            return Some(self.acknowledge_departure(&id, outcome, now).await);
+            let departure = self.with_leader(|leader| leader.directory.departure_of(&id))?;
+            // Without one, the upstream has returned since, or a later run is known.
+            let command = departure.map(Command::RecordDeparture);
+            return Some(self.acknowledge_departure(&id, command, outcome, now).await);
         }
         Some(registered())
     }
 
-    /// Marks an upstream as departed and acknowledges that.
+    /// Marks an upstream as departed and acknowledges that. If it was not present, the departure is
+    /// that of a run that is not known here, or a repeated one.
     async fn deregister(&self, id: &str) -> Option<ControlHttpResponse> {
         let now = self.now();
-        let is_change = self.with_leader(|leader| leader.directory.deregister(now, id))?;
-        let outcome = match is_change {
-            true => RegistrationOutcome::Changed,
-            false => RegistrationOutcome::Stale,
+        let departure = self.with_leader(|leader| {
+            let is_change = leader.directory.deregister(now, id);
+            is_change.then(|| leader.directory.departure_of(id)).flatten()
+        })?;
+        let (outcome, command) = match departure {
+            Some(departure) => {
+                log::info!(upstream = id; "upstream has left");
+                self.notify_followers();
+                (RegistrationOutcome::Changed, Command::RecordDeparture(departure))
+            }
+            None => {
+                let upstream = id.to_owned();
+                let command = Command::RecordUnknownDeparture { upstream, at_ms: 0 };
+                (RegistrationOutcome::Stale, command)
+            }
         };
-        if is_change {
-            log::info!(upstream = id; "upstream has left");
-            self.notify_followers();
-        }
-        Some(self.acknowledge_departure(id, outcome, now).await)
+        Some(self.acknowledge_departure(id, Some(command), outcome, now).await)
     }
 
-    /// Acknowledges a departure that was received at `since`, the first time or again, once it is
-    /// replicated and the live followers know it, so that none sends the upstream a request
-    /// afterwards.
+    /// Acknowledges a departure that was received at `since`, the first time or again, once
+    /// `command` is replicated, so that the next leader knows it, and the live followers know it, so
+    /// that none sends the upstream a request afterwards.
     async fn acknowledge_departure(
         &self,
         id: &str,
+        command: Option<Command>,
         outcome: RegistrationOutcome,
         since: Instant,
     ) -> ControlHttpResponse {
-        let replicated = self.replicate_departure(id, outcome.is_change()).await;
-        let response = match replicated {
+        let response = match self.replicate_departure(command, outcome.is_change()).await {
             Err(response) => response,
             Ok(()) if self.await_followers(|leader| leader.position_of(id)).await => registered(),
             Ok(()) => ControlHttpResponse::new(503, "not all daemons know of the departure yet"),
@@ -198,18 +209,24 @@
         response
     }
 
-    /// Replicates the departure of an upstream, so that the next leader knows it. A repeated one is
-    /// replicated only if it is not yet. An error is the response to send.
-    async fn replicate_departure(&self, id: &str, is_new: bool) -> Result<(), ControlHttpResponse> {
-        let departure = self.with_leader(|leader| leader.directory.departure_of(id));
-        let departure =
-            departure.ok_or_else(|| ControlHttpResponse::new(503, "the leader has changed"))?;
-        // An upstream that has returned since gets no departure recorded.
-        let Some(departure) = departure else { return Ok(()) };
-        if !is_new && self.voter().peek(|state| state.departures().covers(&departure)) {
+    /// Replicates a departure, unless it is a repeated one and this is done. An error is the
+    /// response to send.
+    async fn replicate_departure(
+        &self,
+        command: Option<Command>,
+        is_new: bool,
+    ) -> Result<(), ControlHttpResponse> {
+        let Some(command) = command else { return Ok(()) };
+        let is_recorded = match &command {
+            Command::RecordDeparture(departure) => {
+                self.voter().peek(|state| state.departures().covers(departure))
+            }
+            _ => false,
+        };
+        if is_recorded && !is_new {
             return Ok(());
         }
-        self.propose(Command::RecordDeparture(departure)).await.map(drop)
+        self.propose(command).await.map(drop)
     }
 
     /// Proposes a command and waits until it is applied. An error is the response to send.
--- a/crates/toucansilld/tests/gateway/departures.rs
+++ b/crates/toucansilld/tests/gateway/departures.rs
@@ -2,7 +2,7 @@
 //! them, whatever happens to the daemons that knew of it.
 
 use crate::region::{Region, Upstream, eventually};
-use platform::stand_in::{DOCUMENT_PATH, document, upstream_path};
+use platform::stand_in::{DOCUMENT_PATH, document, registration_body, upstream_path};
 use std::time::{Duration, Instant};
 
 /// Requests sent to find out which upstreams get any.
@@ -108,6 +108,26 @@
     assert_gets_no_requests(&region, &leaving);
 }
 
+/// Guards against taking the departure of a run that the restarted group doesn't know for that of
+/// an earlier run under the same name, which it does.
+#[test]
+fn a_late_registration_does_not_revive_a_later_run_that_left_unknown() {
+    let mut region = start(1);
+    let (leaving, staying) = (Upstream::start("leaving"), Upstream::start("staying"));
+    let path = &upstream_path("u1");
+    let later_run = |sequence| registration_body(leaving.address, "s1", 2, sequence, "ready");
+    add_upstream(&region, 0, "u1", &leaving);
+    region.control_request_until_ok(0, "DELETE", path, "");
+    region.control_request_until_ok(0, "PUT", path, &later_run(1));
+    region.kill(0);
+    region.start(0, false);
+    region.control_request_until_ok(0, "DELETE", path, "");
+
+    region.control_request(0, "PUT", path, &later_run(2));
+    add_upstream(&region, 0, "u2", &staying);
+    assert_gets_no_requests(&region, &leaving);
+}
+
 /// Guards against the acknowledgement of a departure, first or repeated, while the entry is known
 /// to lack it.
 #[test]
--- a/crates/toucansilld/tests/soak/main.rs
+++ b/crates/toucansilld/tests/soak/main.rs
@@ -46,14 +46,16 @@
 /// 11, 28 and 42: a simulated upstream counted a connection that was cut within its request as a
 /// run.
 /// 111: a departure was forgotten when all control daemons were killed.
-/// 123 and 142: a departure of an upstream that the restarted group did not know was forgotten.
-const FORMER_FAILURES: [FormerFailure; 6] = [
+/// 123, 142 and 1027: a departure of an upstream that the restarted group did not know was
+/// forgotten.
+const FORMER_FAILURES: [FormerFailure; 7] = [
     FormerFailure { seed: 11, faults: 5, fault_kinds: 10 },
     FormerFailure { seed: 28, faults: 5, fault_kinds: 10 },
     FormerFailure { seed: 42, faults: 5, fault_kinds: 10 },
     FormerFailure { seed: 111, faults: 12, fault_kinds: 15 },
     FormerFailure { seed: 123, faults: 10, fault_kinds: 15 },
     FormerFailure { seed: 142, faults: 8, fault_kinds: 15 },
+    FormerFailure { seed: 1027, faults: 12, fault_kinds: 15 },
 ];
 /// Additional seed that CI runs.
 const CI_SEED: u64 = 7;
