--- a/crates/toucansilld/tests/gateway/departures.rs
+++ b/crates/toucansilld/tests/gateway/departures.rs
@@ -34,10 +34,15 @@
 /// Starts a region whose entry has the routing document.
 fn start(control_count: usize) -> Region {
     let mut region = Region::new(control_count);
+    start_with_document(&mut region, control_count);
+    region
+}
+
+/// Starts the daemons of a region and gives them the routing document.
+fn start_with_document(region: &mut Region, control_count: usize) {
     region.start_all(true);
     region.await_members(control_count);
     region.control_request_until_ok(0, "PUT", DOCUMENT_PATH, &document(1, "/x/", "s1"));
-    region
 }
 
 /// Sends requests and checks that none of them reaches `upstream`.
@@ -132,9 +137,12 @@
 /// to lack it.
 #[test]
 fn a_departure_is_not_acknowledged_while_the_entry_lacks_it() {
-    /// Time for which the leader surely counts a silent entry as running.
-    const SILENCE: Duration = Duration::from_millis(1_000);
-    let region = start(1);
+    /// Time for which the leader counts a silent entry as running. It ends 1.2 s after the entry's
+    /// last follow request, which may have been held open for 0.4 s.
+    const SILENCE: Duration = Duration::from_millis(600);
+    let mut region = Region::new(1);
+    region.set_apply_ms(600);
+    start_with_document(&mut region, 1);
     let upstreams: Vec<Upstream> = (0..20).map(|_| Upstream::start("leaving")).collect();
     let is_conclusive = |(i, upstream): (usize, &Upstream)| {
         let id = format!("u{i}");
--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -39,6 +39,8 @@
     seed_count: usize,
     children: Vec<Option<Child>>,
     attempts: AtomicU64,
+    /// Time within which an acknowledged change must be in force.
+    apply_ms: u64,
 }
 
 impl Region {
@@ -68,9 +70,16 @@
             seed_count: control_count.min(3),
             children,
             attempts,
+            apply_ms: 2_000,
         }
     }
 
+    /// Sets the time within which an acknowledged change must be in force; the acknowledgement
+    /// waits for a third of it.
+    pub(crate) fn set_apply_ms(&mut self, apply_ms: u64) {
+        self.apply_ms = apply_ms;
+    }
+
     /// Index of the first entry.
     pub(crate) fn entry(&self) -> usize {
         self.control_count
@@ -278,9 +287,10 @@
         };
         format!(
             "daemon: {name}\ndata_centre: dc-1\nlinks: '{ip}:{port}'\nmetrics: '{ip}:{}'\n\
-             seeds: [{}]\n{role_settings}\nbounds: {{stop_ms: 4000}}\n",
+             seeds: [{}]\n{role_settings}\nbounds: {{stop_ms: 4000, apply_ms: {}}}\n",
             port + 4,
-            seeds.join(", ")
+            seeds.join(", "),
+            self.apply_ms
         )
     }
 }
