Wait in the soak until the loss of a disk shows

The soak waits until all members are heard before it takes a disk, but the leader's gauges are up to 1.3 s old, so the second loss came before the member had joined, or created its folder. Three in a row would exceed the losses that the group tolerates. The member now stays down for 1.5 s. A fault of the test; the daemons are not affected.

--- a/crates/toucansilld/tests/soak/main.rs
+++ b/crates/toucansilld/tests/soak/main.rs
@@ -59,6 +59,9 @@
 ];
 /// Additional seed that CI runs.
 const CI_SEED: u64 = 7;
+/// Time until the leader's gauges show that a member is gone. Without this pause, the next fault
+/// could take the member for one that has joined again.
+const GAUGE_DELAY: Duration = Duration::from_millis(1_500);
 /// Number of faults for each seed in CI.
 const CI_FAULT_COUNT: usize = 5;
 
@@ -204,6 +207,7 @@
             region.await_members(CONTROL_COUNT);
             region.kill(control);
             region.lose_disk(control);
+            thread::sleep(GAUGE_DELAY);
             region.start(control, false);
         }
         Fault::CutUpstreams => upstreams.proxies().for_each(|proxy| proxy.cut()),
