--- a/crates/toucansilld/src/gateway/entry.rs
+++ b/crates/toucansilld/src/gateway/entry.rs
@@ -94,8 +94,9 @@
         record.service = service.clone();
         let is_leader_placed = table.service(service).is_some_and(|s| s.engine.is_some());
         let path = parts.uri.path_and_query().map(ToString::to_string).unwrap_or_default();
+        record.hash = fingerprint(&record.organisation, &path, &body);
         let request = ForwardableRequest {
-            fingerprint: fingerprint(&record.organisation, &path, &body),
+            fingerprint: record.hash,
             head,
             parts,
             body,
--- a/crates/toucansilld/src/gateway/record.rs
+++ b/crates/toucansilld/src/gateway/record.rs
@@ -27,6 +27,9 @@
     pub(crate) service: ServiceId,
     /// Length of the prompt that the caller stated, 0 without one.
     pub(crate) prompt: Tokens,
+    /// Hash by which the request is recognised when the caller sends it again; 0 until its body
+    /// has been read.
+    pub(crate) hash: u64,
     /// Attempts in order, as text.
     attempts: Vec<String>,
     first_event_ms: Option<u64>,
@@ -47,6 +50,7 @@
             organisation: String::new(),
             service: String::new(),
             prompt: 0,
+            hash: 0,
             attempts: Vec::new(),
             first_event_ms: None,
             outcome: None,
@@ -62,6 +66,10 @@
         ms: u64,
         outcome: &LoggedAttemptOutcome,
     ) {
+        if let LoggedAttemptOutcome::Failed(failure, _) = outcome {
+            let labels = [("service", self.service.clone()), ("failure", format!("{failure:?}"))];
+            metrics::counter!("toucansill_attempt_failures_total", &labels).increment(1);
+        }
         self.attempts.push(format!("{placement}: {outcome} after {ms} ms"));
     }
 
@@ -90,6 +98,7 @@
             organisation: std::mem::take(&mut self.organisation),
             service: std::mem::take(&mut self.service),
             prompt: self.prompt,
+            hash: self.hash,
             attempts: std::mem::take(&mut self.attempts),
             first_event_ms: self.first_event_ms,
             outcome: None,
@@ -155,8 +164,8 @@
         log::info!(
             request = self.request.as_str(), route = self.route.as_str(),
             organisation = self.organisation.as_str(), service = self.service.as_str(),
-            version = self.version, prompt = self.prompt, status = status, ms = ms,
-            first_event_ms = self.first_event_ms.unwrap_or(0), sends:? = self.attempts;
+            version = self.version, prompt = self.prompt, hash:% = format!("{:016x}", self.hash),
+            status = status, ms = ms, first_event_ms = self.first_event_ms.unwrap_or(0), sends:? = self.attempts;
             "request ended: {reason}"
         );
         let labels = [("route", self.route.clone()), ("status", status.to_string())];
