Tests that fail: requests that crash upstreams and are sent on

After the third crash it crashes 10 more of a plain service, 6 more under the next two leaders, and 10 more while there is no leader; 3 are allowed.

--- /dev/null
+++ b/crates/toucansilld/tests/gateway/crashes.rs
@@ -0,0 +1,141 @@
+//! Tests of a request that crashes the upstreams which run it: after the third crash it must be
+//! refused, whatever daemon gets it.
+
+use crate::region::{Region, Upstream, eventually};
+use platform::stand_in::{DOCUMENT_PATH, document, engine_document, upstream_path};
+
+/// Number of upstreams that the request may crash before it is refused.
+const CRASHES_ALLOWED: usize = 3;
+/// Number of times that the request may still reach an upstream after the last of these crashes,
+/// until all daemons know of it.
+const LATE_RUNS_ALLOWED: usize = 3;
+/// Number of times that the request is sent after that.
+const RESENDS: usize = 10;
+/// Length of the prompt of each request, in tokens.
+const PROMPT: u64 = 1_000;
+
+/// A service whose upstreams are crashed by a request. There is always one upstream more than has
+/// crashed so far.
+struct Service {
+    region: Region,
+    upstreams: Vec<Upstream>,
+}
+
+impl Service {
+    /// Starts a region with two entries, and the first upstream of a service.
+    fn start(control_count: usize, document: &str) -> Self {
+        let mut region = Region::with_entries(control_count, 2);
+        region.start_all(true);
+        region.await_members(control_count);
+        region.control_request_until_ok(0, "PUT", DOCUMENT_PATH, document);
+        let mut service = Self { region, upstreams: Vec::new() };
+        service.add_upstream();
+        service
+    }
+
+    /// Index of one of the two entries.
+    fn entry(&self, turn: usize) -> usize {
+        self.region.entry() + turn % 2
+    }
+
+    /// Registers an upstream, and waits until both entries send it requests.
+    fn add_upstream(&mut self) {
+        let upstream = Upstream::crashing();
+        let path = &upstream_path(&format!("u{}", self.upstreams.len()));
+        let body = &upstream.registration("s1", 1, "ready");
+        eventually("the upstream is registered", || {
+            let is_accepted = |i: usize| {
+                let response = self.region.control_request(i, "PUT", path, body);
+                response.is_some_and(|(status, _)| status == 200)
+            };
+            (0..self.region.entry()).any(is_accepted).then_some(())
+        });
+        for entry in [self.entry(0), self.entry(1)] {
+            eventually("an innocent request is served", || {
+                let served = self.region.request_at(entry, "/x/", "innocent", PROMPT);
+                served.filter(|(status, _)| *status == 200)
+            });
+        }
+        self.upstreams.push(upstream);
+    }
+
+    /// Number of times that the request has crashed an upstream.
+    fn crashes(&self) -> usize {
+        let is_crash = |run: &String| run == "crash";
+        self.upstreams.iter().flat_map(Upstream::runs).filter(is_crash).count()
+    }
+
+    /// Sends the request, and replaces an upstream that it has crashed. Returns the status.
+    fn send_crashing(&mut self, turn: usize) -> Option<u16> {
+        let before = self.crashes();
+        let response = self.region.request_at(self.entry(turn), "/x/", "crash", PROMPT);
+        if self.crashes() > before {
+            self.add_upstream();
+        }
+        response.map(|(status, _)| status)
+    }
+
+    /// Sends the request until it has crashed as many upstreams as it may.
+    fn crash_upstreams(&mut self) {
+        for turn in 0.. {
+            if self.crashes() >= CRASHES_ALLOWED {
+                return;
+            }
+            self.send_crashing(turn);
+        }
+    }
+
+    /// Sends the request many times more, and checks that hardly any reaches an upstream.
+    fn assert_is_refused(&mut self) {
+        let before = self.crashes();
+        let statuses: Vec<_> = (0..RESENDS).map(|turn| self.send_crashing(turn)).collect();
+        let late_runs = self.crashes() - before;
+        assert!(late_runs <= LATE_RUNS_ALLOWED, "{late_runs} more crashes: {statuses:?}");
+        assert_eq!(statuses.last(), Some(&Some(503)), "refused as not run");
+    }
+}
+
+/// Guards against crashes that are not counted, as entries place requests of plain services
+/// themselves.
+#[test]
+fn a_request_that_crashes_upstreams_of_a_plain_service_is_refused() {
+    let mut service = Service::start(1, &document(1, "/x/", "s1"));
+    service.crash_upstreams();
+    service.assert_is_refused();
+}
+
+/// Guards against a quarantine that ends with the leader which began it.
+#[test]
+fn a_request_that_has_crashed_upstreams_is_refused_by_later_leaders() {
+    let mut service = Service::start(3, &engine_document(1, "/x/"));
+    service.crash_upstreams();
+    let before = service.crashes();
+    for _ in 0..2 {
+        let leader = service.region.await_leader(3);
+        service.region.kill(leader);
+        service.region.start(leader, false);
+        service.region.await_members(3);
+        (0..RESENDS).for_each(|turn| drop(service.send_crashing(turn)));
+    }
+    let late_runs = service.crashes() - before;
+    assert!(late_runs <= LATE_RUNS_ALLOWED, "{late_runs} more crashes under later leaders");
+}
+
+/// Guards against entries that forget a quarantine, or never knew it, when they place requests
+/// without a leader.
+#[test]
+fn a_request_that_has_crashed_upstreams_is_refused_without_a_leader() {
+    let mut service = Service::start(1, &engine_document(1, "/x/"));
+    service.crash_upstreams();
+    service.assert_is_refused();
+    // Without a leader no upstream can be added, so several are there before.
+    (0..RESENDS).for_each(|_| service.add_upstream());
+    service.region.kill(0);
+    let before = service.crashes();
+    let entries = [service.entry(0), service.entry(1)];
+    for turn in 0..RESENDS {
+        drop(service.region.request_at(entries[turn % 2], "/x/", "crash", PROMPT));
+    }
+    let late_runs = service.crashes() - before;
+    assert!(late_runs <= LATE_RUNS_ALLOWED, "{late_runs} more crashes without a leader");
+}
--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -249,13 +249,26 @@
 
     /// Like [`request`](Self::request), with a prompt of `prompt` tokens.
     pub(crate) fn request_with_prompt(&self, path: &str, prompt: u64) -> Option<(u16, String)> {
-        let address = self.callers_address(self.entry());
+        self.request_at(self.entry(), path, "hi", prompt)
+    }
+
+    /// Sends a caller's request with this body and a prompt of `prompt` tokens to entry `i`. Returns
+    /// status and body; `None` without a complete response.
+    pub(crate) fn request_at(
+        &self,
+        i: usize,
+        path: &str,
+        body: &str,
+        prompt: u64,
+    ) -> Option<(u16, String)> {
         let attempt = self.attempts.fetch_add(1, Ordering::Relaxed);
+        let id = format!("r{attempt}");
         exchange(
-            &address,
+            &self.callers_address(i),
             &format!(
-                "POST {path} HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n{}Content-Length: 2\r\n\r\nhi",
-                request_header_lines_for(&format!("r{attempt}"), 30_000, prompt)
+                "POST {path} HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n{}Content-Length: {}\r\n\r\n{body}",
+                request_header_lines_for(&id, 30_000, prompt),
+                body.len()
             ),
         )
     }
@@ -379,6 +392,34 @@
         Self { address, runs }
     }
 
+    /// Starts an upstream that responds with a stream of one event, and crashes when it gets a
+    /// request with the body `crash`: it neither responds nor accepts connections any more.
+    pub(crate) fn crashing() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let runs = Arc::new(Mutex::new(Vec::new()));
+        let seen = Arc::clone(&runs);
+        thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let Some((head, body)) = read_request(&stream) else { continue };
+                seen.lock().expect("not poisoned").push(body.clone());
+                if body == "crash" {
+                    return;
+                }
+                let attempt = head.lines().find_map(parse_request_id).unwrap_or_default();
+                let event = "id: 1\ndata: x\n\n";
+                let response = format!(
+                    "HTTP/1.1 200 OK\r\n{}Content-Length: {}\r\n\r\n{event}",
+                    response_header_lines(attempt),
+                    event.len()
+                );
+                // A failure means that the caller has disconnected and needs no response.
+                let _ = stream.write_all(response.as_bytes());
+            }
+        });
+        Self { address, runs }
+    }
+
     /// Starts an upstream that accepts connections and never responds.
     pub(crate) fn silent() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
@@ -396,7 +437,7 @@
     }
 
     /// Ids of the attempts that it ran; if it is scripted, heads and bodies of all requests; if it
-    /// is silent, an empty text for each connection.
+    /// crashes, bodies of all requests; if it is silent, an empty text for each connection.
     pub(crate) fn runs(&self) -> Vec<String> {
         self.runs.lock().expect("not poisoned").clone()
     }
