--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -1,7 +1,8 @@
 //! A region of gateway daemons that run as processes on loopback addresses, and upstreams for it.
 
 use platform::stand_in::{
-    parse_request_id, registration_body, request_header_lines_for, response_header_lines,
+    parse_request_id, registration_body, request_header_lines, request_header_lines_for,
+    response_header_lines,
 };
 use std::{
     fs,
@@ -249,25 +250,36 @@
 
     /// Like [`request`](Self::request), with a prompt of `prompt` tokens.
     pub(crate) fn request_with_prompt(&self, path: &str, prompt: u64) -> Option<(u16, String)> {
-        self.request_at(self.entry(), path, "hi", prompt)
+        self.send(self.entry(), path, "hi", |id| request_header_lines_for(id, 30_000, prompt))
     }
 
-    /// Sends a caller's request with this body and a prompt of `prompt` tokens to entry `i`. Returns
-    /// status and body; `None` without a complete response.
+    /// Sends a caller's request with this body and deadline to entry `i`. Returns status and body;
+    /// `None` without a complete response.
     pub(crate) fn request_at(
         &self,
         i: usize,
         path: &str,
         body: &str,
-        prompt: u64,
+        deadline: Duration,
+    ) -> Option<(u16, String)> {
+        let deadline_ms = deadline.as_millis() as u64;
+        self.send(i, path, body, |id| request_header_lines(id, deadline_ms))
+    }
+
+    /// Sends a caller's request to entry `i`. `header_lines` makes its headers from its id.
+    fn send(
+        &self,
+        i: usize,
+        path: &str,
+        body: &str,
+        header_lines: impl Fn(&str) -> String,
     ) -> Option<(u16, String)> {
         let attempt = self.attempts.fetch_add(1, Ordering::Relaxed);
-        let id = format!("r{attempt}");
         exchange(
             &self.callers_address(i),
             &format!(
                 "POST {path} HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n{}Content-Length: {}\r\n\r\n{body}",
-                request_header_lines_for(&id, 30_000, prompt),
+                header_lines(&format!("r{attempt}")),
                 body.len()
             ),
         )
@@ -393,7 +405,8 @@
     }
 
     /// Starts an upstream that responds with a stream of one event, and crashes when it gets a
-    /// request with the body `crash`: it neither responds nor accepts connections any more.
+    /// request with the body `crash` or `hang`: it neither responds nor accepts connections any
+    /// more. Connections are closed at a `crash`, and stay open at a `hang`.
     pub(crate) fn crashing() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
@@ -403,8 +416,14 @@
             for mut stream in listener.incoming().flatten() {
                 let Some((head, body)) = read_request(&stream) else { continue };
                 seen.lock().expect("not poisoned").push(body.clone());
-                if body == "crash" {
-                    return;
+                match body.as_str() {
+                    "crash" => return,
+                    "hang" => {
+                        drop(listener);
+                        thread::park();
+                        return;
+                    }
+                    _ => {}
                 }
                 let attempt = head.lines().find_map(parse_request_id).unwrap_or_default();
                 let event = "id: 1\ndata: x\n\n";
