Replicate crashes charged to requests, and refuse quarantined ones at every entry

Cause: the crashes charged to a request, and its quarantine, were in the memory of the leader, which alone checked them. Plain services are placed by the entries and never asked it; a new leader started without them; an entry without a leader placed requests without any check; a report that found no leader was dropped.

Now an entry reports each crash, plain services included, until the leader has replicated it in the Quarantine of crate control, which owners outside gateway mode use already. A request that never ran alone is refused after the crashes of three runs of upstreams with no complete response between them. Every member derives a watchlist; the entries follow it, from the leader or else from any member, and check it before each attempt. The dispatcher refuses quarantined requests too, also waiting ones; it no longer counts crashes itself, so its test of that is replaced by tests of the Quarantine and of the dispatcher's refusal. A quarantined caller gets the quarantine's length, 10 minutes, as Retry-After. New message variants are at the end of their enums: a daemon of an earlier build refuses them, and goes on as before.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -107,7 +107,7 @@
     ClaimOutcome, FencingTokenOutcome, LedgerOutcome, Outcome, RosterOutcome, RoutingOutcome,
     SheetOutcome,
 };
-pub use quarantine::{Quarantine, QuarantineStatus};
+pub use quarantine::{QUARANTINE, Quarantine, QuarantineStatus, Watchlist};
 pub use roster::{DaemonInstance, Member, Roster, owner_of};
 pub use session::{Ownership, Session, SessionRefusal};
 pub use sheets::AcceptedSheet;
--- a/crates/control/src/quarantine.rs
+++ b/crates/control/src/quarantine.rs
@@ -4,21 +4,30 @@
 //! there, and each of them becomes a suspect. A suspect is sent only to an upstream
 //! where it runs alone, so that a further crash tells whether it is the cause.
 //! After two crashes, at least one of them while it ran alone, the request is
-//! refused everywhere for [`QUARANTINE_MS`].
+//! refused everywhere for [`QUARANTINE`].
+//!
+//! Gateway daemons don't run suspects alone. There, a request is refused after three
+//! crashes that no complete response has interrupted.
 
 use crate::command::{CrashCharge, RequestHash};
 use bincode::{Decode, Encode};
-use std::collections::BTreeMap;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 use wire::{Incarnation, UpstreamId};
 
 /// Number of crashes after which a request is quarantined, if it ran alone during
 /// at least one of them.
 const CRASHES_TO_QUARANTINE: usize = 2;
 
+/// Number of crashes after which a request is quarantined although it ran alone during none
+/// of them.
+const SHARED_CRASHES_TO_QUARANTINE: usize = 3;
+
 /// Time for which a request is refused, and for which a crash charged to a suspect
-/// is remembered, in milliseconds. Every further crash charged to a suspect restarts the
-/// time.
-pub(crate) const QUARANTINE_MS: u64 = 10 * 60 * 1000;
+/// is remembered. Every further crash charged to a suspect restarts the time.
+pub const QUARANTINE: Duration = Duration::from_secs(10 * 60);
 
 /// Maximum number of requests that are remembered. Beyond it, the suspect whose record
 /// expires first is forgotten, or, without a suspect, the quarantined request whose
@@ -52,7 +61,8 @@
 
 impl Record {
     fn status(&self) -> QuarantineStatus {
-        if self.alone && self.crashes.len() >= CRASHES_TO_QUARANTINE {
+        let needed = if self.alone { CRASHES_TO_QUARANTINE } else { SHARED_CRASHES_TO_QUARANTINE };
+        if self.crashes.len() >= needed {
             QuarantineStatus::Quarantined { until_ms: self.until_ms }
         } else {
             QuarantineStatus::Suspect
@@ -60,6 +70,16 @@
     }
 }
 
+/// Requests that gateway daemons have to recognise when a caller sends them again.
+#[derive(Clone, Debug, Decode, Default, Encode, Eq, PartialEq)]
+pub struct Watchlist {
+    /// Requests to refuse.
+    pub quarantined: BTreeSet<RequestHash>,
+    /// Requests that one more crash puts in quarantine. A complete response to one of them has
+    /// to be reported, as it clears the request.
+    pub suspects: BTreeSet<RequestHash>,
+}
+
 /// Requests to which the crash of an upstream is charged.
 #[derive(Clone, Debug, Decode, Default, Encode, Eq, PartialEq)]
 pub struct Quarantine {
@@ -77,13 +97,38 @@
         self.records.iter().map(|(hash, record)| (*hash, record.status())).collect()
     }
 
+    /// Returns whether this crash, of an upstream with its incarnation, is charged to the
+    /// request.
+    pub fn has_charged(
+        &self,
+        request_hash: &RequestHash,
+        upstream: &UpstreamId,
+        incarnation: Incarnation,
+    ) -> bool {
+        let crash = (upstream.clone(), incarnation);
+        self.records.get(request_hash).is_some_and(|record| record.crashes.contains(&crash))
+    }
+
+    /// Returns the requests that gateway daemons have to recognise.
+    pub fn watchlist(&self) -> Watchlist {
+        let mut watchlist = Watchlist::default();
+        for (hash, record) in &self.records {
+            match record.status() {
+                QuarantineStatus::Quarantined { .. } => watchlist.quarantined.insert(*hash),
+                _ if record.crashes.len() + 1 >= SHARED_CRASHES_TO_QUARANTINE => {
+                    watchlist.suspects.insert(*hash)
+                }
+                _ => false,
+            };
+        }
+        watchlist
+    }
+
     /// Charges a crash to a request. Returns the requests whose status changed,
     /// including a request whose record was evicted to make room.
     ///
     /// A crash that the record already holds changes nothing, and further crashes do not
-    /// prolong a quarantine. A record holds the first [`CRASHES_TO_QUARANTINE`] crashes
-    /// only, so every charge of a later crash to a suspect restarts the time, even if it
-    /// repeats an earlier charge.
+    /// prolong a quarantine.
     pub(crate) fn charge(
         &mut self,
         charge: &CrashCharge,
@@ -100,9 +145,8 @@
         let is_new = !record.crashes.contains(&crash);
         if is_new && !matches!(before, QuarantineStatus::Quarantined { .. }) {
             record.crashes.push(crash);
-            record.crashes.truncate(CRASHES_TO_QUARANTINE);
             record.alone |= charge.alone;
-            record.until_ms = now_ms.saturating_add(QUARANTINE_MS);
+            record.until_ms = now_ms.saturating_add(QUARANTINE.as_millis() as u64);
         }
         let after = record.status();
         let changed = (before != after).then_some((charge.fingerprint, after));
--- a/crates/grant/src/dispatcher.rs
+++ b/crates/grant/src/dispatcher.rs
@@ -14,10 +14,10 @@
     },
     waiting::WaitingQueue,
 };
-use route::{PoisonDetector, PoisonDetectorConfig, RetryBudget};
+use route::{RequestHash, RetryBudget};
 use routing::{EngineProfile, Service};
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
 use wire::{DaemonId, ServiceId, Tokens, UpstreamId};
@@ -25,11 +25,6 @@
 /// Time after the deadline for the first event at which a grant without a reported end is released:
 /// longer than any of the users' streams takes to decode.
 const GRANT_EXPIRY_MARGIN: Duration = Duration::from_secs(15);
-/// Time for which a request that crashed upstreams is refused; longer than callers retry.
-const QUARANTINE_PERIOD: Duration = Duration::from_secs(600);
-/// Number of crashes charged to a request before it is refused: the second crash rules out a
-/// coincidence, the third that another request was the cause.
-const CRASH_THRESHOLD: u32 = 3;
 /// Share of the allowed retries that the dispatcher grants. The rest is for entry daemons that
 /// can't reach it.
 const RETRY_BUDGET_SHARE: f64 = 0.8;
@@ -99,18 +94,14 @@
     granted: BTreeMap<GrantId, GrantedRequest>,
     grants_by_request: BTreeMap<PlacementRequestId, GrantId>,
     waiting: WaitingQueue,
-    poison_detector: PoisonDetector,
+    /// Requests that have crashed upstreams and are refused.
+    quarantined: BTreeSet<RequestHash>,
     next_grant: GrantId,
 }
 
 impl Dispatcher {
     /// Creates a dispatcher without services or running requests.
     pub fn new(cfg: DispatcherConfig) -> Self {
-        let poison_cfg = PoisonDetectorConfig {
-            crash_threshold: CRASH_THRESHOLD,
-            quarantine_period: QUARANTINE_PERIOD,
-            ..PoisonDetectorConfig::default()
-        };
         Self {
             cfg,
             services: BTreeMap::new(),
@@ -118,7 +109,7 @@
             granted: BTreeMap::new(),
             grants_by_request: BTreeMap::new(),
             waiting: WaitingQueue::default(),
-            poison_detector: PoisonDetector::new(poison_cfg),
+            quarantined: BTreeSet::new(),
             next_grant: 1,
         }
     }
@@ -141,6 +132,12 @@
         }
     }
 
+    /// Sets the requests that are refused, also if they are waiting, because they have crashed
+    /// upstreams.
+    pub fn set_quarantined(&mut self, quarantined: BTreeSet<RequestHash>) {
+        self.quarantined = quarantined;
+    }
+
     /// Number of requests waiting for a grant.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
@@ -168,7 +165,7 @@
             self.waiting.add(now, request);
             return Decision::Waiting;
         }
-        if let Err(reason) = self.admit(now, &request) {
+        if let Err(reason) = self.admit(&request) {
             return self.refuse(&request, reason);
         }
         match self.place(now, directory, &request) {
@@ -188,6 +185,11 @@
         self.waiting.drop_abandoned(now);
         let mut decided = Vec::new();
         for request in self.waiting.in_order(now) {
+            if self.quarantined.contains(&request.request_hash) {
+                decided
+                    .push((request.id.clone(), self.refuse(&request, RefusalReason::Quarantined)));
+                continue;
+            }
             let Some(service) = self.services.get(&request.service) else {
                 decided
                     .push((request.id.clone(), self.refuse(&request, RefusalReason::NoUpstream)));
@@ -261,15 +263,6 @@
                 _ => {}
             }
         }
-        match outcome {
-            RequestOutcome::Completed => {
-                self.poison_detector.request_finished(granted.request.request_hash)
-            }
-            RequestOutcome::Broken => {
-                drop(self.poison_detector.upstream_crashed(now, &[granted.request.request_hash]))
-            }
-            _ => {}
-        }
     }
 
     /// Releases all grants of a daemon that was lost.
@@ -313,8 +306,8 @@
     }
 
     /// Refuses a request that must not or can't be run, and charges the retry budget.
-    fn admit(&mut self, now: Instant, request: &PlacementRequest) -> Result<(), RefusalReason> {
-        if self.poison_detector.check_quarantine(now, request.request_hash).is_err() {
+    fn admit(&mut self, request: &PlacementRequest) -> Result<(), RefusalReason> {
+        if self.quarantined.contains(&request.request_hash) {
             return Err(RefusalReason::Quarantined);
         }
         let Some(service) = self.services.get_mut(&request.service) else {
--- a/crates/grant/src/lib.rs
+++ b/crates/grant/src/lib.rs
@@ -1,7 +1,6 @@
 //! Placement of requests on the upstreams of a region: in gateway mode, by the leader of the
 //! control group. Outside gateway mode, the owner of each upstream places requests with the crate
-//! [`route`], of which this crate reuses [`RetryBudget`](route::RetryBudget) and
-//! [`PoisonDetector`](route::PoisonDetector).
+//! [`route`], of which this crate reuses [`RetryBudget`](route::RetryBudget).
 //!
 //! The leader keeps a [`Directory`] of the registered upstreams and a [`Dispatcher`], which knows
 //! all granted requests of services with engines. An entry daemon sends it a [`PlacementRequest`]
--- a/crates/grant/tests/dispatcher.rs
+++ b/crates/grant/tests/dispatcher.rs
@@ -166,19 +166,34 @@
     }
 }
 
+/// A request that has crashed upstreams must get no grant, neither when it arrives nor when it was
+/// already waiting. Others are still granted.
 #[test]
-fn a_request_that_crashes_three_upstreams_is_refused() {
-    let mut fixture = Fixture::new(4);
-    for _ in 0..3 {
+fn a_quarantined_request_is_refused_also_while_it_waits() {
+    let mut fixture = Fixture::new(1);
+    let mut running = Vec::new();
+    let waiting = loop {
         let mut request = fixture.request(1_000);
         request.request_hash = 77;
-        fixture.grant(request.clone());
-        fixture.end(&request.id, RequestOutcome::Broken);
+        match fixture.decide(request.clone()) {
+            Decision::Granted(_) => running.push(request.id),
+            Decision::Waiting => break request.id,
+            other => panic!("{other:?}"),
+        }
         fixture.advance(10);
-    }
+    };
+    fixture.dispatcher.set_quarantined(BTreeSet::from([77]));
+
+    running.iter().for_each(|id| fixture.end(id, RequestOutcome::Broken));
+    let decided = fixture.dispatcher.poll(fixture.now, &fixture.directory);
+    let [(id, Decision::Refused { reason: RefusalReason::Quarantined, .. })] = &decided[..] else {
+        panic!("not refused: {decided:?}");
+    };
+    assert_eq!(*id, waiting);
     let mut retry = fixture.request(1_000);
     retry.request_hash = 77;
     assert_eq!(fixture.refusal(retry), RefusalReason::Quarantined);
+    fixture.advance(1_000);
     let other = fixture.request(1_000);
     fixture.grant(other);
 }
--- a/crates/toucansilld/src/gateway.rs
+++ b/crates/toucansilld/src/gateway.rs
@@ -35,6 +35,7 @@
 mod stream;
 mod tickets;
 mod view;
+mod watchlist;
 
 pub use run::run;
 pub use settings::{Bounds, ControlSettings, EntrySettings, GatewaySettings};
--- a/crates/toucansilld/src/gateway/calls.rs
+++ b/crates/toucansilld/src/gateway/calls.rs
@@ -230,7 +230,7 @@
     }
 
     /// Proposes a command and waits until it is applied. An error is the response to send.
-    async fn propose(&self, command: Command) -> Result<Outcome, ControlHttpResponse> {
+    pub(super) async fn propose(&self, command: Command) -> Result<Outcome, ControlHttpResponse> {
         let voter = Arc::clone(self.voter());
         let proposed = spawn_blocking(move || voter.propose(command)).await;
         let outcome = match proposed {
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -3,16 +3,19 @@
 
 use super::{
     bus::{DaemonLinks, reply},
+    forward::short_hash,
     lead::{FOLLOW_WAIT, LeaderState, PLACE_WAIT, PlacementReply},
     members::{self, members_for},
     messages::{
         ControlHttpRequest, ControlHttpResponse, DirectoryViewPosition, FollowRequest, LeaderReply,
-        LeaderRequest, ReplicatedState,
+        LeaderRequest, ReplicatedState, RunReport,
     },
     settings::{Bounds, ControlSettings, GatewaySettings},
     view::View,
+    watchlist::WATCHLIST_WAIT,
 };
 use crate::{sync::lock, voter::Voter};
+use control::{Command, CrashCharge, Quarantine, QuarantineStatus, Watchlist};
 use grant::DispatcherConfig;
 use group::Status;
 use http::StatusCode;
@@ -46,6 +49,24 @@
 /// Then it accepts them anyway, as no more daemons seem to be coming.
 const FORMATION_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Time for which reports of crashes are collected into one entry of the replicated log.
+const REPORT_DELAY: Duration = Duration::from_millis(10);
+/// Interval at which the leader checks whether a quarantine has ended.
+const QUARANTINE_CHECK_INTERVAL: Duration = Duration::from_secs(30);
+
+/// Reports of a daemon, to be replied to once they are replicated.
+type ReceivedReports = (Vec<RunReport>, Responder);
+
+/// Watchlist of the replicated state, as this member has last seen it.
+#[derive(Default)]
+struct ReadWatchlist {
+    watchlist: Watchlist,
+    /// State index at which it was read.
+    index: u64,
+    /// State index at which it was first read with this content.
+    changed_at: u64,
+}
+
 /// Control part of this daemon.
 pub(crate) struct ControlMember {
     settings: Arc<GatewaySettings>,
@@ -66,6 +87,8 @@
     placement_waiting: Notify,
     /// Whether a [`MembershipChangeGuard`] exists.
     is_changing_membership: AtomicBool,
+    watchlist: watch::Sender<ReadWatchlist>,
+    reports_tx: flume::Sender<ReceivedReports>,
 }
 
 /// Exclusive right to change the group's members, released on drop.
@@ -78,14 +101,16 @@
 }
 
 impl ControlMember {
+    /// Creates the control part, and the task that replicates reports of crashes.
     pub(crate) fn new(
         settings: Arc<GatewaySettings>,
         control: ControlSettings,
         voter: Arc<Voter>,
         view: Arc<View>,
         clock: SharedClock,
-    ) -> Arc<Self> {
-        Arc::new(Self {
+    ) -> (Arc<Self>, impl Future<Output = ()> + Send) {
+        let (reports_tx, reports) = flume::unbounded();
+        let member = Arc::new(Self {
             settings,
             control,
             voter,
@@ -98,7 +123,10 @@
             position_reports: watch::Sender::new(0),
             placement_waiting: Notify::new(),
             is_changing_membership: AtomicBool::new(false),
-        })
+            watchlist: watch::Sender::new(ReadWatchlist::default()),
+            reports_tx,
+        });
+        (Arc::clone(&member), member.record_reports(reports))
     }
 
     /// Sets the links. They are created after this value, as they call it to handle requests.
@@ -152,8 +180,10 @@
     /// Watches the Raft role: starts and ends the leader's work, and cleans up periodically.
     pub(crate) async fn watch_leadership(self: Arc<Self>) {
         let mut last_clean_up = self.clock.now();
+        let mut last_quarantine_check = last_clean_up;
         loop {
             sleep(LEADERSHIP_CHECK_INTERVAL).await;
+            self.read_watchlist();
             let status = self.voter.status();
             let leading_term = lock(&self.leader).as_ref().map(LeaderState::term);
             match (status.is_leader(), leading_term) {
@@ -179,6 +209,15 @@
                 metrics::gauge!("toucansill_streams_waiting").set(waiting as f64);
                 metrics::gauge!("toucansill_streams_running").set(running as f64);
             }
+            let has_quarantine = !self.watchlist.borrow().watchlist.quarantined.is_empty();
+            if has_quarantine
+                && now.saturating_duration_since(last_quarantine_check) >= QUARANTINE_CHECK_INTERVAL
+            {
+                last_quarantine_check = now;
+                let voter = Arc::clone(&self.voter);
+                // Logs its own failure; the next check repeats it.
+                drop(spawn_blocking(move || voter.check_leases()).await);
+            }
         }
     }
 
@@ -249,6 +288,19 @@
             LeaderRequest::ReadReplicated { routing } => {
                 reply(responder, &LeaderReply::Replicated(self.replicated_state(routing)));
             }
+            LeaderRequest::ReportRuns(reports) => {
+                if self.with_leader(|_| ()).is_none() {
+                    return reply(responder, &self.not_leader());
+                }
+                // An error is impossible: the receiver lives as long as the daemon.
+                let _ = self.reports_tx.send((reports, responder));
+            }
+            LeaderRequest::FollowWatchlist { index } => {
+                let control = Arc::clone(self);
+                tokio::spawn(async move {
+                    reply(responder, &control.await_watchlist(index).await);
+                });
+            }
             LeaderRequest::Join { id, address } => {
                 let control = Arc::clone(self);
                 tokio::spawn(async move {
@@ -270,6 +322,72 @@
         })
     }
 
+    /// Replicates reports of crashes, those that come at about the same time in one entry of the
+    /// log.
+    async fn record_reports(self: Arc<Self>, rx: flume::Receiver<ReceivedReports>) {
+        while let Ok(first) = rx.recv_async().await {
+            sleep(REPORT_DELAY).await;
+            let received: Vec<ReceivedReports> =
+                std::iter::once(first).chain(rx.try_iter()).collect();
+            let commands: Vec<Command> = self.voter.peek(|state| {
+                let reports = received.iter().flat_map(|(reports, _)| reports);
+                reports.filter_map(|report| command_for(state.quarantine(), report)).collect()
+            });
+            let count = commands.len();
+            let recorded = match commands.is_empty() {
+                true => Ok(()),
+                false => self.propose(Command::Batch(commands)).await.map(drop),
+            };
+            if recorded.is_ok() {
+                metrics::counter!("toucansill_crash_reports_total").increment(count as u64);
+                self.read_watchlist();
+            }
+            for (_, responder) in received {
+                match &recorded {
+                    Ok(()) => reply(responder, &LeaderReply::RunsRecorded),
+                    Err(response) => {
+                        let reason = String::from_utf8_lossy(&response.body);
+                        log::warn!(count = count; "reports of crashes not replicated: {reason}");
+                        reply(responder, &self.not_leader());
+                    }
+                }
+            }
+        }
+    }
+
+    /// Reads the watchlist from the replicated state if the state has changed. A leader applies it,
+    /// and logs which requests are now refused or no longer.
+    fn read_watchlist(&self) {
+        let known = self.watchlist.borrow().index;
+        let read = self.voter.peek(|state| {
+            (state.applied() != known).then(|| (state.applied(), state.quarantine().watchlist()))
+        });
+        let Some((index, watchlist)) = read else { return };
+        self.watchlist.send_if_modified(|known| {
+            known.index = index;
+            let is_changed = known.watchlist != watchlist;
+            if is_changed {
+                self.with_leader(|leader| {
+                    log_quarantine_changes(&known.watchlist, &watchlist);
+                    leader.set_quarantined(&watchlist);
+                });
+                *known = ReadWatchlist { watchlist, index, changed_at: index };
+            }
+            is_changed
+        });
+    }
+
+    /// Waits until the watchlist is newer than one that was read at `index`, for
+    /// [`WATCHLIST_WAIT`] at most, and returns the reply to its follower.
+    async fn await_watchlist(&self, index: u64) -> LeaderReply {
+        let mut watchlist = self.watchlist.subscribe();
+        // Without a change in time, the reply tells the follower that this member is alive.
+        let _ = timeout(WATCHLIST_WAIT, watchlist.wait_for(|read| read.changed_at > index)).await;
+        let read = watchlist.borrow();
+        let changed = (read.changed_at > index).then(|| read.watchlist.clone());
+        LeaderReply::Watchlist { index: read.index, watchlist: changed }
+    }
+
     /// Reply of a daemon that does not lead.
     pub(crate) fn not_leader(&self) -> LeaderReply {
         let status = self.voter.status();
@@ -379,6 +497,8 @@
         let mut leader = LeaderState::new(now, term, cfg, directory, entry_daemons);
         // The copy may lack departures that the former leader acknowledged.
         self.voter.peek(|state| leader.apply_state(now, state));
+        self.read_watchlist();
+        leader.set_quarantined(&self.watchlist.borrow().watchlist);
         *lock(&self.leader) = Some(leader);
         *lock(&self.leading_since) = Some(now);
         self.notify_followers();
@@ -408,6 +528,37 @@
     }
 }
 
+/// Command that records a report, unless the quarantine shows that it changes nothing.
+fn command_for(quarantine: &Quarantine, report: &RunReport) -> Option<Command> {
+    match report {
+        RunReport::Crashed { request, upstream, started_at_ms } => {
+            let is_known = quarantine.has_charged(request, upstream, *started_at_ms);
+            let charge = CrashCharge {
+                fingerprint: *request,
+                upstream: upstream.clone(),
+                incarnation: *started_at_ms,
+                alone: false,
+                at_ms: 0,
+            };
+            (!is_known).then_some(Command::Charge(charge))
+        }
+        RunReport::Completed { request } => {
+            let is_suspect = quarantine.status(request) == QuarantineStatus::Suspect;
+            is_suspect.then_some(Command::Acquit { fingerprint: *request, at_ms: 0 })
+        }
+    }
+}
+
+/// Logs which requests are refused from now on, and which no longer.
+fn log_quarantine_changes(former: &Watchlist, watchlist: &Watchlist) {
+    for hash in watchlist.quarantined.difference(&former.quarantined) {
+        log::warn!(hash:% = format!("{:016x}", short_hash(hash)); "request quarantined");
+    }
+    for hash in former.quarantined.difference(&watchlist.quarantined) {
+        log::info!(hash:% = format!("{:016x}", short_hash(hash)); "request quarantined no longer");
+    }
+}
+
 /// Sends replies to placement requests.
 fn send_placements(replies: Vec<PlacementReply>) {
     for (responder, decision) in replies {
--- a/crates/toucansilld/src/gateway/entry.rs
+++ b/crates/toucansilld/src/gateway/entry.rs
@@ -2,12 +2,13 @@
 
 pub(crate) use super::placer::LeaderPlacedRequests;
 use super::{
-    forward::{ForwardContext, ForwardableRequest, ForwardedRequest, RequestError},
+    forward::{ForwardContext, ForwardableRequest, ForwardedRequest, RequestError, short_hash},
     placer::Placer,
     record::RequestRecord,
     stream,
     view::View,
 };
+use control::RequestHash;
 use http::{
     HeaderValue, Request, Response, StatusCode,
     header::{CONNECTION, RETRY_AFTER},
@@ -17,8 +18,8 @@
 use platform::head::{CallerHead, forwarded_response_headers, read_caller_head};
 use proxy::{Body, BodyBudget, full, read_request_body};
 use routing::{Route, RoutingTable};
+use sha2::{Digest, Sha256};
 use std::{
-    hash::{DefaultHasher, Hash, Hasher},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -94,9 +95,10 @@
         record.service = service.clone();
         let is_leader_placed = table.service(service).is_some_and(|s| s.engine.is_some());
         let path = parts.uri.path_and_query().map(ToString::to_string).unwrap_or_default();
-        record.hash = fingerprint(&record.organisation, &path, &body);
+        let hash = request_hash(&record.organisation, &path, &body);
+        record.hash = short_hash(&hash);
         let request = ForwardableRequest {
-            fingerprint: record.hash,
+            hash,
             head,
             parts,
             body,
@@ -183,9 +185,13 @@
     Ok(organisation)
 }
 
-/// Hash by which a resent request is recognised: the same organisation, path and body.
-fn fingerprint(organisation: &str, path: &str, body: &[u8]) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (organisation, path, body).hash(&mut hasher);
-    hasher.finish()
+/// Hash by which a resent request is recognised, in all builds: the same organisation, path and
+/// body.
+fn request_hash(organisation: &str, path: &str, body: &[u8]) -> RequestHash {
+    let head = [organisation, path].map(|part| (part.len() as u64).to_le_bytes());
+    let mut hasher = Sha256::new();
+    for part in [&head[0], organisation.as_bytes(), &head[1], path.as_bytes(), body] {
+        hasher.update(part);
+    }
+    hasher.finalize().into()
 }
--- a/crates/toucansilld/src/gateway/follow.rs
+++ b/crates/toucansilld/src/gateway/follow.rs
@@ -51,7 +51,9 @@
                 metrics::gauge!("toucansill_view_age_seconds").set(age.as_secs_f64());
             }
             let target = named_leader.take().or_else(|| self.view.with(|state| state.leader));
-            let Some(target) = target.or_else(|| self.next_control_daemon(&mut turn)) else {
+            let Some(target) =
+                target.or_else(|| self.view.next_control_daemon(&self.settings, &mut turn))
+            else {
                 sleep(RETRY_PAUSE).await;
                 continue;
             };
@@ -144,15 +146,4 @@
             }
         });
     }
-
-    /// Link address of the next daemon to try, in turn: those of the control group that the
-    /// last leader named, and the seeds.
-    fn next_control_daemon(&self, turn: &mut usize) -> Option<SocketAddr> {
-        let mut known = self.view.with(|state| state.control_addresses.clone());
-        known.extend(self.settings.seed_links());
-        known.sort_unstable();
-        known.dedup();
-        *turn = turn.wrapping_add(1);
-        known.get(*turn % known.len().max(1)).copied()
-    }
 }
--- a/crates/toucansilld/src/gateway/forward.rs
+++ b/crates/toucansilld/src/gateway/forward.rs
@@ -6,6 +6,7 @@
     tickets::HelperReservations,
 };
 use bytes::Bytes;
+use control::RequestHash;
 use grant::{PlacementRequest, RefusalReason, RequestOutcome};
 use http::{StatusCode, request, response};
 use kernel::SharedClock;
@@ -59,7 +60,7 @@
     /// Whether the leader places it, as its service runs on engines.
     pub(crate) is_leader_placed: bool,
     /// Hash by which a resent request is recognised.
-    pub(crate) fingerprint: u64,
+    pub(crate) hash: RequestHash,
     pub(crate) arrived: Instant,
     /// When the caller's deadline or the route's timeout expires.
     pub(crate) deadline: Instant,
@@ -245,8 +246,11 @@
             let requested_at = self.now();
             let request = self.placement_request();
             let placement = tokio::select! {
-                placement =
-                    self.cx.placer.place(request, self.request.is_leader_placed) => placement,
+                placement = self.cx.placer.place(
+                    request,
+                    &self.request.hash,
+                    self.request.is_leader_placed,
+                ) => placement,
                 () = self.cx.wait_for_stop() => Err((RefusalReason::Stopping, STOPPING_RETRY)),
             };
             let guard =
@@ -312,7 +316,7 @@
             response_time_remaining: self.time_remaining(),
             tried: self.tried.clone(),
             is_retry: self.history.sent > 0,
-            request_hash: self.request.fingerprint,
+            request_hash: short_hash(&self.request.hash),
         }
     }
 
@@ -466,6 +470,13 @@
     }
 }
 
+/// First 8 bytes of a request's hash, by which the leader recognises the request, and which logs
+/// show.
+pub(crate) fn short_hash(hash: &RequestHash) -> u64 {
+    let [a, b, c, d, e, f, g, h, ..] = *hash;
+    u64::from_be_bytes([a, b, c, d, e, f, g, h])
+}
+
 /// Body of a response, read whole or still being received.
 enum ReceivedBody {
     Complete(Bytes),
--- a/crates/toucansilld/src/gateway/lead.rs
+++ b/crates/toucansilld/src/gateway/lead.rs
@@ -1,9 +1,11 @@
 //! State that only the leader of the control group holds, in memory, for one term.
 
 use super::{
+    forward::short_hash,
     messages::{DirectoryViewPosition, FollowRequest, Progress, ViewChange},
     view::read_document,
 };
+use control::Watchlist;
 use grant::{
     Decision, Directory, Dispatcher, DispatcherConfig, PlacementRequest, PlacementRequestId,
 };
@@ -114,6 +116,11 @@
         is_changed || has_departures
     }
 
+    /// Sets the requests that are refused because they have crashed upstreams.
+    pub(crate) fn set_quarantined(&mut self, watchlist: &Watchlist) {
+        self.dispatcher.set_quarantined(watchlist.quarantined.iter().map(short_hash).collect());
+    }
+
     /// Position of an up-to-date view.
     pub(crate) fn position(&self) -> DirectoryViewPosition {
         DirectoryViewPosition {
--- a/crates/toucansilld/src/gateway/messages.rs
+++ b/crates/toucansilld/src/gateway/messages.rs
@@ -3,13 +3,13 @@
 //! They are encoded by position: the order of fields and variants is part of the format.
 
 use bincode::{Decode, Encode};
-use control::Departures;
+use control::{Departures, RequestHash, Watchlist};
 use grant::{
     Decision, DirectoryEntry, PlacementRequest, PlacementRequestId, RequestOutcome, Revision,
     RunningRequest,
 };
 use std::collections::BTreeSet;
-use wire::{DaemonId, DataCentreId};
+use wire::{DaemonId, DataCentreId, UpstreamId};
 
 /// Names of the message services, which address the parts of a daemon.
 pub(crate) mod message_service {
@@ -47,6 +47,14 @@
         /// Version of the routing document that the daemon has, 0 without one.
         routing: u64,
     },
+    /// Reports which requests upstreams have crashed under, and which suspects have ended well.
+    ReportRuns(Vec<RunReport>),
+    /// Requests the watchlist. Held open while the receiver has none that is newer. Any member of
+    /// the control group serves it.
+    FollowWatchlist {
+        /// State index at which the daemon's watchlist was read, 0 without one.
+        index: u64,
+    },
 }
 
 /// Reply to a [`LeaderRequest`].
@@ -73,6 +81,15 @@
     },
     /// Reply to [`LeaderRequest::ReadReplicated`].
     Replicated(ReplicatedState),
+    /// Reply to [`LeaderRequest::ReportRuns`]: the reports are replicated.
+    RunsRecorded,
+    /// Reply to [`LeaderRequest::FollowWatchlist`].
+    Watchlist {
+        /// State index at which `watchlist` was read.
+        index: u64,
+        /// The watchlist, if it has changed since the index of the request.
+        watchlist: Option<Watchlist>,
+    },
 }
 
 /// Versions of the parts of a view. All but the routing version are comparable only within one
@@ -164,6 +181,25 @@
     Ended(PlacementRequestId, RequestOutcome),
 }
 
+/// What a run of a request says about whether the request crashes upstreams.
+#[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
+pub(crate) enum RunReport {
+    /// The upstream crashed while the request ran there.
+    Crashed {
+        /// Hash of the request.
+        request: RequestHash,
+        /// Upstream that crashed.
+        upstream: UpstreamId,
+        /// Start time of the upstream's run, in milliseconds since the Unix epoch on its clock.
+        started_at_ms: u64,
+    },
+    /// The request, a suspect, got a complete response.
+    Completed {
+        /// Hash of the request.
+        request: RequestHash,
+    },
+}
+
 /// HTTP control request of an operator or an upstream, not decoded yet.
 #[derive(Clone, Debug, Decode, Encode)]
 pub(crate) struct ControlHttpRequest {
--- a/crates/toucansilld/src/gateway/placer.rs
+++ b/crates/toucansilld/src/gateway/placer.rs
@@ -3,11 +3,13 @@
 
 use super::{
     bus::DaemonLinks,
-    messages::{LeaderReply, LeaderRequest, Progress},
+    messages::{LeaderReply, LeaderRequest, Progress, RunReport},
     settings::Bounds,
     view::{View, ViewAge},
+    watchlist::WatchlistView,
 };
 use crate::sync::lock;
+use control::{QUARANTINE, RequestHash};
 use grant::{
     Decision, Grant, PlacementRequest, PlacementRequestId, RefusalReason, RequestOutcome,
     RunningRequest,
@@ -27,7 +29,7 @@
 
 /// Time since the last reply of the leader after which no more requests are sent to it: as long
 /// as it may hold a follow request open, and a margin.
-const LEADER_TIMEOUT: Duration = Duration::from_millis(900);
+pub(crate) const LEADER_TIMEOUT: Duration = Duration::from_millis(900);
 /// Timeout for the leader's reply to one placement request, which it sends within 100 ms.
 const PLACEMENT_TIMEOUT: Duration = Duration::from_millis(350);
 /// Longest wait for a leader before this daemon places a request itself. An election takes
@@ -99,6 +101,7 @@
     next_number: AtomicU64,
     progress_tx: flume::Sender<Progress>,
     retry_budgets: LocalRetryBudgets,
+    watchlist: Arc<WatchlistView>,
 }
 
 /// Budgets for retries that this daemon places itself.
@@ -148,6 +151,8 @@
 pub(crate) struct GrantGuard {
     placer: Arc<Placer>,
     request_id: PlacementRequestId,
+    /// Hash of the request.
+    request: RequestHash,
     /// Upstream and helpers to send the request to.
     pub(crate) grant: Grant,
     /// View by which this daemon placed the request itself; `None` if the leader placed it.
@@ -164,6 +169,7 @@
         links: Arc<DaemonLinks>,
         clock: SharedClock,
         leader_placed: Arc<LeaderPlacedRequests>,
+        watchlist: Arc<WatchlistView>,
         bounds: Bounds,
     ) -> (Arc<Self>, impl Future<Output = ()> + Send) {
         let (progress_tx, rx) = flume::unbounded();
@@ -185,6 +191,7 @@
                 next_number,
                 progress_tx,
                 retry_budgets,
+                watchlist,
             }),
             reporter,
         )
@@ -197,8 +204,9 @@
         PlacementRequestId { daemon: self.daemon.clone(), number }
     }
 
-    /// Finds an upstream for a request: by the leader, or by this daemon itself while there is
-    /// none. `is_leader_placed` is false for services that daemons always place themselves.
+    /// Finds an upstream for a request with this hash: by the leader, or by this daemon itself
+    /// while there is none. `is_leader_placed` is false for services that daemons always place
+    /// themselves. A request that has crashed upstreams is refused.
     ///
     /// # Errors
     ///
@@ -206,24 +214,33 @@
     pub(crate) async fn place(
         self: &Arc<Self>,
         request: PlacementRequest,
+        hash: &RequestHash,
         is_leader_placed: bool,
     ) -> Result<GrantGuard, (RefusalReason, Duration)> {
         if !is_leader_placed {
-            return self.place_locally(&request, false);
+            return self.place_locally(&request, hash, false);
         }
         let started = self.clock.now();
         let deadline = started + request.first_event_deadline_remaining;
         let mut leaderless_since = None;
         loop {
             let now = self.clock.now();
-            if now >= deadline {
+            let refusal = match self.watchlist.is_quarantined(hash) {
+                true => Some((RefusalReason::Quarantined, QUARANTINE)),
+                false if now >= deadline => {
+                    Some((RefusalReason::DeadlineUnmeetable, REFUSED_RETRY_AFTER))
+                }
+                false => None,
+            };
+            if let Some(refusal) = refusal {
+                // The leader may have the request in its queue.
                 self.report(Progress::Ended(request.id.clone(), RequestOutcome::Abandoned));
-                return Err((RefusalReason::DeadlineUnmeetable, REFUSED_RETRY_AFTER));
+                return Err(refusal);
             }
             let Some(leader) = self.view.leader(now, LEADER_TIMEOUT) else {
                 let since = *leaderless_since.get_or_insert(now);
                 if now.saturating_duration_since(since) >= NO_LEADER_TIMEOUT {
-                    return self.place_locally(&request, true);
+                    return self.place_locally(&request, hash, true);
                 }
                 sleep(LEADER_CHECK_INTERVAL).await;
                 continue;
@@ -243,9 +260,13 @@
                 .await
             {
                 Ok(LeaderReply::Placement(Decision::Granted(grant))) => {
-                    return Ok(self.guard_grant(request, grant, term));
+                    return Ok(self.guard_grant(request, hash, grant, term));
                 }
                 Ok(LeaderReply::Placement(Decision::Refused { reason, retry_after })) => {
+                    let retry_after = match reason {
+                        RefusalReason::Quarantined => QUARANTINE,
+                        _ => retry_after,
+                    };
                     return Err((reason, retry_after));
                 }
                 Ok(LeaderReply::Placement(Decision::Waiting)) => leaderless_since = None,
@@ -257,7 +278,7 @@
                     log::debug!("{leader}: {err}");
                     let since = *leaderless_since.get_or_insert(now);
                     if self.clock.now().saturating_duration_since(since) >= NO_LEADER_TIMEOUT {
-                        return self.place_locally(&request, true);
+                        return self.place_locally(&request, hash, true);
                     }
                 }
             }
@@ -268,6 +289,7 @@
     fn guard_grant(
         self: &Arc<Self>,
         request: PlacementRequest,
+        hash: &RequestHash,
         grant: Grant,
         term: u64,
     ) -> GrantGuard {
@@ -283,6 +305,7 @@
         GrantGuard {
             placer,
             request_id,
+            request: *hash,
             grant,
             local_view: None,
             has_first_event: false,
@@ -290,13 +313,18 @@
         }
     }
 
-    /// Places a request by this daemon's view alone, if its budget for retries allows it.
+    /// Places a request by this daemon's view alone, if its budget for retries allows it and it has
+    /// not crashed upstreams.
     fn place_locally(
         self: &Arc<Self>,
         request: &PlacementRequest,
+        hash: &RequestHash,
         is_leader_placed: bool,
     ) -> Result<GrantGuard, (RefusalReason, Duration)> {
         let now = self.clock.now();
+        if self.watchlist.is_quarantined(hash) {
+            return Err((RefusalReason::Quarantined, QUARANTINE));
+        }
         let entry_daemons = self.view.with(|state| state.entry_daemons);
         if !self.retry_budgets.admit(request, is_leader_placed, entry_daemons) {
             return Err((RefusalReason::RetryBudget, REFUSED_RETRY_AFTER));
@@ -324,6 +352,7 @@
         Ok(GrantGuard {
             placer,
             request_id,
+            request: *hash,
             grant,
             local_view: Some(view_age),
             has_first_event: false,
@@ -369,10 +398,26 @@
         self.end_once(outcome);
     }
 
+    /// Report that the upstream crashed under the request.
+    fn crash(&self) -> RunReport {
+        let upstream = self.grant.upstream.clone();
+        let started_at_ms = self.placer.view.with(|state| {
+            state.directory.get(&upstream).map_or(0, |entry| entry.registration.started_at_ms)
+        });
+        RunReport::Crashed { request: self.request, upstream, started_at_ms }
+    }
+
     fn end_once(&mut self, outcome: RequestOutcome) {
         if std::mem::replace(&mut self.has_ended, true) {
             return;
         }
+        match outcome {
+            RequestOutcome::Broken => self.placer.watchlist.report(self.crash()),
+            RequestOutcome::Completed => {
+                self.placer.watchlist.report(RunReport::Completed { request: self.request });
+            }
+            _ => {}
+        }
         if self.local_view.is_some() {
             let now = self.placer.clock.now();
             let id = &self.grant.upstream;
--- a/crates/toucansilld/src/gateway/record.rs
+++ b/crates/toucansilld/src/gateway/record.rs
@@ -27,8 +27,8 @@
     pub(crate) service: ServiceId,
     /// Length of the prompt that the caller stated, 0 without one.
     pub(crate) prompt: Tokens,
-    /// Hash by which the request is recognised when the caller sends it again; 0 until its body
-    /// has been read.
+    /// First 8 bytes of the hash by which the request is recognised when the caller sends it again;
+    /// 0 until its body has been read.
     pub(crate) hash: u64,
     /// Attempts in order, as text.
     attempts: Vec<String>,
--- a/crates/toucansilld/src/gateway/run.rs
+++ b/crates/toucansilld/src/gateway/run.rs
@@ -12,6 +12,7 @@
     placer::Placer,
     settings::{ControlSettings, EntrySettings, GatewaySettings},
     view::View,
+    watchlist::{WatchlistFollower, WatchlistView, send_reports},
 };
 use crate::{
     error::{Error, Result},
@@ -112,7 +113,10 @@
             let voter = identity::voter_settings(&settings, cfg)?;
             let voter = Arc::new(Voter::start(&voter, &own, TICK, Arc::clone(&clock), outbox)?);
             let (view, clock) = (Arc::clone(&view), Arc::clone(&clock));
-            Some(ControlMember::new(Arc::clone(&settings), cfg.clone(), voter, view, clock))
+            let (control, report_recorder) =
+                ControlMember::new(Arc::clone(&settings), cfg.clone(), voter, view, clock);
+            tokio::spawn(report_recorder);
+            Some(control)
         }
         None => None,
     };
@@ -140,12 +144,28 @@
 
     let mut callers = None;
     if let Some(cfg) = &settings.entry {
+        let (watchlist, reports) = WatchlistView::new();
+        let (links, view) = (Arc::clone(&links), Arc::clone(&view));
+        tokio::spawn(send_reports(
+            reports,
+            Arc::clone(&view),
+            Arc::clone(&links),
+            Arc::clone(&clock),
+        ));
+        let watchlist_follower = WatchlistFollower {
+            settings: Arc::clone(&settings),
+            links: Arc::clone(&links),
+            view: Arc::clone(&view),
+            watchlist: Arc::clone(&watchlist),
+        };
+        tokio::spawn(watchlist_follower.run());
         let (placer, progress_reporter) = Placer::new(
             settings.daemon.clone(),
             Arc::clone(&view),
             Arc::clone(&links),
             Arc::clone(&clock),
             leader_placed,
+            watchlist,
             settings.bounds.clone(),
         );
         tokio::spawn(progress_reporter);
--- a/crates/toucansilld/src/gateway/view.rs
+++ b/crates/toucansilld/src/gateway/view.rs
@@ -3,6 +3,7 @@
 use super::{
     compress::decompress,
     messages::{DirectoryViewPosition, ReplicatedState, ViewChange},
+    settings::GatewaySettings,
 };
 use crate::sync::lock;
 use grant::{Directory, LocalPlacer, Revision};
@@ -82,6 +83,21 @@
         self.with(|state| state.table.clone())
     }
 
+    /// Link address of the next daemon of the control group, in turn: those that the last leader
+    /// named, and the seeds.
+    pub(crate) fn next_control_daemon(
+        &self,
+        settings: &GatewaySettings,
+        turn: &mut usize,
+    ) -> Option<SocketAddr> {
+        let mut known = self.with(|state| state.control_addresses.clone());
+        known.extend(settings.seed_links());
+        known.sort_unstable();
+        known.dedup();
+        *turn = turn.wrapping_add(1);
+        known.get(*turn % known.len().max(1)).copied()
+    }
+
     /// Link address of the leader, if it was heard within the last `window`.
     pub(crate) fn leader(&self, now: Instant, window: Duration) -> Option<SocketAddr> {
         self.with(|state| {
--- /dev/null
+++ b/crates/toucansilld/src/gateway/watchlist.rs
@@ -0,0 +1,169 @@
+//! Requests that crash the upstreams which run them, as an entry daemon recognises them.
+//!
+//! An entry reports each upstream that has crashed under a request to the leader, which replicates
+//! the report. Every member of the control group derives the [`Watchlist`] from these reports, and
+//! the entries follow it. So an entry refuses a quarantined request although it has never seen it,
+//! and goes on to do so when it has no leader.
+
+use super::{
+    bus::DaemonLinks,
+    messages::{LeaderReply, LeaderRequest, RunReport},
+    settings::GatewaySettings,
+    view::View,
+};
+use crate::sync::lock;
+use control::{RequestHash, Watchlist};
+use kernel::SharedClock;
+use std::{
+    collections::VecDeque,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tokio::time::sleep;
+
+/// Longest time that a member holds open the request of a daemon whose watchlist is up to date.
+pub(crate) const WATCHLIST_WAIT: Duration = Duration::from_secs(2);
+/// Time beyond [`WATCHLIST_WAIT`] after which a reply is overdue.
+const REPLY_MARGIN: Duration = Duration::from_millis(350);
+/// Pause before the next member is asked after one gave no watchlist.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Pause before reports that the leader has not recorded are sent again.
+const REPORT_RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Timeout for the leader's confirmation that reports are replicated.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(900);
+/// Maximum number of reports that wait for a leader. Beyond it the oldest are dropped.
+const MAX_REPORTS: usize = 1_024;
+
+/// Watchlist of an entry daemon.
+pub(crate) struct WatchlistView {
+    /// With the state index at which it was read.
+    state: Mutex<(u64, Watchlist)>,
+    reports_tx: flume::Sender<RunReport>,
+}
+
+impl WatchlistView {
+    /// Creates an empty watchlist, and the receiver of the reports that are made through it.
+    pub(crate) fn new() -> (Arc<Self>, flume::Receiver<RunReport>) {
+        let (reports_tx, rx) = flume::unbounded();
+        (Arc::new(Self { state: Mutex::default(), reports_tx }), rx)
+    }
+
+    /// Whether a request is refused because it has crashed upstreams.
+    pub(crate) fn is_quarantined(&self, request: &RequestHash) -> bool {
+        lock(&self.state).1.quarantined.contains(request)
+    }
+
+    /// Queues a report. A complete response is reported only for a suspect, which it clears.
+    pub(crate) fn report(&self, report: RunReport) {
+        let is_needed = match &report {
+            RunReport::Crashed { .. } => true,
+            RunReport::Completed { request } => lock(&self.state).1.suspects.contains(request),
+        };
+        if is_needed {
+            // An error is impossible: the receiver lives as long as the daemon.
+            let _ = self.reports_tx.send(report);
+        }
+    }
+
+    /// Takes over a watchlist that a member read at a state index, unless the own one is newer.
+    fn apply(&self, index: u64, watchlist: Watchlist) {
+        let mut state = lock(&self.state);
+        if index <= state.0 {
+            return;
+        }
+        log::info!(
+            index = index, quarantined = watchlist.quarantined.len(),
+            suspects = watchlist.suspects.len(); "watchlist changed"
+        );
+        metrics::gauge!("toucansill_requests_quarantined").set(watchlist.quarantined.len() as f64);
+        *state = (index, watchlist);
+    }
+
+    fn index(&self) -> u64 {
+        lock(&self.state).0
+    }
+}
+
+/// Task that keeps the watchlist of an entry daemon up to date.
+pub(crate) struct WatchlistFollower {
+    pub(crate) settings: Arc<GatewaySettings>,
+    pub(crate) links: Arc<DaemonLinks>,
+    pub(crate) view: Arc<View>,
+    pub(crate) watchlist: Arc<WatchlistView>,
+}
+
+impl WatchlistFollower {
+    /// Requests changes from the leader, which has them first, until the task is aborted. After a
+    /// failure, and without a leader, it asks the members in turn.
+    pub(crate) async fn run(self) {
+        let mut turn = usize::from(self.settings.links.port());
+        let mut has_failed = false;
+        loop {
+            let leader = self.view.with(|state| state.leader).filter(|_| !has_failed);
+            let Some(target) = leader.or_else(|| self.next_member(&mut turn)) else {
+                sleep(RETRY_PAUSE).await;
+                continue;
+            };
+            let request = LeaderRequest::FollowWatchlist { index: self.watchlist.index() };
+            let reply = self.links.request(target, &request, WATCHLIST_WAIT + REPLY_MARGIN).await;
+            has_failed = !matches!(reply, Ok(LeaderReply::Watchlist { .. }));
+            match reply {
+                Ok(LeaderReply::Watchlist { index, watchlist: Some(watchlist) }) => {
+                    self.watchlist.apply(index, watchlist);
+                }
+                Ok(LeaderReply::Watchlist { .. }) => {}
+                Ok(_) => log::error!("{target}: unexpected reply"),
+                // A daemon of an earlier build refuses the request.
+                Err(err) => log::debug!("{target}: watchlist not read: {err}"),
+            }
+            if has_failed {
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+
+    /// Link address of the next member of the control group.
+    fn next_member(&self, turn: &mut usize) -> Option<SocketAddr> {
+        self.view.next_control_daemon(&self.settings, turn)
+    }
+}
+
+/// Sends reports to the leader, in order, until it has replicated them. Those that come meanwhile
+/// are sent together in the next message.
+pub(crate) async fn send_reports(
+    rx: flume::Receiver<RunReport>,
+    view: Arc<View>,
+    links: Arc<DaemonLinks>,
+    clock: SharedClock,
+) {
+    let mut reports: VecDeque<RunReport> = VecDeque::new();
+    loop {
+        if reports.is_empty() {
+            let Ok(first) = rx.recv_async().await else { return };
+            reports.push_back(first);
+        }
+        reports.extend(rx.try_iter());
+        if reports.len() > MAX_REPORTS {
+            let dropped = reports.len() - MAX_REPORTS;
+            reports.drain(..dropped);
+            log::warn!(count = dropped; "reports of crashes dropped: no leader records them");
+        }
+        let Some(leader) = view.leader(clock.now(), super::placer::LEADER_TIMEOUT) else {
+            sleep(REPORT_RETRY_PAUSE).await;
+            continue;
+        };
+        let request = LeaderRequest::ReportRuns(reports.iter().cloned().collect());
+        match links.request(leader, &request, REPORT_TIMEOUT).await {
+            Ok(LeaderReply::RunsRecorded) => reports.clear(),
+            reply => {
+                let reason = reply.map_or_else(|err| err.to_string(), |_| "not recorded".into());
+                log::warn!(
+                    count = reports.len(), leader:% = leader;
+                    "reports of crashes are sent again: {reason}"
+                );
+                sleep(REPORT_RETRY_PAUSE).await;
+            }
+        }
+    }
+}
