Charge crashes that show only as silence

An upstream may end without closing its connections. An attempt that ran there timed out, or its caller left; neither was charged to the request, which crashed 5 more upstreams in 10 sends after the third (3 allowed).

After such an attempt the entry now tries to connect to the upstream, and charges a crash if it accepts no connection.

--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -118,6 +118,12 @@
     Ok(ExchangeResponse { head, body: ResponseBody { body, _connection: connection } })
 }
 
+/// Whether an upstream accepts a connection at `address` within `limit`. One that has crashed does
+/// not; one that only takes long does.
+pub async fn accepts_connections(address: SocketAddr, limit: Duration) -> bool {
+    matches!(timeout(limit, TcpStream::connect(address)).await, Ok(Ok(_)))
+}
+
 impl ResponseBody {
     /// Waits for the next bytes. Returns `None` at the end of a complete body.
     ///
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -36,6 +36,9 @@
 pub use body::{Body, BodySender, channel, empty, full};
 pub use budget::{BodyBudget, BodyPermit};
 pub use events::{EventChunk, EventSplitter};
-pub use exchange::{ExchangeError, ExchangeResponse, ResponseBody, exchange, read_response_body};
+pub use exchange::{
+    ExchangeError, ExchangeResponse, ResponseBody, accepts_connections, exchange,
+    read_response_body,
+};
 pub use retry::{AttemptFailure, AttemptHistory, NextStep, next_step};
 pub use server::{ConnectionCount, Server, ServerConfig, read_request_body, serve};
--- a/crates/toucansilld/src/gateway/forward.rs
+++ b/crates/toucansilld/src/gateway/forward.rs
@@ -28,7 +28,7 @@
 
 /// Timeout for a connection: hundreds of round trips within a region. It does not cover the loss
 /// of a SYN packet, which TCP resends only after 1 s.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Longest response, in bytes, that is read whole before the caller gets any of it, so that the
 /// request can be retried if the response breaks off. A longer one counts as broken.
 const BUFFERED_BYTES_MAX: usize = 4 << 20;
--- a/crates/toucansilld/src/gateway/placer.rs
+++ b/crates/toucansilld/src/gateway/placer.rs
@@ -3,6 +3,7 @@
 
 use super::{
     bus::DaemonLinks,
+    forward::CONNECT_TIMEOUT,
     messages::{LeaderReply, LeaderRequest, Progress, RunReport},
     settings::Bounds,
     view::{View, ViewAge},
@@ -15,6 +16,7 @@
     RunningRequest,
 };
 use kernel::SharedClock;
+use proxy::accepts_connections;
 use route::RetryBudget;
 use std::{
     collections::BTreeMap,
@@ -22,7 +24,7 @@
         Arc, Mutex,
         atomic::{AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 use tokio::time::sleep;
 use wire::{DaemonId, ServiceId, UpstreamId};
@@ -48,6 +50,9 @@
 /// `Retry-After` for a caller whose request this daemon itself refused to place: about the time
 /// within which a lost upstream is replaced in the directory.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Time without a response after which an abandoned attempt raises the suspicion that its upstream
+/// has crashed: longer than nearly all responses take.
+const SILENCE_MIN: Duration = Duration::from_millis(1_600);
 
 /// Running requests of this daemon that a leader placed.
 pub(crate) struct LeaderPlacedRequests {
@@ -155,6 +160,7 @@
     request: RequestHash,
     /// Upstream and helpers to send the request to.
     pub(crate) grant: Grant,
+    granted_at: Instant,
     /// View by which this daemon placed the request itself; `None` if the leader placed it.
     local_view: Option<ViewAge>,
     has_first_event: bool,
@@ -307,6 +313,7 @@
             request_id,
             request: *hash,
             grant,
+            granted_at: self.clock.now(),
             local_view: None,
             has_first_event: false,
             has_ended: false,
@@ -354,6 +361,7 @@
             request_id,
             request: *hash,
             grant,
+            granted_at: now,
             local_view: Some(view_age),
             has_first_event: false,
             has_ended: false,
@@ -385,10 +393,9 @@
 
     /// Reports the first event of the response to the leader. Later calls change nothing.
     pub(crate) fn first_event_received(&mut self) {
-        if self.has_first_event || self.local_view.is_some() {
+        if std::mem::replace(&mut self.has_first_event, true) || self.local_view.is_some() {
             return;
         }
-        self.has_first_event = true;
         self.placer.leader_placed.first_event_received(&self.request_id);
         self.placer.report(Progress::FirstEvent(self.request_id.clone()));
     }
@@ -407,12 +414,31 @@
         RunReport::Crashed { request: self.request, upstream, started_at_ms }
     }
 
+    /// Checks whether the upstream, which gave no response, still accepts connections, and reports
+    /// a crash if it does not.
+    fn report_if_crashed(&self) {
+        let (watchlist, crash) = (Arc::clone(&self.placer.watchlist), self.crash());
+        let address = self.grant.address;
+        tokio::spawn(async move {
+            if !accepts_connections(address, CONNECT_TIMEOUT).await {
+                watchlist.report(crash);
+            }
+        });
+    }
+
     fn end_once(&mut self, outcome: RequestOutcome) {
         if std::mem::replace(&mut self.has_ended, true) {
             return;
         }
         match outcome {
             RequestOutcome::Broken => self.placer.watchlist.report(self.crash()),
+            RequestOutcome::Silent => self.report_if_crashed(),
+            RequestOutcome::Abandoned if !self.has_first_event => {
+                let elapsed = self.placer.clock.now().saturating_duration_since(self.granted_at);
+                if elapsed >= SILENCE_MIN {
+                    self.report_if_crashed();
+                }
+            }
             RequestOutcome::Completed => {
                 self.placer.watchlist.report(RunReport::Completed { request: self.request });
             }
