Log the limits that upstreams name, and count the limited ones

The header Server-Limit was passed on unread, so neither log nor metrics showed that an upstream had named a limit, to which daemon, or when it ended. Nothing is decided by it yet.

--- a/crates/toucansilld/src/gateway.rs
+++ b/crates/toucansilld/src/gateway.rs
@@ -26,6 +26,7 @@
 mod forward;
 mod identity;
 mod lead;
+mod limits;
 mod members;
 mod messages;
 mod placer;
--- a/crates/toucansilld/src/gateway/placer.rs
+++ b/crates/toucansilld/src/gateway/placer.rs
@@ -4,6 +4,7 @@
 use super::{
     bus::DaemonLinks,
     forward::CONNECT_TIMEOUT,
+    limits::KnownLimits,
     messages::{LeaderReply, LeaderRequest, Progress, RunReport},
     settings::Bounds,
     view::{View, ViewAge},
@@ -107,6 +108,7 @@
     progress_tx: flume::Sender<Progress>,
     retry_budgets: LocalRetryBudgets,
     watchlist: Arc<WatchlistView>,
+    limits: KnownLimits,
 }
 
 /// Budgets for retries that this daemon places itself.
@@ -160,6 +162,9 @@
     request: RequestHash,
     /// Upstream and helpers to send the request to.
     pub(crate) grant: Grant,
+    /// Start time of the upstream's run, in milliseconds since the Unix epoch on its clock; 0 if
+    /// this daemon's view lacks the upstream.
+    started_at_ms: u64,
     granted_at: Instant,
     /// View by which this daemon placed the request itself; `None` if the leader placed it.
     local_view: Option<ViewAge>,
@@ -198,6 +203,7 @@
                 progress_tx,
                 retry_budgets,
                 watchlist,
+                limits: KnownLimits::default(),
             }),
             reporter,
         )
@@ -307,12 +313,14 @@
         };
         let request_id = running.request.id.clone();
         self.leader_placed.add(term, running);
+        let started_at_ms = self.view.with(|state| state.started_at_ms(&grant.upstream));
         let placer = Arc::clone(self);
         GrantGuard {
             placer,
             request_id,
             request: *hash,
             grant,
+            started_at_ms,
             granted_at: self.clock.now(),
             local_view: None,
             has_first_event: false,
@@ -350,9 +358,9 @@
                 expected_first_event: Duration::ZERO,
             };
             state.local.request_started(&grant.upstream);
-            Some((grant, state.age(now)))
+            Some((grant, registration.started_at_ms, state.age(now)))
         });
-        let Some((grant, view_age)) = chosen else {
+        let Some((grant, started_at_ms, view_age)) = chosen else {
             return Err((RefusalReason::NoUpstream, REFUSED_RETRY_AFTER));
         };
         let (placer, request_id) = (Arc::clone(self), request.id.clone());
@@ -361,6 +369,7 @@
             request_id,
             request: *hash,
             grant,
+            started_at_ms,
             granted_at: now,
             local_view: Some(view_age),
             has_first_event: false,
@@ -407,13 +416,18 @@
 
     /// Report that the upstream crashed under the request.
     fn crash(&self) -> RunReport {
-        let upstream = self.grant.upstream.clone();
-        let started_at_ms = self.placer.view.with(|state| {
-            state.directory.get(&upstream).map_or(0, |entry| entry.registration.started_at_ms)
-        });
+        let (upstream, started_at_ms) = (self.grant.upstream.clone(), self.started_at_ms);
         RunReport::Crashed { request: self.request, upstream, started_at_ms }
     }
 
+    /// Records the limit that the upstream's response names, or that it names none.
+    pub(crate) fn response_received(&self, requests_per_s: Option<f64>) {
+        let now = self.placer.clock.now();
+        let (upstream, started_at_ms) = (&self.grant.upstream, self.started_at_ms);
+        let limits = &self.placer.limits;
+        limits.response_received(now, upstream, started_at_ms, self.granted_at, requests_per_s);
+    }
+
     /// Checks whether the upstream, which gave no response, still accepts connections, and reports
     /// a crash if it does not.
     fn report_if_crashed(&self) {
--- a/crates/toucansilld/src/gateway/view.rs
+++ b/crates/toucansilld/src/gateway/view.rs
@@ -118,6 +118,12 @@
         }
     }
 
+    /// Start time of the newest known run of an upstream, in milliseconds since the Unix epoch on
+    /// its clock; 0 if it is unknown.
+    pub(crate) fn started_at_ms(&self, upstream: &str) -> u64 {
+        self.directory.get(upstream).map_or(0, |entry| entry.registration.started_at_ms)
+    }
+
     /// Applies a change sent by a leader, received at `now`. A change of an earlier term than
     /// the view's comes from a former leader and is ignored.
     pub(crate) fn apply(&mut self, now: Instant, change: ViewChange) {
