--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -468,7 +468,7 @@
 }
 
 /// Reads head and body of a request; `None` if the connection ends within it.
-fn read_request(stream: &TcpStream) -> Option<(String, String)> {
+pub(crate) fn read_request(stream: &TcpStream) -> Option<(String, String)> {
     let mut rx = BufReader::new(stream.try_clone().ok()?);
     let (mut head, mut length) = (String::new(), 0);
     let mut line = String::new();
