Keep the limits on requests per second that upstreams name

Now entries report the limit that a response names, before the first event of that response. The leader counts all requests to the upstream in one allowance (one second's worth may accumulate): its own grants, and those of plain services, which entries reserve if they know of a limit. A response after which no limit was reported ends it, as does a new run. A new leader is told all limits before it is asked to place anything. Without a leader, each entry takes an equal share, its first request at a random moment of the interval. If the limits of all upstreams leave a request no chance before its deadline, it is refused at once. A limit below 0.2/s is taken as 0.2/s, as only responses show its end. The header goes on to callers as before.

--- a/crates/grant/src/dispatcher.rs
+++ b/crates/grant/src/dispatcher.rs
@@ -4,6 +4,7 @@
 use crate::{
     directory::{Directory, DirectoryEntry},
     engine::{Engine, EngineRequest, prefill_part},
+    limit::{LimitReport, UpstreamLimits},
     place::{
         Candidate, MAX_PREFILL_ENGINES, Placement, choose, helper_reservations, is_short,
         min_time_to_first_event, needs_idle_engine,
@@ -82,6 +83,9 @@
     /// Time at which the grant is released unless its end has been reported.
     expires_at: Instant,
     has_first_event: bool,
+    /// Whether the upstream had a limit when it was granted here. If its response is not reported to
+    /// name one, the limit has ended.
+    was_limited: bool,
 }
 
 /// Places requests on engines. The [crate] documentation describes its role among the daemons.
@@ -94,6 +98,7 @@
     granted: BTreeMap<GrantId, GrantedRequest>,
     grants_by_request: BTreeMap<PlacementRequestId, GrantId>,
     waiting: WaitingQueue,
+    limits: UpstreamLimits,
     /// Requests that have crashed upstreams and are refused.
     quarantined: BTreeSet<RequestHash>,
     next_grant: GrantId,
@@ -109,6 +114,7 @@
             granted: BTreeMap::new(),
             grants_by_request: BTreeMap::new(),
             waiting: WaitingQueue::default(),
+            limits: UpstreamLimits::default(),
             quarantined: BTreeSet::new(),
             next_grant: 1,
         }
@@ -138,6 +144,26 @@
         self.quarantined = quarantined;
     }
 
+    /// Applies the report of a limit, unless the run of the upstream that named it has ended. An
+    /// entry has to send it before it reports the first event of the same response: a response
+    /// without a report before it ends the limit.
+    pub fn report_limit(&mut self, now: Instant, directory: &Directory, report: &LimitReport) {
+        if is_current_run(directory, &report.upstream, report.started_at_ms) {
+            self.limits.report(now, report);
+        }
+    }
+
+    /// Counts a request that an entry is about to send to an upstream by its own placement, unless
+    /// the upstream's limit does not allow it yet. Returns the time until it does; zero if the
+    /// request may be sent.
+    pub fn reserve_request(&mut self, now: Instant, upstream: &str) -> Duration {
+        let wait = self.limits.wait(now, upstream);
+        if wait.is_zero() {
+            self.limits.request_sent(now, upstream);
+        }
+        wait
+    }
+
     /// Number of requests waiting for a grant.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
@@ -229,6 +255,9 @@
             return;
         };
         granted.has_first_event = true;
+        if granted.was_limited {
+            self.limits.response_received(&granted.grant.upstream, granted.granted_at);
+        }
         let actual = now.saturating_duration_since(granted.granted_at);
         let expected = granted.grant.expected_first_event;
         let main = granted.grant.upstream.clone();
@@ -330,8 +359,8 @@
         }
     }
 
-    /// Adds a request to the queue, or refuses it if no upstream is available or the prompts ahead
-    /// of it take too long.
+    /// Adds a request to the queue, or refuses it if no upstream is available, the limits of all
+    /// are too low, or the prompts ahead of it take too long.
     fn enqueue(
         &mut self,
         now: Instant,
@@ -341,6 +370,12 @@
         if directory.available(&request.service).next().is_none() {
             return self.refuse(&request, RefusalReason::NoUpstream);
         }
+        if let Some(wait) = self.limit_wait(now, directory, &request)
+            && wait > request.first_event_deadline_remaining
+        {
+            let retry_after = wait.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1);
+            return Decision::Refused { reason: RefusalReason::DeadlineUnmeetable, retry_after };
+        }
         if let Some(long_prompt_wait) = self.long_prompt_wait(now, directory, &request)
             && long_prompt_wait
                 > request.first_event_target_remaining.mul_f64(MAX_LONG_PROMPT_WAIT_SHARE)
@@ -352,6 +387,21 @@
         Decision::Waiting
     }
 
+    /// If all available upstreams have limits, the time until these allow the request and those
+    /// ahead of it.
+    fn limit_wait(
+        &self,
+        now: Instant,
+        directory: &Directory,
+        request: &PlacementRequest,
+    ) -> Option<Duration> {
+        let limit = |entry: &DirectoryEntry| self.limits.requests_per_s(&entry.registration.id);
+        let limits: Option<Vec<f64>> = directory.available(&request.service).map(limit).collect();
+        let second = Duration::from_secs(1);
+        let requests = self.waiting.cost_ahead(now, request, |_| second) + second;
+        Some(requests.div_f64(limits?.iter().sum()))
+    }
+
     /// For a long prompt, the time until it and the long prompts ahead of it are prefilled; `None`
     /// for a short one.
     fn long_prompt_wait(
@@ -418,6 +468,10 @@
             expected_first_event,
         };
         self.start_request(now, directory, request, grant.clone(), prefill);
+        if let Some(granted) = self.granted.get_mut(&grant.id) {
+            granted.was_limited = self.limits.requests_per_s(&grant.upstream).is_some();
+        }
+        self.limits.request_sent(now, &grant.upstream);
         Some(grant)
     }
 
@@ -451,8 +505,9 @@
         let is_cold = directory.is_cold(now, id);
         // The limit for cold upstreams applies to all, as the registration that reports a cold
         // start arrives late.
-        let is_full = service.cold_requests_per_s > 0.0
+        let is_at_cold_limit = service.cold_requests_per_s > 0.0
             && engine.recent_attempts() as f64 >= service.cold_requests_per_s;
+        let is_full = is_at_cold_limit || !self.limits.wait(now, id).is_zero();
         Candidate {
             engine,
             now,
@@ -480,6 +535,7 @@
         }
         let is_known = |id: &UpstreamId| directory.get(id).is_some_and(|entry| !entry.is_departed);
         self.engines.retain(|id, _| is_known(id));
+        self.limits.retain(|id, started_at_ms| is_current_run(directory, id, started_at_ms));
     }
 
     /// Enters a grant into the state of its engines. Each of them prefills a part of the prompt.
@@ -522,6 +578,7 @@
             granted_at: now,
             expires_at,
             has_first_event: false,
+            was_limited: false,
             grant,
         };
         self.granted.insert(granted.grant.id, granted);
@@ -564,6 +621,14 @@
     }
 }
 
+/// Whether no later run of an upstream is known than the one that started at this time, and this one
+/// has not departed.
+fn is_current_run(directory: &Directory, upstream: &UpstreamId, started_at_ms: u64) -> bool {
+    directory
+        .get(upstream)
+        .is_none_or(|entry| !entry.is_departed && entry.registration.started_at_ms <= started_at_ms)
+}
+
 /// The upstream of an entry as a helper with this reservation.
 fn helper_of(entry: &DirectoryEntry, reserve_tokens: Tokens) -> Helper {
     let registration = &entry.registration;
--- a/crates/grant/src/lib.rs
+++ b/crates/grant/src/lib.rs
@@ -9,6 +9,10 @@
 //! first event has arrived and when the request has ended. Plain services, and all requests while
 //! no leader can be reached, are placed by the entry daemon alone, with a [`LocalPlacer`].
 //!
+//! An upstream may limit the requests per second that it takes from all daemons together. Entries
+//! report such limits ([`LimitReport`]), and the dispatcher counts all requests to the upstream: those
+//! that it grants, and those that entries place and [reserve](Dispatcher::reserve_request) first.
+//!
 //! Nothing here does I/O or reads a clock: all types are state machines that get the time and
 //! their inputs as arguments.
 //!
@@ -39,6 +43,7 @@
 mod directory;
 mod dispatcher;
 mod engine;
+mod limit;
 mod local;
 mod place;
 mod registration;
@@ -47,6 +52,7 @@
 
 pub use directory::{Directory, DirectoryEntry, Revision};
 pub use dispatcher::{Dispatcher, DispatcherConfig};
+pub use limit::{LimitReport, MIN_REQUESTS_PER_S};
 pub use local::LocalPlacer;
 pub use registration::{Registration, RegistrationOutcome};
 pub use request::{
--- a/crates/grant/tests/dispatcher.rs
+++ b/crates/grant/tests/dispatcher.rs
@@ -1,8 +1,8 @@
 //! Guarantees of the dispatcher, apart from the quality of its placements.
 
 use grant::{
-    Decision, Directory, Dispatcher, DispatcherConfig, Grant, PlacementRequest, PlacementRequestId,
-    RefusalReason, Registration, RequestOutcome, RunningRequest,
+    Decision, Directory, Dispatcher, DispatcherConfig, Grant, LimitReport, PlacementRequest,
+    PlacementRequestId, RefusalReason, Registration, RequestOutcome, RunningRequest,
 };
 use routing::{EngineProfile, Service};
 use std::{
@@ -67,6 +67,18 @@
         }
     }
 
+    /// Reports the limit of engine `e0`.
+    fn report_limit(&mut self, requests_per_s: Option<f64>) {
+        let upstream = String::from("e0");
+        let report = LimitReport { upstream, started_at_ms: 1, requests_per_s };
+        self.dispatcher.report_limit(self.now, &self.directory, &report);
+    }
+
+    /// Whether engine `e0` may get a request that an entry places.
+    fn may_send_to_e0(&mut self) -> bool {
+        self.dispatcher.reserve_request(self.now, "e0").is_zero()
+    }
+
     fn end(&mut self, request_id: &PlacementRequestId, outcome: RequestOutcome) {
         self.dispatcher.request_ended(self.now, request_id, outcome);
     }
@@ -300,3 +312,119 @@
     request.first_event_deadline_remaining = Duration::from_millis(200);
     assert_eq!(fixture.refusal(request), RefusalReason::DeadlineUnmeetable);
 }
+
+/// Grants and requests that entries place themselves must stay within the limit together: in any 4 s
+/// at most 1.5 times what it allows, and 5. The upstream must not be left out either.
+#[test]
+fn an_upstream_gets_no_more_requests_than_its_limit_allows() {
+    const PERIOD: Duration = Duration::from_secs(4);
+    for limit in [0.5, 1.0, 2.2, 8.0] {
+        let mut fixture = Fixture::new(3);
+        let (mut sent, mut running) = (Vec::new(), Vec::new());
+        fixture.report_limit(Some(limit));
+        for turn in 0..1_000 {
+            let request = fixture.request(1_000);
+            if let Decision::Granted(grant) = fixture.decide(request.clone()) {
+                if grant.upstream == "e0" {
+                    sent.push(fixture.now);
+                }
+                running.push((request.id, grant.upstream));
+            }
+            if turn % 3 == 0 && fixture.may_send_to_e0() {
+                sent.push(fixture.now);
+            }
+            fixture.advance(20);
+            for (id, upstream) in running.drain(..) {
+                if upstream == "e0" {
+                    fixture.report_limit(Some(limit));
+                }
+                fixture.dispatcher.first_event_received(fixture.now, &id);
+                fixture.end(&id, RequestOutcome::Completed);
+            }
+        }
+        let in_period =
+            |from: &Instant| sent.iter().filter(|at| *at >= from && **at < *from + PERIOD).count();
+        let most = sent.iter().map(in_period).max().unwrap_or(0) as f64;
+        let allowed = limit * PERIOD.as_secs_f64();
+        assert!(most <= 1.5 * allowed + 5.0, "limit {limit}: {most} requests in a period");
+        assert!(most >= allowed * 0.9, "limit {limit}: only {most} requests in a period");
+    }
+}
+
+/// Only a response that was requested after the limit was reported, and is not followed by another
+/// report, shows that the limit has ended.
+#[test]
+fn a_limit_ends_with_a_response_that_does_not_name_it() {
+    let mut fixture = Fixture::new(1);
+    let early = fixture.request(1_000);
+    fixture.grant(early.clone());
+    fixture.advance(10);
+    fixture.report_limit(Some(1.0));
+    fixture.dispatcher.first_event_received(fixture.now, &early.id);
+    assert!(!fixture.may_send_to_e0(), "the early request was sent before the limit");
+    fixture.advance(1_000);
+    let named = fixture.request(1_000);
+    fixture.grant(named.clone());
+    fixture.advance(10);
+    fixture.report_limit(Some(1.0));
+    fixture.dispatcher.first_event_received(fixture.now, &named.id);
+    assert!(!fixture.may_send_to_e0(), "the response names the limit");
+    fixture.advance(1_000);
+    let unnamed = fixture.request(1_000);
+    fixture.grant(unnamed.clone());
+    assert!(!fixture.may_send_to_e0(), "no response yet");
+    fixture.advance(10);
+    fixture.dispatcher.first_event_received(fixture.now, &unnamed.id);
+    assert!((0..10).all(|_| fixture.may_send_to_e0()), "the response names no limit");
+}
+
+/// A new leader hears of the limit from the entries first, then of running requests. Their first
+/// events, which a former leader was told of, don't show that the limit has ended.
+#[test]
+fn a_new_leader_keeps_a_limit_when_it_adopts_requests() {
+    let mut fixture = Fixture::new(1);
+    fixture.report_limit(Some(1.0));
+    fixture.advance(10);
+    let running = RunningRequest {
+        request: fixture.request(1_000),
+        upstream: "e0".to_owned(),
+        helpers: Vec::new(),
+        has_first_event: true,
+    };
+    fixture.dispatcher.adopt_running(fixture.now, &fixture.directory, &running);
+    assert!(!fixture.may_send_to_e0());
+}
+
+/// A run that has ended can't limit the next one.
+#[test]
+fn a_limit_does_not_outlive_the_run_that_named_it() {
+    let mut fixture = Fixture::new(1);
+    fixture.report_limit(Some(1.0));
+    let request = fixture.request(1_000);
+    assert_eq!(fixture.decide(request), Decision::Waiting);
+    fixture.directory.register(fixture.now, engine(0, 2));
+    let request = fixture.request(1_000);
+    fixture.grant(request);
+    fixture.report_limit(Some(1.0));
+    assert!(fixture.may_send_to_e0(), "the report is of the former run");
+}
+
+/// Two requests a second are allowed, and ten wait: what comes after them can't be served within 4 s
+/// and must not wait for it in vain.
+#[test]
+fn a_request_that_limits_do_not_allow_in_time_is_refused_at_once() {
+    let mut fixture = Fixture::new(1);
+    fixture.report_limit(Some(2.0));
+    let request = |fixture: &mut Fixture| {
+        let mut request = fixture.request(1_000);
+        request.first_event_deadline_remaining = Duration::from_secs(4);
+        fixture.decide(request)
+    };
+    let decisions: Vec<Decision> = (0..10).map(|_| request(&mut fixture)).collect();
+    assert!(decisions[..7].iter().all(|d| *d == Decision::Waiting), "{decisions:?}");
+    let Decision::Refused { reason, retry_after } = &decisions[9] else {
+        panic!("not refused: {decisions:?}");
+    };
+    assert_eq!(*reason, RefusalReason::DeadlineUnmeetable);
+    assert!(*retry_after >= Duration::from_secs(4), "{retry_after:?}");
+}
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -301,6 +301,22 @@
                     reply(responder, &control.await_watchlist(index).await);
                 });
             }
+            LeaderRequest::ReportLimits(reports) => {
+                let now = self.clock.now();
+                match self.with_leader(|leader| leader.report_limits(now, &reports)) {
+                    Some(replies) => {
+                        send_placements(replies);
+                        reply(responder, &LeaderReply::LimitsRecorded);
+                    }
+                    None => reply(responder, &self.not_leader()),
+                }
+            }
+            LeaderRequest::ReserveRequest { upstream } => {
+                let now = self.clock.now();
+                let wait = self.with_leader(|leader| leader.reserve_request(now, &upstream));
+                let reserved = wait.map(|wait| LeaderReply::RequestReserved { wait });
+                reply(responder, &reserved.unwrap_or_else(|| self.not_leader()));
+            }
             LeaderRequest::Join { id, address } => {
                 let control = Arc::clone(self);
                 tokio::spawn(async move {
--- a/crates/toucansilld/src/gateway/follow.rs
+++ b/crates/toucansilld/src/gateway/follow.rs
@@ -4,6 +4,7 @@
     bus::DaemonLinks,
     entry::LeaderPlacedRequests,
     lead::FOLLOW_WAIT,
+    limits::KnownLimits,
     messages::{FollowRequest, LeaderReply, LeaderRequest},
     settings::GatewaySettings,
     view::View,
@@ -23,6 +24,8 @@
 const READ_INTERVAL: Duration = Duration::from_millis(200);
 /// Timeout for the replicated state of a member that does not lead.
 const READ_TIMEOUT: Duration = Duration::from_millis(500);
+/// Timeout for a new leader's confirmation of the known limits.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Pause before the next daemon is tried, while no leader is known.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
 
@@ -33,6 +36,7 @@
     pub(crate) view: Arc<View>,
     pub(crate) clock: SharedClock,
     pub(crate) leader_placed: Arc<LeaderPlacedRequests>,
+    pub(crate) limits: Arc<KnownLimits>,
 }
 
 impl Follower {
@@ -59,6 +63,9 @@
             };
             match self.request_change(target, known_term).await {
                 Ok(LeaderReply::View(change)) => {
+                    if change.position.term != known_term {
+                        self.report_limits(target).await;
+                    }
                     let now = self.clock.now();
                     known_term = change.position.term;
                     self.view.with(|state| {
@@ -115,6 +122,24 @@
         self.links.request(target, &LeaderRequest::Follow(follow), FOLLOW_WAIT + REPLY_MARGIN).await
     }
 
+    /// Reports all known limits of upstreams to a new leader, before it gets placement requests of
+    /// this daemon.
+    async fn report_limits(&self, leader: SocketAddr) {
+        let limits = self.limits.all();
+        if limits.is_empty() {
+            return;
+        }
+        let count = limits.len();
+        match self.links.request(leader, &LeaderRequest::ReportLimits(limits), REPORT_TIMEOUT).await
+        {
+            Ok(LeaderReply::LimitsRecorded) => {
+                log::info!(count = count, leader:% = leader; "limits reported to a new leader");
+            }
+            Ok(_) => log::warn!(leader:% = leader; "limits not reported: it leads no more"),
+            Err(err) => log::warn!(leader:% = leader; "limits not reported: {err}"),
+        }
+    }
+
     /// Requests what is replicated from a member that does not lead, on a task of its own: the
     /// search for the leader goes on meanwhile.
     fn read_replicated(&self, target: SocketAddr) {
--- a/crates/toucansilld/src/gateway/lead.rs
+++ b/crates/toucansilld/src/gateway/lead.rs
@@ -7,7 +7,8 @@
 };
 use control::Watchlist;
 use grant::{
-    Decision, Directory, Dispatcher, DispatcherConfig, PlacementRequest, PlacementRequestId,
+    Decision, Directory, Dispatcher, DispatcherConfig, LimitReport, PlacementRequest,
+    PlacementRequestId,
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -121,6 +122,25 @@
         self.dispatcher.set_quarantined(watchlist.quarantined.iter().map(short_hash).collect());
     }
 
+    /// Applies reports of limits that upstreams name. Returns the placements that they have made
+    /// possible.
+    pub(crate) fn report_limits(
+        &mut self,
+        now: Instant,
+        reports: &[LimitReport],
+    ) -> Vec<PlacementReply> {
+        for report in reports {
+            self.dispatcher.report_limit(now, &self.directory, report);
+        }
+        self.poll(now)
+    }
+
+    /// Counts a request that an entry sends to an upstream by its own placement, if the upstream's
+    /// limit allows it. Returns the time until it does.
+    pub(crate) fn reserve_request(&mut self, now: Instant, upstream: &str) -> Duration {
+        self.dispatcher.reserve_request(now, upstream)
+    }
+
     /// Position of an up-to-date view.
     pub(crate) fn position(&self) -> DirectoryViewPosition {
         DirectoryViewPosition {
--- a/crates/toucansilld/src/gateway/messages.rs
+++ b/crates/toucansilld/src/gateway/messages.rs
@@ -5,10 +5,10 @@
 use bincode::{Decode, Encode};
 use control::{Departures, RequestHash, Watchlist};
 use grant::{
-    Decision, DirectoryEntry, PlacementRequest, PlacementRequestId, RequestOutcome, Revision,
-    RunningRequest,
+    Decision, DirectoryEntry, LimitReport, PlacementRequest, PlacementRequestId, RequestOutcome,
+    Revision, RunningRequest,
 };
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 use wire::{DaemonId, DataCentreId, UpstreamId};
 
 /// Names of the message services, which address the parts of a daemon.
@@ -55,6 +55,13 @@
         /// State index at which the daemon's watchlist was read, 0 without one.
         index: u64,
     },
+    /// Reports limits that responses of upstreams have named, or that they no longer name.
+    ReportLimits(Vec<LimitReport>),
+    /// Requests permission to send a request to an upstream with a limit, without a grant.
+    ReserveRequest {
+        /// Upstream that the request is for.
+        upstream: UpstreamId,
+    },
 }
 
 /// Reply to a [`LeaderRequest`].
@@ -90,6 +97,13 @@
         /// The watchlist, if it has changed since the index of the request.
         watchlist: Option<Watchlist>,
     },
+    /// Reply to [`LeaderRequest::ReportLimits`].
+    LimitsRecorded,
+    /// Reply to [`LeaderRequest::ReserveRequest`].
+    RequestReserved {
+        /// Time until the limit allows the request; zero if it may be sent, and is counted.
+        wait: Duration,
+    },
 }
 
 /// Versions of the parts of a view. All but the routing version are comparable only within one
--- a/crates/toucansilld/src/gateway/placer.rs
+++ b/crates/toucansilld/src/gateway/placer.rs
@@ -6,15 +6,15 @@
     forward::CONNECT_TIMEOUT,
     limits::KnownLimits,
     messages::{LeaderReply, LeaderRequest, Progress, RunReport},
-    settings::Bounds,
+    settings::GatewaySettings,
     view::{View, ViewAge},
     watchlist::WatchlistView,
 };
 use crate::sync::lock;
 use control::{QUARANTINE, RequestHash};
 use grant::{
-    Decision, Grant, PlacementRequest, PlacementRequestId, RefusalReason, RequestOutcome,
-    RunningRequest,
+    Decision, Grant, LimitReport, PlacementRequest, PlacementRequestId, RefusalReason,
+    RequestOutcome, RunningRequest,
 };
 use kernel::SharedClock;
 use proxy::accepts_connections;
@@ -51,6 +51,12 @@
 /// `Retry-After` for a caller whose request this daemon itself refused to place: about the time
 /// within which a lost upstream is replaced in the directory.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Timeout for the leader's confirmation of limits, and the number of attempts to report them.
+const LIMIT_REPORT_TIMEOUT: Duration = Duration::from_millis(200);
+const LIMIT_REPORT_ATTEMPTS: usize = 3;
+/// Timeout for the leader's permission to send a request to an upstream with a limit: a few round
+/// trips and the scheduling delay of a busy VM.
+const RESERVE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time without a response after which an abandoned attempt raises the suspicion that its upstream
 /// has crashed: longer than nearly all responses take.
 const SILENCE_MIN: Duration = Duration::from_millis(1_600);
@@ -97,6 +103,14 @@
     }
 }
 
+/// Report for the leader.
+enum Report {
+    /// Progress of a request that the leader placed.
+    Progress(Progress),
+    /// Limit that a response has named, or that it has ended.
+    Limit(LimitReport),
+}
+
 /// Finds upstreams for the requests of one entry daemon.
 pub(crate) struct Placer {
     daemon: DaemonId,
@@ -105,10 +119,10 @@
     clock: SharedClock,
     leader_placed: Arc<LeaderPlacedRequests>,
     next_number: AtomicU64,
-    progress_tx: flume::Sender<Progress>,
+    reports_tx: flume::Sender<Report>,
     retry_budgets: LocalRetryBudgets,
     watchlist: Arc<WatchlistView>,
-    limits: KnownLimits,
+    limits: Arc<KnownLimits>,
 }
 
 /// Budgets for retries that this daemon places itself.
@@ -175,35 +189,35 @@
 impl Placer {
     /// Creates a placer, and the task that sends its progress reports to the leader.
     pub(crate) fn new(
-        daemon: DaemonId,
+        settings: &GatewaySettings,
         view: Arc<View>,
         links: Arc<DaemonLinks>,
         clock: SharedClock,
         leader_placed: Arc<LeaderPlacedRequests>,
         watchlist: Arc<WatchlistView>,
-        bounds: Bounds,
-    ) -> (Arc<Self>, impl Future<Output = ()> + Send) {
-        let (progress_tx, rx) = flume::unbounded();
-        let reporter = send_progress(rx, Arc::clone(&view), Arc::clone(&links), Arc::clone(&clock));
+        limits: Arc<KnownLimits>,
+    ) -> (Arc<Self>, impl Future<Output = ()> + Send + use<>) {
+        let (reports_tx, rx) = flume::unbounded();
+        let reporter = send_reports(rx, Arc::clone(&view), Arc::clone(&links), Arc::clone(&clock));
         let first_number = fastrand::u64(..u64::from(u32::MAX)) << 32;
         let next_number = AtomicU64::new(first_number);
         let retry_budgets = LocalRetryBudgets {
-            ratio: bounds.retry_ratio,
-            slack: bounds.retry_slack,
+            ratio: settings.bounds.retry_ratio,
+            slack: settings.bounds.retry_slack,
             budgets: Mutex::default(),
         };
         (
             Arc::new(Self {
-                daemon,
+                daemon: settings.daemon.clone(),
                 view,
                 links,
                 clock,
                 leader_placed,
                 next_number,
-                progress_tx,
+                reports_tx,
                 retry_budgets,
                 watchlist,
-                limits: KnownLimits::default(),
+                limits,
             }),
             reporter,
         )
@@ -230,7 +244,7 @@
         is_leader_placed: bool,
     ) -> Result<GrantGuard, (RefusalReason, Duration)> {
         if !is_leader_placed {
-            return self.place_locally(&request, hash, false);
+            return self.place_locally(&request, hash, false).await;
         }
         let started = self.clock.now();
         let deadline = started + request.first_event_deadline_remaining;
@@ -252,7 +266,7 @@
             let Some(leader) = self.view.leader(now, LEADER_TIMEOUT) else {
                 let since = *leaderless_since.get_or_insert(now);
                 if now.saturating_duration_since(since) >= NO_LEADER_TIMEOUT {
-                    return self.place_locally(&request, hash, true);
+                    return self.place_locally(&request, hash, true).await;
                 }
                 sleep(LEADER_CHECK_INTERVAL).await;
                 continue;
@@ -290,7 +304,7 @@
                     log::debug!("{leader}: {err}");
                     let since = *leaderless_since.get_or_insert(now);
                     if self.clock.now().saturating_duration_since(since) >= NO_LEADER_TIMEOUT {
-                        return self.place_locally(&request, hash, true);
+                        return self.place_locally(&request, hash, true).await;
                     }
                 }
             }
@@ -329,14 +343,13 @@
     }
 
     /// Places a request by this daemon's view alone, if its budget for retries allows it and it has
-    /// not crashed upstreams.
-    fn place_locally(
+    /// not crashed upstreams. Upstreams whose limit doesn't allow a request now are passed over.
+    async fn place_locally(
         self: &Arc<Self>,
         request: &PlacementRequest,
         hash: &RequestHash,
         is_leader_placed: bool,
     ) -> Result<GrantGuard, (RefusalReason, Duration)> {
-        let now = self.clock.now();
         if self.watchlist.is_quarantined(hash) {
             return Err((RefusalReason::Quarantined, QUARANTINE));
         }
@@ -344,12 +357,55 @@
         if !self.retry_budgets.admit(request, is_leader_placed, entry_daemons) {
             return Err((RefusalReason::RetryBudget, REFUSED_RETRY_AFTER));
         }
-        let chosen = self.view.with(|state| {
-            let tie_breaker = request.id.number;
-            let service = &request.service;
-            let directory_entry =
-                state.local.choose(now, &state.directory, service, &request.tried, tie_breaker)?;
-            let registration = &directory_entry.registration;
+        let mut passed_over = request.tried.clone();
+        let mut shortest_wait: Option<Duration> = None;
+        loop {
+            let now = self.clock.now();
+            let Some((grant, started_at_ms)) = self.choose_locally(now, request, &passed_over)
+            else {
+                let retry_after = shortest_wait.unwrap_or_default().max(REFUSED_RETRY_AFTER);
+                return Err((RefusalReason::NoUpstream, retry_after));
+            };
+            let wait = match self.limits.is_limited(&grant.upstream, started_at_ms) {
+                true => self.reserve_request(&grant.upstream).await,
+                false => Duration::ZERO,
+            };
+            if !wait.is_zero() {
+                shortest_wait = Some(shortest_wait.map_or(wait, |shortest| shortest.min(wait)));
+                passed_over.push(grant.upstream);
+                continue;
+            }
+            let view_age = self.view.with(|state| {
+                state.local.request_started(&grant.upstream);
+                state.age(now)
+            });
+            return Ok(GrantGuard {
+                placer: Arc::clone(self),
+                request_id: request.id.clone(),
+                request: *hash,
+                grant,
+                started_at_ms,
+                granted_at: self.clock.now(),
+                local_view: Some(view_age),
+                has_first_event: false,
+                has_ended: false,
+            });
+        }
+    }
+
+    /// Chooses an upstream by this daemon's view, except those passed over. Returns it with the
+    /// start time of its run.
+    fn choose_locally(
+        &self,
+        now: Instant,
+        request: &PlacementRequest,
+        passed_over: &[UpstreamId],
+    ) -> Option<(Grant, u64)> {
+        self.view.with(|state| {
+            let (service, tie_breaker) = (&request.service, request.id.number);
+            let entry =
+                state.local.choose(now, &state.directory, service, passed_over, tie_breaker)?;
+            let registration = &entry.registration;
             let grant = Grant {
                 id: 0,
                 upstream: registration.id.clone(),
@@ -357,30 +413,34 @@
                 helpers: Vec::new(),
                 expected_first_event: Duration::ZERO,
             };
-            state.local.request_started(&grant.upstream);
-            Some((grant, registration.started_at_ms, state.age(now)))
-        });
-        let Some((grant, started_at_ms, view_age)) = chosen else {
-            return Err((RefusalReason::NoUpstream, REFUSED_RETRY_AFTER));
-        };
-        let (placer, request_id) = (Arc::clone(self), request.id.clone());
-        Ok(GrantGuard {
-            placer,
-            request_id,
-            request: *hash,
-            grant,
-            started_at_ms,
-            granted_at: now,
-            local_view: Some(view_age),
-            has_first_event: false,
-            has_ended: false,
+            Some((grant, registration.started_at_ms))
         })
     }
 
+    /// Asks the leader whether an upstream with a limit may get a request, which the leader then
+    /// counts. Without a leader, the request is taken from this daemon's share of the limit. Returns
+    /// the time until the request is allowed; zero if it may be sent.
+    async fn reserve_request(&self, upstream: &UpstreamId) -> Duration {
+        if let Some(leader) = self.view.leader(self.clock.now(), LEADER_TIMEOUT) {
+            let request = LeaderRequest::ReserveRequest { upstream: upstream.clone() };
+            match self.links.request(leader, &request, RESERVE_TIMEOUT).await {
+                Ok(LeaderReply::RequestReserved { wait }) => return wait,
+                Ok(_) => log::debug!("{leader}: request not reserved: it leads no more"),
+                Err(err) => log::debug!("{leader}: request not reserved: {err}"),
+            }
+        }
+        let entry_daemons = self.view.with(|state| state.entry_daemons);
+        self.limits.take_from_share(self.clock.now(), upstream, entry_daemons)
+    }
+
     /// Queues a progress report.
     fn report(&self, progress: Progress) {
+        self.queue(Report::Progress(progress));
+    }
+
+    fn queue(&self, report: Report) {
         // An error is impossible: the receiver lives as long as the daemon.
-        let _ = self.progress_tx.send(progress);
+        let _ = self.reports_tx.send(report);
     }
 }
 
@@ -425,7 +485,11 @@
         let now = self.placer.clock.now();
         let (upstream, started_at_ms) = (&self.grant.upstream, self.started_at_ms);
         let limits = &self.placer.limits;
-        limits.response_received(now, upstream, started_at_ms, self.granted_at, requests_per_s);
+        let report =
+            limits.response_received(now, upstream, started_at_ms, self.granted_at, requests_per_s);
+        if let Some(report) = report {
+            self.placer.queue(Report::Limit(report));
+        }
     }
 
     /// Checks whether the upstream, which gave no response, still accepts connections, and reports
@@ -477,18 +541,31 @@
     }
 }
 
-/// Sends progress reports to the leader, in order, several in one message. Lost reports are
-/// logged, not repeated. The leader releases a grant without a reported end when it expires; a new
-/// leader learns from the entry daemons which requests are running.
-async fn send_progress(
-    rx: flume::Receiver<Progress>,
+/// Sends reports to the leader, in order, several in one message; limits before the progress that
+/// was made meanwhile. Lost progress reports are logged, not repeated. The leader releases a grant
+/// without a reported end when it expires; a new leader learns from the entry daemons which requests
+/// are running.
+async fn send_reports(
+    rx: flume::Receiver<Report>,
     view: Arc<View>,
     links: Arc<DaemonLinks>,
     clock: SharedClock,
 ) {
     while let Ok(first) = rx.recv_async().await {
         sleep(PROGRESS_DELAY).await;
-        let progress: Vec<Progress> = std::iter::once(first).chain(rx.try_iter()).collect();
+        let (mut progress, mut limits) = (Vec::new(), Vec::new());
+        for report in std::iter::once(first).chain(rx.try_iter()) {
+            match report {
+                Report::Progress(report) => progress.push(report),
+                Report::Limit(report) => limits.push(report),
+            }
+        }
+        if !limits.is_empty() {
+            send_limits(limits, &view, &links, &clock).await;
+        }
+        if progress.is_empty() {
+            continue;
+        }
         let count = progress.len();
         let Some(leader) = view.leader(clock.now(), LEADER_TIMEOUT) else {
             log::warn!(count = count; "progress reports dropped: no leader");
@@ -501,3 +578,26 @@
         }
     }
 }
+
+/// Sends limits to the leader, again if it does not confirm them: without them it would take the
+/// progress that follows for the end of a limit. A new leader gets all limits from [`Follower`].
+///
+/// [`Follower`]: super::follow::Follower
+async fn send_limits(
+    limits: Vec<LimitReport>,
+    view: &View,
+    links: &DaemonLinks,
+    clock: &SharedClock,
+) {
+    let count = limits.len();
+    let request = LeaderRequest::ReportLimits(limits);
+    for _ in 0..LIMIT_REPORT_ATTEMPTS {
+        let Some(leader) = view.leader(clock.now(), LEADER_TIMEOUT) else { return };
+        match links.request(leader, &request, LIMIT_REPORT_TIMEOUT).await {
+            Ok(LeaderReply::LimitsRecorded) => return,
+            Ok(_) => log::debug!("{leader}: limits not recorded: it leads no more"),
+            Err(err) => log::debug!("{leader}: limits not recorded: {err}"),
+        }
+    }
+    log::warn!(count = count; "limits of upstreams not recorded by the leader");
+}
--- a/crates/toucansilld/src/gateway/run.rs
+++ b/crates/toucansilld/src/gateway/run.rs
@@ -7,6 +7,7 @@
     entry::{CallerHandler, LeaderPlacedRequests},
     follow::Follower,
     identity,
+    limits::KnownLimits,
     members::TICK,
     messages::{ControlHttpRequest, LeaderReply, LeaderRequest},
     placer::Placer,
@@ -101,6 +102,7 @@
     let metrics = install_metrics()?;
     let view = View::new();
     let leader_placed = LeaderPlacedRequests::new();
+    let limits: Arc<KnownLimits> = Arc::default();
     let (is_stopping_tx, is_stopping) = watch::channel(false);
     let (is_stopping_soon_tx, is_stopping_soon) = watch::channel(false);
 
@@ -138,6 +140,7 @@
         view: Arc::clone(&view),
         clock: Arc::clone(&clock),
         leader_placed: Arc::clone(&leader_placed),
+        limits: Arc::clone(&limits),
     };
     tokio::spawn(follower.run());
     serve_metrics(&settings, metrics, is_stopping.clone())?;
@@ -160,13 +163,13 @@
         };
         tokio::spawn(watchlist_follower.run());
         let (placer, progress_reporter) = Placer::new(
-            settings.daemon.clone(),
+            &settings,
             Arc::clone(&view),
             Arc::clone(&links),
             Arc::clone(&clock),
             leader_placed,
             watchlist,
-            settings.bounds.clone(),
+            limits,
         );
         tokio::spawn(progress_reporter);
         let entry = Arc::new(CallerHandler {
--- a/crates/toucansilld/tests/gateway/limits.rs
+++ b/crates/toucansilld/tests/gateway/limits.rs
@@ -170,6 +170,18 @@
     assert_limit_is_kept(&upstream);
 }
 
+/// Guards against entries that each take the whole limit for themselves while there is no leader.
+#[test]
+fn the_limit_of_an_upstream_is_kept_without_a_leader() {
+    for document in [engine_document(1, "/x/"), document(1, "/x/", "s1")] {
+        let (mut region, upstream) = start(1, &document);
+        load(&region, LEARNING_TIME);
+        region.kill(0);
+        load(&region, LOAD_TIME);
+        assert_limit_is_kept(&upstream);
+    }
+}
+
 /// Guards against a limit that outlives its time: once a response names none, the upstream must get
 /// its share of the requests again.
 #[test]
