Split the placer and the control part by what they do

Guards of grants, reports to the leader and the quarantine on the members have modules of their own now. A request that was never sent to the leader is no longer reported to it as ended.

--- a/crates/toucansilld/src/gateway/forward.rs
+++ b/crates/toucansilld/src/gateway/forward.rs
@@ -1,7 +1,8 @@
 //! Forwards one request: places it, sends it, and retries until there is a response to pass on.
 
 use super::{
-    placer::{GrantGuard, Placer},
+    guard::GrantGuard,
+    placer::Placer,
     record::{PlacementSummary, RequestRecord},
     tickets::HelperReservations,
 };
--- /dev/null
+++ b/crates/toucansilld/src/gateway/guard.rs
@@ -0,0 +1,160 @@
+//! Grant of an upstream for one request, and what its end tells about the upstream and the request.
+
+use super::{
+    forward::CONNECT_TIMEOUT,
+    messages::{Progress, RunReport},
+    placer::Placer,
+    reports::Report,
+    view::ViewAge,
+};
+use control::RequestHash;
+use grant::{Grant, PlacementRequestId, RequestOutcome};
+use proxy::accepts_connections;
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use wire::UpstreamId;
+
+/// Time without a response after which an abandoned attempt raises the suspicion that its upstream
+/// has crashed: longer than nearly all responses take.
+const SILENCE_MIN: Duration = Duration::from_millis(1_600);
+
+/// Grant of an upstream for one request, until the request ends. If it is dropped before
+/// [`GrantGuard::end`], the request counts as abandoned.
+pub(crate) struct GrantGuard {
+    placer: Arc<Placer>,
+    request_id: PlacementRequestId,
+    /// Hash of the request.
+    request: RequestHash,
+    /// Upstream and helpers to send the request to.
+    pub(crate) grant: Grant,
+    /// Start time of the upstream's run, in milliseconds since the Unix epoch on its clock; 0 if
+    /// this daemon's view lacks the upstream.
+    started_at_ms: u64,
+    granted_at: Instant,
+    /// View by which this daemon placed the request itself; `None` if the leader placed it.
+    local_view: Option<ViewAge>,
+    has_first_event: bool,
+    has_ended: bool,
+}
+
+impl GrantGuard {
+    /// Creates the guard of a grant for the request with this hash, which was placed just now.
+    pub(super) fn new(
+        placer: Arc<Placer>,
+        request_id: PlacementRequestId,
+        request: RequestHash,
+        grant: Grant,
+        started_at_ms: u64,
+        local_view: Option<ViewAge>,
+    ) -> Self {
+        let granted_at = placer.clock.now();
+        Self {
+            placer,
+            request_id,
+            request,
+            grant,
+            started_at_ms,
+            granted_at,
+            local_view,
+            has_first_event: false,
+            has_ended: false,
+        }
+    }
+
+    /// View by which this daemon placed the request itself; `None` if the leader placed it.
+    pub(crate) fn local_view(&self) -> Option<ViewAge> {
+        self.local_view
+    }
+
+    /// Name for the request's reservations on helpers, unique in the region.
+    pub(crate) fn reservation_name(&self) -> String {
+        format!("{}-{:x}", self.request_id.daemon, self.request_id.number)
+    }
+
+    /// Upstream that runs the request.
+    pub(crate) fn upstream(&self) -> &UpstreamId {
+        &self.grant.upstream
+    }
+
+    /// Reports the first event of the response to the leader. Later calls change nothing.
+    pub(crate) fn first_event_received(&mut self) {
+        if std::mem::replace(&mut self.has_first_event, true) || self.local_view.is_some() {
+            return;
+        }
+        self.placer.leader_placed.first_event_received(&self.request_id);
+        self.placer.report(Progress::FirstEvent(self.request_id.clone()));
+    }
+
+    /// Ends the grant: reports the outcome to the leader, or to the local placer.
+    pub(crate) fn end(mut self, outcome: RequestOutcome) {
+        self.end_once(outcome);
+    }
+
+    /// Report that the upstream crashed under the request.
+    fn crash(&self) -> RunReport {
+        let (upstream, started_at_ms) = (self.grant.upstream.clone(), self.started_at_ms);
+        RunReport::Crashed { request: self.request, upstream, started_at_ms }
+    }
+
+    /// Records the limit that the upstream's response names, or that it names none.
+    pub(crate) fn response_received(&self, requests_per_s: Option<f64>) {
+        let now = self.placer.clock.now();
+        let (upstream, started_at_ms) = (&self.grant.upstream, self.started_at_ms);
+        let limits = &self.placer.limits;
+        let report =
+            limits.response_received(now, upstream, started_at_ms, self.granted_at, requests_per_s);
+        if let Some(report) = report {
+            self.placer.queue(Report::Limit(report));
+        }
+    }
+
+    /// Checks whether the upstream, which gave no response, still accepts connections, and reports
+    /// a crash if it does not.
+    fn report_if_crashed(&self) {
+        let (watchlist, crash) = (Arc::clone(&self.placer.watchlist), self.crash());
+        let address = self.grant.address;
+        tokio::spawn(async move {
+            if !accepts_connections(address, CONNECT_TIMEOUT).await {
+                watchlist.report(crash);
+            }
+        });
+    }
+
+    fn end_once(&mut self, outcome: RequestOutcome) {
+        if std::mem::replace(&mut self.has_ended, true) {
+            return;
+        }
+        match outcome {
+            RequestOutcome::Broken => self.placer.watchlist.report(self.crash()),
+            RequestOutcome::Silent => self.report_if_crashed(),
+            RequestOutcome::Abandoned if !self.has_first_event => {
+                let elapsed = self.placer.clock.now().saturating_duration_since(self.granted_at);
+                if elapsed >= SILENCE_MIN {
+                    self.report_if_crashed();
+                }
+            }
+            RequestOutcome::Completed => {
+                self.placer.watchlist.report(RunReport::Completed { request: self.request });
+            }
+            _ => {}
+        }
+        if self.local_view.is_some() {
+            let now = self.placer.clock.now();
+            let id = &self.grant.upstream;
+            return self
+                .placer
+                .view
+                .with(|state| state.local.request_ended(now, id, outcome.is_failure()));
+        }
+        self.placer.leader_placed.remove(&self.request_id);
+        self.placer.report(Progress::Ended(self.request_id.clone(), outcome));
+    }
+}
+
+impl Drop for GrantGuard {
+    fn drop(&mut self) {
+        self.end_once(RequestOutcome::Abandoned);
+    }
+}
--- a/crates/toucansilld/src/gateway/placer.rs
+++ b/crates/toucansilld/src/gateway/placer.rs
@@ -1,23 +1,22 @@
-//! Finds upstreams for the requests of an entry daemon, by the leader or without it, and reports
-//! the progress of those that the leader placed.
+//! Finds upstreams for the requests of an entry daemon, by the leader or without it.
 
 use super::{
     bus::DaemonLinks,
-    forward::CONNECT_TIMEOUT,
+    guard::GrantGuard,
     limits::KnownLimits,
-    messages::{LeaderReply, LeaderRequest, Progress, RunReport},
+    messages::{LeaderReply, LeaderRequest, Progress},
+    reports::{Report, send_reports},
     settings::GatewaySettings,
-    view::{View, ViewAge},
+    view::View,
     watchlist::WatchlistView,
 };
 use crate::sync::lock;
 use control::{QUARANTINE, RequestHash};
 use grant::{
-    Decision, Grant, LimitReport, PlacementRequest, PlacementRequestId, RefusalReason,
-    RequestOutcome, RunningRequest,
+    Decision, Grant, PlacementRequest, PlacementRequestId, RefusalReason, RequestOutcome,
+    RunningRequest,
 };
 use kernel::SharedClock;
-use proxy::accepts_connections;
 use route::RetryBudget;
 use std::{
     collections::BTreeMap,
@@ -40,10 +39,6 @@
 const NO_LEADER_TIMEOUT: Duration = Duration::from_millis(150);
 /// Interval at which a waiting request checks for a leader.
 const LEADER_CHECK_INTERVAL: Duration = Duration::from_millis(25);
-/// Time for which progress reports are collected into one message.
-const PROGRESS_DELAY: Duration = Duration::from_millis(15);
-/// Timeout for the leader's confirmation of progress reports.
-const PROGRESS_TIMEOUT: Duration = Duration::from_millis(500);
 /// Share of a leader-placed service's retry budget that entry daemons may spend without a leader;
 /// the dispatcher's share is separate (`RETRY_BUDGET_SHARE` in `grant`). For services that daemons
 /// always place themselves, the share is 1 minus this.
@@ -51,15 +46,9 @@
 /// `Retry-After` for a caller whose request this daemon itself refused to place: about the time
 /// within which a lost upstream is replaced in the directory.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Timeout for the leader's confirmation of limits, and the number of attempts to report them.
-const LIMIT_REPORT_TIMEOUT: Duration = Duration::from_millis(200);
-const LIMIT_REPORT_ATTEMPTS: usize = 3;
 /// Timeout for the leader's permission to send a request to an upstream with a limit: a few round
 /// trips and the scheduling delay of a busy VM.
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time without a response after which an abandoned attempt raises the suspicion that its upstream
-/// has crashed: longer than nearly all responses take.
-const SILENCE_MIN: Duration = Duration::from_millis(1_600);
 
 /// Running requests of this daemon that a leader placed.
 pub(crate) struct LeaderPlacedRequests {
@@ -87,42 +76,34 @@
     }
 
     /// Adds a request that the leader of `term` placed.
-    fn add(&self, term: u64, running: RunningRequest) {
+    pub(super) fn add(&self, term: u64, running: RunningRequest) {
         lock(&self.running).insert(running.request.id.clone(), (term, running));
     }
 
     /// Records that the first event of a request has come.
-    fn first_event_received(&self, id: &PlacementRequestId) {
+    pub(super) fn first_event_received(&self, id: &PlacementRequestId) {
         if let Some((_, running)) = lock(&self.running).get_mut(id) {
             running.has_first_event = true;
         }
     }
 
-    fn remove(&self, id: &PlacementRequestId) {
+    pub(super) fn remove(&self, id: &PlacementRequestId) {
         lock(&self.running).remove(id);
     }
 }
 
-/// Report for the leader.
-enum Report {
-    /// Progress of a request that the leader placed.
-    Progress(Progress),
-    /// Limit that a response has named, or that it has ended.
-    Limit(LimitReport),
-}
-
 /// Finds upstreams for the requests of one entry daemon.
 pub(crate) struct Placer {
     daemon: DaemonId,
-    view: Arc<View>,
+    pub(super) view: Arc<View>,
     links: Arc<DaemonLinks>,
-    clock: SharedClock,
-    leader_placed: Arc<LeaderPlacedRequests>,
+    pub(super) clock: SharedClock,
+    pub(super) leader_placed: Arc<LeaderPlacedRequests>,
     next_number: AtomicU64,
     reports_tx: flume::Sender<Report>,
     retry_budgets: LocalRetryBudgets,
-    watchlist: Arc<WatchlistView>,
-    limits: Arc<KnownLimits>,
+    pub(super) watchlist: Arc<WatchlistView>,
+    pub(super) limits: Arc<KnownLimits>,
 }
 
 /// Budgets for retries that this daemon places itself.
@@ -167,25 +148,6 @@
     }
 }
 
-/// Grant of an upstream for one request, until the request ends. If it is dropped before
-/// [`GrantGuard::end`], the request counts as abandoned.
-pub(crate) struct GrantGuard {
-    placer: Arc<Placer>,
-    request_id: PlacementRequestId,
-    /// Hash of the request.
-    request: RequestHash,
-    /// Upstream and helpers to send the request to.
-    pub(crate) grant: Grant,
-    /// Start time of the upstream's run, in milliseconds since the Unix epoch on its clock; 0 if
-    /// this daemon's view lacks the upstream.
-    started_at_ms: u64,
-    granted_at: Instant,
-    /// View by which this daemon placed the request itself; `None` if the leader placed it.
-    local_view: Option<ViewAge>,
-    has_first_event: bool,
-    has_ended: bool,
-}
-
 impl Placer {
     /// Creates a placer, and the task that sends its progress reports to the leader.
     pub(crate) fn new(
@@ -249,6 +211,7 @@
         let started = self.clock.now();
         let deadline = started + request.first_event_deadline_remaining;
         let mut leaderless_since = None;
+        let mut may_be_queued = false;
         loop {
             let now = self.clock.now();
             let refusal = match self.watchlist.is_quarantined(hash) {
@@ -259,8 +222,9 @@
                 false => None,
             };
             if let Some(refusal) = refusal {
-                // The leader may have the request in its queue.
-                self.report(Progress::Ended(request.id.clone(), RequestOutcome::Abandoned));
+                if may_be_queued {
+                    self.report(Progress::Ended(request.id.clone(), RequestOutcome::Abandoned));
+                }
                 return Err(refusal);
             }
             let Some(leader) = self.view.leader(now, LEADER_TIMEOUT) else {
@@ -280,6 +244,7 @@
             remaining.response_time_remaining =
                 remaining.response_time_remaining.saturating_sub(passed);
             let term = self.view.with(|state| state.position.term);
+            may_be_queued = true;
             match self
                 .links
                 .request(leader, &LeaderRequest::Place(remaining), PLACEMENT_TIMEOUT)
@@ -328,18 +293,7 @@
         let request_id = running.request.id.clone();
         self.leader_placed.add(term, running);
         let started_at_ms = self.view.with(|state| state.started_at_ms(&grant.upstream));
-        let placer = Arc::clone(self);
-        GrantGuard {
-            placer,
-            request_id,
-            request: *hash,
-            grant,
-            started_at_ms,
-            granted_at: self.clock.now(),
-            local_view: None,
-            has_first_event: false,
-            has_ended: false,
-        }
+        GrantGuard::new(Arc::clone(self), request_id, *hash, grant, started_at_ms, None)
     }
 
     /// Places a request by this daemon's view alone, if its budget for retries allows it and it has
@@ -379,17 +333,9 @@
                 state.local.request_started(&grant.upstream);
                 state.age(now)
             });
-            return Ok(GrantGuard {
-                placer: Arc::clone(self),
-                request_id: request.id.clone(),
-                request: *hash,
-                grant,
-                started_at_ms,
-                granted_at: self.clock.now(),
-                local_view: Some(view_age),
-                has_first_event: false,
-                has_ended: false,
-            });
+            let (placer, request_id) = (Arc::clone(self), request.id.clone());
+            let view_age = Some(view_age);
+            return Ok(GrantGuard::new(placer, request_id, *hash, grant, started_at_ms, view_age));
         }
     }
 
@@ -434,170 +380,13 @@
     }
 
     /// Queues a progress report.
-    fn report(&self, progress: Progress) {
+    pub(super) fn report(&self, progress: Progress) {
         self.queue(Report::Progress(progress));
     }
 
-    fn queue(&self, report: Report) {
+    /// Queues a report for the leader.
+    pub(super) fn queue(&self, report: Report) {
         // An error is impossible: the receiver lives as long as the daemon.
         let _ = self.reports_tx.send(report);
     }
 }
-
-impl GrantGuard {
-    /// View by which this daemon placed the request itself; `None` if the leader placed it.
-    pub(crate) fn local_view(&self) -> Option<ViewAge> {
-        self.local_view
-    }
-
-    /// Name for the request's reservations on helpers, unique in the region.
-    pub(crate) fn reservation_name(&self) -> String {
-        format!("{}-{:x}", self.request_id.daemon, self.request_id.number)
-    }
-
-    /// Upstream that runs the request.
-    pub(crate) fn upstream(&self) -> &UpstreamId {
-        &self.grant.upstream
-    }
-
-    /// Reports the first event of the response to the leader. Later calls change nothing.
-    pub(crate) fn first_event_received(&mut self) {
-        if std::mem::replace(&mut self.has_first_event, true) || self.local_view.is_some() {
-            return;
-        }
-        self.placer.leader_placed.first_event_received(&self.request_id);
-        self.placer.report(Progress::FirstEvent(self.request_id.clone()));
-    }
-
-    /// Ends the grant: reports the outcome to the leader, or to the local placer.
-    pub(crate) fn end(mut self, outcome: RequestOutcome) {
-        self.end_once(outcome);
-    }
-
-    /// Report that the upstream crashed under the request.
-    fn crash(&self) -> RunReport {
-        let (upstream, started_at_ms) = (self.grant.upstream.clone(), self.started_at_ms);
-        RunReport::Crashed { request: self.request, upstream, started_at_ms }
-    }
-
-    /// Records the limit that the upstream's response names, or that it names none.
-    pub(crate) fn response_received(&self, requests_per_s: Option<f64>) {
-        let now = self.placer.clock.now();
-        let (upstream, started_at_ms) = (&self.grant.upstream, self.started_at_ms);
-        let limits = &self.placer.limits;
-        let report =
-            limits.response_received(now, upstream, started_at_ms, self.granted_at, requests_per_s);
-        if let Some(report) = report {
-            self.placer.queue(Report::Limit(report));
-        }
-    }
-
-    /// Checks whether the upstream, which gave no response, still accepts connections, and reports
-    /// a crash if it does not.
-    fn report_if_crashed(&self) {
-        let (watchlist, crash) = (Arc::clone(&self.placer.watchlist), self.crash());
-        let address = self.grant.address;
-        tokio::spawn(async move {
-            if !accepts_connections(address, CONNECT_TIMEOUT).await {
-                watchlist.report(crash);
-            }
-        });
-    }
-
-    fn end_once(&mut self, outcome: RequestOutcome) {
-        if std::mem::replace(&mut self.has_ended, true) {
-            return;
-        }
-        match outcome {
-            RequestOutcome::Broken => self.placer.watchlist.report(self.crash()),
-            RequestOutcome::Silent => self.report_if_crashed(),
-            RequestOutcome::Abandoned if !self.has_first_event => {
-                let elapsed = self.placer.clock.now().saturating_duration_since(self.granted_at);
-                if elapsed >= SILENCE_MIN {
-                    self.report_if_crashed();
-                }
-            }
-            RequestOutcome::Completed => {
-                self.placer.watchlist.report(RunReport::Completed { request: self.request });
-            }
-            _ => {}
-        }
-        if self.local_view.is_some() {
-            let now = self.placer.clock.now();
-            let id = &self.grant.upstream;
-            return self
-                .placer
-                .view
-                .with(|state| state.local.request_ended(now, id, outcome.is_failure()));
-        }
-        self.placer.leader_placed.remove(&self.request_id);
-        self.placer.report(Progress::Ended(self.request_id.clone(), outcome));
-    }
-}
-
-impl Drop for GrantGuard {
-    fn drop(&mut self) {
-        self.end_once(RequestOutcome::Abandoned);
-    }
-}
-
-/// Sends reports to the leader, in order, several in one message; limits before the progress that
-/// was made meanwhile. Lost progress reports are logged, not repeated. The leader releases a grant
-/// without a reported end when it expires; a new leader learns from the entry daemons which requests
-/// are running.
-async fn send_reports(
-    rx: flume::Receiver<Report>,
-    view: Arc<View>,
-    links: Arc<DaemonLinks>,
-    clock: SharedClock,
-) {
-    while let Ok(first) = rx.recv_async().await {
-        sleep(PROGRESS_DELAY).await;
-        let (mut progress, mut limits) = (Vec::new(), Vec::new());
-        for report in std::iter::once(first).chain(rx.try_iter()) {
-            match report {
-                Report::Progress(report) => progress.push(report),
-                Report::Limit(report) => limits.push(report),
-            }
-        }
-        if !limits.is_empty() {
-            send_limits(limits, &view, &links, &clock).await;
-        }
-        if progress.is_empty() {
-            continue;
-        }
-        let count = progress.len();
-        let Some(leader) = view.leader(clock.now(), LEADER_TIMEOUT) else {
-            log::warn!(count = count; "progress reports dropped: no leader");
-            continue;
-        };
-        if let Err(err) =
-            links.request(leader, &LeaderRequest::Progress(progress), PROGRESS_TIMEOUT).await
-        {
-            log::warn!(count = count, leader:% = leader; "progress reports not confirmed: {err}");
-        }
-    }
-}
-
-/// Sends limits to the leader, again if it does not confirm them: without them it would take the
-/// progress that follows for the end of a limit. A new leader gets all limits from [`Follower`].
-///
-/// [`Follower`]: super::follow::Follower
-async fn send_limits(
-    limits: Vec<LimitReport>,
-    view: &View,
-    links: &DaemonLinks,
-    clock: &SharedClock,
-) {
-    let count = limits.len();
-    let request = LeaderRequest::ReportLimits(limits);
-    for _ in 0..LIMIT_REPORT_ATTEMPTS {
-        let Some(leader) = view.leader(clock.now(), LEADER_TIMEOUT) else { return };
-        match links.request(leader, &request, LIMIT_REPORT_TIMEOUT).await {
-            Ok(LeaderReply::LimitsRecorded) => return,
-            Ok(_) => log::debug!("{leader}: limits not recorded: it leads no more"),
-            Err(err) => log::debug!("{leader}: limits not recorded: {err}"),
-        }
-    }
-    log::warn!(count = count; "limits of upstreams not recorded by the leader");
-}
--- /dev/null
+++ b/crates/toucansilld/src/gateway/quarantine.rs
@@ -0,0 +1,131 @@
+//! Quarantine of requests that crash upstreams, on the members of the control group.
+//!
+//! The leader replicates the reports of the entries. Every member derives the [`Watchlist`] from the
+//! replicated state, for the entries that follow it ([`watchlist`](super::watchlist)).
+
+use super::{
+    bus::reply,
+    control::ControlMember,
+    forward::short_hash,
+    messages::{LeaderReply, RunReport},
+    watchlist::WATCHLIST_WAIT,
+};
+use control::{Command, CrashCharge, Quarantine, QuarantineStatus, Watchlist};
+use std::{sync::Arc, time::Duration};
+use tokio::time::{sleep, timeout};
+use wire::Responder;
+
+/// Time for which reports of crashes are collected into one entry of the replicated log.
+const REPORT_DELAY: Duration = Duration::from_millis(10);
+
+/// Reports of a daemon, to be replied to once they are replicated.
+pub(super) type ReceivedReports = (Vec<RunReport>, Responder);
+
+/// Watchlist of the replicated state, as this member has last seen it.
+#[derive(Default)]
+pub(super) struct ReadWatchlist {
+    pub(super) watchlist: Watchlist,
+    /// State index at which it was read.
+    index: u64,
+    /// State index at which it was first read with this content.
+    changed_at: u64,
+}
+
+impl ControlMember {
+    /// Replicates reports of crashes, those that come at about the same time in one entry of the
+    /// log.
+    pub(super) async fn record_reports(self: Arc<Self>, rx: flume::Receiver<ReceivedReports>) {
+        while let Ok(first) = rx.recv_async().await {
+            sleep(REPORT_DELAY).await;
+            let received: Vec<ReceivedReports> =
+                std::iter::once(first).chain(rx.try_iter()).collect();
+            let commands: Vec<Command> = self.voter().peek(|state| {
+                let reports = received.iter().flat_map(|(reports, _)| reports);
+                reports.filter_map(|report| command_for(state.quarantine(), report)).collect()
+            });
+            let count = commands.len();
+            let recorded = match commands.is_empty() {
+                true => Ok(()),
+                false => self.propose(Command::Batch(commands)).await.map(drop),
+            };
+            if recorded.is_ok() {
+                metrics::counter!("toucansill_crash_reports_total").increment(count as u64);
+                self.read_watchlist();
+            }
+            for (_, responder) in received {
+                match &recorded {
+                    Ok(()) => reply(responder, &LeaderReply::RunsRecorded),
+                    Err(response) => {
+                        let reason = String::from_utf8_lossy(&response.body);
+                        log::warn!(count = count; "reports of crashes not replicated: {reason}");
+                        reply(responder, &self.not_leader());
+                    }
+                }
+            }
+        }
+    }
+
+    /// Reads the watchlist from the replicated state if the state has changed. A leader applies it,
+    /// and logs which requests are now refused or no longer.
+    pub(super) fn read_watchlist(&self) {
+        let known = self.watchlist.borrow().index;
+        let read = self.voter().peek(|state| {
+            (state.applied() != known).then(|| (state.applied(), state.quarantine().watchlist()))
+        });
+        let Some((index, watchlist)) = read else { return };
+        self.watchlist.send_if_modified(|known| {
+            known.index = index;
+            let is_changed = known.watchlist != watchlist;
+            if is_changed {
+                self.with_leader(|leader| {
+                    log_quarantine_changes(&known.watchlist, &watchlist);
+                    leader.set_quarantined(&watchlist);
+                });
+                *known = ReadWatchlist { watchlist, index, changed_at: index };
+            }
+            is_changed
+        });
+    }
+
+    /// Waits until the watchlist is newer than one that was read at `index`, for
+    /// [`WATCHLIST_WAIT`] at most, and returns the reply to its follower.
+    pub(super) async fn await_watchlist(&self, index: u64) -> LeaderReply {
+        let mut watchlist = self.watchlist.subscribe();
+        // Without a change in time, the reply tells the follower that this member is alive.
+        let _ = timeout(WATCHLIST_WAIT, watchlist.wait_for(|read| read.changed_at > index)).await;
+        let read = watchlist.borrow();
+        let changed = (read.changed_at > index).then(|| read.watchlist.clone());
+        LeaderReply::Watchlist { index: read.index, watchlist: changed }
+    }
+}
+
+/// Command that records a report, unless the quarantine shows that it changes nothing.
+fn command_for(quarantine: &Quarantine, report: &RunReport) -> Option<Command> {
+    match report {
+        RunReport::Crashed { request, upstream, started_at_ms } => {
+            let is_known = quarantine.has_charged(request, upstream, *started_at_ms);
+            let charge = CrashCharge {
+                fingerprint: *request,
+                upstream: upstream.clone(),
+                incarnation: *started_at_ms,
+                alone: false,
+                at_ms: 0,
+            };
+            (!is_known).then_some(Command::Charge(charge))
+        }
+        RunReport::Completed { request } => {
+            let is_suspect = quarantine.status(request) == QuarantineStatus::Suspect;
+            is_suspect.then_some(Command::Acquit { fingerprint: *request, at_ms: 0 })
+        }
+    }
+}
+
+/// Logs which requests are refused from now on, and which no longer.
+fn log_quarantine_changes(former: &Watchlist, watchlist: &Watchlist) {
+    for hash in watchlist.quarantined.difference(&former.quarantined) {
+        log::warn!(hash:% = format!("{:016x}", short_hash(hash)); "request quarantined");
+    }
+    for hash in former.quarantined.difference(&watchlist.quarantined) {
+        log::info!(hash:% = format!("{:016x}", short_hash(hash)); "request quarantined no longer");
+    }
+}
--- a/crates/toucansilld/src/gateway/stream.rs
+++ b/crates/toucansilld/src/gateway/stream.rs
@@ -81,7 +81,7 @@
 async fn forward_part(
     request: &mut ForwardedRequest,
     body: &mut proxy::ResponseBody,
-    guard: &mut super::placer::GrantGuard,
+    guard: &mut super::guard::GrantGuard,
     tx: &BodySender,
     record: &mut RequestRecord,
 ) -> PartEnd {
