Leave room in limits for daemons that don't reach the leader, and tell the leader what they know

By reading: while some entries reach the leader and others don't, the former used the whole limit by its grants and the latter the whole limit by their shares, 8.8 requests in 4 s at 1/s and 19.4 at 2.2/s, where 11 and 18.2 are allowed. The shares are now of half a limit, and half a second's worth accumulates instead of a second's. And an entry that asks to send a request names the limit that it knows: a leader that was not told of it, as the report was lost, allowed everything. Tests of grant and gateway pass; the case of some entries without the leader has no test.

--- a/crates/grant/src/dispatcher.rs
+++ b/crates/grant/src/dispatcher.rs
@@ -155,11 +155,20 @@
 
     /// Counts a request that an entry is about to send to an upstream by its own placement, unless
     /// the upstream's limit does not allow it yet. Returns the time until it does; zero if the
-    /// request may be sent.
-    pub fn reserve_request(&mut self, now: Instant, upstream: &str) -> Duration {
-        let wait = self.limits.wait(now, upstream);
+    /// request may be sent. `known` is the limit as the entry knows it, which is taken over if it is
+    /// not known here.
+    pub fn reserve_request(
+        &mut self,
+        now: Instant,
+        directory: &Directory,
+        known: &LimitReport,
+    ) -> Duration {
+        if !self.limits.is_known(&known.upstream) {
+            self.report_limit(now, directory, known);
+        }
+        let wait = self.limits.wait(now, &known.upstream);
         if wait.is_zero() {
-            self.limits.request_sent(now, upstream);
+            self.limits.request_sent(now, &known.upstream);
         }
         wait
     }
@@ -469,7 +478,7 @@
         };
         self.start_request(now, directory, request, grant.clone(), prefill);
         if let Some(granted) = self.granted.get_mut(&grant.id) {
-            granted.was_limited = self.limits.requests_per_s(&grant.upstream).is_some();
+            granted.was_limited = self.limits.is_known(&grant.upstream);
         }
         self.limits.request_sent(now, &grant.upstream);
         Some(grant)
--- a/crates/grant/src/limit.rs
+++ b/crates/grant/src/limit.rs
@@ -11,7 +11,7 @@
 /// show that a limit has ended.
 pub const MIN_REQUESTS_PER_S: f64 = 0.2;
 /// Time over which requests that an upstream didn't get accumulate.
-const ACCUMULATION_TIME: Duration = Duration::from_secs(1);
+const ACCUMULATION_TIME: Duration = Duration::from_millis(500);
 
 /// Limit that a response of an upstream names, as an entry daemon reports it.
 #[derive(Clone, Debug, Decode, Encode, PartialEq)]
@@ -90,6 +90,11 @@
         }
     }
 
+    /// Whether a limit of this upstream is known.
+    pub(crate) fn is_known(&self, upstream: &str) -> bool {
+        self.limits.contains_key(upstream)
+    }
+
     /// Limit of an upstream in requests per second, if it has one.
     pub(crate) fn requests_per_s(&self, upstream: &str) -> Option<f64> {
         self.limits.get(upstream).map(|limit| limit.requests_per_s)
--- a/crates/grant/tests/dispatcher.rs
+++ b/crates/grant/tests/dispatcher.rs
@@ -74,9 +74,12 @@
         self.dispatcher.report_limit(self.now, &self.directory, &report);
     }
 
-    /// Whether engine `e0` may get a request that an entry places.
+    /// Whether engine `e0` may get a request that an entry places. The entry knows of a limit, of an
+    /// earlier run.
     fn may_send_to_e0(&mut self) -> bool {
-        self.dispatcher.reserve_request(self.now, "e0").is_zero()
+        let upstream = String::from("e0");
+        let known = LimitReport { upstream, started_at_ms: 0, requests_per_s: Some(1.0) };
+        self.dispatcher.reserve_request(self.now, &self.directory, &known).is_zero()
     }
 
     fn end(&mut self, request_id: &PlacementRequestId, outcome: RequestOutcome) {
@@ -395,6 +398,20 @@
     assert!(!fixture.may_send_to_e0());
 }
 
+/// The limit may not have reached a new leader before an entry asks for permission to send.
+#[test]
+fn a_limit_is_learnt_from_an_entry_that_reserves_a_request() {
+    let mut fixture = Fixture::new(1);
+    let upstream = String::from("e0");
+    let known = LimitReport { upstream, started_at_ms: 1, requests_per_s: Some(1.0) };
+    let mut wait =
+        |now| fixture.dispatcher.reserve_request(now, &fixture.directory, &known).as_millis();
+    let now = fixture.now;
+    assert_eq!(wait(now), 1_000);
+    assert_eq!(wait(now + Duration::from_secs(1)), 0);
+    assert_eq!(wait(now + Duration::from_secs(1)), 1_000);
+}
+
 /// A run that has ended can't limit the next one.
 #[test]
 fn a_limit_does_not_outlive_the_run_that_named_it() {
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -295,9 +295,9 @@
                     None => reply(responder, &self.not_leader()),
                 }
             }
-            LeaderRequest::ReserveRequest { upstream } => {
+            LeaderRequest::ReserveRequest(known) => {
                 let now = self.clock.now();
-                let wait = self.with_leader(|leader| leader.reserve_request(now, &upstream));
+                let wait = self.with_leader(|leader| leader.reserve_request(now, &known));
                 let reserved = wait.map(|wait| LeaderReply::RequestReserved { wait });
                 reply(responder, &reserved.unwrap_or_else(|| self.not_leader()));
             }
--- a/crates/toucansilld/src/gateway/lead.rs
+++ b/crates/toucansilld/src/gateway/lead.rs
@@ -137,8 +137,8 @@
 
     /// Counts a request that an entry sends to an upstream by its own placement, if the upstream's
     /// limit allows it. Returns the time until it does.
-    pub(crate) fn reserve_request(&mut self, now: Instant, upstream: &str) -> Duration {
-        self.dispatcher.reserve_request(now, upstream)
+    pub(crate) fn reserve_request(&mut self, now: Instant, known: &LimitReport) -> Duration {
+        self.dispatcher.reserve_request(now, &self.directory, known)
     }
 
     /// Position of an up-to-date view.
--- a/crates/toucansilld/src/gateway/limits.rs
+++ b/crates/toucansilld/src/gateway/limits.rs
@@ -17,6 +17,10 @@
 /// is left without a request.
 const LIMIT_RETENTION: Duration = Duration::from_secs(600);
 
+/// Part of a limit that the entries without a leader use together. Other daemons may still reach the
+/// leader, which uses the whole limit.
+const LEADERLESS_PART: f64 = 0.5;
+
 /// Limits that an entry knows.
 #[derive(Default)]
 pub(crate) struct KnownLimits {
@@ -34,6 +38,16 @@
     next_in_share: Option<Instant>,
 }
 
+impl KnownLimit {
+    fn report(&self, upstream: &UpstreamId) -> LimitReport {
+        LimitReport {
+            upstream: upstream.clone(),
+            started_at_ms: self.started_at_ms,
+            requests_per_s: Some(self.requests_per_s),
+        }
+    }
+}
+
 impl KnownLimits {
     /// Records the limit that a response names, or that it names none. The request was sent at
     /// `sent_at` to the run of the upstream that started at `started_at_ms`. Returns what has to be
@@ -76,21 +90,18 @@
     /// All known limits, for a new leader.
     pub(crate) fn all(&self) -> Vec<LimitReport> {
         let limits = lock(&self.limits);
-        let report = |(upstream, limit): (&UpstreamId, &KnownLimit)| LimitReport {
-            upstream: upstream.clone(),
-            started_at_ms: limit.started_at_ms,
-            requests_per_s: Some(limit.requests_per_s),
-        };
-        limits.iter().map(report).collect()
+        limits.iter().map(|(upstream, limit)| limit.report(upstream)).collect()
     }
 
-    /// Whether a run of an upstream is known to have a limit.
-    pub(crate) fn is_limited(&self, upstream: &str, started_at_ms: u64) -> bool {
-        lock(&self.limits).get(upstream).is_some_and(|limit| limit.started_at_ms == started_at_ms)
+    /// Known limit of a run of an upstream.
+    pub(crate) fn get(&self, upstream: &UpstreamId, started_at_ms: u64) -> Option<LimitReport> {
+        let limits = lock(&self.limits);
+        let limit = limits.get(upstream).filter(|limit| limit.started_at_ms == started_at_ms)?;
+        Some(limit.report(upstream))
     }
 
-    /// Takes a request from this daemon's share of a limit, one of `entry_daemons` equal ones, for
-    /// the time without a leader. Returns the time until the share allows it; zero if it does now.
+    /// Takes a request from this daemon's share of a limit, for the time without a leader: one of
+    /// `entry_daemons` equal parts of [`LEADERLESS_PART`]. Returns the time until the share allows it; zero if it does now.
     ///
     /// The daemons' first requests are spread at random over the interval between two of a share, as
     /// all lose the leader at about the same time.
@@ -102,7 +113,7 @@
     ) -> Duration {
         let mut limits = lock(&self.limits);
         let Some(limit) = limits.get_mut(upstream) else { return Duration::ZERO };
-        let requests_per_s = limit.requests_per_s.max(MIN_REQUESTS_PER_S);
+        let requests_per_s = limit.requests_per_s.max(MIN_REQUESTS_PER_S) * LEADERLESS_PART;
         let interval = Duration::from_secs_f64(f64::from(entry_daemons.max(1)) / requests_per_s);
         let random_start = || now + interval.mul_f64(fastrand::f64());
         let next = *limit.next_in_share.get_or_insert_with(random_start);
--- a/crates/toucansilld/src/gateway/messages.rs
+++ b/crates/toucansilld/src/gateway/messages.rs
@@ -57,11 +57,9 @@
     },
     /// Reports limits that responses of upstreams have named, or that they no longer name.
     ReportLimits(Vec<LimitReport>),
-    /// Requests permission to send a request to an upstream with a limit, without a grant.
-    ReserveRequest {
-        /// Upstream that the request is for.
-        upstream: UpstreamId,
-    },
+    /// Requests permission to send a request to an upstream without a grant. The daemon knows this
+    /// limit of the upstream.
+    ReserveRequest(LimitReport),
 }
 
 /// Reply to a [`LeaderRequest`].
--- a/crates/toucansilld/src/gateway/placer.rs
+++ b/crates/toucansilld/src/gateway/placer.rs
@@ -13,8 +13,8 @@
 use crate::sync::lock;
 use control::{QUARANTINE, RequestHash};
 use grant::{
-    Decision, Grant, PlacementRequest, PlacementRequestId, RefusalReason, RequestOutcome,
-    RunningRequest,
+    Decision, Grant, LimitReport, PlacementRequest, PlacementRequestId, RefusalReason,
+    RequestOutcome, RunningRequest,
 };
 use kernel::SharedClock;
 use route::RetryBudget;
@@ -320,9 +320,9 @@
                 let retry_after = shortest_wait.unwrap_or_default().max(REFUSED_RETRY_AFTER);
                 return Err((RefusalReason::NoUpstream, retry_after));
             };
-            let wait = match self.limits.is_limited(&grant.upstream, started_at_ms) {
-                true => self.reserve_request(&grant.upstream).await,
-                false => Duration::ZERO,
+            let wait = match self.limits.get(&grant.upstream, started_at_ms) {
+                Some(limit) => self.reserve_request(limit).await,
+                None => Duration::ZERO,
             };
             if !wait.is_zero() {
                 shortest_wait = Some(shortest_wait.map_or(wait, |shortest| shortest.min(wait)));
@@ -366,9 +366,10 @@
     /// Asks the leader whether an upstream with a limit may get a request, which the leader then
     /// counts. Without a leader, the request is taken from this daemon's share of the limit. Returns
     /// the time until the request is allowed; zero if it may be sent.
-    async fn reserve_request(&self, upstream: &UpstreamId) -> Duration {
+    async fn reserve_request(&self, limit: LimitReport) -> Duration {
+        let upstream = limit.upstream.clone();
         if let Some(leader) = self.view.leader(self.clock.now(), LEADER_TIMEOUT) {
-            let request = LeaderRequest::ReserveRequest { upstream: upstream.clone() };
+            let request = LeaderRequest::ReserveRequest(limit);
             match self.links.request(leader, &request, RESERVE_TIMEOUT).await {
                 Ok(LeaderReply::RequestReserved { wait }) => return wait,
                 Ok(_) => log::debug!("{leader}: request not reserved: it leads no more"),
@@ -376,7 +377,7 @@
             }
         }
         let entry_daemons = self.view.with(|state| state.entry_daemons);
-        self.limits.take_from_share(self.clock.now(), upstream, entry_daemons)
+        self.limits.take_from_share(self.clock.now(), &upstream, entry_daemons)
     }
 
     /// Queues a progress report.
