Let a request in the soak break off the upstreams that run it

Once a daemon has refused it, it may reach upstreams three times more, later than 3 s after that, whatever happens to daemons, leaders and disks.

--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -373,7 +373,8 @@
 }
 
 impl Upstream {
-    /// Starts an upstream that responds to every request with its name and the attempt's id.
+    /// Starts an upstream that responds to every request with its name and the attempt's id. At a
+    /// request with the body `crash` it closes the connection instead.
     pub(crate) fn start(name: &'static str) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
@@ -500,9 +501,12 @@
 
 /// Serves one connection. A request counts as run only once it was received whole.
 fn respond(mut stream: TcpStream, name: &str, runs: &Mutex<Vec<String>>) {
-    let Some((head, _)) = read_request(&stream) else { return };
+    let Some((head, body)) = read_request(&stream) else { return };
     let attempt = head.lines().find_map(parse_request_id).unwrap_or_default().to_owned();
     runs.lock().expect("not poisoned").push(attempt.clone());
+    if body == "crash" {
+        return;
+    }
     let body = format!("{name} {attempt}");
     let response = format!(
         "HTTP/1.1 200 OK\r\n{}Content-Length: {}\r\n\r\n{body}",
--- a/crates/toucansilld/tests/soak/main.rs
+++ b/crates/toucansilld/tests/soak/main.rs
@@ -13,6 +13,7 @@
 //!   read was sent.
 //! - No acknowledged change is lost.
 //! - No request reaches an upstream later than the drain time after its departure was acknowledged.
+//! - A request under which upstreams crash is refused for good once a daemon has refused it.
 //! - Requests are served again after the faults.
 
 // The soak test uses only a part of the module.
@@ -29,7 +30,7 @@
     thread,
     time::Duration,
 };
-use world::{Callers, Operator, Upstreams};
+use world::{Callers, CrashingCaller, Operator, Upstreams};
 
 const CONTROL_COUNT: usize = 5;
 const ENTRY_COUNT: usize = 2;
@@ -142,10 +143,12 @@
         (CONTROL_COUNT..CONTROL_COUNT + ENTRY_COUNT).map(|i| region.callers_address(i)).collect();
     let control_addresses: Vec<String> =
         (0..CONTROL_COUNT).map(|i| region.control_address(i)).collect();
+    let crashing_caller = CrashingCaller::new(entry_addresses.clone());
     let callers = Callers::new(entry_addresses);
     thread::scope(|scope| {
         scope.spawn(|| upstreams.register(&control_addresses, &is_done));
         scope.spawn(|| upstreams.depart(&control_addresses, &is_done));
+        scope.spawn(|| crashing_caller.send_requests(&upstreams, &is_done));
         scope.spawn(|| operator.publish(&control_addresses, &is_done));
         scope.spawn(|| operator.read(&control_addresses, &is_done));
         for caller in 0..4 {
@@ -165,8 +168,10 @@
         eventually("responses after faults", || {
             (callers.answered_count() > before + 20).then_some(())
         });
+        eventually("a quarantine", || crashing_caller.is_known().then_some(()));
         is_done.store(true, Ordering::SeqCst);
     });
+    crashing_caller.check(&upstreams);
     operator.check_kept(&control_addresses);
     callers.check(&upstreams);
     println!(
--- a/crates/toucansilld/tests/soak/world.rs
+++ b/crates/toucansilld/tests/soak/world.rs
@@ -12,7 +12,7 @@
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// Interval at which upstreams repeat their registration.
@@ -23,6 +23,16 @@
 const WATCH_TIME: Duration = Duration::from_millis(1_500);
 /// Pause between changes of the operator.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(120);
+/// Prefix of the ids of attempts of the request that crashes upstreams.
+const CRASH_PREFIX: &str = "crash";
+/// Text by which a daemon refuses that request.
+const QUARANTINED: &str = "it has crashed upstreams";
+/// Pause between two attempts of it.
+const CRASH_INTERVAL: Duration = Duration::from_millis(50);
+/// Time after its first refusal within which all daemons have to know of the quarantine.
+const QUARANTINE_SPREAD_TIME: Duration = Duration::from_secs(3);
+/// Number of times that it may reach an upstream after that.
+const LATE_CRASHES_ALLOWED: usize = 3;
 /// Pause between requests of a caller or an operator.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -320,3 +330,58 @@
         );
     }
 }
+
+/// Caller that sends the same request again and again, under which upstreams break off.
+pub(crate) struct CrashingCaller {
+    entries: Vec<String>,
+    /// When a daemon first refused the request because of that.
+    quarantined_at: Mutex<Option<Instant>>,
+    /// Number of runs of the request once all daemons had to know of the quarantine.
+    runs_when_known: Mutex<Option<usize>>,
+}
+
+impl CrashingCaller {
+    pub(crate) fn new(entries: Vec<String>) -> Self {
+        Self { entries, quarantined_at: Mutex::default(), runs_when_known: Mutex::default() }
+    }
+
+    /// Sends the request to the entries in turn.
+    pub(crate) fn send_requests(&self, upstreams: &Upstreams, is_done: &AtomicBool) {
+        for turn in 0.. {
+            if is_done.load(Ordering::SeqCst) {
+                return;
+            }
+            let request = format!(
+                "POST /x/ HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n{}Content-Length: 5\r\n\r\ncrash",
+                request_header_lines(&format!("{CRASH_PREFIX}{turn}"), 3_000)
+            );
+            let response = exchange(&self.entries[turn % self.entries.len()], &request);
+            let is_refused = response.is_some_and(|(_, body)| body.contains(QUARANTINED));
+            let mut quarantined_at = lock(&self.quarantined_at);
+            if is_refused && quarantined_at.is_none() {
+                *quarantined_at = Some(Instant::now());
+            }
+            if quarantined_at.is_some_and(|at| at.elapsed() >= QUARANTINE_SPREAD_TIME) {
+                lock(&self.runs_when_known).get_or_insert_with(|| Self::runs(upstreams));
+            }
+            drop(quarantined_at);
+            thread::sleep(CRASH_INTERVAL);
+        }
+    }
+
+    /// Whether the request was refused, and long enough ago for all daemons to know.
+    pub(crate) fn is_known(&self) -> bool {
+        lock(&self.runs_when_known).is_some()
+    }
+
+    /// Checks that the request hardly reached an upstream any more.
+    pub(crate) fn check(&self, upstreams: &Upstreams) {
+        let before = lock(&self.runs_when_known).expect("the request is refused");
+        let late_runs = Self::runs(upstreams) - before;
+        assert!(late_runs <= LATE_CRASHES_ALLOWED, "{late_runs} runs of a quarantined request");
+    }
+
+    fn runs(upstreams: &Upstreams) -> usize {
+        upstreams.runs().keys().filter(|attempt| attempt.starts_with(CRASH_PREFIX)).count()
+    }
+}
