--- a/crates/toucansilld/src/gateway/run.rs
+++ b/crates/toucansilld/src/gateway/run.rs
@@ -13,7 +13,7 @@
     placer::Placer,
     settings::{ControlSettings, EntrySettings, GatewaySettings},
     view::View,
-    watchlist::{WatchlistFollower, WatchlistView, send_reports},
+    watchlist::WatchlistView,
 };
 use crate::{
     error::{Error, Result},
@@ -147,22 +147,8 @@
 
     let mut callers = None;
     if let Some(cfg) = &settings.entry {
-        let (watchlist, reports) = WatchlistView::new();
-        let (links, view) = (Arc::clone(&links), Arc::clone(&view));
-        tokio::spawn(send_reports(
-            reports,
-            Arc::clone(&view),
-            Arc::clone(&links),
-            Arc::clone(&clock),
-        ));
-        let watchlist_follower = WatchlistFollower {
-            settings: Arc::clone(&settings),
-            links: Arc::clone(&links),
-            view: Arc::clone(&view),
-            watchlist: Arc::clone(&watchlist),
-        };
-        tokio::spawn(watchlist_follower.run());
-        let (placer, progress_reporter) = Placer::new(
+        let watchlist = WatchlistView::start(&settings, &view, &links, &clock);
+        let (placer, reporter) = Placer::new(
             &settings,
             Arc::clone(&view),
             Arc::clone(&links),
@@ -171,7 +157,7 @@
             watchlist,
             limits,
         );
-        tokio::spawn(progress_reporter);
+        tokio::spawn(reporter);
         let entry = Arc::new(CallerHandler {
             view: Arc::clone(&view),
             placer,
--- a/crates/toucansilld/src/gateway/watchlist.rs
+++ b/crates/toucansilld/src/gateway/watchlist.rs
@@ -8,6 +8,7 @@
 use super::{
     bus::DaemonLinks,
     messages::{LeaderReply, LeaderRequest, RunReport},
+    placer::LEADER_TIMEOUT,
     settings::GatewaySettings,
     view::View,
 };
@@ -16,7 +17,6 @@
 use kernel::SharedClock;
 use std::{
     collections::VecDeque,
-    net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -43,10 +43,25 @@
 }
 
 impl WatchlistView {
-    /// Creates an empty watchlist, and the receiver of the reports that are made through it.
-    pub(crate) fn new() -> (Arc<Self>, flume::Receiver<RunReport>) {
+    /// Creates an empty watchlist, and starts the tasks that keep it up to date and send the reports
+    /// that are made through it.
+    pub(crate) fn start(
+        settings: &Arc<GatewaySettings>,
+        view: &Arc<View>,
+        links: &Arc<DaemonLinks>,
+        clock: &SharedClock,
+    ) -> Arc<Self> {
         let (reports_tx, rx) = flume::unbounded();
-        (Arc::new(Self { state: Mutex::default(), reports_tx }), rx)
+        let watchlist = Arc::new(Self { state: Mutex::default(), reports_tx });
+        let follower = WatchlistFollower {
+            settings: Arc::clone(settings),
+            links: Arc::clone(links),
+            view: Arc::clone(view),
+            watchlist: Arc::clone(&watchlist),
+        };
+        tokio::spawn(follower.run());
+        tokio::spawn(send_reports(rx, Arc::clone(view), Arc::clone(links), Arc::clone(clock)));
+        watchlist
     }
 
     /// Whether a request is refused because it has crashed upstreams.
@@ -86,22 +101,24 @@
 }
 
 /// Task that keeps the watchlist of an entry daemon up to date.
-pub(crate) struct WatchlistFollower {
-    pub(crate) settings: Arc<GatewaySettings>,
-    pub(crate) links: Arc<DaemonLinks>,
-    pub(crate) view: Arc<View>,
-    pub(crate) watchlist: Arc<WatchlistView>,
+struct WatchlistFollower {
+    settings: Arc<GatewaySettings>,
+    links: Arc<DaemonLinks>,
+    view: Arc<View>,
+    watchlist: Arc<WatchlistView>,
 }
 
 impl WatchlistFollower {
     /// Requests changes from the leader, which has them first, until the task is aborted. After a
     /// failure, and without a leader, it asks the members in turn.
-    pub(crate) async fn run(self) {
+    async fn run(self) {
         let mut turn = usize::from(self.settings.links.port());
         let mut has_failed = false;
         loop {
             let leader = self.view.with(|state| state.leader).filter(|_| !has_failed);
-            let Some(target) = leader.or_else(|| self.next_member(&mut turn)) else {
+            let target =
+                leader.or_else(|| self.view.next_control_daemon(&self.settings, &mut turn));
+            let Some(target) = target else {
                 sleep(RETRY_PAUSE).await;
                 continue;
             };
@@ -122,16 +139,11 @@
             }
         }
     }
-
-    /// Link address of the next member of the control group.
-    fn next_member(&self, turn: &mut usize) -> Option<SocketAddr> {
-        self.view.next_control_daemon(&self.settings, turn)
-    }
 }
 
 /// Sends reports to the leader, in order, until it has replicated them. Those that come meanwhile
 /// are sent together in the next message.
-pub(crate) async fn send_reports(
+async fn send_reports(
     rx: flume::Receiver<RunReport>,
     view: Arc<View>,
     links: Arc<DaemonLinks>,
@@ -149,7 +161,7 @@
             reports.drain(..dropped);
             log::warn!(count = dropped; "reports of crashes dropped: no leader records them");
         }
-        let Some(leader) = view.leader(clock.now(), super::placer::LEADER_TIMEOUT) else {
+        let Some(leader) = view.leader(clock.now(), LEADER_TIMEOUT) else {
             sleep(REPORT_RETRY_PAUSE).await;
             continue;
         };
