Send suspects to the entries every 2 s at most

Only a change of the quarantined requests wakes them now; new suspects come with the reply after 2 s.

--- a/crates/toucansilld/src/gateway/quarantine.rs
+++ b/crates/toucansilld/src/gateway/quarantine.rs
@@ -29,6 +29,8 @@
     index: u64,
     /// State index at which it was first read with this content.
     changed_at: u64,
+    /// State index at which it was first read with these quarantined requests.
+    quarantine_changed_at: u64,
 }
 
 impl ControlMember {
@@ -75,24 +77,32 @@
         let Some((index, watchlist)) = read else { return };
         self.watchlist.send_if_modified(|known| {
             known.index = index;
-            let is_changed = known.watchlist != watchlist;
-            if is_changed {
+            if known.watchlist == watchlist {
+                return false;
+            }
+            let is_quarantine_changed = known.watchlist.quarantined != watchlist.quarantined;
+            if is_quarantine_changed {
+                known.quarantine_changed_at = index;
                 self.with_leader(|leader| {
                     log_quarantine_changes(&known.watchlist, &watchlist);
                     leader.set_quarantined(&watchlist);
                 });
-                *known = ReadWatchlist { watchlist, index, changed_at: index };
             }
-            is_changed
+            known.watchlist = watchlist;
+            known.changed_at = index;
+            is_quarantine_changed
         });
     }
 
-    /// Waits until the watchlist is newer than one that was read at `index`, for
-    /// [`WATCHLIST_WAIT`] at most, and returns the reply to its follower.
+    /// Waits until other requests are quarantined than when a follower's watchlist was read at
+    /// `index`, for [`WATCHLIST_WAIT`] at most, and returns the reply to the follower. Suspects, of
+    /// which there may be many new ones when upstreams fail, are sent with that reply only.
     pub(super) async fn await_watchlist(&self, index: u64) -> LeaderReply {
         let mut watchlist = self.watchlist.subscribe();
         // Without a change in time, the reply tells the follower that this member is alive.
-        let _ = timeout(WATCHLIST_WAIT, watchlist.wait_for(|read| read.changed_at > index)).await;
+        let _ =
+            timeout(WATCHLIST_WAIT, watchlist.wait_for(|read| read.quarantine_changed_at > index))
+                .await;
         let read = watchlist.borrow();
         let changed = (read.changed_at > index).then(|| read.watchlist.clone());
         LeaderReply::Watchlist { index: read.index, watchlist: changed }
