--- a/crates/toucansilld/src/gateway/forward.rs
+++ b/crates/toucansilld/src/gateway/forward.rs
@@ -345,9 +345,9 @@
         mut guard: GrantGuard,
         started: Instant,
     ) -> Result<UpstreamResponse, AttemptError> {
+        let name = guard.reservation_name();
         let reservations =
-            match HelperReservations::reserve(guard.reservation_name(), &guard.grant.helpers).await
-            {
+            match HelperReservations::reserve(name, &guard.grant.helpers, &self.cx.clock).await {
                 Ok(reservations) => reservations,
                 Err(reason) => {
                     guard.end(RequestOutcome::NotRun);
--- a/crates/toucansilld/src/gateway/tickets.rs
+++ b/crates/toucansilld/src/gateway/tickets.rs
@@ -7,9 +7,13 @@
 use bytes::Bytes;
 use grant::Helper;
 use http::StatusCode;
+use kernel::SharedClock;
 use platform::order;
 use proxy::{ExchangeError, exchange, read_response_body};
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 use tokio::{
     task::JoinHandle,
     time::{sleep, timeout},
@@ -31,16 +35,28 @@
 pub(crate) struct HelperReservations {
     name: Arc<String>,
     helpers: Arc<Vec<Helper>>,
+    clock: SharedClock,
+    reserved_at: Instant,
     renewal: Option<JoinHandle<()>>,
 }
 
 impl HelperReservations {
     /// Reserves memory on all helpers that need it, and starts to renew it. `name` identifies the
     /// reservations. If one fails, those made before are released.
-    pub(crate) async fn reserve(name: String, helpers: &[Helper]) -> Result<Self, String> {
+    pub(crate) async fn reserve(
+        name: String,
+        helpers: &[Helper],
+        clock: &SharedClock,
+    ) -> Result<Self, String> {
         let helpers = helpers.iter().filter(|helper| helper.reserve_tokens > 0).cloned();
-        let mut reservations =
-            Self { name: Arc::new(name), helpers: Arc::new(helpers.collect()), renewal: None };
+        let mut reservations = Self {
+            name: Arc::new(name),
+            helpers: Arc::new(helpers.collect()),
+            clock: Arc::clone(clock),
+            reserved_at: clock.now(),
+            renewal: None,
+        };
+        metrics::gauge!("toucansill_reservations").increment(reservations.helpers.len() as f64);
         for helper in reservations.helpers.iter() {
             // On an error, `reservations` is dropped, which releases the memory on all helpers.
             reserve(&reservations.name, helper).await?;
@@ -64,8 +80,10 @@
         if let Some(renewal) = self.renewal.take() {
             renewal.abort();
         }
+        metrics::gauge!("toucansill_reservations").decrement(self.helpers.len() as f64);
         for helper in self.helpers.iter().cloned() {
-            tokio::spawn(release(Arc::clone(&self.name), helper));
+            let (name, clock) = (Arc::clone(&self.name), Arc::clone(&self.clock));
+            tokio::spawn(release(name, helper, clock, self.reserved_at));
         }
     }
 }
@@ -76,7 +94,10 @@
         sleep(RENEWAL_INTERVAL).await;
         for helper in helpers.iter() {
             if let Err(err) = reserve(&name, helper).await {
-                log::warn!(upstream = helper.upstream.as_str(); "memory not renewed: {err}");
+                log::warn!(
+                    upstream = helper.upstream.as_str(), reservation = name.as_str();
+                    "memory not renewed: {err}"
+                );
             }
         }
     }
@@ -94,19 +115,29 @@
 }
 
 /// Releases memory on one helper.
-async fn release(name: Arc<String>, helper: Helper) {
-    for _ in 0..RELEASE_ATTEMPTS {
+async fn release(name: Arc<String>, helper: Helper, clock: SharedClock, reserved_at: Instant) {
+    let (upstream, reservation) = (helper.upstream.as_str(), name.as_str());
+    for attempt in 1..=RELEASE_ATTEMPTS {
         let (head, body) = order::release(&helper.upstream, helper.address, &name);
         match send_order(&helper, head, body).await {
-            Ok(_) => return,
+            Ok(status) => {
+                let held = clock.now().saturating_duration_since(reserved_at);
+                log::info!(
+                    upstream, reservation, attempt, tokens = helper.reserve_tokens,
+                    held_ms = held.as_millis() as u64, status = status.as_u16();
+                    "memory released"
+                );
+                return;
+            }
             Err(err) => {
-                log::warn!(upstream = helper.upstream.as_str(); "memory not released: {err}");
+                log::warn!(upstream, reservation, attempt; "memory not released: {err}");
             }
         }
     }
 }
 
-/// Sends an order to an engine and returns the status of its response.
+/// Sends an order to an engine and returns the status of its response. An error leaves open whether
+/// the engine has executed the order, or will.
 async fn send_order(
     helper: &Helper,
     head: http::request::Parts,
@@ -119,8 +150,11 @@
         read_response_body(&mut body, RESPONSE_BYTES_MAX).await?;
         Ok::<_, ExchangeError>(status)
     };
-    match timeout(ORDER_TIMEOUT, exchanged).await {
+    let done = match timeout(ORDER_TIMEOUT, exchanged).await {
         Ok(done) => done.map_err(|err| err.to_string()),
         Err(_) => Err(String::from("no response in time")),
-    }
+    };
+    let labels = [("answered", done.is_ok().to_string())];
+    metrics::counter!("toucansill_orders_total", &labels).increment(1);
+    done
 }
