Test that fails: memory that stays reserved for an engine that is gone

Two engines, a prompt of 1.5 times an engine's memory. The engine that gets the request falls silent: it accepts no connection any more and closes none.

Simulated upstreams that may crash take a function for what they do with a request, and record when each request came.

--- a/crates/toucansilld/tests/gateway/crashes.rs
+++ b/crates/toucansilld/tests/gateway/crashes.rs
@@ -1,7 +1,7 @@
 //! Tests of a request that crashes the upstreams which run it: after the third crash it must be
 //! refused, whatever daemon gets it.
 
-use crate::region::{Region, Upstream, eventually};
+use crate::region::{Reaction, Region, Upstream, eventually, one_event};
 use platform::stand_in::{DOCUMENT_PATH, document, engine_document, upstream_path};
 use std::{thread, time::Duration};
 
@@ -17,6 +17,16 @@
 /// Deadline of each request.
 const DEADLINE: Duration = Duration::from_secs(2);
 
+/// Reaction of an upstream that crashes at a request with the body `crash` or `hang`, and responds
+/// to any other with a stream of one event.
+fn crash_at_body(head: &str, body: &str) -> Reaction {
+    match body {
+        "crash" => Reaction::Crash,
+        "hang" => Reaction::FallSilent,
+        _ => Reaction::Respond(one_event(head, body)),
+    }
+}
+
 /// A service whose upstreams are crashed by a request. There is always one upstream more than has
 /// crashed so far.
 struct Service {
@@ -45,7 +55,7 @@
 
     /// Registers an upstream, and waits until both entries send it requests.
     fn add_upstream(&mut self) {
-        let upstream = Upstream::crashing();
+        let upstream = Upstream::crashing(crash_at_body);
         let path = &upstream_path(&format!("u{}", self.upstreams.len()));
         let body = &upstream.registration("s1", 1, "ready");
         eventually("the upstream is registered", || {
@@ -66,7 +76,8 @@
 
     /// Number of times that the request has crashed an upstream.
     fn crashes(&self) -> usize {
-        let is_crash = |run: &String| run == self.body;
+        let is_crash =
+            |run: &String| run.split_once("\r\n\r\n").is_some_and(|(_, body)| body == self.body);
         self.upstreams.iter().flat_map(Upstream::runs).filter(is_crash).count()
     }
 
--- a/crates/toucansilld/tests/gateway/engines.rs
+++ b/crates/toucansilld/tests/gateway/engines.rs
@@ -1,10 +1,17 @@
 //! Tests of streams that break off and of prompts that exceed the memory of one engine.
 
-use crate::region::{Region, Upstream, eventually};
+use crate::region::{Reaction, Region, Upstream, eventually};
 use platform::stand_in::{
     DOCUMENT_PATH, ENGINE_MEMORY_TOKENS, ReceivedOrder, engine_document, parse_order,
     parse_request_id, response_header_lines, upstream_path,
 };
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+/// Time after the end of a request within which the memory reserved for it must be free.
+const MEMORY_FREE_TIME: Duration = Duration::from_secs(4);
 
 /// Events of a complete stream, with ids from 1.
 const EVENTS: u64 = 5;
@@ -55,12 +62,31 @@
     }
 }
 
+/// Reaction of an engine that accepts all orders and falls silent at any other request.
+fn accept_orders_and_fall_silent(head: &str, body: &str) -> Reaction {
+    match parse_order(head, body) {
+        Some(_) => Reaction::Respond(accept_orders(head, body)),
+        None => Reaction::FallSilent,
+    }
+}
+
+/// Order in a recorded request to an engine.
+fn order(run: &str) -> Option<ReceivedOrder> {
+    let (head, body) = run.split_once("\r\n\r\n")?;
+    parse_order(head, body)
+}
+
 /// Starts a region with two engines that respond by a script. Its entry has the routing document.
 fn start_with_engines(script: fn(&str, &str) -> String) -> (Region, Vec<Upstream>) {
+    start_with(|| Upstream::scripted(script))
+}
+
+/// Starts a region with two engines. Its entry has the routing document.
+fn start_with(engine: impl Fn() -> Upstream) -> (Region, Vec<Upstream>) {
     let mut region = Region::new(1);
     region.start_all(true);
     region.control_request_until_ok(0, "PUT", DOCUMENT_PATH, &engine_document(1, "/x/"));
-    let engines: Vec<Upstream> = (0..2).map(|_| Upstream::scripted(script)).collect();
+    let engines: Vec<Upstream> = (0..2).map(|_| engine()).collect();
     for (i, engine) in engines.iter().enumerate() {
         let path = upstream_path(&format!("u{i}"));
         region.control_request_until_ok(0, "PUT", &path, &engine.registration("s1", 1, "ready"));
@@ -103,16 +129,12 @@
     let (status, body) = region.request_with_prompt("/x/1", prompt).expect("a response");
     assert_eq!((status, ids(&body).len()), (200, EVENTS as usize), "{body}");
     let orders = |engine: &Upstream| -> Vec<ReceivedOrder> {
-        let order = |run: String| {
-            let (head, body) = run.split_once("\r\n\r\n")?;
-            parse_order(head, body)
-        };
-        engine.runs().into_iter().filter_map(order).collect()
+        engine.runs().iter().filter_map(|run| order(run)).collect()
     };
     eventually("the reservation is released", || {
         let all: Vec<_> = engines.iter().map(orders).collect();
         let held = all.iter().find(|orders| !orders.is_empty())?;
-        let [ReceivedOrder::Reserve(name, tokens), .., ReceivedOrder::Release(released)] =
+        let [ReceivedOrder::Reserve { name, tokens, .. }, .., ReceivedOrder::Release(released)] =
             &held[..]
         else {
             return None;
@@ -122,6 +144,37 @@
     });
 }
 
+/// Guards against memory that stays reserved on helpers for as long as the caller waits, although
+/// the engine that used it is gone without having closed its connections.
+#[test]
+fn memory_reserved_on_a_helper_is_free_soon_after_its_engine_falls_silent() {
+    let (region, engines) = start_with(|| Upstream::crashing(accept_orders_and_fall_silent));
+    let prompt = ENGINE_MEMORY_TOKENS + ENGINE_MEMORY_TOKENS / 2;
+    thread::scope(|scope| {
+        // The engine that gets the request falls silent.
+        scope.spawn(|| region.request_with_prompt("/x/1", prompt));
+        let silent_since = eventually("the request has reached an engine", || {
+            let mut runs = engines.iter().flat_map(Upstream::timed_runs);
+            runs.find_map(|(at, run)| order(&run).is_none().then_some(at))
+        });
+        let due = silent_since + MEMORY_FREE_TIME;
+        thread::sleep(due.saturating_duration_since(Instant::now()));
+        let mut reserved_until = None;
+        for (at, run) in engines.iter().flat_map(Upstream::timed_runs) {
+            match order(&run) {
+                Some(ReceivedOrder::Reserve { lifetime, .. }) => {
+                    reserved_until = reserved_until.max(Some(at + lifetime));
+                }
+                Some(ReceivedOrder::Release(_)) => reserved_until = Some(at),
+                None => {}
+            }
+        }
+        let reserved_until = reserved_until.expect("memory was reserved on the helper");
+        let late = reserved_until.saturating_duration_since(due);
+        assert!(late.is_zero(), "reserved {late:?} longer than {MEMORY_FREE_TIME:?} after the end");
+    });
+}
+
 /// A prompt that exceeds the memory of all engines together must be refused and reach no engine,
 /// instead of waiting for memory that can never be free.
 #[test]
--- a/crates/toucansilld/tests/gateway/limits.rs
+++ b/crates/toucansilld/tests/gateway/limits.rs
@@ -1,6 +1,6 @@
 //! Tests of an upstream that names the requests per second which it takes from all daemons together.
 
-use crate::region::{Region, Upstream, eventually, read_request};
+use crate::region::{Region, Upstream, eventually, one_event, read_request};
 use platform::stand_in::{
     DOCUMENT_PATH, document, engine_document, limit_header_line, parse_request_id,
     registration_body, response_header_lines, upstream_path,
@@ -98,7 +98,7 @@
     region.start_all(true);
     region.await_members(control_count);
     region.control_request_until_ok(0, "PUT", DOCUMENT_PATH, document);
-    let (limited, other) = (LimitedUpstream::start(), Upstream::crashing());
+    let (limited, other) = (LimitedUpstream::start(), Upstream::scripted(one_event));
     for (id, address) in [("a", limited.address), ("b", other.address)] {
         let body = registration_body(address, "s1", 1, 1, "ready");
         region.control_request_until_ok(0, "PUT", &upstream_path(id), &body);
--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -366,10 +366,38 @@
     (subnet, port.min(u16::MAX - 8))
 }
 
+/// Requests that an upstream has run, with the time at which it began to.
+type Runs = Arc<Mutex<Vec<(Instant, String)>>>;
+
+fn record(runs: &Runs, run: String) {
+    runs.lock().expect("not poisoned").push((Instant::now(), run));
+}
+
+/// Script of an upstream that responds to every request with a stream of one event.
+pub(crate) fn one_event(head: &str, _: &str) -> String {
+    let attempt = head.lines().find_map(parse_request_id).unwrap_or_default();
+    let event = "id: 1\ndata: x\n\n";
+    format!(
+        "HTTP/1.1 200 OK\r\n{}Content-Length: {}\r\n\r\n{event}",
+        response_header_lines(attempt),
+        event.len()
+    )
+}
+
+/// What an upstream that may crash does with a request.
+pub(crate) enum Reaction {
+    /// It sends this response.
+    Respond(String),
+    /// It crashes, and its connections are closed.
+    Crash,
+    /// It crashes, and its connections stay open.
+    FallSilent,
+}
+
 /// Simulated upstream, which records the requests that it runs.
 pub(crate) struct Upstream {
     pub(crate) address: SocketAddr,
-    runs: Arc<Mutex<Vec<String>>>,
+    runs: Runs,
 }
 
 impl Upstream {
@@ -378,7 +406,7 @@
     pub(crate) fn start(name: &'static str) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
-        let runs = Arc::new(Mutex::new(Vec::new()));
+        let runs = Runs::default();
         let seen = Arc::clone(&runs);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -394,7 +422,7 @@
     pub(crate) fn scripted(script: fn(&str, &str) -> String) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
-        let runs = Arc::new(Mutex::new(Vec::new()));
+        let runs = Runs::default();
         let seen = Arc::clone(&runs);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -405,36 +433,27 @@
         Self { address, runs }
     }
 
-    /// Starts an upstream that responds with a stream of one event, and crashes when it gets a
-    /// request with the body `crash` or `hang`: it neither responds nor accepts connections any
-    /// more. Connections are closed at a `crash`, and stay open at a `hang`.
-    pub(crate) fn crashing() -> Self {
+    /// Starts an upstream that reacts as `react` says of the head and the body of a request, to one
+    /// after the other. If it crashes, it neither responds nor accepts connections any more.
+    pub(crate) fn crashing(react: fn(&str, &str) -> Reaction) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
-        let runs = Arc::new(Mutex::new(Vec::new()));
+        let runs = Runs::default();
         let seen = Arc::clone(&runs);
         thread::spawn(move || {
             for mut stream in listener.incoming().flatten() {
                 let Some((head, body)) = read_request(&stream) else { continue };
-                seen.lock().expect("not poisoned").push(body.clone());
-                match body.as_str() {
-                    "crash" => return,
-                    "hang" => {
+                record(&seen, format!("{head}\r\n{body}"));
+                match react(&head, &body) {
+                    // A failure means that the caller has disconnected and needs no response.
+                    Reaction::Respond(response) => drop(stream.write_all(response.as_bytes())),
+                    Reaction::Crash => return,
+                    Reaction::FallSilent => {
                         drop(listener);
                         thread::park();
                         return;
                     }
-                    _ => {}
                 }
-                let attempt = head.lines().find_map(parse_request_id).unwrap_or_default();
-                let event = "id: 1\ndata: x\n\n";
-                let response = format!(
-                    "HTTP/1.1 200 OK\r\n{}Content-Length: {}\r\n\r\n{event}",
-                    response_header_lines(attempt),
-                    event.len()
-                );
-                // A failure means that the caller has disconnected and needs no response.
-                let _ = stream.write_all(response.as_bytes());
             }
         });
         Self { address, runs }
@@ -444,21 +463,26 @@
     pub(crate) fn silent() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
-        let runs = Arc::new(Mutex::new(Vec::new()));
+        let runs = Runs::default();
         let seen = Arc::clone(&runs);
         thread::spawn(move || {
             let mut connections = Vec::new();
             for stream in listener.incoming().flatten() {
-                seen.lock().expect("not poisoned").push(String::new());
+                record(&seen, String::new());
                 connections.push(stream);
             }
         });
         Self { address, runs }
     }
 
-    /// Ids of the attempts that it ran; if it is scripted, heads and bodies of all requests; if it
-    /// crashes, bodies of all requests; if it is silent, an empty text for each connection.
+    /// Ids of the attempts that it ran; if it is scripted or may crash, heads and bodies of all
+    /// requests; if it is silent, an empty text for each connection.
     pub(crate) fn runs(&self) -> Vec<String> {
+        self.timed_runs().into_iter().map(|(_, run)| run).collect()
+    }
+
+    /// Like [`runs`](Self::runs), with the time at which each began.
+    pub(crate) fn timed_runs(&self) -> Vec<(Instant, String)> {
         self.runs.lock().expect("not poisoned").clone()
     }
 
@@ -487,23 +511,19 @@
 }
 
 /// Serves one connection by a script.
-fn respond_by_script(
-    mut stream: TcpStream,
-    script: fn(&str, &str) -> String,
-    seen: &Mutex<Vec<String>>,
-) {
+fn respond_by_script(mut stream: TcpStream, script: fn(&str, &str) -> String, seen: &Runs) {
     let Some((head, body)) = read_request(&stream) else { return };
     let response = script(&head, &body);
-    seen.lock().expect("not poisoned").push(format!("{head}\r\n{body}"));
+    record(seen, format!("{head}\r\n{body}"));
     // A failure means that the caller has disconnected and needs no response.
     let _ = stream.write_all(response.as_bytes());
 }
 
 /// Serves one connection. A request counts as run only once it was received whole.
-fn respond(mut stream: TcpStream, name: &str, runs: &Mutex<Vec<String>>) {
+fn respond(mut stream: TcpStream, name: &str, runs: &Runs) {
     let Some((head, body)) = read_request(&stream) else { return };
     let attempt = head.lines().find_map(parse_request_id).unwrap_or_default().to_owned();
-    runs.lock().expect("not poisoned").push(attempt.clone());
+    record(runs, attempt.clone());
     if body == "crash" {
         return;
     }
