Renew reserved memory only while the engine that uses it accepts connections

Cause: an entry renewed the reservations for as long as it waited for the response. An engine that goes dark closes no connection, and the wait for a long prompt is four times the expected time to the first event or the caller's deadline. Change: before each renewal the entry connects to the engine.

--- a/crates/toucansilld/src/gateway/forward.rs
+++ b/crates/toucansilld/src/gateway/forward.rs
@@ -347,7 +347,7 @@
     ) -> Result<UpstreamResponse, AttemptError> {
         let name = guard.reservation_name();
         let reservations =
-            match HelperReservations::reserve(name, &guard.grant.helpers, &self.cx.clock).await {
+            match HelperReservations::reserve(name, &guard.grant, &self.cx.clock).await {
                 Ok(reservations) => reservations,
                 Err(reason) => {
                     guard.end(RequestOutcome::NotRun);
--- a/crates/toucansilld/src/gateway/tickets.rs
+++ b/crates/toucansilld/src/gateway/tickets.rs
@@ -2,29 +2,34 @@
 //! one engine.
 //!
 //! Each reservation is short and renewed while the request runs, so that the memory is free again
-//! soon even if this daemon dies or an engine executes an order late.
+//! soon even if this daemon dies or an engine executes an order late. The engine that runs the
+//! request may also be gone without having closed the connection, so a reservation is renewed only if
+//! that engine still accepts connections.
 
 use bytes::Bytes;
-use grant::Helper;
+use grant::{Grant, Helper};
 use http::StatusCode;
 use kernel::SharedClock;
 use platform::order;
-use proxy::{ExchangeError, exchange, read_response_body};
+use proxy::{ExchangeError, accepts_connections, exchange, read_response_body};
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 use tokio::{
-    task::JoinHandle,
+    task::{JoinHandle, JoinSet},
     time::{sleep, timeout},
 };
 
-/// Time for which memory stays reserved without a renewal: less than the time within which it
+/// Time for which memory stays reserved without a renewal. Together with the check of the engine and
+/// the order before it, both limited by [`ORDER_TIMEOUT`], it is at most the 4 s within which memory
 /// has to be free after the end of a request.
-const RESERVATION_LIFETIME: Duration = Duration::from_millis(3_500);
+const RESERVATION_LIFETIME: Duration = Duration::from_millis(3_200);
 /// Interval of renewals. Two in a row may be lost before the reservation expires.
-const RENEWAL_INTERVAL: Duration = Duration::from_millis(1_100);
-/// Timeout for an order, connection and response included.
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
+/// Timeout for an order, connection and response included, and for a connection to the engine that
+/// runs the request.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Attempts to release a reservation. If all fail, it expires by itself.
 const RELEASE_ATTEMPTS: u32 = 3;
@@ -41,14 +46,14 @@
 }
 
 impl HelperReservations {
-    /// Reserves memory on all helpers that need it, and starts to renew it. `name` identifies the
-    /// reservations. If one fails, those made before are released.
+    /// Reserves memory on all helpers of a grant that need it, and starts to renew it. `name`
+    /// identifies the reservations. If one fails, those made before are released.
     pub(crate) async fn reserve(
         name: String,
-        helpers: &[Helper],
+        grant: &Grant,
         clock: &SharedClock,
     ) -> Result<Self, String> {
-        let helpers = helpers.iter().filter(|helper| helper.reserve_tokens > 0).cloned();
+        let helpers = grant.helpers.iter().filter(|helper| helper.reserve_tokens > 0).cloned();
         let mut reservations = Self {
             name: Arc::new(name),
             helpers: Arc::new(helpers.collect()),
@@ -64,7 +69,7 @@
         if !reservations.helpers.is_empty() {
             let (name, helpers) =
                 (Arc::clone(&reservations.name), Arc::clone(&reservations.helpers));
-            reservations.renewal = Some(tokio::spawn(renew(name, helpers)));
+            reservations.renewal = Some(tokio::spawn(renew(name, grant.address, helpers)));
         }
         Ok(reservations)
     }
@@ -88,18 +93,32 @@
     }
 }
 
-/// Renews the reservations until the task is aborted.
-async fn renew(name: Arc<String>, helpers: Arc<Vec<Helper>>) {
+/// Renews the reservations while the engine that uses the memory accepts connections, until the task
+/// is aborted.
+async fn renew(name: Arc<String>, engine: SocketAddr, helpers: Arc<Vec<Helper>>) {
     loop {
         sleep(RENEWAL_INTERVAL).await;
-        for helper in helpers.iter() {
-            if let Err(err) = reserve(&name, helper).await {
-                log::warn!(
-                    upstream = helper.upstream.as_str(), reservation = name.as_str();
-                    "memory not renewed: {err}"
-                );
-            }
+        if !accepts_connections(engine, ORDER_TIMEOUT).await {
+            log::warn!(
+                reservation = name.as_str();
+                "memory not renewed: the engine {engine} accepts no connection"
+            );
+            continue;
+        }
+        // One helper that doesn't respond must not delay the renewal on the others.
+        let mut orders = JoinSet::new();
+        for helper in helpers.iter().cloned() {
+            let name = Arc::clone(&name);
+            orders.spawn(async move {
+                if let Err(err) = reserve(&name, &helper).await {
+                    log::warn!(
+                        upstream = helper.upstream.as_str(), reservation = name.as_str();
+                        "memory not renewed: {err}"
+                    );
+                }
+            });
         }
+        while orders.join_next().await.is_some() {}
     }
 }
 
