Probe idle connections to upstreams

Callers: a request whose upstream had gone dark waited four times the expected time to the first event, for long prompts up to the deadline, and was not sent elsewhere. Cause: an upstream without power closes no connection, and nothing was sent on it that could fail. Change: TCP probes on every connection to an upstream, after 1 s without a packet and each second; two without a response break the connection after 3 s.

--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -4,6 +4,9 @@
 //! its connection is already closed. Nor is a request sent on a connection that the upstream is
 //! about to close, or that was lost unnoticed while it was idle. The price is one round trip within
 //! the region for each request.
+//!
+//! An upstream may vanish without closing its connections, as may the path to it. Idle connections
+//! are therefore probed, so that a request whose upstream is gone fails after 3 s.
 
 use bytes::{Bytes, BytesMut};
 use http::{Request, Response, request};
@@ -13,11 +16,18 @@
     client::conn::http1,
 };
 use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
 use std::{fmt, net::SocketAddr, time::Duration};
 use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 
 /// Maximum size of a response's head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Idle time after which a connection is probed, and the interval of further probes. TCP takes whole
+/// seconds.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Number of probes without a response after which the upstream counts as gone, 3 s after its last
+/// sign of life: memory that helpers reserve for it must be free 4 s after its end.
+const PROBES: u32 = 2;
 
 /// Response of an upstream, with the body still to be read.
 #[derive(Debug)]
@@ -87,7 +97,8 @@
 ///
 /// # Errors
 ///
-/// Fails if the connection can't be made in time or breaks, or if what arrives is not a valid
+/// Fails if the connection can't be made in time or breaks, if the upstream no longer responds to
+/// probes of the connection, or if what arrives is not a valid
 /// response head of at most 64 KiB. [`ExchangeError::may_have_run`] is false only for a failure
 /// before any part of the request was sent.
 pub async fn exchange(
@@ -102,6 +113,11 @@
         Err(_) => return Err(ExchangeError::unsent("connecting to the upstream timed out")),
     };
     stream.set_nodelay(true).map_err(ExchangeError::unsent)?;
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_INTERVAL)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(PROBES);
+    SockRef::from(&stream).set_tcp_keepalive(&probes).map_err(ExchangeError::unsent)?;
     let mut builder = http1::Builder::new();
     builder.max_buf_size(MAX_HEAD_BYTES);
     let handshake = builder.handshake(TokioIo::new(stream)).await;
