Name the shared parts of a prompt in the line of its request

Observability only: requests that crash upstreams have hashes of their own, and what they have in common could not be seen.

--- a/crates/toucansilld/src/gateway/entry.rs
+++ b/crates/toucansilld/src/gateway/entry.rs
@@ -77,6 +77,7 @@
             .ok_or(RequestError::refused(StatusCode::NOT_FOUND, "no route"))?;
         record.route = route.name.clone();
         record.prompt = head.tokens.map_or(0, |(prompt, _)| prompt);
+        record.parts = head.shared_parts.clone();
         let organisation = organisation(&table, route, &head)?;
         record.organisation = organisation.map(|o| o.name.clone()).unwrap_or_default();
         let time_limit = route.timeout.min(head.remaining.unwrap_or(DEFAULT_DEADLINE));
--- a/crates/toucansilld/src/gateway/record.rs
+++ b/crates/toucansilld/src/gateway/record.rs
@@ -3,6 +3,7 @@
 use super::{forward::LoggedAttemptOutcome, guard::GrantGuard, view::ViewAge};
 use http::StatusCode;
 use kernel::SharedClock;
+use platform::head::PromptPartId;
 use std::{
     fmt,
     sync::Arc,
@@ -30,6 +31,8 @@
     /// First 8 bytes of the hash by which the request is recognised when the caller sends it again;
     /// 0 until its body has been read.
     pub(crate) hash: u64,
+    /// Parts of the prompt that other requests may share.
+    pub(crate) parts: Vec<PromptPartId>,
     /// Attempts in order, as text.
     attempts: Vec<String>,
     first_event_ms: Option<u64>,
@@ -51,6 +54,7 @@
             service: String::new(),
             prompt: 0,
             hash: 0,
+            parts: Vec::new(),
             attempts: Vec::new(),
             first_event_ms: None,
             outcome: None,
@@ -99,6 +103,7 @@
             service: std::mem::take(&mut self.service),
             prompt: self.prompt,
             hash: self.hash,
+            parts: std::mem::take(&mut self.parts),
             attempts: std::mem::take(&mut self.attempts),
             first_event_ms: self.first_event_ms,
             outcome: None,
@@ -165,6 +170,7 @@
             request = self.request.as_str(), route = self.route.as_str(),
             organisation = self.organisation.as_str(), service = self.service.as_str(),
             version = self.version, prompt = self.prompt, hash:% = format!("{:016x}", self.hash),
+            parts = self.parts.join(","),
             status = status, ms = ms, first_event_ms = self.first_event_ms.unwrap_or(0), sends:? = self.attempts;
             "request ended: {reason}"
         );
