Test that fails: requests with a part that crashes upstreams are sent on and on

Upstreams crash at prompts with a certain part; no two requests are alike. Sound requests with the same first part, which no process has seen served before, must all be served.

A second test, which passes, guards the other side: a part with which requests are served is not to be refused for crashes of other causes.

--- a/crates/toucansilld/tests/gateway/crashes.rs
+++ b/crates/toucansilld/tests/gateway/crashes.rs
@@ -1,5 +1,6 @@
-//! Tests of a request that crashes the upstreams which run it: after the third crash it must be
-//! refused, whatever daemon gets it.
+//! Tests of requests that crash the upstreams which run them. One that is sent again and again must be
+//! refused after the third crash, whatever daemon gets it; so must different requests that have a part
+//! of their prompts in common which crashes upstreams, after the fifth.
 
 use crate::region::{Reaction, Region, Upstream, eventually, one_event};
 use platform::stand_in::{DOCUMENT_PATH, document, engine_document, upstream_path};
@@ -12,6 +13,12 @@
 const LATE_RUNS_ALLOWED: usize = 3;
 /// Number of times that the request is sent after that.
 const RESENDS: usize = 10;
+/// Number of upstreams that requests with the same part may crash before they are refused.
+const PART_CRASHES_ALLOWED: usize = 5;
+/// Part of prompts that crashes upstreams.
+const BAD_PART: &str = "bad";
+/// Part of prompts that all requests of these tests share.
+const SHARED_PART: &str = "5c1e07a2";
 /// Time after the last of these crashes within which all daemons have to know of it.
 const SPREAD_TIME: Duration = Duration::from_secs(3);
 /// Deadline of each request.
@@ -27,23 +34,46 @@
     }
 }
 
-/// A service whose upstreams are crashed by a request. There is always one upstream more than has
+/// Reaction of an upstream that crashes at a prompt with [`BAD_PART`] and at a body that begins with
+/// `crash`, and responds to any other with a stream of one event.
+fn crash_at_part(head: &str, body: &str) -> Reaction {
+    match head.contains(&format!("{BAD_PART}:")) || body.starts_with("crash") {
+        true => Reaction::Crash,
+        false => Reaction::Respond(one_event(head, body)),
+    }
+}
+
+/// A service whose upstreams are crashed by requests. There is always one upstream more than has
 /// crashed so far.
 struct Service {
     region: Region,
     upstreams: Vec<Upstream>,
+    react: fn(&str, &str) -> Reaction,
     /// Body of the request that crashes upstreams.
     body: &'static str,
+    /// Number of requests with parts that were sent.
+    sent_with_parts: usize,
 }
 
 impl Service {
     /// Starts a region with two entries, and the first upstream of a service.
     fn start(control_count: usize, document: &str, body: &'static str) -> Self {
+        Self::start_with(control_count, document, body, crash_at_body)
+    }
+
+    /// Like [`start`](Self::start), with upstreams that react in this way.
+    fn start_with(
+        control_count: usize,
+        document: &str,
+        body: &'static str,
+        react: fn(&str, &str) -> Reaction,
+    ) -> Self {
         let mut region = Region::with_entries(control_count, 2);
         region.start_all(true);
         region.await_members(control_count);
         region.control_request_until_ok(0, "PUT", DOCUMENT_PATH, document);
-        let mut service = Self { region, upstreams: Vec::new(), body };
+        let upstreams = Vec::new();
+        let mut service = Self { region, upstreams, react, body, sent_with_parts: 0 };
         service.add_upstream();
         service
     }
@@ -55,7 +85,7 @@
 
     /// Registers an upstream, and waits until both entries send it requests.
     fn add_upstream(&mut self) {
-        let upstream = Upstream::crashing(crash_at_body);
+        let upstream = Upstream::crashing(self.react);
         let path = &upstream_path(&format!("u{}", self.upstreams.len()));
         let body = &upstream.registration("s1", 1, "ready");
         eventually("the upstream is registered", || {
@@ -74,10 +104,12 @@
         self.upstreams.push(upstream);
     }
 
-    /// Number of times that the request has crashed an upstream.
+    /// Number of crashes of upstreams.
     fn crashes(&self) -> usize {
-        let is_crash =
-            |run: &String| run.split_once("\r\n\r\n").is_some_and(|(_, body)| body == self.body);
+        let is_crash = |run: &String| {
+            let (head, body) = run.split_once("\r\n\r\n").expect("a whole request");
+            !matches!((self.react)(head, body), Reaction::Respond(_))
+        };
         self.upstreams.iter().flat_map(Upstream::runs).filter(is_crash).count()
     }
 
@@ -91,6 +123,22 @@
         response.map(|(status, _)| status)
     }
 
+    /// Sends a request like no other, with these shared parts, and replaces an upstream that it has
+    /// crashed. `body` begins its body. Returns the status.
+    fn send_with_parts(&mut self, parts: &[&str], body: &str) -> Option<u16> {
+        let turn = self.sent_with_parts;
+        self.sent_with_parts += 1;
+        let before = self.crashes();
+        let own_part = format!("{turn:x}");
+        let all: Vec<&str> = parts.iter().copied().chain([own_part.as_str()]).collect();
+        let (entry, body) = (self.entry(turn), format!("{body} {turn}"));
+        let response = self.region.request_with_parts(entry, "/x/", &body, DEADLINE, &all);
+        if self.crashes() > before {
+            self.add_upstream();
+        }
+        response.map(|(status, _)| status)
+    }
+
     /// Sends the request until it has crashed as many upstreams as it may, and waits until all
     /// daemons have to know of it.
     fn crash_upstreams(&mut self) {
@@ -170,3 +218,53 @@
     service.crash_upstreams();
     service.assert_is_refused();
 }
+
+/// Guards against requests that crash upstreams one after the other, each with a hash of its own, as
+/// a part of their prompts does it; and against the refusal of sound ones for their common first
+/// part.
+#[test]
+fn requests_with_a_part_that_crashes_upstreams_are_refused() {
+    let mut service = Service::start_with(1, &engine_document(1, "/x/"), "", crash_at_part);
+    for _ in 0..2 * PART_CRASHES_ALLOWED {
+        if service.crashes() >= PART_CRASHES_ALLOWED {
+            break;
+        }
+        service.send_with_parts(&[SHARED_PART, BAD_PART], "prompt");
+    }
+    thread::sleep(SPREAD_TIME);
+    let before = service.crashes();
+    let bad: Vec<_> =
+        (0..RESENDS).map(|_| service.send_with_parts(&[SHARED_PART, BAD_PART], "prompt")).collect();
+    let late_runs = service.crashes() - before;
+    assert!(late_runs <= LATE_RUNS_ALLOWED, "{late_runs} more crashes: {bad:?}");
+    assert_eq!(bad.last(), Some(&Some(503)), "refused as not run");
+    let sound: Vec<_> =
+        (0..RESENDS).map(|_| service.send_with_parts(&[SHARED_PART], "prompt")).collect();
+    assert_eq!(sound, [Some(200); RESENDS], "sound requests with the same first part");
+
+    service.region.kill(0);
+    let before = service.crashes();
+    let entries = [service.entry(0), service.entry(1)];
+    for turn in 0..RESENDS {
+        let (entry, body) = (entries[turn % 2], format!("late {turn}"));
+        let parts = [BAD_PART, "own"];
+        service.region.request_with_parts(entry, "/x/", &body, DEADLINE, &parts);
+    }
+    assert_eq!(service.crashes() - before, 0, "crashes without a leader");
+}
+
+/// Guards against the refusal of a part with which requests are served, for crashes of other causes
+/// under requests that have it too.
+#[test]
+fn a_part_of_prompts_that_are_served_is_not_refused() {
+    let mut service = Service::start_with(1, &engine_document(1, "/x/"), "", crash_at_part);
+    let served: Vec<_> = (0..4).map(|_| service.send_with_parts(&[SHARED_PART], "sound")).collect();
+    assert_eq!(served, [Some(200); 4]);
+    for _ in 0..PART_CRASHES_ALLOWED {
+        service.send_with_parts(&[SHARED_PART], "crash");
+    }
+    eventually("requests with the part are served", || {
+        let served = (0..2).map(|_| service.send_with_parts(&[SHARED_PART], "sound"));
+        (served.collect::<Vec<_>>() == [Some(200); 2]).then_some(())
+    });
+}
--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -1,8 +1,8 @@
 //! A region of gateway daemons that run as processes on loopback addresses, and upstreams for it.
 
 use platform::stand_in::{
-    parse_request_id, registration_body, request_header_lines, request_header_lines_for,
-    response_header_lines,
+    parse_request_id, parts_header_line, registration_body, request_header_lines,
+    request_header_lines_for, response_header_lines,
 };
 use std::{
     fs,
@@ -266,6 +266,22 @@
         self.send(i, path, body, |id| request_header_lines(id, deadline_ms))
     }
 
+    /// Like [`request_at`](Self::request_at), for a prompt of these parts.
+    pub(crate) fn request_with_parts(
+        &self,
+        i: usize,
+        path: &str,
+        body: &str,
+        deadline: Duration,
+        parts: &[&str],
+    ) -> Option<(u16, String)> {
+        let deadline_ms = deadline.as_millis() as u64;
+        let header_lines = |id: &str| {
+            format!("{}{}", request_header_lines(id, deadline_ms), parts_header_line(parts))
+        };
+        self.send(i, path, body, header_lines)
+    }
+
     /// Sends a caller's request to entry `i`. `header_lines` makes its headers from its id.
     fn send(
         &self,
