Recognise and refuse parts of prompts that crash upstreams

Cause: a request is recognised by organisation, path and body only. Requests that share nothing but a part of the prompt each had a hash of their own, and each crashed two engines. Ten requests got the head of a response and no event before the connection broke, at both engines; no two had the same hash but a caller's retry. Change: a crash is charged also to the shared parts of a request that had got no event. The replicated state refuses a part after the crashes of three runs under three requests without a complete response between them, the last one of those that get there together, and takes what this explains off the other parts. Entries remember the parts that they have served and report those that get on the watchlist, which clears them. Refusals, the watchlist and its spread are those of requests.

--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -5,6 +5,7 @@
     configuration::{Configuration, SheetHash},
     departures::UpstreamDeparture,
     ledger::{LedgerKey, StoredResponse},
+    parts::PartHash,
     roster::DaemonInstance,
 };
 use bincode::{Decode, Encode};
@@ -80,6 +81,16 @@
         /// Timestamp of the leader, in milliseconds.
         at_ms: u64,
     },
+    /// Records that an upstream crashed under a request whose prompt has parts that other requests may
+    /// share.
+    ChargeParts(PartsCharge),
+    /// Clears a part of prompts: a request with it got a complete response.
+    AcquitPart {
+        /// The part.
+        part: PartHash,
+        /// Timestamp of the leader, in milliseconds.
+        at_ms: u64,
+    },
 }
 
 /// A routing document that an operator published.
@@ -166,6 +177,22 @@
     pub at_ms: u64,
 }
 
+/// A crash of an upstream, charged to the shared parts of the prompt of a request that was in flight
+/// there and had got no event yet.
+#[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
+pub struct PartsCharge {
+    /// The parts, in the order of the prompt.
+    pub parts: Vec<PartHash>,
+    /// Hash of the request.
+    pub request: RequestHash,
+    /// The upstream that crashed.
+    pub upstream: UpstreamId,
+    /// Incarnation of the upstream that crashed.
+    pub incarnation: Incarnation,
+    /// Timestamp of the leader, in milliseconds.
+    pub at_ms: u64,
+}
+
 /// An owner's request for a fencing token with a token epoch of its own.
 #[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
 pub struct FencingTokenRequest {
@@ -184,7 +211,9 @@
             Self::CompleteKey(completion) => Some(completion.id.at_ms),
             Self::AbandonKey(id) | Self::GiveUpKey(id) => Some(id.at_ms),
             Self::Charge(charge) => Some(charge.at_ms),
+            Self::ChargeParts(charge) => Some(charge.at_ms),
             Self::Acquit { at_ms, .. }
+            | Self::AcquitPart { at_ms, .. }
             | Self::Tick { at_ms }
             | Self::RecordUnknownDeparture { at_ms, .. } => Some(*at_ms),
             Self::RecordDeparture(departure) => Some(departure.at_ms),
@@ -201,7 +230,9 @@
             Self::CompleteKey(completion) => completion.id.at_ms = now_ms,
             Self::AbandonKey(id) | Self::GiveUpKey(id) => id.at_ms = now_ms,
             Self::Charge(charge) => charge.at_ms = now_ms,
+            Self::ChargeParts(charge) => charge.at_ms = now_ms,
             Self::Acquit { at_ms, .. }
+            | Self::AcquitPart { at_ms, .. }
             | Self::Tick { at_ms }
             | Self::RecordUnknownDeparture { at_ms, .. } => *at_ms = now_ms,
             Self::RecordDeparture(departure) => departure.at_ms = now_ms,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -75,6 +75,7 @@
 mod lease;
 mod ledger;
 mod outcome;
+mod parts;
 mod quarantine;
 pub mod relay;
 mod roster;
@@ -88,7 +89,7 @@
 pub use codec::{decode, encode};
 pub use command::{
     Claim, ClaimId, Command, Completion, CrashCharge, FencingTokenRequest, JoinRequest,
-    ProposedSheet, PublishedRouting, RequestHash,
+    PartsCharge, ProposedSheet, PublishedRouting, RequestHash,
 };
 pub use configuration::{
     Configuration, DataCentre, DesiredState, KeyHash, Model, Organisation, OrganisationPriority,
@@ -107,6 +108,7 @@
     ClaimOutcome, FencingTokenOutcome, LedgerOutcome, Outcome, RosterOutcome, RoutingOutcome,
     SheetOutcome,
 };
+pub use parts::{PartHash, PartQuarantine};
 pub use quarantine::{QUARANTINE, Quarantine, QuarantineStatus, Watchlist};
 pub use roster::{DaemonInstance, Member, Roster, owner_of};
 pub use session::{Ownership, Session, SessionRefusal};
--- a/crates/control/src/outcome.rs
+++ b/crates/control/src/outcome.rs
@@ -34,6 +34,8 @@
     DataCentre,
     /// The departure, or a newer one of the same upstream, is recorded.
     Departure,
+    /// A crash was charged to parts of prompts, or a part was cleared.
+    Parts,
 }
 
 /// Outcome of publishing a routing document.
--- a/crates/control/src/quarantine.rs
+++ b/crates/control/src/quarantine.rs
@@ -70,13 +70,13 @@
     }
 }
 
-/// Requests that gateway daemons have to recognise when a caller sends them again.
+/// Requests, and parts of prompts, that gateway daemons have to recognise.
 #[derive(Clone, Debug, Decode, Default, Encode, Eq, PartialEq)]
 pub struct Watchlist {
-    /// Requests to refuse.
+    /// Requests, and parts of prompts, to refuse.
     pub quarantined: BTreeSet<RequestHash>,
-    /// Requests that one more crash puts in quarantine. A complete response to one of them has
-    /// to be reported, as it clears the request.
+    /// Requests, and parts of prompts, that one more crash puts in quarantine. A complete response to
+    /// one of these requests, or to one with such a part, has to be reported, as it clears it.
     pub suspects: BTreeSet<RequestHash>,
 }
 
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -15,7 +15,8 @@
     outcome::{
         ClaimOutcome, FencingTokenOutcome, Outcome, RosterOutcome, RoutingOutcome, SheetOutcome,
     },
-    quarantine::{Quarantine, QuarantineStatus},
+    parts::PartQuarantine,
+    quarantine::{Quarantine, QuarantineStatus, Watchlist},
     roster::{DaemonInstance, Departed, MAX_MEMBERS, Member, Roster, owner_of},
     sheets::{AcceptedSheet, Sheets},
 };
@@ -24,7 +25,10 @@
 use wire::{DataCentreId, Incarnation};
 
 /// Version of the snapshot format that this build writes.
-const SNAPSHOT_VERSION: u32 = 4;
+const SNAPSHOT_VERSION: u32 = 5;
+
+/// Version of the format without the parts of prompts that crash upstreams.
+const SNAPSHOT_VERSION_WITHOUT_PARTS: u32 = 4;
 
 /// Version of the format without the departures of upstreams.
 const SNAPSHOT_VERSION_WITHOUT_DEPARTURES: u32 = 3;
@@ -70,6 +74,7 @@
     routing: Option<Arc<PublishedRouting>>,
     out_of_service: BTreeSet<DataCentreId>,
     departures: Departures,
+    parts: PartQuarantine,
 }
 
 impl State {
@@ -120,6 +125,20 @@
         &self.quarantine
     }
 
+    /// Returns the parts of prompts to which the crash of an upstream is charged.
+    pub fn parts(&self) -> &PartQuarantine {
+        &self.parts
+    }
+
+    /// Returns the requests, and the parts of prompts, that gateway daemons have to recognise.
+    pub fn watchlist(&self) -> Watchlist {
+        let mut watchlist = self.quarantine.watchlist();
+        let parts = self.parts.watchlist();
+        watchlist.quarantined.extend(parts.quarantined);
+        watchlist.suspects.extend(parts.suspects);
+        watchlist
+    }
+
     /// Returns the current routing document.
     pub fn routing(&self) -> Option<&Arc<PublishedRouting>> {
         self.routing.as_ref()
@@ -150,6 +169,7 @@
             self.ledger.next_expiry_ms(),
             self.quarantine.next_expiry_ms(),
             self.departures.next_expiry_ms(),
+            self.parts.next_expiry_ms(),
         ];
         expiries.into_iter().flatten().min()
     }
@@ -223,19 +243,23 @@
         Ok(self)
     }
 
-    /// Encodes the state, preceded by the version of the format. A state without departures is
-    /// written in the former format, which earlier builds can read.
+    /// Encodes the state, preceded by the version of the format. A state without parts of prompts, or
+    /// without these and departures, is written in a former format, which earlier builds can read.
     pub fn snapshot(&self) -> Vec<u8> {
         let mut body = codec::encode(self);
         let mut version = SNAPSHOT_VERSION;
-        if self.departures.is_empty() {
-            version = SNAPSHOT_VERSION_WITHOUT_DEPARTURES;
-            body.truncate(body.len() - no_departures().len());
+        if self.parts.is_empty() {
+            version = SNAPSHOT_VERSION_WITHOUT_PARTS;
+            body.truncate(body.len() - no_parts().len());
+            if self.departures.is_empty() {
+                version = SNAPSHOT_VERSION_WITHOUT_DEPARTURES;
+                body.truncate(body.len() - no_departures().len());
+            }
         }
         [version.to_le_bytes().to_vec(), body].concat()
     }
 
-    /// Decodes a snapshot of this format or of one of the three before it.
+    /// Decodes a snapshot of this format or of one of the four before it.
     ///
     /// # Errors
     ///
@@ -247,15 +271,17 @@
             .ok_or_else(|| Error::malformed("shorter than the format number"))?;
         match u32::from_le_bytes(*version) {
             SNAPSHOT_VERSION => codec::decode(body),
+            SNAPSHOT_VERSION_WITHOUT_PARTS => codec::decode(&[body, &no_parts()].concat()),
             SNAPSHOT_VERSION_WITHOUT_DEPARTURES => {
-                codec::decode(&[body, &no_departures()].concat())
+                codec::decode(&[body, &no_departures(), &no_parts()].concat())
             }
             SNAPSHOT_VERSION_WITHOUT_ROUTING => {
-                codec::decode(&[body, &no_routing(), &no_departures()].concat())
+                codec::decode(&[body, &no_routing(), &no_departures(), &no_parts()].concat())
+            }
+            SNAPSHOT_VERSION_WITHOUT_BASE => {
+                let base = codec::encode(&0u64);
+                codec::decode(&[&base, body, &no_routing(), &no_departures(), &no_parts()].concat())
             }
-            SNAPSHOT_VERSION_WITHOUT_BASE => codec::decode(
-                &[&codec::encode(&0u64), body, &no_routing(), &no_departures()].concat(),
-            ),
             unknown => Err(Error::unknown_version(unknown, SNAPSHOT_VERSION)),
         }
     }
@@ -283,6 +309,14 @@
                 self.log_quarantine_changes(index, changed);
                 Outcome::Standing(self.quarantine.status(fingerprint))
             }
+            Command::ChargeParts(charge) => {
+                self.parts.charge(charge, self.clock_ms);
+                Outcome::Parts
+            }
+            Command::AcquitPart { part, .. } => {
+                self.parts.acquit(part);
+                Outcome::Parts
+            }
             Command::GrantFence(req) => Outcome::Fence(self.grant_fencing_token(index, req)),
             Command::Tick { .. } => Outcome::Ticked,
             Command::Batch(_) => Outcome::Nested,
@@ -410,6 +444,7 @@
     fn expire(&mut self, index: u64) {
         self.ledger.expire(self.clock_ms);
         self.departures.expire(self.clock_ms);
+        self.parts.expire(self.clock_ms);
         let changed = self.quarantine.expire(self.clock_ms);
         self.log_quarantine_changes(index, changed);
     }
@@ -437,6 +472,11 @@
 }
 
 /// Returns the encoding of the field that the format before the current one lacks.
+fn no_parts() -> Vec<u8> {
+    codec::encode(&PartQuarantine::default())
+}
+
+/// Returns the encoding of the field that the formats before that lack.
 fn no_departures() -> Vec<u8> {
     codec::encode(&Departures::default())
 }
--- a/crates/control/tests/replay.rs
+++ b/crates/control/tests/replay.rs
@@ -7,7 +7,8 @@
 use bolero::generator::produce_with;
 use common::{claim, claim_id, holder, join, sheet};
 use control::{
-    ChangeSet, Command, CrashCharge, FencingTokenRequest, RegionView, State, UpstreamDeparture,
+    ChangeSet, Command, CrashCharge, FencingTokenRequest, PartsCharge, RegionView, State,
+    UpstreamDeparture,
 };
 use std::collections::BTreeMap;
 
@@ -17,7 +18,7 @@
     let own = holder(daemon, u64::from(extra % 4));
     let upstream = format!("u{}", arg % 4);
     let fingerprint = [arg % 5; 32];
-    match op % 12 {
+    match op % 14 {
         0 | 1 => sheet(u64::from(arg % 32), extra % 4, "ana"),
         2 | 3 => join(daemon, own.incarnation, "dc-1"),
         4 => Command::Leave(own),
@@ -37,6 +38,14 @@
             at_ms,
         }),
         10 => Command::RecordUnknownDeparture { upstream, at_ms },
+        11 => Command::ChargeParts(PartsCharge {
+            parts: vec![[20; 32], [arg % 3; 32]],
+            request: [extra; 32],
+            upstream,
+            incarnation: u64::from(extra % 3),
+            at_ms,
+        }),
+        12 => Command::AcquitPart { part: [arg % 3; 32], at_ms },
         _ => Command::Acquit { fingerprint, at_ms },
     }
 }
@@ -129,9 +138,18 @@
         at_ms: 0,
     };
     state.apply(2, &Command::RecordDeparture(departure));
-    // A state with departures has the newest format, one without them the format before it.
+    let with_departures = state.snapshot();
+    let charge = PartsCharge {
+        parts: vec![[1; 32]],
+        request: [2; 32],
+        upstream: "u".to_owned(),
+        incarnation: 1,
+        at_ms: 0,
+    };
+    state.apply(3, &Command::ChargeParts(charge));
+    // A state with parts of prompts has the newest format, one without what it adds an earlier one.
     let buf = state.snapshot();
-    for buf in [&former, &buf] {
+    for buf in [&former, &with_departures, &buf] {
         for len in 0..buf.len() {
             assert!(State::restore(&buf[..len]).unwrap_err().is_malformed());
         }
--- a/crates/toucansilld/src/gateway/entry.rs
+++ b/crates/toucansilld/src/gateway/entry.rs
@@ -7,8 +7,9 @@
     record::RequestRecord,
     stream,
     view::View,
+    watchlist::RequestFingerprint,
 };
-use control::RequestHash;
+use control::{PartHash, RequestHash};
 use http::{
     HeaderValue, Request, Response, StatusCode,
     header::{CONNECTION, RETRY_AFTER},
@@ -98,8 +99,9 @@
         let path = parts.uri.path_and_query().map(ToString::to_string).unwrap_or_default();
         let hash = request_hash(&record.organisation, &path, &body);
         record.hash = short_hash(&hash);
+        let shared_parts = head.shared_parts.iter().map(|part| part_hash(part)).collect();
         let request = ForwardableRequest {
-            hash,
+            fingerprint: RequestFingerprint { request: hash, parts: shared_parts },
             head,
             parts,
             body,
@@ -196,3 +198,8 @@
     }
     hasher.finalize().into()
 }
+
+/// Hash by which a part of prompts is recognised, in all builds.
+fn part_hash(part: &str) -> PartHash {
+    Sha256::new().chain_update(b"part of a prompt:").chain_update(part).finalize().into()
+}
--- a/crates/toucansilld/src/gateway/forward.rs
+++ b/crates/toucansilld/src/gateway/forward.rs
@@ -5,6 +5,7 @@
     placer::Placer,
     record::{PlacementSummary, RequestRecord},
     tickets::HelperReservations,
+    watchlist::RequestFingerprint,
 };
 use bytes::Bytes;
 use control::RequestHash;
@@ -60,8 +61,8 @@
     pub(crate) service: ServiceId,
     /// Whether the leader places it, as its service runs on engines.
     pub(crate) is_leader_placed: bool,
-    /// Hash by which a resent request is recognised.
-    pub(crate) hash: RequestHash,
+    /// What it is recognised by.
+    pub(crate) fingerprint: RequestFingerprint,
     pub(crate) arrived: Instant,
     /// When the caller's deadline or the route's timeout expires.
     pub(crate) deadline: Instant,
@@ -249,7 +250,7 @@
             let placement = tokio::select! {
                 placement = self.cx.placer.place(
                     request,
-                    &self.request.hash,
+                    &self.request.fingerprint,
                     self.request.is_leader_placed,
                 ) => placement,
                 () = self.cx.wait_for_stop() => Err((RefusalReason::Stopping, STOPPING_RETRY)),
@@ -317,7 +318,7 @@
             response_time_remaining: self.time_remaining(),
             tried: self.tried.clone(),
             is_retry: self.history.sent > 0,
-            request_hash: short_hash(&self.request.hash),
+            request_hash: short_hash(&self.request.fingerprint.request),
         }
     }
 
--- a/crates/toucansilld/src/gateway/guard.rs
+++ b/crates/toucansilld/src/gateway/guard.rs
@@ -6,8 +6,8 @@
     placer::Placer,
     reports::Report,
     view::ViewAge,
+    watchlist::RequestFingerprint,
 };
-use control::RequestHash;
 use grant::{Grant, PlacementRequestId, RequestOutcome};
 use proxy::accepts_connections;
 use std::{
@@ -25,8 +25,7 @@
 pub(crate) struct GrantGuard {
     placer: Arc<Placer>,
     request_id: PlacementRequestId,
-    /// Hash of the request.
-    request: RequestHash,
+    fingerprint: RequestFingerprint,
     /// Upstream and helpers to send the request to.
     pub(crate) grant: Grant,
     /// Start time of the upstream's run, in milliseconds since the Unix epoch on its clock; 0 if
@@ -40,11 +39,11 @@
 }
 
 impl GrantGuard {
-    /// Creates the guard of a grant for the request with this hash, which was placed just now.
+    /// Creates the guard of a grant for the request with this fingerprint, which was placed just now.
     pub(super) fn new(
         placer: Arc<Placer>,
         request_id: PlacementRequestId,
-        request: RequestHash,
+        fingerprint: RequestFingerprint,
         grant: Grant,
         started_at_ms: u64,
         local_view: Option<ViewAge>,
@@ -53,7 +52,7 @@
         Self {
             placer,
             request_id,
-            request,
+            fingerprint,
             grant,
             started_at_ms,
             granted_at,
@@ -92,10 +91,18 @@
         self.end_once(outcome);
     }
 
-    /// Report that the upstream crashed under the request.
-    fn crash(&self) -> RunReport {
+    /// Reports that the upstream crashed under the request. Parts of the prompt are charged only if
+    /// there was no event: one that crashes upstreams does so as the response begins.
+    fn crash(&self) -> Vec<RunReport> {
+        let RequestFingerprint { request, ref parts } = self.fingerprint;
         let (upstream, started_at_ms) = (self.grant.upstream.clone(), self.started_at_ms);
-        RunReport::Crashed { request: self.request, upstream, started_at_ms }
+        let mut reports =
+            vec![RunReport::Crashed { request, upstream: upstream.clone(), started_at_ms }];
+        if !self.has_first_event && !parts.is_empty() {
+            let parts = parts.to_vec();
+            reports.push(RunReport::CrashedBeforeEvent { parts, request, upstream, started_at_ms });
+        }
+        reports
     }
 
     /// Records the limit that the upstream's response names, or that it names none.
@@ -113,11 +120,11 @@
     /// Checks whether the upstream, which gave no response, still accepts connections, and reports
     /// a crash if it does not.
     fn report_if_crashed(&self) {
-        let (watchlist, crash) = (Arc::clone(&self.placer.watchlist), self.crash());
+        let (watchlist, reports) = (Arc::clone(&self.placer.watchlist), self.crash());
         let address = self.grant.address;
         tokio::spawn(async move {
             if !accepts_connections(address, CONNECT_TIMEOUT).await {
-                watchlist.report(crash);
+                reports.into_iter().for_each(|report| watchlist.report(report));
             }
         });
     }
@@ -127,7 +134,9 @@
             return;
         }
         match outcome {
-            RequestOutcome::Broken => self.placer.watchlist.report(self.crash()),
+            RequestOutcome::Broken => {
+                self.crash().into_iter().for_each(|report| self.placer.watchlist.report(report));
+            }
             RequestOutcome::Silent => self.report_if_crashed(),
             RequestOutcome::Abandoned if !self.has_first_event => {
                 let elapsed = self.placer.clock.now().saturating_duration_since(self.granted_at);
@@ -135,9 +144,7 @@
                     self.report_if_crashed();
                 }
             }
-            RequestOutcome::Completed => {
-                self.placer.watchlist.report(RunReport::Completed { request: self.request });
-            }
+            RequestOutcome::Completed => self.placer.watchlist.completed(&self.fingerprint),
             _ => {}
         }
         if self.local_view.is_some() {
--- a/crates/toucansilld/src/gateway/messages.rs
+++ b/crates/toucansilld/src/gateway/messages.rs
@@ -3,7 +3,7 @@
 //! They are encoded by position: the order of fields and variants is part of the format.
 
 use bincode::{Decode, Encode};
-use control::{Departures, RequestHash, Watchlist};
+use control::{Departures, PartHash, RequestHash, Watchlist};
 use grant::{
     Decision, DirectoryEntry, LimitReport, PlacementRequest, PlacementRequestId, RequestOutcome,
     Revision, RunningRequest,
@@ -47,7 +47,8 @@
         /// Version of the routing document that the daemon has, 0 without one.
         routing: u64,
     },
-    /// Reports which requests upstreams have crashed under, and which suspects have ended well.
+    /// Reports which requests upstreams have crashed under, and which requests and parts of prompts on
+    /// the watchlist have ended well.
     ReportRuns(Vec<RunReport>),
     /// Requests the watchlist. Held open while the receiver has none that is newer. Any member of
     /// the control group serves it.
@@ -210,6 +211,22 @@
         /// Hash of the request.
         request: RequestHash,
     },
+    /// The upstream crashed before it had sent any event of the response.
+    CrashedBeforeEvent {
+        /// Parts of the prompt that other requests may share, in order.
+        parts: Vec<PartHash>,
+        /// Hash of the request.
+        request: RequestHash,
+        /// Upstream that crashed.
+        upstream: UpstreamId,
+        /// Start time of the upstream's run, in milliseconds since the Unix epoch on its clock.
+        started_at_ms: u64,
+    },
+    /// A request with this part, which is on the watchlist, got a complete response.
+    PartCompleted {
+        /// The part.
+        part: PartHash,
+    },
 }
 
 /// HTTP control request of an operator or an upstream, not decoded yet.
--- a/crates/toucansilld/src/gateway/placer.rs
+++ b/crates/toucansilld/src/gateway/placer.rs
@@ -8,10 +8,10 @@
     reports::{Report, send_reports},
     settings::GatewaySettings,
     view::View,
-    watchlist::WatchlistView,
+    watchlist::{RequestFingerprint, WatchlistView},
 };
 use crate::sync::lock;
-use control::{QUARANTINE, RequestHash};
+use control::QUARANTINE;
 use grant::{
     Decision, Grant, LimitReport, PlacementRequest, PlacementRequestId, RefusalReason,
     RequestOutcome, RunningRequest,
@@ -192,7 +192,7 @@
         PlacementRequestId { daemon: self.daemon.clone(), number }
     }
 
-    /// Finds an upstream for a request with this hash: by the leader, or by this daemon itself
+    /// Finds an upstream for a request with this fingerprint: by the leader, or by this daemon itself
     /// while there is none. `is_leader_placed` is false for services that daemons always place
     /// themselves. A request that has crashed upstreams is refused.
     ///
@@ -202,11 +202,11 @@
     pub(crate) async fn place(
         self: &Arc<Self>,
         request: PlacementRequest,
-        hash: &RequestHash,
+        fingerprint: &RequestFingerprint,
         is_leader_placed: bool,
     ) -> Result<GrantGuard, (RefusalReason, Duration)> {
         if !is_leader_placed {
-            return self.place_locally(&request, hash, false).await;
+            return self.place_locally(&request, fingerprint, false).await;
         }
         let started = self.clock.now();
         let deadline = started + request.first_event_deadline_remaining;
@@ -214,7 +214,7 @@
         let mut may_be_queued = false;
         loop {
             let now = self.clock.now();
-            let refusal = match self.watchlist.is_quarantined(hash) {
+            let refusal = match self.watchlist.is_quarantined(fingerprint) {
                 true => Some((RefusalReason::Quarantined, QUARANTINE)),
                 false if now >= deadline => {
                     Some((RefusalReason::DeadlineUnmeetable, REFUSED_RETRY_AFTER))
@@ -230,7 +230,7 @@
             let Some(leader) = self.view.leader(now, LEADER_TIMEOUT) else {
                 let since = *leaderless_since.get_or_insert(now);
                 if now.saturating_duration_since(since) >= NO_LEADER_TIMEOUT {
-                    return self.place_locally(&request, hash, true).await;
+                    return self.place_locally(&request, fingerprint, true).await;
                 }
                 sleep(LEADER_CHECK_INTERVAL).await;
                 continue;
@@ -251,7 +251,7 @@
                 .await
             {
                 Ok(LeaderReply::Placement(Decision::Granted(grant))) => {
-                    return Ok(self.guard_grant(request, hash, grant, term));
+                    return Ok(self.guard_grant(request, fingerprint, grant, term));
                 }
                 Ok(LeaderReply::Placement(Decision::Refused { reason, retry_after })) => {
                     let retry_after = match reason {
@@ -269,7 +269,7 @@
                     log::debug!("{leader}: {err}");
                     let since = *leaderless_since.get_or_insert(now);
                     if self.clock.now().saturating_duration_since(since) >= NO_LEADER_TIMEOUT {
-                        return self.place_locally(&request, hash, true).await;
+                        return self.place_locally(&request, fingerprint, true).await;
                     }
                 }
             }
@@ -280,7 +280,7 @@
     fn guard_grant(
         self: &Arc<Self>,
         request: PlacementRequest,
-        hash: &RequestHash,
+        fingerprint: &RequestFingerprint,
         grant: Grant,
         term: u64,
     ) -> GrantGuard {
@@ -293,7 +293,8 @@
         let request_id = running.request.id.clone();
         self.leader_placed.add(term, running);
         let started_at_ms = self.view.with(|state| state.started_at_ms(&grant.upstream));
-        GrantGuard::new(Arc::clone(self), request_id, *hash, grant, started_at_ms, None)
+        let fingerprint = fingerprint.clone();
+        GrantGuard::new(Arc::clone(self), request_id, fingerprint, grant, started_at_ms, None)
     }
 
     /// Places a request by this daemon's view alone, if its budget for retries allows it and it has
@@ -301,10 +302,10 @@
     async fn place_locally(
         self: &Arc<Self>,
         request: &PlacementRequest,
-        hash: &RequestHash,
+        fingerprint: &RequestFingerprint,
         is_leader_placed: bool,
     ) -> Result<GrantGuard, (RefusalReason, Duration)> {
-        if self.watchlist.is_quarantined(hash) {
+        if self.watchlist.is_quarantined(fingerprint) {
             return Err((RefusalReason::Quarantined, QUARANTINE));
         }
         let entry_daemons = self.view.with(|state| state.entry_daemons);
@@ -334,8 +335,15 @@
                 state.age(now)
             });
             let (placer, request_id) = (Arc::clone(self), request.id.clone());
-            let view_age = Some(view_age);
-            return Ok(GrantGuard::new(placer, request_id, *hash, grant, started_at_ms, view_age));
+            let (fingerprint, view_age) = (fingerprint.clone(), Some(view_age));
+            return Ok(GrantGuard::new(
+                placer,
+                request_id,
+                fingerprint,
+                grant,
+                started_at_ms,
+                view_age,
+            ));
         }
     }
 
--- a/crates/toucansilld/src/gateway/quarantine.rs
+++ b/crates/toucansilld/src/gateway/quarantine.rs
@@ -1,4 +1,5 @@
-//! Quarantine of requests that crash upstreams, on the members of the control group.
+//! Quarantine of requests, and of parts of prompts, that crash upstreams, on the members of the
+//! control group.
 //!
 //! The leader replicates the reports of the entries. Every member derives the [`Watchlist`] from the
 //! replicated state, for the entries that follow it ([`watchlist`](super::watchlist)).
@@ -10,7 +11,7 @@
     messages::{LeaderReply, RunReport},
     watchlist::WATCHLIST_WAIT,
 };
-use control::{Command, CrashCharge, Quarantine, QuarantineStatus, Watchlist};
+use control::{Command, CrashCharge, PartsCharge, QuarantineStatus, RequestHash, State, Watchlist};
 use std::{sync::Arc, time::Duration};
 use tokio::time::{sleep, timeout};
 use wire::Responder;
@@ -25,6 +26,8 @@
 #[derive(Default)]
 pub(super) struct ReadWatchlist {
     pub(super) watchlist: Watchlist,
+    /// Those of the watchlist that are parts of prompts.
+    parts: Watchlist,
     /// State index at which it was read.
     index: u64,
     /// State index at which it was first read with this content.
@@ -43,7 +46,7 @@
                 std::iter::once(first).chain(rx.try_iter()).collect();
             let commands: Vec<Command> = self.voter().peek(|state| {
                 let reports = received.iter().flat_map(|(reports, _)| reports);
-                reports.filter_map(|report| command_for(state.quarantine(), report)).collect()
+                reports.filter_map(|report| command_for(state, report)).collect()
             });
             let count = commands.len();
             let recorded = match commands.is_empty() {
@@ -72,9 +75,10 @@
     pub(super) fn read_watchlist(&self) {
         let known = self.watchlist.borrow().index;
         let read = self.voter().peek(|state| {
-            (state.applied() != known).then(|| (state.applied(), state.quarantine().watchlist()))
+            (state.applied() != known)
+                .then(|| (state.applied(), state.watchlist(), state.parts().watchlist()))
         });
-        let Some((index, watchlist)) = read else { return };
+        let Some((index, watchlist, parts)) = read else { return };
         self.watchlist.send_if_modified(|known| {
             known.index = index;
             if known.watchlist == watchlist {
@@ -84,11 +88,14 @@
             if is_quarantine_changed {
                 known.quarantine_changed_at = index;
                 self.with_leader(|leader| {
-                    log_quarantine_changes(&known.watchlist, &watchlist);
+                    log_quarantine_changes(&known.watchlist, &watchlist, |hash| {
+                        known.parts.quarantined.contains(hash) || parts.quarantined.contains(hash)
+                    });
                     leader.set_quarantined(&watchlist);
                 });
             }
             known.watchlist = watchlist;
+            known.parts = parts;
             known.changed_at = index;
             is_quarantine_changed
         });
@@ -110,7 +117,8 @@
 }
 
 /// Command that records a report, unless the quarantine shows that it changes nothing.
-fn command_for(quarantine: &Quarantine, report: &RunReport) -> Option<Command> {
+fn command_for(state: &State, report: &RunReport) -> Option<Command> {
+    let quarantine = state.quarantine();
     match report {
         RunReport::Crashed { request, upstream, started_at_ms } => {
             let is_known = quarantine.has_charged(request, upstream, *started_at_ms);
@@ -127,15 +135,37 @@
             let is_suspect = quarantine.status(request) == QuarantineStatus::Suspect;
             is_suspect.then_some(Command::Acquit { fingerprint: *request, at_ms: 0 })
         }
+        RunReport::CrashedBeforeEvent { parts, request, upstream, started_at_ms } => {
+            let is_explained = parts.iter().any(|part| state.parts().is_quarantined(part));
+            let charge = PartsCharge {
+                parts: parts.clone(),
+                request: *request,
+                upstream: upstream.clone(),
+                incarnation: *started_at_ms,
+                at_ms: 0,
+            };
+            (!is_explained).then_some(Command::ChargeParts(charge))
+        }
+        RunReport::PartCompleted { part } => {
+            let is_charged = state.parts().is_charged(part);
+            is_charged.then_some(Command::AcquitPart { part: *part, at_ms: 0 })
+        }
     }
 }
 
-/// Logs which requests are refused from now on, and which no longer.
-fn log_quarantine_changes(former: &Watchlist, watchlist: &Watchlist) {
+/// Logs which requests, and which parts of prompts, are refused from now on, and which no longer.
+fn log_quarantine_changes(
+    former: &Watchlist,
+    watchlist: &Watchlist,
+    is_part: impl Fn(&RequestHash) -> bool,
+) {
+    let kind = |hash| if is_part(hash) { "part of prompts" } else { "request" };
     for hash in watchlist.quarantined.difference(&former.quarantined) {
-        log::warn!(hash:% = format!("{:016x}", short_hash(hash)); "request quarantined");
+        let kind = kind(hash);
+        log::warn!(hash:% = format!("{:016x}", short_hash(hash)); "{kind} quarantined");
     }
     for hash in former.quarantined.difference(&watchlist.quarantined) {
-        log::info!(hash:% = format!("{:016x}", short_hash(hash)); "request quarantined no longer");
+        let kind = kind(hash);
+        log::info!(hash:% = format!("{:016x}", short_hash(hash)); "{kind} quarantined no longer");
     }
 }
--- a/crates/toucansilld/src/gateway/watchlist.rs
+++ b/crates/toucansilld/src/gateway/watchlist.rs
@@ -1,9 +1,13 @@
-//! Requests that crash the upstreams which run them, as an entry daemon recognises them.
+//! Requests, and parts of prompts, that crash the upstreams which run them, as an entry daemon
+//! recognises them.
 //!
 //! An entry reports each upstream that has crashed under a request to the leader, which replicates
 //! the report. Every member of the control group derives the [`Watchlist`] from these reports, and
 //! the entries follow it. So an entry refuses a quarantined request although it has never seen it,
 //! and goes on to do so when it has no leader.
+//!
+//! A sound part of prompts may share several crashes with one that isn't. An entry therefore remembers
+//! the parts of requests that were served to the end, and reports those that get on the watchlist.
 
 use super::{
     bus::DaemonLinks,
@@ -13,10 +17,10 @@
     view::View,
 };
 use crate::sync::lock;
-use control::{RequestHash, Watchlist};
+use control::{PartHash, RequestHash, Watchlist};
 use kernel::SharedClock;
 use std::{
-    collections::VecDeque,
+    collections::{HashSet, VecDeque},
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -35,10 +39,55 @@
 /// Maximum number of reports that wait for a leader. Beyond it the oldest are dropped.
 const MAX_REPORTS: usize = 1_024;
 
+/// Maximum number of parts of prompts that are remembered as served. Beyond it the oldest are
+/// forgotten.
+const MAX_SERVED_PARTS: usize = 4_096;
+
+/// What a request is recognised by.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestFingerprint {
+    /// Hash of the request, by which it is recognised when the caller sends it again.
+    pub(crate) request: RequestHash,
+    /// Parts of its prompt that other requests may share, in order.
+    pub(crate) parts: Arc<[PartHash]>,
+}
+
+/// Parts of prompts with which requests were served to the end.
+#[derive(Default)]
+struct ServedParts {
+    known: HashSet<PartHash>,
+    /// In the order in which they were added.
+    order: VecDeque<PartHash>,
+}
+
+impl ServedParts {
+    fn add(&mut self, part: PartHash) {
+        if !self.known.insert(part) {
+            return;
+        }
+        self.order.push_back(part);
+        if self.order.len() > MAX_SERVED_PARTS
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.known.remove(&oldest);
+        }
+    }
+
+    /// Forgets the parts among these that are known, and returns them.
+    fn take(&mut self, parts: &mut dyn Iterator<Item = &PartHash>) -> Vec<PartHash> {
+        let taken: Vec<PartHash> = parts.copied().filter(|p| self.known.remove(p)).collect();
+        if !taken.is_empty() {
+            self.order.retain(|part| self.known.contains(part));
+        }
+        taken
+    }
+}
+
 /// Watchlist of an entry daemon.
 pub(crate) struct WatchlistView {
     /// With the state index at which it was read.
     state: Mutex<(u64, Watchlist)>,
+    served_parts: Mutex<ServedParts>,
     reports_tx: flume::Sender<RunReport>,
 }
 
@@ -52,7 +101,8 @@
         clock: &SharedClock,
     ) -> Arc<Self> {
         let (reports_tx, rx) = flume::unbounded();
-        let watchlist = Arc::new(Self { state: Mutex::default(), reports_tx });
+        let watchlist =
+            Arc::new(Self { state: Mutex::default(), served_parts: Mutex::default(), reports_tx });
         let follower = WatchlistFollower {
             settings: Arc::clone(settings),
             links: Arc::clone(links),
@@ -64,29 +114,52 @@
         watchlist
     }
 
-    /// Whether a request is refused because it has crashed upstreams.
-    pub(crate) fn is_quarantined(&self, request: &RequestHash) -> bool {
-        lock(&self.state).1.quarantined.contains(request)
+    /// Whether a request is refused because it, or a part of its prompt, has crashed upstreams.
+    pub(crate) fn is_quarantined(&self, fingerprint: &RequestFingerprint) -> bool {
+        let quarantined = &lock(&self.state).1.quarantined;
+        quarantined.contains(&fingerprint.request)
+            || fingerprint.parts.iter().any(|part| quarantined.contains(part))
     }
 
-    /// Queues a report. A complete response is reported only for a suspect, which it clears.
-    pub(crate) fn report(&self, report: RunReport) {
-        let is_needed = match &report {
-            RunReport::Crashed { .. } => true,
-            RunReport::Completed { request } => lock(&self.state).1.suspects.contains(request),
+    /// Records a complete response to a request. It is reported only if the request is a suspect or has
+    /// parts on the watchlist, which it clears.
+    pub(crate) fn completed(&self, fingerprint: &RequestFingerprint) {
+        let request = fingerprint.request;
+        let (is_suspect, (listed, others)) = {
+            let watchlist = &lock(&self.state).1;
+            let is_listed = |part: &PartHash| {
+                watchlist.suspects.contains(part) || watchlist.quarantined.contains(part)
+            };
+            let parts = fingerprint.parts.iter().copied();
+            let parts: (Vec<PartHash>, Vec<PartHash>) = parts.partition(is_listed);
+            (watchlist.suspects.contains(&request), parts)
         };
-        if is_needed {
-            // An error is impossible: the receiver lives as long as the daemon.
-            let _ = self.reports_tx.send(report);
+        if is_suspect {
+            self.report(RunReport::Completed { request });
         }
+        listed.into_iter().for_each(|part| self.report(RunReport::PartCompleted { part }));
+        let mut served_parts = lock(&self.served_parts);
+        others.into_iter().for_each(|part| served_parts.add(part));
+    }
+
+    /// Queues a report.
+    pub(crate) fn report(&self, report: RunReport) {
+        // An error is impossible: the receiver lives as long as the daemon.
+        let _ = self.reports_tx.send(report);
     }
 
     /// Takes over a watchlist that a member read at a state index, unless the own one is newer.
-    fn apply(&self, index: u64, watchlist: Watchlist) {
+    /// Parts that this daemon knows as served are reported, and not refused meanwhile.
+    fn apply(&self, index: u64, mut watchlist: Watchlist) {
         let mut state = lock(&self.state);
         if index <= state.0 {
             return;
         }
+        let mut listed = watchlist.quarantined.union(&watchlist.suspects);
+        for part in lock(&self.served_parts).take(&mut listed) {
+            watchlist.quarantined.remove(&part);
+            self.report(RunReport::PartCompleted { part });
+        }
         log::info!(
             index = index, quarantined = watchlist.quarantined.len(),
             suspects = watchlist.suspects.len(); "watchlist changed"
