Limit the length of an event and the time that it takes, whatever bytes arrive

Callers: an upstream in trouble may send bytes without end in a stream. The caller waited until its deadline, and the entry kept all of them in memory. Cause: the splitter of events had no limit, and the timeout for an event began anew with every byte. Change: a stream breaks off if an event is longer than 1 MiB or not whole in the time allowed for it since the last one, and is resumed elsewhere. Test: a_stream_with_an_event_without_end_is_resumed_at_another_engine failed before, with no response in 10 s, for bytes as fast as possible and for one each 50 ms; it passes. By tests that passed before too: heads, bodies, chunks and trailers without end are errors after a bounded number of bytes; interim responses without end don't keep a request from being given up; a stream that ends with its connection is complete only after a whole event.

--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -5,6 +5,9 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// Maximum length of an event, in bytes. Tokens make events of a few hundred bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// One or more whole events.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EventChunk {
@@ -47,6 +50,12 @@
         Some(EventChunk { bytes, last_id })
     }
 
+    /// Whether more bytes were received of an event that is not whole yet than an event may have. An
+    /// upstream in trouble may send bytes without end, so nothing more should be pushed.
+    pub fn is_event_too_long(&self) -> bool {
+        self.buf.len() > MAX_EVENT_BYTES
+    }
+
     /// Bytes received of an event that is not whole yet.
     pub fn incomplete(&self) -> &[u8] {
         &self.buf
--- a/crates/proxy/tests/events.rs
+++ b/crates/proxy/tests/events.rs
@@ -53,3 +53,14 @@
         assert_eq!(&out, bytes);
     });
 }
+
+/// Bytes that never end an event must be noticed before they fill the memory.
+#[test]
+fn an_event_without_end_is_noticed() {
+    let mut events = EventSplitter::new();
+    let megabyte = vec![b'x'; 1 << 20];
+    events.push(&megabyte);
+    assert!(events.next_chunk().is_none() && !events.is_event_too_long());
+    events.push(b"x");
+    assert!(events.next_chunk().is_none() && events.is_event_too_long());
+}
--- a/crates/proxy/tests/exchange.rs
+++ b/crates/proxy/tests/exchange.rs
@@ -1,16 +1,22 @@
 //! Tests exchanges with upstreams that are gone or don't keep to the protocol.
 
 use http::Request;
-use proxy::{ExchangeResponse, exchange};
+use proxy::{ExchangeResponse, exchange, read_response_body};
 use std::{fs, net::SocketAddr, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     runtime::Builder,
+    task::JoinHandle,
 };
 
 /// Time limit of each test. Only a failing test reaches it.
 const TIMEOUT: Duration = Duration::from_secs(30);
+/// Number of bytes that an upstream may get rid of in a response without end, with those in buffers on
+/// the way.
+const MAX_FLOOD_BYTES: usize = 16 << 20;
+/// Maximum length of a body in these tests, in bytes.
+const MAX_BODY_BYTES: usize = 1 << 20;
 /// State of a connection in `/proc/net/tcp` that is established.
 const ESTABLISHED: &str = "01";
 /// Timer of a connection in `/proc/net/tcp` that probes whether the other side still responds.
@@ -72,3 +78,67 @@
         assert!(expiry <= 100, "probed only after {expiry} hundredths of a second");
     });
 }
+
+/// Starts an upstream that responds to one request with `start` and then with `rest`, again and again
+/// until the connection is closed. Returns its address, and the number of bytes that it sent.
+async fn start_flood(start: &'static [u8], rest: &'static [u8]) -> (SocketAddr, JoinHandle<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("listening");
+    let address = listener.local_addr().expect("an address");
+    let flood = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("accepted");
+        let mut buf = [0; 1024];
+        let n = stream.read(&mut buf).await.expect("read");
+        assert!(n > 0, "no request");
+        let mut count = 0;
+        let mut next = start;
+        while stream.write_all(next).await.is_ok() {
+            count += next.len();
+            next = rest;
+        }
+        count
+    });
+    (address, flood)
+}
+
+/// Sends a request and reads the whole response. Returns whether that succeeded.
+async fn fetch(address: SocketAddr) -> bool {
+    let (parts, ()) = Request::get("/").body(()).expect("a request").into_parts();
+    match exchange(address, TIMEOUT, parts, bytes::Bytes::new()).await {
+        Ok(mut response) => read_response_body(&mut response.body, MAX_BODY_BYTES).await.is_ok(),
+        Err(_) => false,
+    }
+}
+
+/// Guards against a response without end, in its head or its body, which fills the memory or is read
+/// until the deadline of the request.
+#[test]
+fn a_response_without_end_is_an_error() {
+    const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\n";
+    let floods: [(&[u8], &[u8]); 6] = [
+        (b"", b"\0\x01not a protocol"),
+        (HEAD, b"a: b\r\n"),
+        (b"HTTP/1.1 200 OK\r\na: ", b"bbbbbbbbbbbbbbbb"),
+        (b"HTTP/1.1 200 OK\r\n\r\n", &[b'x'; 4096]),
+        (b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", b"4\r\nxxxx\r\n"),
+        (b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n", b"a: b\r\n"),
+    ];
+    for (start, rest) in floods {
+        run(async {
+            let (address, flood) = start_flood(start, rest).await;
+            assert!(!fetch(address).await, "{}", start.escape_ascii());
+            let sent = flood.await.expect("ended");
+            assert!(sent <= MAX_FLOOD_BYTES, "{}: {sent} bytes", start.escape_ascii());
+        });
+    }
+}
+
+/// Guards against interim responses without end that keep a request from being given up.
+#[test]
+fn a_request_can_be_given_up_while_interim_responses_arrive() {
+    run(async {
+        let (address, flood) = start_flood(b"", b"HTTP/1.1 103 Early Hints\r\n\r\n").await;
+        let given_up = tokio::time::timeout(Duration::from_millis(300), fetch(address)).await;
+        assert!(given_up.is_err(), "no response is complete");
+        flood.await.expect("the connection is closed");
+    });
+}
--- a/crates/toucansilld/src/gateway/stream.rs
+++ b/crates/toucansilld/src/gateway/stream.rs
@@ -87,6 +87,8 @@
 ) -> PartEnd {
     let mut events = EventSplitter::new();
     let mut has_first_event = false;
+    // Bytes that end no event don't extend the wait.
+    let mut waiting_since = request.now();
     loop {
         let time_remaining = request.time_remaining();
         let limit = match has_first_event {
@@ -94,8 +96,10 @@
             false => request.first_event_timeout(guard),
         };
         let limit = limit.unwrap_or(Duration::MAX);
+        let waited = request.now().saturating_duration_since(waiting_since);
+        let wait = limit.saturating_sub(waited).min(time_remaining);
         let next = tokio::select! {
-            next = timeout(limit.min(time_remaining), body.next()) => next,
+            next = timeout(wait, body.next()) => next,
             () = tx.closed() => return PartEnd::CallerDisconnected,
         };
         let bytes = match next {
@@ -114,7 +118,13 @@
             }
         };
         events.push(&bytes);
-        let Some(chunk) = events.next_chunk() else { continue };
+        let Some(chunk) = events.next_chunk() else {
+            if events.is_event_too_long() {
+                let reason = String::from("an event is too long");
+                return PartEnd::Failed(AttemptFailure::Broken, reason);
+            }
+            continue;
+        };
         has_first_event = true;
         guard.first_event_received();
         record.first_event_received();
@@ -126,5 +136,6 @@
             return PartEnd::CallerDisconnected;
         }
         request.event_forwarded(chunk.last_id);
+        waiting_since = request.now();
     }
 }
--- a/crates/toucansilld/tests/gateway/engines.rs
+++ b/crates/toucansilld/tests/gateway/engines.rs
@@ -2,14 +2,17 @@
 
 use crate::region::{Reaction, Region, Upstream, eventually};
 use platform::stand_in::{
-    DOCUMENT_PATH, ENGINE_MEMORY_TOKENS, ReceivedOrder, engine_document, parse_order,
-    parse_request_id, response_header_lines, upstream_path,
+    DOCUMENT_PATH, ENGINE_MEMORY_TOKENS, ReceivedOrder, engine_document,
+    engine_document_with_pause_target, parse_order, parse_request_id, response_header_lines,
+    upstream_path,
 };
 use std::{
     thread,
     time::{Duration, Instant},
 };
 
+/// Number of bytes without an event that an engine may get rid of, with those in buffers on the way.
+const MAX_FLOOD_BYTES: usize = 16 << 20;
 /// Time after the end of a request within which the memory reserved for it must be free.
 const MEMORY_FREE_TIME: Duration = Duration::from_secs(4);
 
@@ -76,16 +79,52 @@
     parse_order(head, body)
 }
 
+/// Head of a response with neither a length nor chunks, which ends with its connection.
+fn unframed_head(head: &str) -> String {
+    let attempt = head.lines().find_map(parse_request_id).unwrap_or_default();
+    format!(
+        "HTTP/1.1 200 OK\r\n{}Content-Type: text/event-stream\r\n\r\n",
+        response_header_lines(attempt)
+    )
+}
+
+/// Script of an engine whose streams end with their connections: a new one within the third event, a
+/// resumed one after its last event.
+fn end_with_connection(head: &str, _: &str) -> String {
+    let start = unframed_head(head);
+    match last_event(head) {
+        Some(last) => start + &(last + 1..=EVENTS).map(event).collect::<String>(),
+        None => start + &event(1) + &event(2) + &event(3)[..10],
+    }
+}
+
+/// Reaction of an engine that sends one event of a new stream and then bytes without end as fast as it
+/// can; a resumed stream it sends completely.
+fn flood_new_streams(head: &str, body: &str) -> Reaction {
+    match last_event(head) {
+        Some(_) => Reaction::Respond(end_with_connection(head, body)),
+        None => Reaction::Flood(unframed_head(head) + &event(1), Duration::ZERO),
+    }
+}
+
+/// Like [`flood_new_streams`], with a byte at a time.
+fn trickle_into_new_streams(head: &str, body: &str) -> Reaction {
+    match last_event(head) {
+        Some(_) => Reaction::Respond(end_with_connection(head, body)),
+        None => Reaction::Flood(unframed_head(head) + &event(1), Duration::from_millis(50)),
+    }
+}
+
 /// Starts a region with two engines that respond by a script. Its entry has the routing document.
 fn start_with_engines(script: fn(&str, &str) -> String) -> (Region, Vec<Upstream>) {
-    start_with(|| Upstream::scripted(script))
+    start_with(&engine_document(1, "/x/"), || Upstream::scripted(script))
 }
 
-/// Starts a region with two engines. Its entry has the routing document.
-fn start_with(engine: impl Fn() -> Upstream) -> (Region, Vec<Upstream>) {
+/// Starts a region with this routing document, which its entry has, and two engines.
+fn start_with(document: &str, engine: impl Fn() -> Upstream) -> (Region, Vec<Upstream>) {
     let mut region = Region::new(1);
     region.start_all(true);
-    region.control_request_until_ok(0, "PUT", DOCUMENT_PATH, &engine_document(1, "/x/"));
+    region.control_request_until_ok(0, "PUT", DOCUMENT_PATH, document);
     let engines: Vec<Upstream> = (0..2).map(|_| engine()).collect();
     for (i, engine) in engines.iter().enumerate() {
         let path = upstream_path(&format!("u{i}"));
@@ -119,6 +158,33 @@
     );
 }
 
+/// Guards against a stream that is taken for complete because its connection was closed, although
+/// that cut it within an event; and against one that is not, although it is whole.
+#[test]
+fn a_stream_that_ends_with_its_connection_is_complete_only_after_a_whole_event() {
+    let (region, engines) = start_with_engines(end_with_connection);
+    let (status, body) = region.request("/x/1").expect("a complete response");
+    assert_eq!((status, ids(&body)), (200, (1..=EVENTS).collect()), "{body}");
+    assert_eq!(engines.iter().map(|engine| engine.runs().len()).collect::<Vec<_>>(), [1, 1]);
+}
+
+/// Guards against bytes without end in a stream, which fill the memory of the entry or keep the caller
+/// waiting until its deadline.
+#[test]
+fn a_stream_with_an_event_without_end_is_resumed_at_another_engine() {
+    for react in [flood_new_streams, trickle_into_new_streams] {
+        let document = engine_document_with_pause_target(1, "/x/");
+        let (region, engines) = start_with(&document, || Upstream::crashing(react));
+        let (status, body) = region.request("/x/1").expect("a complete response");
+        assert_eq!((status, ids(&body)), (200, (1..=EVENTS).collect()), "{body}");
+        let sent: usize = eventually("the connection is closed", || {
+            let mut runs = engines.iter().flat_map(Upstream::runs);
+            runs.find_map(|run| run.strip_prefix("flooded ")?.parse().ok())
+        });
+        assert!(sent <= MAX_FLOOD_BYTES, "{sent} bytes were read");
+    }
+}
+
 /// A prompt of 1.5 times an engine's memory needs a reservation on a second engine. The reservation
 /// must be large enough and be released after the request, or the memory would stay unusable until
 /// it expires.
@@ -148,7 +214,8 @@
 /// the engine that used it is gone without having closed its connections.
 #[test]
 fn memory_reserved_on_a_helper_is_free_soon_after_its_engine_falls_silent() {
-    let (region, engines) = start_with(|| Upstream::crashing(accept_orders_and_fall_silent));
+    let engine = || Upstream::crashing(accept_orders_and_fall_silent);
+    let (region, engines) = start_with(&engine_document(1, "/x/"), engine);
     let prompt = ENGINE_MEMORY_TOKENS + ENGINE_MEMORY_TOKENS / 2;
     thread::scope(|scope| {
         // The engine that gets the request falls silent.
--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -408,6 +408,9 @@
     Crash,
     /// It crashes, and its connections stay open.
     FallSilent,
+    /// It sends this, and then bytes that never end an event, with this pause between two writes,
+    /// until the connection is closed. Then it records `flooded N` with the number of bytes.
+    Flood(String, Duration),
 }
 
 /// Simulated upstream, which records the requests that it runs.
@@ -464,6 +467,10 @@
                     // A failure means that the caller has disconnected and needs no response.
                     Reaction::Respond(response) => drop(stream.write_all(response.as_bytes())),
                     Reaction::Crash => return,
+                    Reaction::Flood(start, pause) => {
+                        let count = flood(&mut stream, &start, pause);
+                        record(&seen, format!("flooded {count}"));
+                    }
                     Reaction::FallSilent => {
                         drop(listener);
                         thread::park();
@@ -508,6 +515,20 @@
     }
 }
 
+/// Writes `start` and then bytes that never end an event until the connection is closed. Returns the
+/// number of bytes written.
+fn flood(stream: &mut TcpStream, start: &str, pause: Duration) -> usize {
+    let rest: &[u8] = if pause.is_zero() { &[b'x'; 64 << 10] } else { b"x" };
+    let mut count = 0;
+    let mut next = start.as_bytes();
+    while stream.write_all(next).is_ok() {
+        count += next.len();
+        next = rest;
+        thread::sleep(pause);
+    }
+    count
+}
+
 /// Reads head and body of a request; `None` if the connection ends within it.
 pub(crate) fn read_request(stream: &TcpStream) -> Option<(String, String)> {
     let mut rx = BufReader::new(stream.try_clone().ok()?);
