Send no requests to upstreams that say in a response that they leave

Nothing read the header, so an upstream went on to get requests until it had said so by a registration. Change: the entry that gets such a response excludes the run of the upstream at once, from its own placements and from grants of a leader that doesn't know yet, and reports it until a leader has replicated it. It then counts as a deregistration of that run: known to all daemons, later leaders and restarted ones; registrations of the same run don't bring it back, a new run does.

--- a/crates/toucansilld/src/gateway.rs
+++ b/crates/toucansilld/src/gateway.rs
@@ -22,6 +22,7 @@
 mod compress;
 mod control;
 mod entry;
+mod exclusions;
 mod follow;
 mod forward;
 mod guard;
--- a/crates/toucansilld/src/gateway/calls.rs
+++ b/crates/toucansilld/src/gateway/calls.rs
@@ -9,14 +9,14 @@
     lead::LeaderState,
     messages::{ControlHttpRequest, ControlHttpResponse, DirectoryViewPosition},
 };
-use control::{Command, Outcome, PublishedRouting, RoutingOutcome};
+use control::{Command, Outcome, PublishedRouting, RoutingOutcome, UpstreamDeparture};
 use grant::{Registration, RegistrationOutcome};
 use http::Method;
 use platform::control as control_api;
 use routing::RoutingDocument;
 use std::{sync::Arc, time::Instant};
 use tokio::{task::spawn_blocking, time::timeout};
-use wire::DataCentreId;
+use wire::{DataCentreId, UpstreamId};
 
 impl ControlMember {
     /// Handles an HTTP control request if this daemon leads the control group; otherwise `None`.
@@ -177,6 +177,21 @@
         Some(self.acknowledge_departure(id, Some(command), outcome, now).await)
     }
 
+    /// Replicates the departure of a run of an upstream whose responses say that it leaves, as if it had
+    /// deregistered. Returns whether this daemon leads and has done so.
+    pub(super) async fn record_leaving(&self, upstream: UpstreamId, started_at_ms: u64) -> bool {
+        if self.with_leader(|_| ()).is_none() {
+            return false;
+        }
+        log::info!(
+            upstream = upstream.as_str(), born = started_at_ms; "upstream leaves, by its responses"
+        );
+        let departure =
+            UpstreamDeparture { upstream, started_at_ms, has_left: true, sequence: 0, at_ms: 0 };
+        let command = Some(Command::RecordDeparture(departure));
+        self.replicate_departure(command, false).await.is_ok()
+    }
+
     /// Acknowledges a departure that was received at `since`, the first time or again, once
     /// `command` is replicated, so that the next leader knows it, and the live followers know it, so
     /// that none sends the upstream a request afterwards.
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -301,6 +301,14 @@
                 let reserved = wait.map(|wait| LeaderReply::RequestReserved { wait });
                 reply(responder, &reserved.unwrap_or_else(|| self.not_leader()));
             }
+            LeaderRequest::ReportLeaving { upstream, started_at_ms } => {
+                let control = Arc::clone(self);
+                tokio::spawn(async move {
+                    let is_recorded = control.record_leaving(upstream, started_at_ms).await;
+                    let recorded = is_recorded.then_some(LeaderReply::LeavingRecorded);
+                    reply(responder, &recorded.unwrap_or_else(|| control.not_leader()));
+                });
+            }
             LeaderRequest::Join { id, address } => {
                 let control = Arc::clone(self);
                 tokio::spawn(async move {
--- a/crates/toucansilld/src/gateway/forward.rs
+++ b/crates/toucansilld/src/gateway/forward.rs
@@ -402,7 +402,7 @@
         if decoded_head.request != self.request.head.request {
             return Err(AttemptError::new(AttemptFailure::Broken, "the answer to another request"));
         }
-        guard.response_received(decoded_head.requests_per_s);
+        guard.response_received(&decoded_head);
         if decoded_head.is_not_run {
             return Err(AttemptError::new(AttemptFailure::NotRun, head.status));
         }
--- a/crates/toucansilld/src/gateway/guard.rs
+++ b/crates/toucansilld/src/gateway/guard.rs
@@ -9,6 +9,7 @@
     watchlist::RequestFingerprint,
 };
 use grant::{Grant, PlacementRequestId, RequestOutcome};
+use platform::head::ResponseHead;
 use proxy::accepts_connections;
 use std::{
     sync::Arc,
@@ -105,16 +106,19 @@
         reports
     }
 
-    /// Records the limit that the upstream's response names, or that it names none.
-    pub(crate) fn response_received(&self, requests_per_s: Option<f64>) {
+    /// Records what the upstream's response says about the upstream: the limit that it names, if any,
+    /// and whether it leaves.
+    pub(crate) fn response_received(&self, head: &ResponseHead) {
         let now = self.placer.clock.now();
         let (upstream, started_at_ms) = (&self.grant.upstream, self.started_at_ms);
-        let limits = &self.placer.limits;
-        let report =
-            limits.response_received(now, upstream, started_at_ms, self.granted_at, requests_per_s);
+        let (limits, limit) = (&self.placer.limits, head.requests_per_s);
+        let report = limits.response_received(now, upstream, started_at_ms, self.granted_at, limit);
         if let Some(report) = report {
             self.placer.queue(Report::Limit(report));
         }
+        if head.is_leaving && self.placer.exclusions.leaves(now, upstream, started_at_ms) {
+            self.placer.queue(Report::Leaving(upstream.clone(), started_at_ms));
+        }
     }
 
     /// Checks whether the upstream, which gave no response, still accepts connections, and reports
--- a/crates/toucansilld/src/gateway/messages.rs
+++ b/crates/toucansilld/src/gateway/messages.rs
@@ -61,6 +61,13 @@
     /// Requests permission to send a request to an upstream without a grant. The daemon knows this
     /// limit of the upstream.
     ReserveRequest(LimitReport),
+    /// Reports that a run of an upstream leaves, as its response to the daemon says.
+    ReportLeaving {
+        /// Name of the upstream.
+        upstream: UpstreamId,
+        /// Start time of the run, in milliseconds since the Unix epoch on its clock.
+        started_at_ms: u64,
+    },
 }
 
 /// Reply to a [`LeaderRequest`].
@@ -103,6 +110,8 @@
         /// Time until the limit allows the request; zero if it may be sent, and is counted.
         wait: Duration,
     },
+    /// Reply to [`LeaderRequest::ReportLeaving`]: the departure is replicated.
+    LeavingRecorded,
 }
 
 /// Versions of the parts of a view. All but the routing version are comparable only within one
--- a/crates/toucansilld/src/gateway/placer.rs
+++ b/crates/toucansilld/src/gateway/placer.rs
@@ -2,6 +2,7 @@
 
 use super::{
     bus::DaemonLinks,
+    exclusions::Exclusions,
     guard::GrantGuard,
     limits::KnownLimits,
     messages::{LeaderReply, LeaderRequest, Progress},
@@ -104,6 +105,7 @@
     retry_budgets: LocalRetryBudgets,
     pub(super) watchlist: Arc<WatchlistView>,
     pub(super) limits: Arc<KnownLimits>,
+    pub(super) exclusions: Exclusions,
 }
 
 /// Budgets for retries that this daemon places itself.
@@ -180,6 +182,7 @@
                 retry_budgets,
                 watchlist,
                 limits,
+                exclusions: Exclusions::default(),
             }),
             reporter,
         )
@@ -210,6 +213,7 @@
         }
         let started = self.clock.now();
         let deadline = started + request.first_event_deadline_remaining;
+        let mut request = request;
         let mut leaderless_since = None;
         let mut may_be_queued = false;
         loop {
@@ -251,7 +255,18 @@
                 .await
             {
                 Ok(LeaderReply::Placement(Decision::Granted(grant))) => {
-                    return Ok(self.guard_grant(request, fingerprint, grant, term));
+                    if !self.is_excluded(&grant.upstream) {
+                        return Ok(self.guard_grant(request, fingerprint, grant, term));
+                    }
+                    // The leader doesn't know yet. A new id, as the report may come after the new
+                    // request.
+                    self.report(Progress::Ended(request.id.clone(), RequestOutcome::NotRun));
+                    if request.tried.contains(&grant.upstream) {
+                        return Err((RefusalReason::NoUpstream, REFUSED_RETRY_AFTER));
+                    }
+                    request.id = self.next_id();
+                    request.tried.push(grant.upstream);
+                    may_be_queued = false;
                 }
                 Ok(LeaderReply::Placement(Decision::Refused { reason, retry_after })) => {
                     let retry_after = match reason {
@@ -276,6 +291,12 @@
         }
     }
 
+    /// Whether an upstream has said that it takes no requests of this daemon.
+    fn is_excluded(&self, upstream: &UpstreamId) -> bool {
+        let started_at_ms = self.view.with(|state| state.started_at_ms(upstream));
+        self.exclusions.contains(upstream, started_at_ms)
+    }
+
     /// Registers a grant of the leader of `term`.
     fn guard_grant(
         self: &Arc<Self>,
@@ -321,6 +342,10 @@
                 let retry_after = shortest_wait.unwrap_or_default().max(REFUSED_RETRY_AFTER);
                 return Err((RefusalReason::NoUpstream, retry_after));
             };
+            if self.exclusions.contains(&grant.upstream, started_at_ms) {
+                passed_over.push(grant.upstream);
+                continue;
+            }
             let wait = match self.limits.get(&grant.upstream, started_at_ms) {
                 Some(limit) => self.reserve_request(limit).await,
                 None => Duration::ZERO,
--- a/crates/toucansilld/src/gateway/reports.rs
+++ b/crates/toucansilld/src/gateway/reports.rs
@@ -1,5 +1,5 @@
 //! Sends reports of an entry daemon to the leader: the progress of the requests that it placed, and
-//! the limits that responses of upstreams name.
+//! what responses of upstreams say: limits that they name, and that they leave.
 
 use super::{
     bus::DaemonLinks,
@@ -11,6 +11,7 @@
 use kernel::SharedClock;
 use std::{sync::Arc, time::Duration};
 use tokio::time::sleep;
+use wire::UpstreamId;
 
 /// Time for which progress reports are collected into one message.
 const PROGRESS_DELAY: Duration = Duration::from_millis(15);
@@ -21,12 +22,21 @@
 /// Number of times that limits are sent until the leader confirms them.
 const LIMIT_REPORT_ATTEMPTS: usize = 3;
 
+/// Timeout for the leader's confirmation that a departure is replicated.
+const LEAVING_REPORT_TIMEOUT: Duration = Duration::from_millis(900);
+/// Pause before a departure is reported again that the leader has not confirmed.
+const LEAVING_RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Time after which a departure is no longer reported: upstreams that leave are gone then.
+const LEAVING_REPORT_TIME: Duration = Duration::from_secs(60);
+
 /// Report for the leader.
 pub(crate) enum Report {
     /// Progress of a request that the leader placed.
     Progress(Progress),
     /// Limit that a response has named, or that it has ended.
     Limit(LimitReport),
+    /// A response says that the run of the upstream that started at this time leaves.
+    Leaving(UpstreamId, u64),
 }
 
 /// Sends reports to the leader, in order, several in one message; limits before the progress that
@@ -46,6 +56,11 @@
             match report {
                 Report::Progress(report) => progress.push(report),
                 Report::Limit(report) => limits.push(report),
+                Report::Leaving(upstream, started_at_ms) => {
+                    let (view, links) = (Arc::clone(&view), Arc::clone(&links));
+                    let clock = Arc::clone(&clock);
+                    tokio::spawn(send_leaving(upstream, started_at_ms, view, links, clock));
+                }
             }
         }
         if !limits.is_empty() {
@@ -89,3 +104,29 @@
     }
     log::warn!(count = count; "limits of upstreams not recorded by the leader");
 }
+
+/// Reports to the leader that a run of an upstream leaves, until the leader has replicated it.
+async fn send_leaving(
+    upstream: UpstreamId,
+    started_at_ms: u64,
+    view: Arc<View>,
+    links: Arc<DaemonLinks>,
+    clock: SharedClock,
+) {
+    let started = clock.now();
+    let request = LeaderRequest::ReportLeaving { upstream: upstream.clone(), started_at_ms };
+    while clock.now().saturating_duration_since(started) < LEAVING_REPORT_TIME {
+        if let Some(leader) = view.leader(clock.now(), LEADER_TIMEOUT) {
+            match links.request(leader, &request, LEAVING_REPORT_TIMEOUT).await {
+                Ok(LeaderReply::LeavingRecorded) => return,
+                Ok(_) => log::debug!("{leader}: departure not recorded: it leads no more"),
+                Err(err) => log::debug!("{leader}: departure not recorded: {err}"),
+            }
+        }
+        sleep(LEAVING_RETRY_PAUSE).await;
+    }
+    log::warn!(
+        upstream = upstream.as_str(), born = started_at_ms;
+        "departure of an upstream not recorded by the leader"
+    );
+}
--- a/crates/toucansilld/tests/gateway/main.rs
+++ b/crates/toucansilld/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod departures;
 mod engines;
 mod limits;
+mod notices;
 mod region;
 
 use platform::stand_in::{DOCUMENT_PATH, document, engine_document, upstream_path};
--- /dev/null
+++ b/crates/toucansilld/tests/gateway/notices.rs
@@ -0,0 +1,102 @@
+//! Tests of upstreams that say in their responses that they leave.
+
+use crate::region::{Region, Upstream, eventually, one_event};
+use platform::stand_in::{
+    DOCUMENT_PATH, LEAVING_HEADER_LINE, document, engine_document, registration_body, upstream_path,
+};
+use std::{thread, time::Duration};
+
+/// Time after an entry has passed on a response by which it learns that an upstream leaves.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+/// Number of requests that are sent then.
+const REQUESTS: usize = 12;
+/// Deadline of each request.
+const DEADLINE: Duration = Duration::from_secs(2);
+
+/// Script of an upstream that leaves and says so in its responses only.
+fn leave(head: &str, body: &str) -> String {
+    one_event(head, body).replacen("\r\n", &format!("\r\n{LEAVING_HEADER_LINE}"), 1)
+}
+
+/// Starts a region with two entries, and two upstreams with these scripts.
+fn start(
+    control_count: usize,
+    document: &str,
+    scripts: [fn(&str, &str) -> String; 2],
+) -> (Region, [Upstream; 2]) {
+    let mut region = Region::with_entries(control_count, 2);
+    region.start_all(true);
+    region.await_members(control_count);
+    region.control_request_until_ok(0, "PUT", DOCUMENT_PATH, document);
+    let upstreams = scripts.map(Upstream::scripted);
+    for (id, upstream) in ["a", "b"].iter().zip(&upstreams) {
+        let body = registration_body(upstream.address, "s1", 1, 1, "ready");
+        region.control_request_until_ok(0, "PUT", &upstream_path(id), &body);
+    }
+    (region, upstreams)
+}
+
+/// Sends requests to entry `turn % 2` until this upstream has got one.
+fn send_until_reached(region: &Region, turn: usize, upstream: &Upstream) {
+    let before = upstream.runs().len();
+    eventually("the upstream gets a request", || {
+        region.request_at(region.entry() + turn % 2, "/x/", "hi", DEADLINE);
+        (upstream.runs().len() > before).then_some(())
+    });
+}
+
+/// Sends [`REQUESTS`] to both entries in turn. Returns their statuses.
+fn send_requests(region: &Region) -> Vec<Option<u16>> {
+    let send = |turn: usize| {
+        let entry = region.entry() + turn % 2;
+        region.request_at(entry, "/x/", "hi", DEADLINE).map(|(status, _)| status)
+    };
+    (0..REQUESTS).map(send).collect()
+}
+
+/// Guards against requests to an upstream that has said in a response that it leaves, from the entry
+/// that got the response and from others, although it goes on to register as ready.
+#[test]
+fn an_upstream_that_leaves_by_its_responses_gets_no_requests() {
+    for document in [document(1, "/x/", "s1"), engine_document(1, "/x/")] {
+        let (region, [leaving, staying]) = start(1, &document, [leave, one_event]);
+        send_until_reached(&region, 0, &leaving);
+        let body = registration_body(leaving.address, "s1", 1, 2, "ready");
+        region.control_request(0, "PUT", &upstream_path("a"), &body);
+        thread::sleep(DRAIN_TIME);
+        let before = (leaving.runs().len(), staying.runs().len());
+        assert_eq!(send_requests(&region), [Some(200); REQUESTS]);
+        assert_eq!(leaving.runs().len(), before.0, "requests to the upstream that leaves");
+        assert_eq!(staying.runs().len(), before.1 + REQUESTS);
+
+        // A new run under the same name is not the one that left.
+        let body = registration_body(leaving.address, "s1", 2, 1, "ready");
+        region.control_request_until_ok(0, "PUT", &upstream_path("a"), &body);
+        send_until_reached(&region, 1, &leaving);
+    }
+}
+
+/// Guards against a departure that only the leader's memory, or that of one entry, has.
+#[test]
+fn an_upstream_that_leaves_by_its_responses_gets_no_requests_under_the_next_leader() {
+    let (mut region, [leaving, _]) = start(3, &engine_document(1, "/x/"), [leave, one_event]);
+    send_until_reached(&region, 0, &leaving);
+    thread::sleep(DRAIN_TIME);
+    let leader = region.await_leader(3);
+    region.kill(leader);
+    region.kill(region.entry());
+    region.await_group(3, 2);
+    region.start(region.entry(), false);
+    let other = (0..3).find(|i| *i != leader).expect("another member");
+    let before = leaving.runs().len();
+    let body = registration_body(leaving.address, "s1", 1, 3, "ready");
+    region.control_request_until_ok(other, "PUT", &upstream_path("a"), &body);
+    // The request would reach the upstream if the group took it for ready again.
+    eventually("the restarted entry places requests", || {
+        let response = region.request_at(region.entry(), "/x/", "hi", DEADLINE);
+        let is_refused = response.is_some_and(|(status, _)| matches!(status, 200 | 503));
+        is_refused.then_some(())
+    });
+    send_requests(&region);
+    assert_eq!(leaving.runs().len(), before, "requests to the upstream that has left");
+}
