Send no requests for a time to upstreams that turn this daemon away with Retry-After

Other daemons go on using it. If all upstreams of a service are excluded, a request is refused at once, with the shortest remaining time as Retry-After. Tests, failing before: requests of that daemon during the time (some of which got 503 with another upstream free); refused at once with 0.3 s instead of the remaining time; plain services and engines.

--- a/crates/toucansilld/src/gateway/forward.rs
+++ b/crates/toucansilld/src/gateway/forward.rs
@@ -281,7 +281,9 @@
             match next_step(route.retry_policy, route.max_attempts, self.history, failed.failure) {
                 NextStep::Retry => {}
                 NextStep::RefuseNotRun => {
-                    return Err(RequestError::not_run("no upstream ran it", NOT_RUN_RETRY_AFTER));
+                    let wait = self.cx.placer.wait_if_all_excluded(&self.request.service);
+                    let retry_after = wait.unwrap_or(NOT_RUN_RETRY_AFTER);
+                    return Err(RequestError::not_run("no upstream ran it", retry_after));
                 }
                 NextStep::Fail => {
                     return Err(RequestError::failed("the upstream gave no whole answer"));
--- a/crates/toucansilld/src/gateway/guard.rs
+++ b/crates/toucansilld/src/gateway/guard.rs
@@ -107,7 +107,7 @@
     }
 
     /// Records what the upstream's response says about the upstream: the limit that it names, if any,
-    /// and whether it leaves.
+    /// whether it leaves, and for how long it turns requests away.
     pub(crate) fn response_received(&self, head: &ResponseHead) {
         let now = self.placer.clock.now();
         let (upstream, started_at_ms) = (&self.grant.upstream, self.started_at_ms);
@@ -119,6 +119,9 @@
         if head.is_leaving && self.placer.exclusions.leaves(now, upstream, started_at_ms) {
             self.placer.queue(Report::Leaving(upstream.clone(), started_at_ms));
         }
+        if let Some(time) = head.turned_away_for {
+            self.placer.exclusions.turned_away(now, upstream, started_at_ms, time);
+        }
     }
 
     /// Checks whether the upstream, which gave no response, still accepts connections, and reports
--- a/crates/toucansilld/src/gateway/placer.rs
+++ b/crates/toucansilld/src/gateway/placer.rs
@@ -14,8 +14,8 @@
 use crate::sync::lock;
 use control::QUARANTINE;
 use grant::{
-    Decision, Grant, LimitReport, PlacementRequest, PlacementRequestId, RefusalReason,
-    RequestOutcome, RunningRequest,
+    Decision, DirectoryEntry, Grant, LimitReport, PlacementRequest, PlacementRequestId,
+    RefusalReason, Registration, RequestOutcome, RunningRequest,
 };
 use kernel::SharedClock;
 use route::RetryBudget;
@@ -225,6 +225,10 @@
                 }
                 false => None,
             };
+            let refusal = refusal.or_else(|| {
+                let wait = self.wait_if_all_excluded(&request.service)?;
+                Some((RefusalReason::NoUpstream, wait))
+            });
             if let Some(refusal) = refusal {
                 if may_be_queued {
                     self.report(Progress::Ended(request.id.clone(), RequestOutcome::Abandoned));
@@ -240,6 +244,7 @@
                 continue;
             };
             let mut remaining = request.clone();
+            remaining.tried.extend(self.excluded(&request.service));
             let passed = now.saturating_duration_since(started);
             remaining.first_event_target_remaining =
                 remaining.first_event_target_remaining.saturating_sub(passed);
@@ -255,11 +260,13 @@
                 .await
             {
                 Ok(LeaderReply::Placement(Decision::Granted(grant))) => {
-                    if !self.is_excluded(&grant.upstream) {
+                    let started_at_ms =
+                        self.view.with(|state| state.started_at_ms(&grant.upstream));
+                    if self.exclusions.remaining(now, &grant.upstream, started_at_ms).is_none() {
                         return Ok(self.guard_grant(request, fingerprint, grant, term));
                     }
-                    // The leader doesn't know yet. A new id, as the report may come after the new
-                    // request.
+                    // Excluded since the leader queued the request, or the leader found no other. A
+                    // new id, as the report may come after the new request.
                     self.report(Progress::Ended(request.id.clone(), RequestOutcome::NotRun));
                     if request.tried.contains(&grant.upstream) {
                         return Err((RefusalReason::NoUpstream, REFUSED_RETRY_AFTER));
@@ -291,10 +298,38 @@
         }
     }
 
-    /// Whether an upstream has said that it takes no requests of this daemon.
-    fn is_excluded(&self, upstream: &UpstreamId) -> bool {
-        let started_at_ms = self.view.with(|state| state.started_at_ms(upstream));
-        self.exclusions.contains(upstream, started_at_ms)
+    /// Upstreams of a service that have said that they take no requests of this daemon.
+    fn excluded(&self, service: &ServiceId) -> Vec<UpstreamId> {
+        if self.exclusions.is_empty() {
+            return Vec::new();
+        }
+        let now = self.clock.now();
+        let is_excluded = |entry: &&DirectoryEntry| {
+            let Registration { id, started_at_ms, .. } = &entry.registration;
+            self.exclusions.remaining(now, id, *started_at_ms).is_some()
+        };
+        self.view.with(|state| {
+            let available = state.directory.available(service).filter(is_excluded);
+            available.map(|entry| entry.registration.id.clone()).collect()
+        })
+    }
+
+    /// Shortest time until an upstream of a service takes requests of this daemon, if none does now
+    /// because all that are available have said so.
+    pub(crate) fn wait_if_all_excluded(&self, service: &ServiceId) -> Option<Duration> {
+        if self.exclusions.is_empty() {
+            return None;
+        }
+        let now = self.clock.now();
+        self.view.with(|state| {
+            let available = state.directory.available(service);
+            let waits = available.map(|entry| {
+                let Registration { id, started_at_ms, .. } = &entry.registration;
+                self.exclusions.remaining(now, id, *started_at_ms)
+            });
+            let waits: Vec<Duration> = waits.collect::<Option<_>>()?;
+            waits.into_iter().min()
+        })
     }
 
     /// Registers a grant of the leader of `term`.
@@ -342,13 +377,11 @@
                 let retry_after = shortest_wait.unwrap_or_default().max(REFUSED_RETRY_AFTER);
                 return Err((RefusalReason::NoUpstream, retry_after));
             };
-            if self.exclusions.contains(&grant.upstream, started_at_ms) {
-                passed_over.push(grant.upstream);
-                continue;
-            }
-            let wait = match self.limits.get(&grant.upstream, started_at_ms) {
-                Some(limit) => self.reserve_request(limit).await,
-                None => Duration::ZERO,
+            let excluded = self.exclusions.remaining(now, &grant.upstream, started_at_ms);
+            let wait = match (excluded, self.limits.get(&grant.upstream, started_at_ms)) {
+                (Some(remaining), _) => remaining,
+                (None, Some(limit)) => self.reserve_request(limit).await,
+                (None, None) => Duration::ZERO,
             };
             if !wait.is_zero() {
                 shortest_wait = Some(shortest_wait.map_or(wait, |shortest| shortest.min(wait)));
--- a/crates/toucansilld/tests/gateway/notices.rs
+++ b/crates/toucansilld/tests/gateway/notices.rs
@@ -1,13 +1,24 @@
-//! Tests of upstreams that say in their responses that they leave.
+//! Tests of upstreams that say in their responses that they leave, or that they want no requests for a
+//! time.
 
 use crate::region::{Region, Upstream, eventually, one_event};
 use platform::stand_in::{
-    DOCUMENT_PATH, LEAVING_HEADER_LINE, document, engine_document, registration_body, upstream_path,
+    DOCUMENT_PATH, LEAVING_HEADER_LINE, document, engine_document, parse_request_id,
+    registration_body, turned_away_response, upstream_path,
+};
+use std::{
+    thread,
+    time::{Duration, Instant},
 };
-use std::{thread, time::Duration};
 
 /// Time after an entry has passed on a response by which it learns that an upstream leaves.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
+/// Time for which upstreams turn requests away, in seconds.
+const TURNED_AWAY_SECONDS: f64 = 4.0;
+/// Time after a request was turned away within which a daemon still may send others.
+const TURN_AWAY_GRACE: Duration = Duration::from_millis(500);
+/// Number of requests that may reach an upstream after that time from a daemon that it has turned away.
+const LATE_REQUESTS_ALLOWED: usize = 2;
 /// Number of requests that are sent then.
 const REQUESTS: usize = 12;
 /// Deadline of each request.
@@ -18,6 +29,12 @@
     one_event(head, body).replacen("\r\n", &format!("\r\n{LEAVING_HEADER_LINE}"), 1)
 }
 
+/// Script of an upstream that turns each request away and wants no more for [`TURNED_AWAY_SECONDS`].
+fn turn_away(head: &str, _: &str) -> String {
+    let attempt = head.lines().find_map(parse_request_id).unwrap_or_default();
+    turned_away_response(attempt, TURNED_AWAY_SECONDS)
+}
+
 /// Starts a region with two entries, and two upstreams with these scripts.
 fn start(
     control_count: usize,
@@ -100,3 +117,46 @@
     send_requests(&region);
     assert_eq!(leaving.runs().len(), before, "requests to the upstream that has left");
 }
+
+/// Guards against requests to an upstream that has turned this daemon away for a time, and against a
+/// daemon that gives up on it for good or for the requests of other daemons.
+#[test]
+fn an_upstream_that_turns_a_daemon_away_gets_no_requests_of_it_for_a_time() {
+    for document in [document(1, "/x/", "s1"), engine_document(1, "/x/")] {
+        let (region, [full, other]) = start(1, &document, [turn_away, one_event]);
+        send_until_reached(&region, 0, &full);
+        let since = Instant::now();
+        thread::sleep(TURN_AWAY_GRACE);
+        let before = full.runs().len();
+        while since.elapsed().as_secs_f64() < TURNED_AWAY_SECONDS - 1.0 {
+            let response = region.request_at(region.entry(), "/x/", "hi", DEADLINE);
+            assert_eq!(response.map(|(status, _)| status), Some(200));
+        }
+        let late = full.runs().len() - before;
+        assert!(late <= LATE_REQUESTS_ALLOWED, "{late} requests of the daemon");
+        assert!(other.runs().len() >= REQUESTS, "the other upstream serves them");
+        // Without the other one, the requests of the other entry go there at once.
+        let body = registration_body(other.address, "s1", 1, 2, "draining");
+        region.control_request_until_ok(0, "PUT", &upstream_path("b"), &body);
+        send_until_reached(&region, 1, &full);
+        send_until_reached(&region, 0, &full);
+    }
+}
+
+/// Guards against requests that wait, or are sent on, while all upstreams have turned the daemon away.
+#[test]
+fn a_request_is_refused_at_once_if_all_upstreams_turn_the_daemon_away() {
+    for document in [document(1, "/x/", "s1"), engine_document(1, "/x/")] {
+        let (region, upstreams) = start(1, &document, [turn_away, turn_away]);
+        upstreams.iter().for_each(|upstream| send_until_reached(&region, 0, upstream));
+        let before: Vec<usize> = upstreams.iter().map(|upstream| upstream.runs().len()).collect();
+        let sent = Instant::now();
+        let (status, retry_after) = region.refusal_at(region.entry(), "/x/", DEADLINE);
+        assert!(sent.elapsed() < DEADLINE / 2, "refused at once");
+        assert_eq!(status, 503);
+        let is_remaining = |seconds: &f64| *seconds > 1.0 && *seconds <= TURNED_AWAY_SECONDS;
+        assert!(retry_after.is_some_and(|s| is_remaining(&s)), "{retry_after:?}");
+        let after: Vec<usize> = upstreams.iter().map(|upstream| upstream.runs().len()).collect();
+        assert_eq!(after, before, "no upstream gets it");
+    }
+}
--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -282,6 +282,30 @@
         self.send(i, path, body, header_lines)
     }
 
+    /// Sends a caller's request to entry `i`. Returns the status of the response and its `Retry-After` in
+    /// seconds.
+    pub(crate) fn refusal_at(
+        &self,
+        i: usize,
+        path: &str,
+        deadline: Duration,
+    ) -> (u16, Option<f64>) {
+        let attempt = self.attempts.fetch_add(1, Ordering::Relaxed);
+        let header_lines =
+            request_header_lines(&format!("r{attempt}"), deadline.as_millis() as u64);
+        let request = format!(
+            "POST {path} HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n{header_lines}\
+             Content-Length: 0\r\n\r\n"
+        );
+        let text = exchange_text(&self.callers_address(i), &request).expect("a response");
+        let status = text.split(' ').nth(1).and_then(|status| status.parse().ok());
+        let retry_after = text.lines().find_map(|line| {
+            let (name, value) = line.split_once(':')?;
+            name.eq_ignore_ascii_case("retry-after").then(|| value.trim().parse().ok())?
+        });
+        (status.expect("a status"), retry_after)
+    }
+
     /// Sends a caller's request to entry `i`. `header_lines` makes its headers from its id.
     fn send(
         &self,
@@ -359,13 +383,20 @@
 /// Sends one request on a connection of its own. Returns status and body; `None` if there is no
 /// connection or no response with a head.
 pub(crate) fn exchange(address: &str, request: &str) -> Option<(u16, String)> {
+    let text = exchange_text(address, request)?;
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    Some((head.split(' ').nth(1)?.parse().ok()?, body.to_owned()))
+}
+
+/// Sends one request on a connection of its own. Returns all that comes until the connection ends;
+/// `None` if there is no connection.
+fn exchange_text(address: &str, request: &str) -> Option<String> {
     let mut stream = TcpStream::connect(address).ok()?;
     stream.set_read_timeout(Some(Duration::from_secs(10))).ok()?;
     stream.write_all(request.as_bytes()).ok()?;
     let mut text = String::new();
     stream.read_to_string(&mut text).ok()?;
-    let (head, body) = text.split_once("\r\n\r\n")?;
-    Some((head.split(' ').nth(1)?.parse().ok()?, body.to_owned()))
+    Some(text)
 }
 
 /// Picks a loopback subnet, as its second and third byte, and the first of five ports, that no
