Let an upstream that leaves by a response deregister and return under its name

Callers: a service lost an upstream that had left by a response, deregistered and come back under its name. Cause: the response counted as the deregistration of the run, so the real one looked like that of a run that is not known, after which a first registration under the name is stale for 10 s. Change: such a run counts as draining, with a sequence that no registration of it exceeds. The test failed before (no request in 60 s to an upstream that registers once) and passes.

--- a/crates/toucansilld/src/gateway/calls.rs
+++ b/crates/toucansilld/src/gateway/calls.rs
@@ -177,8 +177,8 @@
         Some(self.acknowledge_departure(id, Some(command), outcome, now).await)
     }
 
-    /// Replicates the departure of a run of an upstream whose responses say that it leaves, as if it had
-    /// deregistered. Returns whether this daemon leads and has done so.
+    /// Replicates the departure of a run of an upstream whose responses say that it leaves. No
+    /// registration of the run brings it back. Returns whether this daemon leads and has done so.
     pub(super) async fn record_leaving(&self, upstream: UpstreamId, started_at_ms: u64) -> bool {
         if self.with_leader(|_| ()).is_none() {
             return false;
@@ -186,8 +186,9 @@
         log::info!(
             upstream = upstream.as_str(), born = started_at_ms; "upstream leaves, by its responses"
         );
-        let departure =
-            UpstreamDeparture { upstream, started_at_ms, has_left: true, sequence: 0, at_ms: 0 };
+        // It has not deregistered yet, and may do so under this name.
+        let (has_left, sequence) = (false, u64::MAX);
+        let departure = UpstreamDeparture { upstream, started_at_ms, has_left, sequence, at_ms: 0 };
         let command = Some(Command::RecordDeparture(departure));
         self.replicate_departure(command, false).await.is_ok()
     }
--- a/crates/toucansilld/tests/gateway/notices.rs
+++ b/crates/toucansilld/tests/gateway/notices.rs
@@ -13,6 +13,8 @@
 
 /// Time after an entry has passed on a response by which it learns that an upstream leaves.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
+/// Time within which an upstream that has returned must get requests.
+const RETURN_TIME: Duration = Duration::from_secs(5);
 /// Time for which upstreams turn requests away, in seconds.
 const TURNED_AWAY_SECONDS: f64 = 4.0;
 /// Time after a request was turned away within which a daemon still may send others.
@@ -86,10 +88,13 @@
         assert_eq!(leaving.runs().len(), before.0, "requests to the upstream that leaves");
         assert_eq!(staying.runs().len(), before.1 + REQUESTS);
 
-        // A new run under the same name is not the one that left.
+        // A new run under the same name is not the one that left, and is used soon.
+        region.control_request_until_ok(0, "DELETE", &upstream_path("a"), "");
         let body = registration_body(leaving.address, "s1", 2, 1, "ready");
         region.control_request_until_ok(0, "PUT", &upstream_path("a"), &body);
+        let registered = Instant::now();
         send_until_reached(&region, 1, &leaving);
+        assert!(registered.elapsed() < RETURN_TIME, "the new run gets requests too late");
     }
 }
 
