Don't charge parts of prompts with upstreams that lose power, nor parts served just now

Change: a connection that ends because the upstream's VM doesn't respond counts as silence, not as broken off, and only crashes that close the connection are charged to parts: a process that a request crashes does that. Entries speak for a part that they have served within 2 s as often as needed.

--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -17,7 +17,7 @@
 };
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use std::{fmt, net::SocketAddr, time::Duration};
+use std::{error::Error as _, fmt, io, net::SocketAddr, time::Duration};
 use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 
 /// Maximum size of a response's head, in bytes.
@@ -61,6 +61,7 @@
 #[derive(Debug)]
 pub struct ExchangeError {
     may_have_run: bool,
+    is_unresponsive: bool,
     reason: String,
 }
 
@@ -70,14 +71,32 @@
         self.may_have_run
     }
 
+    /// Whether the upstream's VM no longer responded to probes of the connection, or the path to it was
+    /// lost. A process that crashes closes its connections.
+    pub fn is_unresponsive(&self) -> bool {
+        self.is_unresponsive
+    }
+
     /// Failure before any part of the request was sent.
     fn unsent(reason: impl fmt::Display) -> Self {
-        Self { may_have_run: false, reason: reason.to_string() }
+        Self { may_have_run: false, is_unresponsive: false, reason: reason.to_string() }
     }
 
     /// Failure after which the upstream may have received the request.
     fn sent(reason: impl fmt::Display) -> Self {
-        Self { may_have_run: true, reason: reason.to_string() }
+        Self { may_have_run: true, is_unresponsive: false, reason: reason.to_string() }
+    }
+
+    /// Failure of the connection after which the upstream may have received the request.
+    fn broken(err: &hyper::Error) -> Self {
+        let mut is_unresponsive = false;
+        let mut cause = err.source();
+        while let Some(err) = cause {
+            let kind = err.downcast_ref::<io::Error>().map(io::Error::kind);
+            is_unresponsive |= kind == Some(io::ErrorKind::TimedOut);
+            cause = err.source();
+        }
+        Self { is_unresponsive, ..Self::sent(err) }
     }
 }
 
@@ -129,7 +148,7 @@
     }));
     let request = Request::from_parts(head, Full::new(body));
     // How much of the request was written before an error is unknown, so any counts as sent.
-    let response = sender.send_request(request).await.map_err(ExchangeError::sent)?;
+    let response = sender.send_request(request).await.map_err(|err| ExchangeError::broken(&err))?;
     let (head, body) = Response::into_parts(response);
     Ok(ExchangeResponse { head, body: ResponseBody { body, _connection: connection } })
 }
@@ -150,7 +169,7 @@
         loop {
             match self.body.frame().await {
                 None => return Ok(None),
-                Some(Err(err)) => return Err(ExchangeError::sent(err)),
+                Some(Err(err)) => return Err(ExchangeError::broken(&err)),
                 Some(Ok(frame)) => {
                     // Other frames hold trailers. They are dropped, as requests ask for none.
                     if let Ok(bytes) = frame.into_data() {
--- a/crates/toucansilld/src/gateway/forward.rs
+++ b/crates/toucansilld/src/gateway/forward.rs
@@ -16,8 +16,8 @@
     CallerHead, UpstreamHead, read_response_head, stream_event_timeout, upstream_headers,
 };
 use proxy::{
-    AttemptFailure, AttemptHistory, BodyPermit, NextStep, ResponseBody, exchange, next_step,
-    read_response_body,
+    AttemptFailure, AttemptHistory, BodyPermit, ExchangeError, NextStep, ResponseBody, exchange,
+    next_step, read_response_body,
 };
 use routing::{RetryPolicy, Route};
 use std::{
@@ -389,7 +389,7 @@
         let response = match timeout(limit, response).await {
             Ok(Ok(response)) => response,
             Ok(Err(err)) if err.may_have_run() => {
-                return Err(AttemptError::new(AttemptFailure::Broken, err));
+                return Err(AttemptError::new(broken_failure(&err), err));
             }
             Ok(Err(err)) => return Err(AttemptError::new(AttemptFailure::Unreachable, err)),
             Err(_) => {
@@ -423,7 +423,7 @@
         let complete_body =
             match timeout(remaining, read_response_body(&mut body, BUFFERED_BYTES_MAX)).await {
                 Ok(Ok(complete_body)) => complete_body,
-                Ok(Err(err)) => return Err(AttemptError::new(AttemptFailure::Broken, err)),
+                Ok(Err(err)) => return Err(AttemptError::new(broken_failure(&err), err)),
                 Err(_) => {
                     return Err(AttemptError::new(
                         AttemptFailure::Silent,
@@ -512,6 +512,14 @@
     )
 }
 
+/// Failure that a broken connection counts as.
+pub(crate) fn broken_failure(err: &ExchangeError) -> AttemptFailure {
+    match err.is_unresponsive() {
+        true => AttemptFailure::Silent,
+        false => AttemptFailure::Broken,
+    }
+}
+
 /// Outcome that the failure of an attempt counts as for the load and health of its upstream.
 pub(crate) fn outcome_of(failure: AttemptFailure) -> RequestOutcome {
     match failure {
--- a/crates/toucansilld/src/gateway/guard.rs
+++ b/crates/toucansilld/src/gateway/guard.rs
@@ -92,18 +92,24 @@
         self.end_once(outcome);
     }
 
-    /// Reports that the upstream crashed under the request. Parts of the prompt are charged only if
-    /// there was no event: one that crashes upstreams does so as the response begins.
-    fn crash(&self) -> Vec<RunReport> {
+    /// Report that the upstream crashed under the request.
+    fn crash(&self) -> RunReport {
+        let (upstream, started_at_ms) = (self.grant.upstream.clone(), self.started_at_ms);
+        RunReport::Crashed { request: self.fingerprint.request, upstream, started_at_ms }
+    }
+
+    /// Report of the same for the shared parts of the prompt, if it has any and there was no event: a
+    /// part that crashes upstreams does so as the response begins.
+    fn crash_of_parts(&self) -> Option<RunReport> {
         let RequestFingerprint { request, ref parts } = self.fingerprint;
         let (upstream, started_at_ms) = (self.grant.upstream.clone(), self.started_at_ms);
-        let mut reports =
-            vec![RunReport::Crashed { request, upstream: upstream.clone(), started_at_ms }];
-        if !self.has_first_event && !parts.is_empty() {
-            let parts = parts.to_vec();
-            reports.push(RunReport::CrashedBeforeEvent { parts, request, upstream, started_at_ms });
-        }
-        reports
+        let is_charged = !self.has_first_event && !parts.is_empty();
+        is_charged.then(|| RunReport::CrashedBeforeEvent {
+            parts: parts.to_vec(),
+            request,
+            upstream,
+            started_at_ms,
+        })
     }
 
     /// Records what the upstream's response says about the upstream: the limit that it names, if any,
@@ -127,11 +133,11 @@
     /// Checks whether the upstream, which gave no response, still accepts connections, and reports
     /// a crash if it does not.
     fn report_if_crashed(&self) {
-        let (watchlist, reports) = (Arc::clone(&self.placer.watchlist), self.crash());
+        let (watchlist, crash) = (Arc::clone(&self.placer.watchlist), self.crash());
         let address = self.grant.address;
         tokio::spawn(async move {
             if !accepts_connections(address, CONNECT_TIMEOUT).await {
-                reports.into_iter().for_each(|report| watchlist.report(report));
+                watchlist.report(crash);
             }
         });
     }
@@ -142,7 +148,8 @@
         }
         match outcome {
             RequestOutcome::Broken => {
-                self.crash().into_iter().for_each(|report| self.placer.watchlist.report(report));
+                let reports = std::iter::once(self.crash()).chain(self.crash_of_parts());
+                reports.for_each(|report| self.placer.watchlist.report(report));
             }
             RequestOutcome::Silent => self.report_if_crashed(),
             RequestOutcome::Abandoned if !self.has_first_event => {
--- a/crates/toucansilld/src/gateway/stream.rs
+++ b/crates/toucansilld/src/gateway/stream.rs
@@ -2,7 +2,7 @@
 //! off.
 
 use super::{
-    forward::{ForwardedRequest, StreamingResponse, UpstreamResponse, outcome_of},
+    forward::{ForwardedRequest, StreamingResponse, UpstreamResponse, broken_failure, outcome_of},
     record::{PlacementSummary, RequestRecord},
 };
 use grant::RequestOutcome;
@@ -111,7 +111,7 @@
                     String::from("the stream ended within an event"),
                 );
             }
-            Ok(Err(err)) => return PartEnd::Failed(AttemptFailure::Broken, err.to_string()),
+            Ok(Err(err)) => return PartEnd::Failed(broken_failure(&err), err.to_string()),
             Err(_) if request.time_remaining().is_zero() => return PartEnd::DeadlinePassed,
             Err(_) => {
                 return PartEnd::Failed(AttemptFailure::Silent, format!("no event in {limit:?}"));
--- a/crates/toucansilld/src/gateway/watchlist.rs
+++ b/crates/toucansilld/src/gateway/watchlist.rs
@@ -20,9 +20,9 @@
 use control::{PartHash, RequestHash, Watchlist};
 use kernel::SharedClock;
 use std::{
-    collections::{HashSet, VecDeque},
+    collections::{HashMap, VecDeque},
     sync::{Arc, Mutex},
-    time::Duration,
+    time::{Duration, Instant},
 };
 use tokio::time::sleep;
 
@@ -52,34 +52,39 @@
     pub(crate) parts: Arc<[PartHash]>,
 }
 
-/// Parts of prompts with which requests were served to the end.
+/// Time for which a part counts as sound after a complete response, whatever crashes are charged to it
+/// meanwhile. A part that begins to crash upstreams is refused that much later.
+const SERVED_RECENTLY: Duration = Duration::from_secs(2);
+
+/// Parts of prompts with which requests were served to the end, and when that was last.
 #[derive(Default)]
 struct ServedParts {
-    known: HashSet<PartHash>,
-    /// In the order in which they were added.
-    order: VecDeque<PartHash>,
+    last_served: HashMap<PartHash, Instant>,
 }
 
 impl ServedParts {
-    fn add(&mut self, part: PartHash) {
-        if !self.known.insert(part) {
-            return;
-        }
-        self.order.push_back(part);
-        if self.order.len() > MAX_SERVED_PARTS
-            && let Some(oldest) = self.order.pop_front()
-        {
-            self.known.remove(&oldest);
+    fn add(&mut self, now: Instant, part: PartHash) {
+        if self.last_served.len() >= MAX_SERVED_PARTS && !self.last_served.contains_key(&part) {
+            let oldest = self.last_served.iter().min_by_key(|(_, at)| **at);
+            if let Some(oldest) = oldest.map(|(part, _)| *part) {
+                self.last_served.remove(&oldest);
+            }
         }
+        self.last_served.insert(part, now);
     }
 
-    /// Forgets the parts among these that are known, and returns them.
-    fn take(&mut self, parts: &mut dyn Iterator<Item = &PartHash>) -> Vec<PartHash> {
-        let taken: Vec<PartHash> = parts.copied().filter(|p| self.known.remove(p)).collect();
-        if !taken.is_empty() {
-            self.order.retain(|part| self.known.contains(part));
+    /// Those of these parts that were served. Each is returned once, or as often as asked for within
+    /// [`SERVED_RECENTLY`].
+    fn take(&mut self, now: Instant, parts: &mut dyn Iterator<Item = &PartHash>) -> Vec<PartHash> {
+        let served: Vec<PartHash> =
+            parts.copied().filter(|part| self.last_served.contains_key(part)).collect();
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < SERVED_RECENTLY;
+        for part in &served {
+            if !self.last_served.get(part).is_some_and(is_recent) {
+                self.last_served.remove(part);
+            }
         }
-        taken
+        served
     }
 }
 
@@ -88,6 +93,7 @@
     /// With the state index at which it was read.
     state: Mutex<(u64, Watchlist)>,
     served_parts: Mutex<ServedParts>,
+    clock: SharedClock,
     reports_tx: flume::Sender<RunReport>,
 }
 
@@ -101,8 +107,12 @@
         clock: &SharedClock,
     ) -> Arc<Self> {
         let (reports_tx, rx) = flume::unbounded();
-        let watchlist =
-            Arc::new(Self { state: Mutex::default(), served_parts: Mutex::default(), reports_tx });
+        let watchlist = Arc::new(Self {
+            state: Mutex::default(),
+            served_parts: Mutex::default(),
+            clock: Arc::clone(clock),
+            reports_tx,
+        });
         let follower = WatchlistFollower {
             settings: Arc::clone(settings),
             links: Arc::clone(links),
@@ -125,21 +135,22 @@
     /// parts on the watchlist, which it clears.
     pub(crate) fn completed(&self, fingerprint: &RequestFingerprint) {
         let request = fingerprint.request;
-        let (is_suspect, (listed, others)) = {
+        let (is_suspect, listed) = {
             let watchlist = &lock(&self.state).1;
-            let is_listed = |part: &PartHash| {
-                watchlist.suspects.contains(part) || watchlist.quarantined.contains(part)
+            let is_listed = |part: &&PartHash| {
+                watchlist.suspects.contains(*part) || watchlist.quarantined.contains(*part)
             };
-            let parts = fingerprint.parts.iter().copied();
-            let parts: (Vec<PartHash>, Vec<PartHash>) = parts.partition(is_listed);
-            (watchlist.suspects.contains(&request), parts)
+            let listed: Vec<PartHash> =
+                fingerprint.parts.iter().filter(is_listed).copied().collect();
+            (watchlist.suspects.contains(&request), listed)
         };
         if is_suspect {
             self.report(RunReport::Completed { request });
         }
         listed.into_iter().for_each(|part| self.report(RunReport::PartCompleted { part }));
+        let now = self.clock.now();
         let mut served_parts = lock(&self.served_parts);
-        others.into_iter().for_each(|part| served_parts.add(part));
+        fingerprint.parts.iter().for_each(|part| served_parts.add(now, *part));
     }
 
     /// Queues a report.
@@ -156,7 +167,7 @@
             return;
         }
         let mut listed = watchlist.quarantined.union(&watchlist.suspects);
-        for part in lock(&self.served_parts).take(&mut listed) {
+        for part in lock(&self.served_parts).take(self.clock.now(), &mut listed) {
             watchlist.quarantined.remove(&part);
             self.report(RunReport::PartCompleted { part });
         }
