Make all connections of entries to upstreams in one place, by a connector that is passed in

Requests, orders and the checks whether an upstream accepts connections each connected by themselves, so nothing could count their failures together, and no test could take the path to the upstreams from one entry only. Now they go through Paths, whose connector a test can lead through proxies that inject faults. No change of logic.

--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -17,7 +17,7 @@
 };
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use std::{error::Error as _, fmt, io, net::SocketAddr, time::Duration};
+use std::{error::Error as _, fmt, io, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 
 /// Maximum size of a response's head, in bytes.
@@ -78,7 +78,7 @@
     }
 
     /// Failure before any part of the request was sent.
-    fn unsent(reason: impl fmt::Display) -> Self {
+    pub fn unsent(reason: impl fmt::Display) -> Self {
         Self { may_have_run: false, is_unresponsive: false, reason: reason.to_string() }
     }
 
@@ -108,42 +108,76 @@
 
 impl std::error::Error for ExchangeError {}
 
-/// Connects to `address`, sends the request with this head and body, and waits for the head of the
-/// response.
+/// Way to the upstreams: the address that a connection to an upstream is made to. Tests pass one that
+/// leads through proxies which inject faults.
+#[derive(Clone)]
+pub struct Connector {
+    route: Arc<dyn Fn(SocketAddr) -> SocketAddr + Send + Sync>,
+}
+
+impl Connector {
+    /// Connects to the upstreams' own addresses.
+    pub fn direct() -> Self {
+        Self::through(|address| address)
+    }
+
+    /// Connects to the address that `route` returns for that of an upstream.
+    pub fn through(route: impl Fn(SocketAddr) -> SocketAddr + Send + Sync + 'static) -> Self {
+        Self { route: Arc::new(route) }
+    }
+
+    /// Connects to an upstream within `limit`. The connection is probed while it is idle.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection can't be made, with [`io::ErrorKind::TimedOut`] if it is not made in
+    /// time.
+    pub async fn connect(&self, address: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
+        let connecting = timeout(limit, TcpStream::connect((self.route)(address)));
+        let stream = connecting.await.unwrap_or_else(|_| {
+            let reason = "connecting to the upstream timed out";
+            Err(io::Error::new(io::ErrorKind::TimedOut, reason))
+        })?;
+        stream.set_nodelay(true)?;
+        let probes = TcpKeepalive::new()
+            .with_time(PROBE_INTERVAL)
+            .with_interval(PROBE_INTERVAL)
+            .with_retries(PROBES);
+        SockRef::from(&stream).set_tcp_keepalive(&probes)?;
+        Ok(stream)
+    }
+}
+
+impl fmt::Debug for Connector {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Connector").finish_non_exhaustive()
+    }
+}
+
+/// Sends the request with this head and body on a connection that [`Connector::connect`] made, and
+/// waits for the head of the response.
 ///
-/// Only connecting is limited in time, by `connect_timeout`. To limit the wait for the response,
-/// drop the future, which closes the connection.
+/// Time is not limited. To limit the wait for the response, drop the future, which closes the
+/// connection.
 ///
 /// # Errors
 ///
-/// Fails if the connection can't be made in time or breaks, if the upstream no longer responds to
-/// probes of the connection, or if what arrives is not a valid
-/// response head of at most 64 KiB. [`ExchangeError::may_have_run`] is false only for a failure
-/// before any part of the request was sent.
+/// Fails if the connection breaks, if the upstream no longer responds to probes of the connection, or
+/// if what arrives is not a valid response head of at most 64 KiB.
+/// [`ExchangeError::may_have_run`] is false only for a failure before any part of the request was
+/// sent.
 pub async fn exchange(
-    address: SocketAddr,
-    connect_timeout: Duration,
+    stream: TcpStream,
     head: request::Parts,
     body: Bytes,
 ) -> Result<ExchangeResponse, ExchangeError> {
-    let stream = match timeout(connect_timeout, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(err)) => return Err(ExchangeError::unsent(err)),
-        Err(_) => return Err(ExchangeError::unsent("connecting to the upstream timed out")),
-    };
-    stream.set_nodelay(true).map_err(ExchangeError::unsent)?;
-    let probes = TcpKeepalive::new()
-        .with_time(PROBE_INTERVAL)
-        .with_interval(PROBE_INTERVAL)
-        .with_retries(PROBES);
-    SockRef::from(&stream).set_tcp_keepalive(&probes).map_err(ExchangeError::unsent)?;
     let mut builder = http1::Builder::new();
     builder.max_buf_size(MAX_HEAD_BYTES);
     let handshake = builder.handshake(TokioIo::new(stream)).await;
     let (mut sender, connection) = handshake.map_err(ExchangeError::unsent)?;
     let connection = ConnectionTask(tokio::spawn(async move {
         if let Err(err) = connection.await {
-            log::debug!("connection to {address} failed: {err}");
+            log::debug!("connection to an upstream failed: {err}");
         }
     }));
     let request = Request::from_parts(head, Full::new(body));
@@ -153,12 +187,6 @@
     Ok(ExchangeResponse { head, body: ResponseBody { body, _connection: connection } })
 }
 
-/// Whether an upstream accepts a connection at `address` within `limit`. One that has crashed does
-/// not; one that only takes long does.
-pub async fn accepts_connections(address: SocketAddr, limit: Duration) -> bool {
-    matches!(timeout(limit, TcpStream::connect(address)).await, Ok(Ok(_)))
-}
-
 impl ResponseBody {
     /// Waits for the next bytes. Returns `None` at the end of a complete body.
     ///
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -9,7 +9,8 @@
 //!   handles its request is dropped.
 //! * [`read_request_body`] reads a request's body within a limit of bytes and time, and
 //!   [`BodyBudget`] limits the memory of all bodies together.
-//! * [`exchange`] sends one request to one upstream on a connection of its own.
+//! * [`Connector`] connects to upstreams, and [`exchange`] sends one request to one upstream on a
+//!   connection of its own.
 //! * [`EventSplitter`] splits a stream of server-sent events after whole events only. The caller
 //!   has then received complete events, so another upstream can resume the stream after the
 //!   id of the last one.
@@ -37,8 +38,7 @@
 pub use budget::{BodyBudget, BodyPermit};
 pub use events::{EventChunk, EventSplitter};
 pub use exchange::{
-    ExchangeError, ExchangeResponse, ResponseBody, accepts_connections, exchange,
-    read_response_body,
+    Connector, ExchangeError, ExchangeResponse, ResponseBody, exchange, read_response_body,
 };
 pub use retry::{AttemptFailure, AttemptHistory, NextStep, next_step};
 pub use server::{ConnectionCount, Server, ServerConfig, read_request_body, serve};
--- a/crates/proxy/tests/exchange.rs
+++ b/crates/proxy/tests/exchange.rs
@@ -1,7 +1,7 @@
 //! Tests exchanges with upstreams that are gone or don't keep to the protocol.
 
 use http::Request;
-use proxy::{ExchangeResponse, exchange, read_response_body};
+use proxy::{Connector, ExchangeError, ExchangeResponse, read_response_body};
 use std::{fs, net::SocketAddr, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -30,12 +30,18 @@
     });
 }
 
+/// Sends a request without a body to an upstream.
+async fn exchange(address: SocketAddr) -> Result<ExchangeResponse, ExchangeError> {
+    let (parts, ()) = Request::get("/").body(()).expect("a request").into_parts();
+    let stream = Connector::direct().connect(address, TIMEOUT).await.expect("connected");
+    proxy::exchange(stream, parts, bytes::Bytes::new()).await
+}
+
 /// Sends a request to an upstream that reads it, responds with `response` and keeps the connection
 /// open. Returns the response and the upstream's side of the connection.
 async fn exchange_with(response: &[u8]) -> (ExchangeResponse, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("listening");
     let address = listener.local_addr().expect("an address");
-    let (parts, ()) = Request::get("/").body(()).expect("a request").into_parts();
     let upstream = async {
         let (mut stream, _) = listener.accept().await.expect("accepted");
         let mut buf = [0; 1024];
@@ -44,8 +50,7 @@
         stream.write_all(response).await.expect("written");
         stream
     };
-    let (result, stream) =
-        tokio::join!(exchange(address, TIMEOUT, parts, bytes::Bytes::new()), upstream);
+    let (result, stream) = tokio::join!(exchange(address), upstream);
     (result.expect("a response"), stream)
 }
 
@@ -102,8 +107,7 @@
 
 /// Sends a request and reads the whole response. Returns whether that succeeded.
 async fn fetch(address: SocketAddr) -> bool {
-    let (parts, ()) = Request::get("/").body(()).expect("a request").into_parts();
-    match exchange(address, TIMEOUT, parts, bytes::Bytes::new()).await {
+    match exchange(address).await {
         Ok(mut response) => read_response_body(&mut response.body, MAX_BODY_BYTES).await.is_ok(),
         Err(_) => false,
     }
--- a/crates/proxy/tests/server.rs
+++ b/crates/proxy/tests/server.rs
@@ -3,7 +3,8 @@
 
 use http::{Response, StatusCode};
 use proxy::{
-    Server, ServerConfig, channel, exchange, full, read_request_body, read_response_body, serve,
+    Connector, Server, ServerConfig, channel, exchange, full, read_request_body,
+    read_response_body, serve,
 };
 use std::{
     net::SocketAddr,
@@ -223,7 +224,8 @@
 async fn fetch(address: SocketAddr) -> Result<(StatusCode, Vec<u8>), bool> {
     let (mut parts, ()) = http::Request::new(()).into_parts();
     parts.uri = http::Uri::from_static("/x");
-    let response = exchange(address, TIMEOUT, parts, "hi".into()).await;
+    let stream = Connector::direct().connect(address, TIMEOUT).await.map_err(|_| false)?;
+    let response = exchange(stream, parts, "hi".into()).await;
     let mut response = response.map_err(|err| err.may_have_run())?;
     let body =
         read_response_body(&mut response.body, 1 << 20).await.map_err(|err| err.may_have_run())?;
--- a/crates/toucansilld/src/gateway.rs
+++ b/crates/toucansilld/src/gateway.rs
@@ -31,6 +31,7 @@
 mod limits;
 mod members;
 mod messages;
+mod paths;
 mod placer;
 mod quarantine;
 mod record;
@@ -42,5 +43,5 @@
 mod view;
 mod watchlist;
 
-pub use run::run;
+pub use run::{run, run_with};
 pub use settings::{Bounds, ControlSettings, EntrySettings, GatewaySettings};
--- a/crates/toucansilld/src/gateway/forward.rs
+++ b/crates/toucansilld/src/gateway/forward.rs
@@ -16,8 +16,8 @@
     CallerHead, UpstreamHead, read_response_head, stream_event_timeout, upstream_headers,
 };
 use proxy::{
-    AttemptFailure, AttemptHistory, BodyPermit, ExchangeError, NextStep, ResponseBody, exchange,
-    next_step, read_response_body,
+    AttemptFailure, AttemptHistory, BodyPermit, ExchangeError, NextStep, ResponseBody, next_step,
+    read_response_body,
 };
 use routing::{RetryPolicy, Route};
 use std::{
@@ -349,14 +349,20 @@
         started: Instant,
     ) -> Result<UpstreamResponse, AttemptError> {
         let name = guard.reservation_name();
-        let reservations =
-            match HelperReservations::reserve(name, &guard.grant, &self.cx.clock).await {
-                Ok(reservations) => reservations,
-                Err(reason) => {
-                    guard.end(RequestOutcome::NotRun);
-                    return Err(AttemptError::new(AttemptFailure::Unreachable, reason));
-                }
-            };
+        let reservations = match HelperReservations::reserve(
+            name,
+            &guard.grant,
+            &self.cx.placer.paths,
+            &self.cx.clock,
+        )
+        .await
+        {
+            Ok(reservations) => reservations,
+            Err(reason) => {
+                guard.end(RequestOutcome::NotRun);
+                return Err(AttemptError::new(AttemptFailure::Unreachable, reason));
+            }
+        };
         let result = self.exchange_with(&mut guard, &reservations, started).await;
         match result {
             Ok((head, ReceivedBody::Streaming(body))) => {
@@ -384,7 +390,9 @@
     ) -> Result<(response::Parts, ReceivedBody), AttemptError> {
         let grant = &guard.grant;
         let request = self.upstream_request(guard, reservations);
-        let response = exchange(grant.address, CONNECT_TIMEOUT, request, self.request.body.clone());
+        let body = self.request.body.clone();
+        let paths = &self.cx.placer.paths;
+        let response = paths.exchange(grant.address, CONNECT_TIMEOUT, request, body);
         let limit = self.response_timeout(guard);
         let response = match timeout(limit, response).await {
             Ok(Ok(response)) => response,
--- a/crates/toucansilld/src/gateway/guard.rs
+++ b/crates/toucansilld/src/gateway/guard.rs
@@ -10,7 +10,6 @@
 };
 use grant::{Grant, PlacementRequestId, RequestOutcome};
 use platform::head::ResponseHead;
-use proxy::accepts_connections;
 use std::{
     sync::Arc,
     time::{Duration, Instant},
@@ -133,11 +132,11 @@
     /// Checks whether the upstream, which gave no response, still accepts connections, and reports
     /// a crash if it does not.
     fn report_if_crashed(&self) {
-        let (watchlist, crash) = (Arc::clone(&self.placer.watchlist), self.crash());
+        let (placer, crash) = (Arc::clone(&self.placer), self.crash());
         let address = self.grant.address;
         tokio::spawn(async move {
-            if !accepts_connections(address, CONNECT_TIMEOUT).await {
-                watchlist.report(crash);
+            if !placer.paths.accepts_connections(address, CONNECT_TIMEOUT).await {
+                placer.watchlist.report(crash);
             }
         });
     }
--- a/crates/toucansilld/src/gateway/placer.rs
+++ b/crates/toucansilld/src/gateway/placer.rs
@@ -6,6 +6,7 @@
     guard::GrantGuard,
     limits::KnownLimits,
     messages::{LeaderReply, LeaderRequest, Progress},
+    paths::Paths,
     reports::{Report, send_reports},
     settings::GatewaySettings,
     view::View,
@@ -106,6 +107,18 @@
     pub(super) watchlist: Arc<WatchlistView>,
     pub(super) limits: Arc<KnownLimits>,
     pub(super) exclusions: Exclusions,
+    pub(super) paths: Arc<Paths>,
+}
+
+/// Parts of the daemon that its placer uses.
+pub(crate) struct PlacerParts {
+    pub(crate) view: Arc<View>,
+    pub(crate) links: Arc<DaemonLinks>,
+    pub(crate) clock: SharedClock,
+    pub(crate) leader_placed: Arc<LeaderPlacedRequests>,
+    pub(crate) watchlist: Arc<WatchlistView>,
+    pub(crate) limits: Arc<KnownLimits>,
+    pub(crate) paths: Arc<Paths>,
 }
 
 /// Budgets for retries that this daemon places itself.
@@ -154,13 +167,9 @@
     /// Creates a placer, and the task that sends its progress reports to the leader.
     pub(crate) fn new(
         settings: &GatewaySettings,
-        view: Arc<View>,
-        links: Arc<DaemonLinks>,
-        clock: SharedClock,
-        leader_placed: Arc<LeaderPlacedRequests>,
-        watchlist: Arc<WatchlistView>,
-        limits: Arc<KnownLimits>,
+        parts: PlacerParts,
     ) -> (Arc<Self>, impl Future<Output = ()> + Send + use<>) {
+        let PlacerParts { view, links, clock, leader_placed, watchlist, limits, paths } = parts;
         let (reports_tx, rx) = flume::unbounded();
         let reporter = send_reports(rx, Arc::clone(&view), Arc::clone(&links), Arc::clone(&clock));
         let first_number = fastrand::u64(..u64::from(u32::MAX)) << 32;
@@ -183,6 +192,7 @@
                 watchlist,
                 limits,
                 exclusions: Exclusions::default(),
+                paths,
             }),
             reporter,
         )
--- a/crates/toucansilld/src/gateway/run.rs
+++ b/crates/toucansilld/src/gateway/run.rs
@@ -10,7 +10,8 @@
     limits::KnownLimits,
     members::TICK,
     messages::{ControlHttpRequest, LeaderReply, LeaderRequest},
-    placer::Placer,
+    paths::Paths,
+    placer::{Placer, PlacerParts},
     settings::{ControlSettings, EntrySettings, GatewaySettings},
     view::View,
     watchlist::WatchlistView,
@@ -26,7 +27,8 @@
 use kernel::{SharedClock, SystemClock};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use proxy::{
-    Body, BodyBudget, ConnectionCount, Server, ServerConfig, empty, full, read_request_body, serve,
+    Body, BodyBudget, ConnectionCount, Connector, Server, ServerConfig, empty, full,
+    read_request_body, serve,
 };
 use routing::HttpLimits;
 use std::{
@@ -76,6 +78,15 @@
 ///
 /// Fails if a setting is invalid, or a part of the daemon can't be started; the error names it.
 pub fn run(path: &Path) -> Result<()> {
+    run_with(path, Connector::direct())
+}
+
+/// Like [`run`], with connections to upstreams made by `connector`.
+///
+/// # Errors
+///
+/// As for [`run`].
+pub fn run_with(path: &Path, connector: Connector) -> Result<()> {
     let settings = Arc::new(GatewaySettings::load(path)?);
     logs::install_bounded(&settings.daemon);
     let runtime = Builder::new_current_thread()
@@ -87,7 +98,7 @@
         entry = settings.entry.is_some(), control = settings.control.is_some(),
         data_centre = settings.data_centre.as_str(); "starting"
     );
-    let stopped = runtime.block_on(run_daemon(path, settings));
+    let stopped = runtime.block_on(run_daemon(path, settings, connector));
     match &stopped {
         Ok(()) => log::info!("stopped"),
         Err(err) => log::error!("stopped: {err}"),
@@ -97,7 +108,11 @@
     stopped
 }
 
-async fn run_daemon(path: &Path, settings: Arc<GatewaySettings>) -> Result<()> {
+async fn run_daemon(
+    path: &Path,
+    settings: Arc<GatewaySettings>,
+    connector: Connector,
+) -> Result<()> {
     let clock: SharedClock = Arc::new(SystemClock);
     let metrics = install_metrics()?;
     let view = View::new();
@@ -148,15 +163,16 @@
     let mut callers = None;
     if let Some(cfg) = &settings.entry {
         let watchlist = WatchlistView::start(&settings, &view, &links, &clock);
-        let (placer, reporter) = Placer::new(
-            &settings,
-            Arc::clone(&view),
-            Arc::clone(&links),
-            Arc::clone(&clock),
+        let parts = PlacerParts {
+            view: Arc::clone(&view),
+            links: Arc::clone(&links),
+            clock: Arc::clone(&clock),
             leader_placed,
             watchlist,
             limits,
-        );
+            paths: Paths::new(connector),
+        };
+        let (placer, reporter) = Placer::new(&settings, parts);
         tokio::spawn(reporter);
         let entry = Arc::new(CallerHandler {
             view: Arc::clone(&view),
--- a/crates/toucansilld/src/gateway/tickets.rs
+++ b/crates/toucansilld/src/gateway/tickets.rs
@@ -6,12 +6,13 @@
 //! request may also be gone without having closed the connection, so a reservation is renewed only if
 //! that engine still accepts connections.
 
+use super::paths::Paths;
 use bytes::Bytes;
 use grant::{Grant, Helper};
 use http::StatusCode;
 use kernel::SharedClock;
 use platform::order;
-use proxy::{ExchangeError, accepts_connections, exchange, read_response_body};
+use proxy::{ExchangeError, read_response_body};
 use std::{
     net::SocketAddr,
     sync::Arc,
@@ -40,6 +41,7 @@
 pub(crate) struct HelperReservations {
     name: Arc<String>,
     helpers: Arc<Vec<Helper>>,
+    paths: Arc<Paths>,
     clock: SharedClock,
     reserved_at: Instant,
     renewal: Option<JoinHandle<()>>,
@@ -51,12 +53,14 @@
     pub(crate) async fn reserve(
         name: String,
         grant: &Grant,
+        paths: &Arc<Paths>,
         clock: &SharedClock,
     ) -> Result<Self, String> {
         let helpers = grant.helpers.iter().filter(|helper| helper.reserve_tokens > 0).cloned();
         let mut reservations = Self {
             name: Arc::new(name),
             helpers: Arc::new(helpers.collect()),
+            paths: Arc::clone(paths),
             clock: Arc::clone(clock),
             reserved_at: clock.now(),
             renewal: None,
@@ -64,12 +68,13 @@
         metrics::gauge!("toucansill_reservations").increment(reservations.helpers.len() as f64);
         for helper in reservations.helpers.iter() {
             // On an error, `reservations` is dropped, which releases the memory on all helpers.
-            reserve(&reservations.name, helper).await?;
+            reserve(paths, &reservations.name, helper).await?;
         }
         if !reservations.helpers.is_empty() {
             let (name, helpers) =
                 (Arc::clone(&reservations.name), Arc::clone(&reservations.helpers));
-            reservations.renewal = Some(tokio::spawn(renew(name, grant.address, helpers)));
+            let renewal = renew(Arc::clone(paths), name, grant.address, helpers);
+            reservations.renewal = Some(tokio::spawn(renewal));
         }
         Ok(reservations)
     }
@@ -88,17 +93,22 @@
         metrics::gauge!("toucansill_reservations").decrement(self.helpers.len() as f64);
         for helper in self.helpers.iter().cloned() {
             let (name, clock) = (Arc::clone(&self.name), Arc::clone(&self.clock));
-            tokio::spawn(release(name, helper, clock, self.reserved_at));
+            tokio::spawn(release(Arc::clone(&self.paths), name, helper, clock, self.reserved_at));
         }
     }
 }
 
 /// Renews the reservations while the engine that uses the memory accepts connections, until the task
 /// is aborted.
-async fn renew(name: Arc<String>, engine: SocketAddr, helpers: Arc<Vec<Helper>>) {
+async fn renew(
+    paths: Arc<Paths>,
+    name: Arc<String>,
+    engine: SocketAddr,
+    helpers: Arc<Vec<Helper>>,
+) {
     loop {
         sleep(RENEWAL_INTERVAL).await;
-        if !accepts_connections(engine, ORDER_TIMEOUT).await {
+        if !paths.accepts_connections(engine, ORDER_TIMEOUT).await {
             log::warn!(
                 reservation = name.as_str();
                 "memory not renewed: the engine {engine} accepts no connection"
@@ -108,9 +118,9 @@
         // One helper that doesn't respond must not delay the renewal on the others.
         let mut orders = JoinSet::new();
         for helper in helpers.iter().cloned() {
-            let name = Arc::clone(&name);
+            let (paths, name) = (Arc::clone(&paths), Arc::clone(&name));
             orders.spawn(async move {
-                if let Err(err) = reserve(&name, &helper).await {
+                if let Err(err) = reserve(&paths, &name, &helper).await {
                     log::warn!(
                         upstream = helper.upstream.as_str(), reservation = name.as_str();
                         "memory not renewed: {err}"
@@ -123,10 +133,10 @@
 }
 
 /// Reserves or renews memory on one helper.
-async fn reserve(name: &str, helper: &Helper) -> Result<(), String> {
+async fn reserve(paths: &Paths, name: &str, helper: &Helper) -> Result<(), String> {
     let Helper { upstream, address, reserve_tokens: reserve } = helper;
     let (head, body) = order::reserve(upstream, *address, name, *reserve, RESERVATION_LIFETIME);
-    match send_order(helper, head, body).await {
+    match send_order(paths, helper, head, body).await {
         Ok(StatusCode::OK) => Ok(()),
         Ok(status) => Err(format!("{upstream}: {reserve} tokens: {status}")),
         Err(err) => Err(format!("{upstream}: {reserve} tokens: {err}")),
@@ -134,11 +144,17 @@
 }
 
 /// Releases memory on one helper.
-async fn release(name: Arc<String>, helper: Helper, clock: SharedClock, reserved_at: Instant) {
+async fn release(
+    paths: Arc<Paths>,
+    name: Arc<String>,
+    helper: Helper,
+    clock: SharedClock,
+    reserved_at: Instant,
+) {
     let (upstream, reservation) = (helper.upstream.as_str(), name.as_str());
     for attempt in 1..=RELEASE_ATTEMPTS {
         let (head, body) = order::release(&helper.upstream, helper.address, &name);
-        match send_order(&helper, head, body).await {
+        match send_order(&paths, &helper, head, body).await {
             Ok(status) => {
                 let held = clock.now().saturating_duration_since(reserved_at);
                 log::info!(
@@ -158,12 +174,14 @@
 /// Sends an order to an engine and returns the status of its response. An error leaves open whether
 /// the engine has executed the order, or will.
 async fn send_order(
+    paths: &Paths,
     helper: &Helper,
     head: http::request::Parts,
     body: Vec<u8>,
 ) -> Result<StatusCode, String> {
     let exchanged = async {
-        let response = exchange(helper.address, ORDER_TIMEOUT, head, Bytes::from(body)).await?;
+        let body = Bytes::from(body);
+        let response = paths.exchange(helper.address, ORDER_TIMEOUT, head, body).await?;
         let status = response.head.status;
         let mut body = response.body;
         read_response_body(&mut body, RESPONSE_BYTES_MAX).await?;
