Log and count lost paths to upstreams, and the engines that the leader avoids

The logs of the incident can't tell whether an entry or the upstreams are at fault, nor since when: a line of an entry without a path looks like that of one whose four upstreams are down. Now an entry logs when connections to two upstreams or more fail in a row, and the next one that it makes; it counts connections by their result, and the leader shows how many engines it avoids because of reported failures.

--- a/crates/grant/src/dispatcher.rs
+++ b/crates/grant/src/dispatcher.rs
@@ -183,6 +183,11 @@
         self.granted.len()
     }
 
+    /// Number of engines that are avoided because of failures that entries have reported.
+    pub fn failed_engines(&self, now: Instant) -> usize {
+        self.engines.values().filter(|(_, engine)| engine.has_failed_recently(now)).count()
+    }
+
     /// Decides on a placement request. A repeated request keeps its place in the queue, or gets the
     /// same grant again if the first reply was lost.
     pub fn request_placement(
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -185,12 +185,13 @@
                 last_clean_up = now;
                 let load = self.with_leader(|leader| {
                     leader.clean_up(now);
-                    leader.load()
+                    (leader.load(), leader.failed_engines(now))
                 });
-                let (waiting, running) = load.unwrap_or_default();
+                let ((waiting, running), failed_engines) = load.unwrap_or_default();
                 self.record_group_metrics(&status);
                 metrics::gauge!("toucansill_streams_waiting").set(waiting as f64);
                 metrics::gauge!("toucansill_streams_running").set(running as f64);
+                metrics::gauge!("toucansill_engines_failed").set(failed_engines as f64);
             }
             let has_quarantine = !self.watchlist.borrow().watchlist.quarantined.is_empty();
             if has_quarantine
--- a/crates/toucansilld/src/gateway/lead.rs
+++ b/crates/toucansilld/src/gateway/lead.rs
@@ -95,6 +95,11 @@
         (self.dispatcher.waiting(), self.dispatcher.running())
     }
 
+    /// Number of engines that are avoided because of failures that entries have reported.
+    pub(crate) fn failed_engines(&self, now: Instant) -> usize {
+        self.dispatcher.failed_engines(now)
+    }
+
     /// Applies the replicated routing, data centres and departures. Returns whether any of them
     /// changed.
     pub(crate) fn apply_state(&mut self, now: Instant, state: &control::State) -> bool {
--- a/crates/toucansilld/src/gateway/paths.rs
+++ b/crates/toucansilld/src/gateway/paths.rs
@@ -1,20 +1,46 @@
-//! Connections of this daemon to the upstreams.
+//! Connections of this daemon to the upstreams, and whether it has lost its paths to them.
 
+use crate::sync::lock;
 use bytes::Bytes;
 use http::request;
+use kernel::SharedClock;
 use proxy::{Connector, ExchangeError, ExchangeResponse};
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeSet,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
 use tokio::net::TcpStream;
 
+/// Number of upstreams to which connections fail, with none to any other upstream in between, at
+/// which the paths of this daemon count as lost.
+const LOST_PATHS_MIN: usize = 2;
+
 /// Paths of this daemon to the upstreams.
 pub(crate) struct Paths {
     connector: Connector,
+    clock: SharedClock,
+    failures: Mutex<Option<Failures>>,
+}
+
+/// Failures to connect since the last connection that was made.
+struct Failures {
+    since: Instant,
+    upstreams: BTreeSet<SocketAddr>,
+}
+
+impl Failures {
+    fn are_paths_lost(&self) -> bool {
+        self.upstreams.len() >= LOST_PATHS_MIN
+    }
 }
 
 impl Paths {
-    /// Creates paths on which `connector` connects.
-    pub(crate) fn new(connector: Connector) -> Arc<Self> {
-        Arc::new(Self { connector })
+    /// Creates the paths of a daemon that has made no connection yet.
+    pub(crate) fn new(connector: Connector, clock: SharedClock) -> Arc<Self> {
+        Arc::new(Self { connector, clock, failures: Mutex::default() })
     }
 
     /// Sends a request to an upstream on a connection of its own, which has to be made within
@@ -37,6 +63,45 @@
     }
 
     async fn connect(&self, address: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
-        self.connector.connect(address, limit).await
+        let connected = self.connector.connect(address, limit).await;
+        let result = match &connected {
+            Ok(_) => "made",
+            Err(err) if err.kind() == io::ErrorKind::TimedOut => "timed_out",
+            Err(err) if err.kind() == io::ErrorKind::ConnectionRefused => "refused",
+            Err(_) => "failed",
+        };
+        metrics::counter!("toucansill_upstream_connections_total", "result" => result).increment(1);
+        match &connected {
+            Ok(_) => self.connection_made(),
+            Err(err) => self.connection_failed(address, err),
+        }
+        connected
+    }
+
+    fn connection_made(&self) {
+        let Some(failures) = lock(&self.failures).take() else { return };
+        if failures.are_paths_lost() {
+            let lost = self.clock.now().saturating_duration_since(failures.since);
+            log::info!(lost_ms = lost.as_millis() as u64; "paths to upstreams regained");
+            metrics::gauge!("toucansill_paths_lost").set(0.0);
+        }
+    }
+
+    fn connection_failed(&self, address: SocketAddr, err: &io::Error) {
+        let mut failures = lock(&self.failures);
+        let failures = failures.get_or_insert_with(|| Failures {
+            since: self.clock.now(),
+            upstreams: BTreeSet::new(),
+        });
+        let were_lost = failures.are_paths_lost();
+        failures.upstreams.insert(address);
+        if !were_lost && failures.are_paths_lost() {
+            let elapsed = self.clock.now().saturating_duration_since(failures.since);
+            log::warn!(
+                upstreams:? = failures.upstreams, since_ms = elapsed.as_millis() as u64;
+                "paths to upstreams lost: {err}"
+            );
+            metrics::gauge!("toucansill_paths_lost").set(1.0);
+        }
     }
 }
--- a/crates/toucansilld/src/gateway/run.rs
+++ b/crates/toucansilld/src/gateway/run.rs
@@ -170,7 +170,7 @@
             leader_placed,
             watchlist,
             limits,
-            paths: Paths::new(connector),
+            paths: Paths::new(connector, Arc::clone(&clock)),
         };
         let (placer, reporter) = Placer::new(&settings, parts);
         tokio::spawn(reporter);
