--- a/crates/fake/src/relay.rs
+++ b/crates/fake/src/relay.rs
@@ -1,6 +1,7 @@
 //! A TCP proxy that injects faults: it cuts or delays connections, or drops their bytes in one
 //! direction or both.
 
+use socket2::{Domain, Socket, Type};
 use std::{
     collections::BTreeMap,
     io::{self, Read, Write},
@@ -31,6 +32,8 @@
     next_connection_id: u64,
     connections: BTreeMap<u64, Connection>,
     accept_thread: Option<thread::JoinHandle<()>>,
+    /// Listener whose full queue lets new connections hang, with the connection that fills it.
+    full_listener: Option<(Socket, TcpStream)>,
 }
 
 struct Shared {
@@ -132,6 +135,25 @@
         }
     }
 
+    /// Drops all further bytes on the open connections, which stay open, and lets new connections
+    /// hang, until [`FaultProxy::open`].
+    ///
+    /// # Errors
+    ///
+    /// If the port can't be bound again.
+    pub fn hang(&self) -> io::Result<()> {
+        self.silence();
+        self.refuse();
+        let listener = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+        listener.set_reuse_address(true)?;
+        listener.bind(&self.shared.address.into())?;
+        // The queue has room for one connection. Packets that open further ones are dropped.
+        listener.listen(0)?;
+        let filler = TcpStream::connect(self.shared.address)?;
+        self.shared.lock().full_listener = Some((listener, filler));
+        Ok(())
+    }
+
     /// Accepts connections again, on the same address.
     ///
     /// # Errors
@@ -142,6 +164,7 @@
         if state.is_open {
             return Ok(());
         }
+        drop(state.full_listener.take());
         let listener = TcpListener::bind(self.shared.address)?;
         state.is_open = true;
         drop(state);
--- /dev/null
+++ b/crates/toucansilld/tests/gateway/lost_paths.rs
@@ -0,0 +1,180 @@
+//! Tests of entries that lose their paths to the upstreams, while callers and the other daemons
+//! still reach them.
+
+use crate::region::{Region, Routes, Upstream, eventually, one_event};
+use fake::FaultProxy;
+use platform::stand_in::{DOCUMENT_PATH, mixed_document, upstream_path};
+use std::{
+    sync::{
+        Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+const CONTROL_COUNT: usize = 1;
+/// Entries by data centre.
+const DATA_CENTRES: [&str; 8] = ["dc-1", "dc-1", "dc-1", "dc-2", "dc-2", "dc-2", "dc-3", "dc-3"];
+/// Entries that lose their paths: all of one data centre, and more than half of all.
+const CUT_ENTRIES: [usize; 5] = [0, 1, 2, 3, 6];
+const ENGINE_COUNT: usize = 8;
+const PLAIN_COUNT: usize = 3;
+/// Time for which the paths are lost.
+const CUT_TIME: Duration = Duration::from_secs(12);
+/// Time after the loss from which on callers have to be served about as well as at other entries.
+const DETECTION_TIME: Duration = Duration::from_secs(3);
+/// Least share of first attempts that are served at these entries, of the share at the others.
+const MIN_SERVED_RATIO: f64 = 2.0 / 3.0;
+/// Deadline of callers.
+const DEADLINE: Duration = Duration::from_secs(3);
+/// Pause between two requests of a caller.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(40);
+/// Interval at which upstreams repeat their registration.
+const REGISTRATION_INTERVAL: Duration = Duration::from_secs(1);
+
+/// First attempts at one group of entries.
+#[derive(Clone, Copy, Debug, Default)]
+struct Attempts {
+    sent: u32,
+    served: u32,
+}
+
+impl Attempts {
+    fn served_share(&self) -> f64 {
+        f64::from(self.served) / f64::from(self.sent.max(1))
+    }
+}
+
+/// Region whose entries in [`CUT_ENTRIES`] reach the upstreams through proxies.
+struct CutRegion {
+    region: Region,
+    /// Name, service and stand-in of each upstream.
+    upstreams: Vec<(String, &'static str, Upstream)>,
+    proxies: Vec<FaultProxy>,
+}
+
+impl CutRegion {
+    /// Starts a region, and waits until all its entries serve.
+    fn start() -> Self {
+        let mut region = Region::with_entries(CONTROL_COUNT, DATA_CENTRES.len());
+        let engine = |i| (format!("engine-{i}"), "s1", Upstream::scripted(one_event));
+        let plain = |i| (format!("plain-{i}"), "s2", Upstream::start("plain"));
+        let upstreams: Vec<_> =
+            (0..ENGINE_COUNT).map(engine).chain((0..PLAIN_COUNT).map(plain)).collect();
+        let mut proxies = Vec::new();
+        for (i, data_centre) in DATA_CENTRES.iter().enumerate() {
+            region.set_data_centre(CONTROL_COUNT + i, data_centre);
+        }
+        for entry in CUT_ENTRIES {
+            let mut routes = Routes::new();
+            for (_, _, upstream) in &upstreams {
+                let proxy = FaultProxy::start(upstream.address).expect("a port");
+                routes.insert(upstream.address, proxy.address());
+                proxies.push(proxy);
+            }
+            region.set_routes(CONTROL_COUNT + entry, routes);
+        }
+        region.start_all(true);
+        region.control_request_until_ok(0, "PUT", DOCUMENT_PATH, &mixed_document(1));
+        let cut_region = Self { region, upstreams, proxies };
+        cut_region.register(1);
+        for entry in 0..DATA_CENTRES.len() {
+            for path in ["/stream/", "/call/"] {
+                eventually("a served request", || cut_region.is_served(entry, path).then_some(()));
+            }
+        }
+        cut_region
+    }
+
+    fn register(&self, sequence: u64) {
+        for (name, service, upstream) in &self.upstreams {
+            let body = upstream.registration(service, sequence, "ready");
+            self.region.control_request_until_ok(0, "PUT", &upstream_path(name), &body);
+        }
+    }
+
+    /// Sends a request to an entry. Returns whether the first attempt is served.
+    fn is_served(&self, entry: usize, path: &str) -> bool {
+        let response = self.region.request_at(CONTROL_COUNT + entry, path, "hi", DEADLINE);
+        response.is_some_and(|(status, body)| status == 200 && !body.is_empty())
+    }
+
+    /// Cuts the paths by `cut` for [`CUT_TIME`], while callers send requests to all entries. Returns
+    /// the first attempts, from [`DETECTION_TIME`] after the cut on, at the entries that are cut off
+    /// and at the others.
+    fn cut_paths(&self, cut: impl Fn(&FaultProxy)) -> [Attempts; 2] {
+        let attempts = Mutex::new([Attempts::default(); 2]);
+        let is_done = AtomicBool::new(false);
+        thread::scope(|scope| {
+            scope.spawn(|| {
+                for sequence in 2.. {
+                    thread::sleep(REGISTRATION_INTERVAL);
+                    if is_done.load(Ordering::SeqCst) {
+                        return;
+                    }
+                    self.register(sequence);
+                }
+            });
+            self.proxies.iter().for_each(&cut);
+            let counted_from = Instant::now() + DETECTION_TIME;
+            for entry in 0..DATA_CENTRES.len() {
+                let (attempts, is_done) = (&attempts, &is_done);
+                scope.spawn(move || {
+                    for path in ["/stream/", "/call/"].into_iter().cycle() {
+                        if is_done.load(Ordering::SeqCst) {
+                            return;
+                        }
+                        let is_counted = Instant::now() >= counted_from;
+                        let is_served = self.is_served(entry, path);
+                        if is_counted {
+                            let group = usize::from(!CUT_ENTRIES.contains(&entry));
+                            let mut attempts = attempts.lock().expect("not poisoned");
+                            attempts[group].sent += 1;
+                            attempts[group].served += u32::from(is_served);
+                        }
+                        thread::sleep(REQUEST_INTERVAL);
+                    }
+                });
+            }
+            thread::sleep(CUT_TIME);
+            is_done.store(true, Ordering::SeqCst);
+        });
+        attempts.into_inner().expect("not poisoned")
+    }
+}
+
+/// Checks that callers are served at entries whose paths are cut by `cut` about as well as at the
+/// others, and again at all entries once the paths are back.
+fn check_served_without_paths(cut: impl Fn(&FaultProxy)) {
+    let cut_region = CutRegion::start();
+    let [cut_off, others] = cut_region.cut_paths(cut);
+    println!("served at the first attempt: cut off {cut_off:?}, others {others:?}");
+    cut_region.proxies.iter().for_each(|proxy| proxy.open().expect("the port is still free"));
+    let ratio = cut_off.served_share() / others.served_share();
+    assert!(ratio >= MIN_SERVED_RATIO, "cut off {cut_off:?}, others {others:?}");
+    for entry in CUT_ENTRIES {
+        eventually("a served request", || cut_region.is_served(entry, "/call/").then_some(()));
+    }
+}
+
+/// Guards against requests that fail at an entry whose connections to all upstreams hang, while other
+/// entries reach the upstreams.
+#[test]
+fn callers_are_served_by_entries_whose_connections_to_upstreams_hang() {
+    check_served_without_paths(|proxy| proxy.hang().expect("the port is still free"));
+}
+
+/// Guards against the same at an entry whose connections to all upstreams are reset and can't be made
+/// again.
+#[test]
+fn callers_are_served_by_entries_whose_connections_to_upstreams_are_reset() {
+    check_served_without_paths(FaultProxy::close);
+}
+
+/// Guards against the same at an entry whose open connections to upstreams live on while new ones are
+/// refused.
+#[test]
+fn callers_are_served_by_entries_whose_new_connections_to_upstreams_are_refused() {
+    check_served_without_paths(FaultProxy::refuse);
+}
--- a/crates/toucansilld/tests/gateway/main.rs
+++ b/crates/toucansilld/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod departures;
 mod engines;
 mod limits;
+mod lost_paths;
 mod notices;
 mod region;
 
@@ -12,6 +13,12 @@
 use region::{Region, Upstream, eventually};
 use std::thread;
 
+/// Not a test by itself: [`Region`] starts this program with it as a daemon.
+#[test]
+fn routed_daemon() {
+    region::run_routed_daemon();
+}
+
 /// Version of a routing document.
 fn version(body: &str) -> u64 {
     let document: serde_json::Value = serde_json::from_str(body).expect("JSON");
--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -4,11 +4,13 @@
     parse_request_id, parts_header_line, registration_body, request_header_lines,
     request_header_lines_for, response_header_lines,
 };
+use proxy::Connector;
 use std::{
-    fs,
+    collections::BTreeMap,
+    env, fs,
     io::{BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
         Arc, Mutex,
@@ -18,6 +20,7 @@
     time::{Duration, Instant},
 };
 use tempfile::TempDir;
+use toucansilld::gateway;
 
 /// Timeout for a condition that a test waits for. Only a failing test reaches it.
 const TIMEOUT: Duration = Duration::from_secs(60);
@@ -29,6 +32,27 @@
     ip: String,
     name: String,
     is_control: bool,
+    data_centre: String,
+    /// Addresses that its connections to upstreams are made to instead of the upstreams' own.
+    routes: Routes,
+}
+
+/// Address that connections to an upstream are made to, by the address of the upstream.
+pub(crate) type Routes = BTreeMap<SocketAddr, SocketAddr>;
+
+/// Environment variable with the settings file of a daemon that [`run_routed_daemon`] runs, and its
+/// routes in JSON, on separate lines.
+const ROUTED_DAEMON: &str = "TOUCANSILL_TEST_ROUTED_DAEMON";
+
+/// Runs the daemon that the environment describes, whose connections to upstreams take other routes
+/// than those of other daemons. Returns at once if it describes none.
+pub(crate) fn run_routed_daemon() {
+    let Ok(config) = env::var(ROUTED_DAEMON) else { return };
+    let (file, routes) = config.split_once('\n').expect("two lines");
+    let routes: Routes = serde_json::from_str(routes).expect("routes");
+    let connector =
+        Connector::through(move |address| routes.get(&address).copied().unwrap_or(address));
+    gateway::run_with(Path::new(file), connector).expect("a daemon that stops as it is told");
 }
 
 /// Daemons of a region, with their folders. Dropping it kills them.
@@ -57,6 +81,8 @@
             ip: format!("127.{}.{}.{}", subnet.0, subnet.1, i + 1),
             name: format!("{}-{i}", if is_control { "control" } else { "entry" }),
             is_control,
+            data_centre: String::from("dc-1"),
+            routes: Routes::new(),
         };
         let mut daemons: Vec<DaemonConfig> = (0..control_count).map(|i| daemon(i, true)).collect();
         daemons.extend((control_count..control_count + entry_count).map(|i| daemon(i, false)));
@@ -81,6 +107,16 @@
         self.apply_ms = apply_ms;
     }
 
+    /// Sets the data centre of daemon `i`, before its start.
+    pub(crate) fn set_data_centre(&mut self, i: usize, data_centre: &str) {
+        self.daemons[i].data_centre = data_centre.to_owned();
+    }
+
+    /// Sets the routes of daemon `i` to upstreams, before its start.
+    pub(crate) fn set_routes(&mut self, i: usize, routes: Routes) {
+        self.daemons[i].routes = routes;
+    }
+
     /// Index of the first entry.
     pub(crate) fn entry(&self) -> usize {
         self.control_count
@@ -110,12 +146,18 @@
     pub(crate) fn start(&mut self, i: usize, founds_group: bool) {
         let file = self.dir.path().join(format!("{}.yaml", self.daemons[i].name));
         fs::write(&file, self.settings(i, founds_group)).expect("written");
-        let child = Command::new(env!("CARGO_BIN_EXE_toucansilld"))
-            .arg(&file)
-            .stdout(Stdio::null())
-            .stderr(Stdio::null())
-            .spawn()
-            .expect("started");
+        let routes = &self.daemons[i].routes;
+        let mut command = Command::new(env!("CARGO_BIN_EXE_toucansilld"));
+        command.arg(&file);
+        if !routes.is_empty() {
+            // This program itself is the only one that connects by other routes.
+            let routes = serde_json::to_string(routes).expect("JSON");
+            command = Command::new(env::current_exe().expect("this program"));
+            command
+                .args(["--exact", "routed_daemon"])
+                .env(ROUTED_DAEMON, format!("{}\n{routes}", file.display()));
+        }
+        let child = command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().expect("started");
         self.children[i] = Some(child);
     }
 
@@ -331,7 +373,7 @@
 
     /// Settings file of a daemon.
     fn settings(&self, i: usize, founds_group: bool) -> String {
-        let DaemonConfig { ip, name, is_control } = &self.daemons[i];
+        let DaemonConfig { ip, name, is_control, data_centre, .. } = &self.daemons[i];
         let port = self.base_port;
         let seeds = self.daemons[..self.seed_count].iter();
         let seeds: Vec<String> = seeds.map(|p| format!("'{}:{}'", p.ip, port + 1)).collect();
@@ -351,7 +393,7 @@
             )
         };
         format!(
-            "daemon: {name}\ndata_centre: dc-1\nlinks: '{ip}:{port}'\nmetrics: '{ip}:{}'\n\
+            "daemon: {name}\ndata_centre: {data_centre}\nlinks: '{ip}:{port}'\nmetrics: '{ip}:{}'\n\
              seeds: [{}]\n{role_settings}\nbounds: {{stop_ms: 4000, apply_ms: {}}}\n",
             port + 4,
             seeds.join(", "),
