Refuse a request as not run if its time ends before a connection is made

Cause: the time limit covers connecting and waiting for the response together, and its end counted as silence of an upstream that may have run the request. Change: an attempt remembers whether any part of the request may have been sent. If not, its end counts as an unreachable upstream, and the caller gets 503 with Retry-After. The new test failed before (502 instead of 503) and passes; the other gateway tests pass.

--- a/crates/toucansilld/src/gateway/forward.rs
+++ b/crates/toucansilld/src/gateway/forward.rs
@@ -2,6 +2,7 @@
 
 use super::{
     guard::GrantGuard,
+    paths::SendState,
     placer::Placer,
     record::{PlacementSummary, RequestRecord},
     tickets::HelperReservations,
@@ -168,6 +169,8 @@
     cx: ForwardContext,
     request: ForwardableRequest,
     history: AttemptHistory,
+    /// Whether the attempt that is under way may have been sent.
+    sent: SendState,
     tried: Vec<UpstreamId>,
     /// Id of the last event sent to the caller.
     last_event_id: Option<u64>,
@@ -178,8 +181,15 @@
 impl ForwardedRequest {
     pub(crate) fn new(cx: ForwardContext, request: ForwardableRequest) -> Self {
         let last_event_id = request.head.last_event;
-        let (history, tried) = (AttemptHistory::default(), Vec::new());
-        Self { cx, request, history, tried, last_event_id, last_event_at: None }
+        Self {
+            cx,
+            request,
+            history: AttemptHistory::default(),
+            sent: SendState::default(),
+            tried: Vec::new(),
+            last_event_id,
+            last_event_at: None,
+        }
     }
 
     pub(crate) fn now(&self) -> Instant {
@@ -221,8 +231,11 @@
         route.retry_policy == RetryPolicy::StreamResumable && self.history.sent < route.max_attempts
     }
 
-    /// Error for a request whose deadline has passed.
+    /// Error for a request whose deadline has passed. If it was never sent, it says so.
     pub(crate) fn timed_out(&self) -> RequestError {
+        if !self.history.may_have_run && !self.sent.may_be_sent() {
+            return RequestError::not_run("time is over, not sent", NOT_RUN_RETRY_AFTER);
+        }
         RequestError {
             status: StatusCode::GATEWAY_TIMEOUT,
             reason: "time is over",
@@ -261,6 +274,7 @@
             let placement =
                 PlacementSummary::new(&guard, started.saturating_duration_since(requested_at));
             self.tried.push(guard.upstream().clone());
+            self.sent.reset();
             let result = self.attempt(guard, started).await;
             let ms = self.now().saturating_duration_since(started).as_millis();
             let ms = u64::try_from(ms).unwrap_or(u64::MAX);
@@ -277,6 +291,7 @@
             let outcome = LoggedAttemptOutcome::Failed(failed.failure, failed.reason);
             record.add_attempt(&placement, ms, &outcome);
             self.history.record(failed.failure);
+            self.sent.reset();
             let route = &self.request.route;
             match next_step(route.retry_policy, route.max_attempts, self.history, failed.failure) {
                 NextStep::Retry => {}
@@ -392,7 +407,7 @@
         let request = self.upstream_request(guard, reservations);
         let body = self.request.body.clone();
         let paths = &self.cx.placer.paths;
-        let response = paths.exchange(grant.address, CONNECT_TIMEOUT, request, body);
+        let response = paths.exchange(grant.address, CONNECT_TIMEOUT, request, body, &self.sent);
         let limit = self.response_timeout(guard);
         let response = match timeout(limit, response).await {
             Ok(Ok(response)) => response,
@@ -400,6 +415,10 @@
                 return Err(AttemptError::new(broken_failure(&err), err));
             }
             Ok(Err(err)) => return Err(AttemptError::new(AttemptFailure::Unreachable, err)),
+            Err(_) if !self.sent.may_be_sent() => {
+                let reason = "no connection in time";
+                return Err(AttemptError::new(AttemptFailure::Unreachable, reason));
+            }
             Err(_) => {
                 return Err(AttemptError::new(
                     AttemptFailure::Silent,
--- a/crates/toucansilld/src/gateway/paths.rs
+++ b/crates/toucansilld/src/gateway/paths.rs
@@ -9,7 +9,10 @@
     collections::BTreeSet,
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 use tokio::net::TcpStream;
@@ -25,6 +28,27 @@
     failures: Mutex<Option<Failures>>,
 }
 
+/// Whether a part of a request may have been sent. Clones share it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SendState(Arc<AtomicBool>);
+
+impl SendState {
+    /// Whether the request may have reached an upstream.
+    pub(crate) fn may_be_sent(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    /// Records that the next attempt begins: those before it have proved that nothing was run, or are
+    /// known by their failures.
+    pub(crate) fn reset(&self) {
+        self.0.store(false, Ordering::Relaxed);
+    }
+
+    fn sending(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
 /// Failures to connect since the last connection that was made.
 struct Failures {
     since: Instant,
@@ -44,15 +68,18 @@
     }
 
     /// Sends a request to an upstream on a connection of its own, which has to be made within
-    /// `connect_limit`. See [`proxy::exchange`].
+    /// `connect_limit`. See [`proxy::exchange`]. `sent` tells, also if the future is dropped, whether a
+    /// part of the request may have been sent.
     pub(crate) async fn exchange(
         &self,
         address: SocketAddr,
         connect_limit: Duration,
         head: request::Parts,
         body: Bytes,
+        sent: &SendState,
     ) -> Result<ExchangeResponse, ExchangeError> {
         let stream = self.connect(address, connect_limit).await.map_err(ExchangeError::unsent)?;
+        sent.sending();
         proxy::exchange(stream, head, body).await
     }
 
--- a/crates/toucansilld/src/gateway/tickets.rs
+++ b/crates/toucansilld/src/gateway/tickets.rs
@@ -6,7 +6,7 @@
 //! request may also be gone without having closed the connection, so a reservation is renewed only if
 //! that engine still accepts connections.
 
-use super::paths::Paths;
+use super::paths::{Paths, SendState};
 use bytes::Bytes;
 use grant::{Grant, Helper};
 use http::StatusCode;
@@ -181,7 +181,9 @@
 ) -> Result<StatusCode, String> {
     let exchanged = async {
         let body = Bytes::from(body);
-        let response = paths.exchange(helper.address, ORDER_TIMEOUT, head, body).await?;
+        let response = paths
+            .exchange(helper.address, ORDER_TIMEOUT, head, body, &SendState::default())
+            .await?;
         let status = response.head.status;
         let mut body = response.body;
         read_response_body(&mut body, RESPONSE_BYTES_MAX).await?;
--- a/crates/toucansilld/tests/gateway/lost_paths.rs
+++ b/crates/toucansilld/tests/gateway/lost_paths.rs
@@ -3,7 +3,7 @@
 
 use crate::region::{Region, Routes, Upstream, eventually, one_event};
 use fake::FaultProxy;
-use platform::stand_in::{DOCUMENT_PATH, mixed_document, upstream_path};
+use platform::stand_in::{DOCUMENT_PATH, mixed_document, registration_body, upstream_path};
 use std::{
     sync::{
         Mutex,
@@ -158,6 +158,30 @@
     }
 }
 
+/// Guards against 502 or 504, after which a caller may not send the request again, for one that waited
+/// for a connection until its time was over.
+#[test]
+fn a_request_that_waited_only_for_a_connection_is_refused_as_not_run() {
+    let mut region = Region::new(CONTROL_COUNT);
+    region.start_all(true);
+    let entry = region.entry();
+    region.control_request_until_ok(0, "PUT", DOCUMENT_PATH, &mixed_document(1));
+    for (service, path) in [("s1", "/stream/"), ("s2", "/call/")] {
+        let upstream = Upstream::scripted(one_event);
+        let proxy = FaultProxy::start(upstream.address).expect("a port");
+        let body = registration_body(proxy.address(), service, 1, 1, "ready");
+        region.control_request_until_ok(0, "PUT", &upstream_path(service), &body);
+        eventually("a served request", || {
+            region.request_at(entry, path, "hi", DEADLINE).filter(|(status, _)| *status == 200)
+        });
+        let runs = upstream.runs().len();
+        proxy.hang().expect("the port is still free");
+        let (status, _) = region.refusal_at(entry, path, Duration::from_millis(300));
+        assert_eq!(status, 503, "{path}");
+        assert_eq!(upstream.runs().len(), runs, "{path}: the request has run");
+    }
+}
+
 /// Guards against requests that fail at an entry whose connections to all upstreams hang, while other
 /// entries reach the upstreams.
 #[test]
