Send requests through other entries while the paths to upstreams are lost

Change: if an own connection can't be made, the message (request or order) goes through another entry. If that one reaches the upstream, the path is lost, and later messages go that way at once until an own connection is made again, which is tried every 500 ms. The choice is a plain table (proxy::PathTable); entries announce themselves to the leader, which lists some of the others. Relays read response heads, so that they keep to what upstreams say of leaving and of rest; they send only to registered upstreams. A failure for want of a path is no longer reported as one of the upstream.

--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -83,10 +83,15 @@
     }
 
     /// Failure after which the upstream may have received the request.
-    fn sent(reason: impl fmt::Display) -> Self {
+    pub fn sent(reason: impl fmt::Display) -> Self {
         Self { may_have_run: true, is_unresponsive: false, reason: reason.to_string() }
     }
 
+    /// Failure after which the upstream may have received the request, and no longer responds to probes.
+    pub fn unresponsive(reason: impl fmt::Display) -> Self {
+        Self { is_unresponsive: true, ..Self::sent(reason) }
+    }
+
     /// Failure of the connection after which the upstream may have received the request.
     fn broken(err: &hyper::Error) -> Self {
         let mut is_unresponsive = false;
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -11,6 +11,8 @@
 //!   [`BodyBudget`] limits the memory of all bodies together.
 //! * [`Connector`] connects to upstreams, and [`exchange`] sends one request to one upstream on a
 //!   connection of its own.
+//! * [`PathTable`] knows which upstreams a daemon reaches by its own connections and which only through
+//!   other daemons, which [`KnownRelays`] and [`AnnouncedRelays`] list.
 //! * [`EventSplitter`] splits a stream of server-sent events after whole events only. The caller
 //!   has then received complete events, so another upstream can resume the stream after the
 //!   id of the last one.
@@ -31,6 +33,8 @@
 mod budget;
 mod events;
 mod exchange;
+mod paths;
+mod relays;
 mod retry;
 mod server;
 
@@ -40,5 +44,7 @@
 pub use exchange::{
     Connector, ExchangeError, ExchangeResponse, ResponseBody, exchange, read_response_body,
 };
+pub use paths::{PathChoice, PathTable, PathsChange};
+pub use relays::{AnnouncedRelays, KnownRelays, RelayDaemon};
 pub use retry::{AttemptFailure, AttemptHistory, NextStep, next_step};
 pub use server::{ConnectionCount, Server, ServerConfig, read_request_body, serve};
--- /dev/null
+++ b/crates/proxy/src/paths.rs
@@ -0,0 +1,131 @@
+//! Which upstreams a daemon reaches by its own connections, and which only through other daemons.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+/// Number of upstreams to which connections fail, with none made to any upstream in between, from
+/// which on the daemon itself may have lost its paths.
+const MIN_FAILING_UPSTREAMS: usize = 2;
+/// Time for which an upstream that no daemon reached is not looked for through others again.
+const GONE_TIME: Duration = Duration::from_secs(1);
+
+/// Order in which a daemon tries the paths to an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PathChoice {
+    /// By an own connection only: another daemon has just not reached the upstream either.
+    Direct,
+    /// By an own connection, and if it can't be made through another daemon.
+    DirectThenRelay,
+    /// Through another daemon: own connections fail.
+    Relay,
+}
+
+/// Change of a daemon's paths as a whole, for the log.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PathsChange {
+    /// Connections to several upstreams fail, and none is made.
+    InDoubt,
+    /// They do, and other daemons reach the upstreams: the daemon itself has lost its paths.
+    Lost,
+    /// A connection was made again, this long after the first one failed.
+    Regained(Duration),
+}
+
+/// What a daemon knows of its paths to the upstreams.
+///
+/// That a connection fails doesn't tell whether the upstream is gone or the path to it is lost. The
+/// daemon therefore lets another one try, as an indirect probe in SWIM does. If that one reaches the
+/// upstream, the path is lost, and requests go through other daemons until an own connection can be
+/// made again. While connections to several upstreams fail and none is made, all paths count as lost.
+///
+/// ```
+/// use proxy::{PathChoice, PathTable};
+/// use std::time::Instant;
+///
+/// let (now, upstream) = (Instant::now(), "10.0.0.1:80".parse()?);
+/// let mut paths = PathTable::default();
+/// assert_eq!(paths.choice(now, upstream), PathChoice::DirectThenRelay);
+/// paths.connection_failed(now, upstream);
+/// paths.relayed(upstream);
+/// assert_eq!(paths.choice(now, upstream), PathChoice::Relay);
+/// # Ok::<(), std::net::AddrParseError>(())
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct PathTable {
+    /// Upstreams to which connections have failed since the last one that was made, and since when.
+    failing: Option<(Instant, BTreeSet<SocketAddr>)>,
+    /// Upstreams that only other daemons reach.
+    lost: BTreeSet<SocketAddr>,
+    /// Upstreams that no daemon reached, and when that was found out.
+    gone: BTreeMap<SocketAddr, Instant>,
+    /// Whether all paths count as lost.
+    is_isolated: bool,
+}
+
+impl PathTable {
+    /// Order in which to try the paths to an upstream.
+    pub fn choice(&self, now: Instant, upstream: SocketAddr) -> PathChoice {
+        let is_gone = |at: &Instant| now.saturating_duration_since(*at) < GONE_TIME;
+        if self.is_isolated || self.lost.contains(&upstream) {
+            PathChoice::Relay
+        } else if self.gone.get(&upstream).is_some_and(is_gone) {
+            PathChoice::Direct
+        } else {
+            PathChoice::DirectThenRelay
+        }
+    }
+
+    /// Whether the daemon itself may have lost its paths: it is then of no use as a relay, and its own
+    /// failures say nothing about the upstreams.
+    pub fn is_in_doubt(&self) -> bool {
+        self.failing.as_ref().is_some_and(|(_, failing)| failing.len() >= MIN_FAILING_UPSTREAMS)
+    }
+
+    /// Records that a connection to an upstream was made.
+    pub fn connection_made(&mut self, now: Instant, upstream: SocketAddr) -> Option<PathsChange> {
+        let was_in_doubt = self.is_in_doubt();
+        self.lost.remove(&upstream);
+        self.gone.remove(&upstream);
+        self.is_isolated = false;
+        let (since, _) = self.failing.take()?;
+        was_in_doubt.then(|| PathsChange::Regained(now.saturating_duration_since(since)))
+    }
+
+    /// Records that no connection to an upstream could be made.
+    pub fn connection_failed(&mut self, now: Instant, upstream: SocketAddr) -> Option<PathsChange> {
+        let was_in_doubt = self.is_in_doubt();
+        let (_, failing) = self.failing.get_or_insert_with(|| (now, BTreeSet::new()));
+        failing.insert(upstream);
+        (!was_in_doubt && self.is_in_doubt()).then_some(PathsChange::InDoubt)
+    }
+
+    /// Records that another daemon reached an upstream to which no own connection could be made.
+    pub fn relayed(&mut self, upstream: SocketAddr) -> Option<PathsChange> {
+        self.gone.remove(&upstream);
+        self.lost.insert(upstream);
+        let was_isolated = self.is_isolated;
+        self.is_isolated |= self.is_in_doubt();
+        (self.is_isolated && !was_isolated).then_some(PathsChange::Lost)
+    }
+
+    /// Records that another daemon didn't reach an upstream either.
+    pub fn is_gone(&mut self, now: Instant, upstream: SocketAddr) {
+        self.lost.remove(&upstream);
+        self.gone.retain(|_, at| now.saturating_duration_since(*at) < GONE_TIME);
+        self.gone.insert(upstream, now);
+    }
+
+    /// Upstreams to which own connections are to be tried until one can be made: those that only other
+    /// daemons reach or, while all fail, any of `known`. Upstreams that aren't `known` any more are
+    /// forgotten.
+    pub fn to_check(&mut self, known: &BTreeSet<SocketAddr>) -> Vec<SocketAddr> {
+        self.lost.retain(|upstream| known.contains(upstream));
+        match self.is_in_doubt() {
+            true => known.iter().copied().collect(),
+            false => self.lost.iter().copied().collect(),
+        }
+    }
+}
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -310,6 +310,17 @@
                     reply(responder, &recorded.unwrap_or_else(|| control.not_leader()));
                 });
             }
+            LeaderRequest::AnnounceRelay(announced) => {
+                let now = self.clock.now();
+                let announce = |leader: &mut LeaderState| {
+                    announced.relay().map(|relay| leader.announce_relay(now, relay))
+                };
+                let relays = self.with_leader(announce).map(|relays| {
+                    let relays = relays.unwrap_or_default();
+                    LeaderReply::Relays(relays.into_iter().map(Into::into).collect())
+                });
+                reply(responder, &relays.unwrap_or_else(|| self.not_leader()));
+            }
             LeaderRequest::Join { id, address } => {
                 let control = Arc::clone(self);
                 tokio::spawn(async move {
--- a/crates/toucansilld/src/gateway/entry.rs
+++ b/crates/toucansilld/src/gateway/entry.rs
@@ -16,7 +16,7 @@
 };
 use hyper::body::{Body as _, Incoming};
 use kernel::SharedClock;
-use platform::head::{CallerHead, forwarded_response_headers, read_caller_head};
+use platform::head::{CallerHead, end_to_end_headers, read_caller_head};
 use proxy::{Body, BodyBudget, full, read_request_body};
 use routing::{Route, RoutingTable};
 use sha2::{Digest, Sha256};
@@ -40,7 +40,7 @@
     /// See [`ForwardContext::is_stopping_soon`].
     pub(crate) is_stopping_soon: watch::Receiver<bool>,
     /// Memory for request bodies.
-    pub(crate) body_budget: BodyBudget,
+    pub(crate) body_budget: Arc<BodyBudget>,
 }
 
 impl CallerHandler {
@@ -137,7 +137,7 @@
         };
         let mut response = Response::new(());
         *response.status_mut() = upstream.head.status;
-        *response.headers_mut() = forwarded_response_headers(&upstream.head.headers);
+        *response.headers_mut() = end_to_end_headers(&upstream.head.headers);
         let status = upstream.head.status;
         match upstream.complete_body {
             Some(bytes) => {
--- a/crates/toucansilld/src/gateway/forward.rs
+++ b/crates/toucansilld/src/gateway/forward.rs
@@ -2,9 +2,10 @@
 
 use super::{
     guard::GrantGuard,
-    paths::SendState,
+    paths::{PathError, PathResponse, SendState, UpstreamMessage},
     placer::Placer,
     record::{PlacementSummary, RequestRecord},
+    relay::RelayedKind,
     tickets::HelperReservations,
     watchlist::RequestFingerprint,
 };
@@ -27,7 +28,7 @@
     time::{Duration, Instant},
 };
 use tokio::{sync::watch, time::timeout};
-use wire::{OrganisationId, ServiceId, UpstreamId};
+use wire::{DaemonId, OrganisationId, ServiceId, UpstreamId};
 
 /// Timeout for a connection: hundreds of round trips within a region. It does not cover the loss
 /// of a SYN packet, which TCP resends only after 1 s.
@@ -120,6 +121,8 @@
     pub(crate) complete_body: Option<Bytes>,
     /// Stream that delivers the body otherwise.
     pub(crate) streaming: Option<StreamingResponse>,
+    /// Daemon through which it came; `None` on an own connection.
+    pub(crate) relay: Option<DaemonId>,
 }
 
 /// Response whose body is still being received.
@@ -153,14 +156,34 @@
 /// Attempt that gave no response to pass on.
 struct AttemptError {
     failure: AttemptFailure,
+    /// What the failure means for the load and health of the upstream.
+    outcome: RequestOutcome,
     reason: String,
+    /// Daemon through which it was made; `None` on an own connection.
+    relay: Option<DaemonId>,
     /// Error response of the upstream, which the caller gets if no retry does better.
     response: Option<(response::Parts, Bytes)>,
 }
 
 impl AttemptError {
     fn new(failure: AttemptFailure, reason: impl fmt::Display) -> Self {
-        Self { failure, reason: reason.to_string(), response: None }
+        let outcome = outcome_of(failure);
+        Self { failure, outcome, reason: reason.to_string(), relay: None, response: None }
+    }
+}
+
+impl From<PathError> for AttemptError {
+    fn from(PathError { err, has_no_path, relay }: PathError) -> Self {
+        let failure = match err.may_have_run() {
+            true => broken_failure(&err),
+            false => AttemptFailure::Unreachable,
+        };
+        let failed = Self { relay, ..Self::new(failure, err) };
+        match has_no_path {
+            // It says nothing about the upstream.
+            true => Self { outcome: RequestOutcome::NotRun, ..failed },
+            false => failed,
+        }
     }
 }
 
@@ -283,13 +306,13 @@
                     self.history.sent += 1;
                     self.history.may_have_run = true;
                     let outcome = LoggedAttemptOutcome::Answered(response.head.status);
-                    record.add_attempt(&placement, ms, &outcome);
+                    record.add_attempt(&placement, response.relay.as_ref(), ms, &outcome);
                     return Ok(response);
                 }
                 Err(failed) => failed,
             };
             let outcome = LoggedAttemptOutcome::Failed(failed.failure, failed.reason);
-            record.add_attempt(&placement, ms, &outcome);
+            record.add_attempt(&placement, failed.relay.as_ref(), ms, &outcome);
             self.history.record(failed.failure);
             self.sent.reset();
             let route = &self.request.route;
@@ -379,18 +402,19 @@
             }
         };
         let result = self.exchange_with(&mut guard, &reservations, started).await;
+        let relay = guard.relay.clone();
         match result {
             Ok((head, ReceivedBody::Streaming(body))) => {
-                let streaming = StreamingResponse { body, guard, reservations, started };
-                Ok(UpstreamResponse { head, complete_body: None, streaming: Some(streaming) })
+                let streaming = Some(StreamingResponse { body, guard, reservations, started });
+                Ok(UpstreamResponse { head, complete_body: None, streaming, relay })
             }
             Ok((head, ReceivedBody::Complete(bytes))) => {
                 guard.end(RequestOutcome::Completed);
-                Ok(UpstreamResponse { head, complete_body: Some(bytes), streaming: None })
+                Ok(UpstreamResponse { head, complete_body: Some(bytes), streaming: None, relay })
             }
             Err(failed) => {
-                guard.end(outcome_of(failed.failure));
-                Err(failed)
+                guard.end(failed.outcome);
+                Err(AttemptError { relay, ..failed })
             }
         }
     }
@@ -403,21 +427,29 @@
         reservations: &HelperReservations,
         started: Instant,
     ) -> Result<(response::Parts, ReceivedBody), AttemptError> {
-        let grant = &guard.grant;
         let request = self.upstream_request(guard, reservations);
-        let body = self.request.body.clone();
-        let paths = &self.cx.placer.paths;
-        let response = paths.exchange(grant.address, CONNECT_TIMEOUT, request, body, &self.sent);
+        let message = UpstreamMessage {
+            kind: RelayedKind::Request,
+            target: guard.target(),
+            head: request,
+            body: self.request.body.clone(),
+        };
+        let response = self.cx.placer.paths.exchange(message, CONNECT_TIMEOUT, &self.sent);
         let limit = self.response_timeout(guard);
         let response = match timeout(limit, response).await {
-            Ok(Ok(response)) => response,
-            Ok(Err(err)) if err.may_have_run() => {
-                return Err(AttemptError::new(broken_failure(&err), err));
+            Ok(Ok(PathResponse { response, relay })) => {
+                guard.relay = relay;
+                response
+            }
+            Ok(Err(failed)) => {
+                guard.relay = failed.relay.clone();
+                return Err(failed.into());
             }
-            Ok(Err(err)) => return Err(AttemptError::new(AttemptFailure::Unreachable, err)),
             Err(_) if !self.sent.may_be_sent() => {
-                let reason = "no connection in time";
-                return Err(AttemptError::new(AttemptFailure::Unreachable, reason));
+                let failed =
+                    AttemptError::new(AttemptFailure::Unreachable, "no connection in time");
+                // The time was too short to tell anything about the upstream.
+                return Err(AttemptError { outcome: RequestOutcome::NotRun, ..failed });
             }
             Err(_) => {
                 return Err(AttemptError::new(
@@ -521,7 +553,8 @@
 ) -> Result<UpstreamResponse, RequestError> {
     match response {
         Some((head, complete_body)) if !implies_not_run(head.status) => {
-            Ok(UpstreamResponse { head, complete_body: Some(complete_body), streaming: None })
+            let complete_body = Some(complete_body);
+            Ok(UpstreamResponse { head, complete_body, streaming: None, relay: None })
         }
         // The upstream ran the request, but its status would tell the caller that none did.
         _ => Err(RequestError::failed("the upstream failed")),
--- a/crates/toucansilld/src/gateway/guard.rs
+++ b/crates/toucansilld/src/gateway/guard.rs
@@ -3,7 +3,9 @@
 use super::{
     forward::CONNECT_TIMEOUT,
     messages::{Progress, RunReport},
+    paths::Reachability,
     placer::Placer,
+    relay::Target,
     reports::Report,
     view::ViewAge,
     watchlist::RequestFingerprint,
@@ -14,7 +16,7 @@
     sync::Arc,
     time::{Duration, Instant},
 };
-use wire::UpstreamId;
+use wire::{DaemonId, UpstreamId};
 
 /// Time without a response after which an abandoned attempt raises the suspicion that its upstream
 /// has crashed: longer than nearly all responses take.
@@ -34,6 +36,8 @@
     granted_at: Instant,
     /// View by which this daemon placed the request itself; `None` if the leader placed it.
     local_view: Option<ViewAge>,
+    /// Daemon through which the response came; `None` on an own connection.
+    pub(crate) relay: Option<DaemonId>,
     has_first_event: bool,
     has_ended: bool,
 }
@@ -57,6 +61,7 @@
             started_at_ms,
             granted_at,
             local_view,
+            relay: None,
             has_first_event: false,
             has_ended: false,
         }
@@ -91,6 +96,11 @@
         self.end_once(outcome);
     }
 
+    /// Upstream to send the request to.
+    pub(crate) fn target(&self) -> Target {
+        Target { upstream: self.grant.upstream.clone(), address: self.grant.address }
+    }
+
     /// Report that the upstream crashed under the request.
     fn crash(&self) -> RunReport {
         let (upstream, started_at_ms) = (self.grant.upstream.clone(), self.started_at_ms);
@@ -121,21 +131,16 @@
         if let Some(report) = report {
             self.placer.queue(Report::Limit(report));
         }
-        if head.is_leaving && self.placer.exclusions.leaves(now, upstream, started_at_ms) {
-            self.placer.queue(Report::Leaving(upstream.clone(), started_at_ms));
-        }
-        if let Some(time) = head.turned_away_for {
-            self.placer.exclusions.turned_away(now, upstream, started_at_ms, time);
-        }
+        self.placer.record_exclusions(upstream, started_at_ms, head);
     }
 
     /// Checks whether the upstream, which gave no response, still accepts connections, and reports
     /// a crash if it does not.
     fn report_if_crashed(&self) {
         let (placer, crash) = (Arc::clone(&self.placer), self.crash());
-        let address = self.grant.address;
+        let target = self.target();
         tokio::spawn(async move {
-            if !placer.paths.accepts_connections(address, CONNECT_TIMEOUT).await {
+            if placer.paths.reachability(&target, CONNECT_TIMEOUT).await == Reachability::Gone {
                 placer.watchlist.report(crash);
             }
         });
--- a/crates/toucansilld/src/gateway/lead.rs
+++ b/crates/toucansilld/src/gateway/lead.rs
@@ -10,6 +10,7 @@
     Decision, Directory, Dispatcher, DispatcherConfig, LimitReport, PlacementRequest,
     PlacementRequestId,
 };
+use proxy::{AnnouncedRelays, RelayDaemon};
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
@@ -57,6 +58,7 @@
     /// Version and contents of the published routing.
     routing: Option<(u64, Arc<control::PublishedRouting>)>,
     out_of_service_changes: u64,
+    relays: AnnouncedRelays,
 }
 
 /// Decision on a placement request, with the responder to send it to.
@@ -82,9 +84,15 @@
             followers: BTreeMap::new(),
             routing: None,
             out_of_service_changes: 0,
+            relays: AnnouncedRelays::default(),
         }
     }
 
+    /// Records the announcement of a relay. Returns some of the others.
+    pub(crate) fn announce_relay(&mut self, now: Instant, relay: RelayDaemon) -> Vec<RelayDaemon> {
+        self.relays.announce(now, relay)
+    }
+
     /// Raft term of this leadership.
     pub(crate) fn term(&self) -> u64 {
         self.term
--- a/crates/toucansilld/src/gateway/messages.rs
+++ b/crates/toucansilld/src/gateway/messages.rs
@@ -8,6 +8,7 @@
     Decision, DirectoryEntry, LimitReport, PlacementRequest, PlacementRequestId, RequestOutcome,
     Revision, RunningRequest,
 };
+use proxy::RelayDaemon;
 use std::{collections::BTreeSet, time::Duration};
 use wire::{DaemonId, DataCentreId, UpstreamId};
 
@@ -68,6 +69,9 @@
         /// Start time of the run, in milliseconds since the Unix epoch on its clock.
         started_at_ms: u64,
     },
+    /// Announces that the sender relays messages to upstreams for other daemons, and asks for others
+    /// that do.
+    AnnounceRelay(ListedRelay),
 }
 
 /// Reply to a [`LeaderRequest`].
@@ -112,6 +116,40 @@
     },
     /// Reply to [`LeaderRequest::ReportLeaving`]: the departure is replicated.
     LeavingRecorded,
+    /// Reply to [`LeaderRequest::AnnounceRelay`]: some of the other relays.
+    Relays(Vec<ListedRelay>),
+}
+
+/// Daemon that relays messages to upstreams.
+#[derive(Clone, Debug, Decode, Encode)]
+pub(crate) struct ListedRelay {
+    /// Name of the daemon.
+    pub(crate) daemon: DaemonId,
+    /// Data centre of the daemon.
+    pub(crate) data_centre: DataCentreId,
+    /// Address at which it takes messages to relay.
+    pub(crate) address: String,
+}
+
+impl ListedRelay {
+    /// The relay; `None` if its address can't be read.
+    pub(crate) fn relay(&self) -> Option<RelayDaemon> {
+        let Self { daemon, data_centre, address } = self.clone();
+        match address.parse() {
+            Ok(address) => Some(RelayDaemon { daemon, data_centre, address }),
+            Err(err) => {
+                log::warn!(daemon = daemon.as_str(); "address of a relay not read: {err}");
+                None
+            }
+        }
+    }
+}
+
+impl From<RelayDaemon> for ListedRelay {
+    fn from(relay: RelayDaemon) -> Self {
+        let RelayDaemon { daemon, data_centre, address } = relay;
+        Self { daemon, data_centre, address: address.to_string() }
+    }
 }
 
 /// Versions of the parts of a view. All but the routing version are comparable only within one
--- a/crates/toucansilld/src/gateway/placer.rs
+++ b/crates/toucansilld/src/gateway/placer.rs
@@ -19,6 +19,7 @@
     RefusalReason, Registration, RequestOutcome, RunningRequest,
 };
 use kernel::SharedClock;
+use platform::head::ResponseHead;
 use route::RetryBudget;
 use std::{
     collections::BTreeMap,
@@ -456,6 +457,23 @@
         self.limits.take_from_share(self.clock.now(), &upstream, entry_daemons)
     }
 
+    /// Records what a response says about whether the run of an upstream takes requests of this
+    /// daemon: that it leaves, or for how long it turns them away.
+    pub(super) fn record_exclusions(
+        &self,
+        upstream: &UpstreamId,
+        started_at_ms: u64,
+        head: &ResponseHead,
+    ) {
+        let now = self.clock.now();
+        if head.is_leaving && self.exclusions.leaves(now, upstream, started_at_ms) {
+            self.queue(Report::Leaving(upstream.clone(), started_at_ms));
+        }
+        if let Some(time) = head.turned_away_for {
+            self.exclusions.turned_away(now, upstream, started_at_ms, time);
+        }
+    }
+
     /// Queues a progress report.
     pub(super) fn report(&self, progress: Progress) {
         self.queue(Report::Progress(progress));
--- a/crates/toucansilld/src/gateway/record.rs
+++ b/crates/toucansilld/src/gateway/record.rs
@@ -9,7 +9,7 @@
     sync::Arc,
     time::{Duration, Instant},
 };
-use wire::{OrganisationId, RequestId, ServiceId, Tokens, UpstreamId};
+use wire::{DaemonId, OrganisationId, RequestId, ServiceId, Tokens, UpstreamId};
 
 /// Collects what is logged about a request. On drop it writes one log line and one sample of
 /// each metric: when the request has ended, or when its future is dropped because the caller
@@ -62,11 +62,12 @@
         }
     }
 
-    /// Records an attempt: where it was sent and by whose placement, its duration in ms, with
-    /// reservations and connecting, and how it ended.
+    /// Records an attempt: where it was sent, by whose placement and through which other daemon, if
+    /// any, its duration in ms, with reservations and connecting, and how it ended.
     pub(crate) fn add_attempt(
         &mut self,
         placement: &PlacementSummary,
+        relay: Option<&DaemonId>,
         ms: u64,
         outcome: &LoggedAttemptOutcome,
     ) {
@@ -74,7 +75,8 @@
             let labels = [("service", self.service.clone()), ("failure", format!("{failure:?}"))];
             metrics::counter!("toucansill_attempt_failures_total", &labels).increment(1);
         }
-        self.attempts.push(format!("{placement}: {outcome} after {ms} ms"));
+        let through = relay.map(|relay| format!(" through {relay}")).unwrap_or_default();
+        self.attempts.push(format!("{placement}: {outcome}{through} after {ms} ms"));
     }
 
     /// Records the time of the first event of a stream. Later calls change nothing.
--- /dev/null
+++ b/crates/toucansilld/src/gateway/relay_announcer.rs
@@ -0,0 +1,70 @@
+//! Announces an entry as a relay to the leader, and learns of others from it.
+
+use super::{
+    bus::DaemonLinks,
+    messages::{LeaderReply, LeaderRequest, ListedRelay},
+    paths::Paths,
+    placer::LEADER_TIMEOUT,
+    settings::GatewaySettings,
+    view::View,
+};
+use kernel::SharedClock;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::time::sleep;
+
+/// Interval of announcements. The leader drops a relay after three that are missing.
+const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_secs(3);
+/// Pause after an announcement that failed, and after the first ones: while a region starts, the leader
+/// doesn't know the other relays yet.
+const SHORT_PAUSE: Duration = Duration::from_millis(500);
+/// Number of first announcements with a short pause after them.
+const EARLY_ANNOUNCEMENTS: usize = 6;
+/// Timeout for the leader's reply.
+const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Task that announces one entry.
+pub(crate) struct RelayAnnouncer {
+    pub(crate) settings: Arc<GatewaySettings>,
+    /// Address at which the entry takes messages to relay.
+    pub(crate) address: SocketAddr,
+    pub(crate) links: Arc<DaemonLinks>,
+    pub(crate) view: Arc<View>,
+    pub(crate) paths: Arc<Paths>,
+    pub(crate) clock: SharedClock,
+}
+
+impl RelayAnnouncer {
+    /// Announces the entry again and again, until the task is aborted.
+    pub(crate) async fn run(self) {
+        let mut announcements = 0;
+        loop {
+            let is_announced = self.announce().await;
+            announcements += usize::from(is_announced);
+            let is_settled = is_announced && announcements > EARLY_ANNOUNCEMENTS;
+            sleep(if is_settled { ANNOUNCEMENT_INTERVAL } else { SHORT_PAUSE }).await;
+        }
+    }
+
+    /// Returns whether the leader has replied.
+    async fn announce(&self) -> bool {
+        let Some(leader) = self.view.leader(self.clock.now(), LEADER_TIMEOUT) else { return false };
+        let own = ListedRelay {
+            daemon: self.settings.daemon.clone(),
+            data_centre: self.settings.data_centre.clone(),
+            address: self.address.to_string(),
+        };
+        let request = LeaderRequest::AnnounceRelay(own);
+        match self.links.request(leader, &request, ANNOUNCEMENT_TIMEOUT).await {
+            Ok(LeaderReply::Relays(listed)) => {
+                self.paths.add_relays(listed.iter().filter_map(ListedRelay::relay).collect());
+                true
+            }
+            Ok(_) => false,
+            // A daemon of an earlier build refuses the request.
+            Err(err) => {
+                log::debug!("{leader}: relay not announced: {err}");
+                false
+            }
+        }
+    }
+}
--- a/crates/toucansilld/src/gateway/run.rs
+++ b/crates/toucansilld/src/gateway/run.rs
@@ -12,6 +12,8 @@
     messages::{ControlHttpRequest, LeaderReply, LeaderRequest},
     paths::Paths,
     placer::{Placer, PlacerParts},
+    relay_announcer::RelayAnnouncer,
+    relay_server::RelayHandler,
     settings::{ControlSettings, EntrySettings, GatewaySettings},
     view::View,
     watchlist::WatchlistView,
@@ -55,6 +57,8 @@
 /// Maximum number of connections to each of the control, readiness and metrics addresses: several
 /// times the number of upstreams of a region.
 const MAX_INTERNAL_CONNECTIONS: usize = 512;
+/// Maximum number of messages that are relayed at a time. Each uses two connections.
+const MAX_RELAY_CONNECTIONS: usize = 256;
 /// Timeout for the body of an HTTP control request.
 const CONTROL_BODY_TIMEOUT: Duration = Duration::from_secs(5);
 /// Interval at which the samples of histograms are aggregated. Without it they would pile up in
@@ -161,8 +165,11 @@
     serve_metrics(&settings, metrics, is_stopping.clone())?;
 
     let mut callers = None;
+    let mut relayed = None;
     if let Some(cfg) = &settings.entry {
         let watchlist = WatchlistView::start(&settings, &view, &links, &clock);
+        let paths = Paths::new(connector, Arc::clone(&clock), settings.data_centre.clone());
+        tokio::spawn(Arc::clone(&paths).check(Arc::clone(&view)));
         let parts = PlacerParts {
             view: Arc::clone(&view),
             links: Arc::clone(&links),
@@ -170,18 +177,38 @@
             leader_placed,
             watchlist,
             limits,
-            paths: Paths::new(connector, Arc::clone(&clock)),
+            paths: Arc::clone(&paths),
         };
         let (placer, reporter) = Placer::new(&settings, parts);
         tokio::spawn(reporter);
+        let body_budget = Arc::new(BodyBudget::new(cfg.body_bytes()));
         let entry = Arc::new(CallerHandler {
             view: Arc::clone(&view),
-            placer,
+            placer: Arc::clone(&placer),
             clock: Arc::clone(&clock),
             is_stopping_soon: is_stopping_soon.clone(),
-            body_budget: BodyBudget::new(cfg.body_bytes()),
+            body_budget: Arc::clone(&body_budget),
         });
         callers = Some(serve_entry(cfg, entry, is_stopping.clone())?);
+        if let Some(address) = cfg.relay {
+            let announcer = RelayAnnouncer {
+                settings: Arc::clone(&settings),
+                address,
+                links: Arc::clone(&links),
+                view: Arc::clone(&view),
+                paths: Arc::clone(&paths),
+                clock: Arc::clone(&clock),
+            };
+            let relay = RelayHandler {
+                placer,
+                paths,
+                clock: Arc::clone(&clock),
+                body_budget,
+                is_stopping: is_stopping.clone(),
+            };
+            relayed = Some(serve_relay(address, relay, is_stopping.clone())?);
+            tokio::spawn(announcer.run());
+        }
         serve_readiness(cfg, Arc::clone(&view), is_stopping.clone())?;
     }
     let mut member = None;
@@ -207,7 +234,8 @@
     }
     if let Some(callers) = callers {
         let limit = Duration::from_millis(settings.bounds.stop_ms);
-        drain(callers, stopping, limit, &is_stopping_soon_tx).await;
+        let relayed = relayed.unwrap_or_default();
+        drain(callers, relayed, stopping, limit, &is_stopping_soon_tx).await;
     }
     Ok(())
 }
@@ -260,11 +288,12 @@
     listener: tokio::task::JoinHandle<()>,
 }
 
-/// Lets requests in progress finish within `limit` after `since`, the time of the stop signal. Half
+/// Lets requests in progress, of callers and of other daemons, finish within `limit` after `since`, the time of the stop signal. Half
 /// way, requests still waiting for an upstream are refused, so that callers have time left to try
 /// another daemon.
 async fn drain(
     callers: CallerServer,
+    relayed: ConnectionCount,
     since: Instant,
     limit: Duration,
     is_stopping_soon: &watch::Sender<bool>,
@@ -280,9 +309,10 @@
             is_stopping_soon.send_replace(true);
         }
         if passed >= until {
-            return log::warn!(open = callers.get(); "requests still running at the stop deadline");
+            let open = callers.get() + relayed.get();
+            return log::warn!(open = open; "requests still running at the stop deadline");
         }
-        if passed >= BALANCER_DELAY && callers.is_zero() {
+        if passed >= BALANCER_DELAY && callers.is_zero() && relayed.is_zero() {
             return;
         }
         sleep(DRAIN_CHECK_INTERVAL).await;
@@ -333,6 +363,27 @@
     Ok(CallerServer { connections, listener })
 }
 
+/// Starts the server for messages that other entries want to be sent on. Returns the number of its
+/// connections.
+fn serve_relay(
+    address: SocketAddr,
+    relay: RelayHandler,
+    is_stopping: watch::Receiver<bool>,
+) -> Result<ConnectionCount> {
+    let limits = HttpLimits::default();
+    let server_cfg = ServerConfig {
+        // What a caller may send, and what its entry adds.
+        max_head_bytes: usize::try_from(limits.head_bytes).unwrap_or(usize::MAX) * 2,
+        idle_timeout: limits.idle_timeout,
+        max_connections: MAX_RELAY_CONNECTIONS,
+    };
+    let server = bind("entry.relay", address, server_cfg)?;
+    let connections = server.connection_count();
+    let relay = Arc::new(relay);
+    tokio::spawn(serve(server, is_stopping, move |req| Arc::clone(&relay).handle(req)));
+    Ok(connections)
+}
+
 /// Starts the server for readiness checks. The daemon is ready once it knows routing, until the
 /// stop signal.
 fn serve_readiness(
--- a/crates/toucansilld/src/gateway/settings.rs
+++ b/crates/toucansilld/src/gateway/settings.rs
@@ -60,6 +60,10 @@
     pub callers: SocketAddr,
     /// Address at which a load balancer checks whether this daemon accepts connections.
     pub readiness: SocketAddr,
+    /// Address at which this daemon takes messages of other entries that have lost their paths to the
+    /// upstreams, and sends them on. Without it, it neither relays messages nor has its own relayed.
+    #[serde(default)]
+    pub relay: Option<SocketAddr>,
     /// Maximum number of open connections of callers.
     pub max_connections: usize,
     /// Memory of the VM, in MiB. A quarter of it is for bodies of requests in progress.
@@ -208,6 +212,7 @@
         if let Some(entry) = &self.entry {
             listen_addresses.push(("entry.callers", entry.callers));
             listen_addresses.push(("entry.readiness", entry.readiness));
+            listen_addresses.extend(entry.relay.map(|relay| ("entry.relay", relay)));
         }
         listen_addresses
             .extend(self.control.iter().map(|control| ("control.listen", control.listen)));
--- a/crates/toucansilld/src/gateway/stream.rs
+++ b/crates/toucansilld/src/gateway/stream.rs
@@ -55,7 +55,8 @@
             PartEnd::Failed(failure, reason) => (failure, reason),
         };
         let end = super::forward::LoggedAttemptOutcome::Failed(failure, reason);
-        record.add_attempt(&PlacementSummary::new(&guard, Duration::ZERO), ms, &end);
+        let placement = PlacementSummary::new(&guard, Duration::ZERO);
+        record.add_attempt(&placement, guard.relay.as_ref(), ms, &end);
         guard.end(outcome_of(failure));
         request.stream_broke_off(failure);
         if !request.may_resume() {
--- a/crates/toucansilld/src/gateway/tickets.rs
+++ b/crates/toucansilld/src/gateway/tickets.rs
@@ -6,7 +6,10 @@
 //! request may also be gone without having closed the connection, so a reservation is renewed only if
 //! that engine still accepts connections.
 
-use super::paths::{Paths, SendState};
+use super::{
+    paths::{Paths, Reachability, SendState, UpstreamMessage},
+    relay::{RelayedKind, Target},
+};
 use bytes::Bytes;
 use grant::{Grant, Helper};
 use http::StatusCode;
@@ -14,7 +17,6 @@
 use platform::order;
 use proxy::{ExchangeError, read_response_body};
 use std::{
-    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -32,6 +34,9 @@
 /// Timeout for an order, connection and response included, and for a connection to the engine that
 /// runs the request.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Timeout for an own connection within that time, so that the rest suffices for another daemon to send
+/// the order.
+const ORDER_CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Attempts to release a reservation. If all fail, it expires by itself.
 const RELEASE_ATTEMPTS: u32 = 3;
 /// Longest response to an order, in bytes.
@@ -73,7 +78,8 @@
         if !reservations.helpers.is_empty() {
             let (name, helpers) =
                 (Arc::clone(&reservations.name), Arc::clone(&reservations.helpers));
-            let renewal = renew(Arc::clone(paths), name, grant.address, helpers);
+            let engine = Target { upstream: grant.upstream.clone(), address: grant.address };
+            let renewal = renew(Arc::clone(paths), name, engine, helpers);
             reservations.renewal = Some(tokio::spawn(renewal));
         }
         Ok(reservations)
@@ -100,18 +106,13 @@
 
 /// Renews the reservations while the engine that uses the memory accepts connections, until the task
 /// is aborted.
-async fn renew(
-    paths: Arc<Paths>,
-    name: Arc<String>,
-    engine: SocketAddr,
-    helpers: Arc<Vec<Helper>>,
-) {
+async fn renew(paths: Arc<Paths>, name: Arc<String>, engine: Target, helpers: Arc<Vec<Helper>>) {
     loop {
         sleep(RENEWAL_INTERVAL).await;
-        if !paths.accepts_connections(engine, ORDER_TIMEOUT).await {
+        if paths.reachability(&engine, ORDER_TIMEOUT).await == Reachability::Gone {
             log::warn!(
-                reservation = name.as_str();
-                "memory not renewed: the engine {engine} accepts no connection"
+                reservation = name.as_str(), upstream = engine.upstream.as_str();
+                "memory not renewed: the engine accepts no connection"
             );
             continue;
         }
@@ -179,11 +180,16 @@
     head: http::request::Parts,
     body: Vec<u8>,
 ) -> Result<StatusCode, String> {
+    let message = UpstreamMessage {
+        kind: RelayedKind::Order,
+        target: Target { upstream: helper.upstream.clone(), address: helper.address },
+        head,
+        body: Bytes::from(body),
+    };
     let exchanged = async {
-        let body = Bytes::from(body);
-        let response = paths
-            .exchange(helper.address, ORDER_TIMEOUT, head, body, &SendState::default())
-            .await?;
+        let sent = SendState::default();
+        let exchanged = paths.exchange(message, ORDER_CONNECT_TIMEOUT, &sent).await;
+        let response = exchanged.map_err(|failed| failed.err)?.response;
         let status = response.head.status;
         let mut body = response.body;
         read_response_body(&mut body, RESPONSE_BYTES_MAX).await?;
--- a/crates/toucansilld/tests/gateway/lost_paths.rs
+++ b/crates/toucansilld/tests/gateway/lost_paths.rs
@@ -1,10 +1,15 @@
 //! Tests of entries that lose their paths to the upstreams, while callers and the other daemons
 //! still reach them.
 
-use crate::region::{Region, Routes, Upstream, eventually, one_event};
+use crate::region::{Reaction, Region, Routes, Upstream, eventually, exchange, one_event};
 use fake::FaultProxy;
-use platform::stand_in::{DOCUMENT_PATH, mixed_document, registration_body, upstream_path};
+use platform::stand_in::{
+    DOCUMENT_PATH, mixed_document, parse_request_id, registration_body, request_header_lines,
+    response_header_lines, turned_away_response, upstream_path,
+};
 use std::{
+    io::{BufRead, BufReader, Write},
+    net::TcpStream,
     sync::{
         Mutex,
         atomic::{AtomicBool, Ordering},
@@ -26,6 +31,8 @@
 const DETECTION_TIME: Duration = Duration::from_secs(3);
 /// Least share of first attempts that are served at these entries, of the share at the others.
 const MIN_SERVED_RATIO: f64 = 2.0 / 3.0;
+/// Time for which an upstream turns requests away, in seconds.
+const TURNED_AWAY_SECONDS: f64 = 10.0;
 /// Deadline of callers.
 const DEADLINE: Duration = Duration::from_secs(3);
 /// Pause between two requests of a caller.
@@ -182,6 +189,112 @@
     }
 }
 
+/// Starts a region with two entries, of which the first has lost its paths, and these upstreams, as
+/// engines. Returns also the proxies on its paths.
+fn start_with_relay(upstreams: &[Upstream]) -> (Region, Vec<FaultProxy>) {
+    let mut region = Region::with_entries(CONTROL_COUNT, 2);
+    let mut routes = Routes::new();
+    let mut proxies = Vec::new();
+    for upstream in upstreams {
+        let proxy = FaultProxy::start(upstream.address).expect("a port");
+        proxy.refuse();
+        routes.insert(upstream.address, proxy.address());
+        proxies.push(proxy);
+    }
+    region.set_routes(region.entry(), routes);
+    region.start_all(true);
+    region.control_request_until_ok(0, "PUT", DOCUMENT_PATH, &mixed_document(1));
+    for (i, upstream) in upstreams.iter().enumerate() {
+        let body = upstream.registration("s1", 1, "ready");
+        region.control_request_until_ok(0, "PUT", &upstream_path(&format!("u{i}")), &body);
+    }
+    (region, proxies)
+}
+
+/// Script of an upstream that turns each request away for [`TURNED_AWAY_SECONDS`].
+fn turn_away(head: &str, _: &str) -> String {
+    let attempt = head.lines().find_map(parse_request_id).unwrap_or_default();
+    turned_away_response(attempt, TURNED_AWAY_SECONDS)
+}
+
+/// Guards against an open proxy: a relay that connects to whatever address it is given.
+#[test]
+fn a_relay_sends_nothing_to_addresses_that_are_no_upstreams() {
+    let (upstream, other) = (Upstream::scripted(one_event), Upstream::scripted(one_event));
+    let (region, _proxies) = start_with_relay(&[upstream]);
+    let relay = region.relay_address(region.entry() + 1);
+    for (name, address) in [
+        ("u0", other.address.to_string()),
+        ("u9", other.address.to_string()),
+        ("u0", String::from("none")),
+        ("", String::new()),
+    ] {
+        let request = format!(
+            "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\ntoucansill-relay-kind: request\r\n\
+             toucansill-relay-upstream: {name}\r\ntoucansill-relay-address: {address}\r\n\r\n"
+        );
+        assert_eq!(exchange(&relay, &request).map(|(status, _)| status), Some(502), "{name}");
+    }
+    assert_eq!(other.runs(), [""; 0]);
+}
+
+/// Guards against a relay that is turned away and goes on to send requests of its own callers, or of
+/// other entries, to that upstream.
+#[test]
+fn an_upstream_that_turns_a_relay_away_gets_no_requests_of_it() {
+    let upstreams = [Upstream::scripted(turn_away)];
+    let (region, _proxies) = start_with_relay(&upstreams);
+    eventually("a relayed request", || {
+        region.request_at(region.entry(), "/stream/", "hi", DEADLINE);
+        (!upstreams[0].runs().is_empty()).then_some(())
+    });
+    let runs = upstreams[0].runs().len();
+    let (status, _) = region.refusal_at(region.entry() + 1, "/stream/", DEADLINE);
+    assert_eq!((status, upstreams[0].runs().len()), (503, runs));
+}
+
+/// Reaction of an upstream that sends the first event of a stream, and then bytes until its connection
+/// is closed.
+fn flood(head: &str, _: &str) -> Reaction {
+    let attempt = head.lines().find_map(parse_request_id).unwrap_or_default();
+    let start = format!(
+        "HTTP/1.1 200 OK\r\n{}Content-Length: 1000000\r\n\r\nid: 1\ndata: x\n\n",
+        response_header_lines(attempt)
+    );
+    Reaction::Flood(start, Duration::from_millis(10))
+}
+
+/// Guards against requests that go on to run at an upstream when the caller of the entry that had them
+/// relayed has disconnected.
+#[test]
+fn a_relayed_request_ends_when_its_caller_disconnects() {
+    let upstreams = [Upstream::crashing(flood)];
+    let (region, _proxies) = start_with_relay(&upstreams);
+    let request = format!(
+        "POST /stream/ HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n{}Content-Length: 0\r\n\r\n",
+        request_header_lines("r", 30_000)
+    );
+    let caller = eventually("a relayed stream", || {
+        let mut caller = TcpStream::connect(region.callers_address(region.entry())).ok()?;
+        caller.write_all(request.as_bytes()).ok()?;
+        let mut rx = BufReader::new(caller);
+        let mut line = String::new();
+        while rx.read_line(&mut line).is_ok_and(|n| n > 0) {
+            if line.starts_with("data: x") {
+                return Some(rx);
+            }
+            line.clear();
+        }
+        None
+    });
+    let is_closed = || upstreams[0].runs().iter().any(|run| run.starts_with("flooded"));
+    assert!(!is_closed(), "the stream goes on");
+    drop(caller);
+    let disconnected = Instant::now();
+    eventually("the end of the stream", || is_closed().then_some(()));
+    assert!(disconnected.elapsed() < Duration::from_millis(500), "the upstream learns it too late");
+}
+
 /// Guards against requests that fail at an entry whose connections to all upstreams hang, while other
 /// entries reach the upstreams.
 #[test]
--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -142,6 +142,11 @@
         format!("{}:{}", self.daemons[i].ip, self.base_port + 2)
     }
 
+    /// Address at which an entry takes messages to relay.
+    pub(crate) fn relay_address(&self, i: usize) -> String {
+        format!("{}:{}", self.daemons[i].ip, self.base_port + 5)
+    }
+
     /// Starts daemon `i`. `founds_group` is true only at a region's first start.
     pub(crate) fn start(&mut self, i: usize, founds_group: bool) {
         let file = self.dir.path().join(format!("{}.yaml", self.daemons[i].name));
@@ -387,9 +392,11 @@
             )
         } else {
             format!(
-                "entry: {{callers: '{ip}:{}', readiness: '{ip}:{}', max_connections: 64}}",
+                "entry: {{callers: '{ip}:{}', readiness: '{ip}:{}', relay: '{ip}:{}', \
+                 max_connections: 64}}",
                 port + 2,
-                port + 3
+                port + 3,
+                port + 5
             )
         };
         format!(
@@ -441,7 +448,7 @@
     Some(text)
 }
 
-/// Picks a loopback subnet, as its second and third byte, and the first of five ports, that no
+/// Picks a loopback subnet, as its second and third byte, and the first of six ports, that no
 /// other region uses: the subnet is derived from the process id, and the operating system names a
 /// free port.
 fn free_subnet() -> ((u8, u8), u16) {
