Keep the port of a fault proxy that refuses connections

Two tests failed once each: "Address already in use" when a proxy opened again after 12 s, as an ephemeral port of another connection had taken its port meanwhile. A bound socket now keeps it.

--- a/crates/fake/src/relay.rs
+++ b/crates/fake/src/relay.rs
@@ -14,6 +14,8 @@
     time::Duration,
 };
 
+/// Length of the queue of connections to be accepted.
+const BACKLOG: i32 = 128;
 /// Most bytes that one read from a connection returns.
 const BUF_BYTES: usize = 64 * 1024;
 
@@ -32,8 +34,9 @@
     next_connection_id: u64,
     connections: BTreeMap<u64, Connection>,
     accept_thread: Option<thread::JoinHandle<()>>,
-    /// Listener whose full queue lets new connections hang, with the connection that fills it.
-    full_listener: Option<(Socket, TcpStream)>,
+    /// Socket that keeps the port while no connections are accepted. If it listens, the connection with
+    /// it fills its queue, so that new connections hang.
+    closed_socket: Option<(Socket, Option<TcpStream>)>,
 }
 
 struct Shared {
@@ -128,10 +131,14 @@
             state.is_open = false;
             state.accept_thread.take()
         };
-        if let Some(accept_thread) = accept_thread {
-            // A connection wakes the accepting thread, which then drops the listener.
-            let _ = TcpStream::connect(self.shared.address);
-            let _ = accept_thread.join();
+        let Some(accept_thread) = accept_thread else { return };
+        // A connection wakes the accepting thread, which then drops the listener.
+        let _ = TcpStream::connect(self.shared.address);
+        let _ = accept_thread.join();
+        // A socket that is bound but doesn't listen keeps the port from being used by others.
+        match self.shared.bind() {
+            Ok(socket) => self.shared.lock().closed_socket = Some((socket, None)),
+            Err(err) => log::warn!("fault proxy {}: port not kept: {err}", self.shared.address),
         }
     }
 
@@ -144,13 +151,12 @@
     pub fn hang(&self) -> io::Result<()> {
         self.silence();
         self.refuse();
-        let listener = Socket::new(Domain::IPV4, Type::STREAM, None)?;
-        listener.set_reuse_address(true)?;
-        listener.bind(&self.shared.address.into())?;
+        let kept = self.shared.lock().closed_socket.take();
+        let socket = kept.map_or_else(|| self.shared.bind(), |(socket, _)| Ok(socket))?;
         // The queue has room for one connection. Packets that open further ones are dropped.
-        listener.listen(0)?;
+        socket.listen(0)?;
         let filler = TcpStream::connect(self.shared.address)?;
-        self.shared.lock().full_listener = Some((listener, filler));
+        self.shared.lock().closed_socket = Some((socket, Some(filler)));
         Ok(())
     }
 
@@ -158,17 +164,18 @@
     ///
     /// # Errors
     ///
-    /// If the port can't be bound again.
+    /// If the port can't be bound again, or not listened on.
     pub fn open(&self) -> io::Result<()> {
         let mut state = self.shared.lock();
         if state.is_open {
             return Ok(());
         }
-        drop(state.full_listener.take());
-        let listener = TcpListener::bind(self.shared.address)?;
+        let kept = state.closed_socket.take();
+        let socket = kept.map_or_else(|| self.shared.bind(), |(socket, _)| Ok(socket))?;
+        socket.listen(BACKLOG)?;
         state.is_open = true;
         drop(state);
-        self.spawn_accept(listener);
+        self.spawn_accept(socket.into());
         Ok(())
     }
 
@@ -195,6 +202,14 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Socket with the proxy's address that doesn't listen yet.
+    fn bind(&self) -> io::Result<Socket> {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&self.address.into())?;
+        Ok(socket)
+    }
+
     /// Connects to the server, and copies bytes in both directions.
     fn forward(self: &Arc<Self>, client: TcpStream) -> io::Result<()> {
         let server = TcpStream::connect(self.target)?;
