Let a daemon doubt its own paths only after it has tried other upstreams in vain

Cause: failures at two upstreams in a row were enough, although other upstreams could be reached. Checks whether an upstream is gone no longer have a third answer: it is reached by somebody, or not. The new test of a relayed request that crashes upstreams timed out before (60 s without a refusal) and passes; the test of relays waits until a request is relayed, as it had come too early once (no response).

--- a/crates/toucansilld/src/gateway/guard.rs
+++ b/crates/toucansilld/src/gateway/guard.rs
@@ -3,7 +3,6 @@
 use super::{
     forward::CONNECT_TIMEOUT,
     messages::{Progress, RunReport},
-    paths::Reachability,
     placer::Placer,
     relay::Target,
     reports::Report,
@@ -140,7 +139,7 @@
         let (placer, crash) = (Arc::clone(&self.placer), self.crash());
         let target = self.target();
         tokio::spawn(async move {
-            if placer.paths.reachability(&target, CONNECT_TIMEOUT).await == Reachability::Gone {
+            if !placer.paths.is_reachable(&target, CONNECT_TIMEOUT).await {
                 placer.watchlist.report(crash);
             }
         });
--- a/crates/toucansilld/src/gateway/paths.rs
+++ b/crates/toucansilld/src/gateway/paths.rs
@@ -113,17 +113,6 @@
     }
 }
 
-/// Whether an upstream accepts connections.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Reachability {
-    /// It does.
-    Reachable,
-    /// It does not, as far as this daemon and, if it knows any, another one can tell.
-    Gone,
-    /// No daemon that could tell was found.
-    Unknown,
-}
-
 /// What came of a message that was sent through relays.
 enum RelayOutcome<T> {
     Response(T, DaemonId),
@@ -202,10 +191,12 @@
 
     /// Whether an upstream accepts a connection within `limit`, of this daemon or of another one. One
     /// that has crashed does not; one that only takes long does.
-    pub(crate) async fn reachability(&self, target: &Target, limit: Duration) -> Reachability {
-        if self.connect(target.address, limit).await.is_ok() {
-            return Reachability::Reachable;
-        }
+    pub(crate) async fn is_reachable(&self, target: &Target, limit: Duration) -> bool {
+        self.connect(target.address, limit).await.is_ok() || self.is_reached_by_others(target).await
+    }
+
+    /// Whether an upstream accepts a connection of another daemon.
+    pub(crate) async fn is_reached_by_others(&self, target: &Target) -> bool {
         let (head, ()) = Request::new(()).into_parts();
         let message = UpstreamMessage {
             kind: RelayedKind::Check,
@@ -215,17 +206,15 @@
         };
         let sent = SendState::default();
         let check = self.exchange_through_relays(&message, &sent);
-        match timeout(RELAY_CHECK_TIMEOUT, check).await {
-            Ok(RelayOutcome::Response(..)) => Reachability::Reachable,
-            Ok(RelayOutcome::Gone(_) | RelayOutcome::NoRelay) => Reachability::Gone,
-            Ok(RelayOutcome::AllFailed(_)) if !self.is_in_doubt() => Reachability::Gone,
-            Ok(RelayOutcome::AllFailed(_) | RelayOutcome::Failed(..)) | Err(_) => {
-                Reachability::Unknown
-            }
-        }
+        matches!(timeout(RELAY_CHECK_TIMEOUT, check).await, Ok(RelayOutcome::Response(..)))
     }
 
-    /// Whether this daemon itself may have lost its paths.
+    /// Whether connections of this daemon to several upstreams have failed and none was made since.
+    pub(crate) fn has_several_failures(&self) -> bool {
+        lock(&self.table).has_several_failures()
+    }
+
+    /// Whether this daemon itself seems to have lost its paths.
     pub(crate) fn is_in_doubt(&self) -> bool {
         lock(&self.table).is_in_doubt()
     }
@@ -253,11 +242,10 @@
         match &connected {
             Ok(_) => {
                 let change = lock(&self.table).connection_made(now, address);
-                self.log_change(change, address);
+                self.log_change(change);
             }
             Err(err) if is_path_failure(err) => {
-                let change = lock(&self.table).connection_failed(now, address);
-                self.log_change(change, address);
+                lock(&self.table).connection_failed(now, address);
                 self.has_failed.notify_one();
             }
             Err(err) => log::warn!("no connection to {address}: {err}"),
@@ -287,7 +275,7 @@
             match outcome {
                 RelayOutcome::Response(response, relay) => {
                     let change = lock(&self.table).relayed(address);
-                    self.log_change(change, address);
+                    self.log_change(change);
                     self.has_failed.notify_one();
                     return RelayOutcome::Response(response, relay);
                 }
@@ -295,7 +283,7 @@
                 RelayOutcome::Gone(reason) => {
                     not_reached += 1;
                     // The relay may have lost its paths just now too, without knowing.
-                    if not_reached >= MIN_NOT_REACHED || !self.is_in_doubt() {
+                    if not_reached >= MIN_NOT_REACHED || !self.has_several_failures() {
                         lock(&self.table).is_gone(self.clock.now(), address);
                         return RelayOutcome::Gone(reason);
                     }
@@ -361,34 +349,37 @@
         }
     }
 
-    /// Tries own connections while paths are lost, until the task is aborted.
+    /// Tries own connections after several failures, and while paths are lost, until the task is
+    /// aborted.
     pub(crate) async fn check(self: Arc<Self>, view: Arc<View>) {
         loop {
-            let mut to_check = lock(&self.table).to_check(&known_addresses(&view));
+            let to_check = lock(&self.table).to_check(&known_addresses(&view));
             if to_check.is_empty() {
                 self.has_failed.notified().await;
-                sleep(CHECK_INTERVAL).await;
                 continue;
             }
-            fastrand::shuffle(&mut to_check);
             let mut checks = JoinSet::new();
             for address in to_check.into_iter().take(MAX_CHECKS) {
                 let paths = Arc::clone(&self);
-                checks.spawn(async move { drop(paths.connect(address, CHECK_TIMEOUT).await) });
+                checks.spawn(async move { paths.connect(address, CHECK_TIMEOUT).await.is_ok() });
+            }
+            if !checks.join_all().await.contains(&true) {
+                let change = lock(&self.table).checked_in_vain();
+                self.log_change(change);
             }
-            while checks.join_next().await.is_some() {}
+            // A request that fails meanwhile can't tell more.
             sleep(CHECK_INTERVAL).await;
         }
     }
 
-    fn log_change(&self, change: Option<PathsChange>, address: SocketAddr) {
+    fn log_change(&self, change: Option<PathsChange>) {
         match change {
             None => {}
             Some(PathsChange::InDoubt) => {
-                log::warn!(upstream:% = address; "no connections to upstreams are made");
+                log::warn!("no connection to any of several upstreams can be made");
             }
             Some(PathsChange::Lost) => {
-                log::warn!(upstream:% = address; "paths to upstreams lost; other daemons reach them");
+                log::warn!("paths to upstreams lost; other daemons reach them");
                 metrics::gauge!("toucansill_paths_lost").set(1.0);
             }
             Some(PathsChange::Regained(lost)) => {
--- a/crates/toucansilld/src/gateway/relay_server.rs
+++ b/crates/toucansilld/src/gateway/relay_server.rs
@@ -117,8 +117,8 @@
         let body = body.map_err(|status| RelayError::declined(&format!("body: {status}")))?;
         let stream = match self.paths.connect(target.address, CONNECT_TIMEOUT).await {
             Ok(stream) => stream,
-            Err(_) if self.paths.is_in_doubt() => {
-                return Err(RelayError::declined("the paths of this daemon are lost"));
+            Err(_) if self.paths.has_several_failures() => {
+                return Err(RelayError::declined("the paths of this daemon may be lost"));
             }
             Err(err) => return Err(ExchangeError::unsent(err).into()),
         };
--- a/crates/toucansilld/src/gateway/tickets.rs
+++ b/crates/toucansilld/src/gateway/tickets.rs
@@ -7,7 +7,7 @@
 //! that engine still accepts connections.
 
 use super::{
-    paths::{Paths, Reachability, SendState, UpstreamMessage},
+    paths::{Paths, SendState, UpstreamMessage},
     relay::{RelayedKind, Target},
 };
 use bytes::Bytes;
@@ -109,7 +109,7 @@
 async fn renew(paths: Arc<Paths>, name: Arc<String>, engine: Target, helpers: Arc<Vec<Helper>>) {
     loop {
         sleep(RENEWAL_INTERVAL).await;
-        if paths.reachability(&engine, ORDER_TIMEOUT).await == Reachability::Gone {
+        if !paths.is_reachable(&engine, ORDER_TIMEOUT).await {
             log::warn!(
                 reservation = name.as_str(), upstream = engine.upstream.as_str();
                 "memory not renewed: the engine accepts no connection"
--- a/crates/toucansilld/tests/gateway/lost_paths.rs
+++ b/crates/toucansilld/tests/gateway/lost_paths.rs
@@ -33,6 +33,10 @@
 const MIN_SERVED_RATIO: f64 = 2.0 / 3.0;
 /// Time for which an upstream turns requests away, in seconds.
 const TURNED_AWAY_SECONDS: f64 = 10.0;
+/// Number of upstreams in these tests that run one request each.
+const UPSTREAM_COUNT: usize = 5;
+/// Text by which a daemon refuses a request that has crashed upstreams.
+const QUARANTINED: &str = "it has crashed upstreams";
 /// Deadline of callers.
 const DEADLINE: Duration = Duration::from_secs(3);
 /// Pause between two requests of a caller.
@@ -222,6 +226,10 @@
 fn a_relay_sends_nothing_to_addresses_that_are_no_upstreams() {
     let (upstream, other) = (Upstream::scripted(one_event), Upstream::scripted(one_event));
     let (region, _proxies) = start_with_relay(&[upstream]);
+    eventually("a relayed request", || {
+        let response = region.request_at(region.entry(), "/stream/", "hi", DEADLINE);
+        response.filter(|(status, _)| *status == 200)
+    });
     let relay = region.relay_address(region.entry() + 1);
     for (name, address) in [
         ("u0", other.address.to_string()),
@@ -295,6 +303,26 @@
     assert!(disconnected.elapsed() < Duration::from_millis(500), "the upstream learns it too late");
 }
 
+/// Guards against a request that crashes upstreams and isn't recognised, as its entry has lost its paths.
+#[test]
+fn a_relayed_request_that_crashes_upstreams_is_refused() {
+    let crash: fn(&str, &str) -> Reaction = |head, body| match body {
+        "crash" => Reaction::Crash,
+        _ => Reaction::Respond(one_event(head, body)),
+    };
+    let upstreams: Vec<Upstream> = (0..UPSTREAM_COUNT).map(|_| Upstream::crashing(crash)).collect();
+    let (region, _proxies) = start_with_relay(&upstreams);
+    let send = |body: &str| region.request_at(region.entry(), "/stream/", body, DEADLINE);
+    eventually("a relayed request", || send("hi").filter(|(status, _)| *status == 200));
+    eventually("a refusal", || {
+        let response = send("crash");
+        thread::sleep(REQUEST_INTERVAL);
+        response.filter(|(_, text)| text.contains(QUARANTINED))
+    });
+    let crashes = upstreams.iter().flat_map(Upstream::runs).filter(|run| run.ends_with("crash"));
+    assert!(crashes.count() < UPSTREAM_COUNT, "refused too late");
+}
+
 /// Guards against requests that fail at an entry whose connections to all upstreams hang, while other
 /// entries reach the upstreams.
 #[test]
