Don't charge a crash to requests whose entry has lost its path to the upstream

Callers: when an entry's connections to upstreams are reset, the requests in flight there, and parts of prompts that they share, could be refused by all entries for 10 minutes: 503, "it has crashed upstreams". Change: a crash is reported for a connection that broke only if the entry can still connect to the upstream, as before, or if no other entry reaches it either. The new test resets the connections of five requests with a common part; a request with that part was refused at the other entry in 3 of 3 runs before, and is not now. The 12 tests of crashes and relays pass three times.

--- a/crates/toucansilld/src/gateway/guard.rs
+++ b/crates/toucansilld/src/gateway/guard.rs
@@ -145,15 +145,33 @@
         });
     }
 
+    /// Reports a crash of the upstream, as the connection broke, unless this daemon has lost its path
+    /// to it: it can't connect, and another daemon can. What broke on the way through another daemon
+    /// counts only if the upstream accepts no connections any more.
+    fn report_if_broken(&self) {
+        let reports: Vec<RunReport> =
+            std::iter::once(self.crash()).chain(self.crash_of_parts()).collect();
+        let (placer, target) = (Arc::clone(&self.placer), self.target());
+        let is_relayed = self.relay.is_some();
+        tokio::spawn(async move {
+            let is_path_kept =
+                !is_relayed && placer.paths.connect(target.address, CONNECT_TIMEOUT).await.is_ok();
+            if !is_path_kept && placer.paths.is_reached_by_others(&target).await {
+                return log::info!(
+                    upstream = target.upstream.as_str();
+                    "no crash reported: the upstream accepts connections of other daemons"
+                );
+            }
+            reports.into_iter().for_each(|report| placer.watchlist.report(report));
+        });
+    }
+
     fn end_once(&mut self, outcome: RequestOutcome) {
         if std::mem::replace(&mut self.has_ended, true) {
             return;
         }
         match outcome {
-            RequestOutcome::Broken => {
-                let reports = std::iter::once(self.crash()).chain(self.crash_of_parts());
-                reports.for_each(|report| self.placer.watchlist.report(report));
-            }
+            RequestOutcome::Broken => self.report_if_broken(),
             RequestOutcome::Silent => self.report_if_crashed(),
             RequestOutcome::Abandoned if !self.has_first_event => {
                 let elapsed = self.placer.clock.now().saturating_duration_since(self.granted_at);
--- a/crates/toucansilld/tests/gateway/lost_paths.rs
+++ b/crates/toucansilld/tests/gateway/lost_paths.rs
@@ -35,6 +35,12 @@
 const TURNED_AWAY_SECONDS: f64 = 10.0;
 /// Number of upstreams in these tests that run one request each.
 const UPSTREAM_COUNT: usize = 5;
+/// Part of the prompts of requests that are in flight.
+const SHARED_PART: &str = "5a5a";
+/// Time after the first own connection within which an entry uses all its paths again.
+const CHECK_TIME: Duration = Duration::from_millis(1_500);
+/// Time within which all daemons know of requests that have crashed upstreams.
+const SPREAD_TIME: Duration = Duration::from_secs(3);
 /// Text by which a daemon refuses a request that has crashed upstreams.
 const QUARANTINED: &str = "it has crashed upstreams";
 /// Deadline of callers.
@@ -303,6 +309,41 @@
     assert!(disconnected.elapsed() < Duration::from_millis(500), "the upstream learns it too late");
 }
 
+/// Guards against requests, and parts of prompts, that are refused everywhere because an entry takes
+/// the loss of its connections for a crash of the upstreams.
+#[test]
+fn requests_in_flight_are_not_refused_after_their_entry_has_lost_its_paths() {
+    let upstreams: Vec<Upstream> = (0..UPSTREAM_COUNT).map(|_| Upstream::silent()).collect();
+    let (region, proxies) = start_with_relay(&upstreams);
+    let [cut_off, other] = [region.entry(), region.entry() + 1];
+    let send = |entry, body: &str, parts: &[&str]| {
+        region.request_with_parts(entry, "/stream/", body, DEADLINE, parts)
+    };
+    eventually("a relayed request", || {
+        region.request_at(cut_off, "/stream/", "", Duration::from_millis(100));
+        upstreams.iter().any(|upstream| !upstream.runs().is_empty()).then_some(())
+    });
+    proxies.iter().for_each(|proxy| proxy.open().expect("the port is still free"));
+    eventually("own connections", || proxies.iter().any(|p| p.accepted() > 0).then_some(()));
+    thread::sleep(CHECK_TIME);
+    thread::scope(|scope| {
+        for i in 0..UPSTREAM_COUNT {
+            let send = &send;
+            scope.spawn(move || send(cut_off, &format!("hi {i}"), &[SHARED_PART, "own"]));
+        }
+        eventually("requests that run on own connections", || {
+            proxies.iter().all(|proxy| proxy.connections() > 0).then_some(())
+        });
+        proxies.iter().for_each(FaultProxy::close);
+    });
+    thread::sleep(SPREAD_TIME);
+    for (body, parts) in [("hi 0", &[SHARED_PART, "own"]), ("other", &[SHARED_PART, "other"])] {
+        let response = send(other, body, parts);
+        let is_refused = |(_, text): &(u16, String)| text.contains(QUARANTINED);
+        assert!(!response.as_ref().is_some_and(is_refused), "{body}: {response:?}");
+    }
+}
+
 /// Guards against a request that crashes upstreams and isn't recognised, as its entry has lost its paths.
 #[test]
 fn a_relayed_request_that_crashes_upstreams_is_refused() {
