--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -6,7 +6,9 @@
 //! the region for each request.
 //!
 //! An upstream may vanish without closing its connections, as may the path to it. Idle connections
-//! are therefore probed, so that a request whose upstream is gone fails after 3 s.
+//! are therefore probed, so that a request whose upstream is gone fails after 3 s. No `TCP_USER_TIMEOUT`
+//! is set: it would take the place of the number of probes, and break a connection on which the upstream
+//! only reads late.
 
 use bytes::{Bytes, BytesMut};
 use http::{Request, Response, request};
--- a/crates/proxy/tests/exchange.rs
+++ b/crates/proxy/tests/exchange.rs
@@ -2,6 +2,7 @@
 
 use http::Request;
 use proxy::{Connector, ExchangeError, ExchangeResponse, read_response_body};
+use socket2::SockRef;
 use std::{fs, net::SocketAddr, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -17,6 +18,10 @@
 const MAX_FLOOD_BYTES: usize = 16 << 20;
 /// Maximum length of a body in these tests, in bytes.
 const MAX_BODY_BYTES: usize = 1 << 20;
+/// Length of a body that doesn't fit into the buffers of a connection, in bytes.
+const LONG_BODY_BYTES: usize = 32 << 20;
+/// Time before an upstream reads it: longer than the probes of a silent connection take.
+const LATE_READ: Duration = Duration::from_millis(4_500);
 /// State of a connection in `/proc/net/tcp` that is established.
 const ESTABLISHED: &str = "01";
 /// Timer of a connection in `/proc/net/tcp` that probes whether the other side still responds.
@@ -84,6 +89,54 @@
     });
 }
 
+/// Guards against probes that give up sooner or later than after 3 s: a `TCP_USER_TIMEOUT` would decide
+/// it instead of their number.
+#[test]
+fn probes_give_up_after_three_seconds() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("listening");
+        let address = listener.local_addr().expect("an address");
+        let stream = Connector::direct().connect(address, TIMEOUT).await.expect("connected");
+        let socket = SockRef::from(&stream);
+        assert!(socket.keepalive().expect("read"));
+        let idle = socket.tcp_keepalive_time().expect("read");
+        let interval = socket.tcp_keepalive_interval().expect("read");
+        let retries = socket.tcp_keepalive_retries().expect("read");
+        assert_eq!(idle + interval * retries, Duration::from_secs(3));
+        assert_eq!(socket.tcp_user_timeout().expect("read"), None);
+    });
+}
+
+/// Guards against a limit on the time for which sent data may wait at an upstream that is alive, such as
+/// `TCP_USER_TIMEOUT` sets: it would break the connection to one that reads a long body late.
+#[test]
+fn an_upstream_that_reads_a_body_late_gets_it() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("listening");
+        let address = listener.local_addr().expect("an address");
+        let body = vec![b'x'; LONG_BODY_BYTES];
+        let upstream = async {
+            let (mut stream, _) = listener.accept().await.expect("accepted");
+            tokio::time::sleep(LATE_READ).await;
+            let (mut buf, mut count) = (vec![0; 64 << 10], 0);
+            while count < LONG_BODY_BYTES {
+                let n = stream.read(&mut buf).await.expect("read");
+                assert!(n > 0, "the connection ended after {count} bytes");
+                count += n;
+            }
+            let response = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+            stream.write_all(response).await.expect("written");
+        };
+        let (parts, ()) = Request::post("/").body(()).expect("a request").into_parts();
+        let exchange = async {
+            let stream = Connector::direct().connect(address, TIMEOUT).await.expect("connected");
+            proxy::exchange(stream, parts, body.into()).await
+        };
+        let (result, ()) = tokio::join!(exchange, upstream);
+        assert_eq!(result.expect("a response").head.status, 200);
+    });
+}
+
 /// Starts an upstream that responds to one request with `start` and then with `rest`, again and again
 /// until the connection is closed. Returns its address, and the number of bytes that it sent.
 async fn start_flood(start: &'static [u8], rest: &'static [u8]) -> (SocketAddr, JoinHandle<usize>) {
