--- a/crates/proxy/src/relays.rs
+++ b/crates/proxy/src/relays.rs
@@ -11,7 +11,7 @@
 const LISTED_NEAR: usize = 2;
 const LISTED_FAR: usize = 4;
 /// Time after its last announcement for which a relay is listed for others.
-const ANNOUNCEMENT_LIFETIME: Duration = Duration::from_secs(10);
+const ANNOUNCEMENT_LIFETIME: Duration = Duration::from_secs(30);
 /// Maximum number of relays that a daemon remembers, and for how long after they were last listed.
 const MAX_KNOWN: usize = 16;
 const KNOWN_LIFETIME: Duration = Duration::from_secs(60);
--- a/crates/toucansilld/src/gateway/relay_announcer.rs
+++ b/crates/toucansilld/src/gateway/relay_announcer.rs
@@ -12,13 +12,12 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::time::sleep;
 
-/// Interval of announcements. The leader drops a relay after three that are missing.
-const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_secs(3);
-/// Pause after an announcement that failed, and after the first ones: while a region starts, the leader
+/// Pause after the first announcement, and after one that failed. While a region starts, the leader
 /// doesn't know the other relays yet.
-const SHORT_PAUSE: Duration = Duration::from_millis(500);
-/// Number of first announcements with a short pause after them.
-const EARLY_ANNOUNCEMENTS: usize = 6;
+const MIN_PAUSE: Duration = Duration::from_millis(500);
+/// Pause between later announcements, of which each is twice as long as the one before up to this. The
+/// leader drops a relay after three that are missing.
+const MAX_PAUSE: Duration = Duration::from_secs(10);
 /// Timeout for the leader's reply.
 const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -36,12 +35,14 @@
 impl RelayAnnouncer {
     /// Announces the entry again and again, until the task is aborted.
     pub(crate) async fn run(self) {
-        let mut announcements = 0;
+        let mut pause = MIN_PAUSE;
         loop {
             let is_announced = self.announce().await;
-            announcements += usize::from(is_announced);
-            let is_settled = is_announced && announcements > EARLY_ANNOUNCEMENTS;
-            sleep(if is_settled { ANNOUNCEMENT_INTERVAL } else { SHORT_PAUSE }).await;
+            sleep(if is_announced { pause } else { MIN_PAUSE }).await;
+            pause = match is_announced {
+                true => (pause * 2).min(MAX_PAUSE),
+                false => pause,
+            };
         }
     }
 
