--- a/crates/toucansilld/tests/gateway/notices.rs
+++ b/crates/toucansilld/tests/gateway/notices.rs
@@ -1,10 +1,10 @@
 //! Tests of upstreams that say in their responses that they leave, or that they want no requests for a
 //! time.
 
-use crate::region::{Region, Upstream, eventually, one_event};
+use crate::region::{Reaction, Region, Upstream, eventually, one_event};
 use platform::stand_in::{
     DOCUMENT_PATH, LEAVING_HEADER_LINE, document, engine_document, parse_request_id,
-    registration_body, turned_away_response, upstream_path,
+    registration_body, response_header_lines, turned_away_response, upstream_path,
 };
 use std::{
     thread,
@@ -25,6 +25,10 @@
 const REQUESTS: usize = 12;
 /// Deadline of each request.
 const DEADLINE: Duration = Duration::from_secs(2);
+/// Time that an engine takes for the head of its response.
+const HEAD_DELAY: Duration = Duration::from_millis(500);
+/// Deadline of requests that wait for an engine.
+const WAITING_DEADLINE: Duration = Duration::from_secs(8);
 
 /// Script of an upstream that leaves and says so in its responses only.
 fn leave(head: &str, body: &str) -> String {
@@ -165,3 +169,102 @@
         assert_eq!(after, before, "no upstream gets it");
     }
 }
+
+/// Start of a stream whose end is missing. `header_line` is one more header line.
+fn stream_start(head: &str, header_line: &str) -> String {
+    let attempt = head.lines().find_map(parse_request_id).unwrap_or_default();
+    format!(
+        "HTTP/1.1 200 OK\r\n{header_line}{}Content-Length: 1000000\r\n\r\nid: 1\ndata: x\n\n",
+        response_header_lines(attempt)
+    )
+}
+
+/// Starts a region with two entries that have the document, and these engines.
+fn start_with_engines(engines: &[&Upstream]) -> Region {
+    let mut region = Region::with_entries(1, 2);
+    region.start_all(true);
+    region.control_request_until_ok(0, "PUT", DOCUMENT_PATH, &engine_document(1, "/x/"));
+    for (i, engine) in engines.iter().enumerate() {
+        register(&region, &format!("engine-{i}"), engine);
+    }
+    for entry in [region.entry(), region.entry() + 1] {
+        eventually("the document", || {
+            let response = region.request_at(entry, "/none/", "", DEADLINE);
+            response.filter(|(status, _)| *status == 404)
+        });
+    }
+    region
+}
+
+fn register(region: &Region, id: &str, upstream: &Upstream) {
+    let body = registration_body(upstream.address, "s1", 1, 1, "ready");
+    region.control_request_until_ok(0, "PUT", &upstream_path(id), &body);
+}
+
+/// Number of requests that have reached an engine.
+fn requests_at(engine: &Upstream) -> usize {
+    engine.runs().iter().filter(|run| !run.starts_with("flooded")).count()
+}
+
+/// Guards against requests that wait for an engine, at the entry that learns that it leaves and at
+/// another one, and are sent there once it has a free slot.
+#[test]
+fn requests_that_wait_are_not_sent_to_an_engine_that_leaves() {
+    let leaving = Upstream::crashing(|head, _| {
+        // The other requests wait by the time of the response.
+        thread::sleep(HEAD_DELAY);
+        Reaction::Flood(stream_start(head, LEAVING_HEADER_LINE), Duration::from_millis(10))
+    });
+    let region = &start_with_engines(&[&leaving]);
+    let entries = [region.entry(), region.entry() + 1];
+    thread::scope(|scope| {
+        let send = |entry, body, deadline| region.request_at(entry, "/x/", body, deadline);
+        let first = scope.spawn(move || send(entries[0], "first", DEADLINE));
+        eventually("the engine is busy", || (requests_at(&leaving) == 1).then_some(()));
+        let waiting =
+            entries.map(|entry| scope.spawn(move || send(entry, "waiting", WAITING_DEADLINE)));
+        first.join().expect("joined");
+        thread::sleep(DRAIN_TIME);
+        assert_eq!(requests_at(&leaving), 1, "requests to the engine that leaves");
+        let other = Upstream::scripted(one_event);
+        register(region, "other", &other);
+        let statuses = waiting.map(|waiting| waiting.join().expect("joined").map(|(s, _)| s));
+        assert_eq!(statuses, [Some(200); 2], "served by the other engine");
+        assert_eq!(requests_at(&leaving), 1, "requests to the engine that leaves");
+    });
+}
+
+/// Guards against a stream that is resumed at the engine that has just said that it leaves.
+#[test]
+fn a_stream_is_not_resumed_at_an_engine_that_leaves() {
+    let leaving = Upstream::scripted(|head, _| stream_start(head, LEAVING_HEADER_LINE));
+    let region = start_with_engines(&[&leaving]);
+    let response = region.request_at(region.entry(), "/x/", "hi", DEADLINE);
+    assert!(response.is_some_and(|(status, body)| status == 200 && body.contains("data: x")));
+    assert_eq!(requests_at(&leaving), 1);
+}
+
+/// Guards against a request that waits for an engine and is sent to one that has turned its entry away
+/// and has a free slot.
+#[test]
+fn a_request_that_waits_is_not_sent_to_an_engine_that_turns_its_entry_away() {
+    let full = Upstream::scripted(turn_away);
+    let busy = Upstream::crashing(|head, body| match body {
+        "first" => Reaction::Flood(stream_start(head, ""), Duration::from_millis(10)),
+        _ => Reaction::Respond(one_event(head, body)),
+    });
+    let region = &start_with_engines(&[&busy]);
+    thread::scope(|scope| {
+        let send = |entry, body, deadline| region.request_at(entry, "/x/", body, deadline);
+        scope.spawn(move || send(region.entry() + 1, "first", DEADLINE));
+        eventually("the engine is busy", || (requests_at(&busy) == 1).then_some(()));
+        register(region, "full", &full);
+        let waiting = scope.spawn(move || send(region.entry(), "waiting", WAITING_DEADLINE));
+        eventually("the request is turned away", || (requests_at(&full) > 0).then_some(()));
+        thread::sleep(TURN_AWAY_GRACE);
+        let before = requests_at(&full);
+        let response = waiting.join().expect("joined");
+        assert_eq!(response.map(|(status, _)| status), Some(200), "served by the other engine");
+        assert!(requests_at(&full) <= before + LATE_REQUESTS_ALLOWED);
+    });
+}
