--- a/crates/toucansilld/tests/gateway/notices.rs
+++ b/crates/toucansilld/tests/gateway/notices.rs
@@ -27,6 +27,8 @@
 const DEADLINE: Duration = Duration::from_secs(2);
 /// Time that an engine takes for the head of its response.
 const HEAD_DELAY: Duration = Duration::from_millis(500);
+/// Time for which a request keeps an engine busy.
+const BUSY_TIME: Duration = Duration::from_secs(3);
 /// Deadline of requests that wait for an engine.
 const WAITING_DEADLINE: Duration = Duration::from_secs(8);
 
@@ -244,27 +246,42 @@
     assert_eq!(requests_at(&leaving), 1);
 }
 
-/// Guards against a request that waits for an engine and is sent to one that has turned its entry away
-/// and has a free slot.
+/// Guards against a request that waits for an engine and is sent to one that has turned its entry away,
+/// once that one has served a request of another entry and has a free slot.
 #[test]
 fn a_request_that_waits_is_not_sent_to_an_engine_that_turns_its_entry_away() {
-    let full = Upstream::scripted(turn_away);
+    let full = Upstream::crashing(|head, body| match body {
+        "slow" => {
+            thread::sleep(HEAD_DELAY + TURN_AWAY_GRACE);
+            Reaction::Respond(one_event(head, body))
+        }
+        _ => Reaction::Respond(turn_away(head, body)),
+    });
     let busy = Upstream::crashing(|head, body| match body {
         "first" => Reaction::Flood(stream_start(head, ""), Duration::from_millis(10)),
         _ => Reaction::Respond(one_event(head, body)),
     });
+    let has_run = |upstream: &Upstream, body: &str| {
+        upstream.runs().iter().any(|run| run.ends_with(&format!("\r\n{body}")))
+    };
     let region = &start_with_engines(&[&busy]);
+    let entries = [region.entry(), region.entry() + 1];
     thread::scope(|scope| {
-        let send = |entry, body, deadline| region.request_at(entry, "/x/", body, deadline);
-        scope.spawn(move || send(region.entry() + 1, "first", DEADLINE));
-        eventually("the engine is busy", || (requests_at(&busy) == 1).then_some(()));
+        let send = |entry, body, deadline| {
+            scope.spawn(move || region.request_at(entry, "/x/", body, deadline))
+        };
+        send(entries[1], "first", BUSY_TIME);
+        eventually("the other engine is busy", || has_run(&busy, "first").then_some(()));
         register(region, "full", &full);
-        let waiting = scope.spawn(move || send(region.entry(), "waiting", WAITING_DEADLINE));
-        eventually("the request is turned away", || (requests_at(&full) > 0).then_some(()));
-        thread::sleep(TURN_AWAY_GRACE);
-        let before = requests_at(&full);
-        let response = waiting.join().expect("joined");
-        assert_eq!(response.map(|(status, _)| status), Some(200), "served by the other engine");
-        assert!(requests_at(&full) <= before + LATE_REQUESTS_ALLOWED);
+        let turned_away = send(entries[0], "turned away", WAITING_DEADLINE);
+        eventually("a request is turned away", || has_run(&full, "turned away").then_some(()));
+        send(entries[1], "slow", DEADLINE);
+        eventually("the engine serves the other entry", || has_run(&full, "slow").then_some(()));
+        let waiting = send(entries[0], "waiting", WAITING_DEADLINE);
+        for sent in [turned_away, waiting] {
+            let response = sent.join().expect("joined");
+            assert_eq!(response.map(|(status, _)| status), Some(200), "served by the other engine");
+        }
+        assert!(!has_run(&full, "waiting"), "sent to the engine that turns its entry away");
     });
 }
