Don't wait for the connection that fills a fault proxy's queue

If a client takes the one place in the queue first, the proxy's own connection hung for minutes, and with it the soak. Now it is given up after 100 ms: the queue is full in either case.

--- a/crates/fake/src/relay.rs
+++ b/crates/fake/src/relay.rs
@@ -16,6 +16,8 @@
 
 /// Length of the queue of connections to be accepted.
 const BACKLOG: i32 = 128;
+/// Timeout for the connection that fills a queue.
+const FILLER_TIMEOUT: Duration = Duration::from_millis(100);
 /// Most bytes that one read from a connection returns.
 const BUF_BYTES: usize = 64 * 1024;
 
@@ -155,8 +157,9 @@
         let socket = kept.map_or_else(|| self.shared.bind(), |(socket, _)| Ok(socket))?;
         // The queue has room for one connection. Packets that open further ones are dropped.
         socket.listen(0)?;
-        let filler = TcpStream::connect(self.shared.address)?;
-        self.shared.lock().closed_socket = Some((socket, Some(filler)));
+        // If it can't be made, a client has filled the queue.
+        let filler = TcpStream::connect_timeout(&self.shared.address, FILLER_TIMEOUT).ok();
+        self.shared.lock().closed_socket = Some((socket, filler));
         Ok(())
     }
 
