Soak with upstreams that leave or turn an entry away by their responses, and with lost paths

Each entry has paths of its own, which a new fault lets hang, be reset, or refuse new connections while open ones live on. Checked: no request that a caller sends to an entry later than the drain time after the entry has passed on such a response reaches that upstream from it; no more than two later than half a second after it was turned away. Restarts and freezes of entries excuse. A routed daemon of the tests now ends its process itself: the test harness waited for the standard output, which the daemon's log has locked, so a stop in the soak hung.

--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -11,7 +11,7 @@
     io::{BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
-    process::{Child, Command, Stdio},
+    process::{self, Child, Command, Stdio},
     sync::{
         Arc, Mutex,
         atomic::{AtomicU64, Ordering},
@@ -53,6 +53,8 @@
     let connector =
         Connector::through(move |address| routes.get(&address).copied().unwrap_or(address));
     gateway::run_with(Path::new(file), connector).expect("a daemon that stops as it is told");
+    // The daemon's log has locked the standard output, to which the test harness would write.
+    process::exit(0);
 }
 
 /// Daemons of a region, with their folders. Dropping it kills them.
@@ -432,14 +434,18 @@
 /// Sends one request on a connection of its own. Returns status and body; `None` if there is no
 /// connection or no response with a head.
 pub(crate) fn exchange(address: &str, request: &str) -> Option<(u16, String)> {
-    let text = exchange_text(address, request)?;
+    status_and_body(&exchange_text(address, request)?)
+}
+
+/// Status and body of a response; `None` if its head is incomplete.
+pub(crate) fn status_and_body(text: &str) -> Option<(u16, String)> {
     let (head, body) = text.split_once("\r\n\r\n")?;
     Some((head.split(' ').nth(1)?.parse().ok()?, body.to_owned()))
 }
 
 /// Sends one request on a connection of its own. Returns all that comes until the connection ends;
 /// `None` if there is no connection.
-fn exchange_text(address: &str, request: &str) -> Option<String> {
+pub(crate) fn exchange_text(address: &str, request: &str) -> Option<String> {
     let mut stream = TcpStream::connect(address).ok()?;
     stream.set_read_timeout(Some(Duration::from_secs(10))).ok()?;
     stream.write_all(request.as_bytes()).ok()?;
@@ -518,15 +524,16 @@
 
     /// Starts an upstream whose responses `script` creates from the head and the body of a request.
     /// It closes the connection after each.
-    pub(crate) fn scripted(script: fn(&str, &str) -> String) -> Self {
+    pub(crate) fn scripted(script: impl Fn(&str, &str) -> String + Send + Sync + 'static) -> Self {
+        let script = Arc::new(script);
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
         let runs = Runs::default();
         let seen = Arc::clone(&runs);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let seen = Arc::clone(&seen);
-                thread::spawn(move || respond_by_script(stream, script, &seen));
+                let (seen, script) = (Arc::clone(&seen), Arc::clone(&script));
+                thread::spawn(move || respond_by_script(stream, &*script, &seen));
             }
         });
         Self { address, runs }
@@ -628,7 +635,7 @@
 }
 
 /// Serves one connection by a script.
-fn respond_by_script(mut stream: TcpStream, script: fn(&str, &str) -> String, seen: &Runs) {
+fn respond_by_script(mut stream: TcpStream, script: &impl Fn(&str, &str) -> String, seen: &Runs) {
     let Some((head, body)) = read_request(&stream) else { return };
     let response = script(&head, &body);
     record(seen, format!("{head}\r\n{body}"));
--- a/crates/toucansilld/tests/soak/main.rs
+++ b/crates/toucansilld/tests/soak/main.rs
@@ -13,15 +13,21 @@
 //!   read was sent.
 //! - No acknowledged change is lost.
 //! - No request reaches an upstream later than the drain time after its departure was acknowledged.
+//! - No request reaches an upstream from an entry later than the drain time after the entry has passed
+//!   on a response that says that the upstream leaves.
+//! - An upstream that turns an entry away for a time gets at most two requests of it later than half a
+//!   second after.
 //! - A request under which upstreams crash is refused for good once a daemon has refused it.
 //! - Requests are served again after the faults.
 
 // The soak test uses only a part of the module.
+mod notices;
 #[allow(dead_code)]
 #[path = "../gateway/region.rs"]
 mod region;
 mod world;
 
+use fake::FaultProxy;
 use platform::stand_in::{DOCUMENT_PATH, document};
 use region::{Region, eventually};
 use std::{
@@ -88,9 +94,12 @@
     /// An entry is frozen while the connections to upstreams are cut, and gets SIGTERM as soon as
     /// it runs again.
     StopAfterFreeze,
+    /// An entry loses its paths to the upstreams: connections hang, or are reset, or live on while new
+    /// ones are refused.
+    LosePaths,
 }
 
-const FAULTS: [Fault; 15] = [
+const FAULTS: [Fault; 16] = [
     Fault::KillControl,
     Fault::KillEntry,
     Fault::KillAllControls,
@@ -106,8 +115,15 @@
     Fault::StopControl,
     Fault::KillWhileFrozen,
     Fault::StopAfterFreeze,
+    Fault::LosePaths,
 ];
 
+/// Not a test by itself: [`Region`] starts this program with it as a daemon.
+#[test]
+fn routed_daemon() {
+    region::run_routed_daemon();
+}
+
 #[test]
 fn guarantees_hold_under_faults() {
     let faults: Option<usize> = env::var("SOAK_FAULTS").ok().and_then(|n| n.parse().ok());
@@ -134,9 +150,10 @@
 fn run(seed: u64, faults: usize, fault_kinds: &[Fault]) {
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut region = Region::with_entries(CONTROL_COUNT, ENTRY_COUNT);
+    let upstreams = Upstreams::start(4);
+    let paths = entry_paths(&mut region, &upstreams);
     region.start_all(true);
     region.control_request_until_ok(0, "PUT", DOCUMENT_PATH, &document(1, "/x/", "s1"));
-    let upstreams = Upstreams::start(4);
     let is_done = AtomicBool::new(false);
     let operator = Operator::new();
     let entry_addresses: Vec<String> =
@@ -145,24 +162,26 @@
         (0..CONTROL_COUNT).map(|i| region.control_address(i)).collect();
     let crashing_caller = CrashingCaller::new(entry_addresses.clone());
     let callers = Callers::new(entry_addresses);
+    let pauses = || upstreams.entry_pauses();
     thread::scope(|scope| {
         scope.spawn(|| upstreams.register(&control_addresses, &is_done));
         scope.spawn(|| upstreams.depart(&control_addresses, &is_done));
+        let leave = scope.spawn(|| upstreams.notices.leave(&pauses, &is_done));
+        let turn_away = scope.spawn(|| upstreams.notices.turn_away(ENTRY_COUNT, &pauses, &is_done));
         scope.spawn(|| crashing_caller.send_requests(&upstreams, &is_done));
         scope.spawn(|| operator.publish(&control_addresses, &is_done));
         scope.spawn(|| operator.read(&control_addresses, &is_done));
         for caller in 0..4 {
-            let callers = &callers;
-            let is_done = &is_done;
-            scope.spawn(move || callers.send_requests(caller, is_done));
+            let (callers, is_done, notices) = (&callers, &is_done, &upstreams.notices);
+            scope.spawn(move || callers.send_requests(caller, notices, is_done));
         }
         for _ in 0..faults {
             let fault = fault_kinds[rng.usize(0..fault_kinds.len())];
             println!("  {fault:?}");
-            inject(fault, &mut region, &upstreams, &mut rng);
+            inject(fault, &mut region, &upstreams, &paths, &mut rng);
             thread::sleep(Duration::from_millis(rng.u64(100..800)));
         }
-        heal(&mut region, &upstreams);
+        heal(&mut region, &upstreams, &paths);
         region.await_members(CONTROL_COUNT);
         let before = callers.answered_count();
         eventually("responses after faults", || {
@@ -170,6 +189,8 @@
         });
         eventually("a quarantine", || crashing_caller.is_known().then_some(()));
         is_done.store(true, Ordering::SeqCst);
+        let (leave, turn_away) = (leave.join().expect("kept"), turn_away.join().expect("kept"));
+        println!("  left by response {leave} times, turned an entry away {turn_away} times");
     });
     crashing_caller.check(&upstreams);
     operator.check_kept(&control_addresses);
@@ -182,14 +203,40 @@
     );
 }
 
+/// Gives each entry paths to the upstreams of its own. Returns the proxies on them, by entry.
+fn entry_paths(region: &mut Region, upstreams: &Upstreams) -> Vec<Vec<FaultProxy>> {
+    let mut paths = Vec::new();
+    for entry in CONTROL_COUNT..CONTROL_COUNT + ENTRY_COUNT {
+        let path = |upstream: &FaultProxy| {
+            let proxy = FaultProxy::start(upstream.address()).expect("a port");
+            (upstream.address(), proxy)
+        };
+        let (upstreams, proxies): (Vec<_>, Vec<_>) = upstreams.proxies().map(path).unzip();
+        let own = proxies.iter().map(FaultProxy::address);
+        region.set_routes(entry, upstreams.into_iter().zip(own).collect());
+        paths.push(proxies);
+    }
+    paths
+}
+
 /// Injects a fault, and ends it if it is not momentary.
-fn inject(fault: Fault, region: &mut Region, upstreams: &Upstreams, rng: &mut fastrand::Rng) {
+fn inject(
+    fault: Fault,
+    region: &mut Region,
+    upstreams: &Upstreams,
+    paths: &[Vec<FaultProxy>],
+    rng: &mut fastrand::Rng,
+) {
     let control = rng.usize(0..CONTROL_COUNT);
     let entry = CONTROL_COUNT + rng.usize(0..ENTRY_COUNT);
     let pause = Duration::from_millis(rng.u64(100..2_500));
     match fault {
         Fault::KillControl => restart(region, control, pause),
-        Fault::KillEntry => restart(region, entry, pause),
+        Fault::KillEntry => {
+            upstreams.entry_paused();
+            restart(region, entry, pause);
+            upstreams.entry_paused();
+        }
         Fault::KillAllControls => {
             (0..CONTROL_COUNT).for_each(|i| region.kill(i));
             thread::sleep(pause / 4);
@@ -202,8 +249,10 @@
             upstreams.entry_paused();
         }
         Fault::StopEntry => {
+            upstreams.entry_paused();
             region.stop(entry);
             region.start(entry, false);
+            upstreams.entry_paused();
         }
         Fault::LoseDisk => {
             // One disk at a time, and only while all daemons are members: the group tolerates the
@@ -229,6 +278,17 @@
             thread::sleep(pause);
             upstreams.proxies().for_each(|proxy| proxy.set_delay(Duration::ZERO));
         }
+        Fault::LosePaths => {
+            let lost = &paths[entry - CONTROL_COUNT];
+            let how = rng.usize(0..3);
+            lost.iter().for_each(|path| match how {
+                0 => path.hang().expect("the port is still free"),
+                1 => path.close(),
+                _ => path.refuse(),
+            });
+            thread::sleep(pause * 2);
+            lost.iter().for_each(|path| path.open().expect("the port is still free"));
+        }
         Fault::StopControl => {
             region.stop(control);
             region.start(control, false);
@@ -269,7 +329,7 @@
 
 /// Starts daemons that have exited, as one does whose id in the group can't be used any more, and
 /// cuts all connections to the upstreams.
-fn heal(region: &mut Region, upstreams: &Upstreams) {
+fn heal(region: &mut Region, upstreams: &Upstreams, paths: &[Vec<FaultProxy>]) {
     region.restart_ended();
-    upstreams.proxies().for_each(|proxy| proxy.cut());
+    upstreams.proxies().chain(paths.iter().flatten()).for_each(|proxy| proxy.cut());
 }
--- a/crates/toucansilld/tests/soak/world.rs
+++ b/crates/toucansilld/tests/soak/world.rs
@@ -1,6 +1,9 @@
 //! Simulated callers, operators and upstreams, with the checks of what each observes.
 
-use crate::region::{Upstream, eventually, exchange};
+use crate::{
+    notices::Notices,
+    region::{Upstream, eventually, exchange, exchange_text, status_and_body},
+};
 use fake::FaultProxy;
 use platform::stand_in::{
     DOCUMENT_PATH, document, registration_body, request_header_lines, upstream_path,
@@ -18,9 +21,9 @@
 /// Interval at which upstreams repeat their registration.
 const REGISTRATION_INTERVAL: Duration = Duration::from_millis(300);
 /// Time after the acknowledgement of a departure for which requests may still arrive.
-const DRAIN_TIME: Duration = Duration::from_millis(2_000);
+pub(crate) const DRAIN_TIME: Duration = Duration::from_millis(2_000);
 /// Time after [`DRAIN_TIME`] in which no request may arrive, and after which the upstream returns.
-const WATCH_TIME: Duration = Duration::from_millis(1_500);
+pub(crate) const WATCH_TIME: Duration = Duration::from_millis(1_500);
 /// Pause between changes of the operator.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(120);
 /// Prefix of the ids of attempts of the request that crashes upstreams.
@@ -36,7 +39,7 @@
 /// Pause between requests of a caller or an operator.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(10);
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
@@ -45,6 +48,8 @@
     upstreams: Vec<(Upstream, FaultProxy)>,
     /// The run of each upstream, and how it registers.
     states: Mutex<Vec<RunState>>,
+    /// Two more, which say in their responses what they want.
+    pub(crate) notices: Notices,
     /// Counts how often an entry was paused or continued: it may have missed a departure.
     entry_pauses: AtomicU64,
     departures: AtomicU64,
@@ -52,15 +57,22 @@
 
 /// Run of an upstream.
 #[derive(Clone, Copy, Debug)]
-struct RunState {
+pub(crate) struct RunState {
     /// Start time of the run, in milliseconds.
-    run: u64,
+    pub(crate) run: u64,
     /// Sequence number of its last registration.
-    sequence: u64,
+    pub(crate) sequence: u64,
     /// State that it registers; `None` once it has deregistered.
     state: Option<&'static str>,
 }
 
+impl RunState {
+    /// State of a run that has not registered yet.
+    pub(crate) fn ready(run: u64) -> Self {
+        Self { run, sequence: 0, state: Some("ready") }
+    }
+}
+
 impl Upstreams {
     pub(crate) fn start(count: usize) -> Self {
         let one = |_| {
@@ -68,28 +80,33 @@
             let proxy = FaultProxy::start(upstream.address).expect("a port");
             (upstream, proxy)
         };
-        let state = RunState { run: 1, sequence: 0, state: Some("ready") };
         Self {
             upstreams: (0..count).map(one).collect(),
-            states: Mutex::new(vec![state; count]),
+            states: Mutex::new(vec![RunState::ready(1); count]),
+            notices: Notices::start(),
             entry_pauses: AtomicU64::new(0),
             departures: AtomicU64::new(0),
         }
     }
 
     pub(crate) fn proxies(&self) -> impl Iterator<Item = &FaultProxy> {
-        self.upstreams.iter().map(|(_, proxy)| proxy)
+        self.upstreams.iter().map(|(_, proxy)| proxy).chain(self.notices.proxies())
     }
 
     pub(crate) fn proxy(&self, i: usize) -> &FaultProxy {
         &self.upstreams[i].1
     }
 
-    /// Records that an entry is about to be paused, or was continued.
+    /// Records that an entry is about to be paused or restarted, or was.
     pub(crate) fn entry_paused(&self) {
         self.entry_pauses.fetch_add(1, Ordering::SeqCst);
     }
 
+    /// Number of times that this was recorded.
+    pub(crate) fn entry_pauses(&self) -> u64 {
+        self.entry_pauses.load(Ordering::SeqCst)
+    }
+
     /// Number of departures after which it was checked that no request arrived.
     pub(crate) fn departures(&self) -> u64 {
         self.departures.load(Ordering::SeqCst)
@@ -103,6 +120,10 @@
                 // If no daemon accepts it, the next registration follows soon.
                 let _ = controls.iter().find(|c| is_ok(exchange(c, &request).as_ref()));
             }
+            for (name, body) in self.notices.registrations() {
+                let request = put(&upstream_path(&name), &body);
+                let _ = controls.iter().find(|c| is_ok(exchange(c, &request).as_ref()));
+            }
             thread::sleep(REGISTRATION_INTERVAL);
         }
     }
@@ -127,8 +148,7 @@
             let path = upstream_path(&format!("u{i}"));
             let late = self.next_registration(i).unwrap_or_default();
             lock(&self.states)[i].state = (turn % 2 == 0).then_some("draining");
-            let pauses = || self.entry_pauses.load(Ordering::SeqCst);
-            let pauses_before = pauses();
+            let pauses_before = self.entry_pauses();
             let mut next_control = turn;
             loop {
                 let request = self.next_registration(i).unwrap_or_else(|| delete(&path));
@@ -148,7 +168,7 @@
             let upstream = &self.upstreams[i].0;
             let runs_before = upstream.runs().len();
             thread::sleep(WATCH_TIME);
-            if pauses() == pauses_before {
+            if self.entry_pauses() == pauses_before {
                 let late_runs = upstream.runs().len() - runs_before;
                 assert_eq!(late_runs, 0, "requests sent to u{i}, which has left (turn {turn})");
                 self.departures.fetch_add(1, Ordering::SeqCst);
@@ -158,14 +178,15 @@
             }
             let mut states = lock(&self.states);
             let run = states[i].run + 1;
-            states[i] = RunState { run, sequence: 0, state: Some("ready") };
+            states[i] = RunState::ready(run);
         }
     }
 
     /// Number of runs of each attempt.
     fn runs(&self) -> BTreeMap<String, usize> {
         let mut runs = BTreeMap::new();
-        for attempt in self.upstreams.iter().flat_map(|(upstream, _)| upstream.runs()) {
+        let runs_of_all = self.upstreams.iter().flat_map(|(upstream, _)| upstream.runs());
+        for attempt in runs_of_all.chain(self.notices.runs()) {
             *runs.entry(attempt).or_default() += 1;
         }
         runs
@@ -286,16 +307,21 @@
     }
 
     /// Sends requests of one caller to the entries in turn.
-    pub(crate) fn send_requests(&self, caller: usize, is_done: &AtomicBool) {
+    pub(crate) fn send_requests(&self, caller: usize, notices: &Notices, is_done: &AtomicBool) {
         let mut next_entry = caller;
         while !is_done.load(Ordering::SeqCst) {
-            next_entry += 1;
+            next_entry = (next_entry + 1) % self.entries.len();
             let attempt = format!("a{}", self.next.fetch_add(1, Ordering::SeqCst));
             let request = format!(
                 "POST /x/{attempt} HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n{}Content-Length: 2\r\n\r\nhi",
                 request_header_lines(&attempt, 3_000)
             );
-            match exchange(&self.entries[next_entry % self.entries.len()], &request) {
+            notices.sending(&attempt, next_entry);
+            let response = exchange_text(&self.entries[next_entry], &request);
+            if let Some(response) = &response {
+                notices.passed_on(next_entry, response);
+            }
+            match response.as_deref().and_then(status_and_body) {
                 Some((200, body)) => {
                     assert_eq!(
                         body,
