--- a/crates/toucansilld/src/gateway.rs
+++ b/crates/toucansilld/src/gateway.rs
@@ -17,6 +17,7 @@
 //!
 //! The asynchronous tasks of a daemon share one thread; the Raft voter has its own.
 
+mod attempt;
 mod bus;
 mod calls;
 mod compress;
@@ -40,6 +41,7 @@
 mod relay_server;
 mod reports;
 mod run;
+mod servers;
 mod settings;
 mod stream;
 mod tickets;
--- a/crates/toucansilld/src/gateway/guard.rs
+++ b/crates/toucansilld/src/gateway/guard.rs
@@ -1,8 +1,8 @@
 //! Grant of an upstream for one request, and what its end tells about the upstream and the request.
 
 use super::{
-    forward::CONNECT_TIMEOUT,
     messages::{Progress, RunReport},
+    paths::CONNECT_TIMEOUT,
     placer::Placer,
     relay::Target,
     reports::Report,
--- a/crates/toucansilld/src/gateway/paths.rs
+++ b/crates/toucansilld/src/gateway/paths.rs
@@ -31,6 +31,9 @@
 };
 use wire::{DaemonId, DataCentreId};
 
+/// Timeout for a connection: hundreds of round trips within a region. It does not cover the loss
+/// of a SYN packet, which TCP resends only after 1 s.
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Timeout for a connection to a relay.
 const RELAY_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Timeout for a relay's reply whether it reaches an upstream.
@@ -114,8 +117,8 @@
 }
 
 /// What came of a message that was sent through relays.
-enum RelayOutcome<T> {
-    Response(T, DaemonId),
+enum RelayOutcome {
+    Response(ExchangeResponse, DaemonId),
     /// The upstream accepts no connection.
     Gone(String),
     /// No relay is known.
@@ -258,7 +261,7 @@
         &self,
         message: &UpstreamMessage,
         sent: &SendState,
-    ) -> RelayOutcome<ExchangeResponse> {
+    ) -> RelayOutcome {
         let address = message.target.address;
         let now = self.clock.now();
         let relays = lock(&self.relays).in_order(now, &self.data_centre, fastrand::usize(..));
@@ -301,7 +304,7 @@
         relay: &RelayDaemon,
         message: &UpstreamMessage,
         sent: &SendState,
-    ) -> (RelayOutcome<ExchangeResponse>, bool) {
+    ) -> (RelayOutcome, bool) {
         let failed = |reason: &dyn std::fmt::Display| {
             (RelayOutcome::AllFailed(format!("{}: {reason}", relay.daemon)), false)
         };
--- a/crates/toucansilld/src/gateway/record.rs
+++ b/crates/toucansilld/src/gateway/record.rs
@@ -1,6 +1,6 @@
 //! Log line and metrics of one request.
 
-use super::{forward::LoggedAttemptOutcome, guard::GrantGuard, view::ViewAge};
+use super::{attempt::LoggedAttemptOutcome, guard::GrantGuard, view::ViewAge};
 use http::StatusCode;
 use kernel::SharedClock;
 use platform::head::PromptPartId;
--- a/crates/toucansilld/src/gateway/relay_server.rs
+++ b/crates/toucansilld/src/gateway/relay_server.rs
@@ -1,8 +1,7 @@
 //! Sends requests of other daemons on to upstreams that those don't reach.
 
 use super::{
-    forward::CONNECT_TIMEOUT,
-    paths::Paths,
+    paths::{CONNECT_TIMEOUT, Paths},
     placer::Placer,
     relay::{RelayFailure, RelayedKind, Target, failure_header, response_headers, take_address},
 };
--- /dev/null
+++ b/crates/toucansilld/src/gateway/servers.rs
@@ -0,0 +1,202 @@
+//! Servers of a gateway daemon: for callers, other entries, readiness checks, control requests and
+//! metrics.
+
+use super::{
+    compress::DOCUMENT_BYTES_MAX,
+    control::{ControlMember, status_of},
+    entry::CallerHandler,
+    messages::ControlHttpRequest,
+    relay_server::RelayHandler,
+    settings::{ControlSettings, EntrySettings, GatewaySettings},
+    view::View,
+};
+use crate::error::{Error, Result};
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use metrics_exporter_prometheus::PrometheusHandle;
+use proxy::{Body, ConnectionCount, Server, ServerConfig, empty, full, read_request_body, serve};
+use routing::HttpLimits;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{sync::watch, time::sleep};
+
+/// Maximum number of connections to each of the control, readiness and metrics addresses: several
+/// times the number of upstreams of a region.
+const MAX_INTERNAL_CONNECTIONS: usize = 512;
+/// Maximum number of messages that are relayed at a time. Each uses two connections.
+const MAX_RELAY_CONNECTIONS: usize = 256;
+/// Timeout for the body of an HTTP control request.
+const CONTROL_BODY_TIMEOUT: Duration = Duration::from_secs(5);
+/// Interval at which the samples of histograms are aggregated. Without it they would pile up in
+/// memory.
+const METRICS_UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+/// Server for callers.
+pub(super) struct CallerServer {
+    pub(super) connections: ConnectionCount,
+    /// Task that accepts connections. Aborting it closes the listening socket.
+    pub(super) listener: tokio::task::JoinHandle<()>,
+}
+
+/// Starts the server for callers.
+pub(super) fn serve_entry(
+    cfg: &EntrySettings,
+    entry: Arc<CallerHandler>,
+    is_stopping: watch::Receiver<bool>,
+) -> Result<CallerServer> {
+    let limits = HttpLimits::default();
+    let server_cfg = ServerConfig {
+        max_head_bytes: usize::try_from(limits.head_bytes).unwrap_or(usize::MAX),
+        idle_timeout: limits.idle_timeout,
+        max_connections: cfg.max_connections,
+    };
+    let server = bind("entry.callers", cfg.callers, server_cfg)?;
+    let connections = server.connection_count();
+    let listener =
+        tokio::spawn(serve(server, is_stopping, move |req| Arc::clone(&entry).handle(req)));
+    Ok(CallerServer { connections, listener })
+}
+
+/// Starts the server for messages that other entries want to be sent on. Returns the number of its
+/// connections.
+pub(super) fn serve_relay(
+    address: SocketAddr,
+    relay: RelayHandler,
+    is_stopping: watch::Receiver<bool>,
+) -> Result<ConnectionCount> {
+    let limits = HttpLimits::default();
+    let server_cfg = ServerConfig {
+        // What a caller may send, and what its entry adds.
+        max_head_bytes: usize::try_from(limits.head_bytes).unwrap_or(usize::MAX) * 2,
+        idle_timeout: limits.idle_timeout,
+        max_connections: MAX_RELAY_CONNECTIONS,
+    };
+    let server = bind("entry.relay", address, server_cfg)?;
+    let connections = server.connection_count();
+    let relay = Arc::new(relay);
+    tokio::spawn(serve(server, is_stopping, move |req| Arc::clone(&relay).handle(req)));
+    Ok(connections)
+}
+
+/// Starts the server for readiness checks. The daemon is ready once it knows routing, until the
+/// stop signal.
+pub(super) fn serve_readiness(
+    cfg: &EntrySettings,
+    view: Arc<View>,
+    is_stopping: watch::Receiver<bool>,
+) -> Result<()> {
+    let server = bind("entry.readiness", cfg.readiness, internal_config())?;
+    let stopping = is_stopping.clone();
+    let handler = move |req: Request<Incoming>| {
+        let is_ready = !*stopping.borrow() && view.table().is_some();
+        let status = match (req.uri().path(), is_ready) {
+            (platform::control::READY_PATH, true) => StatusCode::OK,
+            (platform::control::READY_PATH, false) => StatusCode::SERVICE_UNAVAILABLE,
+            _ => StatusCode::NOT_FOUND,
+        };
+        async move { with_status(status) }
+    };
+    // Keeps serving while the daemon drains, to report that it is not ready: this channel never
+    // turns true.
+    let (never_tx, never) = watch::channel(false);
+    tokio::spawn(async move {
+        serve(server, never, handler).await;
+        drop(never_tx);
+    });
+    drop(is_stopping);
+    Ok(())
+}
+
+/// Starts the server for HTTP control requests.
+pub(super) fn serve_control(
+    cfg: &ControlSettings,
+    control: Arc<ControlMember>,
+    is_stopping: watch::Receiver<bool>,
+) -> Result<()> {
+    let server = bind("control.listen", cfg.listen, internal_config())?;
+    let handler = move |req: Request<Incoming>| handle_control_request(Arc::clone(&control), req);
+    tokio::spawn(serve(server, is_stopping, handler));
+    Ok(())
+}
+
+/// Reads and handles one HTTP control request.
+async fn handle_control_request(
+    control: Arc<ControlMember>,
+    req: Request<Incoming>,
+) -> Response<Body> {
+    let (parts, body) = req.into_parts();
+    let body = match read_request_body(body, DOCUMENT_BYTES_MAX, CONTROL_BODY_TIMEOUT).await {
+        Ok(body) => body,
+        Err(status) => {
+            log::warn!(
+                path = parts.uri.path(), status = status.as_u16(); "control request not read"
+            );
+            return with_status(status);
+        }
+    };
+    let request = ControlHttpRequest {
+        method: parts.method.to_string(),
+        path: parts.uri.path().to_owned(),
+        body: body.to_vec(),
+    };
+    let control_response = control.handle_control(request).await;
+    let status = status_of(&control_response);
+    if status.is_server_error() {
+        log::warn!(
+            method:% = parts.method, path = parts.uri.path(), status = control_response.status;
+            "call not answered: {}", String::from_utf8_lossy(&control_response.body)
+        );
+    }
+    let mut response = Response::new(full(control_response.body));
+    *response.status_mut() = status;
+    let json = http::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(http::header::CONTENT_TYPE, json);
+    response
+}
+
+/// Starts the server for metrics, and their periodic aggregation.
+pub(super) fn serve_metrics(
+    settings: &GatewaySettings,
+    metrics: PrometheusHandle,
+    is_stopping: watch::Receiver<bool>,
+) -> Result<()> {
+    let server = bind("metrics", settings.metrics, internal_config())?;
+    let upkeep = metrics.clone();
+    tokio::spawn(async move {
+        loop {
+            sleep(METRICS_UPKEEP_INTERVAL).await;
+            upkeep.run_upkeep();
+        }
+    });
+    let handler = move |req: Request<Incoming>| {
+        let text = (req.uri().path() == "/metrics").then(|| metrics.render());
+        async move {
+            match text {
+                Some(text) => Response::new(full(text)),
+                None => with_status(StatusCode::NOT_FOUND),
+            }
+        }
+    };
+    tokio::spawn(serve(server, is_stopping, handler));
+    Ok(())
+}
+
+/// Listens on an address. The error names the setting that it comes from.
+fn bind(setting: &str, address: SocketAddr, cfg: ServerConfig) -> Result<Server> {
+    Server::bind(address, cfg).map_err(|err| Error::start(setting, format!("{address}: {err}")))
+}
+
+/// Bounds of the servers that are not for callers.
+fn internal_config() -> ServerConfig {
+    let limits = HttpLimits::default();
+    ServerConfig {
+        max_head_bytes: usize::try_from(limits.head_bytes).unwrap_or(usize::MAX),
+        idle_timeout: limits.idle_timeout,
+        max_connections: MAX_INTERNAL_CONNECTIONS,
+    }
+}
+
+/// Response with a status and no body.
+fn with_status(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(empty());
+    *response.status_mut() = status;
+    response
+}
--- a/crates/toucansilld/src/gateway/stream.rs
+++ b/crates/toucansilld/src/gateway/stream.rs
@@ -2,7 +2,8 @@
 //! off.
 
 use super::{
-    forward::{ForwardedRequest, StreamingResponse, UpstreamResponse, broken_failure, outcome_of},
+    attempt::{LoggedAttemptOutcome, broken_failure, outcome_of},
+    forward::{ForwardedRequest, StreamingResponse, UpstreamResponse},
     record::{PlacementSummary, RequestRecord},
 };
 use grant::RequestOutcome;
@@ -54,7 +55,7 @@
             }
             PartEnd::Failed(failure, reason) => (failure, reason),
         };
-        let end = super::forward::LoggedAttemptOutcome::Failed(failure, reason);
+        let end = LoggedAttemptOutcome::Failed(failure, reason);
         let placement = PlacementSummary::new(&guard, Duration::ZERO);
         record.add_attempt(&placement, guard.relay.as_ref(), ms, &end);
         guard.end(outcome_of(failure));
