--- a/crates/toucansilld/src/gateway/attempt.rs
+++ b/crates/toucansilld/src/gateway/attempt.rs
@@ -27,6 +27,7 @@
 /// Multiple of the expected time that a response, or the next event, may take before the request
 /// is retried elsewhere.
 const RESPONSE_TIMEOUT_FACTOR: u32 = 4;
+
 /// How an attempt ended, for the log.
 #[derive(Clone, Debug)]
 pub(crate) enum LoggedAttemptOutcome {
--- a/crates/toucansilld/src/gateway/servers.rs
+++ b/crates/toucansilld/src/gateway/servers.rs
@@ -29,6 +29,7 @@
 /// Interval at which the samples of histograms are aggregated. Without it they would pile up in
 /// memory.
 const METRICS_UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Server for callers.
 pub(super) struct CallerServer {
     pub(super) connections: ConnectionCount,
