--- a/crates/proxy/src/paths.rs
+++ b/crates/proxy/src/paths.rs
@@ -128,8 +128,8 @@
         (self.is_isolated && !was_isolated).then_some(PathsChange::Lost)
     }
 
-    /// Records that another daemon didn't reach an upstream either.
-    pub fn is_gone(&mut self, now: Instant, upstream: SocketAddr) {
+    /// Records that other daemons didn't reach an upstream either.
+    pub fn not_reached_by_others(&mut self, now: Instant, upstream: SocketAddr) {
         self.lost.remove(&upstream);
         self.gone.retain(|_, at| now.saturating_duration_since(*at) < GONE_TIME);
         self.gone.insert(upstream, now);
--- a/crates/proxy/src/relays.rs
+++ b/crates/proxy/src/relays.rs
@@ -7,13 +7,15 @@
 };
 use wire::{DaemonId, DataCentreId};
 
-/// Number of relays in the same data centre, and in others, that a daemon is told of at a time.
+/// Number of relays in its own data centre that a daemon is told of at a time.
 const LISTED_NEAR: usize = 2;
+/// Number of relays in other data centres that a daemon is told of at a time.
 const LISTED_FAR: usize = 4;
 /// Time after its last announcement for which a relay is listed for others.
 const ANNOUNCEMENT_LIFETIME: Duration = Duration::from_secs(30);
-/// Maximum number of relays that a daemon remembers, and for how long after they were last listed.
+/// Maximum number of relays that a daemon remembers.
 const MAX_KNOWN: usize = 16;
+/// Time after a relay was last listed for which a daemon remembers it.
 const KNOWN_LIFETIME: Duration = Duration::from_secs(60);
 /// Time after a failure for which a relay is tried only after others.
 const FAILURE_PENALTY: Duration = Duration::from_secs(10);
--- a/crates/proxy/tests/paths.rs
+++ b/crates/proxy/tests/paths.rs
@@ -24,7 +24,7 @@
     let now = Instant::now();
     let mut paths = PathTable::default();
     paths.connection_failed(now, upstream(1));
-    paths.is_gone(now, upstream(1));
+    paths.not_reached_by_others(now, upstream(1));
     assert_eq!(paths.choice(now, upstream(1)), PathChoice::Direct);
     assert_eq!(paths.choice(now, upstream(2)), PathChoice::DirectThenRelay);
     // It may have returned meanwhile, or the other daemon may have lost its path too.
@@ -110,7 +110,7 @@
                     paths.relayed(upstream(i % 4));
                     assert_eq!(paths.choice(now, upstream(i % 4)), PathChoice::Relay);
                 }
-                Event::Gone(i) => paths.is_gone(now, upstream(i % 4)),
+                Event::Gone(i) => paths.not_reached_by_others(now, upstream(i % 4)),
             }
             let is_relayed = |i| paths.choice(now, upstream(i)) == PathChoice::Relay;
             let has_lost_paths = (0..4).any(is_relayed);
--- a/crates/toucansilld/src/gateway/guard.rs
+++ b/crates/toucansilld/src/gateway/guard.rs
@@ -148,7 +148,7 @@
     /// Reports a crash of the upstream, as the connection broke, unless this daemon has lost its path
     /// to it: it can't connect, and another daemon can. What broke on the way through another daemon
     /// counts only if the upstream accepts no connections any more.
-    fn report_if_broken(&self) {
+    fn report_crash_unless_path_lost(&self) {
         let reports: Vec<RunReport> =
             std::iter::once(self.crash()).chain(self.crash_of_parts()).collect();
         let (placer, target) = (Arc::clone(&self.placer), self.target());
@@ -171,7 +171,7 @@
             return;
         }
         match outcome {
-            RequestOutcome::Broken => self.report_if_broken(),
+            RequestOutcome::Broken => self.report_crash_unless_path_lost(),
             RequestOutcome::Silent => self.report_if_crashed(),
             RequestOutcome::Abandoned if !self.has_first_event => {
                 let elapsed = self.placer.clock.now().saturating_duration_since(self.granted_at);
--- a/crates/toucansilld/src/gateway/paths.rs
+++ b/crates/toucansilld/src/gateway/paths.rs
@@ -73,8 +73,7 @@
         self.0.load(Ordering::Relaxed)
     }
 
-    /// Records that the next attempt begins: those before it have proved that nothing was run, or are
-    /// known by their failures.
+    /// Records that nothing has been sent yet, as an attempt begins or is known to have sent nothing.
     pub(crate) fn reset(&self) {
         self.0.store(false, Ordering::Relaxed);
     }
@@ -287,7 +286,7 @@
                     not_reached += 1;
                     // The relay may have lost its paths just now too, without knowing.
                     if not_reached >= MIN_NOT_REACHED || !self.has_several_failures() {
-                        lock(&self.table).is_gone(self.clock.now(), address);
+                        lock(&self.table).not_reached_by_others(self.clock.now(), address);
                         return RelayOutcome::Gone(reason);
                     }
                     last_failure = Some(reason);
--- a/crates/toucansilld/src/gateway/relay.rs
+++ b/crates/toucansilld/src/gateway/relay.rs
@@ -102,7 +102,7 @@
 /// Why a relay has no response of the upstream; `None` if it has one.
 pub(crate) fn read_failure(headers: &HeaderMap) -> Option<RelayFailure> {
     let value = headers.get(FAILURE)?;
-    // Nothing is known of a failure that isn't known here, as if the connection had broken.
+    // A failure of a later build, which may have come after the request was sent.
     Some(named(&FAILURES, value).unwrap_or(RelayFailure::Broken))
 }
 
--- a/crates/toucansilld/src/gateway/tickets.rs
+++ b/crates/toucansilld/src/gateway/tickets.rs
@@ -25,9 +25,9 @@
     time::{sleep, timeout},
 };
 
-/// Time for which memory stays reserved without a renewal. Together with the check of the engine and
-/// the order before it, both limited by [`ORDER_TIMEOUT`], it is at most the 4 s within which memory
-/// has to be free after the end of a request.
+/// Time for which memory stays reserved without a renewal. Together with [`ORDER_TIMEOUT`], which limits
+/// the order that follows as soon as a connection to the engine is made, it is less than the 4 s within
+/// which memory has to be free after the end of a request.
 const RESERVATION_LIFETIME: Duration = Duration::from_millis(3_200);
 /// Interval of renewals. Two in a row may be lost before the reservation expires.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/toucansilld/tests/gateway/crashes.rs
+++ b/crates/toucansilld/tests/gateway/crashes.rs
@@ -2,7 +2,10 @@
 //! refused after the third crash, whatever daemon gets it; so must different requests that have a part
 //! of their prompts in common which crashes upstreams, after the fifth.
 
-use crate::region::{Reaction, Region, Upstream, eventually, one_event};
+use crate::{
+    region::{Region, eventually},
+    stand_ins::{Reaction, Upstream, one_event},
+};
 use platform::stand_in::{DOCUMENT_PATH, document, engine_document, upstream_path};
 use std::{thread, time::Duration};
 
--- a/crates/toucansilld/tests/gateway/departures.rs
+++ b/crates/toucansilld/tests/gateway/departures.rs
@@ -1,7 +1,10 @@
 //! Tests of upstreams that announce their departure: once it is acknowledged, no request may reach
 //! them, whatever happens to the daemons that knew of it.
 
-use crate::region::{Region, Upstream, eventually};
+use crate::{
+    region::{Region, eventually},
+    stand_ins::Upstream,
+};
 use platform::stand_in::{DOCUMENT_PATH, document, registration_body, upstream_path};
 use std::time::{Duration, Instant};
 
--- a/crates/toucansilld/tests/gateway/engines.rs
+++ b/crates/toucansilld/tests/gateway/engines.rs
@@ -1,6 +1,9 @@
 //! Tests of streams that break off and of prompts that exceed the memory of one engine.
 
-use crate::region::{Reaction, Region, Upstream, eventually};
+use crate::{
+    region::{Region, eventually},
+    stand_ins::{Reaction, Upstream},
+};
 use platform::stand_in::{
     DOCUMENT_PATH, ENGINE_MEMORY_TOKENS, ReceivedOrder, engine_document,
     engine_document_with_pause_target, parse_order, parse_request_id, response_header_lines,
--- a/crates/toucansilld/tests/gateway/limits.rs
+++ b/crates/toucansilld/tests/gateway/limits.rs
@@ -1,6 +1,9 @@
 //! Tests of an upstream that names the requests per second which it takes from all daemons together.
 
-use crate::region::{Region, Upstream, eventually, one_event, read_request};
+use crate::{
+    region::{Region, eventually},
+    stand_ins::{Upstream, one_event, read_request},
+};
 use platform::stand_in::{
     DOCUMENT_PATH, document, engine_document, limit_header_line, parse_request_id,
     registration_body, response_header_lines, upstream_path,
--- a/crates/toucansilld/tests/gateway/lost_paths.rs
+++ b/crates/toucansilld/tests/gateway/lost_paths.rs
@@ -1,7 +1,10 @@
 //! Tests of entries that lose their paths to the upstreams, while callers and the other daemons
 //! still reach them.
 
-use crate::region::{Reaction, Region, Routes, Upstream, eventually, exchange, one_event};
+use crate::{
+    region::{Region, Routes, eventually, exchange},
+    stand_ins::{Reaction, Upstream, one_event},
+};
 use fake::FaultProxy;
 use platform::stand_in::{
     DOCUMENT_PATH, mixed_document, parse_request_id, registration_body, request_header_lines,
--- a/crates/toucansilld/tests/gateway/main.rs
+++ b/crates/toucansilld/tests/gateway/main.rs
@@ -8,9 +8,11 @@
 mod lost_paths;
 mod notices;
 mod region;
+mod stand_ins;
 
 use platform::stand_in::{DOCUMENT_PATH, document, engine_document, upstream_path};
-use region::{Region, Upstream, eventually};
+use region::{Region, eventually};
+use stand_ins::Upstream;
 use std::thread;
 
 /// Not a test by itself: [`Region`] starts this program with it as a daemon.
--- a/crates/toucansilld/tests/gateway/notices.rs
+++ b/crates/toucansilld/tests/gateway/notices.rs
@@ -1,7 +1,10 @@
 //! Tests of upstreams that say in their responses that they leave, or that they want no requests for a
 //! time.
 
-use crate::region::{Reaction, Region, Upstream, eventually, one_event};
+use crate::{
+    region::{Region, eventually},
+    stand_ins::{Reaction, Upstream, one_event},
+};
 use platform::stand_in::{
     DOCUMENT_PATH, LEAVING_HEADER_LINE, document, engine_document, parse_request_id,
     registration_body, response_header_lines, turned_away_response, upstream_path,
--- a/crates/toucansilld/tests/soak/main.rs
+++ b/crates/toucansilld/tests/soak/main.rs
@@ -20,12 +20,16 @@
 //! - A request under which upstreams crash is refused for good once a daemon has refused it.
 //! - Requests are served again after the faults.
 
-// The soak test uses only a part of the module.
 mod notices;
+mod world;
+
+// The soak test uses only a part of these modules.
 #[allow(dead_code)]
 #[path = "../gateway/region.rs"]
 mod region;
-mod world;
+#[allow(dead_code)]
+#[path = "../gateway/stand_ins.rs"]
+mod stand_ins;
 
 use fake::FaultProxy;
 use platform::stand_in::{DOCUMENT_PATH, document};
--- a/crates/toucansilld/tests/soak/notices.rs
+++ b/crates/toucansilld/tests/soak/notices.rs
@@ -2,7 +2,7 @@
 //! for a time, with the checks that entries keep to it.
 
 use crate::{
-    region::Upstream,
+    stand_ins::Upstream,
     world::{DRAIN_TIME, RunState, WATCH_TIME, lock},
 };
 use fake::FaultProxy;
--- a/crates/toucansilld/tests/soak/world.rs
+++ b/crates/toucansilld/tests/soak/world.rs
@@ -2,7 +2,8 @@
 
 use crate::{
     notices::Notices,
-    region::{Upstream, eventually, exchange, exchange_text, status_and_body},
+    region::{eventually, exchange, exchange_text, status_and_body},
+    stand_ins::Upstream,
 };
 use fake::FaultProxy;
 use platform::stand_in::{
