Read bounds and the memory of a VM with a fraction

Small twins of large deployments scale their bounds.

Times keep their fraction. The slack of retries does too, and each share that a daemon takes of it is rounded down, so that all together stay within the rule. Counts (connections, tolerated losses) stay whole. Negative numbers, NaN, infinity and times beyond a year are refused at start, in one line with file and key.

--- a/crates/grant/src/dispatcher.rs
+++ b/crates/grant/src/dispatcher.rs
@@ -53,7 +53,7 @@
     /// Retries allowed for each first attempt.
     pub retry_ratio: f64,
     /// Retries allowed in addition to those in proportion to first attempts.
-    pub retry_slack: u32,
+    pub retry_slack: f64,
     /// Time without a registration after which an upstream is avoided, unless it completed a
     /// response within the last 3 s.
     pub silence_timeout: Duration,
@@ -61,7 +61,7 @@
 
 impl Default for DispatcherConfig {
     fn default() -> Self {
-        Self { retry_ratio: 0.2, retry_slack: 100, silence_timeout: Duration::from_millis(4_600) }
+        Self { retry_ratio: 0.2, retry_slack: 100.0, silence_timeout: Duration::from_millis(4_600) }
     }
 }
 
@@ -124,7 +124,7 @@
     /// was known keeps its retry budget.
     pub fn set_services(&mut self, services: &[Service]) {
         let percent = (self.cfg.retry_ratio * RETRY_BUDGET_SHARE * 100.0) as u32;
-        let slack = (f64::from(self.cfg.retry_slack) * RETRY_BUDGET_SHARE) as u32;
+        let slack = (self.cfg.retry_slack * RETRY_BUDGET_SHARE) as u32;
         let mut former = std::mem::take(&mut self.services);
         for service in services {
             let Some(profile) = service.engine.clone() else { continue };
--- a/crates/grant/tests/dispatcher.rs
+++ b/crates/grant/tests/dispatcher.rs
@@ -29,7 +29,7 @@
         let mut service = Service::new(SERVICE);
         service.cold_requests_per_s = 4.0;
         service.engine = Some(EngineProfile::example());
-        let cfg = DispatcherConfig { retry_ratio: 0.2, retry_slack: 100, ..Default::default() };
+        let cfg = DispatcherConfig { retry_ratio: 0.2, retry_slack: 100.0, ..Default::default() };
         let mut dispatcher = Dispatcher::new(cfg);
         dispatcher.set_services(&[service]);
         Self { now, directory, dispatcher, last_number: 0 }
--- a/crates/toucansilld/src/gateway/placer.rs
+++ b/crates/toucansilld/src/gateway/placer.rs
@@ -127,7 +127,7 @@
     /// Retries allowed in the region for each first attempt, for each service.
     ratio: f64,
     /// Maximum balance of each service's budget, in retries for the whole region.
-    slack: u32,
+    slack: f64,
     /// By service; with the number of entry daemons that the slack was divided by.
     budgets: Mutex<BTreeMap<ServiceId, (u32, RetryBudget)>>,
 }
@@ -145,7 +145,7 @@
         let share = if is_leader_placed { LOCAL_RETRY_SHARE } else { 1.0 - LOCAL_RETRY_SHARE };
         let new_budget = || {
             let percent = (self.ratio * share * 100.0) as u32;
-            let slack = f64::from(self.slack) * share / f64::from(entry_daemons.max(1));
+            let slack = self.slack * share / f64::from(entry_daemons.max(1));
             (entry_daemons, RetryBudget::new(percent, slack as u32))
         };
         let mut budgets = lock(&self.budgets);
--- a/crates/toucansilld/src/gateway/run.rs
+++ b/crates/toucansilld/src/gateway/run.rs
@@ -218,7 +218,7 @@
         }
     }
     if let Some(callers) = callers {
-        let limit = Duration::from_millis(settings.bounds.stop_ms);
+        let limit = settings.bounds.stop_time();
         let relayed = relayed.unwrap_or_default();
         drain(callers, relayed, stopping, limit, &is_stopping_soon_tx).await;
     }
--- a/crates/toucansilld/src/gateway/settings.rs
+++ b/crates/toucansilld/src/gateway/settings.rs
@@ -68,18 +68,18 @@
     pub max_connections: usize,
     /// Memory of the VM, in MiB. A quarter of it is for bodies of requests in progress.
     #[serde(default = "default_memory_mb")]
-    pub memory_mb: u64,
+    pub memory_mb: f64,
 }
 
 /// Memory of a small VM.
-fn default_memory_mb() -> u64 {
-    256
+fn default_memory_mb() -> f64 {
+    256.0
 }
 
 impl EntrySettings {
     /// Memory for bodies of requests in progress, in bytes.
     pub(crate) fn body_bytes(&self) -> u64 {
-        (self.memory_mb << 20) / 4
+        (self.memory_mb * f64::from(1 << 20)) as u64 / 4
     }
 }
 
@@ -99,49 +99,86 @@
     pub tolerated_losses: usize,
 }
 
-/// Bounds that the deployment sets, in milliseconds where a name ends in `_ms`.
+/// Longest time that a bound may state, in milliseconds: a year. Sums and multiples of such times
+/// don't overflow.
+const MAX_BOUND_MS: f64 = 365.0 * 24.0 * 3_600.0 * 1_000.0;
+
+/// Bounds that the deployment sets, in milliseconds where a name ends in `_ms`. They may have a
+/// fraction, as deployments scale them.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Bounds {
     /// Interval at which upstreams repeat their registration.
-    pub registration_interval_ms: u64,
+    pub registration_interval_ms: f64,
     /// Time from the stop signal until the process is killed.
-    pub stop_ms: u64,
+    pub stop_ms: f64,
     /// Time within which an acknowledged change must be in force.
-    pub apply_ms: u64,
+    pub apply_ms: f64,
     /// Retries allowed for each first attempt, for each service.
     pub retry_ratio: f64,
     /// Maximum balance that each service's retry budget saves up, in retries for the whole
-    /// region.
-    pub retry_slack: u32,
+    /// region. Daemons round down what they take of it.
+    pub retry_slack: f64,
 }
 
 impl Default for Bounds {
     /// Bounds of a deployment that states none.
     fn default() -> Self {
         Self {
-            registration_interval_ms: 1_000,
-            stop_ms: 10_000,
-            apply_ms: 2_000,
+            registration_interval_ms: 1_000.0,
+            stop_ms: 10_000.0,
+            apply_ms: 2_000.0,
             retry_ratio: 0.2,
-            retry_slack: 100,
+            retry_slack: 100.0,
         }
     }
 }
 
 impl Bounds {
+    /// Time from the stop signal until the process is killed.
+    pub(crate) fn stop_time(&self) -> Duration {
+        milliseconds(self.stop_ms)
+    }
+
     /// Longest time that the acknowledgement of a change waits for the live followers: a third
     /// of the time within which the change has to be in force, so that slower daemons have the
     /// rest.
     pub(crate) fn followed_timeout(&self) -> Duration {
-        Duration::from_millis(self.apply_ms / 3)
+        milliseconds(self.apply_ms) / 3
     }
 
     /// Time without a registration after which an upstream may be dead: three lost registrations
     /// and a second.
     pub(crate) fn silence_timeout(&self) -> Duration {
-        Duration::from_millis(self.registration_interval_ms * 3 + 1_000)
+        milliseconds(self.registration_interval_ms) * 3 + Duration::from_secs(1)
     }
+
+    /// Rejects values that can't be. The error is the key and what is wrong.
+    fn check(&self) -> result::Result<(), (&'static str, String)> {
+        let times = [
+            ("bounds.registration_interval_ms", self.registration_interval_ms),
+            ("bounds.stop_ms", self.stop_ms),
+            ("bounds.apply_ms", self.apply_ms),
+        ];
+        for (key, ms) in times {
+            if !(ms > 0.0 && ms <= MAX_BOUND_MS) {
+                return Err((key, format!("{ms} is not above 0 and at most {MAX_BOUND_MS}")));
+            }
+        }
+        let numbers =
+            [("bounds.retry_ratio", self.retry_ratio), ("bounds.retry_slack", self.retry_slack)];
+        for (key, number) in numbers {
+            if !(number.is_finite() && number >= 0.0) {
+                return Err((key, format!("{number} is not a number of 0 or more")));
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Duration of a bound that has been checked.
+fn milliseconds(ms: f64) -> Duration {
+    Duration::from_secs_f64(ms / 1_000.0)
 }
 
 impl GatewaySettings {
@@ -179,21 +216,15 @@
     /// Rejects values whose fault would show only later, at run time. The error is the key and
     /// what is wrong.
     fn check(&self) -> result::Result<(), (&'static str, String)> {
-        let positive = |key, value: u64| match value {
-            0 => Err((key, "must be above 0".to_owned())),
-            _ => Ok(()),
-        };
         if let Some(entry) = &self.entry {
-            positive("entry.max_connections", entry.max_connections as u64)?;
-            positive("entry.memory_mb", entry.memory_mb)?;
-        }
-        let bounds = &self.bounds;
-        positive("bounds.registration_interval_ms", bounds.registration_interval_ms)?;
-        positive("bounds.stop_ms", bounds.stop_ms)?;
-        positive("bounds.apply_ms", bounds.apply_ms)?;
-        if !(bounds.retry_ratio.is_finite() && bounds.retry_ratio >= 0.0) {
-            return Err(("bounds.retry_ratio", "must be a number of 0 or more".to_owned()));
+            if entry.max_connections == 0 {
+                return Err(("entry.max_connections", "must be above 0".to_owned()));
+            }
+            if !(entry.memory_mb > 0.0 && entry.memory_mb.is_finite()) {
+                return Err(("entry.memory_mb", format!("{} is not above 0", entry.memory_mb)));
+            }
         }
+        self.bounds.check()?;
         let mut taken = BTreeMap::new();
         for (key, address) in self.listen_addresses() {
             // Port 0 means any free port.
