--- a/crates/grant/src/dispatcher.rs
+++ b/crates/grant/src/dispatcher.rs
@@ -102,6 +102,7 @@
     /// Requests that have crashed upstreams and are refused.
     quarantined: BTreeSet<RequestHash>,
     next_grant: GrantId,
+    engines_examined: u64,
 }
 
 impl Dispatcher {
@@ -117,6 +118,7 @@
             limits: UpstreamLimits::default(),
             quarantined: BTreeSet::new(),
             next_grant: 1,
+            engines_examined: 0,
         }
     }
 
@@ -183,6 +185,12 @@
         self.granted.len()
     }
 
+    /// Number of times that an engine has been examined for a request, since the dispatcher was
+    /// created: the work that its decisions take.
+    pub fn engines_examined(&self) -> u64 {
+        self.engines_examined
+    }
+
     /// Number of engines that are avoided because of failures that entries have reported.
     pub fn failed_engines(&self, now: Instant) -> usize {
         self.engines.values().filter(|(_, engine)| engine.has_failed_recently(now)).count()
@@ -462,6 +470,7 @@
         self.sync_engines(now, directory, &request.service);
         let service = self.services.get(&request.service)?;
         let entries = self.eligible(directory, request);
+        self.engines_examined += entries.len() as u64;
         let candidates: Vec<Candidate<'_>> =
             entries.iter().map(|entry| self.candidate(now, directory, service, entry)).collect();
         let long_prompts_wait = self
