Let changes share a poll of the waiting requests

A schedule now collects changes for 2 ms, and pauses after a poll for nine times as long as it took, up to 100 ms, so that a long queue can't keep the leader from its other work. Requests that wait for a reply are found in the order in which they came, without going through all of them. New histogram toucansill_queue_poll_seconds and gauge toucansill_engines_examined.

--- a/crates/grant/src/lib.rs
+++ b/crates/grant/src/lib.rs
@@ -51,6 +51,7 @@
 mod place_short;
 mod registration;
 mod request;
+mod schedule;
 mod waiting;
 
 pub use directory::{Directory, DirectoryEntry, Revision};
@@ -62,3 +63,4 @@
     Decision, Grant, GrantId, Helper, PlacementRequest, PlacementRequestId, RefusalReason,
     RequestOutcome, RunningRequest,
 };
+pub use schedule::PollSchedule;
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -35,9 +35,6 @@
 /// Interval at which the Raft role is checked: a fraction of the time that an election takes, so
 /// that a new leader starts work soon after it.
 const LEADERSHIP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Interval at which the dispatcher reconsiders waiting requests, as engines progress with
-/// prefill.
-const WAITING_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval at which lost daemons and old departures are purged and the gauges are set.
 const CLEAN_UP_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Timeout for forwarding an HTTP control request to the leader. Operators and upstreams try
@@ -185,13 +182,14 @@
                 last_clean_up = now;
                 let load = self.with_leader(|leader| {
                     leader.clean_up(now);
-                    (leader.load(), leader.failed_engines(now))
+                    (leader.load(), leader.failed_engines(now), leader.engines_examined())
                 });
-                let ((waiting, running), failed_engines) = load.unwrap_or_default();
+                let ((waiting, running), failed_engines, examined) = load.unwrap_or_default();
                 self.record_group_metrics(&status);
                 metrics::gauge!("toucansill_streams_waiting").set(waiting as f64);
                 metrics::gauge!("toucansill_streams_running").set(running as f64);
                 metrics::gauge!("toucansill_engines_failed").set(failed_engines as f64);
+                metrics::gauge!("toucansill_engines_examined").set(examined as f64);
             }
             let has_quarantine = !self.watchlist.borrow().watchlist.quarantined.is_empty();
             if has_quarantine
@@ -224,12 +222,30 @@
     /// Polls the dispatcher while placement requests are waiting.
     pub(crate) async fn poll_waiting_requests(self: Arc<Self>) {
         loop {
-            self.placement_waiting.notified().await;
-            while self.with_leader(|leader| leader.has_waiting()).unwrap_or(false) {
-                sleep(WAITING_POLL_INTERVAL).await;
-                let now = self.clock.now();
-                send_placements(self.with_leader(|leader| leader.poll(now)).unwrap_or_default());
+            let due = self.with_leader(|leader| leader.next_poll()).flatten();
+            let Some(due) = due else {
+                self.placement_waiting.notified().await;
+                continue;
+            };
+            let started = self.clock.now();
+            if let Some(remaining) = due.checked_duration_since(started).filter(|r| !r.is_zero()) {
+                // A poll may become due sooner, or no request may be waiting any more.
+                let _ = timeout(remaining, self.placement_waiting.notified()).await;
+                continue;
             }
+            let replies = self.with_leader(|leader| leader.poll(started));
+            send_placements(replies.unwrap_or_default());
+            let ended = self.clock.now();
+            self.with_leader(|leader| leader.polled(started, ended));
+            let taken = ended.saturating_duration_since(started);
+            metrics::histogram!("toucansill_queue_poll_seconds").record(taken.as_secs_f64());
+        }
+    }
+
+    /// Wakes the task that polls waiting requests, if a change has made a poll due sooner.
+    fn wake_poll(&self, is_sooner: bool) {
+        if is_sooner {
+            self.placement_waiting.notify_one();
         }
     }
 
@@ -251,14 +267,10 @@
             }
             LeaderRequest::Progress(progress) => {
                 let now = self.clock.now();
-                let replies = self.with_leader(|leader| leader.apply_progress(now, progress));
-                let outcome_reply = if replies.is_some() {
-                    LeaderReply::ProgressRecorded
-                } else {
-                    self.not_leader()
-                };
-                send_placements(replies.unwrap_or_default());
-                reply(responder, &outcome_reply);
+                let is_sooner = self.with_leader(|leader| leader.apply_progress(now, progress));
+                let recorded = is_sooner.map(|_| LeaderReply::ProgressRecorded);
+                self.wake_poll(is_sooner.unwrap_or(false));
+                reply(responder, &recorded.unwrap_or_else(|| self.not_leader()));
             }
             LeaderRequest::Control(request) => {
                 let control = Arc::clone(self);
@@ -288,13 +300,10 @@
             }
             LeaderRequest::ReportLimits(reports) => {
                 let now = self.clock.now();
-                match self.with_leader(|leader| leader.report_limits(now, &reports)) {
-                    Some(replies) => {
-                        send_placements(replies);
-                        reply(responder, &LeaderReply::LimitsRecorded);
-                    }
-                    None => reply(responder, &self.not_leader()),
-                }
+                let is_sooner = self.with_leader(|leader| leader.report_limits(now, &reports));
+                let recorded = is_sooner.map(|_| LeaderReply::LimitsRecorded);
+                self.wake_poll(is_sooner.unwrap_or(false));
+                reply(responder, &recorded.unwrap_or_else(|| self.not_leader()));
             }
             LeaderRequest::ReserveRequest(known) => {
                 let now = self.clock.now();
@@ -468,12 +477,12 @@
         }
     }
 
-    /// Wakes follow requests that are held open, and places requests that a change has made
-    /// possible.
+    /// Wakes follow requests that are held open, and the task that polls waiting requests.
     pub(super) fn notify_followers(&self) {
         self.view_changes.send_modify(|n| *n += 1);
         let now = self.clock.now();
-        send_placements(self.with_leader(|leader| leader.poll(now)).unwrap_or_default());
+        let is_sooner = self.with_leader(|leader| leader.directory_changed(now));
+        self.wake_poll(is_sooner.unwrap_or(false));
     }
 
     /// Calls `f` with the leader's state; `None` if this daemon does not lead.
--- a/crates/toucansilld/src/gateway/lead.rs
+++ b/crates/toucansilld/src/gateway/lead.rs
@@ -8,11 +8,11 @@
 use control::Watchlist;
 use grant::{
     Decision, Directory, Dispatcher, DispatcherConfig, LimitReport, PlacementRequest,
-    PlacementRequestId,
+    PlacementRequestId, PollSchedule,
 };
 use proxy::{AnnouncedRelays, RelayDaemon};
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -54,6 +54,9 @@
     pub(crate) directory: Directory,
     dispatcher: Dispatcher,
     pending: BTreeMap<PlacementRequestId, PendingPlacement>,
+    /// Pending requests in the order in which they were received. Some have a reply already.
+    received: VecDeque<(Instant, PlacementRequestId)>,
+    polls: PollSchedule,
     followers: BTreeMap<DaemonId, FollowerState>,
     /// Version and contents of the published routing.
     routing: Option<(u64, Arc<control::PublishedRouting>)>,
@@ -81,6 +84,8 @@
             directory,
             dispatcher: Dispatcher::new(cfg),
             pending: BTreeMap::new(),
+            received: VecDeque::new(),
+            polls: PollSchedule::new(now),
             followers: BTreeMap::new(),
             routing: None,
             out_of_service_changes: 0,
@@ -103,6 +108,11 @@
         (self.dispatcher.waiting(), self.dispatcher.running())
     }
 
+    /// Number of times that an engine has been examined for a request in this term.
+    pub(crate) fn engines_examined(&self) -> u64 {
+        self.dispatcher.engines_examined()
+    }
+
     /// Number of engines that are avoided because of failures that entries have reported.
     pub(crate) fn failed_engines(&self, now: Instant) -> usize {
         self.dispatcher.failed_engines(now)
@@ -135,17 +145,18 @@
         self.dispatcher.set_quarantined(watchlist.quarantined.iter().map(short_hash).collect());
     }
 
-    /// Applies reports of limits that upstreams name. Returns the placements that they have made
-    /// possible.
-    pub(crate) fn report_limits(
-        &mut self,
-        now: Instant,
-        reports: &[LimitReport],
-    ) -> Vec<PlacementReply> {
+    /// Applies reports of limits that upstreams name. Returns whether the next poll is due sooner
+    /// than it was.
+    pub(crate) fn report_limits(&mut self, now: Instant, reports: &[LimitReport]) -> bool {
         for report in reports {
             self.dispatcher.report_limit(now, &self.directory, report);
         }
-        self.poll(now)
+        self.polls.changed(now)
+    }
+
+    /// Records a change of the directory. Returns whether the next poll is due sooner than it was.
+    pub(crate) fn directory_changed(&mut self, now: Instant) -> bool {
+        self.polls.changed(now)
     }
 
     /// Counts a request that an entry sends to an upstream by its own placement, if the upstream's
@@ -238,23 +249,30 @@
         if decision != Decision::Waiting {
             return vec![(responder, decision)];
         }
+        self.received.push_back((now, id.clone()));
         self.pending.insert(id, PendingPlacement { responder, received: now });
         Vec::new()
     }
 
-    /// Applies progress of requests. Returns the placements that it has made possible.
-    pub(crate) fn apply_progress(
-        &mut self,
-        now: Instant,
-        progress: Vec<Progress>,
-    ) -> Vec<PlacementReply> {
+    /// Applies progress of requests. Returns whether the next poll is due sooner than it was.
+    pub(crate) fn apply_progress(&mut self, now: Instant, progress: Vec<Progress>) -> bool {
         for report in progress {
             match report {
                 Progress::FirstEvent(id) => self.dispatcher.first_event_received(now, &id),
                 Progress::Ended(id, outcome) => self.dispatcher.request_ended(now, &id, outcome),
             }
         }
-        self.poll(now)
+        self.polls.changed(now)
+    }
+
+    /// Time of the next poll; `None` while no placement request is waiting.
+    pub(crate) fn next_poll(&self) -> Option<Instant> {
+        self.has_waiting().then(|| self.polls.due())
+    }
+
+    /// Records that a poll was done.
+    pub(crate) fn polled(&mut self, started: Instant, ended: Instant) {
+        self.polls.polled(started, ended);
     }
 
     /// Replies to pending placement requests that are due: placements that have become possible,
@@ -268,11 +286,12 @@
                 replies.push((pending.responder, decision));
             }
         }
-        let due = |p: &PendingPlacement| now.saturating_duration_since(p.received) >= PLACE_WAIT;
-        let waited: Vec<PlacementRequestId> =
-            self.pending.iter().filter(|(_, p)| due(p)).map(|(id, _)| id.clone()).collect();
-        for id in waited {
-            if let Some(pending) = self.pending.remove(&id) {
+        let is_due = |at: &Instant| now.saturating_duration_since(*at) >= PLACE_WAIT;
+        while let Some((_, id)) = self.received.pop_front_if(|(at, _)| is_due(at)) {
+            // The request may have been repeated since.
+            if self.pending.get(&id).is_some_and(|pending| is_due(&pending.received))
+                && let Some(pending) = self.pending.remove(&id)
+            {
                 replies.push((pending.responder, Decision::Waiting));
             }
         }
@@ -280,7 +299,7 @@
     }
 
     /// Whether any placement request is waiting.
-    pub(crate) fn has_waiting(&self) -> bool {
+    fn has_waiting(&self) -> bool {
         self.dispatcher.waiting() > 0 || !self.pending.is_empty()
     }
 
