Wait before a leader that can't be reached is asked again

A link that has failed a moment ago refuses a message without a wait. A request that was to be placed was sent again at once until 150 ms had passed, and used the processor all that time; where processor time isn't charged, time never passed. Found by reading, in the search for the leader that uses a core for minutes; the other loops of the gateway wait after a failure.

--- a/crates/toucansilld/src/gateway/placer.rs
+++ b/crates/toucansilld/src/gateway/placer.rs
@@ -304,6 +304,8 @@
                     if self.clock.now().saturating_duration_since(since) >= NO_LEADER_TIMEOUT {
                         return self.place_locally(&request, fingerprint, true).await;
                     }
+                    // A link that failed a moment ago refuses the request without a wait.
+                    sleep(LEADER_CHECK_INTERVAL).await;
                 }
             }
         }
