--- a/crates/grant/src/dispatcher.rs
+++ b/crates/grant/src/dispatcher.rs
@@ -47,7 +47,7 @@
 const COMPLETION_TIME_SHARE: f64 = 0.8;
 /// Interval at which a long prompt that waits is tried: examining all engines for it takes long, and
 /// they change little meanwhile.
-const LONG_PROMPT_RETRY_INTERVAL: Duration = Duration::from_millis(20);
+const LONG_PROMPT_RETRY_INTERVAL: Duration = Duration::from_millis(5);
 /// Assumed batch size while a response is decoded: half of an upstream's slots.
 const TYPICAL_BATCH_SIZE: usize = 8;
 /// Shortest and longest time that a refused caller is told to wait before a retry.
