Grant no run of an upstream to a daemon that doesn't know it yet

An entry looks up the run of the upstream that it is granted in its own view. If the view lacks it, the entry takes responses for those of run 0: that the upstream leaves, or turns requests away, is forgotten, and a crash is charged to a run that doesn't exist.

Daemons report the revision of the directory that they have; a grant of a later run waits for the report.

--- a/crates/grant/src/directory.rs
+++ b/crates/grant/src/directory.rs
@@ -46,11 +46,14 @@
 /// removed, by which the directory's [generation](Directory::generation) changes.
 pub(crate) type TimestampSlot = usize;
 
-/// An entry with the place of its timestamps.
+/// An entry with what is not sent to other daemons.
 #[derive(Clone, Debug)]
-struct Record {
-    entry: DirectoryEntry,
-    timestamps: TimestampSlot,
+pub(crate) struct Record {
+    pub(crate) entry: DirectoryEntry,
+    /// Place of its timestamps.
+    pub(crate) timestamps: TimestampSlot,
+    /// Revision from which on a copy has the current run of the upstream.
+    pub(crate) run_revision: Revision,
 }
 
 /// All known upstreams, and the data centres that are out of service.
@@ -303,10 +306,9 @@
         entry.accepts_requests() && !self.out_of_service.contains(&entry.registration.data_centre)
     }
 
-    /// Upstreams that have not departed, with the places of their timestamps, ordered by name.
-    pub(crate) fn present(&self) -> impl Iterator<Item = (&DirectoryEntry, TimestampSlot)> {
-        let present = self.records.values().filter(|record| !record.entry.is_departed);
-        present.map(|record| (&record.entry, record.timestamps))
+    /// Upstreams that have not departed, ordered by name.
+    pub(crate) fn present(&self) -> impl Iterator<Item = &Record> {
+        self.records.values().filter(|record| !record.entry.is_departed)
     }
 
     /// Time since an upstream last registered, or since its entry was copied from another daemon.
@@ -430,29 +432,30 @@
     fn put(&mut self, entry: DirectoryEntry, timestamps: Timestamps) {
         self.generation += 1;
         let (id, address) = (entry.registration.id.clone(), entry.registration.address);
-        let slot = match self.records.get(&id) {
+        let known = self.records.get(&id);
+        let known_run = known
+            .filter(|known| {
+                known.entry.registration.started_at_ms == entry.registration.started_at_ms
+            })
+            .map(|known| known.run_revision);
+        let slot = match known {
             Some(known) => {
                 self.by_revision.remove(&known.entry.revision);
                 self.by_address.remove(&(known.entry.registration.address, id.clone()));
-                self.timestamps[known.timestamps] = timestamps;
                 known.timestamps
             }
-            None => match self.free_timestamps.pop() {
-                Some(slot) => {
-                    self.timestamps[slot] = timestamps;
-                    slot
-                }
-                None => {
-                    self.timestamps.push(timestamps);
-                    self.timestamps.len() - 1
-                }
-            },
+            None => self.free_timestamps.pop().unwrap_or(self.timestamps.len()),
         };
+        match self.timestamps.get_mut(slot) {
+            Some(known) => *known = timestamps,
+            None => self.timestamps.push(timestamps),
+        }
         self.by_revision.insert(entry.revision, id.clone());
         if !entry.is_departed {
             self.by_address.insert((address, id.clone()));
         }
-        self.records.insert(id, Record { entry, timestamps: slot });
+        let run_revision = known_run.unwrap_or(entry.revision);
+        self.records.insert(id, Record { entry, timestamps: slot, run_revision });
     }
 }
 
--- a/crates/grant/src/dispatcher.rs
+++ b/crates/grant/src/dispatcher.rs
@@ -2,7 +2,7 @@
 //! waiting ones.
 
 use crate::{
-    directory::{Directory, DirectoryEntry},
+    directory::{Directory, DirectoryEntry, Revision},
     engine::{Engine, EngineRequest, prefill_part},
     fleet::{Fleet, FleetEngine},
     limit::{LimitReport, UpstreamLimits},
@@ -115,6 +115,8 @@
     grants_by_expiry: BTreeSet<(Instant, GrantId)>,
     waiting: WaitingQueue,
     limits: UpstreamLimits,
+    /// Revisions of the directory that daemons have, by the name of the daemon.
+    reported_revisions: BTreeMap<DaemonId, Revision>,
     /// Requests that have crashed upstreams and are refused.
     quarantined: BTreeSet<RequestHash>,
     next_grant: GrantId,
@@ -132,6 +134,7 @@
             grants_by_expiry: BTreeSet::new(),
             waiting: WaitingQueue::default(),
             limits: UpstreamLimits::default(),
+            reported_revisions: BTreeMap::new(),
             quarantined: BTreeSet::new(),
             next_grant: 1,
             engines_examined: 0,
@@ -164,6 +167,16 @@
         self.quarantined = quarantined;
     }
 
+    /// Records the revision of the directory that a daemon has. It gets no grants of runs that it
+    /// doesn't know: it could not tell which run of an upstream has responded to it. A daemon without
+    /// a report gets grants of all. Returns whether the daemon has a higher revision than before.
+    pub fn revision_reported(&mut self, daemon: &DaemonId, revision: Revision) -> bool {
+        match self.reported_revisions.get_mut(daemon) {
+            Some(reported) => std::mem::replace(reported, revision) < revision,
+            None => self.reported_revisions.insert(daemon.clone(), revision).is_none(),
+        }
+    }
+
     /// Applies the report of a limit, unless the run of the upstream that named it has ended. An
     /// entry has to send it before it reports the first event of the same response: a response
     /// without a report before it ends the limit.
@@ -361,6 +374,7 @@
 
     /// Releases all grants of a daemon that was lost.
     pub fn daemon_lost(&mut self, now: Instant, daemon: &DaemonId) {
+        self.reported_revisions.remove(daemon);
         let lost_grants: Vec<GrantId> = self
             .granted
             .iter()
@@ -535,11 +549,14 @@
         let profile = &service.profile;
         let engines = service.fleet.engines();
         let tried = indices_to_avoid(&service.fleet, &request.tried);
+        let known_revision = self.reported_revisions.get(&request.id.daemon);
+        let known_revision = known_revision.copied().unwrap_or(Revision::MAX);
         let examined = Cell::new(0);
         let examine = |i: usize| {
             examined.set(examined.get() + 1);
             let engine: &FleetEngine = &engines[i];
-            let may_run = engine.is_available && !tried.contains(&i);
+            let may_run =
+                engine.is_available && engine.run_revision <= known_revision && !tried.contains(&i);
             may_run.then(|| self.candidate(now, directory, service, engine))
         };
         let candidates = Candidates {
@@ -547,6 +564,10 @@
             engines: engines.len(),
             examine: &examine,
         };
+        // What stands in the way of a request that has tried engines, or whose daemon doesn't know
+        // all, need not do so for others.
+        let has_all = tried.is_empty() && known_revision >= service.fleet.newest_run();
+        let obstacles = obstacles.filter(|_| has_all);
         let is_short = is_short(profile, needs);
         let placement = match (is_short, obstacles) {
             (true, Some(obstacles)) => {
@@ -554,11 +575,7 @@
                     return None;
                 }
                 let chosen = choose_short(profile, needs, &candidates, long_prompts_wait);
-                // What stands in the way of a request that has tried engines need not do so for
-                // others.
-                if let Err(obstacle) = chosen
-                    && tried.is_empty()
-                {
+                if let Err(obstacle) = chosen {
                     obstacles.short.push(obstacle);
                 }
                 chosen.ok()
--- a/crates/grant/src/fleet.rs
+++ b/crates/grant/src/fleet.rs
@@ -1,7 +1,7 @@
 //! The engines of one service, as the dispatcher knows them.
 
 use crate::{
-    directory::{Directory, TimestampSlot},
+    directory::{Directory, Revision, TimestampSlot},
     engine::Engine,
 };
 use routing::EngineProfile;
@@ -24,6 +24,8 @@
     pub(crate) is_available: bool,
     /// Place of its timestamps in the directory.
     pub(crate) timestamps: TimestampSlot,
+    /// Revision from which on a copy of the directory has this run.
+    pub(crate) run_revision: Revision,
     pub(crate) engine: Engine,
 }
 
@@ -33,6 +35,8 @@
     engines: Vec<FleetEngine>,
     by_upstream: HashMap<UpstreamId, usize>,
     available: usize,
+    /// Highest [`FleetEngine::run_revision`].
+    newest_run: Revision,
     /// Generation of the directory that the engines were last compared with.
     generation: Option<u64>,
 }
@@ -53,10 +57,11 @@
         self.generation = Some(directory.generation());
         let mut known: HashMap<UpstreamId, FleetEngine> =
             self.engines.drain(..).map(|known| (known.upstream.clone(), known)).collect();
-        let present = directory.present().filter(|(e, _)| e.registration.service == service);
+        let present = directory.present();
+        let present = present.filter(|record| record.entry.registration.service == service);
         self.engines = present
-            .map(|(entry, timestamps)| {
-                let registration = &entry.registration;
+            .map(|record| {
+                let registration = &record.entry.registration;
                 let known = known
                     .remove(&registration.id)
                     .filter(|known| known.started_at_ms == registration.started_at_ms);
@@ -65,8 +70,9 @@
                     address: registration.address,
                     started_at_ms: registration.started_at_ms,
                     slots: registration.slots as usize,
-                    is_available: directory.is_available(entry),
-                    timestamps,
+                    is_available: directory.is_available(&record.entry),
+                    timestamps: record.timestamps,
+                    run_revision: record.run_revision,
                     engine: known.map_or_else(|| Engine::new(profile), |known| known.engine),
                 }
             })
@@ -74,6 +80,8 @@
         let numbered = self.engines.iter().enumerate();
         self.by_upstream = numbered.map(|(i, engine)| (engine.upstream.clone(), i)).collect();
         self.available = self.engines.iter().filter(|engine| engine.is_available).count();
+        let runs = self.engines.iter().map(|engine| engine.run_revision);
+        self.newest_run = runs.max().unwrap_or_default();
         true
     }
 
@@ -92,6 +100,11 @@
         self.available
     }
 
+    /// Revision from which on a copy of the directory has all runs.
+    pub(crate) fn newest_run(&self) -> Revision {
+        self.newest_run
+    }
+
     /// Index of the engine of an upstream.
     pub(crate) fn index_of(&self, upstream: &str) -> Option<usize> {
         self.by_upstream.get(upstream).copied()
--- a/crates/grant/tests/dispatcher.rs
+++ b/crates/grant/tests/dispatcher.rs
@@ -445,3 +445,26 @@
     assert_eq!(*reason, RefusalReason::DeadlineUnmeetable);
     assert!(*retry_after >= Duration::from_secs(4), "{retry_after:?}");
 }
+
+/// An entry that has not learnt yet of an upstream's current run would take its responses for those of
+/// an earlier run: that it leaves, or turns requests away, would be forgotten.
+#[test]
+fn a_daemon_gets_no_grant_of_a_run_that_it_does_not_know() {
+    let mut fixture = Fixture::new(1);
+    let daemon = "entry".to_owned();
+    fixture.dispatcher.revision_reported(&daemon, fixture.directory.revision());
+    fixture.directory.register(fixture.now, engine(0, 2));
+    let request = fixture.request(1_000);
+    assert_eq!(fixture.decide(request.clone()), Decision::Waiting);
+    assert!(fixture.dispatcher.poll(fixture.now, &fixture.directory).is_empty());
+
+    assert!(fixture.dispatcher.revision_reported(&daemon, fixture.directory.revision()));
+    let decided = fixture.dispatcher.poll(fixture.now, &fixture.directory);
+    assert!(matches!(&decided[..], [(id, Decision::Granted(_))] if *id == request.id));
+
+    // A change that isn't a new run is no reason to wait.
+    let draining = Registration { slots: 8, sequence: 2, ..engine(0, 2) };
+    fixture.directory.register(fixture.now, draining);
+    let request = fixture.request(1_000);
+    assert!(matches!(fixture.decide(request), Decision::Granted(_)));
+}
