Tell followers of changes in rounds, and wake nobody else for them

Each change of the directory, the routing or the data centres woke a task for each follower, which encoded and sent a view of its own: 24,000 messages a second with 300 daemons while a release changes 80 upstreams a second. Each follow request had a task with a timer, and each woke all acknowledgements that wait for the followers, which then went through all followers.

The new crate follow holds the requests, replies to them in rounds that are at least 300 us for each request apart, and says what all live followers have; it needs no network.

The test of all upstreams that turn a daemon away relied on the first request reaching the first of two upstreams; now it waits until both have been reached, in either order, and checks the same.

--- /dev/null
+++ b/crates/follow/src/position.rs
@@ -0,0 +1,48 @@
+//! Versions of the parts of a copy.
+
+use bincode::{Decode, Encode};
+
+/// Versions of the parts of a view. All but the routing version are comparable only within one
+/// term.
+#[derive(Clone, Copy, Debug, Decode, Default, Encode, Eq, Hash, PartialEq)]
+pub struct ViewPosition {
+    /// Raft term of the leader that sent the view.
+    pub term: u64,
+    /// Version of the routing document, 0 without one.
+    pub routing: u64,
+    /// Revision of the directory.
+    pub directory: u64,
+    /// Number of changes to the data centres out of service in this term.
+    pub out_of_service_changes: u64,
+}
+
+impl ViewPosition {
+    /// Lowest position of a view with this version of the routing document.
+    pub fn of_routing(&self, version: u64) -> Self {
+        Self { term: self.term, routing: version, ..Self::default() }
+    }
+
+    /// Lowest position of a view with the same data centres out of service.
+    pub fn of_out_of_service(&self) -> Self {
+        let Self { term, out_of_service_changes, .. } = *self;
+        Self { term, out_of_service_changes, ..Self::default() }
+    }
+
+    /// Whether a view at this position is at least as new in every part as one at `other`.
+    pub fn covers(&self, other: &Self) -> bool {
+        self.term == other.term
+            && self.routing >= other.routing
+            && self.directory >= other.directory
+            && self.out_of_service_changes >= other.out_of_service_changes
+    }
+
+    /// The highest position that both this one and another of the same term cover.
+    pub fn common(&self, other: &Self) -> Self {
+        Self {
+            term: self.term,
+            routing: self.routing.min(other.routing),
+            directory: self.directory.min(other.directory),
+            out_of_service_changes: self.out_of_service_changes.min(other.out_of_service_changes),
+        }
+    }
+}
--- /dev/null
+++ b/crates/follow/tests/followers.rs
@@ -0,0 +1,61 @@
+//! What all followers of a leader have.
+
+use follow::{Followers, HeldRequests, ViewPosition};
+use std::time::{Duration, Instant};
+
+const LIVE_TIME: Duration = Duration::from_millis(1_200);
+
+fn at(term: u64, directory: u64) -> ViewPosition {
+    ViewPosition { term, directory, ..ViewPosition::default() }
+}
+
+/// A change is acknowledged once all live daemons have it; a silent one is not waited for.
+#[test]
+fn a_position_is_covered_once_all_live_followers_have_it() {
+    let now = Instant::now();
+    let mut followers = Followers::new(LIVE_TIME);
+    followers.record(now, &"a".to_owned(), true, at(1, 5));
+    followers.record(now, &"b".to_owned(), true, at(1, 4));
+    assert_eq!(followers.covered(now, at(1, 6)), Some(at(1, 4)));
+    assert!(!followers.all_cover(now, &at(1, 5)));
+    assert_eq!(followers.lagging(now, &at(1, 5)), ["b"]);
+
+    let later = now + LIVE_TIME / 2;
+    followers.record(later, &"a".to_owned(), true, at(1, 6));
+    let b_is_silent = now + LIVE_TIME;
+    assert_eq!(followers.covered(b_is_silent, at(1, 6)), Some(at(1, 6)));
+    assert!(followers.all_cover(b_is_silent, &at(1, 6)));
+    assert_eq!(followers.live(b_is_silent), 1);
+}
+
+/// A view of a former leader says nothing about what this leader has changed.
+#[test]
+fn a_view_of_another_term_covers_nothing() {
+    let now = Instant::now();
+    let mut followers = Followers::new(LIVE_TIME);
+    followers.record(now, &"a".to_owned(), true, at(2, 3));
+    followers.record(now, &"b".to_owned(), false, at(1, 9));
+    assert_eq!(followers.covered(now, at(2, 3)), None);
+    assert!(!followers.all_cover(now, &at(2, 0)));
+}
+
+#[test]
+fn lost_followers_are_removed_once() {
+    let now = Instant::now();
+    let mut followers = Followers::new(LIVE_TIME);
+    assert!(followers.record(now, &"a".to_owned(), true, at(1, 0)));
+    assert!(!followers.record(now, &"a".to_owned(), true, at(1, 0)));
+    let silence = Duration::from_secs(4);
+    assert_eq!(followers.remove_silent(now + silence, silence), ["a"]);
+    assert!(followers.remove_silent(now + silence, silence).is_empty());
+}
+
+#[test]
+fn all_requests_are_taken_when_the_leadership_ends() {
+    let now = Instant::now();
+    let mut held = HeldRequests::new(Duration::from_millis(400));
+    held.hold(now, at(1, 0), "a");
+    held.hold(now, at(1, 1), "b");
+    assert_eq!(held.take_all().len(), 2);
+    assert!(held.is_empty() && held.next_due().is_none());
+}
--- a/crates/toucansilld/src/gateway/bus.rs
+++ b/crates/toucansilld/src/gateway/bus.rs
@@ -101,8 +101,15 @@
 
 /// Sends a reply. The requester may have given up by now, so a failure is harmless.
 pub(crate) fn reply(responder: Responder, reply: &LeaderReply) {
-    let sent = wire::encode(reply).and_then(|buf| responder.reply(buf));
-    if let Err(err) = sent {
+    match wire::encode(reply) {
+        Ok(buf) => reply_encoded(responder, buf),
+        Err(err) => log::error!("reply not encoded: {err}"),
+    }
+}
+
+/// Sends an encoded reply, as [`reply`] does.
+pub(crate) fn reply_encoded(responder: Responder, buf: Vec<u8>) {
+    if let Err(err) = responder.reply(buf) {
         log::debug!("reply not sent: {err}");
     }
 }
--- a/crates/toucansilld/src/gateway/calls.rs
+++ b/crates/toucansilld/src/gateway/calls.rs
@@ -7,9 +7,10 @@
     compress::{compress, decompress},
     control::ControlMember,
     lead::LeaderState,
-    messages::{ControlHttpRequest, ControlHttpResponse, DirectoryViewPosition},
+    messages::{ControlHttpRequest, ControlHttpResponse},
 };
 use control::{Command, Outcome, PublishedRouting, RoutingOutcome, UpstreamDeparture};
+use follow::ViewPosition;
 use grant::{Registration, RegistrationOutcome};
 use http::Method;
 use platform::control as control_api;
@@ -261,10 +262,7 @@
     /// Waits until the views of all live followers cover a position, for
     /// [`followed_timeout`](super::settings::Bounds::followed_timeout) at most. Returns whether
     /// they do.
-    async fn await_followers(
-        &self,
-        position: impl FnOnce(&LeaderState) -> DirectoryViewPosition,
-    ) -> bool {
+    async fn await_followers(&self, position: impl FnOnce(&LeaderState) -> ViewPosition) -> bool {
         let Some(position) = self.with_leader(|leader| position(leader)) else { return false };
         let mut positions = self.watch_positions();
         let is_up_to_date = || {
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -2,23 +2,25 @@
 //! does the leader's work while it leads.
 
 use super::{
-    bus::{DaemonLinks, reply},
+    bus::{DaemonLinks, reply, reply_encoded},
     lead::{FOLLOW_WAIT, LeaderState, PLACE_WAIT, PlacementReply},
     members::{self, members_for},
     messages::{
-        ControlHttpRequest, ControlHttpResponse, DirectoryViewPosition, FollowRequest, LeaderReply,
-        LeaderRequest, ReplicatedState,
+        ControlHttpRequest, ControlHttpResponse, FollowRequest, LeaderReply, LeaderRequest,
+        ReplicatedState,
     },
     quarantine::{ReadWatchlist, ReceivedReports},
     settings::{Bounds, ControlSettings, GatewaySettings},
     view::View,
 };
 use crate::{sync::lock, voter::Voter};
+use follow::{HeldRequest, HeldRequests, ViewPosition};
 use grant::DispatcherConfig;
 use group::Status;
 use http::StatusCode;
 use kernel::SharedClock;
 use std::{
+    collections::HashMap,
     sync::{
         Arc, Mutex, OnceLock,
         atomic::{AtomicBool, Ordering},
@@ -35,6 +37,8 @@
 /// Interval at which the Raft role is checked: a fraction of the time that an election takes, so
 /// that a new leader starts work soon after it.
 const LEADERSHIP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval at which it is checked whether all followers have caught up, while anybody waits for it.
+const POSITION_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// Interval at which lost daemons and old departures are purged and the gauges are set.
 const CLEAN_UP_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Timeout for forwarding an HTTP control request to the leader. Operators and upstreams try
@@ -59,9 +63,11 @@
     leader: Mutex<Option<LeaderState>>,
     /// When the leadership began.
     leading_since: Mutex<Option<Instant>>,
-    /// Counts changes that followers lack, to wake follow requests that are held open.
-    view_changes: watch::Sender<u64>,
-    /// Counts follow requests, to wake those who wait for the followers to catch up.
+    /// Follow requests that are held open.
+    held: Mutex<HeldRequests<Responder>>,
+    /// Notified when a reply to a held follow request has become due sooner.
+    reply_due: Notify,
+    /// Counts times at which more followers may have caught up, to wake those who wait for it.
     position_reports: watch::Sender<u64>,
     /// Notified when a placement request may be waiting.
     placement_waiting: Notify,
@@ -99,7 +105,8 @@
             links: OnceLock::new(),
             leader: Mutex::default(),
             leading_since: Mutex::default(),
-            view_changes: watch::Sender::new(0),
+            held: Mutex::new(HeldRequests::new(FOLLOW_WAIT)),
+            reply_due: Notify::new(),
             position_reports: watch::Sender::new(0),
             placement_waiting: Notify::new(),
             is_changing_membership: AtomicBool::new(false),
@@ -136,9 +143,12 @@
         self.clock.now()
     }
 
-    /// Channel that changes whenever a follower reports its position.
+    /// Channel that changes whenever more followers may have caught up.
     pub(super) fn watch_positions(&self) -> watch::Receiver<u64> {
-        self.position_reports.subscribe()
+        let positions = self.position_reports.subscribe();
+        // The task that sends to it may be waiting for longer than while somebody listens.
+        self.reply_due.notify_one();
+        positions
     }
 
     /// Bounds of the deployment.
@@ -173,7 +183,8 @@
                     log::warn!(term = term; "this daemon leads no more");
                     lock(&self.leader).take();
                     lock(&self.leading_since).take();
-                    self.view_changes.send_modify(|n| *n += 1);
+                    let held = lock(&self.held).take_all();
+                    held.into_iter().for_each(|r| reply(r.responder, &self.not_leader()));
                 }
                 (false, None) => {}
             }
@@ -393,46 +404,85 @@
     }
 
     /// Records a follower and replies with what it lacks. If it lacks nothing, the reply waits
-    /// for a change, or for [`FOLLOW_WAIT`].
-    fn handle_follow(self: &Arc<Self>, follow: FollowRequest, responder: Responder) {
+    /// for a change, or for [`FOLLOW_WAIT`]. What it lacks of this term comes with the next round of
+    /// replies, a view of another term at once.
+    fn handle_follow(&self, follow: FollowRequest, responder: Responder) {
         let now = self.clock.now();
         let position_held = follow.position;
-        let leader_position = self.with_leader(|leader| {
-            leader.record_follower(now, &follow);
-            leader.position()
+        let recorded = self.with_leader(|leader| {
+            let is_poll_sooner = leader.record_follower(now, &follow);
+            (leader.position(), is_poll_sooner)
         });
-        let Some(position) = leader_position else { return reply(responder, &self.not_leader()) };
-        // Wakes those who wait until all followers have caught up.
-        self.position_reports.send_modify(|n| *n += 1);
-        if position_held != position {
-            return self.send_change(position_held, responder);
+        let Some((position, is_poll_sooner)) = recorded else {
+            return reply(responder, &self.not_leader());
+        };
+        self.wake_poll(is_poll_sooner);
+        if position_held.term != position.term {
+            return self.send_changes(vec![(position_held, responder)]);
+        }
+        let is_sooner = {
+            let mut held = lock(&self.held);
+            let is_first = held.hold(now, position_held, responder);
+            let is_changed = position_held != position && held.changed(now);
+            is_first || is_changed
+        };
+        if is_sooner {
+            self.reply_due.notify_one();
         }
-        let control = Arc::clone(self);
-        tokio::spawn(async move {
-            let mut view_changes = control.view_changes.subscribe();
-            let changed = async {
-                while control.with_leader(|leader| leader.position()) == Some(position_held) {
-                    if view_changes.changed().await.is_err() {
-                        return;
-                    }
-                }
-            };
-            // Without a change, the reply still tells the follower that the leader is alive.
-            let _ = timeout(FOLLOW_WAIT, changed).await;
-            control.send_change(position_held, responder);
-        });
     }
 
-    /// Replies with the changes since a position.
-    fn send_change(&self, position_held: DirectoryViewPosition, responder: Responder) {
+    /// Replies to held follow requests when they are due, and wakes those who wait until all followers
+    /// have caught up, every [`POSITION_CHECK_INTERVAL`] at most.
+    pub(crate) async fn serve_followers(self: Arc<Self>) {
+        loop {
+            let due = lock(&self.held).next_due();
+            let now = self.clock.now();
+            let mut remaining = due.map_or(FOLLOW_WAIT, |due| due.saturating_duration_since(now));
+            if self.position_reports.receiver_count() > 0 {
+                remaining = remaining.min(POSITION_CHECK_INTERVAL);
+            }
+            // If it is notified, a reply is due sooner than it was.
+            let _ = timeout(remaining, self.reply_due.notified()).await;
+            let now = self.clock.now();
+            if let Some(position) = self.with_leader(|leader| leader.position()) {
+                let due = lock(&self.held).take_due(now, position);
+                let due = due
+                    .into_iter()
+                    .map(|HeldRequest { position, responder, .. }| (position, responder));
+                self.send_changes(due.collect());
+            }
+            if self.position_reports.receiver_count() > 0 {
+                self.position_reports.send_modify(|n| *n += 1);
+            }
+        }
+    }
+
+    /// Replies to follow requests with the changes since the positions of the views. The change from
+    /// one position is encoded once.
+    fn send_changes(&self, requests: Vec<(ViewPosition, Responder)>) {
+        if requests.is_empty() {
+            return;
+        }
         let now = self.clock.now();
         let status = self.voter.status();
         let members = status.membership.nodes();
         let control_addresses: Vec<String> =
             members.filter_map(|id| self.voter.address_of(id)).collect();
-        match self.with_leader(|leader| leader.change_for(now, position_held, &control_addresses)) {
-            Some(change) => reply(responder, &LeaderReply::View(Box::new(change))),
-            None => reply(responder, &self.not_leader()),
+        let mut encoded: HashMap<ViewPosition, wire::Result<Vec<u8>>> = HashMap::new();
+        for (position_held, responder) in requests {
+            let buf = encoded.entry(position_held).or_insert_with(|| {
+                let change = self.with_leader(|leader| {
+                    leader.change_for(now, position_held, &control_addresses)
+                });
+                wire::encode(&match change {
+                    Some(change) => LeaderReply::View(Box::new(change)),
+                    None => self.not_leader(),
+                })
+            });
+            match buf {
+                Ok(buf) => reply_encoded(responder, buf.clone()),
+                Err(err) => log::error!("view not encoded: {err}"),
+            }
         }
     }
 
@@ -477,10 +527,12 @@
         }
     }
 
-    /// Wakes follow requests that are held open, and the task that polls waiting requests.
+    /// Has the followers told of a change, and waiting requests reconsidered.
     pub(super) fn notify_followers(&self) {
-        self.view_changes.send_modify(|n| *n += 1);
         let now = self.clock.now();
+        if lock(&self.held).changed(now) {
+            self.reply_due.notify_one();
+        }
         let is_sooner = self.with_leader(|leader| leader.directory_changed(now));
         self.wake_poll(is_sooner.unwrap_or(false));
     }
--- a/crates/toucansilld/src/gateway/lead.rs
+++ b/crates/toucansilld/src/gateway/lead.rs
@@ -2,17 +2,18 @@
 
 use super::{
     forward::short_hash,
-    messages::{DirectoryViewPosition, FollowRequest, Progress, ViewChange},
+    messages::{FollowRequest, Progress, ViewChange},
     view::read_document,
 };
 use control::Watchlist;
+use follow::{Followers, ViewPosition};
 use grant::{
     Decision, Directory, Dispatcher, DispatcherConfig, LimitReport, PlacementRequest,
     PlacementRequestId, PollSchedule,
 };
 use proxy::{AnnouncedRelays, RelayDaemon};
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, VecDeque},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -31,14 +32,6 @@
 /// the entry repeats it. Entry daemons would take longer silence for the loss of the leader.
 pub(crate) const PLACE_WAIT: Duration = Duration::from_millis(100);
 
-/// A daemon that keeps its view up to date by follow requests to this leader. Unrelated to the Raft
-/// role.
-struct FollowerState {
-    is_entry: bool,
-    last_heard: Instant,
-    position: DirectoryViewPosition,
-}
-
 /// Placement request that has no reply yet.
 struct PendingPlacement {
     responder: Responder,
@@ -57,7 +50,7 @@
     /// Pending requests in the order in which they were received. Some have a reply already.
     received: VecDeque<(Instant, PlacementRequestId)>,
     polls: PollSchedule,
-    followers: BTreeMap<DaemonId, FollowerState>,
+    followers: Followers,
     /// Version and contents of the published routing.
     routing: Option<(u64, Arc<control::PublishedRouting>)>,
     out_of_service_changes: u64,
@@ -86,7 +79,7 @@
             pending: BTreeMap::new(),
             received: VecDeque::new(),
             polls: PollSchedule::new(now),
-            followers: BTreeMap::new(),
+            followers: Followers::new(FOLLOWER_TIMEOUT),
             routing: None,
             out_of_service_changes: 0,
             relays: AnnouncedRelays::default(),
@@ -166,8 +159,8 @@
     }
 
     /// Position of an up-to-date view.
-    pub(crate) fn position(&self) -> DirectoryViewPosition {
-        DirectoryViewPosition {
+    pub(crate) fn position(&self) -> ViewPosition {
+        ViewPosition {
             term: self.term,
             routing: self.routing.as_ref().map_or(0, |(version, _)| *version),
             directory: self.directory.revision(),
@@ -177,22 +170,25 @@
 
     /// Position from which on a view has the latest change of an upstream. Any view has it if the
     /// upstream is unknown.
-    pub(crate) fn position_of(&self, id: &str) -> DirectoryViewPosition {
+    pub(crate) fn position_of(&self, id: &str) -> ViewPosition {
         let directory = self.directory.get(id).map_or(0, |entry| entry.revision);
-        DirectoryViewPosition { term: self.term, directory, ..DirectoryViewPosition::default() }
+        ViewPosition { term: self.term, directory, ..ViewPosition::default() }
     }
 
     /// Records that a follower was heard, with its position and the requests that it reports as
-    /// running.
-    pub(crate) fn record_follower(&mut self, now: Instant, follow: &FollowRequest) {
-        let follower =
-            FollowerState { is_entry: follow.is_entry, last_heard: now, position: follow.position };
-        if self.followers.insert(follow.daemon.clone(), follower).is_none() {
+    /// running. Returns whether the next poll is due sooner than it was.
+    pub(crate) fn record_follower(&mut self, now: Instant, follow: &FollowRequest) -> bool {
+        if self.followers.record(now, &follow.daemon, follow.is_entry, follow.position) {
             log::info!(daemon = follow.daemon.as_str(), term = self.term; "daemon follows");
         }
+        let is_of_term = follow.position.term == self.term;
+        let revision = if is_of_term { follow.position.directory } else { 0 };
+        let has_more = self.dispatcher.revision_reported(&follow.daemon, revision);
         for running in &follow.running {
             self.dispatcher.adopt_running(now, &self.directory, running);
         }
+        // Its waiting requests may get engines that it has learnt of.
+        has_more && self.has_waiting() && self.polls.changed(now)
     }
 
     /// Changes that a follower with a view at `held` lacks. It gets the whole directory if its
@@ -200,7 +196,7 @@
     pub(crate) fn change_for(
         &self,
         now: Instant,
-        held: DirectoryViewPosition,
+        held: ViewPosition,
         control_addresses: &[String],
     ) -> ViewChange {
         let position = self.position();
@@ -221,19 +217,15 @@
     /// Whether the views of all live followers cover `position`. False at the start of a term,
     /// until as many entry daemons follow as followed the former leader, or for
     /// [`FOLLOWER_TIMEOUT`].
-    pub(crate) fn is_up_to_date(&self, now: Instant, position: &DirectoryViewPosition) -> bool {
+    pub(crate) fn is_up_to_date(&self, now: Instant, position: &ViewPosition) -> bool {
         let has_followers = self.entry_daemons(now) >= self.former_entry_daemons
             || now.saturating_duration_since(self.since) >= FOLLOWER_TIMEOUT;
-        has_followers && self.live_followers(now).all(|follower| follower.position.covers(position))
+        has_followers && self.followers.all_cover(now, position)
     }
 
     /// Live followers whose views don't cover `position`.
-    pub(crate) fn lagging(&self, now: Instant, position: &DirectoryViewPosition) -> Vec<DaemonId> {
-        let is_live =
-            |f: &FollowerState| now.saturating_duration_since(f.last_heard) < FOLLOWER_TIMEOUT;
-        let followers = self.followers.iter();
-        let lagging = followers.filter(|(_, f)| is_live(f) && !f.position.covers(position));
-        lagging.map(|(daemon, _)| daemon.clone()).collect()
+    pub(crate) fn lagging(&self, now: Instant, position: &ViewPosition) -> Vec<DaemonId> {
+        self.followers.lagging(now, position)
     }
 
     /// Decides on a placement request. One that has to wait is kept until [`poll`](Self::poll)
@@ -305,38 +297,22 @@
 
     /// Releases the grants of lost daemons, and purges old departures from the directory.
     pub(crate) fn clean_up(&mut self, now: Instant) {
-        let is_lost =
-            |f: &FollowerState| now.saturating_duration_since(f.last_heard) >= DAEMON_LOST_TIMEOUT;
-        let lost: BTreeSet<DaemonId> = self
-            .followers
-            .iter()
-            .filter(|(_, f)| is_lost(f))
-            .map(|(daemon, _)| daemon.clone())
-            .collect();
+        let lost = self.followers.remove_silent(now, DAEMON_LOST_TIMEOUT);
         for daemon in lost {
             log::warn!(daemon = daemon.as_str(), term = self.term; "daemon lost");
-            self.followers.remove(&daemon);
             self.dispatcher.daemon_lost(now, &daemon);
         }
         self.directory.purge_departed(now);
     }
 
-    /// Followers heard within [`FOLLOWER_TIMEOUT`].
-    fn live_followers(&self, now: Instant) -> impl Iterator<Item = &FollowerState> {
-        let is_live = move |f: &&FollowerState| {
-            now.saturating_duration_since(f.last_heard) < FOLLOWER_TIMEOUT
-        };
-        self.followers.values().filter(is_live)
-    }
-
     /// Number of live followers.
     pub(crate) fn live_follower_count(&self, now: Instant) -> usize {
-        self.live_followers(now).count()
+        self.followers.live(now)
     }
 
     /// Number of live followers that accept requests of callers, at least 1.
     fn entry_daemons(&self, now: Instant) -> u32 {
-        let entries = self.live_followers(now).filter(|follower| follower.is_entry).count();
+        let entries = self.followers.live_entries(now);
         u32::try_from(entries.max(1)).unwrap_or(u32::MAX)
     }
 }
--- a/crates/toucansilld/src/gateway/messages.rs
+++ b/crates/toucansilld/src/gateway/messages.rs
@@ -4,9 +4,10 @@
 
 use bincode::{Decode, Encode};
 use control::{Departures, PartHash, RequestHash, Watchlist};
+use follow::ViewPosition;
 use grant::{
     Decision, DirectoryEntry, LimitReport, PlacementRequest, PlacementRequestId, RequestOutcome,
-    Revision, RunningRequest,
+    RunningRequest,
 };
 use proxy::RelayDaemon;
 use std::{collections::BTreeSet, time::Duration};
@@ -152,41 +153,6 @@
     }
 }
 
-/// Versions of the parts of a view. All but the routing version are comparable only within one
-/// term.
-#[derive(Clone, Copy, Debug, Decode, Default, Encode, Eq, PartialEq)]
-pub(crate) struct DirectoryViewPosition {
-    /// Raft term of the leader that sent the view.
-    pub(crate) term: u64,
-    /// Version of the routing document, 0 without one.
-    pub(crate) routing: u64,
-    /// Revision of the directory.
-    pub(crate) directory: Revision,
-    /// Number of changes to the data centres out of service in this term.
-    pub(crate) out_of_service_changes: u64,
-}
-
-impl DirectoryViewPosition {
-    /// Lowest position of a view with this version of the routing document.
-    pub(crate) fn of_routing(&self, version: u64) -> Self {
-        Self { term: self.term, routing: version, ..Self::default() }
-    }
-
-    /// Lowest position of a view with the same data centres out of service.
-    pub(crate) fn of_out_of_service(&self) -> Self {
-        let Self { term, out_of_service_changes, .. } = *self;
-        Self { term, out_of_service_changes, ..Self::default() }
-    }
-
-    /// Whether a view at this position is at least as new in every part as one at `other`.
-    pub(crate) fn covers(&self, other: &Self) -> bool {
-        self.term == other.term
-            && self.routing >= other.routing
-            && self.directory >= other.directory
-            && self.out_of_service_changes >= other.out_of_service_changes
-    }
-}
-
 /// Request for what has changed since a daemon's view, which is also the daemon's heartbeat.
 #[derive(Clone, Debug, Decode, Encode)]
 pub(crate) struct FollowRequest {
@@ -195,7 +161,7 @@
     /// Whether it accepts requests of callers.
     pub(crate) is_entry: bool,
     /// Position of its view.
-    pub(crate) position: DirectoryViewPosition,
+    pub(crate) position: ViewPosition,
     /// Its running requests that an earlier leader placed and that this leader has not been
     /// told of.
     pub(crate) running: Vec<RunningRequest>,
@@ -205,7 +171,7 @@
 #[derive(Clone, Debug, Decode, Encode)]
 pub(crate) struct ViewChange {
     /// Position of the view once the change is applied.
-    pub(crate) position: DirectoryViewPosition,
+    pub(crate) position: ViewPosition,
     /// Routing document, compressed, if it is newer than that of the view.
     pub(crate) routing: Option<Vec<u8>>,
     /// Whether `entries` replace the whole directory of the view.
--- a/crates/toucansilld/src/gateway/run.rs
+++ b/crates/toucansilld/src/gateway/run.rs
@@ -137,6 +137,7 @@
         tokio::spawn(send_raft(Arc::clone(control), outgoing));
         tokio::spawn(Arc::clone(control).watch_leadership());
         tokio::spawn(Arc::clone(control).poll_waiting_requests());
+        tokio::spawn(Arc::clone(control).serve_followers());
     }
     let follower = Follower {
         settings: Arc::clone(&settings),
--- a/crates/toucansilld/src/gateway/view.rs
+++ b/crates/toucansilld/src/gateway/view.rs
@@ -2,10 +2,11 @@
 
 use super::{
     compress::decompress,
-    messages::{DirectoryViewPosition, ReplicatedState, ViewChange},
+    messages::{ReplicatedState, ViewChange},
     settings::GatewaySettings,
 };
 use crate::sync::lock;
+use follow::ViewPosition;
 use grant::{Directory, LocalPlacer, Revision};
 use platform::control::decode_document;
 use routing::{RoutingDocument, RoutingTable};
@@ -28,7 +29,7 @@
 /// Contents of a [`View`].
 pub(crate) struct ViewState {
     /// Versions of the parts of this state.
-    pub(crate) position: DirectoryViewPosition,
+    pub(crate) position: ViewPosition,
     /// Routing table of this view; `None` until a leader has sent a routing document.
     pub(crate) table: Option<Arc<RoutingTable>>,
     /// Registered upstreams and data centres out of service.
@@ -61,7 +62,7 @@
     /// Creates a view without routing, upstreams or a leader.
     pub(crate) fn new() -> Arc<Self> {
         let state = ViewState {
-            position: DirectoryViewPosition::default(),
+            position: ViewPosition::default(),
             table: None,
             directory: Directory::new(),
             local: LocalPlacer::new(),
@@ -154,7 +155,7 @@
         self.control_addresses =
             change.control_addresses.iter().filter_map(|a| a.parse().ok()).collect();
         let routing = self.table.as_ref().map_or(0, |table| table.document().version);
-        self.position = DirectoryViewPosition { routing, ..change.position };
+        self.position = ViewPosition { routing, ..change.position };
         self.leader_heard = Some(now);
         if routing != former {
             log::info!(version = routing, former = former; "routing in force");
--- a/crates/toucansilld/tests/gateway/notices.rs
+++ b/crates/toucansilld/tests/gateway/notices.rs
@@ -162,7 +162,11 @@
 fn a_request_is_refused_at_once_if_all_upstreams_turn_the_daemon_away() {
     for document in [document(1, "/x/", "s1"), engine_document(1, "/x/")] {
         let (region, upstreams) = start(1, &document, [turn_away, turn_away]);
-        upstreams.iter().for_each(|upstream| send_until_reached(&region, 0, upstream));
+        // Each is reached once, in either order: a second time only after it has been turned away.
+        eventually("both upstreams get a request", || {
+            region.request_at(region.entry(), "/x/", "hi", DEADLINE);
+            upstreams.iter().all(|upstream| !upstream.runs().is_empty()).then_some(())
+        });
         let before: Vec<usize> = upstreams.iter().map(|upstream| upstream.runs().len()).collect();
         let sent = Instant::now();
         let (status, retry_after) = region.refusal_at(region.entry(), "/x/", DEADLINE);
