Answer registrations that say nothing new at any member, and keep connections of all upstreams

Each registration at a member that doesn't lead was a message to the leader and back: 2,000 a second with 3,000 upstreams.

A member answers a registration that its view has but for the sequence number, if it hears the leader, and tells the leader of all of 200 ms in one message. The leader names those that it doesn't know so; their next registration is passed on whole. A refresh never makes an upstream that drains, has left or runs anew available (tests of the directory). 3,000 connections to the control address.

--- a/crates/grant/src/directory.rs
+++ b/crates/grant/src/directory.rs
@@ -159,6 +159,16 @@
         outcome
     }
 
+    /// Whether a registration tells no more than that the known run of an upstream, which gets
+    /// requests, is alive.
+    pub fn is_refresh(&self, registration: &Registration) -> bool {
+        let known = self.get(&registration.id).filter(|entry| entry.accepts_requests());
+        known.is_some_and(|entry| {
+            entry.registration.started_at_ms == registration.started_at_ms
+                && !affects_placement(&entry.registration, registration)
+        })
+    }
+
     /// Applies a registration like that of the known run but for its sequence number: only the time
     /// at which the upstream was last heard may change. Returns whether the run is known here as one
     /// that gets requests; if not, its whole registration is needed.
--- a/crates/grant/tests/directory.rs
+++ b/crates/grant/tests/directory.rs
@@ -165,3 +165,54 @@
         }
     }
 }
+
+/// A member of the control group tells the leader of registrations that change nothing by name only.
+/// The leader must not take such a message for more than that the run is alive.
+#[test]
+fn a_refresh_changes_nothing_but_the_time() {
+    let now = Instant::now();
+    let mut directory = Directory::new();
+    directory.register(now, registration("u", 1, 5, 3));
+    let revision = directory.revision();
+    assert!(directory.is_refresh(&registration("u", 1, 5, 4)));
+    let later = now + Duration::from_secs(1);
+    assert!(directory.refresh(later, "u", 5, 4));
+    assert_eq!(directory.time_since_heard(later, "u"), Duration::ZERO);
+    assert_eq!(directory.revision(), revision);
+
+    // A late one doesn't count as a sign of life.
+    let much_later = later + Duration::from_secs(1);
+    assert!(directory.refresh(much_later, "u", 5, 4));
+    assert_eq!(directory.time_since_heard(much_later, "u"), Duration::from_secs(1));
+    // Unknown upstreams and other runs have to register whole.
+    assert!(!directory.refresh(much_later, "v", 5, 5));
+    assert!(!directory.refresh(much_later, "u", 6, 1));
+}
+
+#[test]
+fn a_registration_that_changes_something_is_no_refresh() {
+    let now = Instant::now();
+    let mut directory = Directory::new();
+    let known = registration("u", 1, 5, 3);
+    directory.register(now, known.clone());
+    let later = Registration { sequence: 4, ..known.clone() };
+    assert!(directory.is_refresh(&later));
+    let cold_remaining = Duration::from_secs(1);
+    let changed = [
+        Registration { is_draining: true, ..later.clone() },
+        Registration { started_at_ms: 6, ..later.clone() },
+        Registration { cold_remaining, ..later.clone() },
+        Registration { slots: 1, ..later.clone() },
+        Registration { service: "other".to_owned(), ..later.clone() },
+        Registration { address: "10.0.0.9:80".parse().expect("an address"), ..later.clone() },
+        Registration { id: "v".to_owned(), ..later.clone() },
+    ];
+    for registration in changed {
+        assert!(!directory.is_refresh(&registration), "{registration:?}");
+    }
+    directory.register(now, Registration { is_draining: true, ..later.clone() });
+    assert!(!directory.is_refresh(&later), "it drains");
+    assert!(!directory.refresh(now, "u", 5, 5), "it drains");
+    directory.deregister(now, "u");
+    assert!(!directory.is_refresh(&later) && !directory.refresh(now, "u", 5, 6), "it has left");
+}
--- a/crates/toucansilld/src/gateway.rs
+++ b/crates/toucansilld/src/gateway.rs
@@ -36,6 +36,7 @@
 mod placer;
 mod quarantine;
 mod record;
+mod refreshes;
 mod relay;
 mod relay_announcer;
 mod relay_server;
--- a/crates/toucansilld/src/gateway/calls.rs
+++ b/crates/toucansilld/src/gateway/calls.rs
@@ -285,7 +285,16 @@
     }
 }
 
+/// Registration that a request holds; `None` if it holds something else.
+pub(super) fn read_registration(request: &ControlHttpRequest) -> Option<Registration> {
+    let method = Method::from_bytes(request.method.as_bytes()).ok()?;
+    match control_api::decode(&method, &request.path, &request.body) {
+        Ok(control_api::Call::Register(registration)) => Some(registration),
+        _ => None,
+    }
+}
+
 /// Response to a registration or a departure that took effect.
-fn registered() -> ControlHttpResponse {
+pub(super) fn registered() -> ControlHttpResponse {
     ControlHttpResponse { status: 200, body: control_api::registration_response(None) }
 }
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -3,13 +3,15 @@
 
 use super::{
     bus::{DaemonLinks, reply, reply_encoded},
+    calls::{read_registration, registered},
     lead::{FOLLOW_WAIT, LeaderState, PLACE_WAIT, PlacementReply},
     members::{self, members_for},
     messages::{
         ControlHttpRequest, ControlHttpResponse, FollowRequest, LeaderReply, LeaderRequest,
-        ReplicatedState,
+        RefreshedUpstream, ReplicatedState,
     },
     quarantine::{ReadWatchlist, ReceivedReports},
+    refreshes::Refreshes,
     settings::{Bounds, ControlSettings, GatewaySettings},
     view::View,
 };
@@ -75,6 +77,7 @@
     is_changing_membership: AtomicBool,
     pub(super) watchlist: watch::Sender<ReadWatchlist>,
     reports_tx: flume::Sender<ReceivedReports>,
+    refreshes: Arc<Refreshes>,
 }
 
 /// Exclusive right to change the group's members, released on drop.
@@ -96,6 +99,7 @@
         clock: SharedClock,
     ) -> (Arc<Self>, impl Future<Output = ()> + Send) {
         let (reports_tx, reports) = flume::unbounded();
+        let refreshes = Refreshes::new(Arc::clone(&view), Arc::clone(&clock));
         let member = Arc::new(Self {
             settings,
             control,
@@ -112,6 +116,7 @@
             is_changing_membership: AtomicBool::new(false),
             watchlist: watch::Sender::new(ReadWatchlist::default()),
             reports_tx,
+            refreshes,
         });
         (Arc::clone(&member), member.record_reports(reports))
     }
@@ -123,6 +128,12 @@
         }
     }
 
+    /// Tells the leader of the registrations that this daemon has answered, until the task is aborted.
+    pub(crate) async fn send_refreshes(self: Arc<Self>) {
+        let links = Arc::clone(self.links.get().expect("the links are set before any task runs"));
+        Arc::clone(&self.refreshes).send(links).await;
+    }
+
     /// Links to the other daemons.
     pub(crate) fn links(&self) -> &DaemonLinks {
         self.links.get().expect("the links are set before any task runs")
@@ -341,6 +352,18 @@
                 });
                 reply(responder, &relays.unwrap_or_else(|| self.not_leader()));
             }
+            LeaderRequest::RefreshUpstreams(refreshed) => {
+                let now = self.clock.now();
+                let unknown = self.with_leader(|leader| {
+                    let is_unknown = |r: &RefreshedUpstream| {
+                        !leader.directory.refresh(now, &r.upstream, r.started_at_ms, r.sequence)
+                    };
+                    let unknown = refreshed.into_iter().filter(is_unknown);
+                    unknown.map(|refreshed| refreshed.upstream).collect()
+                });
+                let refreshed = unknown.map(|unknown| LeaderReply::UpstreamsRefreshed { unknown });
+                reply(responder, &refreshed.unwrap_or_else(|| self.not_leader()));
+            }
             LeaderRequest::Join { id, address } => {
                 let control = Arc::clone(self);
                 tokio::spawn(async move {
@@ -370,7 +393,7 @@
     }
 
     /// Handles an HTTP control request that this daemon received: itself if it leads, otherwise by
-    /// forwarding it to the leader.
+    /// forwarding it to the leader. Registrations that say nothing new need not be forwarded.
     pub(crate) async fn handle_control(
         self: &Arc<Self>,
         request: ControlHttpRequest,
@@ -378,6 +401,11 @@
         if let Some(response) = self.handle_as_leader(request.clone()).await {
             return response;
         }
+        if let Some(registration) = read_registration(&request)
+            && self.refreshes.take_over(&registration)
+        {
+            return registered();
+        }
         let LeaderReply::NotLeader { leader: Some(leader) } = self.not_leader() else {
             return ControlHttpResponse::new(503, "no leader is known");
         };
--- a/crates/toucansilld/src/gateway/messages.rs
+++ b/crates/toucansilld/src/gateway/messages.rs
@@ -73,6 +73,19 @@
     /// Announces that the sender relays messages to upstreams for other daemons, and asks for others
     /// that do.
     AnnounceRelay(ListedRelay),
+    /// Tells the leader of runs of upstreams that have registered at the sender with nothing new.
+    RefreshUpstreams(Vec<RefreshedUpstream>),
+}
+
+/// Run of an upstream that has registered again with nothing new.
+#[derive(Clone, Debug, Decode, Encode)]
+pub(crate) struct RefreshedUpstream {
+    /// Name of the upstream.
+    pub(crate) upstream: UpstreamId,
+    /// Start time of the run, in milliseconds since the Unix epoch on its clock.
+    pub(crate) started_at_ms: u64,
+    /// Sequence number of the registration.
+    pub(crate) sequence: u64,
 }
 
 /// Reply to a [`LeaderRequest`].
@@ -119,6 +132,11 @@
     LeavingRecorded,
     /// Reply to [`LeaderRequest::AnnounceRelay`]: some of the other relays.
     Relays(Vec<ListedRelay>),
+    /// Reply to [`LeaderRequest::RefreshUpstreams`].
+    UpstreamsRefreshed {
+        /// Those that the leader doesn't know so, and whose whole registrations it needs.
+        unknown: Vec<UpstreamId>,
+    },
 }
 
 /// Daemon that relays messages to upstreams.
--- a/crates/toucansilld/src/gateway/run.rs
+++ b/crates/toucansilld/src/gateway/run.rs
@@ -138,6 +138,7 @@
         tokio::spawn(Arc::clone(control).watch_leadership());
         tokio::spawn(Arc::clone(control).poll_waiting_requests());
         tokio::spawn(Arc::clone(control).serve_followers());
+        tokio::spawn(Arc::clone(control).send_refreshes());
     }
     let follower = Follower {
         settings: Arc::clone(&settings),
--- a/crates/toucansilld/src/gateway/servers.rs
+++ b/crates/toucansilld/src/gateway/servers.rs
@@ -19,8 +19,10 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{sync::watch, time::sleep};
 
-/// Maximum number of connections to each of the control, readiness and metrics addresses: several
-/// times the number of upstreams of a region.
+/// Maximum number of connections to the control address. Each upstream keeps one to a member, and with
+/// fewer they would make new ones all the time. A member with a disk has no callers that need any.
+const MAX_CONTROL_CONNECTIONS: usize = 3_000;
+/// Maximum number of connections to each of the readiness and metrics addresses.
 const MAX_INTERNAL_CONNECTIONS: usize = 512;
 /// Maximum number of messages that are relayed at a time. Each uses two connections.
 const MAX_RELAY_CONNECTIONS: usize = 256;
@@ -112,7 +114,8 @@
     control: Arc<ControlMember>,
     is_stopping: watch::Receiver<bool>,
 ) -> Result<()> {
-    let server = bind("control.listen", cfg.listen, internal_config())?;
+    let server_cfg = ServerConfig { max_connections: MAX_CONTROL_CONNECTIONS, ..internal_config() };
+    let server = bind("control.listen", cfg.listen, server_cfg)?;
     let handler = move |req: Request<Incoming>| handle_control_request(Arc::clone(&control), req);
     tokio::spawn(serve(server, is_stopping, handler));
     Ok(())
