Send a new leader's followers only what they lack

A new leader's directory is the view that it has followed, so a view of the same term that isn't ahead of it lacks only what has changed since (follow::History). A full copy knows of no departure before it, so that a daemon that was cut off for longer gets the whole (test a_full_copy_has_no_history_before_it). All replies to followers come in rounds now, those to followers of other terms too, and the same change is encoded once.

The index of a copy's entries by revision kept one entry for a revision; entries that a copy changes itself may share the revision of another (test changes_of_a_copy_hide_none_of_the_leader). Engines are advanced once for all requests of a poll.

--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -34,4 +34,4 @@
 
 pub use followers::Followers;
 pub use held::{HeldRequest, HeldRequests};
-pub use position::ViewPosition;
+pub use position::{History, ViewPosition};
--- a/crates/follow/src/position.rs
+++ b/crates/follow/src/position.rs
@@ -46,3 +46,27 @@
         }
     }
 }
+
+/// Which views a leader's directory continues.
+///
+/// A new leader's directory starts as the view that it has followed. Views of the same term that are
+/// not ahead of that one are earlier states of the directory, and lack only what has changed since.
+/// Without this, each change of the leader would send the whole directory to each follower.
+#[derive(Clone, Copy, Debug)]
+pub struct History {
+    term: u64,
+    base: ViewPosition,
+}
+
+impl History {
+    /// History of the leader of `term`, whose directory started as the view at `base`.
+    pub fn new(term: u64, base: ViewPosition) -> Self {
+        Self { term, base }
+    }
+
+    /// Whether the leader's directory was once the same as that of a view at `held`.
+    pub fn continues(&self, held: &ViewPosition) -> bool {
+        held.term == self.term
+            || held.term == self.base.term && held.directory <= self.base.directory
+    }
+}
--- a/crates/follow/tests/followers.rs
+++ b/crates/follow/tests/followers.rs
@@ -1,6 +1,6 @@
 //! What all followers of a leader have.
 
-use follow::{Followers, HeldRequests, ViewPosition};
+use follow::{Followers, HeldRequests, History, ViewPosition};
 use std::time::{Duration, Instant};
 
 const LIVE_TIME: Duration = Duration::from_millis(1_200);
@@ -59,3 +59,22 @@
     assert_eq!(held.take_all().len(), 2);
     assert!(held.is_empty() && held.next_due().is_none());
 }
+
+/// The directory of a new leader is that of its predecessor up to what it had followed.
+#[test]
+fn a_new_leader_continues_the_views_that_are_not_ahead_of_its_own() {
+    let history = History::new(7, at(5, 40));
+    assert!(history.continues(&at(7, 90)), "a view of its own");
+    assert!(history.continues(&at(5, 40)) && history.continues(&at(5, 12)));
+    assert!(!history.continues(&at(5, 41)), "it has a change that the leader lacks");
+    assert!(!history.continues(&at(4, 12)), "revisions of an earlier leader may differ");
+    assert!(!history.continues(&at(6, 12)), "a leader that nobody else has followed");
+    assert!(!history.continues(&ViewPosition::default()), "no view yet");
+}
+
+/// The first leader of a region starts with no view, as its followers do.
+#[test]
+fn the_first_leader_sends_all() {
+    let history = History::new(1, ViewPosition::default());
+    assert!(history.continues(&ViewPosition::default()));
+}
--- a/crates/grant/src/directory.rs
+++ b/crates/grant/src/directory.rs
@@ -6,7 +6,6 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
-    ops::Bound,
     time::{Duration, Instant},
 };
 use wire::{DataCentreId, UpstreamId};
@@ -82,8 +81,9 @@
     records: BTreeMap<UpstreamId, Record>,
     timestamps: Vec<Timestamps>,
     free_timestamps: Vec<TimestampSlot>,
-    /// Upstreams by the revision of their last change.
-    by_revision: BTreeMap<Revision, UpstreamId>,
+    /// Upstreams by the revision of their last change. In a copy, an entry that was changed here may
+    /// have the revision of another.
+    by_revision: BTreeSet<(Revision, UpstreamId)>,
     /// Upstreams that have not departed, by address.
     by_address: BTreeSet<(SocketAddr, UpstreamId)>,
     out_of_service: BTreeSet<DataCentreId>,
@@ -91,7 +91,8 @@
     departures: Departures,
     /// Deregistrations of unknown runs: their timestamp, and when they were taken over.
     unknown_departures: BTreeMap<UpstreamId, (u64, Instant)>,
-    /// Highest revision among the departed entries that were purged.
+    /// Highest revision among the departed entries that were purged, or revision of the full copy that
+    /// this one began as: departures before it are not known.
     purged_revision: Revision,
     generation: u64,
 }
@@ -274,7 +275,7 @@
         let due: Vec<UpstreamId> = due.map(|r| r.entry.registration.id.clone()).collect();
         for id in due {
             let Some(record) = self.records.remove(&id) else { continue };
-            self.by_revision.remove(&record.entry.revision);
+            self.by_revision.remove(&(record.entry.revision, id));
             self.free_timestamps.push(record.timestamps);
             self.purged_revision = record.entry.revision.max(self.purged_revision);
             self.generation += 1;
@@ -353,7 +354,8 @@
     /// Entries that changed after a revision, with the remaining time of their cold start as of
     /// `now`, ordered by upstream name.
     pub fn changes_since(&self, now: Instant, revision: Revision) -> Vec<DirectoryEntry> {
-        let changed = self.by_revision.range((Bound::Excluded(revision), Bound::Unbounded));
+        let first = (revision.saturating_add(1), UpstreamId::new());
+        let changed = self.by_revision.range(first..);
         let mut records: Vec<&Record> =
             changed.filter_map(|(_, id)| self.records.get(id)).collect();
         records.sort_by(|a, b| a.entry.registration.id.cmp(&b.entry.registration.id));
@@ -381,6 +383,7 @@
             self.free_timestamps.clear();
             self.by_revision.clear();
             self.by_address.clear();
+            self.purged_revision = revision;
             self.generation += 1;
             // They have to be applied to the new entries.
             self.departures = Departures::default();
@@ -450,7 +453,7 @@
             .map(|known| known.run_revision);
         let slot = match known {
             Some(known) => {
-                self.by_revision.remove(&known.entry.revision);
+                self.by_revision.remove(&(known.entry.revision, id.clone()));
                 self.by_address.remove(&(known.entry.registration.address, id.clone()));
                 known.timestamps
             }
@@ -460,7 +463,7 @@
             Some(known) => *known = timestamps,
             None => self.timestamps.push(timestamps),
         }
-        self.by_revision.insert(entry.revision, id.clone());
+        self.by_revision.insert((entry.revision, id.clone()));
         if !entry.is_departed {
             self.by_address.insert((address, id.clone()));
         }
--- a/crates/grant/src/fleet.rs
+++ b/crates/grant/src/fleet.rs
@@ -39,6 +39,8 @@
     newest_run: Revision,
     /// Generation of the directory that the engines were last compared with.
     generation: Option<u64>,
+    /// Time that all engines were last advanced to.
+    advanced_to: Option<Instant>,
 }
 
 impl Fleet {
@@ -55,6 +57,7 @@
             return false;
         }
         self.generation = Some(directory.generation());
+        self.advanced_to = None;
         let mut known: HashMap<UpstreamId, FleetEngine> =
             self.engines.drain(..).map(|known| (known.upstream.clone(), known)).collect();
         let present = directory.present();
@@ -85,8 +88,11 @@
         true
     }
 
-    /// Advances the engines to `now`.
+    /// Advances the engines to `now`. Those whose work changes meanwhile are advanced then.
     pub(crate) fn advance(&mut self, now: Instant) {
+        if self.advanced_to.replace(now) == Some(now) {
+            return;
+        }
         self.engines.iter_mut().for_each(|engine| engine.engine.advance(now));
     }
 
--- a/crates/grant/tests/directory.rs
+++ b/crates/grant/tests/directory.rs
@@ -1,6 +1,6 @@
 //! Registrations that arrive late, out of order, or from runs that have ended.
 
-use control::{Command, Departures, State};
+use control::{Command, Departures, State, UpstreamDeparture};
 use grant::{Directory, Registration, RegistrationOutcome};
 use std::{
     collections::BTreeSet,
@@ -216,3 +216,49 @@
     directory.deregister(now, "u");
     assert!(!directory.is_refresh(&later) && !directory.refresh(now, "u", 5, 6), "it has left");
 }
+
+/// A member that joined after an upstream had left, and been forgotten, may lead later. An entry that
+/// was cut off all the time has the upstream as present, and must not keep it.
+#[test]
+fn a_full_copy_has_no_history_before_it() {
+    let now = Instant::now();
+    let mut leader = Directory::new();
+    leader.register(now, registration("u", 1, 1, 1));
+    let entry_revision = leader.revision();
+    leader.deregister(now, "u");
+    leader.register(now, registration("v", 2, 1, 1));
+    leader.purge_departed(now + Duration::from_secs(600));
+
+    let mut copy = Directory::new();
+    copy.adopt_entries(now, true, leader.revision(), leader.changes_since(now, 0));
+    assert!(!copy.has_history_since(entry_revision));
+    assert!(copy.has_history_since(leader.revision()));
+}
+
+/// Departures that a copy takes over from the replicated state get revisions of the copy's own, which
+/// the leader gives to other entries.
+#[test]
+fn changes_of_a_copy_hide_none_of_the_leader() {
+    let now = Instant::now();
+    let mut leader = Directory::new();
+    leader.register(now, registration("u", 1, 1, 1));
+    leader.register(now, registration("v", 2, 1, 1));
+    let mut copy = Directory::new();
+    copy.adopt_entries(now, true, leader.revision(), leader.changes_since(now, 0));
+    let since = copy.revision();
+    let departure = UpstreamDeparture {
+        upstream: "u".to_owned(),
+        started_at_ms: 1,
+        has_left: true,
+        sequence: 2,
+        at_ms: 0,
+    };
+    copy.set_departures(now, &departures(vec![Command::RecordDeparture(departure)]));
+    leader.register(now, registration("w", 3, 1, 1));
+    copy.adopt_entries(now, false, leader.revision(), leader.changes_since(now, since));
+    leader.register(now, registration("u", 1, 2, 1));
+    copy.adopt_entries(now, false, leader.revision(), leader.changes_since(now, since + 1));
+    let changed: Vec<String> =
+        copy.changes_since(now, since).into_iter().map(|e| e.registration.id).collect();
+    assert_eq!(changed, ["u", "w"]);
+}
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -431,9 +431,8 @@
         self.voter.status().membership.voters.len() >= needed || has_timed_out
     }
 
-    /// Records a follower and replies with what it lacks. If it lacks nothing, the reply waits
-    /// for a change, or for [`FOLLOW_WAIT`]. What it lacks of this term comes with the next round of
-    /// replies, a view of another term at once.
+    /// Records a follower and holds its request until the next round of replies if it lacks anything,
+    /// otherwise until there is a change, or for [`FOLLOW_WAIT`].
     fn handle_follow(&self, follow: FollowRequest, responder: Responder) {
         let now = self.clock.now();
         let position_held = follow.position;
@@ -445,9 +444,6 @@
             return reply(responder, &self.not_leader());
         };
         self.wake_poll(is_poll_sooner);
-        if position_held.term != position.term {
-            return self.send_changes(vec![(position_held, responder)]);
-        }
         let is_sooner = {
             let mut held = lock(&self.held);
             let is_first = held.hold(now, position_held, responder);
@@ -485,8 +481,8 @@
         }
     }
 
-    /// Replies to follow requests with the changes since the positions of the views. The change from
-    /// one position is encoded once.
+    /// Replies to follow requests with the changes since the positions of the views. What several
+    /// followers lack is encoded once.
     fn send_changes(&self, requests: Vec<(ViewPosition, Responder)>) {
         if requests.is_empty() {
             return;
@@ -496,9 +492,10 @@
         let members = status.membership.nodes();
         let control_addresses: Vec<String> =
             members.filter_map(|id| self.voter.address_of(id)).collect();
-        let mut encoded: HashMap<ViewPosition, wire::Result<Vec<u8>>> = HashMap::new();
+        let mut encoded: HashMap<_, wire::Result<Vec<u8>>> = HashMap::new();
         for (position_held, responder) in requests {
-            let buf = encoded.entry(position_held).or_insert_with(|| {
+            let key = self.with_leader(|leader| leader.change_key(position_held));
+            let buf = encoded.entry(key).or_insert_with(|| {
                 let change = self.with_leader(|leader| {
                     leader.change_for(now, position_held, &control_addresses)
                 });
@@ -530,12 +527,12 @@
             retry_slack: bounds.retry_slack,
             silence_timeout: bounds.silence_timeout(),
         };
-        let (mut directory, entry_daemons) =
-            self.view.with(|state| (state.directory.clone(), state.entry_daemons));
+        let (base, mut directory, entry_daemons) =
+            self.view.with(|state| (state.position, state.directory.clone(), state.entry_daemons));
         let now = self.clock.now();
         directory.mark_all_heard(now);
         log::info!(term = term, revision = directory.revision(); "this daemon leads");
-        let mut leader = LeaderState::new(now, term, cfg, directory, entry_daemons);
+        let mut leader = LeaderState::new(now, term, cfg, (base, directory), entry_daemons);
         // The copy may lack departures that the former leader acknowledged.
         self.voter.peek(|state| leader.apply_state(now, state));
         self.read_watchlist();
--- a/crates/toucansilld/src/gateway/lead.rs
+++ b/crates/toucansilld/src/gateway/lead.rs
@@ -6,10 +6,10 @@
     view::read_document,
 };
 use control::Watchlist;
-use follow::{Followers, ViewPosition};
+use follow::{Followers, History, ViewPosition};
 use grant::{
     Decision, Directory, Dispatcher, DispatcherConfig, LimitReport, PlacementRequest,
-    PlacementRequestId, PollSchedule,
+    PlacementRequestId, PollSchedule, Revision,
 };
 use proxy::{AnnouncedRelays, RelayDaemon};
 use std::{
@@ -44,6 +44,7 @@
     since: Instant,
     /// Number of entry daemons that followed the former leader.
     former_entry_daemons: u32,
+    history: History,
     pub(crate) directory: Directory,
     dispatcher: Dispatcher,
     pending: BTreeMap<PlacementRequestId, PendingPlacement>,
@@ -61,19 +62,20 @@
 pub(crate) type PlacementReply = (Responder, Decision);
 
 impl LeaderState {
-    /// Creates the state of a new leader, with the directory that it has followed so far, and the
-    /// number of entry daemons that the former leader counted.
+    /// Creates the state of a new leader, with the directory that it has followed up to the position
+    /// `base`, and the number of entry daemons that the former leader counted.
     pub(crate) fn new(
         now: Instant,
         term: u64,
         cfg: DispatcherConfig,
-        directory: Directory,
+        (base, directory): (ViewPosition, Directory),
         former_entry_daemons: u32,
     ) -> Self {
         Self {
             term,
             since: now,
             former_entry_daemons,
+            history: History::new(term, base),
             directory,
             dispatcher: Dispatcher::new(cfg),
             pending: BTreeMap::new(),
@@ -191,29 +193,42 @@
         has_more && self.has_waiting() && self.polls.changed(now)
     }
 
-    /// Changes that a follower with a view at `held` lacks. It gets the whole directory if its
-    /// view is of another term, or so old that departures since then have been purged.
+    /// Changes that a follower with a view at `held` lacks. It gets the whole directory if its view
+    /// doesn't continue as this leader's does, or is so old that departures since then have been
+    /// purged.
     pub(crate) fn change_for(
         &self,
         now: Instant,
         held: ViewPosition,
         control_addresses: &[String],
     ) -> ViewChange {
-        let position = self.position();
-        let is_whole = held.term != self.term || !self.directory.has_history_since(held.directory);
-        let since = if is_whole { 0 } else { held.directory };
+        let since = self.common_revision(held);
         let newer = self.routing.as_ref().filter(|(version, _)| *version > held.routing);
         ViewChange {
-            position,
+            position: self.position(),
             routing: newer.map(|(_, published)| published.document.clone()),
-            is_whole,
-            entries: self.directory.changes_since(now, since),
+            is_whole: since.is_none(),
+            entries: self.directory.changes_since(now, since.unwrap_or_default()),
             out_of_service: self.directory.out_of_service().clone(),
             entry_daemons: self.entry_daemons(now),
             control_addresses: control_addresses.to_vec(),
         }
     }
 
+    /// Revision up to which a view at `held` is the same as this leader's directory was; `None` if
+    /// there is none with a known history.
+    fn common_revision(&self, held: ViewPosition) -> Option<Revision> {
+        let is_continued =
+            self.history.continues(&held) && self.directory.has_history_since(held.directory);
+        is_continued.then_some(held.directory)
+    }
+
+    /// The part of a position that decides what [`change_for`](Self::change_for) returns: followers
+    /// for which it is the same get the same change.
+    pub(crate) fn change_key(&self, held: ViewPosition) -> (Option<Revision>, u64) {
+        (self.common_revision(held), held.routing)
+    }
+
     /// Whether the views of all live followers cover `position`. False at the start of a term,
     /// until as many entry daemons follow as followed the former leader, or for
     /// [`FOLLOWER_TIMEOUT`].
