--- a/crates/toucansilld/src/gateway/forward.rs
+++ b/crates/toucansilld/src/gateway/forward.rs
@@ -216,6 +216,7 @@
                 PlacementSummary::new(&guard, started.saturating_duration_since(requested_at));
             self.tried.push(guard.upstream().clone());
             self.sent.reset();
+            record.start_attempt(&placement);
             let result = self.attempt(guard, started).await;
             let ms = self.now().saturating_duration_since(started).as_millis();
             let ms = u64::try_from(ms).unwrap_or(u64::MAX);
--- a/crates/toucansilld/src/gateway/record.rs
+++ b/crates/toucansilld/src/gateway/record.rs
@@ -35,6 +35,8 @@
     pub(crate) parts: Vec<PromptPartId>,
     /// Attempts in order, as text.
     attempts: Vec<String>,
+    /// Attempt that is under way, and when it began.
+    current: Option<(PlacementSummary, Instant)>,
     first_event_ms: Option<u64>,
     outcome: Option<(StatusCode, String)>,
     /// Whether another record, which will be logged, has taken over.
@@ -56,12 +58,19 @@
             hash: 0,
             parts: Vec::new(),
             attempts: Vec::new(),
+            current: None,
             first_event_ms: None,
             outcome: None,
             is_transferred: false,
         }
     }
 
+    /// Records that an attempt begins. If the caller disconnects meanwhile, it is logged without an
+    /// end.
+    pub(crate) fn start_attempt(&mut self, placement: &PlacementSummary) {
+        self.current = Some((placement.clone(), self.clock.now()));
+    }
+
     /// Records an attempt: where it was sent, by whose placement and through which other daemon, if
     /// any, its duration in ms, with reservations and connecting, and how it ended.
     pub(crate) fn add_attempt(
@@ -71,6 +80,7 @@
         ms: u64,
         outcome: &LoggedAttemptOutcome,
     ) {
+        self.current = None;
         if let LoggedAttemptOutcome::Failed(failure, _) = outcome {
             let labels = [("service", self.service.clone()), ("failure", format!("{failure:?}"))];
             metrics::counter!("toucansill_attempt_failures_total", &labels).increment(1);
@@ -107,6 +117,7 @@
             hash: self.hash,
             parts: std::mem::take(&mut self.parts),
             attempts: std::mem::take(&mut self.attempts),
+            current: self.current.take(),
             first_event_ms: self.first_event_ms,
             outcome: None,
             is_transferred: false,
@@ -120,6 +131,7 @@
 }
 
 /// Placement of one attempt, for the log.
+#[derive(Clone)]
 pub(crate) struct PlacementSummary {
     upstream: UpstreamId,
     /// View by which the entry placed it; `None` if the leader did.
@@ -164,6 +176,10 @@
             return;
         }
         let ms = self.elapsed_ms();
+        if let Some((placement, started)) = self.current.take() {
+            let ms = self.clock.now().saturating_duration_since(started).as_millis();
+            self.attempts.push(format!("{placement}: no response, under way for {ms} ms"));
+        }
         let (status, reason) = match self.outcome.take() {
             Some((status, reason)) => (status.as_u16(), reason),
             None => (0, String::from("the caller left")),
--- a/crates/toucansilld/tests/gateway/main.rs
+++ b/crates/toucansilld/tests/gateway/main.rs
@@ -13,7 +13,10 @@
 use platform::stand_in::{DOCUMENT_PATH, document, engine_document, upstream_path};
 use region::{Region, eventually};
 use stand_ins::Upstream;
-use std::thread;
+use std::{thread, time::Duration};
+
+/// Time after which a caller leaves that gets no response.
+const CALLER_PATIENCE: Duration = Duration::from_millis(300);
 
 /// Not a test by itself: [`Region`] starts this program with it as a daemon.
 #[test]
@@ -185,3 +188,26 @@
     });
     assert_eq!(upstream.runs().len(), 1);
 }
+
+/// Guards against a request whose line doesn't say where it was, because its caller left during the
+/// attempt.
+#[test]
+fn the_line_of_a_request_names_the_attempt_under_way_when_its_caller_left() {
+    let mut region = Region::new(1);
+    region.start_all(true);
+    region.await_members(1);
+    region.control_request_until_ok(0, "PUT", DOCUMENT_PATH, &document(1, "/x/", "s1"));
+    let upstream = Upstream::silent();
+    let path = &upstream_path("u1");
+    region.control_request_until_ok(0, "PUT", path, &upstream.registration("s1", 1, "ready"));
+    eventually("a request at the upstream", || {
+        let caller = region.open_request("/x/");
+        thread::sleep(CALLER_PATIENCE);
+        drop(caller);
+        (!upstream.runs().is_empty()).then_some(())
+    });
+    eventually("a line that names the attempt", || {
+        let log = region.log(region.entry());
+        log.lines().any(|l| l.contains("u1 by entry") && l.contains("under way for")).then_some(())
+    });
+}
--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -158,7 +158,9 @@
                 .args(["--exact", "routed_daemon"])
                 .env(ROUTED_DAEMON, format!("{}\n{routes}", file.display()));
         }
-        let child = command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().expect("started");
+        let log = fs::File::options().create(true).append(true).open(self.log_file(i));
+        command.stdout(log.expect("a log file")).stderr(Stdio::null());
+        let child = command.spawn().expect("started");
         self.children[i] = Some(child);
     }
 
@@ -325,6 +327,20 @@
         self.send(i, path, body, header_lines)
     }
 
+    /// Sends a caller's request to the first entry, on a connection that the caller closes when it is
+    /// dropped.
+    pub(crate) fn open_request(&self, path: &str) -> TcpStream {
+        let attempt = self.attempts.fetch_add(1, Ordering::Relaxed);
+        let header_lines = request_header_lines(&format!("r{attempt}"), 30_000);
+        let request = format!(
+            "POST {path} HTTP/1.1\r\nHost: a.example\r\n{header_lines}Content-Length: 0\r\n\r\n"
+        );
+        let mut stream =
+            TcpStream::connect(self.callers_address(self.entry())).expect("a connection");
+        stream.write_all(request.as_bytes()).expect("written");
+        stream
+    }
+
     /// Sends a caller's request to entry `i`. Returns the status of the response and its `Retry-After` in
     /// seconds.
     pub(crate) fn refusal_at(
@@ -372,6 +388,15 @@
         self.dir.path().join(&self.daemons[i].name)
     }
 
+    /// What a daemon has logged so far, over all its processes.
+    pub(crate) fn log(&self, i: usize) -> String {
+        fs::read_to_string(self.log_file(i)).unwrap_or_default()
+    }
+
+    fn log_file(&self, i: usize) -> PathBuf {
+        self.dir.path().join(format!("{}.log", self.daemons[i].name))
+    }
+
     /// Settings file of a daemon.
     fn settings(&self, i: usize, founds_group: bool) -> String {
         let DaemonConfig { ip, name, is_control, data_centre, .. } = &self.daemons[i];
