Give engines that prefill a part of a prompt no other part

A part is now placed only on engines that have none to prefill; a whole prompt still queues behind a part that is done soon, as engines prefill these in order.

--- a/crates/grant/src/place_long.rs
+++ b/crates/grant/src/place_long.rs
@@ -144,7 +144,7 @@
     limit: Duration,
 ) -> Option<(Placement, usize)> {
     let part = prefill_part(profile, needs.prompt_tokens, count);
-    let able = busy.iter().filter(|b| b.can_prefill(part));
+    let able = busy.iter().filter(|b| (count == 1 || !b.has_part) && b.can_prefill(part));
     let mut chosen: Vec<(usize, Duration)> = able
         .map(|b| (b.index, b.expected_first_event(profile, part)))
         .filter(|(_, expected)| *expected <= limit)
@@ -171,6 +171,9 @@
 struct BusyEngine {
     /// Index of the candidate.
     index: usize,
+    /// Whether it has to prefill a part of a prompt that other engines prefill too. It would put off
+    /// that one for a newer part, though not for a whole prompt.
+    has_part: bool,
     prefill_remaining: Duration,
     max_prefill_per_pass: Duration,
     slowness: f64,
@@ -228,6 +231,8 @@
         };
         Some(Self {
             index,
+            // What it prefills for requests of its own is excluded above.
+            has_part: !prefill_remaining.is_zero(),
             prefill_remaining,
             max_prefill_per_pass: engine.max_prefill_per_pass(),
             slowness: engine.effective_slowness(),
