--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -115,8 +115,8 @@
 
 impl std::error::Error for ExchangeError {}
 
-/// Way to the upstreams: the address that a connection to an upstream is made to. Tests pass one that
-/// leads through proxies which inject faults.
+/// Way to the upstreams, and to other daemons: the address that a connection is made to. Tests pass one
+/// that leads through proxies which inject faults.
 #[derive(Clone)]
 pub struct Connector {
     route: Arc<dyn Fn(SocketAddr) -> SocketAddr + Send + Sync>,
@@ -133,6 +133,11 @@
         Self { route: Arc::new(route) }
     }
 
+    /// Address that a connection to this one is made to.
+    pub fn route_to(&self, address: SocketAddr) -> SocketAddr {
+        (self.route)(address)
+    }
+
     /// Connects to an upstream within `limit`. The connection is probed while it is idle.
     ///
     /// # Errors
@@ -140,7 +145,7 @@
     /// Fails if the connection can't be made, with [`io::ErrorKind::TimedOut`] if it is not made in
     /// time.
     pub async fn connect(&self, address: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
-        let connecting = timeout(limit, TcpStream::connect((self.route)(address)));
+        let connecting = timeout(limit, TcpStream::connect(self.route_to(address)));
         let stream = connecting.await.unwrap_or_else(|_| {
             let reason = "connecting to the upstream timed out";
             Err(io::Error::new(io::ErrorKind::TimedOut, reason))
--- a/crates/toucansilld/src/gateway/bus.rs
+++ b/crates/toucansilld/src/gateway/bus.rs
@@ -8,8 +8,9 @@
     control_messages::RaftEnvelope,
     error::{Error, Result},
 };
+use proxy::Connector;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
-use wire::{Inbound, LinkConfig, Links, Message, RegionSecret, Responder};
+use wire::{Inbound, LinkConfig, Links, Message, PeerRoute, RegionSecret, Responder};
 
 /// Fixed region secret. The daemons of a gateway have no way to share a real one: the platform
 /// gives each only its settings file. Their links accept anyone who reaches the internal ports.
@@ -35,15 +36,18 @@
 }
 
 impl DaemonLinks {
-    /// Starts listening for links. `on_raft` is `None` for a daemon without a voter.
+    /// Starts listening for links. `on_raft` is `None` for a daemon without a voter. `connector` is the
+    /// way to the other daemons.
     pub(crate) async fn start(
         settings: &GatewaySettings,
+        connector: Connector,
         on_request: RequestHandler,
         on_raft: Option<RaftHandler>,
     ) -> Result<Arc<Self>> {
         let fault = |err: wire::Error| Error::start("links", err);
         let secret = RegionSecret::new(OPEN_SECRET).map_err(fault)?;
         let mut cfg = LinkConfig::new(settings.daemon.clone(), settings.links, secret);
+        cfg.route = PeerRoute::through(move |peer| connector.route_to(peer));
         cfg.inline_handler = true;
         cfg.connect_timeout = CONNECT_TIMEOUT;
         cfg.connect_attempts = 1;
--- a/crates/toucansilld/src/gateway/identity.rs
+++ b/crates/toucansilld/src/gateway/identity.rs
@@ -49,6 +49,7 @@
     Ok(VoterSettings {
         id,
         data_folder: control.data_folder.clone(),
+        snapshot_entries: control.snapshot_entries,
         initial: if is_founder && id < FIRST_RANDOM_ID { initial.collect() } else { Vec::new() },
     })
 }
--- a/crates/toucansilld/src/gateway/run.rs
+++ b/crates/toucansilld/src/gateway/run.rs
@@ -70,7 +70,7 @@
     run_with(path, Connector::direct())
 }
 
-/// Like [`run`], with connections to upstreams made by `connector`.
+/// Like [`run`], with connections to upstreams and to other daemons made by `connector`.
 ///
 /// # Errors
 ///
@@ -128,6 +128,7 @@
     };
     let links = DaemonLinks::start(
         &settings,
+        connector.clone(),
         request_handler(control.clone()),
         raft_handler(control.clone()),
     )
--- a/crates/toucansilld/src/gateway/settings.rs
+++ b/crates/toucansilld/src/gateway/settings.rs
@@ -6,6 +6,7 @@
     collections::BTreeMap,
     fs,
     net::SocketAddr,
+    num::NonZeroU64,
     path::{Path, PathBuf},
     result,
     time::Duration,
@@ -97,6 +98,9 @@
     pub founds_group: bool,
     /// Number of disks that may be lost at once without losing an acknowledged change.
     pub tolerated_losses: usize,
+    /// Number of log entries after which a snapshot is taken; `None` for the default, 20,000.
+    #[serde(default)]
+    pub snapshot_entries: Option<NonZeroU64>,
 }
 
 /// Longest time that a bound may state, in milliseconds: a year. Sums and multiples of such times
--- a/crates/toucansilld/src/settings.rs
+++ b/crates/toucansilld/src/settings.rs
@@ -14,6 +14,7 @@
 use std::{
     fs,
     net::SocketAddr,
+    num::NonZeroU64,
     path::{Path, PathBuf},
     time::Duration,
 };
@@ -76,6 +77,9 @@
     /// The first voters of a new group. Empty for a voter that joins a running group.
     #[serde(default)]
     pub initial: Vec<InitialVoter>,
+    /// Number of log entries after which a snapshot is taken; `None` for the default.
+    #[serde(default)]
+    pub snapshot_entries: Option<NonZeroU64>,
 }
 
 /// One of the first voters of a new control group.
--- a/crates/toucansilld/src/voter.rs
+++ b/crates/toucansilld/src/voter.rs
@@ -69,6 +69,10 @@
         cfg.clock = Arc::clone(&clock);
         cfg.tick_interval = Some(tick);
         cfg.start_mode = start_mode(settings);
+        if let Some(entries) = settings.snapshot_entries {
+            cfg.snapshot_interval_entries = entries.get();
+            cfg.keep_entries = cfg.keep_entries.min(entries.get());
+        }
         let handle = Group::start(cfg, machine::state_machine(&state), outbox)
             .map_err(|err| Error::start("voter", err))?;
         let backup_file = settings.data_folder.join(BACKUP_FILE);
--- a/crates/toucansilld/tests/gateway/main.rs
+++ b/crates/toucansilld/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod departures;
 mod engines;
 mod limits;
+mod link_resets;
 mod lost_paths;
 mod notices;
 mod region;
--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -1,5 +1,6 @@
 //! A region of gateway daemons that run as processes on loopback addresses.
 
+use fake::FaultProxy;
 use platform::stand_in::{parts_header_line, request_header_lines, request_header_lines_for};
 use proxy::Connector;
 use std::{
@@ -62,6 +63,8 @@
     attempts: AtomicU64,
     /// Time within which an acknowledged change must be in force.
     apply_ms: u64,
+    /// Log entries after which control daemons take snapshots, if not the default.
+    snapshot_entries: Option<u64>,
 }
 
 impl Region {
@@ -94,6 +97,7 @@
             children,
             attempts,
             apply_ms: 2_000,
+            snapshot_entries: None,
         }
     }
 
@@ -108,6 +112,33 @@
         self.daemons[i].data_centre = data_centre.to_owned();
     }
 
+    /// Leads the links between the control daemons through proxies, before their start. Returns one
+    /// for each control daemon, through which the others connect to it.
+    pub(crate) fn route_control_links(&mut self) -> Vec<FaultProxy> {
+        let links: Vec<SocketAddr> =
+            (0..self.control_count).map(|i| self.links_address(i)).collect();
+        let start = |links: &SocketAddr| FaultProxy::start(*links).expect("a free port");
+        let proxies: Vec<FaultProxy> = links.iter().map(start).collect();
+        let routes = links.into_iter().zip(proxies.iter().map(FaultProxy::address));
+        let routes: Routes = routes.collect();
+        for i in 0..self.control_count {
+            let mut others = routes.clone();
+            others.remove(&self.links_address(i));
+            self.daemons[i].routes = others;
+        }
+        proxies
+    }
+
+    /// Address of a daemon for links.
+    fn links_address(&self, i: usize) -> SocketAddr {
+        format!("{}:{}", self.daemons[i].ip, self.base_port).parse().expect("an address")
+    }
+
+    /// Sets the number of log entries after which control daemons take snapshots, before their start.
+    pub(crate) fn set_snapshot_entries(&mut self, entries: u64) {
+        self.snapshot_entries = Some(entries);
+    }
+
     /// Sets the routes of daemon `i` to upstreams, before its start.
     pub(crate) fn set_routes(&mut self, i: usize, routes: Routes) {
         self.daemons[i].routes = routes;
@@ -275,6 +306,14 @@
         })
     }
 
+    /// Whether daemon `i` leads, by its metrics.
+    pub(crate) fn leads(&self, i: usize) -> bool {
+        let is_led = |line: &str| {
+            line.strip_prefix("toucansill_group_members ").is_some_and(|members| members != "0")
+        };
+        self.metrics_of(i).is_some_and(|page| page.lines().any(is_led))
+    }
+
     /// Metrics pages of the daemons that respond.
     fn metrics(&self) -> impl Iterator<Item = String> {
         (0..self.daemons.len()).filter_map(|i| self.metrics_of(i))
@@ -404,12 +443,14 @@
         let seeds = self.daemons[..self.seed_count].iter();
         let seeds: Vec<String> = seeds.map(|p| format!("'{}:{}'", p.ip, port + 1)).collect();
         let role_settings = if *is_control {
+            let snapshots = self.snapshot_entries.map(|n| format!(", snapshot_entries: {n}"));
             format!(
                 "control: {{listen: '{ip}:{}', data_folder: '{}', founds_group: {founds_group}, \
-                 tolerated_losses: {}}}",
+                 tolerated_losses: {}{}}}",
                 port + 1,
                 self.data_folder(i).display(),
-                (self.control_count - 1) / 2
+                (self.control_count - 1) / 2,
+                snapshots.unwrap_or_default()
             )
         } else {
             format!(
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -39,7 +39,7 @@
 mod responder;
 mod stream_in;
 
-pub use config::{LinkConfig, VersionRange};
+pub use config::{LinkConfig, PeerRoute, VersionRange};
 pub use counters::LinkCounters;
 pub use frame::FrameDecoder;
 pub use links::Links;
--- a/crates/wire/src/link/config.rs
+++ b/crates/wire/src/link/config.rs
@@ -1,7 +1,7 @@
 //! Settings of links.
 
 use crate::{DaemonId, MAX_MESSAGE_BYTES, RegionSecret};
-use std::{net::SocketAddr, ops::RangeInclusive, time::Duration};
+use std::{fmt, net::SocketAddr, ops::RangeInclusive, sync::Arc, time::Duration};
 
 /// Protocol versions that this program supports.
 const VERSIONS: VersionRange = 1..=1;
@@ -34,6 +34,34 @@
 /// Number of notifications in flight above which further ones are dropped.
 const MAX_NOTIFICATIONS: usize = 4096;
 
+/// Way to the peers: the address that a link to a peer connects to. Tests pass one that leads through
+/// proxies which inject faults.
+#[derive(Clone)]
+pub struct PeerRoute(Arc<dyn Fn(SocketAddr) -> SocketAddr + Send + Sync>);
+
+impl PeerRoute {
+    /// Connects to the peers' own addresses.
+    pub fn direct() -> Self {
+        Self::through(|address| address)
+    }
+
+    /// Connects to the address that `route` returns for that of a peer.
+    pub fn through(route: impl Fn(SocketAddr) -> SocketAddr + Send + Sync + 'static) -> Self {
+        Self(Arc::new(route))
+    }
+
+    /// Address to connect to for a peer.
+    pub(crate) fn of(&self, peer: SocketAddr) -> SocketAddr {
+        (self.0)(peer)
+    }
+}
+
+impl fmt::Debug for PeerRoute {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("PeerRoute").finish_non_exhaustive()
+    }
+}
+
 /// Inclusive range of protocol versions.
 pub type VersionRange = RangeInclusive<u32>;
 
@@ -44,6 +72,8 @@
     pub id: DaemonId,
     /// Address to listen on. With port 0, the operating system selects a free port.
     pub listen: SocketAddr,
+    /// Way to the peers.
+    pub route: PeerRoute,
     /// Secret by which both ends authenticate each other.
     pub secret: RegionSecret,
     /// Protocol versions that this end supports. A link uses the highest common one.
@@ -92,6 +122,7 @@
         Self {
             id,
             listen,
+            route: PeerRoute::direct(),
             secret,
             versions: VERSIONS,
             max_message_bytes: MAX_MESSAGE_BYTES,
--- a/crates/wire/src/link/connect.rs
+++ b/crates/wire/src/link/connect.rs
@@ -158,7 +158,8 @@
     }
 
     async fn connect(&self) -> Result<Link> {
-        let connected = timeout(self.cfg.connect_timeout, TcpStream::connect(self.address)).await;
+        let address = self.cfg.route.of(self.address);
+        let connected = timeout(self.cfg.connect_timeout, TcpStream::connect(address)).await;
         let stream = match connected {
             Ok(stream) => stream.map_err(|e| self.io_error(e))?,
             Err(_) => return Err(self.unreachable_error("no connection in time")),
