Stop a voter at a command that it can't read

A replicated command that a member couldn't decode was skipped, with an error in its log: with members of two builds, the older one then went on with a state that differs from the others', and could become the leader.

The member stops before it applies anything further, and says which log entry and which build. The gateway daemon then exits; its data stay as they are, and it stops at the same entry again until a later build is installed. State::skip, which advanced past such a command, has no user left. Test: a_node_stops_at_a_command_that_it_does_not_know (before, the node went on).

--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -191,12 +191,6 @@
             cmd => self.apply_one(index, cmd),
         }
     }
-
-    /// Advances past a log entry that holds no command, such as the first of a term.
-    pub fn skip(&mut self, index: u64) {
-        self.applied = self.applied.max(self.base + index);
-    }
-
     /// Returns the changes for a daemon whose view has reached `index`: the steps after
     /// it, or the full view if its view is empty or steps are no longer kept.
     pub fn changes_since(&self, index: u64) -> ChangeSet {
--- a/crates/group/examples/measure.rs
+++ b/crates/group/examples/measure.rs
@@ -68,7 +68,7 @@
     StateMachine {
         apply: Box::new(move |_, _| {
             count.fetch_add(1, Ordering::Relaxed);
-            Vec::new()
+            Ok(Vec::new())
         }),
         snapshot: Box::new(Vec::new),
         restore: Box::new(|_, _| Ok(())),
--- a/crates/group/src/config.rs
+++ b/crates/group/src/config.rs
@@ -4,8 +4,9 @@
 use raft::{Index, Membership, Message, NodeId};
 use std::{error, fmt, path::PathBuf, result, sync::Arc, time::Duration};
 
-/// Applies the command at a log index. Returns the output for its caller.
-pub type ApplyFn = Box<dyn FnMut(Index, &[u8]) -> Vec<u8> + Send>;
+/// Applies the command at a log index. Returns the output for its caller, or why the command can't be
+/// applied: it was proposed by a later build.
+pub type ApplyFn = Box<dyn FnMut(Index, &[u8]) -> result::Result<Vec<u8>, String> + Send>;
 /// Encodes the whole state for a snapshot.
 pub type SnapshotFn = Box<dyn FnMut() -> Vec<u8> + Send>;
 /// Why a state machine couldn't restore a snapshot.
@@ -16,7 +17,8 @@
 /// The replicated state machine. It must be deterministic: time and random values may reach it
 /// only as parts of commands.
 pub struct StateMachine {
-    /// Applies one command. Called in the order of the log, on the node's thread.
+    /// Applies one command. Called in the order of the log, on the node's thread. An error stops the
+    /// node before it applies anything further.
     pub apply: ApplyFn,
     /// Encodes the whole state for a snapshot.
     pub snapshot: SnapshotFn,
--- a/crates/group/src/error.rs
+++ b/crates/group/src/error.rs
@@ -152,7 +152,7 @@
             Kind::Disk(e) => write!(f, "the data folder can't be used: {e}"),
             Kind::Backup(reason) => write!(f, "the back-up can't be restored: {reason}"),
             Kind::StateMachine(reason) => {
-                write!(f, "the state machine refused a snapshot: {reason}")
+                write!(f, "the state machine failed: {reason}")
             }
         }
     }
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -16,7 +16,7 @@
 //! # let dir = tempfile::tempdir()?;
 //! // A state machine whose output for each command is the command's length.
 //! let state_machine = StateMachine {
-//!     apply: Box::new(|_, command| vec![command.len() as u8]),
+//!     apply: Box::new(|_, command| Ok(vec![command.len() as u8])),
 //!     snapshot: Box::new(Vec::new),
 //!     restore: Box::new(|_, _| Ok(())),
 //! };
--- a/crates/group/src/runner.rs
+++ b/crates/group/src/runner.rs
@@ -279,7 +279,7 @@
             self.install_snapshot(snapshot)?;
         }
         for entry in ready.committed {
-            self.apply(entry);
+            self.apply(entry)?;
         }
         for read in ready.reads {
             self.pending.confirm_read(read);
@@ -308,14 +308,16 @@
     }
 
     /// Applies a committed entry and replies to its proposer.
-    fn apply(&mut self, entry: LogEntry) {
+    fn apply(&mut self, entry: LogEntry) -> Result<()> {
         let at = LogPosition { index: entry.index, term: entry.term };
         self.bytes_since_snapshot += entry.size_bytes();
         let output = match &entry.payload {
-            EntryPayload::Command(command) => (self.state_machine.apply)(entry.index, command),
+            EntryPayload::Command(command) => (self.state_machine.apply)(entry.index, command)
+                .map_err(|err| Error::state_machine(format!("log entry {}: {err}", entry.index)))?,
             EntryPayload::Empty | EntryPayload::Membership(_) => Vec::new(),
         };
         self.pending.complete_applied(at, output);
+        Ok(())
     }
 
     /// Snapshot of the applied state. Fails while nothing is applied.
--- a/crates/group/tests/common/mod.rs
+++ b/crates/group/tests/common/mod.rs
@@ -38,14 +38,21 @@
     dir: TempDir,
 }
 
+/// Command that the state machine can't apply.
+pub const UNKNOWN_COMMAND: &str = "unknown";
+
 /// A state machine that keeps all commands. Its output is their number.
 pub fn state_machine(state: &State) -> StateMachine {
     let (a, b, c) = (state.clone(), state.clone(), state.clone());
     StateMachine {
         apply: Box::new(move |_, command| {
             let mut state = a.lock().unwrap();
-            state.push(String::from_utf8_lossy(command).into_owned());
-            state.len().to_string().into_bytes()
+            let command = String::from_utf8_lossy(command).into_owned();
+            if command == UNKNOWN_COMMAND {
+                return Err("the command is not known".to_owned());
+            }
+            state.push(command);
+            Ok(state.len().to_string().into_bytes())
         }),
         snapshot: Box::new(move || b.lock().unwrap().join("\n").into_bytes()),
         restore: Box::new(move |_, data| {
--- a/crates/group/tests/group.rs
+++ b/crates/group/tests/group.rs
@@ -5,7 +5,7 @@
 
 mod common;
 
-use common::{Cluster, TIMEOUT};
+use common::{Cluster, TIMEOUT, UNKNOWN_COMMAND};
 use group::{MembershipChange, StartMode};
 
 #[test]
@@ -190,3 +190,25 @@
     assert_eq!(after.term, before.term + 2);
     assert!(after.index > before.index);
 }
+
+/// A command of a later build must not be skipped: the node would apply the following ones to a state
+/// that differs from that of the others. It stops before them, says why, and its data stay.
+#[test]
+fn a_node_stops_at_a_command_that_it_does_not_know() {
+    let mut cluster = Cluster::bootstrap(1, |_| ());
+    cluster.elect();
+    cluster.propose("a").unwrap();
+    let pending = cluster.submit(1, UNKNOWN_COMMAND);
+    let failure = |cluster: &Cluster| cluster.nodes[&1].handle.status().failure;
+    cluster.until("it has stopped", |cluster| failure(cluster).is_some());
+    assert!(pending.wait().is_err(), "its outcome is unknown");
+    let failure_text = failure(&cluster).expect("it has stopped");
+    assert!(failure_text.contains("log entry 4: the command is not known"), "{failure_text}");
+    assert_eq!(cluster.state(1), ["a"]);
+
+    // It stops again after a restart, until a build that knows the command takes its place.
+    cluster.stop(1);
+    cluster.start(1, StartMode::Join).unwrap();
+    cluster.until("it has stopped again", |cluster| failure(cluster).is_some());
+    assert_eq!(cluster.state(1), ["a"]);
+}
--- a/crates/toucansilld/src/gateway/members.rs
+++ b/crates/toucansilld/src/gateway/members.rs
@@ -112,11 +112,14 @@
     }
 
     /// Joins the group, and joins again if this daemon was removed while it was down or cut off.
-    /// Returns when this daemon's id can't be used any more; the process then has to restart and
-    /// get another.
+    /// Returns when this daemon's id can't be used any more, as the process then has to restart and
+    /// get another, or when its voter has failed.
     pub(crate) async fn maintain_membership(self: Arc<Self>) {
         loop {
             let status = self.voter().status();
+            if let Some(failure) = status.failure {
+                return log::error!("this daemon stops, as its voter has: {failure}");
+            }
             if status.lost_disk {
                 return self.discard_member("its disk was lost");
             }
--- a/crates/toucansilld/src/voter/machine.rs
+++ b/crates/toucansilld/src/voter/machine.rs
@@ -20,15 +20,14 @@
     }
 }
 
-/// Applies one command and returns its encoded outcome. A command that can't be decoded is skipped
-/// alike on every voter.
-fn apply(state: &mut State, index: u64, buf: &[u8]) -> Vec<u8> {
-    match decode::<Command>(buf) {
-        Ok(command) => encode(&state.apply(index, &command)),
-        Err(err) => {
-            log::error!("the command at {index} can't be decoded: {err}");
-            state.skip(index);
-            Vec::new()
-        }
-    }
+/// Applies one command and returns its encoded outcome. One that can't be decoded was proposed by a
+/// later build: applying what follows without it would make this voter's state differ from that of the
+/// others.
+fn apply(state: &mut State, index: u64, buf: &[u8]) -> Result<Vec<u8>, String> {
+    let command = decode::<Command>(buf);
+    let command = command.map_err(|err| {
+        let build = env!("CARGO_PKG_VERSION");
+        format!("{err}. It was proposed by a later build than this one ({build}), which is needed")
+    })?;
+    Ok(encode(&state.apply(index, &command)))
 }
