--- a/crates/toucansilld/tests/gateway/main.rs
+++ b/crates/toucansilld/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod notices;
 mod region;
 mod stand_ins;
+mod upgrade;
 
 use platform::stand_in::{DOCUMENT_PATH, document, engine_document, upstream_path};
 use region::{Region, eventually};
--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -1,7 +1,10 @@
 //! A region of gateway daemons that run as processes on loopback addresses.
 
 use fake::FaultProxy;
-use platform::stand_in::{parts_header_line, request_header_lines, request_header_lines_for};
+use platform::{
+    control::READY_PATH,
+    stand_in::{parts_header_line, request_header_lines, request_header_lines_for},
+};
 use proxy::Connector;
 use std::{
     collections::BTreeMap,
@@ -30,6 +33,8 @@
     data_centre: String,
     /// Addresses that its connections to upstreams are made to instead of the upstreams' own.
     routes: Routes,
+    /// Program of an earlier build, if it runs one.
+    earlier_build: Option<PathBuf>,
 }
 
 /// Address that connections to an upstream are made to, by the address of the upstream.
@@ -82,6 +87,7 @@
             is_control,
             data_centre: String::from("dc-1"),
             routes: Routes::new(),
+            earlier_build: None,
         };
         let mut daemons: Vec<DaemonConfig> = (0..control_count).map(|i| daemon(i, true)).collect();
         daemons.extend((control_count..control_count + entry_count).map(|i| daemon(i, false)));
@@ -139,11 +145,30 @@
         self.snapshot_entries = Some(entries);
     }
 
+    /// Sets the program that daemon `i` runs from its next start on: that of an earlier build, or this
+    /// one's.
+    pub(crate) fn set_build(&mut self, i: usize, earlier: Option<&Path>) {
+        self.daemons[i].earlier_build = earlier.map(Path::to_path_buf);
+    }
+
     /// Sets the routes of daemon `i` to upstreams, before its start.
     pub(crate) fn set_routes(&mut self, i: usize, routes: Routes) {
         self.daemons[i].routes = routes;
     }
 
+    /// Whether an entry says that it is ready for connections.
+    pub(crate) fn is_ready(&self, i: usize) -> bool {
+        let address = format!("{}:{}", self.daemons[i].ip, self.base_port + 3);
+        let head = format!("GET {READY_PATH} HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n");
+        exchange(&address, &head).is_some_and(|(status, _)| status == 200)
+    }
+
+    /// Whether daemon `i` still runs.
+    pub(crate) fn is_running(&mut self, i: usize) -> bool {
+        let has_ended = |child: &mut Child| child.try_wait().expect("known").is_some();
+        self.children[i].as_mut().is_some_and(|child| !has_ended(child))
+    }
+
     /// Index of the first entry.
     pub(crate) fn entry(&self) -> usize {
         self.control_count
@@ -179,7 +204,9 @@
         let file = self.dir.path().join(format!("{}.yaml", self.daemons[i].name));
         fs::write(&file, self.settings(i, founds_group)).expect("written");
         let routes = &self.daemons[i].routes;
-        let mut command = Command::new(env!("CARGO_BIN_EXE_toucansilld"));
+        let this_build = PathBuf::from(env!("CARGO_BIN_EXE_toucansilld"));
+        let mut command =
+            Command::new(self.daemons[i].earlier_build.as_ref().unwrap_or(&this_build));
         command.arg(&file);
         if !routes.is_empty() {
             // This program itself is the only one that connects by other routes.
@@ -453,12 +480,15 @@
                 snapshots.unwrap_or_default()
             )
         } else {
+            // Earlier builds don't know all settings.
+            let relay = match self.daemons[i].earlier_build {
+                Some(_) => String::new(),
+                None => format!(", relay: '{ip}:{}'", port + 5),
+            };
             format!(
-                "entry: {{callers: '{ip}:{}', readiness: '{ip}:{}', relay: '{ip}:{}', \
-                 max_connections: 64}}",
+                "entry: {{callers: '{ip}:{}', readiness: '{ip}:{}'{relay}, max_connections: 64}}",
                 port + 2,
-                port + 3,
-                port + 5
+                port + 3
             )
         };
         format!(
