Give a leader that has just started the upstreams that the entries know

A daemon that has just started can win the election before it has followed anybody. Its directory was empty, and as a new leader's view replaces those of the entries whole, entries that knew every upstream refused requests until the upstreams had registered again.

An entry now offers upstreams that it knows and a new leader's first view lacks, after a random pause in which others may have done so, and keeps the former view until then. A new leader without a recent view also reads the directories of the other members before it starts. Replicated departures still decide: an upstream that left isn't added. An earlier build refuses both requests, and all goes on as before.

--- a/crates/grant/src/directory.rs
+++ b/crates/grant/src/directory.rs
@@ -160,6 +160,15 @@
         outcome
     }
 
+    /// Registrations of upstreams that may get requests by this copy, and that these entries, which are to
+    /// replace all of it, lack.
+    pub fn missing_in(&self, entries: &[DirectoryEntry]) -> Vec<Registration> {
+        let known: BTreeSet<&str> = entries.iter().map(|e| e.registration.id.as_str()).collect();
+        let present = self.entries().filter(|entry| entry.accepts_requests());
+        let missing = present.filter(|entry| !known.contains(entry.registration.id.as_str()));
+        missing.map(|entry| entry.registration.clone()).collect()
+    }
+
     /// Whether a registration tells no more than that the known run of an upstream, which gets
     /// requests, is alive.
     pub fn is_refresh(&self, registration: &Registration) -> bool {
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -17,7 +17,7 @@
 };
 use crate::{sync::lock, voter::Voter};
 use follow::{HeldRequest, HeldRequests, ViewPosition};
-use grant::DispatcherConfig;
+use grant::{Directory, DispatcherConfig};
 use group::Status;
 use http::StatusCode;
 use kernel::SharedClock;
@@ -31,7 +31,7 @@
 };
 use tokio::{
     sync::{Notify, watch},
-    task::spawn_blocking,
+    task::{JoinSet, spawn_blocking},
     time::{sleep, timeout},
 };
 use wire::Responder;
@@ -39,6 +39,10 @@
 /// Interval at which the Raft role is checked: a fraction of the time that an election takes, so
 /// that a new leader starts work soon after it.
 const LEADERSHIP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Age of the view of a new leader above which it asks the other members for theirs.
+const MAX_DIRECTORY_AGE: Duration = Duration::from_millis(2_500);
+/// Timeout for the copy of another member.
+const READ_DIRECTORY_TIMEOUT: Duration = Duration::from_millis(250);
 /// Interval at which it is checked whether all followers have caught up, while anybody waits for it.
 const POSITION_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// Interval at which lost daemons and old departures are purged and the gauges are set.
@@ -364,6 +368,24 @@
                 let refreshed = unknown.map(|unknown| LeaderReply::UpstreamsRefreshed { unknown });
                 reply(responder, &refreshed.unwrap_or_else(|| self.not_leader()));
             }
+            LeaderRequest::OfferUpstreams(offered) => {
+                let now = self.clock.now();
+                let added = self.with_leader(|leader| leader.add_offered(now, offered));
+                if let Some(added) = added.filter(|added| *added > 0) {
+                    log::info!(count = added; "upstreams offered by a daemon");
+                    self.notify_followers();
+                }
+                let offered = added.map(|_| LeaderReply::UpstreamsOffered);
+                reply(responder, &offered.unwrap_or_else(|| self.not_leader()));
+            }
+            LeaderRequest::ReadDirectory => {
+                let copy = self.view.with(|state| LeaderReply::Directory {
+                    position: state.position,
+                    entries: state.directory.entries().cloned().collect(),
+                    entry_daemons: state.entry_daemons,
+                });
+                reply(responder, &copy);
+            }
             LeaderRequest::Join { id, address } => {
                 let control = Arc::clone(self);
                 tokio::spawn(async move {
@@ -511,9 +533,46 @@
         }
     }
 
+    /// The directory that this daemon has followed, or, if it has followed no leader lately, the newest
+    /// one among those of the other members; with its position and the number of entry daemons.
+    async fn newest_directory(&self) -> (ViewPosition, Directory, u32) {
+        let now = self.clock.now();
+        let (mut newest, age) = self.view.with(|state| {
+            let own = (state.position, state.directory.clone(), state.entry_daemons);
+            (own, state.age(now).age)
+        });
+        if age <= MAX_DIRECTORY_AGE {
+            return newest;
+        }
+        let status = self.voter.status();
+        let others = status.membership.nodes().filter(|id| *id != status.id);
+        let addresses = others.filter_map(|id| self.voter.address_of(id)?.parse().ok());
+        let mut reads = JoinSet::new();
+        for address in addresses {
+            let links =
+                Arc::clone(self.links.get().expect("the links are set before any task runs"));
+            reads.spawn(async move {
+                let request = LeaderRequest::ReadDirectory;
+                links.request(address, &request, READ_DIRECTORY_TIMEOUT).await
+            });
+        }
+        for read in reads.join_all().await {
+            let Ok(LeaderReply::Directory { position, entries, entry_daemons }) = read else {
+                // A member that is down, or of an earlier build.
+                continue;
+            };
+            if (position.term, position.directory) > (newest.0.term, newest.0.directory) {
+                let mut directory = Directory::new();
+                directory.adopt_entries(now, true, position.directory, entries);
+                newest = (position, directory, entry_daemons);
+            }
+        }
+        newest
+    }
+
     /// Starts the leader's work once a majority has confirmed this daemon's leadership. The
-    /// directory starts as the one that this daemon has followed. All upstreams count as heard
-    /// now, as a follower does not hear them itself.
+    /// directory starts as the one that this daemon or another member has followed. All upstreams
+    /// count as heard now, as a follower does not hear them itself.
     async fn start_leading(&self) {
         let voter = Arc::clone(&self.voter);
         let confirmed = spawn_blocking(move || voter.read(control::State::applied)).await;
@@ -527,8 +586,7 @@
             retry_slack: bounds.retry_slack,
             silence_timeout: bounds.silence_timeout(),
         };
-        let (base, mut directory, entry_daemons) =
-            self.view.with(|state| (state.position, state.directory.clone(), state.entry_daemons));
+        let (base, mut directory, entry_daemons) = self.newest_directory().await;
         let now = self.clock.now();
         directory.mark_all_heard(now);
         log::info!(term = term, revision = directory.revision(); "this daemon leads");
--- a/crates/toucansilld/src/gateway/follow.rs
+++ b/crates/toucansilld/src/gateway/follow.rs
@@ -5,7 +5,7 @@
     entry::LeaderPlacedRequests,
     lead::FOLLOW_WAIT,
     limits::KnownLimits,
-    messages::{FollowRequest, LeaderReply, LeaderRequest},
+    messages::{FollowRequest, LeaderReply, LeaderRequest, ViewChange},
     settings::GatewaySettings,
     view::View,
 };
@@ -26,9 +26,25 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(500);
 /// Timeout for a new leader's confirmation of the known limits.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Timeout for a new leader's reply to an offer of upstreams.
+const OFFER_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest random pause before upstreams are offered to a new leader: most daemons then find that
+/// others have done so.
+const MAX_OFFER_PAUSE: Duration = Duration::from_millis(150);
+/// Time since a view was confirmed within which its upstreams are offered: as long as a group takes to
+/// come back from the loss of all its members, and short beside the life of an upstream.
+const MAX_OFFERED_AGE: Duration = Duration::from_secs(10);
 /// Pause before the next daemon is tried, while no leader is known.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
 
+/// Terms in which this daemon has waited for others to offer upstreams to the leader, and has offered
+/// them itself.
+#[derive(Default)]
+struct Offers {
+    waited_in: u64,
+    offered_in: u64,
+}
+
 /// Task that follows the leader.
 pub(crate) struct Follower {
     pub(crate) settings: Arc<GatewaySettings>,
@@ -49,6 +65,7 @@
         let mut named_leader: Option<SocketAddr> = None;
         let mut known_term = 0;
         let mut last_read: Option<Instant> = None;
+        let mut offers = Offers::default();
         loop {
             if let Some(heard) = self.view.with(|state| state.leader_heard) {
                 let age = self.clock.now().saturating_duration_since(heard);
@@ -63,6 +80,11 @@
             };
             match self.request_change(target, known_term).await {
                 Ok(LeaderReply::View(change)) => {
+                    if self.offer_missing(target, &change, &mut offers).await {
+                        // The next view of this leader may have them.
+                        named_leader = Some(target);
+                        continue;
+                    }
                     if change.position.term != known_term {
                         self.report_limits(target).await;
                     }
@@ -122,6 +144,46 @@
         self.links.request(target, &LeaderRequest::Follow(follow), FOLLOW_WAIT + REPLY_MARGIN).await
     }
 
+    /// If a new leader's directory lacks upstreams that this daemon knows, as it has just started, waits
+    /// until others have offered them, and offers them itself if they haven't. Returns whether the view
+    /// has to be requested again. Until then, the view of the former leader stays in use.
+    async fn offer_missing(
+        &self,
+        leader: SocketAddr,
+        change: &ViewChange,
+        offers: &mut Offers,
+    ) -> bool {
+        let term = change.position.term;
+        if !change.is_whole || offers.offered_in == term {
+            return false;
+        }
+        let now = self.clock.now();
+        let missing = self.view.with(|state| match state.age(now).age <= MAX_OFFERED_AGE {
+            true => state.directory.missing_in(&change.entries),
+            false => Vec::new(),
+        });
+        if missing.is_empty() {
+            return false;
+        }
+        if offers.waited_in != term {
+            offers.waited_in = term;
+            sleep(MAX_OFFER_PAUSE.mul_f64(fastrand::f64())).await;
+            return true;
+        }
+        offers.offered_in = term;
+        let count = missing.len();
+        let request = LeaderRequest::OfferUpstreams(missing);
+        match self.links.request(leader, &request, OFFER_TIMEOUT).await {
+            Ok(LeaderReply::UpstreamsOffered) => {
+                log::info!(leader:% = leader, count; "upstreams offered to a new leader");
+            }
+            Ok(_) => log::debug!("{leader}: upstreams not offered: it leads no more"),
+            // A daemon of an earlier build refuses the request.
+            Err(err) => log::warn!(leader:% = leader, count; "upstreams not offered: {err}"),
+        }
+        true
+    }
+
     /// Reports all known limits of upstreams to a new leader, before it gets placement requests of
     /// this daemon.
     async fn report_limits(&self, leader: SocketAddr) {
--- a/crates/toucansilld/src/gateway/lead.rs
+++ b/crates/toucansilld/src/gateway/lead.rs
@@ -9,7 +9,7 @@
 use follow::{Followers, History, ViewPosition};
 use grant::{
     Decision, Directory, Dispatcher, DispatcherConfig, LimitReport, PlacementRequest,
-    PlacementRequestId, PollSchedule, Revision,
+    PlacementRequestId, PollSchedule, Registration, Revision,
 };
 use proxy::{AnnouncedRelays, RelayDaemon};
 use std::{
@@ -177,6 +177,13 @@
         ViewPosition { term: self.term, directory, ..ViewPosition::default() }
     }
 
+    /// Adds upstreams that a follower knows, unless the directory or the replicated departures know
+    /// better. Returns how many were added.
+    pub(crate) fn add_offered(&mut self, now: Instant, offered: Vec<Registration>) -> usize {
+        let is_added = |registration| self.directory.register(now, registration).is_change();
+        offered.into_iter().map(is_added).filter(|is_added| *is_added).count()
+    }
+
     /// Records that a follower was heard, with its position and the requests that it reports as
     /// running. Returns whether the next poll is due sooner than it was.
     pub(crate) fn record_follower(&mut self, now: Instant, follow: &FollowRequest) -> bool {
--- a/crates/toucansilld/src/gateway/messages.rs
+++ b/crates/toucansilld/src/gateway/messages.rs
@@ -6,8 +6,8 @@
 use control::{Departures, PartHash, RequestHash, Watchlist};
 use follow::ViewPosition;
 use grant::{
-    Decision, DirectoryEntry, LimitReport, PlacementRequest, PlacementRequestId, RequestOutcome,
-    RunningRequest,
+    Decision, DirectoryEntry, LimitReport, PlacementRequest, PlacementRequestId, Registration,
+    RequestOutcome, RunningRequest,
 };
 use proxy::RelayDaemon;
 use std::{collections::BTreeSet, time::Duration};
@@ -75,6 +75,10 @@
     AnnounceRelay(ListedRelay),
     /// Tells the leader of runs of upstreams that have registered at the sender with nothing new.
     RefreshUpstreams(Vec<RefreshedUpstream>),
+    /// Offers upstreams that the sender knows and the directory of a new leader lacks.
+    OfferUpstreams(Vec<Registration>),
+    /// Requests the receiver's copy of the directory, for a new leader that has none.
+    ReadDirectory,
 }
 
 /// Run of an upstream that has registered again with nothing new.
@@ -137,6 +141,17 @@
         /// Those that the leader doesn't know so, and whose whole registrations it needs.
         unknown: Vec<UpstreamId>,
     },
+    /// Reply to [`LeaderRequest::OfferUpstreams`].
+    UpstreamsOffered,
+    /// Reply to [`LeaderRequest::ReadDirectory`].
+    Directory {
+        /// Position of the copy.
+        position: ViewPosition,
+        /// Its entries.
+        entries: Vec<DirectoryEntry>,
+        /// Number of entry daemons, as the last leader counted them.
+        entry_daemons: u32,
+    },
 }
 
 /// Daemon that relays messages to upstreams.
--- a/crates/toucansilld/tests/gateway/departures.rs
+++ b/crates/toucansilld/tests/gateway/departures.rs
@@ -6,8 +6,13 @@
     stand_ins::Upstream,
 };
 use platform::stand_in::{DOCUMENT_PATH, document, registration_body, upstream_path};
-use std::time::{Duration, Instant};
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
 
+/// Time within which entries follow a new leader and it knows what they know.
+const FOLLOW_TIME: Duration = Duration::from_secs(2);
 /// Requests sent to find out which upstreams get any.
 const REQUESTS: usize = 20;
 
@@ -189,3 +194,25 @@
         (leaving.runs() == before.0 && staying.runs() != before.1).then_some(())
     });
 }
+
+/// Guards against a leader that has just started, and so knows no upstream, whose empty directory
+/// replaces those of the entries until all upstreams have registered again.
+#[test]
+fn a_leader_that_has_just_started_learns_the_upstreams_from_the_entries() {
+    let mut region = start(3);
+    let (staying, leaving) = (Upstream::start("staying"), Upstream::start("leaving"));
+    add_upstream(&region, 0, "u1", &staying);
+    add_upstream(&region, 0, "u2", &leaving);
+    region.control_request_until_ok(0, "DELETE", &upstream_path("u2"), "");
+    (0..3).for_each(|i| region.kill(i));
+    (0..3).for_each(|i| region.start(i, false));
+    region.await_leader(3);
+    // Neither of them registers any more.
+    thread::sleep(FOLLOW_TIME);
+    let before = staying.runs().len();
+    for _ in 0..REQUESTS {
+        let status = region.request("/x/").map(|(status, _)| status);
+        assert_eq!(status, Some(200));
+    }
+    assert_eq!(staying.runs().len(), before + REQUESTS);
+}
