Test silent engines whose requests no other one may take over

A region without retries has two engines. One pauses for 2.5 s within a stream, or before its response. On this code the first caller gets a stream that is cut after 1.6 s, the second one gets 502, although the engine runs both requests.

--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -70,6 +70,8 @@
     apply_ms: u64,
     /// Log entries after which control daemons take snapshots, if not the default.
     snapshot_entries: Option<u64>,
+    /// Whether the settings allow requests to be sent again.
+    has_retries: bool,
 }
 
 impl Region {
@@ -104,6 +106,7 @@
             attempts,
             apply_ms: 2_000,
             snapshot_entries: None,
+            has_retries: true,
         }
     }
 
@@ -145,6 +148,11 @@
         self.snapshot_entries = Some(entries);
     }
 
+    /// Leaves no request in the budget for those that are sent again, before the start.
+    pub(crate) fn disallow_retries(&mut self) {
+        self.has_retries = false;
+    }
+
     /// Sets the program that daemon `i` runs from its next start on: that of an earlier build, or this
     /// one's.
     pub(crate) fn set_build(&mut self, i: usize, earlier: Option<&Path>) {
@@ -491,9 +499,10 @@
                 port + 3
             )
         };
+        let retries = if self.has_retries { "" } else { ", retry_ratio: 0, retry_slack: 0" };
         format!(
             "daemon: {name}\ndata_centre: {data_centre}\nlinks: '{ip}:{port}'\nmetrics: '{ip}:{}'\n\
-             seeds: [{}]\n{role_settings}\nbounds: {{stop_ms: 4000, apply_ms: {}}}\n",
+             seeds: [{}]\n{role_settings}\nbounds: {{stop_ms: 4000, apply_ms: {}{retries}}}\n",
             port + 4,
             seeds.join(", "),
             self.apply_ms
--- a/crates/toucansilld/tests/gateway/stand_ins.rs
+++ b/crates/toucansilld/tests/gateway/stand_ins.rs
@@ -35,6 +35,8 @@
     Crash,
     /// It crashes, and its connections stay open.
     FallSilent,
+    /// It sends the first part, and the second one after this pause.
+    Pause(String, Duration, String),
     /// It sends this, and then bytes that never end an event, with this pause between two writes,
     /// until the connection is closed. Then it records `flooded N` with the number of bytes.
     Flood(String, Duration),
@@ -94,6 +96,11 @@
                 match react(&head, &body) {
                     // A failure means that the caller has disconnected and needs no response.
                     Reaction::Respond(response) => drop(stream.write_all(response.as_bytes())),
+                    Reaction::Pause(first, pause, second) => {
+                        drop(stream.write_all(first.as_bytes()));
+                        thread::sleep(pause);
+                        drop(stream.write_all(second.as_bytes()));
+                    }
                     Reaction::Crash => return,
                     Reaction::Flood(start, pause) => {
                         let count = flood(&mut stream, &start, pause);
