Give a silent attempt up only for another upstream that is granted

Cause: an entry closed the connection to an upstream that had sent nothing for four times the expected time (1.6 s at least), and only then asked for another one.

Change: the entry asks for another upstream while it goes on listening, and gives the first one up once another is granted, or the request has crashed upstreams. If none is, it asks again after the same time, until the deadline of the request.

--- a/crates/toucansilld/src/gateway/attempt.rs
+++ b/crates/toucansilld/src/gateway/attempt.rs
@@ -1,7 +1,9 @@
 //! One attempt to get a response to a request from the upstream that it was placed on.
 
 use super::{
-    forward::{DEFAULT_PAUSE_TARGET, ForwardedRequest, StreamingResponse, UpstreamResponse},
+    forward::{
+        DEFAULT_PAUSE_TARGET, ForwardedRequest, Placement, StreamingResponse, UpstreamResponse,
+    },
     guard::GrantGuard,
     paths::{CONNECT_TIMEOUT, PathError, PathResponse, UpstreamMessage},
     relay::RelayedKind,
@@ -16,16 +18,15 @@
     fmt,
     time::{Duration, Instant},
 };
-use tokio::time::timeout;
 use wire::DaemonId;
 
 /// Longest response, in bytes, that is read whole before the caller gets any of it, so that the
 /// request can be retried if the response breaks off. A longer one counts as broken.
 const BUFFERED_BYTES_MAX: usize = 4 << 20;
-/// Shortest timeout for a response, or the next event, of a request that may be retried.
+/// Shortest time without a response, or without an event, after which another upstream is asked for.
 const RESPONSE_TIMEOUT_MIN: Duration = Duration::from_millis(1_600);
-/// Multiple of the expected time that a response, or the next event, may take before the request
-/// is retried elsewhere.
+/// Multiple of the expected time that a response, or the next event, may take before another
+/// upstream is asked for.
 const RESPONSE_TIMEOUT_FACTOR: u32 = 4;
 
 /// How an attempt ended, for the log.
@@ -56,12 +57,15 @@
     pub(super) relay: Option<DaemonId>,
     /// Error response of the upstream, which the caller gets if no retry does better.
     pub(super) response: Option<(response::Parts, Bytes)>,
+    /// Upstream for the next attempt, if it has been found already.
+    pub(super) replacement: Option<Placement>,
 }
 
 impl AttemptError {
     fn new(failure: AttemptFailure, reason: impl fmt::Display) -> Self {
         let outcome = outcome_of(failure);
-        Self { failure, outcome, reason: reason.to_string(), relay: None, response: None }
+        let reason = reason.to_string();
+        Self { failure, outcome, reason, relay: None, response: None, replacement: None }
     }
 }
 
@@ -81,17 +85,17 @@
 }
 
 impl ForwardedRequest {
-    /// Longest pause between two events before the stream is resumed elsewhere. `None` if it
-    /// can't be.
+    /// Longest pause between two events before another upstream is asked to resume the stream.
+    /// `None` if none can.
     pub(crate) fn event_timeout(&self) -> Option<Duration> {
         let pause = self.request.route.pause_target.unwrap_or(DEFAULT_PAUSE_TARGET);
         self.may_resume().then_some((pause * RESPONSE_TIMEOUT_FACTOR).max(RESPONSE_TIMEOUT_MIN))
     }
 
-    /// Longest wait for the first event before the stream is resumed elsewhere. `None` if it
-    /// can't be.
+    /// Longest wait for the first event before another upstream is asked to resume the stream.
+    /// `None` if none can.
     pub(crate) fn first_event_timeout(&self, guard: &GrantGuard) -> Option<Duration> {
-        self.may_resume().then(|| self.response_timeout(guard))
+        self.response_timeout(guard).filter(|_| self.may_resume())
     }
 
     /// Reserves memory on helpers and sends the request to the granted upstream. Ends the grant
@@ -116,7 +120,12 @@
                 return Err(AttemptError::new(AttemptFailure::Unreachable, reason));
             }
         };
-        let result = self.exchange_with(&mut guard, &reservations, started).await;
+        let limit = self.response_timeout(&guard);
+        let result = tokio::select! {
+            biased;
+            result = self.exchange_with(&mut guard, &reservations) => result,
+            replacement = self.replacement(limit) => Err(self.given_up(replacement)),
+        };
         let relay = guard.relay.clone();
         match result {
             Ok((head, ReceivedBody::Streaming(body))) => {
@@ -134,13 +143,26 @@
         }
     }
 
+    /// Error of an attempt that is given up, without a response, for another upstream.
+    fn given_up(&self, replacement: Option<Placement>) -> AttemptError {
+        let failed = match self.sent.may_be_sent() {
+            true => AttemptError::new(AttemptFailure::Silent, "no response in time"),
+            false => {
+                let failed =
+                    AttemptError::new(AttemptFailure::Unreachable, "no connection in time");
+                // The time was too short to tell anything about the upstream.
+                AttemptError { outcome: RequestOutcome::NotRun, ..failed }
+            }
+        };
+        AttemptError { replacement, ..failed }
+    }
+
     /// Sends the request and receives the response: only the head of a stream, the whole body of
     /// any other.
     async fn exchange_with(
         &self,
         guard: &mut GrantGuard,
         reservations: &HelperReservations,
-        started: Instant,
     ) -> Result<(response::Parts, ReceivedBody), AttemptError> {
         let request = self.upstream_request(guard, reservations);
         let message = UpstreamMessage {
@@ -150,28 +172,15 @@
             body: self.request.body.clone(),
         };
         let response = self.cx.placer.paths.exchange(message, CONNECT_TIMEOUT, &self.sent);
-        let limit = self.response_timeout(guard);
-        let response = match timeout(limit, response).await {
-            Ok(Ok(PathResponse { response, relay })) => {
+        let response = match response.await {
+            Ok(PathResponse { response, relay }) => {
                 guard.relay = relay;
                 response
             }
-            Ok(Err(failed)) => {
+            Err(failed) => {
                 guard.relay = failed.relay.clone();
                 return Err(failed.into());
             }
-            Err(_) if !self.sent.may_be_sent() => {
-                let failed =
-                    AttemptError::new(AttemptFailure::Unreachable, "no connection in time");
-                // The time was too short to tell anything about the upstream.
-                return Err(AttemptError { outcome: RequestOutcome::NotRun, ..failed });
-            }
-            Err(_) => {
-                return Err(AttemptError::new(
-                    AttemptFailure::Silent,
-                    "no head of an answer in time",
-                ));
-            }
         };
         let (head, mut body) = (response.head, response.body);
         let decoded_head = read_response_head(head.status, &head.headers);
@@ -193,18 +202,9 @@
                 return Ok((head, ReceivedBody::Streaming(body)));
             }
         }
-        let remaining = limit.saturating_sub(self.now().saturating_duration_since(started));
+        let complete_body = read_response_body(&mut body, BUFFERED_BYTES_MAX).await;
         let complete_body =
-            match timeout(remaining, read_response_body(&mut body, BUFFERED_BYTES_MAX)).await {
-                Ok(Ok(complete_body)) => complete_body,
-                Ok(Err(err)) => return Err(AttemptError::new(broken_failure(&err), err)),
-                Err(_) => {
-                    return Err(AttemptError::new(
-                        AttemptFailure::Silent,
-                        "no complete response in time",
-                    ));
-                }
-            };
+            complete_body.map_err(|err| AttemptError::new(broken_failure(&err), err))?;
         if head.status.is_server_error() || implies_not_run(head.status) {
             let failed = AttemptError::new(AttemptFailure::Failed, head.status);
             return Err(AttemptError { response: Some((head, complete_body)), ..failed });
@@ -231,21 +231,19 @@
         parts
     }
 
-    /// Longest wait for a response, or for the head of a stream. It is shorter than the remaining
-    /// time only if the request may be retried elsewhere. Otherwise silence alone is no reason to
-    /// give up.
-    fn response_timeout(&self, guard: &GrantGuard) -> Duration {
+    /// Longest wait for a response, or for the head of a stream, before another upstream is asked for.
+    /// `None` if the request may not be sent again: silence alone is no reason to give up.
+    fn response_timeout(&self, guard: &GrantGuard) -> Option<Duration> {
         let route = &self.request.route;
-        let remaining = self.time_remaining();
         let is_last = self.history.sent + 1 >= route.max_attempts;
         if is_last || !route.retry_policy.allows_retry() {
-            return remaining;
+            return None;
         }
         let expected = match route.retry_policy.is_stream() {
             true => guard.grant.expected_first_event.max(route.latency_target),
             false => route.latency_target,
         };
-        (expected * RESPONSE_TIMEOUT_FACTOR).max(RESPONSE_TIMEOUT_MIN).min(remaining)
+        Some((expected * RESPONSE_TIMEOUT_FACTOR).max(RESPONSE_TIMEOUT_MIN))
     }
 }
 
--- a/crates/toucansilld/src/gateway/entry.rs
+++ b/crates/toucansilld/src/gateway/entry.rs
@@ -130,7 +130,7 @@
         record: &mut RequestRecord,
     ) -> Result<Response<Body>, RequestError> {
         let remaining = request.time_remaining();
-        let upstream = timeout(remaining, request.next_response(record)).await;
+        let upstream = timeout(remaining, request.next_response(record, None)).await;
         let upstream = match upstream {
             Ok(upstream) => upstream?,
             Err(_) => return Err(request.timed_out()),
--- a/crates/toucansilld/src/gateway/forward.rs
+++ b/crates/toucansilld/src/gateway/forward.rs
@@ -11,7 +11,7 @@
 };
 use bytes::Bytes;
 use control::RequestHash;
-use grant::{PlacementRequest, RefusalReason};
+use grant::{PlacementRequest, RefusalReason, RequestOutcome};
 use http::{StatusCode, request, response};
 use kernel::SharedClock;
 use platform::head::{CallerHead, stream_event_timeout};
@@ -21,7 +21,7 @@
     sync::Arc,
     time::{Duration, Instant},
 };
-use tokio::sync::watch;
+use tokio::{sync::watch, time::sleep};
 use wire::{DaemonId, OrganisationId, ServiceId, UpstreamId};
 
 /// `Retry-After` for a caller whose request no upstream ran.
@@ -97,6 +97,12 @@
     }
 }
 
+/// Upstream found for a request.
+pub(crate) struct Placement {
+    pub(super) guard: GrantGuard,
+    pub(super) summary: PlacementSummary,
+}
+
 /// Response of an upstream to pass on to the caller.
 pub(crate) struct UpstreamResponse {
     pub(crate) head: response::Parts,
@@ -193,27 +199,21 @@
     }
 
     /// Places and sends the request until an upstream gives a response to pass on, or no more
-    /// attempt is allowed.
+    /// attempt is allowed. The first attempt is made as `placement` says, if it is given.
     pub(crate) async fn next_response(
         &mut self,
         record: &mut RequestRecord,
+        placement: Option<Placement>,
     ) -> Result<UpstreamResponse, RequestError> {
+        let mut next = placement;
         loop {
-            let requested_at = self.now();
-            let request = self.placement_request();
-            let placement = tokio::select! {
-                placement = self.cx.placer.place(
-                    request,
-                    &self.request.fingerprint,
-                    self.request.is_leader_placed,
-                ) => placement,
-                () = self.cx.wait_for_stop() => Err((RefusalReason::Stopping, STOPPING_RETRY)),
+            let placed = match next.take() {
+                Some(placement) => Ok(placement),
+                None => self.place(self.history.sent > 0).await,
             };
-            let guard =
-                placement.map_err(|(refusal, after)| self.placement_error(refusal, after))?;
+            let Placement { guard, summary: placement } =
+                placed.map_err(|(refusal, after)| self.placement_error(refusal, after))?;
             let started = self.now();
-            let placement =
-                PlacementSummary::new(&guard, started.saturating_duration_since(requested_at));
             self.tried.push(guard.upstream().clone());
             self.sent.reset();
             record.start_attempt(&placement);
@@ -234,6 +234,7 @@
             record.add_attempt(&placement, failed.relay.as_ref(), ms, &outcome);
             self.history.record(failed.failure);
             self.sent.reset();
+            next = failed.replacement;
             let route = &self.request.route;
             match next_step(route.retry_policy, route.max_attempts, self.history, failed.failure) {
                 NextStep::Retry => {}
@@ -250,8 +251,49 @@
         }
     }
 
+    /// Finds an upstream for the request. A retry counts against the budget of its service.
+    async fn place(&self, is_retry: bool) -> Result<Placement, (RefusalReason, Duration)> {
+        let requested_at = self.now();
+        let request = self.placement_request(is_retry);
+        let (fingerprint, is_leader_placed) =
+            (&self.request.fingerprint, self.request.is_leader_placed);
+        let guard = tokio::select! {
+            placed = self.cx.placer.place(request, fingerprint, is_leader_placed) => placed?,
+            () = self.cx.wait_for_stop() => {
+                return Err((RefusalReason::Stopping, STOPPING_RETRY));
+            }
+        };
+        let waited = self.now().saturating_duration_since(requested_at);
+        Ok(Placement { summary: PlacementSummary::new(&guard, waited), guard })
+    }
+
+    /// Finds another upstream for the request that is under way at one, once `limit` has passed; never
+    /// ends without a limit. The one that has the request may only be slow, so it is given up for
+    /// another one that is granted, not for the hope of one. Returns `None` if the request has crashed
+    /// upstreams and is to be given up.
+    pub(super) async fn replacement(&self, limit: Option<Duration>) -> Option<Placement> {
+        let Some(limit) = limit else { return std::future::pending().await };
+        loop {
+            sleep(limit).await;
+            match self.place(true).await {
+                // The leader knows no other.
+                Ok(same) if self.tried.last() == Some(same.guard.upstream()) => {
+                    same.guard.end(RequestOutcome::NotRun);
+                }
+                Ok(placement) => return Some(placement),
+                Err((RefusalReason::Quarantined, _)) => return None,
+                Err((refusal, _)) => {
+                    log::debug!(
+                        request = self.request.head.request.as_deref().unwrap_or_default();
+                        "silent for {limit:?}, and no other upstream: {refusal:?}"
+                    );
+                }
+            }
+        }
+    }
+
     /// Describes the request as it is now, for placement.
-    fn placement_request(&self) -> PlacementRequest {
+    fn placement_request(&self, is_retry: bool) -> PlacementRequest {
         let route = &self.request.route;
         let (prompt, output) = self.request.head.tokens.unwrap_or((0, 0));
         let pause_target = route.pause_target.unwrap_or(DEFAULT_PAUSE_TARGET);
@@ -276,7 +318,7 @@
             first_event_deadline_remaining: self.time_remaining().min(wait_limit),
             response_time_remaining: self.time_remaining(),
             tried: self.tried.clone(),
-            is_retry: self.history.sent > 0,
+            is_retry,
             request_hash: short_hash(&self.request.fingerprint.request),
         }
     }
--- a/crates/toucansilld/src/gateway/stream.rs
+++ b/crates/toucansilld/src/gateway/stream.rs
@@ -3,13 +3,14 @@
 
 use super::{
     attempt::{LoggedAttemptOutcome, broken_failure, outcome_of},
-    forward::{ForwardedRequest, StreamingResponse, UpstreamResponse},
+    forward::{ForwardedRequest, Placement, StreamingResponse, UpstreamResponse},
+    guard::GrantGuard,
     record::{PlacementSummary, RequestRecord},
 };
 use grant::RequestOutcome;
 use http::StatusCode;
-use proxy::{AttemptFailure, BodySender, EventSplitter};
-use std::time::Duration;
+use proxy::{AttemptFailure, BodySender, EventChunk, EventSplitter, ResponseBody};
+use std::{fmt, time::Duration};
 use tokio::time::{sleep, timeout};
 
 /// How the part of a stream that one upstream sent has ended.
@@ -21,7 +22,22 @@
     /// The deadline of the request has passed.
     DeadlinePassed,
     /// The connection broke, or no event came in time.
-    Failed(AttemptFailure, String),
+    Failed(Box<FailedPart>),
+}
+
+/// Part of a stream that is not whole, and why.
+struct FailedPart {
+    failure: AttemptFailure,
+    reason: String,
+    /// Upstream that is to resume the stream, if it has been found already.
+    replacement: Option<Placement>,
+}
+
+impl PartEnd {
+    fn failed(failure: AttemptFailure, reason: impl fmt::Display) -> Self {
+        let reason = reason.to_string();
+        Self::Failed(Box::new(FailedPart { failure, reason, replacement: None }))
+    }
 }
 
 /// Passes events on until the stream is complete, the caller disconnects, the deadline passes, or
@@ -43,7 +59,7 @@
         drop(body);
         drop(reservations);
         let ms = request.now().saturating_duration_since(started).as_millis() as u64;
-        let (failure, reason) = match end {
+        let FailedPart { failure, reason, replacement } = match end {
             PartEnd::Complete => {
                 guard.end(RequestOutcome::Completed);
                 tx.finish().await;
@@ -53,7 +69,7 @@
             PartEnd::DeadlinePassed => {
                 break (StatusCode::GATEWAY_TIMEOUT, "broken off: time is over");
             }
-            PartEnd::Failed(failure, reason) => (failure, reason),
+            PartEnd::Failed(failed) => *failed,
         };
         let end = LoggedAttemptOutcome::Failed(failure, reason);
         let placement = PlacementSummary::new(&guard, Duration::ZERO);
@@ -65,7 +81,7 @@
         }
         let remaining = request.time_remaining();
         let next = tokio::select! {
-            next = timeout(remaining, request.next_response(&mut record)) => next,
+            next = timeout(remaining, request.next_response(&mut record, replacement)) => next,
             () = tx.closed() => break (StatusCode::OK, "the caller left"),
         };
         response = match next {
@@ -82,52 +98,29 @@
 /// last of them.
 async fn forward_part(
     request: &mut ForwardedRequest,
-    body: &mut proxy::ResponseBody,
-    guard: &mut super::guard::GrantGuard,
+    body: &mut ResponseBody,
+    guard: &mut GrantGuard,
     tx: &BodySender,
     record: &mut RequestRecord,
 ) -> PartEnd {
     let mut events = EventSplitter::new();
-    let mut has_first_event = false;
-    // Bytes that end no event don't extend the wait.
-    let mut waiting_since = request.now();
+    let mut limit = request.first_event_timeout(guard);
     loop {
-        let time_remaining = request.time_remaining();
-        let limit = match has_first_event {
-            true => request.event_timeout(),
-            false => request.first_event_timeout(guard),
-        };
-        let limit = limit.unwrap_or(Duration::MAX);
-        let waited = request.now().saturating_duration_since(waiting_since);
-        let wait = limit.saturating_sub(waited).min(time_remaining);
-        let next = tokio::select! {
-            next = timeout(wait, body.next()) => next,
+        let chunk = tokio::select! {
+            biased;
+            chunk = next_events(body, &mut events) => chunk,
             () = tx.closed() => return PartEnd::CallerDisconnected,
-        };
-        let bytes = match next {
-            Ok(Ok(Some(bytes))) => bytes,
-            Ok(Ok(None)) if events.incomplete().is_empty() => return PartEnd::Complete,
-            Ok(Ok(None)) => {
-                return PartEnd::Failed(
-                    AttemptFailure::Broken,
-                    String::from("the stream ended within an event"),
-                );
-            }
-            Ok(Err(err)) => return PartEnd::Failed(broken_failure(&err), err.to_string()),
-            Err(_) if request.time_remaining().is_zero() => return PartEnd::DeadlinePassed,
-            Err(_) => {
-                return PartEnd::Failed(AttemptFailure::Silent, format!("no event in {limit:?}"));
+            () = sleep(request.time_remaining()) => return PartEnd::DeadlinePassed,
+            replacement = request.replacement(limit) => {
+                let reason = format!("no event in {:?}", limit.unwrap_or_default());
+                let failure = AttemptFailure::Silent;
+                return PartEnd::Failed(Box::new(FailedPart { failure, reason, replacement }));
             }
         };
-        events.push(&bytes);
-        let Some(chunk) = events.next_chunk() else {
-            if events.is_event_too_long() {
-                let reason = String::from("an event is too long");
-                return PartEnd::Failed(AttemptFailure::Broken, reason);
-            }
-            continue;
+        let chunk = match chunk {
+            Ok(chunk) => chunk,
+            Err(end) => return end,
         };
-        has_first_event = true;
         guard.first_event_received();
         record.first_event_received();
         let sent = tokio::select! {
@@ -138,6 +131,30 @@
             return PartEnd::CallerDisconnected;
         }
         request.event_forwarded(chunk.last_id);
-        waiting_since = request.now();
+        limit = request.event_timeout();
+    }
+}
+
+/// Receives bytes until events are whole.
+async fn next_events(
+    body: &mut ResponseBody,
+    events: &mut EventSplitter,
+) -> Result<EventChunk, PartEnd> {
+    loop {
+        match body.next().await {
+            Ok(Some(bytes)) => events.push(&bytes),
+            Ok(None) if events.incomplete().is_empty() => return Err(PartEnd::Complete),
+            Ok(None) => {
+                let reason = "the stream ended within an event";
+                return Err(PartEnd::failed(AttemptFailure::Broken, reason));
+            }
+            Err(err) => return Err(PartEnd::failed(broken_failure(&err), err)),
+        }
+        if let Some(chunk) = events.next_chunk() {
+            return Ok(chunk);
+        }
+        if events.is_event_too_long() {
+            return Err(PartEnd::failed(AttemptFailure::Broken, "an event is too long"));
+        }
     }
 }
