Keep the platform's names out of the test of silent engines, and end resets when a test fails

A failed condition left the thread that resets links running, for which the test then waited without end: seen as a gateway run of ten minutes.

--- a/crates/toucansilld/tests/gateway/link_resets.rs
+++ b/crates/toucansilld/tests/gateway/link_resets.rs
@@ -23,6 +23,15 @@
 /// Longest time for a change while links are reset: several attempts of an operator.
 const CHANGE_TIME: Duration = Duration::from_secs(8);
 
+/// Sets a flag when it is dropped, also by a panic.
+struct SetOnDrop<'a>(&'a AtomicBool);
+
+impl Drop for SetOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
 /// Runs `f` while all links between the control daemons are reset at this interval.
 fn with_resets<T>(proxies: &[FaultProxy], interval: Duration, f: impl FnOnce() -> T) -> T {
     let is_done = AtomicBool::new(false);
@@ -33,9 +42,9 @@
                 thread::sleep(interval);
             }
         });
-        let result = f();
-        is_done.store(true, Ordering::Relaxed);
-        result
+        // Otherwise the scope would wait for the thread if `f` panics.
+        let _done = SetOnDrop(&is_done);
+        f()
     })
 }
 
--- a/crates/toucansilld/tests/gateway/silences.rs
+++ b/crates/toucansilld/tests/gateway/silences.rs
@@ -6,7 +6,7 @@
     stand_ins::{Reaction, Upstream},
 };
 use platform::stand_in::{
-    DOCUMENT_PATH, engine_document_with_pause_target, parse_request_id, response_header_lines,
+    DOCUMENT_PATH, engine_document_with_targets, parse_request_id, response_header_lines,
     upstream_path,
 };
 use std::time::{Duration, Instant};
@@ -53,10 +53,7 @@
     let mut region = Region::new(1);
     region.disallow_retries();
     region.start_all(true);
-    let document = engine_document_with_pause_target(1, "/x/").replace(
-        r#""timeoutMs":30000"#,
-        &format!(r#""timeoutMs":{},"targetLatencyMs":200"#, ROUTE_TIMEOUT.as_millis()),
-    );
+    let document = engine_document_with_targets(1, "/x/", ROUTE_TIMEOUT);
     region.control_request_until_ok(0, "PUT", DOCUMENT_PATH, &document);
     for (i, engine) in engines.iter().enumerate() {
         let path = upstream_path(&format!("u{i}"));
