Test a member that follows the leader while its links are reset

Seen as a failure of a_member_gets_a_snapshot_while_links_are_reset in one of many runs: the new member lost its leader with the first reset, never found it again while links were reset each 250 ms, and so never asked to join. The leader holds the request of a follower that lacks nothing for 400 ms, and a reset ends it before.

--- a/crates/toucansilld/tests/gateway/link_resets.rs
+++ b/crates/toucansilld/tests/gateway/link_resets.rs
@@ -32,6 +32,11 @@
     }
 }
 
+/// Time for which a member has to follow while links are reset.
+const FOLLOWED_TIME: Duration = Duration::from_secs(8);
+/// Age of a view at which its daemon is out of touch.
+const MAX_VIEW_AGE: Duration = Duration::from_secs(3);
+
 /// Runs `f` while all links between the control daemons are reset at this interval.
 fn with_resets<T>(proxies: &[FaultProxy], interval: Duration, f: impl FnOnce() -> T) -> T {
     let is_done = AtomicBool::new(false);
@@ -109,6 +114,23 @@
     assert_eq!(read(&region, 2), CHANGES);
 }
 
+/// Guards against a daemon that finds no leader for as long as its links are reset more often than the
+/// leader replies to a follower that lacks nothing.
+#[test]
+fn a_member_follows_the_leader_while_links_are_reset() {
+    let (region, proxies) = start(None);
+    publish(&region, 1);
+    let follower = (region.await_leader(3) + 1) % 3;
+    with_resets(&proxies, LONG_RESET_INTERVAL, || {
+        let started = Instant::now();
+        while started.elapsed() < FOLLOWED_TIME {
+            let age = region.view_age(follower);
+            assert!(age < MAX_VIEW_AGE, "view {age:?} old after {:?}", started.elapsed());
+            thread::sleep(LONG_RESET_INTERVAL);
+        }
+    });
+}
+
 /// Guards against a group that elects no leader, or two, while links are reset.
 #[test]
 fn a_leader_is_elected_while_links_are_reset() {
--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -349,6 +349,14 @@
         self.metrics_of(i).is_some_and(|page| page.lines().any(is_led))
     }
 
+    /// Age of the view of daemon `i`, by its metrics.
+    pub(crate) fn view_age(&self, i: usize) -> Duration {
+        let page = eventually("metrics", || self.metrics_of(i));
+        let age = page.lines().find_map(|line| line.strip_prefix("toucansill_view_age_seconds "));
+        let seconds = age.and_then(|age| age.parse().ok()).expect("the age of the view");
+        Duration::from_secs_f64(seconds)
+    }
+
     /// Metrics pages of the daemons that respond.
     fn metrics(&self) -> impl Iterator<Item = String> {
         (0..self.daemons.len()).filter_map(|i| self.metrics_of(i))
