Let a leader reply at once to a daemon that has lost it

Cause: a leader holds the request of a follower that lacks nothing for 400 ms. A daemon whose link was reset asks again, lacks nothing, and has no leader until that reply: on a quiet system it places requests without the leader meanwhile, and while links are reset more often than that it never has one, is out of touch after 3 s, and a new member doesn't ask to join.

Change: while it follows no leader, a daemon claims to lack the last change, which the leader sends again at once.

--- a/crates/follow/src/position.rs
+++ b/crates/follow/src/position.rs
@@ -36,6 +36,18 @@
             && self.out_of_service_changes >= other.out_of_service_changes
     }
 
+    /// A position that lacks one change of this one, if there was any: that which takes the fewest bytes
+    /// to send again.
+    pub fn before_last_change(&self) -> Self {
+        let mut position = *self;
+        let changes =
+            [&mut position.out_of_service_changes, &mut position.directory, &mut position.routing];
+        if let Some(number) = changes.into_iter().find(|number| **number > 0) {
+            *number -= 1;
+        }
+        position
+    }
+
     /// The highest position that both this one and another of the same term cover.
     pub fn common(&self, other: &Self) -> Self {
         Self {
--- a/crates/follow/tests/followers.rs
+++ b/crates/follow/tests/followers.rs
@@ -78,3 +78,18 @@
     let history = History::new(1, ViewPosition::default());
     assert!(history.continues(&ViewPosition::default()));
 }
+
+/// A follower that lost its leader claims less than it has, never more: changes are acknowledged by the
+/// positions of followers.
+#[test]
+fn a_position_before_the_last_change_lacks_one_change() {
+    let whole = ViewPosition { term: 2, routing: 3, directory: 4, out_of_service_changes: 1 };
+    let mut position = whole;
+    for lacking in 1..=8 {
+        let earlier = position.before_last_change();
+        assert!(position.covers(&earlier) && earlier != position, "{lacking}: {earlier:?}");
+        position = earlier;
+    }
+    assert_eq!(position, ViewPosition { term: 2, ..ViewPosition::default() });
+    assert_eq!(position.before_last_change(), position);
+}
--- a/crates/toucansilld/src/gateway/follow.rs
+++ b/crates/toucansilld/src/gateway/follow.rs
@@ -122,13 +122,15 @@
     }
 
     /// Requests what has changed since the view's position. The leader holds the request for
-    /// up to [`FOLLOW_WAIT`] if nothing has.
+    /// up to [`FOLLOW_WAIT`] if nothing has. While no leader is followed, the last change is requested
+    /// once more, so that a leader replies at once.
     async fn request_change(
         &self,
         target: SocketAddr,
         known_term: u64,
     ) -> wire::Result<LeaderReply> {
-        let position = self.view.with(|state| state.position);
+        let (position, has_leader) =
+            self.view.with(|state| (state.position, state.leader.is_some()));
         // A new leader does not know the requests that its predecessors placed. They are
         // reported to it once the view is of its term.
         let running = match position.term == known_term {
@@ -138,7 +140,7 @@
         let follow = FollowRequest {
             daemon: self.settings.daemon.clone(),
             is_entry: self.settings.entry.is_some(),
-            position,
+            position: if has_leader { position } else { position.before_last_change() },
             running,
         };
         self.links.request(target, &LeaderRequest::Follow(follow), FOLLOW_WAIT + REPLY_MARGIN).await
