--- a/crates/follow/tests/followers.rs
+++ b/crates/follow/tests/followers.rs
@@ -28,6 +28,22 @@
     assert_eq!(followers.live(b_is_silent), 1);
 }
 
+/// A follower that has lost its leader claims to lack its last change, to be replied to at once. Changes
+/// that it had before stay acknowledged.
+#[test]
+fn a_follower_that_claims_to_lack_a_change_still_has_it() {
+    let now = Instant::now();
+    let mut followers = Followers::new(LIVE_TIME);
+    followers.record(now, &"a".to_owned(), true, at(1, 5));
+    followers.record(now, &"a".to_owned(), true, at(1, 5).before_last_change());
+    assert!(followers.all_cover(now, &at(1, 5)));
+    // It has started anew.
+    followers.record(now, &"a".to_owned(), true, ViewPosition::default());
+    assert!(!followers.all_cover(now, &at(1, 5)));
+    followers.record(now, &"a".to_owned(), true, at(1, 2));
+    assert!(!followers.all_cover(now, &at(1, 5)));
+}
+
 /// A view of a former leader says nothing about what this leader has changed.
 #[test]
 fn a_view_of_another_term_covers_nothing() {
--- a/crates/toucansilld/tests/gateway/main.rs
+++ b/crates/toucansilld/tests/gateway/main.rs
@@ -16,11 +16,17 @@
 use platform::stand_in::{DOCUMENT_PATH, document, engine_document, upstream_path};
 use region::{Region, eventually};
 use stand_ins::Upstream;
-use std::{thread, time::Duration};
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
 
 /// Time after which a caller leaves that gets no response.
 const CALLER_PATIENCE: Duration = Duration::from_millis(300);
 
+/// Shortest time for which a call waits for a leader before it is refused.
+const LEADER_WAIT: Duration = Duration::from_millis(500);
+
 /// Not a test by itself: [`Region`] starts this program with it as a daemon.
 #[test]
 fn routed_daemon() {
@@ -214,3 +220,21 @@
         log.lines().any(|l| l.contains("u1 by entry") && l.contains("under way for")).then_some(())
     });
 }
+
+/// Guards against calls that are refused while a leader is being elected: upstreams that register repeat
+/// theirs only after a second or more, and nobody is served meanwhile.
+#[test]
+fn calls_wait_for_a_leader_that_is_being_elected() {
+    let mut region = Region::new(3);
+    region.start_all(true);
+    region.control_request_until_ok(0, "PUT", DOCUMENT_PATH, &document(1, "/x/", "s1"));
+    region.await_members(3);
+    region.kill_all();
+    region.start_all(false);
+    let (status, waited) = eventually("a response", || {
+        let sent = Instant::now();
+        let (status, _) = region.control_request(0, "GET", DOCUMENT_PATH, "")?;
+        Some((status, sent.elapsed()))
+    });
+    assert!(status == 200 || waited >= LEADER_WAIT, "{status} after {waited:?}");
+}
--- a/crates/toucansilld/tests/gateway/notices.rs
+++ b/crates/toucansilld/tests/gateway/notices.rs
@@ -34,6 +34,10 @@
 const BUSY_TIME: Duration = Duration::from_secs(3);
 /// Deadline of requests that wait for an engine.
 const WAITING_DEADLINE: Duration = Duration::from_secs(8);
+/// Delay of a link in one direction, so that the leader's news are late.
+const LINK_DELAY: Duration = Duration::from_millis(80);
+/// Number of requests that wait for an engine.
+const WAITING_REQUESTS: usize = 6;
 
 /// Script of an upstream that leaves and says so in its responses only.
 fn leave(head: &str, body: &str) -> String {
@@ -243,6 +247,44 @@
     });
 }
 
+/// Guards against requests that are refused in the time between the response which says that the only
+/// engine leaves and the news of it from the leader, although requests wait before and after it.
+#[test]
+fn requests_that_wait_are_not_refused_while_the_leader_learns_that_an_engine_leaves() {
+    let leaving = Upstream::crashing(|head, _| {
+        thread::sleep(HEAD_DELAY);
+        Reaction::Flood(stream_start(head, LEAVING_HEADER_LINE), Duration::from_millis(10))
+    });
+    let mut region = Region::new(1);
+    let link = region.route_link_to_control(region.entry());
+    region.start_all(true);
+    region.control_request_until_ok(0, "PUT", DOCUMENT_PATH, &engine_document(1, "/x/"));
+    register(&region, "leaving", &leaving);
+    let entry = region.entry();
+    let send = |body: &str, deadline| region.request_at(entry, "/x/", body, deadline);
+    eventually("the document", || {
+        region.request_at(entry, "/none/", "", DEADLINE).filter(|(status, _)| *status == 404)
+    });
+    link.set_delay(LINK_DELAY);
+    thread::scope(|scope| {
+        scope.spawn(|| send("first", DEADLINE));
+        eventually("the engine is busy", || (requests_at(&leaving) == 1).then_some(()));
+        let waiting: Vec<_> = (0..WAITING_REQUESTS)
+            .map(|i| {
+                thread::sleep(LINK_DELAY / 4);
+                scope.spawn(move || send(&format!("waiting {i}"), WAITING_DEADLINE))
+            })
+            .collect();
+        thread::sleep(DRAIN_TIME);
+        let other = Upstream::scripted(one_event);
+        register(&region, "other", &other);
+        for waiting in waiting {
+            let (status, text) = waiting.join().expect("joined").expect("a response");
+            assert_eq!(status, 200, "{text}");
+        }
+    });
+}
+
 /// Guards against a stream that is resumed at the engine that has just said that it leaves.
 #[test]
 fn a_stream_is_not_resumed_at_an_engine_that_leaves() {
--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -138,6 +138,14 @@
         proxies
     }
 
+    /// Leads the link of daemon `i` to the first control daemon through a proxy, before its start.
+    pub(crate) fn route_link_to_control(&mut self, i: usize) -> FaultProxy {
+        let links = self.links_address(0);
+        let proxy = FaultProxy::start(links).expect("a free port");
+        self.daemons[i].routes.insert(links, proxy.address());
+        proxy
+    }
+
     /// Address of a daemon for links.
     fn links_address(&self, i: usize) -> SocketAddr {
         format!("{}:{}", self.daemons[i].ip, self.base_port).parse().expect("an address")
