Keep what a follower had when it asks for its last change again

Cause: since a daemon that has lost its leader claims to lack the last change, and the leader took that for the whole of what it has.

Change: a lower position of the same term takes nothing back. A daemon that has started anew has a view of no term, which does.

--- a/crates/follow/src/followers.rs
+++ b/crates/follow/src/followers.rs
@@ -30,6 +30,10 @@
     }
 
     /// Records that a daemon was heard, with the position of its view. Returns whether it is new.
+    ///
+    /// A view loses nothing of a term while its daemon runs, and that of a daemon that has started anew is
+    /// of no term. So a lower position of the same term takes nothing back: the daemon asks for a change
+    /// again that it has.
     pub fn record(
         &mut self,
         now: Instant,
@@ -37,14 +41,13 @@
         is_entry: bool,
         position: ViewPosition,
     ) -> bool {
+        let known = self.followers.get(daemon).map(|known| known.position);
+        let position = match known.filter(|known| known.term == position.term) {
+            Some(known) => known.newest(&position),
+            None => position,
+        };
         let follower = Follower { is_entry, last_heard: now, position };
-        match self.followers.get_mut(daemon) {
-            Some(known) => {
-                *known = follower;
-                false
-            }
-            None => self.followers.insert(daemon.clone(), follower).is_none(),
-        }
+        self.followers.insert(daemon.clone(), follower).is_none()
     }
 
     /// Removes the daemons that have been silent for `silence`, and returns their names.
--- a/crates/follow/src/position.rs
+++ b/crates/follow/src/position.rs
@@ -36,6 +36,16 @@
             && self.out_of_service_changes >= other.out_of_service_changes
     }
 
+    /// The lowest position that covers both this one and another of the same term.
+    pub fn newest(&self, other: &Self) -> Self {
+        Self {
+            term: self.term,
+            routing: self.routing.max(other.routing),
+            directory: self.directory.max(other.directory),
+            out_of_service_changes: self.out_of_service_changes.max(other.out_of_service_changes),
+        }
+    }
+
     /// A position that lacks one change of this one, if there was any: that which takes the fewest bytes
     /// to send again.
     pub fn before_last_change(&self) -> Self {
