Let requests wait when the only upstream says that it leaves

Cause: an entry that learns from a response that an upstream leaves refused requests that wait for it, if no other one was available by its view, with 503 and 'no upstream takes work'. Some 50 ms later, when the leader has told of the departure, the same requests wait for another upstream.

Change: only upstreams that have turned the daemon away count for a refusal at once. A grant of the upstream that leaves is given back, and the request asked for again.

--- a/crates/toucansilld/src/gateway/exclusions.rs
+++ b/crates/toucansilld/src/gateway/exclusions.rs
@@ -99,6 +99,12 @@
         })
     }
 
+    /// Whether this run of an upstream leaves.
+    pub(crate) fn is_leaving(&self, upstream: &str, started_at_ms: u64) -> bool {
+        let runs = lock(&self.runs);
+        runs.get(upstream).is_some_and(|run| run.is_leaving && run.started_at_ms == started_at_ms)
+    }
+
     /// Whether all upstreams may get requests.
     pub(crate) fn is_empty(&self) -> bool {
         lock(&self.runs).is_empty()
--- a/crates/toucansilld/src/gateway/placer.rs
+++ b/crates/toucansilld/src/gateway/placer.rs
@@ -279,12 +279,16 @@
                     // Excluded since the leader queued the request, or the leader found no other. A
                     // new id, as the report may come after the new request.
                     self.report(Progress::Ended(request.id.clone(), RequestOutcome::NotRun));
-                    if request.tried.contains(&grant.upstream) {
-                        return Err((RefusalReason::NoUpstream, REFUSED_RETRY_AFTER));
-                    }
                     request.id = self.next_id();
-                    request.tried.push(grant.upstream);
                     may_be_queued = false;
+                    if !request.tried.contains(&grant.upstream) {
+                        request.tried.push(grant.upstream);
+                    } else if self.exclusions.is_leaving(&grant.upstream, started_at_ms) {
+                        // The leader will know of the departure soon.
+                        sleep(LEADER_CHECK_INTERVAL).await;
+                    } else {
+                        return Err((RefusalReason::NoUpstream, REFUSED_RETRY_AFTER));
+                    }
                 }
                 Ok(LeaderReply::Placement(Decision::Refused { reason, retry_after })) => {
                     let retry_after = match reason {
@@ -328,18 +332,17 @@
     }
 
     /// Shortest time until an upstream of a service takes requests of this daemon, if none does now
-    /// because all that are available have said so.
+    /// because all that are available have turned it away. Those that leave don't count: requests wait
+    /// for others to come, as they do once the leader knows of the departures.
     pub(crate) fn wait_if_all_excluded(&self, service: &ServiceId) -> Option<Duration> {
         if self.exclusions.is_empty() {
             return None;
         }
         let now = self.clock.now();
         self.view.with(|state| {
-            let available = state.directory.available(service);
-            let waits = available.map(|entry| {
-                let Registration { id, started_at_ms, .. } = &entry.registration;
-                self.exclusions.remaining(now, id, *started_at_ms)
-            });
+            let available = state.directory.available(service).map(|entry| &entry.registration);
+            let staying = available.filter(|r| !self.exclusions.is_leaving(&r.id, r.started_at_ms));
+            let waits = staying.map(|r| self.exclusions.remaining(now, &r.id, r.started_at_ms));
             let waits: Vec<Duration> = waits.collect::<Option<_>>()?;
             waits.into_iter().min()
         })
--- a/crates/toucansilld/tests/gateway/notices.rs
+++ b/crates/toucansilld/tests/gateway/notices.rs
@@ -35,9 +35,9 @@
 /// Deadline of requests that wait for an engine.
 const WAITING_DEADLINE: Duration = Duration::from_secs(8);
 /// Delay of a link in one direction, so that the leader's news are late.
-const LINK_DELAY: Duration = Duration::from_millis(80);
+const LINK_DELAY: Duration = Duration::from_millis(20);
 /// Number of requests that wait for an engine.
-const WAITING_REQUESTS: usize = 6;
+const WAITING_REQUESTS: usize = 12;
 
 /// Script of an upstream that leaves and says so in its responses only.
 fn leave(head: &str, body: &str) -> String {
@@ -271,7 +271,7 @@
         eventually("the engine is busy", || (requests_at(&leaving) == 1).then_some(()));
         let waiting: Vec<_> = (0..WAITING_REQUESTS)
             .map(|i| {
-                thread::sleep(LINK_DELAY / 4);
+                thread::sleep(LINK_DELAY / 2);
                 scope.spawn(move || send(&format!("waiting {i}"), WAITING_DEADLINE))
             })
             .collect();
