Let calls to the control group wait for a leader that is being elected

Cause: a member refused each call at once while no leader was known, or when the one that it knew had gone. Upstreams and operators then try the other members, all in vain, and repeat the call after a second or more.

Change: a call waits for a leader for 0.7 s, less than the second after which callers go elsewhere, and is passed on as soon as there is one. A call that may have reached a leader isn't sent twice. A member that has had no leader for 2 s refuses at once, as it may be cut off from the others.

--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -34,7 +34,7 @@
     task::{JoinSet, spawn_blocking},
     time::{sleep, timeout},
 };
-use wire::Responder;
+use wire::{Responder, Verdict};
 
 /// Interval at which the Raft role is checked: a fraction of the time that an election takes, so
 /// that a new leader starts work soon after it.
@@ -50,6 +50,14 @@
 /// Timeout for forwarding an HTTP control request to the leader. Operators and upstreams try
 /// another daemon after 1 s.
 const FORWARD_TIMEOUT: Duration = Duration::from_millis(900);
+/// Longest time for which a call waits for a leader: a usual election, and less than the second after
+/// which callers try another daemon.
+const LEADER_WAIT: Duration = Duration::from_millis(700);
+/// Time without a leader after which calls are refused at once, as the others of the group may have one
+/// that this daemon doesn't reach.
+const CUT_OFF_TIME: Duration = Duration::from_secs(2);
+/// Interval at which a call that waits looks for a leader.
+const LEADER_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// Time for which a new leader refuses changes while its group has fewer members than it needs.
 /// Then it accepts them anyway, as no more daemons seem to be coming.
 const FORMATION_TIMEOUT: Duration = Duration::from_secs(20);
@@ -69,6 +77,8 @@
     leader: Mutex<Option<LeaderState>>,
     /// When the leadership began.
     leading_since: Mutex<Option<Instant>>,
+    /// When a call first found no leader; `None` if the last one found one.
+    leaderless_since: Mutex<Option<Instant>>,
     /// Follow requests that are held open.
     held: Mutex<HeldRequests<Responder>>,
     /// Notified when a reply to a held follow request has become due sooner.
@@ -113,6 +123,7 @@
             links: OnceLock::new(),
             leader: Mutex::default(),
             leading_since: Mutex::default(),
+            leaderless_since: Mutex::default(),
             held: Mutex::new(HeldRequests::new(FOLLOW_WAIT)),
             reply_due: Notify::new(),
             position_reports: watch::Sender::new(0),
@@ -415,30 +426,63 @@
     }
 
     /// Handles an HTTP control request that this daemon received: itself if it leads, otherwise by
-    /// forwarding it to the leader. Registrations that say nothing new need not be forwarded.
+    /// forwarding it to the leader. While there is none, the request waits for [`LEADER_WAIT`] at most.
     pub(crate) async fn handle_control(
         self: &Arc<Self>,
         request: ControlHttpRequest,
     ) -> ControlHttpResponse {
+        let give_up_at = self.now() + LEADER_WAIT;
+        loop {
+            let reason = match self.handle_by_leader(&request).await {
+                Ok(response) => {
+                    *lock(&self.leaderless_since) = None;
+                    return response;
+                }
+                Err(reason) => reason,
+            };
+            let now = self.now();
+            let since = *lock(&self.leaderless_since).get_or_insert(now);
+            let is_cut_off = now.saturating_duration_since(since) >= CUT_OFF_TIME;
+            if is_cut_off || now >= give_up_at {
+                return ControlHttpResponse::new(503, &reason);
+            }
+            sleep(LEADER_CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Has the leader, which may be this daemon, handle a request. Registrations that say nothing new need
+    /// not be forwarded. An error is the reason why no leader has got the request.
+    async fn handle_by_leader(
+        self: &Arc<Self>,
+        request: &ControlHttpRequest,
+    ) -> Result<ControlHttpResponse, String> {
         if let Some(response) = self.handle_as_leader(request.clone()).await {
-            return response;
+            return Ok(response);
         }
-        if let Some(registration) = read_registration(&request)
+        if let Some(registration) = read_registration(request)
             && self.refreshes.take_over(&registration)
         {
-            return registered();
+            return Ok(registered());
         }
         let LeaderReply::NotLeader { leader: Some(leader) } = self.not_leader() else {
-            return ControlHttpResponse::new(503, "no leader is known");
+            return Err(String::from("no leader is known"));
         };
         let Ok(address) = leader.parse() else {
-            return ControlHttpResponse::new(503, "the leader's address is not known");
+            return Err(String::from("the leader's address is not known"));
         };
-        match self.links().request(address, &LeaderRequest::Control(request), FORWARD_TIMEOUT).await
-        {
-            Ok(LeaderReply::Control(response)) => response,
-            Ok(_) => ControlHttpResponse::new(503, "the leader has changed"),
-            Err(err) => ControlHttpResponse::new(503, &format!("the leader did not answer: {err}")),
+        let request = LeaderRequest::Control(request.clone());
+        match self.links().request(address, &request, FORWARD_TIMEOUT).await {
+            Ok(LeaderReply::Control(response)) => Ok(response),
+            Ok(_) => Err(String::from("the leader has changed")),
+            Err(err) => {
+                let reason = format!("the leader did not answer: {err}");
+                match err.verdict() {
+                    Verdict::NotRun => Err(reason),
+                    Verdict::Ran | Verdict::MayHaveRun => {
+                        Ok(ControlHttpResponse::new(503, &reason))
+                    }
+                }
+            }
         }
     }
 
