--- a/crates/toucansilld/tests/gateway/crashes.rs
+++ b/crates/toucansilld/tests/gateway/crashes.rs
@@ -16,6 +16,10 @@
 const LATE_RUNS_ALLOWED: usize = 3;
 /// Number of times that the request is sent after that.
 const RESENDS: usize = 10;
+/// Number of upstreams of a service that a request could crash.
+const MANY_UPSTREAMS: usize = 8;
+/// Delay of the link to the control group in one direction: several repetitions of a request.
+const LATE_NEWS: Duration = Duration::from_millis(100);
 /// Number of upstreams that requests with the same part may crash before they are refused.
 const PART_CRASHES_ALLOWED: usize = 5;
 /// Part of prompts that crashes upstreams.
@@ -271,3 +275,28 @@
         (served.collect::<Vec<_>>() == [Some(200); 2]).then_some(())
     });
 }
+
+/// Guards against a request that crashes one upstream after the other as its caller repeats it faster than
+/// the control group learns of the crashes.
+#[test]
+fn a_request_that_is_repeated_at_once_crashes_no_more_upstreams_than_allowed() {
+    let upstreams: Vec<Upstream> =
+        (0..MANY_UPSTREAMS).map(|_| Upstream::crashing(crash_at_body)).collect();
+    let mut region = Region::new(1);
+    let link = region.route_link_to_control(region.entry());
+    region.start_all(true);
+    region.control_request_until_ok(0, "PUT", DOCUMENT_PATH, &document(1, "/x/", "s1"));
+    for (i, upstream) in upstreams.iter().enumerate() {
+        let path = upstream_path(&format!("u{i}"));
+        region.control_request_until_ok(0, "PUT", &path, &upstream.registration("s1", 1, "ready"));
+    }
+    let send = |body| region.request_at(region.entry(), "/x/", body, DEADLINE);
+    eventually("an innocent request at each upstream", || {
+        send("innocent");
+        upstreams.iter().all(|upstream| !upstream.runs().is_empty()).then_some(())
+    });
+    link.set_delay(LATE_NEWS);
+    (0..RESENDS).for_each(|_| drop(send("crash")));
+    let crashes = upstreams.iter().flat_map(Upstream::runs).filter(|run| run.ends_with("crash"));
+    assert_eq!(crashes.count(), CRASHES_ALLOWED, "crashed upstreams");
+}
