Let a request wait while crashes that it may have caused are being reported

Cause: an entry sent a repeated request on while its own reports of three crashes under it were still under way to the group.

Change: the entry remembers for a second that connections broke under a request. After three of them the request waits until it is quarantined, or the second has passed, or a check shows that the entry had lost its path.

--- a/crates/toucansilld/src/gateway/guard.rs
+++ b/crates/toucansilld/src/gateway/guard.rs
@@ -153,10 +153,13 @@
             std::iter::once(self.crash()).chain(self.crash_of_parts()).collect();
         let (placer, target) = (Arc::clone(&self.placer), self.target());
         let is_relayed = self.relay.is_some();
+        let request = self.fingerprint.request;
+        placer.watchlist.crash_suspected(request);
         tokio::spawn(async move {
             let is_path_kept =
                 !is_relayed && placer.paths.connect(target.address, CONNECT_TIMEOUT).await.is_ok();
             if !is_path_kept && placer.paths.is_reached_by_others(&target).await {
+                placer.watchlist.crash_disproved(&request);
                 return log::info!(
                     upstream = target.upstream.as_str();
                     "no crash reported: the upstream accepts connections of other daemons"
--- a/crates/toucansilld/src/gateway/placer.rs
+++ b/crates/toucansilld/src/gateway/placer.rs
@@ -219,11 +219,17 @@
         fingerprint: &RequestFingerprint,
         is_leader_placed: bool,
     ) -> Result<GrantGuard, (RefusalReason, Duration)> {
+        let started = self.clock.now();
+        let deadline = started + request.first_event_deadline_remaining;
+        while self.watchlist.has_many_unsettled_crashes(fingerprint)
+            && !self.watchlist.is_quarantined(fingerprint)
+            && self.clock.now() < deadline
+        {
+            sleep(LEADER_CHECK_INTERVAL).await;
+        }
         if !is_leader_placed {
             return self.place_locally(&request, fingerprint, false).await;
         }
-        let started = self.clock.now();
-        let deadline = started + request.first_event_deadline_remaining;
         let mut request = request;
         let mut leaderless_since = None;
         let mut may_be_queued = false;
--- a/crates/toucansilld/src/gateway/watchlist.rs
+++ b/crates/toucansilld/src/gateway/watchlist.rs
@@ -39,6 +39,12 @@
 /// Maximum number of reports that wait for a leader. Beyond it the oldest are dropped.
 const MAX_REPORTS: usize = 1_024;
 
+/// Time after a crash by which the group has replicated it and this daemon knows of that, unless they are
+/// out of touch.
+const SETTLING_TIME: Duration = Duration::from_secs(1);
+/// Number of crashes within [`SETTLING_TIME`] after which a request waits: as many as quarantine a request
+/// that shared the upstreams with others.
+const MAX_UNSETTLED_CRASHES: usize = 3;
 /// Maximum number of parts of prompts that are remembered as served. Beyond it the oldest are
 /// forgotten.
 const MAX_SERVED_PARTS: usize = 4_096;
@@ -88,11 +94,46 @@
     }
 }
 
+/// Crashes that a daemon has seen and the control group may not know of yet. Without them, a caller that
+/// repeats a request at once would crash further upstreams until the group has quarantined it.
+#[derive(Default)]
+struct UnsettledCrashes {
+    /// Times at which connections broke, by the request that was under way.
+    times: HashMap<RequestHash, VecDeque<Instant>>,
+}
+
+impl UnsettledCrashes {
+    fn add(&mut self, now: Instant, request: RequestHash) {
+        self.forget_settled(now);
+        self.times.entry(request).or_default().push_back(now);
+    }
+
+    /// Removes one crash of a request, which was none.
+    fn remove(&mut self, request: &RequestHash) {
+        if let Some(times) = self.times.get_mut(request) {
+            times.pop_back();
+        }
+    }
+
+    fn has_many(&mut self, now: Instant, request: &RequestHash) -> bool {
+        self.forget_settled(now);
+        self.times.get(request).is_some_and(|times| times.len() >= MAX_UNSETTLED_CRASHES)
+    }
+
+    fn forget_settled(&mut self, now: Instant) {
+        self.times.retain(|_, times| {
+            times.retain(|at| now.saturating_duration_since(*at) < SETTLING_TIME);
+            !times.is_empty()
+        });
+    }
+}
+
 /// Watchlist of an entry daemon.
 pub(crate) struct WatchlistView {
     /// With the state index at which it was read.
     state: Mutex<(u64, Watchlist)>,
     served_parts: Mutex<ServedParts>,
+    unsettled: Mutex<UnsettledCrashes>,
     clock: SharedClock,
     reports_tx: flume::Sender<RunReport>,
 }
@@ -110,6 +151,7 @@
         let watchlist = Arc::new(Self {
             state: Mutex::default(),
             served_parts: Mutex::default(),
+            unsettled: Mutex::default(),
             clock: Arc::clone(clock),
             reports_tx,
         });
@@ -131,6 +173,23 @@
             || fingerprint.parts.iter().any(|part| quarantined.contains(part))
     }
 
+    /// Records that a connection broke under a request, before it is known whether the upstream has
+    /// crashed.
+    pub(crate) fn crash_suspected(&self, request: RequestHash) {
+        lock(&self.unsettled).add(self.clock.now(), request);
+    }
+
+    /// Takes back [`crash_suspected`](Self::crash_suspected): the upstream has not crashed.
+    pub(crate) fn crash_disproved(&self, request: &RequestHash) {
+        lock(&self.unsettled).remove(request);
+    }
+
+    /// Whether a request must wait, as the group may be about to quarantine it: upstreams seem to have
+    /// crashed under it just now, as many as it is allowed.
+    pub(crate) fn has_many_unsettled_crashes(&self, fingerprint: &RequestFingerprint) -> bool {
+        lock(&self.unsettled).has_many(self.clock.now(), &fingerprint.request)
+    }
+
     /// Records a complete response to a request. It is reported only if the request is a suspect or has
     /// parts on the watchlist, which it clears.
     pub(crate) fn completed(&self, fingerprint: &RequestFingerprint) {
