Test an upstream that leaves while a leader starts and is offered by an entry

By the logs: the leader starts, gets the departure of an upstream that it doesn't know yet, and begins to replicate that; 30 ms later an entry offers the upstream, as the leader's first view lacks it, and it is in use again; then the departure is acknowledged.

--- a/crates/toucansilld/tests/gateway/departures.rs
+++ b/crates/toucansilld/tests/gateway/departures.rs
@@ -13,6 +13,11 @@
 
 /// Time within which entries follow a new leader and it knows what they know.
 const FOLLOW_TIME: Duration = Duration::from_secs(2);
+/// Delay of each message between members: in half of the rounds, the entry finds the leader while a change
+/// is being replicated.
+const REPLICATION_DELAY: Duration = Duration::from_millis(30);
+/// Number of times that a leader starts as an upstream leaves.
+const OFFER_ROUNDS: usize = 5;
 /// Requests sent to find out which upstreams get any.
 const REQUESTS: usize = 20;
 
@@ -216,3 +221,25 @@
     }
     assert_eq!(staying.runs().len(), before + REQUESTS);
 }
+
+/// Guards against an upstream that an entry offers to a leader which has just started, while the leader
+/// replicates that the upstream, which it doesn't know, has left.
+#[test]
+fn an_upstream_that_leaves_as_a_leader_starts_is_not_brought_back_by_an_offer() {
+    let mut region = Region::new(3);
+    let links = region.route_control_links();
+    start_with_document(&mut region, 3);
+    for round in 0..OFFER_ROUNDS {
+        let leaving = Upstream::start("leaving");
+        let id = format!("u{round}");
+        add_upstream(&region, 0, &id, &leaving);
+        (0..3).for_each(|i| region.kill(i));
+        (0..3).for_each(|i| region.start(i, false));
+        // The entry may offer the upstream while this is being replicated.
+        links.iter().for_each(|link| link.set_delay(REPLICATION_DELAY));
+        region.control_request_until_ok(0, "DELETE", &upstream_path(&id), "");
+        links.iter().for_each(|link| link.set_delay(Duration::ZERO));
+        thread::sleep(FOLLOW_TIME);
+        assert_gets_no_requests(&region, &leaving);
+    }
+}
