Mark an upstream as departed if it was offered while its departure was replicated

Cause: the departure of an upstream that the leader doesn't know is replicated first, and refuses registrations only from then on. An entry's offer, or a delayed registration, that came in that time brought the run back, and the departure was acknowledged.

Change: once the departure is replicated, the leader looks again, and if the upstream is present by then, replicates and spreads the departure of that run before it acknowledges.

--- a/crates/toucansilld/src/gateway/calls.rs
+++ b/crates/toucansilld/src/gateway/calls.rs
@@ -158,24 +158,38 @@
     /// Marks an upstream as departed and acknowledges that. If it was not present, the departure is
     /// that of a run that is not known here, or a repeated one.
     async fn deregister(&self, id: &str) -> Option<ControlHttpResponse> {
+        let since = self.now();
+        let mut departure = self.mark_departed(id)?;
+        if departure.is_none() {
+            let upstream = id.to_owned();
+            let command = Command::RecordUnknownDeparture { upstream, at_ms: 0 };
+            if let Err(response) = self.propose(command).await {
+                return Some(response);
+            }
+            // Until now, an entry may have offered the upstream to a leader that has just started.
+            departure = self.mark_departed(id)?;
+        }
+        let outcome = match &departure {
+            Some(_) => RegistrationOutcome::Changed,
+            None => RegistrationOutcome::Stale,
+        };
+        let command = departure.map(Command::RecordDeparture);
+        Some(self.acknowledge_departure(id, command, outcome, since).await)
+    }
+
+    /// Marks an upstream that is present as departed, and returns its departure. `None` outside if this
+    /// daemon doesn't lead.
+    fn mark_departed(&self, id: &str) -> Option<Option<UpstreamDeparture>> {
         let now = self.now();
         let departure = self.with_leader(|leader| {
             let is_change = leader.directory.deregister(now, id);
             is_change.then(|| leader.directory.departure_of(id)).flatten()
         })?;
-        let (outcome, command) = match departure {
-            Some(departure) => {
-                log::info!(upstream = id; "upstream has left");
-                self.notify_followers();
-                (RegistrationOutcome::Changed, Command::RecordDeparture(departure))
-            }
-            None => {
-                let upstream = id.to_owned();
-                let command = Command::RecordUnknownDeparture { upstream, at_ms: 0 };
-                (RegistrationOutcome::Stale, command)
-            }
-        };
-        Some(self.acknowledge_departure(id, Some(command), outcome, now).await)
+        if departure.is_some() {
+            log::info!(upstream = id; "upstream has left");
+            self.notify_followers();
+        }
+        Some(departure)
     }
 
     /// Replicates the departure of a run of an upstream whose responses say that it leaves. No
