Let fault proxies listen on an address that no outgoing connection takes ports of

A proxy that refuses connections gives its port up for a moment before it binds it again, and an outgoing connection of another test may take it, as both are on 127.0.0.1. The 13 tests with proxies pass; the case itself was not reproduced.

--- a/crates/fake/src/relay.rs
+++ b/crates/fake/src/relay.rs
@@ -5,7 +5,7 @@
 use std::{
     collections::BTreeMap,
     io::{self, Read, Write},
-    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -14,6 +14,9 @@
     time::Duration,
 };
 
+/// Address that proxies listen on. Connections within the computer come from 127.0.0.1 unless they are
+/// bound, so none takes the port of a proxy that refuses connections for a while.
+const ADDRESS: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 2);
 /// Length of the queue of connections to be accepted.
 const BACKLOG: i32 = 128;
 /// Timeout for the connection that fills a queue.
@@ -57,13 +60,13 @@
 }
 
 impl FaultProxy {
-    /// Starts a proxy on a free port of 127.0.0.1 that forwards connections to `target`.
+    /// Starts a proxy on a free port of a loopback address that forwards connections to `target`.
     ///
     /// # Errors
     ///
     /// If no port can be bound.
     pub fn start(target: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, 0))?;
+        let listener = TcpListener::bind((ADDRESS, 0))?;
         let address = listener.local_addr()?;
         let state = Mutex::new(State { is_open: true, ..State::default() });
         let proxy = Self {
