Log the longest pauses of each stream, by where they arose

Callers saw pauses over their target in the middle of streams. Change: pause_ms (between two events as they arrive from upstreams) and caller_pause_ms (until the caller's connection accepted events) in the line of each request, a histogram for both, and the upstream's data centre in the text of each attempt.

--- a/crates/toucansilld/src/gateway/forward.rs
+++ b/crates/toucansilld/src/gateway/forward.rs
@@ -172,6 +172,11 @@
         self.last_event_at = Some(self.now());
     }
 
+    /// Time from the last events that were sent to the caller to `now`; `None` before the first.
+    pub(crate) fn time_since_last_event(&self, now: Instant) -> Option<Duration> {
+        Some(now.saturating_duration_since(self.last_event_at?))
+    }
+
     /// Whether a stream that breaks off may be resumed at another upstream.
     pub(crate) fn may_resume(&self) -> bool {
         let route = &self.request.route;
--- a/crates/toucansilld/src/gateway/guard.rs
+++ b/crates/toucansilld/src/gateway/guard.rs
@@ -6,7 +6,7 @@
     placer::Placer,
     relay::Target,
     reports::Report,
-    view::ViewAge,
+    view::{ViewAge, ViewState},
     watchlist::RequestFingerprint,
 };
 use grant::{Grant, PlacementRequestId, RequestOutcome};
@@ -15,7 +15,7 @@
     sync::Arc,
     time::{Duration, Instant},
 };
-use wire::{DaemonId, UpstreamId};
+use wire::{DaemonId, DataCentreId, UpstreamId};
 
 /// Time without a response after which an abandoned attempt raises the suspicion that its upstream
 /// has crashed: longer than nearly all responses take.
@@ -81,6 +81,15 @@
         &self.grant.upstream
     }
 
+    /// Data centre of the upstream; empty if this daemon's view lacks it.
+    pub(crate) fn data_centre(&self) -> DataCentreId {
+        let registration = |state: &mut ViewState| {
+            let entry = state.directory.get(&self.grant.upstream);
+            entry.map(|entry| entry.registration.data_centre.clone())
+        };
+        self.placer.view.with(registration).unwrap_or_default()
+    }
+
     /// Reports the first event of the response to the leader. Later calls change nothing.
     pub(crate) fn first_event_received(&mut self) {
         if std::mem::replace(&mut self.has_first_event, true) || self.local_view.is_some() {
--- a/crates/toucansilld/src/gateway/record.rs
+++ b/crates/toucansilld/src/gateway/record.rs
@@ -9,7 +9,7 @@
     sync::Arc,
     time::{Duration, Instant},
 };
-use wire::{DaemonId, OrganisationId, RequestId, ServiceId, Tokens, UpstreamId};
+use wire::{DaemonId, DataCentreId, OrganisationId, RequestId, ServiceId, Tokens, UpstreamId};
 
 /// Collects what is logged about a request. On drop it writes one log line and one sample of
 /// each metric: when the request has ended, or when its future is dropped because the caller
@@ -38,6 +38,8 @@
     /// Attempt that is under way, and when it began.
     current: Option<(PlacementSummary, Instant)>,
     first_event_ms: Option<u64>,
+    /// Longest pauses of the stream so far.
+    pauses: StreamPauses,
     outcome: Option<(StatusCode, String)>,
     /// Whether another record, which will be logged, has taken over.
     is_transferred: bool,
@@ -60,6 +62,7 @@
             attempts: Vec::new(),
             current: None,
             first_event_ms: None,
+            pauses: StreamPauses::default(),
             outcome: None,
             is_transferred: false,
         }
@@ -96,6 +99,16 @@
         }
     }
 
+    /// Records that the upstream sent nothing for this time between two events.
+    pub(crate) fn upstream_paused(&mut self, pause: Duration) {
+        self.pauses.upstream = self.pauses.upstream.max(pause);
+    }
+
+    /// Records that the caller's connection took this time to accept events.
+    pub(crate) fn caller_paused(&mut self, pause: Duration) {
+        self.pauses.caller = self.pauses.caller.max(pause);
+    }
+
     /// Records the response status and how the request ended.
     pub(crate) fn finish(&mut self, status: StatusCode, reason: impl Into<String>) {
         self.outcome = Some((status, reason.into()));
@@ -119,6 +132,7 @@
             attempts: std::mem::take(&mut self.attempts),
             current: self.current.take(),
             first_event_ms: self.first_event_ms,
+            pauses: self.pauses,
             outcome: None,
             is_transferred: false,
         }
@@ -130,10 +144,21 @@
     }
 }
 
+/// Longest pauses of a stream, by where they arose: which hop made it late.
+#[derive(Clone, Copy, Default)]
+struct StreamPauses {
+    /// Between two events as they arrive from upstreams, a resumption included.
+    upstream: Duration,
+    /// Until the caller's connection accepted events.
+    caller: Duration,
+}
+
 /// Placement of one attempt, for the log.
 #[derive(Clone)]
 pub(crate) struct PlacementSummary {
     upstream: UpstreamId,
+    /// Data centre of the upstream, empty if this daemon's view lacks it.
+    data_centre: DataCentreId,
     /// View by which the entry placed it; `None` if the leader did.
     local_view: Option<ViewAge>,
     /// Number of engines that prefill the prompt.
@@ -148,6 +173,7 @@
     pub(crate) fn new(guard: &GrantGuard, waited: Duration) -> Self {
         Self {
             upstream: guard.upstream().clone(),
+            data_centre: guard.data_centre(),
             local_view: guard.local_view(),
             engines: guard.grant.helpers.len() + 1,
             expected_ms: guard.grant.expected_first_event.as_millis(),
@@ -158,8 +184,8 @@
 
 impl fmt::Display for PlacementSummary {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { upstream, local_view, engines, expected_ms, waited_ms } = self;
-        write!(f, "{upstream} by ")?;
+        let Self { upstream, data_centre, local_view, engines, expected_ms, waited_ms } = self;
+        write!(f, "{upstream} in {data_centre} by ")?;
         match local_view {
             Some(ViewAge { term, revision, age }) => {
                 write!(f, "entry (view {term}/{revision}, {} ms old)", age.as_millis())?;
@@ -189,7 +215,9 @@
             organisation = self.organisation.as_str(), service = self.service.as_str(),
             version = self.version, prompt = self.prompt, hash:% = format!("{:016x}", self.hash),
             parts = self.parts.join(","),
-            status = status, ms = ms, first_event_ms = self.first_event_ms.unwrap_or(0), sends:? = self.attempts;
+            status = status, ms = ms, first_event_ms = self.first_event_ms.unwrap_or(0),
+            pause_ms = self.pauses.upstream.as_millis() as u64,
+            caller_pause_ms = self.pauses.caller.as_millis() as u64, sends:? = self.attempts;
             "request ended: {reason}"
         );
         let labels = [("route", self.route.clone()), ("status", status.to_string())];
@@ -199,6 +227,11 @@
         if let Some(first) = self.first_event_ms {
             metrics::histogram!("toucansill_first_event_seconds", &route)
                 .record(first as f64 / 1e3);
+            let StreamPauses { upstream, caller } = self.pauses;
+            for (at, pause) in [("upstream", upstream), ("caller", caller)] {
+                let labels = [("route", self.route.clone()), ("at", at.to_owned())];
+                metrics::histogram!("toucansill_stream_pause_seconds", &labels).record(pause);
+            }
         }
     }
 }
--- a/crates/toucansilld/src/gateway/stream.rs
+++ b/crates/toucansilld/src/gateway/stream.rs
@@ -123,6 +123,10 @@
         };
         guard.first_event_received();
         record.first_event_received();
+        let received = request.now();
+        if let Some(pause) = request.time_since_last_event(received) {
+            record.upstream_paused(pause);
+        }
         let sent = tokio::select! {
             sent = tx.send(chunk.bytes) => sent,
             () = sleep(request.time_remaining()) => return PartEnd::DeadlinePassed,
@@ -131,6 +135,7 @@
             return PartEnd::CallerDisconnected;
         }
         request.event_forwarded(chunk.last_id);
+        record.caller_paused(request.now().saturating_duration_since(received));
         limit = request.event_timeout();
     }
 }
