Let requests wait for the first routing, and place short prompts without a silent leader

Cause: after the loss of all daemons callers come back in the same second. And an entry waited 350 ms for a reply that was lost on its way or that a frozen leader never sends: longer than a draft has. Ruled out: a longer Retry-After (callers retry once; the first second's refusals would be spread over the next ones, and lose the time that the long prompts have). Change: bounds.recover_ms states within which time the region has to serve again; with it, requests wait at a daemon that has just started for a tenth of it, at most 1.5 s, and a new leader lets requests wait for upstreams that have yet to register. The leader replies to queued requests after a quarter of their target (40 to 100 ms), entries wait for a reply for half of the target at most, and tell the leader of a request that they place themselves: its grant used to count as running until it expired.

--- a/crates/grant/src/dispatcher.rs
+++ b/crates/grant/src/dispatcher.rs
@@ -77,6 +77,8 @@
     reported_revisions: BTreeMap<DaemonId, Revision>,
     /// Requests that have crashed upstreams and are refused.
     quarantined: BTreeSet<RequestHash>,
+    /// Time until which requests wait for services without upstreams, which may register soon.
+    upstreams_awaited_until: Option<Instant>,
     next_grant: GrantId,
     engines_examined: u64,
 }
@@ -94,6 +96,7 @@
             limits: UpstreamLimits::default(),
             reported_revisions: BTreeMap::new(),
             quarantined: BTreeSet::new(),
+            upstreams_awaited_until: None,
             next_grant: 1,
             engines_examined: 0,
         }
@@ -125,6 +128,12 @@
         self.quarantined = quarantined;
     }
 
+    /// Lets requests for a service without upstreams wait until then, instead of refusing them. A
+    /// leader that has just started lacks the upstreams that nobody else knows, until they register.
+    pub fn await_upstreams(&mut self, until: Instant) {
+        self.upstreams_awaited_until = Some(until);
+    }
+
     /// Records the revision of the directory that a daemon has. It gets no grants of runs that it
     /// doesn't know: it could not tell which run of an upstream has responded to it. A daemon without
     /// a report gets grants of all. Returns whether the daemon has a higher revision than before.
--- a/crates/grant/src/dispatcher/admission.rs
+++ b/crates/grant/src/dispatcher/admission.rs
@@ -76,7 +76,12 @@
             return self.refuse(needs, RefusalReason::NoUpstream);
         };
         if service.fleet.available() == 0 {
-            return self.refuse(needs, RefusalReason::NoUpstream);
+            if self.upstreams_awaited_until.is_none_or(|until| until <= now) {
+                return self.refuse(needs, RefusalReason::NoUpstream);
+            }
+            let needs_idle_engine = needs_idle_engine(&service.profile, needs);
+            self.waiting.add(now, request, needs_idle_engine);
+            return Decision::Waiting;
         }
         if let Some(wait) = self.limit_wait(now, directory, &request.service, needs)
             && wait > needs.first_event_deadline_remaining
--- a/crates/grant/src/lib.rs
+++ b/crates/grant/src/lib.rs
@@ -50,8 +50,10 @@
 mod place_long;
 mod place_short;
 mod registration;
+mod reply_time;
 mod request;
 mod schedule;
+mod start_wait;
 mod waiting;
 
 pub use directory::{Directory, DirectoryEntry, Revision};
@@ -59,8 +61,10 @@
 pub use limit::{LimitReport, MIN_REQUESTS_PER_S};
 pub use local::LocalPlacer;
 pub use registration::{Registration, RegistrationOutcome};
+pub use reply_time::{MAX_QUEUED_REPLY_TIME, queued_reply_time, reply_timeout};
 pub use request::{
     Decision, Grant, GrantId, Helper, PlacementRequest, PlacementRequestId, RefusalReason,
     RequestOutcome, RunningRequest,
 };
 pub use schedule::PollSchedule;
+pub use start_wait::StartWait;
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -4,7 +4,7 @@
 use super::{
     bus::{DaemonLinks, reply, reply_encoded},
     calls::{read_registration, registered},
-    lead::{FOLLOW_WAIT, LeaderState, PLACE_WAIT, PlacementReply},
+    lead::{FOLLOW_WAIT, LeaderState, PlacementReply},
     members::{self, members_for},
     messages::{
         ControlHttpRequest, ControlHttpResponse, FollowRequest, LeaderReply, LeaderRequest,
@@ -17,7 +17,7 @@
 };
 use crate::{sync::lock, voter::Voter};
 use follow::{HeldRequest, HeldRequests, ViewPosition};
-use grant::{Directory, DispatcherConfig};
+use grant::{Directory, DispatcherConfig, MAX_QUEUED_REPLY_TIME};
 use group::Status;
 use http::StatusCode;
 use kernel::SharedClock;
@@ -635,6 +635,9 @@
         directory.mark_all_heard(now);
         log::info!(term = term, revision = directory.revision(); "this daemon leads");
         let mut leader = LeaderState::new(now, term, cfg, (base, directory), entry_daemons);
+        if bounds.recovery_time().is_some() {
+            leader.await_upstreams(now, bounds.registration_interval());
+        }
         // The copy may lack departures that the former leader acknowledged.
         self.voter.peek(|state| leader.apply_state(now, state));
         self.read_watchlist();
@@ -682,4 +685,4 @@
     StatusCode::from_u16(response.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
 }
 
-const _: () = assert!(PLACE_WAIT.as_millis() < FOLLOW_WAIT.as_millis());
+const _: () = assert!(MAX_QUEUED_REPLY_TIME.as_millis() < FOLLOW_WAIT.as_millis());
--- a/crates/toucansilld/src/gateway/entry.rs
+++ b/crates/toucansilld/src/gateway/entry.rs
@@ -10,6 +10,7 @@
     watchlist::RequestFingerprint,
 };
 use control::{PartHash, RequestHash};
+use grant::StartWait;
 use http::{
     HeaderValue, Request, Response, StatusCode,
     header::{CONNECTION, RETRY_AFTER},
@@ -24,11 +25,16 @@
     sync::Arc,
     time::{Duration, Instant},
 };
-use tokio::{sync::watch, time::timeout};
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
 
 /// `Retry-After` for callers that arrive before this daemon knows any routing, or while the
 /// memory for request bodies is used up.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Interval at which requests that wait for the first routing check for it.
+const ROUTING_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Deadline of a request that states none. The route's timeout may be shorter.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(600);
 
@@ -41,6 +47,7 @@
     pub(crate) is_stopping_soon: watch::Receiver<bool>,
     /// Memory for request bodies.
     pub(crate) body_budget: Arc<BodyBudget>,
+    pub(crate) start_wait: StartWait,
 }
 
 impl CallerHandler {
@@ -60,6 +67,18 @@
         }
     }
 
+    /// Routing table for a request that arrived at `arrived`. If none is known yet and this daemon has
+    /// just started, waits for it.
+    async fn routing_table(&self, arrived: Instant) -> Option<Arc<RoutingTable>> {
+        loop {
+            if let Some(table) = self.view.table() {
+                return Some(table);
+            }
+            let remaining = self.start_wait.remaining(self.clock.now(), arrived)?;
+            sleep(remaining.min(ROUTING_CHECK_INTERVAL)).await;
+        }
+    }
+
     /// Finds route, organisation and service of a request, reads its body and forwards it.
     async fn respond(
         &self,
@@ -68,7 +87,7 @@
         arrived: Instant,
         record: &mut RequestRecord,
     ) -> Result<Response<Body>, RequestError> {
-        let Some(table) = self.view.table() else {
+        let Some(table) = self.routing_table(arrived).await else {
             return Err(RequestError::not_run("no routing is known yet", NOT_READY_RETRY_AFTER));
         };
         record.version = table.document().version;
--- a/crates/toucansilld/src/gateway/lead.rs
+++ b/crates/toucansilld/src/gateway/lead.rs
@@ -9,11 +9,11 @@
 use follow::{Followers, History, ViewPosition};
 use grant::{
     Decision, Directory, Dispatcher, DispatcherConfig, LimitReport, PlacementRequest,
-    PlacementRequestId, PollSchedule, Registration, Revision,
+    PlacementRequestId, PollSchedule, Registration, Revision, queued_reply_time,
 };
 use proxy::{AnnouncedRelays, RelayDaemon};
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -28,14 +28,15 @@
 /// Time after which the grants of a silent daemon are released: its streams are dead, or it will
 /// report them again.
 const DAEMON_LOST_TIMEOUT: Duration = Duration::from_secs(4);
-/// Time after which a waiting placement request gets the reply [`Decision::Waiting`], upon which
-/// the entry repeats it. Entry daemons would take longer silence for the loss of the leader.
-pub(crate) const PLACE_WAIT: Duration = Duration::from_millis(100);
+/// Time for which a new leader waits for upstreams that it lacks, as a multiple of the interval at
+/// which they register: each has registered once by then, also if a registration is on its way late.
+const AWAITED_REGISTRATIONS: f64 = 1.5;
 
 /// Placement request that has no reply yet.
 struct PendingPlacement {
     responder: Responder,
-    received: Instant,
+    /// When the reply [`Decision::Waiting`] is due.
+    reply_at: Instant,
 }
 
 /// State of a leader during its term.
@@ -48,8 +49,8 @@
     pub(crate) directory: Directory,
     dispatcher: Dispatcher,
     pending: BTreeMap<PlacementRequestId, PendingPlacement>,
-    /// Pending requests in the order in which they were received. Some have a reply already.
-    received: VecDeque<(Instant, PlacementRequestId)>,
+    /// Pending requests by when their reply is due.
+    replies_due: BTreeSet<(Instant, PlacementRequestId)>,
     polls: PollSchedule,
     followers: Followers,
     /// Version and contents of the published routing.
@@ -79,7 +80,7 @@
             directory,
             dispatcher: Dispatcher::new(cfg),
             pending: BTreeMap::new(),
-            received: VecDeque::new(),
+            replies_due: BTreeSet::new(),
             polls: PollSchedule::new(now),
             followers: Followers::new(FOLLOWER_TIMEOUT),
             routing: None,
@@ -93,6 +94,12 @@
         self.relays.announce(now, relay)
     }
 
+    /// Lets requests for services without upstreams wait while each upstream registers once.
+    pub(crate) fn await_upstreams(&mut self, now: Instant, registration_interval: Duration) {
+        let until = now + registration_interval.mul_f64(AWAITED_REGISTRATIONS);
+        self.dispatcher.await_upstreams(until);
+    }
+
     /// Raft term of this leadership.
     pub(crate) fn term(&self) -> u64 {
         self.term
@@ -259,12 +266,18 @@
         responder: Responder,
     ) -> Vec<PlacementReply> {
         let id = request.id.clone();
+        let reply_at = now + queued_reply_time(request.first_event_target_remaining);
         let decision = self.dispatcher.request_placement(now, &self.directory, request);
         if decision != Decision::Waiting {
             return vec![(responder, decision)];
         }
-        self.received.push_back((now, id.clone()));
-        self.pending.insert(id, PendingPlacement { responder, received: now });
+        self.replies_due.insert((reply_at, id.clone()));
+        if let Some(former) =
+            self.pending.insert(id.clone(), PendingPlacement { responder, reply_at })
+            && former.reply_at != reply_at
+        {
+            self.replies_due.remove(&(former.reply_at, id));
+        }
         Vec::new()
     }
 
@@ -290,22 +303,20 @@
     }
 
     /// Replies to pending placement requests that are due: placements that have become possible,
-    /// refusals, and `Waiting` for those pending for [`PLACE_WAIT`].
+    /// refusals, and `Waiting` for those whose reply is due.
     pub(crate) fn poll(&mut self, now: Instant) -> Vec<PlacementReply> {
         let mut replies = Vec::new();
         for (id, decision) in self.dispatcher.poll(now, &self.directory) {
             // Without a responder, the entry daemon is about to repeat its request, and will get
             // the same grant then.
             if let Some(pending) = self.pending.remove(&id) {
+                self.replies_due.remove(&(pending.reply_at, id));
                 replies.push((pending.responder, decision));
             }
         }
-        let is_due = |at: &Instant| now.saturating_duration_since(*at) >= PLACE_WAIT;
-        while let Some((_, id)) = self.received.pop_front_if(|(at, _)| is_due(at)) {
-            // The request may have been repeated since.
-            if self.pending.get(&id).is_some_and(|pending| is_due(&pending.received))
-                && let Some(pending) = self.pending.remove(&id)
-            {
+        while self.replies_due.first().is_some_and(|(at, _)| *at <= now) {
+            let due = self.replies_due.pop_first();
+            if let Some(pending) = due.and_then(|(_, id)| self.pending.remove(&id)) {
                 replies.push((pending.responder, Decision::Waiting));
             }
         }
--- a/crates/toucansilld/src/gateway/placer.rs
+++ b/crates/toucansilld/src/gateway/placer.rs
@@ -16,7 +16,7 @@
 use control::QUARANTINE;
 use grant::{
     Decision, DirectoryEntry, Grant, LimitReport, PlacementRequest, PlacementRequestId,
-    RefusalReason, Registration, RequestOutcome, RunningRequest,
+    RefusalReason, Registration, RequestOutcome, RunningRequest, StartWait, reply_timeout,
 };
 use kernel::SharedClock;
 use platform::head::ResponseHead;
@@ -35,8 +35,6 @@
 /// Time since the last reply of the leader after which no more requests are sent to it: as long
 /// as it may hold a follow request open, and a margin.
 pub(crate) const LEADER_TIMEOUT: Duration = Duration::from_millis(900);
-/// Timeout for the leader's reply to one placement request, which it sends within 100 ms.
-const PLACEMENT_TIMEOUT: Duration = Duration::from_millis(350);
 /// Longest wait for a leader before this daemon places a request itself. An election takes
 /// longer, but short prompts that wait for its end would miss their targets.
 const NO_LEADER_TIMEOUT: Duration = Duration::from_millis(150);
@@ -109,6 +107,7 @@
     pub(super) limits: Arc<KnownLimits>,
     pub(super) exclusions: Exclusions,
     pub(super) paths: Arc<Paths>,
+    start_wait: StartWait,
 }
 
 /// Parts of the daemon that its placer uses.
@@ -120,6 +119,7 @@
     pub(crate) watchlist: Arc<WatchlistView>,
     pub(crate) limits: Arc<KnownLimits>,
     pub(crate) paths: Arc<Paths>,
+    pub(crate) start_wait: StartWait,
 }
 
 /// Budgets for retries that this daemon places itself.
@@ -170,7 +170,8 @@
         settings: &GatewaySettings,
         parts: PlacerParts,
     ) -> (Arc<Self>, impl Future<Output = ()> + Send + use<>) {
-        let PlacerParts { view, links, clock, leader_placed, watchlist, limits, paths } = parts;
+        let PlacerParts { view, links, clock, leader_placed, watchlist, limits, paths, start_wait } =
+            parts;
         let (reports_tx, rx) = flume::unbounded();
         let reporter = send_reports(rx, Arc::clone(&view), Arc::clone(&links), Arc::clone(&clock));
         let first_number = fastrand::u64(..u64::from(u32::MAX)) << 32;
@@ -194,6 +195,7 @@
                 limits,
                 exclusions: Exclusions::default(),
                 paths,
+                start_wait,
             }),
             reporter,
         )
@@ -231,6 +233,9 @@
             return self.place_locally(&request, fingerprint, false).await;
         }
         let mut request = request;
+        // A short prompt is placed without the leader while it can still meet its target.
+        let no_leader_timeout =
+            reply_timeout(request.first_event_target_remaining).min(NO_LEADER_TIMEOUT);
         let mut leaderless_since = None;
         let mut may_be_queued = false;
         loop {
@@ -254,7 +259,8 @@
             }
             let Some(leader) = self.view.leader(now, LEADER_TIMEOUT) else {
                 let since = *leaderless_since.get_or_insert(now);
-                if now.saturating_duration_since(since) >= NO_LEADER_TIMEOUT {
+                if now.saturating_duration_since(since) >= no_leader_timeout {
+                    self.give_up_leader(&request, may_be_queued);
                     return self.place_locally(&request, fingerprint, true).await;
                 }
                 sleep(LEADER_CHECK_INTERVAL).await;
@@ -271,11 +277,8 @@
                 remaining.response_time_remaining.saturating_sub(passed);
             let term = self.view.with(|state| state.position.term);
             may_be_queued = true;
-            match self
-                .links
-                .request(leader, &LeaderRequest::Place(remaining), PLACEMENT_TIMEOUT)
-                .await
-            {
+            let timeout = reply_timeout(remaining.first_event_target_remaining);
+            match self.links.request(leader, &LeaderRequest::Place(remaining), timeout).await {
                 Ok(LeaderReply::Placement(Decision::Granted(grant))) => {
                     let started_at_ms =
                         self.view.with(|state| state.started_at_ms(&grant.upstream));
@@ -311,7 +314,8 @@
                 Err(err) => {
                     log::debug!("{leader}: {err}");
                     let since = *leaderless_since.get_or_insert(now);
-                    if self.clock.now().saturating_duration_since(since) >= NO_LEADER_TIMEOUT {
+                    if self.clock.now().saturating_duration_since(since) >= no_leader_timeout {
+                        self.give_up_leader(&request, may_be_queued);
                         return self.place_locally(&request, fingerprint, true).await;
                     }
                     // A link that failed a moment ago refuses the request without a wait.
@@ -321,6 +325,14 @@
         }
     }
 
+    /// Tells the leader that this daemon places a request itself: the grant may be on its way, and the
+    /// engine would count as busy.
+    fn give_up_leader(&self, request: &PlacementRequest, may_be_queued: bool) {
+        if may_be_queued {
+            self.report(Progress::Ended(request.id.clone(), RequestOutcome::NotRun));
+        }
+    }
+
     /// Upstreams of a service that have said that they take no requests of this daemon.
     fn excluded(&self, service: &ServiceId) -> Vec<UpstreamId> {
         if self.exclusions.is_empty() {
@@ -390,12 +402,19 @@
         if !self.retry_budgets.admit(request, is_leader_placed, entry_daemons) {
             return Err((RefusalReason::RetryBudget, REFUSED_RETRY_AFTER));
         }
+        let started = self.clock.now();
         let mut passed_over = request.tried.clone();
         let mut shortest_wait: Option<Duration> = None;
         loop {
             let now = self.clock.now();
             let Some((grant, started_at_ms)) = self.choose_locally(now, request, &passed_over)
             else {
+                if self.lacks_upstreams(&request.service)
+                    && self.start_wait.remaining(now, started).is_some()
+                {
+                    sleep(LEADER_CHECK_INTERVAL).await;
+                    continue;
+                }
                 let retry_after = shortest_wait.unwrap_or_default().max(REFUSED_RETRY_AFTER);
                 return Err((RefusalReason::NoUpstream, retry_after));
             };
@@ -427,6 +446,11 @@
         }
     }
 
+    /// Whether this daemon's view has no upstream of a service at all.
+    fn lacks_upstreams(&self, service: &ServiceId) -> bool {
+        self.view.with(|state| state.directory.available(service).next().is_none())
+    }
+
     /// Chooses an upstream by this daemon's view, except those passed over. Returns it with the
     /// start time of its run.
     fn choose_locally(
--- a/crates/toucansilld/src/gateway/run.rs
+++ b/crates/toucansilld/src/gateway/run.rs
@@ -25,6 +25,7 @@
     logs,
     voter::Voter,
 };
+use grant::StartWait;
 use group::OutgoingMessage;
 use kernel::{SharedClock, SystemClock};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
@@ -155,6 +156,7 @@
     let mut callers = None;
     let mut relayed = None;
     if let Some(cfg) = &settings.entry {
+        let start_wait = StartWait::new(clock.now(), settings.bounds.recovery_time());
         let watchlist = WatchlistView::start(&settings, &view, &links, &clock);
         let paths = Paths::new(connector, Arc::clone(&clock), settings.data_centre.clone());
         tokio::spawn(Arc::clone(&paths).check(Arc::clone(&view)));
@@ -166,6 +168,7 @@
             watchlist,
             limits,
             paths: Arc::clone(&paths),
+            start_wait,
         };
         let (placer, reporter) = Placer::new(&settings, parts);
         tokio::spawn(reporter);
@@ -176,6 +179,7 @@
             clock: Arc::clone(&clock),
             is_stopping_soon: is_stopping_soon.clone(),
             body_budget: Arc::clone(&body_budget),
+            start_wait,
         });
         callers = Some(serve_entry(cfg, entry, is_stopping.clone())?);
         if let Some(address) = cfg.relay {
--- a/crates/toucansilld/src/gateway/settings.rs
+++ b/crates/toucansilld/src/gateway/settings.rs
@@ -123,6 +123,10 @@
     /// Maximum balance that each service's retry budget saves up, in retries for the whole
     /// region. Daemons round down what they take of it.
     pub retry_slack: f64,
+    /// Time within which the region has to serve again after the loss of all its daemons. If it is
+    /// stated, requests wait for a short time at a daemon that has just started, instead of being
+    /// refused.
+    pub recover_ms: Option<f64>,
 }
 
 impl Default for Bounds {
@@ -134,6 +138,7 @@
             apply_ms: 2_000.0,
             retry_ratio: 0.2,
             retry_slack: 100.0,
+            recover_ms: None,
         }
     }
 }
@@ -144,6 +149,16 @@
         milliseconds(self.stop_ms)
     }
 
+    /// Time within which the region has to serve again, if one is stated.
+    pub(crate) fn recovery_time(&self) -> Option<Duration> {
+        self.recover_ms.map(milliseconds)
+    }
+
+    /// Interval at which upstreams repeat their registration.
+    pub(crate) fn registration_interval(&self) -> Duration {
+        milliseconds(self.registration_interval_ms)
+    }
+
     /// Longest time that the acknowledgement of a change waits for the live followers: a third
     /// of the time within which the change has to be in force, so that slower daemons have the
     /// rest.
@@ -154,7 +169,7 @@
     /// Time without a registration after which an upstream may be dead: three lost registrations
     /// and a second.
     pub(crate) fn silence_timeout(&self) -> Duration {
-        milliseconds(self.registration_interval_ms) * 3 + Duration::from_secs(1)
+        self.registration_interval() * 3 + Duration::from_secs(1)
     }
 
     /// Rejects values that can't be. The error is the key and what is wrong.
@@ -164,7 +179,8 @@
             ("bounds.stop_ms", self.stop_ms),
             ("bounds.apply_ms", self.apply_ms),
         ];
-        for (key, ms) in times {
+        let recover = self.recover_ms.map(|ms| ("bounds.recover_ms", ms));
+        for (key, ms) in times.into_iter().chain(recover) {
             if !(ms > 0.0 && ms <= MAX_BOUND_MS) {
                 return Err((key, format!("{ms} is not above 0 and at most {MAX_BOUND_MS}")));
             }
