Serve prompts that can be on time before those that can't, and keep first events that are on time

Cause: in a burst of drafts beyond the engines' slots nearly all were late, though most could have been served in time. A waiting prompt whose target had not passed, but could no longer be met, was served first, as it had the least time left, and on any engine. And each prompt of a pass lengthens it: prompts granted later made the first events of earlier ones late. Change: the queue orders by whether a request can still be on time; an engine takes a short prompt only if the first events that are on time there stay so.

--- a/crates/grant/src/dispatcher.rs
+++ b/crates/grant/src/dispatcher.rs
@@ -10,7 +10,7 @@
     engine::Engine,
     fleet::Fleet,
     limit::{LimitReport, UpstreamLimits},
-    place::is_short,
+    place::{can_be_on_time, is_short},
     request::{Decision, GrantId, PlacementRequest, PlacementRequestId, RequestNeeds},
     waiting::WaitingQueue,
 };
@@ -235,7 +235,11 @@
         let mut waiting = std::mem::take(&mut self.waiting);
         let (mut decided, mut deferred) = (Vec::new(), Vec::new());
         let mut obstacles: BTreeMap<&str, Obstacles> = BTreeMap::new();
-        for (waiter, needs) in waiting.in_order(now) {
+        let services = &self.services;
+        let is_in_time = |service: &str, needs: &RequestNeeds| {
+            services.get(service).is_some_and(|service| can_be_on_time(&service.profile, needs))
+        };
+        for (waiter, needs) in waiting.in_order(now, is_in_time) {
             let request = &waiter.request;
             if let Some(reason) = self.refusal_of_waiting(request, &needs) {
                 decided.push((request.id.clone(), self.refuse(&needs, reason)));
--- a/crates/grant/src/dispatcher/admission.rs
+++ b/crates/grant/src/dispatcher/admission.rs
@@ -116,8 +116,9 @@
         let limit = |entry: &DirectoryEntry| self.limits.requests_per_s(&entry.registration.id);
         let limits: Option<Vec<f64>> = directory.available(service).map(limit).collect();
         let total = limits?.iter().sum();
+        let profile = &self.services.get(service)?.profile;
         let second = Duration::from_secs(1);
-        let requests = self.waiting.cost_ahead(now, service, needs, |_| second) + second;
+        let requests = self.waiting.cost_ahead(now, service, needs, profile, |_| second) + second;
         Some(requests.div_f64(total))
     }
 
@@ -139,7 +140,8 @@
             return None;
         }
         let engines = service.fleet.available().max(1);
-        let total = self.waiting.cost_ahead(now, &request.service, needs, cost) + cost(needs);
+        let total =
+            self.waiting.cost_ahead(now, &request.service, needs, profile, cost) + cost(needs);
         Some(total / u32::try_from(engines).unwrap_or(u32::MAX))
     }
 
--- a/crates/grant/src/dispatcher/grants.rs
+++ b/crates/grant/src/dispatcher/grants.rs
@@ -144,6 +144,9 @@
             tokens: request.prompt_tokens + request.max_output_tokens - reserved,
             pause_target: request.pause_target,
             is_prefilled: false,
+            first_event_slack: needs
+                .first_event_target_remaining
+                .checked_sub(grant.expected_first_event),
         };
         if let Some(engine) = self.engine_mut(&request.service, &grant.upstream) {
             engine.add_request(now, grant.id, engine_request);
--- a/crates/grant/src/engine.rs
+++ b/crates/grant/src/engine.rs
@@ -40,6 +40,9 @@
     pub(crate) prefill_slack: Duration,
     /// Whether its prompt is prefilled, as reported or as the model expects.
     pub(crate) is_prefilled: bool,
+    /// Time by which its first event may come later than expected without being late; `None` once it
+    /// has come, or if it is late anyway.
+    pub(crate) first_event_slack: Option<Duration>,
 }
 
 /// A part of a prompt that an engine has yet to prefill.
@@ -65,6 +68,8 @@
     tokens: Tokens,
     pause_target: Option<Duration>,
     prefill_slack: Duration,
+    /// Time by which first events may be delayed.
+    first_event_slack: Duration,
     /// Prefill time of all its prompts, and that beyond the current pass, by the profile's rates.
     prefill: Duration,
     queued_prefill: Duration,
@@ -79,6 +84,7 @@
         tokens: 0,
         pause_target: None,
         prefill_slack: Duration::MAX,
+        first_event_slack: Duration::MAX,
         prefill: Duration::ZERO,
         queued_prefill: Duration::ZERO,
         max_prefill_per_pass: Duration::ZERO,
@@ -139,6 +145,9 @@
             totals.has_pending_own_prefill |= !request.is_prefilled;
             totals.tokens += request.tokens;
             totals.prefill_slack = totals.prefill_slack.min(request.prefill_slack);
+            if let Some(slack) = request.first_event_slack {
+                totals.first_event_slack = totals.first_event_slack.min(slack);
+            }
             let shortest = totals.pause_target.unwrap_or(Duration::MAX);
             totals.pause_target = Some(shortest.min(request.pause_target));
         }
@@ -236,6 +245,14 @@
         per_pass: Duration,
     ) {
         let in_pass = Duration::ZERO;
+        let delay = remaining.mul_f64(self.effective_slowness());
+        for (other, request) in &mut self.requests {
+            if *other != grant
+                && let Some(slack) = &mut request.first_event_slack
+            {
+                *slack = slack.saturating_sub(delay);
+            }
+        }
         self.prefills.push_back(PendingPrefill { grant, remaining, per_pass, in_pass });
         self.start_pass(now);
         self.update_totals();
@@ -246,6 +263,7 @@
         self.prefills.retain(|prefill| prefill.grant != grant);
         if let Some(request) = self.requests.get_mut(&grant) {
             request.is_prefilled = true;
+            request.first_event_slack = None;
             if self.pass_end.is_some() {
                 self.end_pass();
             }
@@ -291,6 +309,12 @@
         self.totals.prefill_slack
     }
 
+    /// Whether a prompt with this prefill time may be added without making the first event of a
+    /// request late that is on time now: all prompts of a pass lengthen it.
+    pub(crate) fn keeps_first_events(&self, prefill: Duration) -> bool {
+        prefill.mul_f64(self.effective_slowness()) <= self.totals.first_event_slack
+    }
+
     /// Number of requests that it runs, without those it is a helper for.
     pub(crate) fn request_count(&self) -> usize {
         self.requests.len()
--- a/crates/grant/src/place.rs
+++ b/crates/grant/src/place.rs
@@ -123,6 +123,12 @@
     prefill_part(profile, needs.prompt_tokens, engines).time + profile.pass_time()
 }
 
+/// Whether the first event of a request can still meet its target, if engines take it at once.
+pub(crate) fn can_be_on_time(profile: &EngineProfile, needs: &RequestNeeds) -> bool {
+    let limit = needs.first_event_target_remaining.mul_f64(ON_TIME_SHARE);
+    min_time_to_first_event(profile, needs) <= limit
+}
+
 /// Memory to reserve on each helper, in tokens, for a request that exceeds the memory of one
 /// engine.
 pub(crate) fn helper_reservations(profile: &EngineProfile, needs: &RequestNeeds) -> Vec<Tokens> {
--- a/crates/grant/src/place_short.rs
+++ b/crates/grant/src/place_short.rs
@@ -84,7 +84,10 @@
     let mut quickest: Option<(bool, Duration, usize, usize)> = None;
     let mut shortest: Option<Duration> = None;
     for (i, c) in candidates.iter() {
-        if !has_room(profile, &c, tokens) || !keeps_pause_targets(profile, needs, c.engine, part) {
+        if !has_room(profile, &c, tokens)
+            || !keeps_pause_targets(profile, needs, c.engine, part)
+            || !c.engine.keeps_first_events(part.time)
+        {
             continue;
         }
         let expected = expected_first_event(profile, &c, part);
--- a/crates/grant/src/waiting.rs
+++ b/crates/grant/src/waiting.rs
@@ -1,6 +1,10 @@
 //! Queue of the requests that wait for an engine.
 
-use crate::request::{PlacementRequest, PlacementRequestId, RequestNeeds};
+use crate::{
+    place::can_be_on_time,
+    request::{PlacementRequest, PlacementRequestId, RequestNeeds},
+};
+use routing::EngineProfile;
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
@@ -67,12 +71,14 @@
         now: Instant,
         service: &str,
         needs: &RequestNeeds,
+        profile: &EngineProfile,
         cost: impl Fn(&RequestNeeds) -> Duration,
     ) -> Duration {
+        let position = queue_position(needs, can_be_on_time(profile, needs));
         let waiting = self.waiters.values().filter(|waiter| waiter.request.service == service);
         let ahead = waiting
             .map(|waiter| waiter.needs(now))
-            .filter(|other| queue_position(other) <= queue_position(needs));
+            .filter(|other| queue_position(other, can_be_on_time(profile, other)) <= position);
         ahead.map(|other| cost(&other)).sum()
     }
 
@@ -116,12 +122,20 @@
         }
     }
 
-    /// All waiting requests in the order in which they are served: by priority, then those whose
-    /// target has not passed before the others, then by remaining time.
-    pub(crate) fn in_order(&self, now: Instant) -> Vec<(&Waiter, RequestNeeds)> {
+    /// All waiting requests in the order in which they are served: by priority, then those that can
+    /// still be on time before the others, then by remaining time. `can_be_on_time` decides, by the
+    /// service and the needs of a request.
+    pub(crate) fn in_order(
+        &self,
+        now: Instant,
+        can_be_on_time: impl Fn(&str, &RequestNeeds) -> bool,
+    ) -> Vec<(&Waiter, RequestNeeds)> {
+        let position = |waiter: &Waiter, needs: &RequestNeeds| {
+            queue_position(needs, can_be_on_time(&waiter.request.service, needs))
+        };
         let mut waiting: Vec<(&Waiter, RequestNeeds)> =
             self.waiters.values().map(|waiter| (waiter, waiter.needs(now))).collect();
-        waiting.sort_by_key(|(_, needs)| queue_position(needs));
+        waiting.sort_by_cached_key(|(waiter, needs)| position(waiter, needs));
         waiting
     }
 
@@ -135,13 +149,12 @@
     }
 }
 
-/// Sort key of the queue; the lowest is served first.
-fn queue_position(needs: &RequestNeeds) -> (u8, bool, Duration) {
-    let is_target_passed = needs.first_event_target_remaining.is_zero();
-    let remaining = if is_target_passed {
-        needs.first_event_deadline_remaining
-    } else {
-        needs.first_event_target_remaining
+/// Sort key of the queue; the lowest is served first. Requests that can't be on time come after those
+/// that can: served first, they would make these late too.
+fn queue_position(needs: &RequestNeeds, can_be_on_time: bool) -> (u8, bool, Duration) {
+    let remaining = match can_be_on_time {
+        true => needs.first_event_target_remaining,
+        false => needs.first_event_deadline_remaining,
     };
-    (needs.priority, is_target_passed, remaining)
+    (needs.priority, !can_be_on_time, remaining)
 }
