Keep the times to return of refused long prompts, and engines for prompts beyond one engine's memory

Change: the first prompt beyond an engine's memory that has waited for 0.15 of its target has up to a quarter of the engines kept for it as they become idle; a refused long prompt that returns within a second of the time that it was told, and that two idle engines would serve in half of the remaining time, is not refused for the backlog again. One that returns too early gains nothing. Metrics toucansill_promises_open and toucansill_promises_redeemed.

--- a/crates/grant/src/dispatcher.rs
+++ b/crates/grant/src/dispatcher.rs
@@ -6,13 +6,15 @@
 mod grants;
 
 use crate::{
+    collection::Collection,
     directory::{Directory, Revision},
     engine::Engine,
     fleet::Fleet,
     limit::{LimitReport, UpstreamLimits},
     place::{can_be_on_time, is_short},
+    promise::Promises,
     request::{Decision, GrantId, PlacementRequest, PlacementRequestId, RequestNeeds},
-    waiting::WaitingQueue,
+    waiting::{Waiter, WaitingQueue},
 };
 use choice::Obstacles;
 use grants::GrantedRequest;
@@ -60,6 +62,7 @@
     cold_requests_per_s: f64,
     budget: RetryBudget,
     fleet: Fleet,
+    collection: Collection,
 }
 
 /// Places requests on engines. The [crate] documentation describes its role among the daemons.
@@ -73,6 +76,8 @@
     grants_by_expiry: BTreeSet<(Instant, GrantId)>,
     waiting: WaitingQueue,
     limits: UpstreamLimits,
+    promises: Promises,
+    promises_redeemed: u64,
     /// Revisions of the directory that daemons have, by the name of the daemon.
     reported_revisions: BTreeMap<DaemonId, Revision>,
     /// Requests that have crashed upstreams and are refused.
@@ -94,6 +99,8 @@
             grants_by_expiry: BTreeSet::new(),
             waiting: WaitingQueue::default(),
             limits: UpstreamLimits::default(),
+            promises: Promises::default(),
+            promises_redeemed: 0,
             reported_revisions: BTreeMap::new(),
             quarantined: BTreeSet::new(),
             upstreams_awaited_until: None,
@@ -117,7 +124,8 @@
                 Some(ServiceState { budget, fleet, .. }) => (budget, fleet),
                 None => (new_budget(), Fleet::default()),
             };
-            let state = ServiceState { profile, cold_requests_per_s, budget, fleet };
+            let collection = Collection::default();
+            let state = ServiceState { profile, cold_requests_per_s, budget, fleet, collection };
             self.services.insert(service.name.clone(), state);
         }
     }
@@ -189,6 +197,12 @@
         self.engines_examined
     }
 
+    /// Numbers of refused requests that have a place in the queue if they return in time, and of those
+    /// that have returned to theirs since the dispatcher was created.
+    pub fn promises(&self, now: Instant) -> (usize, u64) {
+        (self.promises.open(now), self.promises_redeemed)
+    }
+
     /// Number of engines that are avoided because of failures that entries have reported.
     pub fn failed_engines(&self, now: Instant) -> usize {
         let engines = self.services.values().flat_map(|service| service.fleet.engines());
@@ -235,6 +249,7 @@
         let mut waiting = std::mem::take(&mut self.waiting);
         let (mut decided, mut deferred) = (Vec::new(), Vec::new());
         let mut obstacles: BTreeMap<&str, Obstacles> = BTreeMap::new();
+        self.services.values_mut().for_each(|service| service.collection = Collection::default());
         let services = &self.services;
         let is_in_time = |service: &str, needs: &RequestNeeds| {
             services.get(service).is_some_and(|service| can_be_on_time(&service.profile, needs))
@@ -246,6 +261,7 @@
                 continue;
             }
             if waiter.retry_at.is_some_and(|at| now < at) {
+                self.collect_engines(waiter, &needs);
                 continue;
             }
             let long_prompts_wait = waiting.needs_idle_engine(now, &request.service);
@@ -256,7 +272,10 @@
             match placed {
                 Some(grant) => decided.push((request.id.clone(), Decision::Granted(grant))),
                 None if self.is_short(request, &needs) => {}
-                None => deferred.push(request.id.clone()),
+                None => {
+                    deferred.push(request.id.clone());
+                    self.collect_engines(waiter, &needs);
+                }
             }
         }
         drop(obstacles);
@@ -266,6 +285,14 @@
         decided
     }
 
+    /// Keeps idle engines for a long prompt that waits, if it has waited long.
+    fn collect_engines(&mut self, waiter: &Waiter, needs: &RequestNeeds) {
+        if let Some(service) = self.services.get_mut(&waiter.request.service) {
+            let engines = service.fleet.available();
+            service.collection.collect(&service.profile, &waiter.request, needs, engines);
+        }
+    }
+
     /// Whether the prompt of a request counts as short for the engines of its service.
     fn is_short(&self, request: &PlacementRequest, needs: &RequestNeeds) -> bool {
         let service = self.services.get(&request.service);
--- a/crates/grant/src/dispatcher/admission.rs
+++ b/crates/grant/src/dispatcher/admission.rs
@@ -7,6 +7,7 @@
         MAX_PREFILL_ENGINES, helper_reservations, is_short, min_time_to_first_event,
         needs_idle_engine,
     },
+    place_long::is_easily_on_time,
     request::{Decision, PlacementRequest, RefusalReason, RequestNeeds},
 };
 use std::time::{Duration, Instant};
@@ -79,9 +80,7 @@
             if self.upstreams_awaited_until.is_none_or(|until| until <= now) {
                 return self.refuse(needs, RefusalReason::NoUpstream);
             }
-            let needs_idle_engine = needs_idle_engine(&service.profile, needs);
-            self.waiting.add(now, request, needs_idle_engine);
-            return Decision::Waiting;
+            return self.add_to_queue(now, request, needs);
         }
         if let Some(wait) = self.limit_wait(now, directory, &request.service, needs)
             && wait > needs.first_event_deadline_remaining
@@ -92,15 +91,37 @@
         if let Some(long_prompt_wait) = self.long_prompt_wait(now, service, &request, needs)
             && long_prompt_wait
                 > needs.first_event_target_remaining.mul_f64(MAX_LONG_PROMPT_WAIT_SHARE)
+            && !(is_easily_on_time(&service.profile, needs)
+                && self.returns_as_promised(now, &request))
         {
             let retry_after = long_prompt_wait.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1);
+            self.promises.promise(now, request.request_hash, retry_after);
             return Decision::Refused { reason: RefusalReason::DeadlineUnmeetable, retry_after };
         }
-        let needs_idle_engine = needs_idle_engine(&service.profile, needs);
+        self.add_to_queue(now, request, needs)
+    }
+
+    /// Adds a request to the queue.
+    fn add_to_queue(
+        &mut self,
+        now: Instant,
+        request: PlacementRequest,
+        needs: &RequestNeeds,
+    ) -> Decision {
+        let service = self.services.get(&request.service);
+        let needs_idle_engine =
+            service.is_some_and(|service| needs_idle_engine(&service.profile, needs));
         self.waiting.add(now, request, needs_idle_engine);
         Decision::Waiting
     }
 
+    /// Whether a request was refused before and returns when it was told to.
+    fn returns_as_promised(&mut self, now: Instant, request: &PlacementRequest) -> bool {
+        let is_redeemed = self.promises.redeem(now, request.request_hash);
+        self.promises_redeemed += u64::from(is_redeemed);
+        is_redeemed
+    }
+
     /// If all available upstreams have limits, the time until these allow the request and those
     /// ahead of it.
     pub(super) fn limit_wait(
--- a/crates/grant/src/dispatcher/choice.rs
+++ b/crates/grant/src/dispatcher/choice.rs
@@ -64,6 +64,7 @@
         let has_all = tried.is_empty() && known_revision >= service.fleet.newest_run();
         let obstacles = obstacles.filter(|_| has_all);
         let is_short = is_short(profile, needs);
+        let collected = service.collection.kept_from(&request.id);
         let placement = match (is_short, obstacles) {
             (true, Some(obstacles)) => {
                 if obstacles.short.iter().any(|obstacle| obstacle.blocks(profile, needs)) {
@@ -79,9 +80,9 @@
             (false, Some(obstacles)) => {
                 let capacity = obstacles.long_capacity(needs, &candidates);
                 let may_suffice = capacity.may_suffice(profile, needs);
-                may_suffice.then(|| choose_long(profile, needs, &candidates)).flatten()
+                may_suffice.then(|| choose_long(profile, needs, &candidates, collected)).flatten()
             }
-            (false, None) => choose_long(profile, needs, &candidates),
+            (false, None) => choose_long(profile, needs, &candidates, collected),
         };
         let grant = placement.map(|placement| {
             let Placement { main, helpers, prefill, expected_first_event } = placement;
--- a/crates/grant/src/lib.rs
+++ b/crates/grant/src/lib.rs
@@ -40,6 +40,7 @@
 //! dispatcher.request_ended(now, &id, grant::RequestOutcome::Completed);
 //! ```
 
+mod collection;
 mod directory;
 mod dispatcher;
 mod engine;
@@ -49,6 +50,7 @@
 mod place;
 mod place_long;
 mod place_short;
+mod promise;
 mod registration;
 mod reply_time;
 mod request;
--- a/crates/grant/src/place_long.rs
+++ b/crates/grant/src/place_long.rs
@@ -22,16 +22,23 @@
 /// Share of the engines that late prompts leave idle in addition, for prompts that can still be on
 /// time.
 const LATE_RESERVED_IDLE_SHARE: f64 = 0.2;
+/// Share of the remaining time to the target within which [`EASY_ENGINES`] idle engines have to
+/// prefill a prompt for it to count as easily on time.
+const EASILY_ON_TIME_SHARE: f64 = 0.5;
+/// Number of idle engines that are mostly found soon.
+const EASY_ENGINES: usize = 2;
 /// Share of the remaining time to the deadline that the work of a late prompt may take before the
 /// prompt may use all idle engines but those of [`RESERVED_IDLE_SHARE`].
 const URGENT_SHARE: f64 = 0.8;
 
 /// Chooses engines for a long prompt: as few idle ones as possible among the numbers of engines
-/// that are on time, or within the deadline if none can be on time.
+/// that are on time, or within the deadline if none can be on time. `collected` idle engines are kept
+/// for a prompt that waits for them.
 pub(crate) fn choose_long(
     profile: &EngineProfile,
     needs: &RequestNeeds,
     candidates: &Candidates<'_>,
+    collected: usize,
 ) -> Option<Placement> {
     let tokens = main_tokens(profile, needs);
     let min_engines = helper_reservations(profile, needs).len() + 1;
@@ -42,6 +49,7 @@
     if cannot_be_on_time && !must_start_soon(profile, needs) {
         kept_idle += share(LATE_RESERVED_IDLE_SHARE);
     }
+    kept_idle += collected;
     // Memory is reserved on idle engines only, and late prompts must not delay others.
     let uses_busy = min_engines == 1 && !cannot_be_on_time;
     let (mut idle, mut busy) = (Vec::new(), Vec::new());
@@ -73,6 +81,26 @@
     best.map(|(placement, _)| placement)
 }
 
+/// Number of idle engines that a long prompt needs for its first event to be on time; `None` if it
+/// can't be on time on as many as `max`.
+pub(crate) fn idle_engines_needed(
+    profile: &EngineProfile,
+    needs: &RequestNeeds,
+    max: usize,
+) -> Option<usize> {
+    let on_time = needs.first_event_target_remaining.mul_f64(ON_TIME_SHARE);
+    let min_engines = helper_reservations(profile, needs).len() + 1;
+    let mut counts = min_engines..=MAX_PREFILL_ENGINES.min(max);
+    counts.find(|n| first_event_on_idle(profile, needs, *n) <= on_time)
+}
+
+/// Whether few idle engines would deliver the first event of a prompt well before its target, so that
+/// it may wait behind others and still be on time.
+pub(crate) fn is_easily_on_time(profile: &EngineProfile, needs: &RequestNeeds) -> bool {
+    let limit = needs.first_event_target_remaining.mul_f64(EASILY_ON_TIME_SHARE);
+    first_event_on_idle(profile, needs, EASY_ENGINES) <= limit
+}
+
 /// Time within which the first event has to be expected, and whether it comes too late for the
 /// target on any of these numbers of engines; the limit is then that of the deadline.
 fn time_limit(
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -219,14 +219,18 @@
                 last_clean_up = now;
                 let load = self.with_leader(|leader| {
                     leader.clean_up(now);
-                    (leader.load(), leader.failed_engines(now), leader.engines_examined())
+                    let promises = leader.promises(now);
+                    (leader.load(), leader.failed_engines(now), leader.engines_examined(), promises)
                 });
-                let ((waiting, running), failed_engines, examined) = load.unwrap_or_default();
+                let ((waiting, running), failed_engines, examined, promises) =
+                    load.unwrap_or_default();
                 self.record_group_metrics(&status);
                 metrics::gauge!("toucansill_streams_waiting").set(waiting as f64);
                 metrics::gauge!("toucansill_streams_running").set(running as f64);
                 metrics::gauge!("toucansill_engines_failed").set(failed_engines as f64);
                 metrics::gauge!("toucansill_engines_examined").set(examined as f64);
+                metrics::gauge!("toucansill_promises_open").set(promises.0 as f64);
+                metrics::gauge!("toucansill_promises_redeemed").set(promises.1 as f64);
             }
             let has_quarantine = !self.watchlist.borrow().watchlist.quarantined.is_empty();
             if has_quarantine
--- a/crates/toucansilld/src/gateway/lead.rs
+++ b/crates/toucansilld/src/gateway/lead.rs
@@ -115,6 +115,12 @@
         self.dispatcher.engines_examined()
     }
 
+    /// Numbers of refused requests that have a place in the queue if they return in time, and of those
+    /// that have returned to theirs in this term.
+    pub(crate) fn promises(&self, now: Instant) -> (usize, u64) {
+        self.dispatcher.promises(now)
+    }
+
     /// Number of engines that are avoided because of failures that entries have reported.
     pub(crate) fn failed_engines(&self, now: Instant) -> usize {
         self.dispatcher.failed_engines(now)
