Learn the pace of engines that start or recover from their answers, if the settings ask for it

Cause: an engine that has just started gets short prompts only if no other fits while it is cold, and all it can hold afterwards; one that has failed is avoided for a time and gets all it can hold then. Change: the module pace holds, for each run, how many requests it may run at once: a quarter of its slots at a start, more with each first event in time, half with a late one or a failure, less at the next start if it fails in one. Announced limits apply besides. A cold engine gets short prompts by its pace, long ones once it has the full one. Gauge toucansill_engines_paced.

--- a/crates/grant/src/dispatcher.rs
+++ b/crates/grant/src/dispatcher.rs
@@ -46,11 +46,19 @@
     /// Time without a registration after which an upstream is avoided, unless it completed a
     /// response within the last 3 s.
     pub silence_timeout: Duration,
+    /// Whether engines that start or recover get as many requests as their answers show that they can
+    /// serve, instead of being avoided while they are cold.
+    pub learns_pace: bool,
 }
 
 impl Default for DispatcherConfig {
     fn default() -> Self {
-        Self { retry_ratio: 0.2, retry_slack: 100.0, silence_timeout: Duration::from_millis(4_600) }
+        Self {
+            retry_ratio: 0.2,
+            retry_slack: 100.0,
+            silence_timeout: Duration::from_millis(4_600),
+            learns_pace: false,
+        }
     }
 }
 
@@ -197,6 +205,12 @@
         self.engines_examined
     }
 
+    /// Number of engines whose pace is below their slots.
+    pub fn paced_engines(&self) -> usize {
+        let engines = self.services.values().flat_map(|service| service.fleet.engines());
+        engines.filter(|engine| self.cfg.learns_pace && !engine.pace.is_full()).count()
+    }
+
     /// Numbers of refused requests that have a place in the queue if they return in time, and of those
     /// that have returned to theirs since the dispatcher was created.
     pub fn promises(&self, now: Instant) -> (usize, u64) {
--- a/crates/grant/src/dispatcher/choice.rs
+++ b/crates/grant/src/dispatcher/choice.rs
@@ -120,7 +120,7 @@
         service: &ServiceState,
         engine: &'a FleetEngine,
     ) -> Candidate<'a> {
-        let FleetEngine { upstream, slots, timestamps, engine, .. } = engine;
+        let FleetEngine { upstream, slots, timestamps, engine, pace, .. } = engine;
         let heard = directory.time_since_heard_at(now, *timestamps);
         let is_silent = heard > self.cfg.silence_timeout
             && !engine.succeeded_within(now, RECENT_SUCCESS_WINDOW);
@@ -130,11 +130,14 @@
         let is_at_cold_limit = service.cold_requests_per_s > 0.0
             && engine.recent_attempts() as f64 >= service.cold_requests_per_s;
         let is_full = is_at_cold_limit || !self.limits.wait(now, upstream).is_zero();
+        let learns_pace = self.cfg.learns_pace;
+        let permitted = if learns_pace { pace.permitted().min(*slots) } else { *slots };
         Candidate {
             engine,
             now,
-            slots: if is_full { 0 } else { *slots },
-            is_doubtful: is_silent || is_cold || engine.has_failed_recently(now),
+            slots: if is_full { 0 } else { permitted },
+            is_unproven: is_cold && !pace.is_full(),
+            is_doubtful: is_silent || (is_cold && !learns_pace) || engine.has_failed_recently(now),
         }
     }
 
--- a/crates/grant/src/dispatcher/grants.rs
+++ b/crates/grant/src/dispatcher/grants.rs
@@ -61,6 +61,12 @@
                 engine.first_event_received(now, id);
             }
         }
+        let granted_at = now.checked_sub(actual).unwrap_or(now);
+        if let Some(service) = self.services.get_mut(&service)
+            && let Some(pace) = service.fleet.pace_mut(&grant.upstream)
+        {
+            pace.first_event(granted_at, now, grant.expected_first_event);
+        }
         if let Some(engine) = self.engine_mut(&service, &grant.upstream) {
             engine.record_first_event_time(grant.expected_first_event, actual);
         }
@@ -76,6 +82,12 @@
         self.waiting.remove(request_id);
         let Some(id) = self.grants_by_request.get(request_id).copied() else { return };
         let Some(granted) = self.release(now, id) else { return };
+        if outcome.is_failure()
+            && let Some(service) = self.services.get_mut(&granted.request.service)
+            && let Some(pace) = service.fleet.pace_mut(&granted.grant.upstream)
+        {
+            pace.failed(granted.granted_at, now);
+        }
         if let Some(engine) = self.engine_mut(&granted.request.service, &granted.grant.upstream) {
             match outcome {
                 RequestOutcome::Completed => engine.record_success(now),
--- a/crates/grant/src/fleet.rs
+++ b/crates/grant/src/fleet.rs
@@ -3,6 +3,7 @@
 use crate::{
     directory::{Directory, Revision, TimestampSlot},
     engine::Engine,
+    pace::Pace,
 };
 use routing::EngineProfile;
 use std::{
@@ -27,6 +28,10 @@
     /// Revision from which on a copy of the directory has this run.
     pub(crate) run_revision: Revision,
     pub(crate) engine: Engine,
+    /// Pace of its run, learnt from its answers.
+    pub(crate) pace: Pace,
+    /// Whether it was cold when the directory was last compared.
+    was_cold: bool,
 }
 
 /// Engines of the upstreams of a service that have not departed, ordered by their names.
@@ -65,18 +70,23 @@
         self.engines = present
             .map(|record| {
                 let registration = &record.entry.registration;
-                let known = known
-                    .remove(&registration.id)
-                    .filter(|known| known.started_at_ms == registration.started_at_ms);
+                let former = known.remove(&registration.id);
+                let is_cold = !registration.cold_remaining.is_zero();
+                let slots = registration.slots as usize;
+                let pace = pace_of(former.as_ref(), registration.started_at_ms, slots, is_cold);
+                let known =
+                    former.filter(|known| known.started_at_ms == registration.started_at_ms);
                 FleetEngine {
                     upstream: registration.id.clone(),
                     address: registration.address,
                     started_at_ms: registration.started_at_ms,
-                    slots: registration.slots as usize,
+                    slots,
                     is_available: directory.is_available(&record.entry),
                     timestamps: record.timestamps,
                     run_revision: record.run_revision,
                     engine: known.map_or_else(|| Engine::new(profile), |known| known.engine),
+                    pace,
+                    was_cold: is_cold,
                 }
             })
             .collect();
@@ -116,6 +126,12 @@
         self.by_upstream.get(upstream).copied()
     }
 
+    /// Pace of the engine of an upstream.
+    pub(crate) fn pace_mut(&mut self, upstream: &str) -> Option<&mut Pace> {
+        let index = self.index_of(upstream)?;
+        self.engines.get_mut(index).map(|engine| &mut engine.pace)
+    }
+
     /// State of the engine of an upstream.
     pub(crate) fn engine_mut(&mut self, upstream: &str) -> Option<&mut Engine> {
         let index = self.index_of(upstream)?;
@@ -127,3 +143,26 @@
         self.engines.iter().map(|engine| engine.engine.prefill_remaining()).min()
     }
 }
+
+/// Pace of a run of an engine, after its former state, if that is known. A run that is not known and
+/// doesn't say that it is cold has served before.
+fn pace_of(former: Option<&FleetEngine>, started_at_ms: u64, slots: usize, is_cold: bool) -> Pace {
+    let Some(former) = former else {
+        let mut pace = Pace::full(slots);
+        if is_cold {
+            pace.start();
+        }
+        return pace;
+    };
+    if former.started_at_ms == started_at_ms {
+        let mut pace = former.pace.clone();
+        if is_cold && !former.was_cold {
+            pace.start();
+        }
+        return pace;
+    }
+    let mut pace = Pace::full(slots);
+    pace.succeed(&former.pace);
+    pace.start();
+    pace
+}
--- a/crates/grant/src/lib.rs
+++ b/crates/grant/src/lib.rs
@@ -47,6 +47,7 @@
 mod fleet;
 mod limit;
 mod local;
+mod pace;
 mod place;
 mod place_long;
 mod place_short;
@@ -62,6 +63,7 @@
 pub use dispatcher::{Dispatcher, DispatcherConfig};
 pub use limit::{LimitReport, MIN_REQUESTS_PER_S};
 pub use local::LocalPlacer;
+pub use pace::Pace;
 pub use registration::{Registration, RegistrationOutcome};
 pub use reply_time::{MAX_QUEUED_REPLY_TIME, queued_reply_time, reply_timeout};
 pub use request::{
--- a/crates/grant/src/place.rs
+++ b/crates/grant/src/place.rs
@@ -55,6 +55,9 @@
     /// Whether it failed recently, is cold, or has not been heard for longer than the silence
     /// timeout. It then gets short prompts only if no other engine fits, and no long ones.
     pub(crate) is_doubtful: bool,
+    /// Whether it is cold and its answers have not shown yet that it can run as many requests as it has
+    /// slots. It gets no long prompts then: those would answer too late to tell.
+    pub(crate) is_unproven: bool,
 }
 
 /// The engines of a service that may run a request. They are examined one by one, as most decisions
--- a/crates/grant/src/place_long.rs
+++ b/crates/grant/src/place_long.rs
@@ -55,7 +55,7 @@
     let (mut idle, mut busy) = (Vec::new(), Vec::new());
     // From the end, as short prompts fill the engines from the beginning.
     for (i, c) in candidates.iter().rev() {
-        if c.is_doubtful || !has_room(profile, &c, tokens) {
+        if c.is_doubtful || c.is_unproven || !has_room(profile, &c, tokens) {
             continue;
         }
         if c.engine.is_idle() {
@@ -131,7 +131,7 @@
     /// Capacity for prompts with the pause target of `needs`.
     pub(crate) fn of(needs: &RequestNeeds, candidates: &Candidates<'_>) -> Self {
         let may_prefill = |c: &Candidate<'_>| {
-            let has_slot = !c.is_doubtful && c.engine.request_count() < c.slots;
+            let has_slot = !c.is_doubtful && !c.is_unproven && c.engine.request_count() < c.slots;
             let tolerates = c.engine.pause_target().is_none_or(|t| t >= needs.pause_target);
             has_slot && tolerates && !c.engine.has_pending_own_prefill()
         };
--- a/crates/grant/tests/scarce_engines.rs
+++ b/crates/grant/tests/scarce_engines.rs
@@ -100,7 +100,7 @@
 #[test]
 fn a_promise_ends_and_is_kept_once() {
     let mut region = Region::new();
-    let (hash, retry_after) = region.fill();
+    let (_, retry_after) = region.fill();
     region.now += retry_after + Duration::from_secs(5);
     assert_eq!(region.dispatcher.promises(region.now), (0, 0));
     let mut region = Region::new();
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -219,18 +219,11 @@
                 last_clean_up = now;
                 let load = self.with_leader(|leader| {
                     leader.clean_up(now);
-                    let promises = leader.promises(now);
-                    (leader.load(), leader.failed_engines(now), leader.engines_examined(), promises)
+                    leader.load(now)
                 });
-                let ((waiting, running), failed_engines, examined, promises) =
-                    load.unwrap_or_default();
+                let load = load.unwrap_or_default();
                 self.record_group_metrics(&status);
-                metrics::gauge!("toucansill_streams_waiting").set(waiting as f64);
-                metrics::gauge!("toucansill_streams_running").set(running as f64);
-                metrics::gauge!("toucansill_engines_failed").set(failed_engines as f64);
-                metrics::gauge!("toucansill_engines_examined").set(examined as f64);
-                metrics::gauge!("toucansill_promises_open").set(promises.0 as f64);
-                metrics::gauge!("toucansill_promises_redeemed").set(promises.1 as f64);
+                load.record();
             }
             let has_quarantine = !self.watchlist.borrow().watchlist.quarantined.is_empty();
             if has_quarantine
@@ -633,6 +626,7 @@
             retry_ratio: bounds.retry_ratio,
             retry_slack: bounds.retry_slack,
             silence_timeout: bounds.silence_timeout(),
+            learns_pace: bounds.learn_pace,
         };
         let (base, mut directory, entry_daemons) = self.newest_directory().await;
         let now = self.clock.now();
--- a/crates/toucansilld/src/gateway/lead.rs
+++ b/crates/toucansilld/src/gateway/lead.rs
@@ -39,6 +39,36 @@
     reply_at: Instant,
 }
 
+/// Load of the leader's dispatcher; all zero on a daemon that doesn't lead.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct DispatcherLoad {
+    waiting: usize,
+    running: usize,
+    /// Engines that are avoided because of failures.
+    failed_engines: usize,
+    /// Engines whose learnt pace is below their slots.
+    paced_engines: usize,
+    /// Number of times that an engine was examined for a request in this term.
+    engines_examined: u64,
+    /// Refused requests that have a place in the queue if they return in time.
+    promises_open: usize,
+    /// Requests that have returned to theirs in this term.
+    promises_redeemed: u64,
+}
+
+impl DispatcherLoad {
+    /// Sets the gauges of the load.
+    pub(crate) fn record(&self) {
+        metrics::gauge!("toucansill_streams_waiting").set(self.waiting as f64);
+        metrics::gauge!("toucansill_streams_running").set(self.running as f64);
+        metrics::gauge!("toucansill_engines_failed").set(self.failed_engines as f64);
+        metrics::gauge!("toucansill_engines_paced").set(self.paced_engines as f64);
+        metrics::gauge!("toucansill_engines_examined").set(self.engines_examined as f64);
+        metrics::gauge!("toucansill_promises_open").set(self.promises_open as f64);
+        metrics::gauge!("toucansill_promises_redeemed").set(self.promises_redeemed as f64);
+    }
+}
+
 /// State of a leader during its term.
 pub(crate) struct LeaderState {
     term: u64,
@@ -105,25 +135,18 @@
         self.term
     }
 
-    /// Numbers of requests that are waiting for an upstream and that are running.
-    pub(crate) fn load(&self) -> (usize, usize) {
-        (self.dispatcher.waiting(), self.dispatcher.running())
-    }
-
-    /// Number of times that an engine has been examined for a request in this term.
-    pub(crate) fn engines_examined(&self) -> u64 {
-        self.dispatcher.engines_examined()
-    }
-
-    /// Numbers of refused requests that have a place in the queue if they return in time, and of those
-    /// that have returned to theirs in this term.
-    pub(crate) fn promises(&self, now: Instant) -> (usize, u64) {
-        self.dispatcher.promises(now)
-    }
-
-    /// Number of engines that are avoided because of failures that entries have reported.
-    pub(crate) fn failed_engines(&self, now: Instant) -> usize {
-        self.dispatcher.failed_engines(now)
+    /// Load of the dispatcher.
+    pub(crate) fn load(&self, now: Instant) -> DispatcherLoad {
+        let (promises_open, promises_redeemed) = self.dispatcher.promises(now);
+        DispatcherLoad {
+            waiting: self.dispatcher.waiting(),
+            running: self.dispatcher.running(),
+            failed_engines: self.dispatcher.failed_engines(now),
+            paced_engines: self.dispatcher.paced_engines(),
+            engines_examined: self.dispatcher.engines_examined(),
+            promises_open,
+            promises_redeemed,
+        }
     }
 
     /// Applies the replicated routing, data centres and departures. Returns whether any of them
--- a/crates/toucansilld/src/gateway/settings.rs
+++ b/crates/toucansilld/src/gateway/settings.rs
@@ -127,6 +127,9 @@
     /// stated, requests wait for a short time at a daemon that has just started, instead of being
     /// refused.
     pub recover_ms: Option<f64>,
+    /// Whether upstreams that start or recover get as many requests as their answers show that they
+    /// can serve.
+    pub learn_pace: bool,
 }
 
 impl Default for Bounds {
@@ -139,6 +142,7 @@
             retry_ratio: 0.2,
             retry_slack: 100.0,
             recover_ms: None,
+            learn_pace: false,
         }
     }
 }
