--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -6,7 +6,7 @@
 //! how many met their targets. A request earns its worth if it is on time, and less if it is
 //! late. [`RunResult::earned_share`] scores a policy by the share of the possible worth that it
 //! earns. The policies are the dispatcher of `grant` and simple ones to compare it with.
-//! [`summarize`] combines several runs. Entry daemons and networks take no time here. The
+//! [`summarize`] combines several runs. [`earnable_share`] is what any policy could earn at most. Entry daemons and networks take no time here. The
 //! operators' command `play` and the tests of this crate call it.
 //!
 //! ```
@@ -19,12 +19,14 @@
 //! assert!(summary.earned_share <= 1.0);
 //! ```
 
+mod bound;
 mod pattern;
 mod play;
 mod plot;
 mod policy;
 mod summary;
 
+pub use bound::{earnable_share, engine_seconds};
 pub use pattern::{Pattern, RequestKind, patterns};
 pub use play::{KindResult, RunResult, play};
 pub use plot::{Result, plot_first_events};
--- a/crates/load/tests/heavy.rs
+++ b/crates/load/tests/heavy.rs
@@ -5,12 +5,15 @@
 //! must not delay short ones beyond that time. The bound is the users' target for the mean worth
 //! of a day with trouble.
 
-use load::{Pattern, patterns, play, policies, summarize};
+use load::{Pattern, earnable_share, patterns, play, policies, summarize};
+use routing::EngineProfile;
 
 /// The users' target for the share of the possible worth that is earned on a day with trouble.
 const TARGET: f64 = 0.74;
 /// Number of engines of the first sites.
 const ENGINES: usize = 18;
+/// Tokens of one event of a response.
+const TOKENS_PER_EVENT: f64 = 34.0;
 /// Number of runs of each pattern, as the users' target is a mean.
 const SEEDS: u64 = 4;
 
@@ -70,6 +73,20 @@
     }
 }
 
+/// No policy earns more than the engines have capacity for, so the distance between both says what
+/// placement can still gain.
+#[test]
+fn no_policy_earns_more_than_the_capacity_allows() {
+    for name in ["digests", "drafts", "ordinary"] {
+        let pattern = pattern(name);
+        let profile = EngineProfile::example();
+        let bound = earnable_share(&profile, ENGINES as f64, &pattern.phases[0], TOKENS_PER_EVENT);
+        let earned = summarize(&policies()[0], &pattern, ENGINES, 1).earned_share;
+        println!("{name}: {earned:.3} of {bound:.3}");
+        assert!(earned <= bound, "{name}: {earned:.3} of {bound:.3}");
+    }
+}
+
 #[test]
 fn equal_seeds_give_equal_results() {
     let short = Pattern { phase_s: 3.0, ..pattern("ordinary") };
