Name an attempt's data centre at the end of its text, and test entries that have just started

Cause: the text of an attempt began with the upstream and who placed it, which a test and operators' searches rely on; the data centre had been put between them. Change: the data centre comes last. A test with processes: the first response of an entry that has just been restarted is the upstream's (503 without bounds.recover_ms). The soak's daemons have bounds.recover_ms and bounds.learn_pace.

--- a/crates/toucansilld/src/gateway/record.rs
+++ b/crates/toucansilld/src/gateway/record.rs
@@ -185,14 +185,17 @@
 impl fmt::Display for PlacementSummary {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self { upstream, data_centre, local_view, engines, expected_ms, waited_ms } = self;
-        write!(f, "{upstream} in {data_centre} by ")?;
+        write!(f, "{upstream} by ")?;
         match local_view {
             Some(ViewAge { term, revision, age }) => {
                 write!(f, "entry (view {term}/{revision}, {} ms old)", age.as_millis())?;
             }
             None => f.write_str("leader")?,
         }
-        write!(f, " after {waited_ms} ms, {engines} prefill, {expected_ms} ms expected")
+        write!(
+            f,
+            " after {waited_ms} ms, {engines} prefill, {expected_ms} ms expected, in {data_centre}"
+        )
     }
 }
 
--- a/crates/toucansilld/tests/gateway/main.rs
+++ b/crates/toucansilld/tests/gateway/main.rs
@@ -221,6 +221,27 @@
     });
 }
 
+/// Guards against callers that use up their retries while a daemon that has just started has not heard
+/// of the routing yet.
+#[test]
+fn a_request_at_an_entry_that_has_just_started_waits_for_the_routing() {
+    let mut region = Region::new(1);
+    region.set_hard_load();
+    region.start_all(true);
+    let upstream = Upstream::start("here");
+    region.control_request_until_ok(0, "PUT", DOCUMENT_PATH, &document(1, "/x/", "s1"));
+    let path = &upstream_path("u1");
+    region.control_request_until_ok(0, "PUT", path, &upstream.registration("s1", 1, "ready"));
+    eventually("a response", || region.request("/x/1").filter(|(s, _)| *s == 200));
+    let entry = region.entry();
+    for _ in 0..3 {
+        region.kill(entry);
+        region.start(entry, false);
+        let (status, body) = eventually("the first response", || region.request("/x/2"));
+        assert_eq!(status, 200, "{body}");
+    }
+}
+
 /// Guards against calls that are refused while a leader is being elected: upstreams that register repeat
 /// theirs only after a second or more, and nobody is served meanwhile.
 #[test]
--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -72,6 +72,8 @@
     snapshot_entries: Option<u64>,
     /// Whether the settings allow requests to be sent again.
     has_retries: bool,
+    /// Further bounds in the settings, each after a comma.
+    more_bounds: &'static str,
 }
 
 impl Region {
@@ -107,6 +109,7 @@
             apply_ms: 2_000,
             snapshot_entries: None,
             has_retries: true,
+            more_bounds: "",
         }
     }
 
@@ -161,6 +164,12 @@
         self.has_retries = false;
     }
 
+    /// States within which time the region has to serve again, and lets the pace of upstreams be
+    /// learnt, before the start.
+    pub(crate) fn set_hard_load(&mut self) {
+        self.more_bounds = ", recover_ms: 15000, learn_pace: true";
+    }
+
     /// Sets the program that daemon `i` runs from its next start on: that of an earlier build, or this
     /// one's.
     pub(crate) fn set_build(&mut self, i: usize, earlier: Option<&Path>) {
@@ -518,10 +527,11 @@
         let retries = if self.has_retries { "" } else { ", retry_ratio: 0, retry_slack: 0" };
         format!(
             "daemon: {name}\ndata_centre: {data_centre}\nlinks: '{ip}:{port}'\nmetrics: '{ip}:{}'\n\
-             seeds: [{}]\n{role_settings}\nbounds: {{stop_ms: 4000, apply_ms: {}{retries}}}\n",
+             seeds: [{}]\n{role_settings}\nbounds: {{stop_ms: 4000, apply_ms: {}{retries}{}}}\n",
             port + 4,
             seeds.join(", "),
-            self.apply_ms
+            self.apply_ms,
+            self.more_bounds
         )
     }
 }
--- a/crates/toucansilld/tests/soak/main.rs
+++ b/crates/toucansilld/tests/soak/main.rs
@@ -154,6 +154,7 @@
 fn run(seed: u64, faults: usize, fault_kinds: &[Fault]) {
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut region = Region::with_entries(CONTROL_COUNT, ENTRY_COUNT);
+    region.set_hard_load();
     let upstreams = Upstreams::start(4);
     let paths = entry_paths(&mut region, &upstreams);
     region.start_all(true);
