--- a/review/tools/harness.rs
+++ b/review/tools/harness.rs
@@ -745,15 +745,72 @@
         }
     }
     let left: Vec<usize> = all.into_iter().filter(|number| *number != core[3]).collect();
+    Ok(read_back(lab, &left, 8))
+}
+
+/// As [`replaced_then_disks_lost`], but the disks are lost more than `graceS` and `catchUpS` after the
+/// machine has left. Meanwhile all processes of the core are killed several times, and are back within a
+/// second. The configuration that is read back was acknowledged after that.
+fn replaced_then_killed_then_disks_lost(lab: &mut Lab) -> Result<bool, Failure> {
+    let (core, _) = deployment(lab, 2)?;
+    let seeds = [core[0], core[2], core[4]];
+    let successor = lab.add(Role::Control, "zone-b");
+    lab.record.line("planned replacement: the successor starts, with an empty disk");
+    lab.start(successor, &seeds, false)?;
+    sleep(Duration::from_secs(6));
+    let left: Vec<usize> =
+        core.iter().copied().filter(|n| *n != core[3]).chain([successor]).collect();
+    lab.signal(core[3], SIGTERM, "gets SIGTERM and is removed for good");
+    let removed = Instant::now();
+    if !lab.await_exit(core[3], Duration::from_secs(8)) {
+        return Err("the process did not end after SIGTERM".to_owned());
+    }
+    while removed.elapsed() < Duration::from_secs(13) {
+        sleep(Duration::from_millis(2_000));
+        lab.record.line("all processes of the core are killed at the same moment");
+        for number in &left {
+            lab.signal(*number, SIGKILL, "is killed");
+        }
+        for number in &left {
+            lab.await_exit(*number, Duration::from_secs(5));
+        }
+        sleep(Duration::from_millis(100));
+        for number in &left {
+            lab.start(*number, &seeds, false)?;
+        }
+    }
+    lab.publish(&lab.control(&left), 8)?;
+    let lost = [core[1], core[4]];
+    if has_trouble() {
+        let at = removed.elapsed().as_secs_f64();
+        lab.record.line(format!("{at:.1} s after the SIGTERM, two machines lose their disks"));
+        for number in lost {
+            lab.signal(number, SIGKILL, "loses power");
+        }
+        for number in lost {
+            lab.await_exit(number, Duration::from_secs(5));
+            lab.lose_disk(number);
+        }
+        sleep(Duration::from_secs(1));
+        for number in lost {
+            lab.start(number, &seeds, false)?;
+        }
+    }
+    Ok(read_back(lab, &left, 8))
+}
+
+/// Reads the configuration at these machines in turn until one answers, for 40 s. Returns whether it is
+/// this version.
+fn read_back(lab: &Lab, machines: &[usize], version: u64) -> bool {
     lab.record.line("all machines are back; the configuration is read, for 40 s");
     let until = Instant::now() + Duration::from_secs(40);
     let mut answers: BTreeMap<String, u32> = BTreeMap::new();
-    for address in lab.control(&left).iter().cycle() {
+    for address in lab.control(machines).iter().cycle() {
         let answer = match call(*address, "GET", name("config"), b"", CALL_TIMEOUT) {
             Ok((200, body)) => {
-                let version = version_of(&body);
-                lab.record.line(format!("operator: {address} answers with version {version:?}"));
-                return Ok(version == Some(8));
+                let read = version_of(&body);
+                lab.record.line(format!("operator: {address} answers with version {read:?}"));
+                return read == Some(version);
             }
             Ok((status, body)) => format!("{status} {}", String::from_utf8_lossy(&body)),
             Err(err) => err,
@@ -767,8 +824,70 @@
     for (answer, count) in answers {
         lab.record.line(format!("{count} times: {answer}"));
     }
-    lab.record.line("version 8, which was acknowledged, could not be read from any machine");
-    Ok(false)
+    lab.record.line(format!(
+        "version {version}, which was acknowledged, could not be read from any machine"
+    ));
+    false
+}
+
+/// Two machines lose their disks. One stays down. The other comes back with an empty disk and loses it
+/// again soon after each start. Then both come back for good. The other three run all the while, and the
+/// configuration that they had acknowledged has to be read back.
+fn disk_lost_at_each_start(lab: &mut Lab) -> Result<bool, Failure> {
+    let (core, _) = deployment(lab, 1)?;
+    let seeds = [core[0], core[2], core[4]];
+    let (down, unstable) = (core[1], core[3]);
+    let sound = [core[0], core[2], core[4]];
+    lab.publish(&lab.control(&core), 8)?;
+    for number in [down, unstable] {
+        lab.kill(number, "loses power");
+        lab.lose_disk(number);
+    }
+    // When the sound machines last answered a read of the configuration.
+    let last_answer = Arc::new(Mutex::new(Instant::now()));
+    let is_over = Arc::new(AtomicBool::new(false));
+    let reader = {
+        let (last_answer, is_over) = (Arc::clone(&last_answer), Arc::clone(&is_over));
+        let addresses = lab.control(&sound);
+        thread::spawn(move || {
+            for address in addresses.iter().cycle() {
+                if is_over.load(Ordering::SeqCst) {
+                    return;
+                }
+                let read = call(*address, "GET", name("config"), b"", CALL_TIMEOUT);
+                if matches!(read, Ok((200, _))) {
+                    *last_answer.lock().unwrap() = Instant::now();
+                }
+                sleep(Duration::from_millis(100));
+            }
+        })
+    };
+    let started = Instant::now();
+    let mut starts = 0;
+    while started.elapsed() < Duration::from_secs(60)
+        && last_answer.lock().unwrap().elapsed() < Duration::from_secs(5)
+    {
+        lab.start(unstable, &seeds, false)?;
+        starts += 1;
+        // 180 to 300 ms, in steps that don't repeat soon.
+        sleep(Duration::from_millis(180 + starts * 37 % 121));
+        lab.kill(unstable, "loses power");
+        if has_trouble() {
+            lab.lose_disk(unstable);
+        }
+        sleep(Duration::from_millis(30));
+    }
+    let silent = last_answer.lock().unwrap().elapsed().as_secs_f64();
+    lab.record.line(format!(
+        "after {starts} starts: the last answer to a read came {silent:.1} s ago; both machines come back"
+    ));
+    is_over.store(true, Ordering::SeqCst);
+    reader.join().map_err(|_| "the reader failed".to_owned())?;
+    for number in [down, unstable] {
+        lab.start(number, &seeds, false)?;
+    }
+    sleep(Duration::from_secs(4));
+    Ok(read_back(lab, &core, 8))
 }
 
 /// An entry gets SIGTERM. A caller that connected before sends its request more than 3 s later. The
@@ -828,6 +947,8 @@
     lab.record.line(format!("case {case}, TROUBLE={}", u8::from(has_trouble())));
     let result = match case {
         "replaced-then-disks-lost" => replaced_then_disks_lost(&mut lab),
+        "replaced-then-killed-then-disks-lost" => replaced_then_killed_then_disks_lost(&mut lab),
+        "disk-lost-at-each-start" => disk_lost_at_each_start(&mut lab),
         "late-request-at-stop" => late_request_at_stop(&mut lab),
         _ => Err(format!("unknown case {case}")),
     };
