Remove a voter that has gone before its successor is promoted

After 35 to 136 starts nobody reads or changes the configuration again, though three members run all the while.

Cause: a replacement was add, promote, remove. The successor became a sixth voter while the former one still counted; once it had gone too, three of six voters were left, and a change can't be taken back after it is appended. A new leader also took voters for reachable that it had never heard, and the lock for admissions was released by each request that it turned away.

Ruled out: restarts or failures of the sound members (none ended).

Change: raft::joining plans each step from the members and from who answers, so a new leader needs no plan of its predecessor. A voter that doesn't answer is removed first; propose_change refuses a promotion if the other voters that answer would be no majority without the new one; only voters that have answered this leader count; a group with all its voters grows only if each has answered since the new node was added. The gateway promotes a node only on its own request. The operators' `voters replace` follows the same order.

The property test of members now also replaces machines as planned, loses a disk again and again, ends all processes at once, and checks after each round that the voters whose disks are left are a majority.

--- a/crates/group/src/handle.rs
+++ b/crates/group/src/handle.rs
@@ -128,9 +128,11 @@
     /// Replaces the voter `old` with the node `new`, which must be running with
     /// [`StartMode::Join`](crate::StartMode::Join).
     ///
-    /// Adds the new node as a learner, promotes it once it has caught up, removes the old one, and
-    /// waits until the new node has all of this on its disk. From then on a second voter may be
-    /// lost without losing committed commands. Returns the log index that the new node holds.
+    /// Adds the new node as a learner and waits until it has caught up. Then it promotes the new node
+    /// and removes the old one, or first removes the old one if that doesn't answer: at each step the
+    /// voters that answer are then a majority also without the new one; see [`joining`](crate::joining).
+    /// At last it waits until the new node has all of this on its disk. From then on a second voter may
+    /// be lost without losing committed commands. Returns the log index that the new node holds.
     ///
     /// Each step may take the whole timeout. If a step fails, call this again: steps that were
     /// completed are skipped.
@@ -140,14 +142,20 @@
     /// As [`Handle::change_membership`]. A leader that replaces itself fails with
     /// [`Error::is_not_leader`]; a call on its successor completes the replacement.
     pub fn replace_voter(&self, old: NodeId, new: NodeId, timeout: Duration) -> Result<Index> {
-        self.confirm_leadership(timeout)?;
+        let caught_up = self.confirm_leadership(timeout)?;
         let members = self.status().membership;
         if !members.contains(new) {
             self.change_membership(MembershipChange::AddLearner(new), timeout)?;
         }
         if !members.is_voter(new) {
+            self.await_goal(Goal::Matched { node: new, index: caught_up }, timeout)?;
+            let status = self.status();
+            if status.membership.is_voter(old) && !status.reachable.contains(&old) {
+                self.change_membership(MembershipChange::Remove(old), timeout)?;
+            }
             self.change_membership(MembershipChange::Promote(new), timeout)?;
         }
+        let members = self.status().membership;
         if members.contains(old) {
             self.change_membership(MembershipChange::Remove(old), timeout)?;
         }
--- a/crates/group/src/status.rs
+++ b/crates/group/src/status.rs
@@ -25,10 +25,19 @@
     pub last_index: Index,
     /// Members and epoch of the group.
     pub membership: Membership,
+    /// Whether the last change of the members is known to be committed.
+    pub is_membership_committed: bool,
     /// On a leader: last index up to which each other member is known to hold the log on disk.
     pub matched: BTreeMap<NodeId, Index>,
     /// On a leader: ticks since the last message from each other member.
     pub silent_ticks: BTreeMap<NodeId, u32>,
+    /// On a leader: members that answer, itself included; see [`Raft::is_reachable`].
+    pub reachable: BTreeSet<NodeId>,
+    /// On a leader: learners that can be promoted; see [`Raft::is_caught_up`].
+    pub caught_up: BTreeSet<NodeId>,
+    /// On a leader: learners since whose addition every voter has answered; see
+    /// [`Raft::is_confirmed_by_all`].
+    pub confirmed: BTreeSet<NodeId>,
     /// On a leader: members that lack entries which they had acknowledged. They must be replaced.
     pub lost_logs: BTreeSet<NodeId>,
     /// Why the node failed and stopped, if it did.
@@ -42,6 +51,11 @@
 impl Status {
     pub(crate) fn of(raft: &Raft) -> Self {
         let membership = raft.membership().clone();
+        let is_reachable = |id: &NodeId| raft.is_leader() && raft.is_reachable(*id);
+        let reachable = membership.nodes().filter(is_reachable).collect();
+        let learners = || membership.learners.iter().copied();
+        let caught_up = learners().filter(|id| raft.is_caught_up(*id)).collect();
+        let confirmed = learners().filter(|id| raft.is_confirmed_by_all(*id)).collect();
         let matched = membership.nodes().filter_map(|id| Some((id, raft.matched(id)?))).collect();
         Self {
             id: raft.id(),
@@ -53,8 +67,12 @@
             first_index: raft.first_index(),
             last_index: raft.last_index(),
             membership,
+            is_membership_committed: raft.is_membership_committed(),
             matched,
             silent_ticks: raft.silent_ticks().collect(),
+            reachable,
+            caught_up,
+            confirmed,
             lost_logs: raft.lost_logs().collect(),
             failure: None,
             lost_disk: raft.has_lost_disk(),
--- a/crates/raft/src/joining.rs
+++ b/crates/raft/src/joining.rs
@@ -1,11 +1,27 @@
-//! Selects the membership changes that keep a group at its size when nodes lose their disks.
+//! Chooses the membership changes that keep a group at its size, and able to commit, while nodes are
+//! replaced.
 //!
-//! A node that lost its disk must rejoin under a new id, as it may have voted under the old one.
-//! The leader calls these functions to choose which member the new node replaces. They are pure
-//! functions: the caller proposes the resulting changes.
+//! A node that lost its disk must join again under a new id, as it may have voted under the old one.
+//! Nodes are also replaced as planned: a successor joins first, then its predecessor leaves. The leader
+//! calls these functions each time that a node asks to join or to leave, and proposes the change that
+//! they return. They are pure functions of what a leader knows, so a new leader goes on where the last
+//! one ended.
+//!
+//! The order of the changes keeps the voters that still live a majority at every step:
+//!
+//! - A voter that doesn't answer is removed before another node is promoted in its place. Without it the
+//!   group needs no larger majority than before, and if the new node is lost as well, the group is as
+//!   well off as before the replacement.
+//! - A voter that answers is removed after another node has been promoted, as each of the two steps
+//!   then tolerates as many losses as a group of its usual size.
+//! - A group that has all of its voters grows only if every one of them has answered since the new node was
+//!   added. So a node whose predecessor has just been lost waits until the leader notices.
+//!
+//! [`Raft::propose_change`](crate::Raft::propose_change) refuses any change after which the voters that
+//! answer would be no majority without the new one.
 
-use crate::{Membership, NodeId};
-use std::collections::BTreeMap;
+use crate::{Membership, MembershipChange, NodeId};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A leader's knowledge of its group.
 #[derive(Clone, Copy, Debug)]
@@ -15,51 +31,132 @@
     /// Ticks since the last message from each other member; see
     /// [`Raft::silent_ticks`](crate::Raft::silent_ticks).
     pub silent_ticks: &'a BTreeMap<NodeId, u32>,
+    /// Members that answer, the leader included; see
+    /// [`Raft::is_reachable`](crate::Raft::is_reachable).
+    pub reachable: &'a BTreeSet<NodeId>,
+    /// Learners that can be promoted; see [`Raft::is_caught_up`](crate::Raft::is_caught_up).
+    pub caught_up: &'a BTreeSet<NodeId>,
+    /// Learners since whose addition every voter has answered; see
+    /// [`Raft::is_confirmed_by_all`](crate::Raft::is_confirmed_by_all).
+    pub confirmed: &'a BTreeSet<NodeId>,
     /// Last known address of each node.
     pub addresses: &'a BTreeMap<NodeId, String>,
     /// Number of voters that the group should have.
     pub target_voters: usize,
-    /// Ticks of silence after which a member may be replaced; must exceed the duration of an
-    /// election.
+    /// Ticks of silence after which a voter may be replaced.
     pub replace_after_ticks: u32,
 }
 
-/// How a node that wants to join becomes a voter.
+/// Returns the next change on the way of a node to a vote, or `None` if there is none to make now: the
+/// node is a voter, has to catch up first, or has to wait for other voters. It asks again then.
+///
+/// The node takes the place of members that were last known at the same address: their disks are lost.
+/// Otherwise, if the group has at least `target_voters` voters, it takes the place of the voter that has
+/// been silent the longest, provided that it reached `replace_after_ticks`. If all voters answer, it
+/// becomes an additional one, whose predecessor is expected to leave; see [`next_leave_step`].
+pub fn next_join_step(view: GroupView<'_>, id: NodeId, address: &str) -> Option<MembershipChange> {
+    let members = view.members;
+    if members.is_voter(id) {
+        return None;
+    }
+    if let Some(former) = former_node(view, &members.learners, id, address) {
+        return Some(MembershipChange::Remove(former));
+    }
+    if !members.contains(id) {
+        return Some(MembershipChange::AddLearner(id));
+    }
+    if !view.caught_up.contains(&id) {
+        return None;
+    }
+    if let Some(former) = former_node(view, &members.voters, id, address) {
+        return Some(MembershipChange::Remove(former));
+    }
+    let reachable = members.voters.intersection(view.reachable).count();
+    let may_grow = match members.voters.len() < view.target_voters {
+        true => reachable >= members.voters_needed_to_grow(),
+        false => view.confirmed.contains(&id),
+    };
+    if may_grow {
+        return Some(MembershipChange::Promote(id));
+    }
+    longest_silent_voter(view).map(MembershipChange::Remove)
+}
+
+/// What a leader does for a node whose process is about to end.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum JoinAction {
-    /// As an additional voter.
-    Add,
-    /// In place of this member, which is removed once the new node is a voter.
-    Replace(NodeId),
+pub enum LeaveStep {
+    /// Makes this change; the process asks again once it is committed.
+    Change(MembershipChange),
+    /// Keeps the node as a member; the process may end.
+    Keep,
+    /// Keeps the node for now: another one is joining, the voters that answer are no majority without it,
+    /// or its removal isn't known to be committed. The process should ask again.
+    Wait,
 }
 
-/// Plans how to admit a node; `None` if it is a voter already.
+/// Plans how a node leaves the group before its process ends.
 ///
-/// The node replaces the member that was last known at the same address: that one's disk is
-/// lost. Otherwise, if the group has at least `target_voters` voters, it replaces the voter that
-/// has been silent the longest, provided that it reached `replace_after_ticks`. In all other
-/// cases it is added.
-pub fn plan_join(view: GroupView<'_>, id: NodeId, address: &str) -> Option<JoinAction> {
-    if view.members.is_voter(id) {
-        return None;
+/// A voter is removed only if the group has more than `target_voters` voters, that is, if its successor
+/// has joined; a learner that could succeed it is promoted first. A node that isn't a voter yet takes the
+/// one that it was to replace with it. Otherwise the process may just
+/// restart, and the node keeps its vote.
+pub fn next_leave_step(view: GroupView<'_>, id: NodeId, address: &str) -> LeaveStep {
+    let members = view.members;
+    if !members.is_voter(id)
+        && let Some(former) = former_node(view, &members.voters, id, address)
+    {
+        return LeaveStep::Change(MembershipChange::Remove(former));
+    }
+    if members.learners.contains(&id) {
+        return LeaveStep::Change(MembershipChange::Remove(id));
+    }
+    if members.retired.contains(&id) {
+        return LeaveStep::Wait;
+    }
+    if !members.is_voter(id) {
+        return LeaveStep::Keep;
+    }
+    let voters = members.voters.len();
+    if voters > view.target_voters {
+        return LeaveStep::Change(MembershipChange::Remove(id));
+    }
+    let reachable = members.voters.intersection(view.reachable).count();
+    let is_silent = |id: &NodeId| {
+        view.silent_ticks.get(id).is_some_and(|ticks| *ticks >= view.replace_after_ticks)
+    };
+    let mut joining = members.learners.iter().filter(|learner| !is_silent(learner)).peekable();
+    let is_joined = joining.peek().is_none();
+    if let Some(successor) = joining.find(|learner| view.caught_up.contains(learner))
+        && reachable >= members.voters_needed_to_grow()
+    {
+        return LeaveStep::Change(MembershipChange::Promote(*successor));
+    }
+    let others = reachable - usize::from(view.reachable.contains(&id));
+    match is_joined && (others >= members.quorum() || voters == 1) {
+        true => LeaveStep::Keep,
+        false => LeaveStep::Wait,
     }
-    let is_former_node_at_address =
-        |n: &NodeId| *n != id && view.addresses.get(n).is_some_and(|a| a == address);
-    let former = view.members.nodes().find(is_former_node_at_address);
-    let replaced = former.or_else(|| {
-        longest_silent_voter(view).filter(|_| view.members.voters.len() >= view.target_voters)
-    });
-    Some(replaced.map_or(JoinAction::Add, JoinAction::Replace))
 }
 
 /// Returns a silent voter to remove if the group has more than `target_voters` voters.
 ///
-/// Such a voter is left over if leadership changed after its replacement was promoted and before
-/// it was removed itself. It never responds, yet it raises the quorum.
+/// Such a voter is left over if it ended without leaving after its successor had joined. It raises
+/// the number of voters that a majority needs, so its removal never makes the group less tolerant.
 pub fn surplus_voter(view: GroupView<'_>) -> Option<NodeId> {
     longest_silent_voter(view).filter(|_| view.members.voters.len() > view.target_voters)
 }
 
+/// Another node among `ids` with the address of node `id`: one whose disk was lost before.
+fn former_node(
+    view: GroupView<'_>,
+    ids: &BTreeSet<NodeId>,
+    id: NodeId,
+    address: &str,
+) -> Option<NodeId> {
+    let mut others = ids.iter().filter(|other| **other != id);
+    others.find(|other| view.addresses.get(other).is_some_and(|a| a == address)).copied()
+}
+
 /// The voter that has been silent the longest, if for at least `replace_after_ticks`.
 fn longest_silent_voter(view: GroupView<'_>) -> Option<NodeId> {
     let silent = view.silent_ticks.iter().filter(|(_, ticks)| **ticks >= view.replace_after_ticks);
--- a/crates/raft/src/leader.rs
+++ b/crates/raft/src/leader.rs
@@ -36,9 +36,7 @@
     /// Steps down if no majority was heard from lately. Otherwise ages a transfer and requests a
     /// heartbeat round if one is due.
     pub(crate) fn tick_leader(&mut self) {
-        for progress in self.progress.values_mut() {
-            progress.silent_ticks = progress.silent_ticks.saturating_add(1);
-        }
+        self.progress.values_mut().for_each(Progress::tick);
         if !self.has_active_quorum() {
             self.become_follower(self.hard_state.term, None);
             return;
@@ -158,7 +156,7 @@
             // What it acknowledges may be lost again, so it is treated as unreachable.
             return;
         }
-        progress.silent_ticks = 0;
+        progress.hear();
         match body {
             MessageBody::AppendAccepted { matched } if matched <= last => {
                 progress.acknowledge(matched, self.reads.round());
--- a/crates/raft/src/membership.rs
+++ b/crates/raft/src/membership.rs
@@ -4,6 +4,7 @@
     error::{Error, Result},
     message::LogPosition,
     node::Raft,
+    progress::Progress,
     types::{EntryPayload, Membership, MembershipChange, NodeId},
 };
 
@@ -17,14 +18,15 @@
     /// [`Error::is_not_leader`]; [`Error::is_busy`] while another change is uncommitted, while
     /// this leader hasn't committed an entry of its term, or while leadership is being
     /// transferred; [`Error::is_behind`] while the learner to promote hasn't caught up;
-    /// [`Error::is_refused_change`] if the change is invalid for the current members, or if the
-    /// reachable voters would be no majority of the new members.
+    /// [`Error::is_refused_change`] if the change is invalid for the current members, if the
+    /// reachable voters would be no majority of the new members, or, for a promotion, if they would be
+    /// none without the new voter.
     pub fn propose_change(&mut self, change: MembershipChange) -> Result<LogPosition> {
         if !self.is_leader() {
             return Err(Error::not_leader(self.leader));
         }
-        let (changed_at, members) = &self.memberships[self.memberships.len() - 1];
-        if *changed_at > self.commit {
+        let members = self.membership();
+        if !self.is_membership_committed() {
             return Err(Error::busy("another membership change is under way"));
         }
         // Until an entry of its own term is committed, a leader may not know of a change that was
@@ -39,7 +41,7 @@
         if let MembershipChange::Promote(id) = change {
             self.check_caught_up(id)?;
         }
-        self.check_keeps_quorum(&next)?;
+        self.check_keeps_quorum(change, &next)?;
         let position = self.append(EntryPayload::Membership(next));
         self.track_members();
         Ok(position)
@@ -54,15 +56,51 @@
         }
     }
 
-    /// Refuses a change that the reachable voters couldn't commit: it would block the group
-    /// permanently.
-    fn check_keeps_quorum(&self, next: &Membership) -> Result<()> {
-        match self.count_active(next.voters.iter().copied()) >= next.quorum() {
-            true => Ok(()),
-            false => Err(Error::refused_change("too few of the remaining voters answer")),
+    /// Refuses a change after which the group might never commit again.
+    ///
+    /// The reachable voters have to be a majority of the new members. A change takes effect once it is
+    /// appended and can't be taken back, so a new voter that is lost right after its promotion must not
+    /// be needed for that majority. The second voter of a group is always needed.
+    fn check_keeps_quorum(&self, change: MembershipChange, next: &Membership) -> Result<()> {
+        let reachable =
+            |voters: &Membership| voters.voters.iter().filter(|id| self.is_reachable(**id)).count();
+        let is_kept = match change {
+            MembershipChange::Promote(id) => {
+                let members = self.membership();
+                reachable(members) >= members.voters_needed_to_grow() && self.is_reachable(id)
+            }
+            _ => reachable(next) >= next.quorum(),
+        };
+        match (is_kept, change) {
+            (true, _) => Ok(()),
+            (false, MembershipChange::Promote(_)) => {
+                Err(Error::refused_change("too few of the other voters answer"))
+            }
+            (false, _) => Err(Error::refused_change("too few of the remaining voters answer")),
         }
     }
 
+    /// On a leader: whether a member was heard from in this term, and within the last few heartbeats.
+    /// The leader itself always is.
+    pub fn is_reachable(&self, id: NodeId) -> bool {
+        /// Two heartbeats may be lost or late.
+        const HEARTBEATS: u32 = 3;
+        let ticks = HEARTBEATS * self.cfg.heartbeat_ticks;
+        let has_answered = |p: &Progress| p.has_heard && p.is_active(ticks);
+        id == self.cfg.id || self.progress.get(&id).is_some_and(has_answered)
+    }
+
+    /// On a leader: whether every voter is reachable and has answered since this member was added or,
+    /// if that was earlier, since this node leads.
+    pub fn is_confirmed_by_all(&self, id: NodeId) -> bool {
+        let Some(member) = self.progress.get(&id) else { return false };
+        self.membership().voters.iter().all(|voter| {
+            let progress = self.progress.get(voter);
+            let has_answered = progress.is_none_or(|p| p.silent_ticks < member.age_ticks);
+            self.is_reachable(*voter) && has_answered
+        })
+    }
+
     /// Whether the last committed entry is of the current term.
     pub(crate) fn has_committed_in_term(&self) -> bool {
         self.log.term(self.commit) == Some(self.hard_state.term)
--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -284,6 +284,11 @@
         &self.memberships[self.memberships.len() - 1].1
     }
 
+    /// Whether the last change of the members is known to be committed. Until then it may be replaced.
+    pub fn is_membership_committed(&self) -> bool {
+        self.memberships[self.memberships.len() - 1].0 <= self.commit
+    }
+
     /// On a leader: last index up to which another member's log on disk is known to equal the
     /// leader's.
     pub fn matched(&self, id: NodeId) -> Option<Index> {
--- a/crates/raft/src/progress.rs
+++ b/crates/raft/src/progress.rs
@@ -35,8 +35,12 @@
     pub(crate) matched_round: u64,
     /// Whether the node lacks entries that it had acknowledged.
     pub(crate) has_lost_log: bool,
-    /// Ticks since the last message from the node.
+    /// Ticks since the last message from the node or, without one, since this record was created.
     pub(crate) silent_ticks: u32,
+    /// Ticks since this record was created.
+    pub(crate) age_ticks: u32,
+    /// Whether the node has sent this leader a message.
+    pub(crate) has_heard: bool,
 }
 
 impl Progress {
@@ -51,6 +55,8 @@
             matched_round: 0,
             has_lost_log: false,
             silent_ticks: 0,
+            age_ticks: 0,
+            has_heard: false,
         }
     }
 
@@ -105,7 +111,19 @@
         }
     }
 
-    /// Whether the node was heard from within `ticks`.
+    /// Records that a tick has passed.
+    pub(crate) fn tick(&mut self) {
+        self.silent_ticks = self.silent_ticks.saturating_add(1);
+        self.age_ticks = self.age_ticks.saturating_add(1);
+    }
+
+    /// Records a message from the node.
+    pub(crate) fn hear(&mut self) {
+        self.silent_ticks = 0;
+        self.has_heard = true;
+    }
+
+    /// Whether the node was heard from within `ticks`, or this record is younger than that.
     pub(crate) fn is_active(&self, ticks: u32) -> bool {
         self.silent_ticks < ticks
     }
--- a/crates/raft/src/types.rs
+++ b/crates/raft/src/types.rs
@@ -126,6 +126,14 @@
         self.voters.len() / 2 + 1
     }
 
+    /// Number of the current voters that must answer before another one is added. With one vote more
+    /// they are a majority by themselves, so the group doesn't depend on the new voter. The only
+    /// voter of a group can't be, and is enough.
+    pub fn voters_needed_to_grow(&self) -> usize {
+        let voters = self.voters.len();
+        (voters.div_ceil(2) + 1).min(voters)
+    }
+
     /// Whether the node is a voter.
     pub fn is_voter(&self, id: NodeId) -> bool {
         self.voters.contains(&id)
--- a/crates/raft/tests/members.rs
+++ b/crates/raft/tests/members.rs
@@ -1,13 +1,14 @@
-//! Property test: while nodes lose their disks and rejoin under new ids, a group that follows
-//! `raft::joining` gets back to its full size, loses no applied entry, and then survives the
-//! failure of any two VMs.
+//! Property test: while nodes lose their disks, are replaced as planned or without notice, and the leader
+//! changes, a group that follows `raft::joining` can commit at every step with the voters that still have
+//! their disks. It gets back to its full size, loses no applied entry, and then survives the failure of
+//! any two VMs.
 
 mod sim;
 
 use bolero::{TypeGenerator, generator::*};
 use raft::{
     MembershipChange, NodeId, PersistedState,
-    joining::{GroupView, JoinAction, plan_join, surplus_voter},
+    joining::{GroupView, LeaveStep, next_join_step, next_leave_step, surplus_voter},
 };
 use sim::Sim;
 use std::collections::{BTreeMap, BTreeSet};
@@ -25,8 +26,14 @@
     /// The VM loses its disk and its node rejoins under a new id.
     LoseDisk(u8),
     LoseDiskOfLeader,
+    /// A VM whose disk was lost loses it again, with the node that has just joined.
+    LoseDiskAgain,
     /// As [`Op::LoseDisk`], and the node rejoins at another address.
     Replace(u8),
+    /// A further VM joins, and this one leaves once the further one has caught up.
+    ReplaceAsPlanned(u8),
+    /// All processes end at once, and start again.
+    RestartAll,
     Compact(u8),
 }
 
@@ -35,81 +42,106 @@
 /// Number of disks that may be lost at once.
 const TOLERATED_LOSSES: usize = 2;
 const MAX_ROUNDS: u8 = 60;
-/// Ticks of silence after which a voter may be replaced; elections take 10 to 20 ticks.
-const REPLACE_AFTER_TICKS: u32 = 50;
-/// Rounds without progress after which a leader abandons its changes and plans new ones.
-const MAX_IDLE_ROUNDS: u32 = 40;
+/// Ticks of silence after which a voter may be replaced.
+const REPLACE_AFTER_TICKS: u32 = 20;
+/// Rounds under a leader after which a VM that has come back no longer counts as lost: 4 s of ticks.
+const CATCH_UP_ROUNDS: u32 = 80;
 
-/// Membership changes that a leader is making, in order.
-struct PendingChanges {
-    leader: NodeId,
-    term: u64,
-    changes: Vec<MembershipChange>,
-    remaining_rounds: u32,
+/// Rounds for which no node is admitted once a voter was told that it may end: until it would be found
+/// silent.
+const HOLD_OFF_ROUNDS: u32 = 12;
+
+struct Vm {
+    /// Node that the VM runs.
+    node: NodeId,
+    address: String,
+    /// Rounds for which it has run and been connected under a leader, since it was lost.
+    rounds_back: u32,
 }
 
 struct Driver {
     sim: Sim,
-    /// Node id and address of each VM.
-    vms: Vec<(NodeId, String)>,
-    /// Indexes in `vms` of those that are cut off from the network.
-    cut: BTreeSet<usize>,
+    vms: Vec<Vm>,
+    /// Addresses of VMs that are cut off from the network.
+    cut: BTreeSet<String>,
     addresses: BTreeMap<NodeId, String>,
-    pending: Option<PendingChanges>,
+    /// Rounds left in which no node is admitted, as a voter was told that it may end.
+    hold_off_rounds: u32,
+    /// Address of the VM that is being replaced as planned, and its successor's.
+    leaving: Option<(String, String)>,
     next_id: NodeId,
     commands: u32,
-    /// Number of disks lost since the group was last at full size.
-    lost_disks: usize,
 }
 
 impl Driver {
     fn new() -> Self {
         let mut sim = Sim::new(VM_COUNT as u64, |_| ());
         sim.may_lose_disks = true;
-        let vms: Vec<_> = (1..=VM_COUNT).map(|n| (n as NodeId, format!("address {n}"))).collect();
-        let addresses = vms.iter().cloned().collect();
+        let vm = |n| Vm {
+            node: n as NodeId,
+            address: format!("address {n}"),
+            rounds_back: CATCH_UP_ROUNDS,
+        };
+        let vms: Vec<_> = (1..=VM_COUNT).map(vm).collect();
+        let addresses = vms.iter().map(|vm| (vm.node, vm.address.clone())).collect();
         sim.elect();
         Self {
             sim,
             vms,
             cut: BTreeSet::new(),
             addresses,
-            pending: None,
+            hold_off_rounds: 0,
+            leaving: None,
             next_id: VM_COUNT as NodeId + 1,
             commands: 0,
-            lost_disks: 0,
         }
     }
 
     fn run(&mut self, op: &Op) {
-        let vm_index = |n: u8| usize::from(n) % VM_COUNT;
+        let at = |n: u8| usize::from(n) % self.vms.len();
+        let node = |n: u8| self.vms[at(n)].node;
+        let address = |n: u8| self.vms[at(n)].address.clone();
         match *op {
             Op::Rounds(count) => self.rounds((count % MAX_ROUNDS).into()),
-            Op::Propose(n) => self.propose(self.vms[vm_index(n)].0),
-            Op::Cut(n) => self.set_cut([vm_index(n)].into()),
-            Op::CutTwo(a, b) => self.set_cut([vm_index(a), vm_index(b)].into()),
+            Op::Propose(n) => self.propose(node(n)),
+            Op::Cut(n) => self.set_cut([address(n)].into()),
+            Op::CutTwo(a, b) => self.set_cut([address(a), address(b)].into()),
             Op::Heal => self.set_cut(BTreeSet::new()),
-            Op::Crash(n) => self.sim.crash(self.vms[vm_index(n)].0),
-            Op::Restart(n) => self.sim.restart(self.vms[vm_index(n)].0),
+            Op::Crash(n) => self.sim.crash(node(n)),
+            Op::Restart(n) => self.sim.restart(node(n)),
             Op::CrashLeader => {
                 if let Some(leader) = self.sim.leader() {
                     self.sim.crash(leader);
                 }
             }
-            Op::LoseDisk(n) => self.lose_disk(vm_index(n)),
+            Op::LoseDisk(n) => self.lose_disk(at(n)),
             Op::LoseDiskOfLeader => {
                 let leader = self.sim.leader();
-                if let Some(at) = self.vms.iter().position(|(id, _)| Some(*id) == leader) {
+                if let Some(at) = self.vms.iter().position(|vm| Some(vm.node) == leader) {
+                    self.lose_disk(at);
+                }
+            }
+            Op::LoseDiskAgain => {
+                if let Some(at) = self.vms.iter().position(|vm| vm.rounds_back < CATCH_UP_ROUNDS) {
                     self.lose_disk(at);
                 }
             }
             Op::Replace(n) => {
-                if self.lost_disks < TOLERATED_LOSSES {
-                    self.vms[vm_index(n)].1 = format!("address of node {}", self.next_id);
-                    self.lose_disk(vm_index(n));
+                let at = at(n);
+                let is_leaving = self.leaving.as_ref().is_some_and(|(predecessor, successor)| {
+                    [predecessor, successor].contains(&&self.vms[at].address)
+                });
+                if self.may_be_lost(at) && !is_leaving {
+                    self.vms[at].address = format!("address of node {}", self.next_id);
+                    self.lose_disk(at);
                 }
             }
-            Op::Compact(n) => self.sim.compact(self.vms[vm_index(n)].0, 2),
+            Op::ReplaceAsPlanned(n) => self.start_planned_replacement(at(n)),
+            Op::RestartAll => {
+                let nodes: Vec<_> = self.vms.iter().map(|vm| vm.node).collect();
+                nodes.into_iter().for_each(|node| self.sim.restart(node));
+            }
+            Op::Compact(n) => self.sim.compact(node(n), 2),
         }
     }
 
@@ -119,44 +151,88 @@
         self.sim.propose(id, &self.commands.to_le_bytes());
     }
 
-    fn set_cut(&mut self, cut: BTreeSet<usize>) {
+    fn set_cut(&mut self, cut: BTreeSet<String>) {
         self.cut = cut;
-        let is_cut = |id: &NodeId| self.cut.iter().any(|at| self.vms[*at].0 == *id);
+        let is_cut = |id: &NodeId| {
+            self.vms.iter().any(|vm| vm.node == *id && self.cut.contains(&vm.address))
+        };
         let ids: Vec<_> = self.sim.nodes.keys().copied().collect();
         let pairs = ids.iter().flat_map(|a| ids.iter().map(move |b| (*a, *b)));
         self.sim.cut = pairs.filter(|(a, b)| is_cut(a) || is_cut(b)).collect();
     }
 
+    /// Whether a VM may lose its disk: with it, no more VMs are lost than the group tolerates.
+    fn may_be_lost(&self, at: usize) -> bool {
+        let is_lost = |(i, vm): &(usize, &Vm)| *i == at || vm.rounds_back < CATCH_UP_ROUNDS;
+        self.vms.iter().enumerate().filter(is_lost).count() <= TOLERATED_LOSSES
+    }
+
     fn lose_disk(&mut self, at: usize) {
-        if self.lost_disks < TOLERATED_LOSSES {
-            self.lost_disks += 1;
+        if self.may_be_lost(at) {
             self.rejoin_under_new_id(at);
         }
     }
 
     fn rejoin_under_new_id(&mut self, at: usize) {
-        let old = self.vms[at].0;
+        let old = self.vms[at].node;
         self.sim.crash(old);
         self.sim.nodes.get_mut(&old).expect("the node exists").disk = PersistedState::default();
+        self.vms[at].node = self.next_id;
+        self.start_new_node(at);
+    }
+
+    /// Starts the node of a VM with an empty disk.
+    fn start_new_node(&mut self, at: usize) {
         let id = self.next_id;
         self.next_id += 1;
-        self.vms[at].0 = id;
-        self.addresses.insert(id, self.vms[at].1.clone());
+        self.vms[at].rounds_back = 0;
+        self.addresses.insert(id, self.vms[at].address.clone());
         self.sim.add(id, PersistedState::default());
         self.set_cut(self.cut.clone());
     }
 
+    fn start_planned_replacement(&mut self, at: usize) {
+        // The successor counts as lost until it has caught up.
+        let lost = self.vms.iter().filter(|vm| vm.rounds_back < CATCH_UP_ROUNDS).count();
+        if self.leaving.is_some() || lost >= TOLERATED_LOSSES {
+            return;
+        }
+        let address = format!("address of node {}", self.next_id);
+        self.leaving = Some((self.vms[at].address.clone(), address.clone()));
+        self.vms.push(Vm { node: self.next_id, address, rounds_back: 0 });
+        self.start_new_node(self.vms.len() - 1);
+    }
+
     fn rounds(&mut self, count: usize) {
         for _ in 0..count {
+            self.hold_off_rounds = self.hold_off_rounds.saturating_sub(1);
             self.sim.round();
+            self.count_rounds_back();
             self.rejoin_retired();
-            self.plan_changes();
-            if self.is_complete() {
-                self.lost_disks = 0;
-            }
+            self.change_members();
+            self.check_majority();
         }
     }
 
+    /// A VM that is down or cut off counts as lost until it has been back for a while.
+    fn count_rounds_back(&mut self) {
+        let has_leader = self.working_leader().is_some();
+        for vm in &mut self.vms {
+            let is_up = self.sim.nodes[&vm.node].raft.is_some();
+            vm.rounds_back = match is_up && !self.cut.contains(&vm.address) {
+                true => (vm.rounds_back + u32::from(has_leader)).min(CATCH_UP_ROUNDS),
+                false => 0,
+            };
+        }
+    }
+
+    /// The leader, if it has committed an entry of its term.
+    fn working_leader(&self) -> Option<NodeId> {
+        let leader = self.sim.leader()?;
+        let raft = self.sim.raft(leader);
+        (raft.entry_term(raft.commit()) == Some(raft.term())).then_some(leader)
+    }
+
     /// Lets one running node that was removed from the group, and can learn this from the leader,
     /// rejoin under a new id with an empty disk.
     fn rejoin_retired(&mut self) {
@@ -166,32 +242,37 @@
             return;
         }
         let retired = &raft.membership().retired;
-        let at = self.vms.iter().position(|(id, _)| {
-            self.sim.nodes[id].raft.is_some()
-                && !self.sim.cut.contains(&(*id, leader))
-                && retired.contains(id)
+        let leaving = self.leaving_vm().map(|vm| vm.node);
+        let at = self.vms.iter().position(|vm| {
+            self.sim.nodes[&vm.node].raft.is_some()
+                && !self.sim.cut.contains(&(vm.node, leader))
+                && retired.contains(&vm.node)
+                && leaving != Some(vm.node)
         });
         if let Some(at) = at {
+            // It is no loss of a disk: the group has removed the node and doesn't need it.
+            let rounds_back = self.vms[at].rounds_back;
             self.rejoin_under_new_id(at);
+            self.vms[at].rounds_back = rounds_back;
         }
     }
 
-    /// Continues the changes that the leader is making, or plans new ones: the admission of a VM
-    /// whose node isn't a voter, or else the removal of a surplus voter.
-    fn plan_changes(&mut self) {
+    /// Has the leader make the next change: for a VM that leaves, for one whose node isn't a voter yet,
+    /// or else the removal of a surplus voter.
+    fn change_members(&mut self) {
         let Some(leader) = self.sim.leader() else { return };
-        let term = self.sim.raft(leader).term();
-        if let Some(pending) = self.pending.take().filter(|p| (p.leader, p.term) == (leader, term))
-        {
-            self.continue_changes(pending);
-            return;
-        }
         let raft = self.sim.raft(leader);
         let members = raft.membership().clone();
         let silent_ticks: BTreeMap<NodeId, u32> = raft.silent_ticks().collect();
+        let reachable = members.nodes().filter(|id| raft.is_reachable(*id)).collect();
+        let caught_up = members.nodes().filter(|id| raft.is_caught_up(*id)).collect();
+        let confirmed = members.nodes().filter(|id| raft.is_confirmed_by_all(*id)).collect();
         let view = GroupView {
             members: &members,
             silent_ticks: &silent_ticks,
+            reachable: &reachable,
+            caught_up: &caught_up,
+            confirmed: &confirmed,
             addresses: &self.addresses,
             target_voters: VM_COUNT,
             replace_after_ticks: REPLACE_AFTER_TICKS,
@@ -199,46 +280,89 @@
         let can_reach = |id: NodeId| {
             self.sim.nodes[&id].raft.is_some() && !self.sim.cut.contains(&(id, leader))
         };
-        let joining = self.vms.iter().filter(|(id, _)| can_reach(*id));
-        let admitted = joining.filter_map(|(id, address)| {
-            let mut changes = Vec::new();
-            let action = plan_join(view, *id, address)?;
-            if !members.contains(*id) {
-                changes.push(MembershipChange::AddLearner(*id));
-            }
-            changes.push(MembershipChange::Promote(*id));
-            if let JoinAction::Replace(old) = action {
-                changes.push(MembershipChange::Remove(old));
-            }
-            Some(changes)
+        let leaving = self.leaving_vm().filter(|vm| can_reach(vm.node));
+        let is_released = |id| members.retired.contains(&id) && raft.commit() == raft.last_index();
+        let leave_step = leaving.map(|vm| match is_released(vm.node) {
+            true => (vm.node, LeaveStep::Keep),
+            false => (vm.node, next_leave_step(view, vm.node, &vm.address)),
         });
-        let removed = || surplus_voter(view).map(|id| vec![MembershipChange::Remove(id)]);
-        let changes = admitted.into_iter().next().or_else(removed);
-        self.pending = changes.map(|changes| PendingChanges {
-            leader,
-            term,
-            changes,
-            remaining_rounds: MAX_IDLE_ROUNDS,
+        let may_join = self.hold_off_rounds == 0;
+        let is_retired = |id| members.retired.contains(&id);
+        let mut joining =
+            self.vms.iter().filter(|vm| may_join && can_reach(vm.node) && !is_retired(vm.node));
+        let leave = leave_step.and_then(|(_, step)| match step {
+            LeaveStep::Change(change) => Some(change),
+            LeaveStep::Keep | LeaveStep::Wait => None,
         });
-    }
-
-    fn continue_changes(&mut self, mut pending: PendingChanges) {
-        if self.sim.change(pending.leader, pending.changes[0]) {
-            pending.changes.remove(0);
-            pending.remaining_rounds = MAX_IDLE_ROUNDS;
+        let is_kept = matches!(leave_step, Some((_, LeaveStep::Keep)));
+        let change = leave
+            .or_else(|| match is_kept {
+                true => None,
+                false => joining.find_map(|vm| next_join_step(view, vm.node, &vm.address)),
+            })
+            .or_else(|| surplus_voter(view).map(MembershipChange::Remove));
+        if let Some(change) = change {
+            self.sim.change(leader, change);
         }
-        pending.remaining_rounds = pending.remaining_rounds.saturating_sub(1);
-        if !pending.changes.is_empty() && pending.remaining_rounds > 0 {
-            self.pending = Some(pending);
+        if let Some((node, LeaveStep::Keep)) = leave_step
+            && self.working_leader() == Some(leader)
+        {
+            self.hold_off_rounds = HOLD_OFF_ROUNDS;
+            self.end_for_good(node);
         }
     }
 
+    /// The VM that leaves, once its successor has caught up.
+    fn leaving_vm(&self) -> Option<&Vm> {
+        let (predecessor, successor) = self.leaving.as_ref()?;
+        let successor = self.vms.iter().find(|vm| vm.address == *successor)?;
+        let is_due = successor.rounds_back >= CATCH_UP_ROUNDS;
+        self.vms.iter().find(|vm| vm.address == *predecessor).filter(|_| is_due)
+    }
+
+    /// Ends the process of the VM that leaves.
+    fn end_for_good(&mut self, node: NodeId) {
+        self.sim.crash(node);
+        self.vms.retain(|vm| vm.node != node);
+        self.leaving = None;
+    }
+
+    /// Checks that the voters whose disks are left are a majority, as of the newest log among them.
+    fn check_majority(&self) {
+        let holds = self.vms.iter().map(|vm| vm.node).filter(|id| !self.is_lost(*id));
+        let has_disk: BTreeSet<NodeId> = holds.collect();
+        let newest = has_disk.iter().max_by_key(|id| {
+            let disk = &self.sim.nodes[id].disk;
+            disk.entries
+                .last()
+                .map_or((disk.snapshot.meta.term, disk.snapshot.meta.index), |e| (e.term, e.index))
+        });
+        let Some(newest) = newest else { return };
+        let disk = &self.sim.nodes[newest].disk;
+        let in_log = disk.entries.iter().rev().find_map(|e| match &e.payload {
+            raft::EntryPayload::Membership(members) => Some(members),
+            _ => None,
+        });
+        let members = in_log.unwrap_or(&disk.snapshot.meta.membership);
+        let left = members.voters.intersection(&has_disk).count();
+        assert!(
+            left >= members.quorum(),
+            "{left} of the voters {:?} are left: {has_disk:?}",
+            members.voters
+        );
+    }
+
+    /// Whether a leader counts the node as a voter although its log is empty.
+    fn is_lost(&self, id: NodeId) -> bool {
+        self.sim.nodes[&id].raft.as_ref().is_some_and(raft::Raft::has_lost_disk)
+    }
+
     /// Whether the nodes of the VMs are exactly the voters, all entries are committed, and each
     /// node's disk holds everything that was ever applied.
     fn is_complete(&self) -> bool {
         let Some(leader) = self.sim.leader() else { return false };
         let raft = self.sim.raft(leader);
-        let nodes: BTreeSet<NodeId> = self.vms.iter().map(|(id, _)| *id).collect();
+        let nodes: BTreeSet<NodeId> = self.vms.iter().map(|vm| vm.node).collect();
         let newest = self.sim.history.keys().last().copied().unwrap_or(0);
         let holds = |id: &NodeId| {
             let disk = &self.sim.nodes[id].disk;
@@ -246,14 +370,16 @@
             last.max(disk.snapshot.meta.index) >= newest
         };
         let voters: BTreeSet<NodeId> = raft.membership().voters.iter().copied().collect();
-        voters == nodes && raft.commit() == raft.last_index() && nodes.iter().all(holds)
+        nodes.len() == VM_COUNT
+            && voters == nodes
+            && raft.commit() == raft.last_index()
+            && nodes.iter().all(holds)
     }
 
     fn recover(&mut self) {
         self.set_cut(BTreeSet::new());
-        for (id, _) in self.vms.clone() {
-            self.sim.restart(id);
-        }
+        let nodes: Vec<_> = self.vms.iter().map(|vm| vm.node).collect();
+        nodes.into_iter().for_each(|node| self.sim.restart(node));
         for _ in 0..40 {
             self.rounds(50);
             if self.is_complete() {
@@ -268,7 +394,7 @@
     fn check_survives_two_failures(&mut self, seed: usize) {
         let (a, b) = (seed % VM_COUNT, (seed + 1 + seed / VM_COUNT % 4) % VM_COUNT);
         for at in [a, b] {
-            self.sim.crash(self.vms[at].0);
+            self.sim.crash(self.vms[at].node);
         }
         self.sim.elect();
         let leader = self.sim.leader().expect("elected");
--- a/crates/raft/tests/scenarios.rs
+++ b/crates/raft/tests/scenarios.rs
@@ -297,3 +297,16 @@
 fn founded_again() {
     run("founded_again");
 }
+
+/// Guards against a group that loses its majority for good because a node was promoted before the voter
+/// whose place it takes was removed, and is lost itself.
+#[test]
+fn replacement_of_a_lost_voter() {
+    run("replacement_of_a_lost_voter");
+}
+
+/// Guards against a new leader that takes voters for reachable which it has never heard.
+#[test]
+fn changes_of_a_new_leader() {
+    run("changes_of_a_new_leader");
+}
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -23,10 +23,7 @@
 use kernel::SharedClock;
 use std::{
     collections::HashMap,
-    sync::{
-        Arc, Mutex, OnceLock,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Mutex, OnceLock},
     time::{Duration, Instant},
 };
 use tokio::{
@@ -87,22 +84,13 @@
     position_reports: watch::Sender<u64>,
     /// Notified when a placement request may be waiting.
     placement_waiting: Notify,
-    /// Whether a [`MembershipChangeGuard`] exists.
-    is_changing_membership: AtomicBool,
+    /// Held while the members of the group are changed.
+    membership_change: tokio::sync::Mutex<()>,
     pub(super) watchlist: watch::Sender<ReadWatchlist>,
     reports_tx: flume::Sender<ReceivedReports>,
     refreshes: Arc<Refreshes>,
 }
 
-/// Exclusive right to change the group's members, released on drop.
-pub(crate) struct MembershipChangeGuard<'a>(&'a AtomicBool);
-
-impl Drop for MembershipChangeGuard<'_> {
-    fn drop(&mut self) {
-        self.0.store(false, Ordering::Release);
-    }
-}
-
 impl ControlMember {
     /// Creates the control part, and the task that replicates reports of crashes.
     pub(crate) fn new(
@@ -128,7 +116,7 @@
             reply_due: Notify::new(),
             position_reports: watch::Sender::new(0),
             placement_waiting: Notify::new(),
-            is_changing_membership: AtomicBool::new(false),
+            membership_change: tokio::sync::Mutex::default(),
             watchlist: watch::Sender::new(ReadWatchlist::default()),
             reports_tx,
             refreshes,
@@ -187,10 +175,9 @@
         &self.control
     }
 
-    /// Returns the right to change the members, unless it is taken.
-    pub(crate) fn try_start_membership_change(&self) -> Option<MembershipChangeGuard<'_>> {
-        let is_taken = self.is_changing_membership.swap(true, Ordering::AcqRel);
-        (!is_taken).then_some(MembershipChangeGuard(&self.is_changing_membership))
+    /// Returns the exclusive right to change the members, unless it is taken.
+    pub(crate) fn try_start_membership_change(&self) -> Option<tokio::sync::MutexGuard<'_, ()>> {
+        self.membership_change.try_lock().ok()
     }
 
     /// Watches the Raft role: starts and ends the leader's work, and cleans up periodically.
--- a/crates/toucansilld/src/gateway/members.rs
+++ b/crates/toucansilld/src/gateway/members.rs
@@ -5,10 +5,9 @@
     identity,
     messages::{LeaderReply, LeaderRequest},
 };
-use crate::control_messages::VoterChange;
 use group::{
-    NodeId, Status,
-    joining::{GroupView, JoinAction, plan_join, surplus_voter},
+    MembershipChange, NodeId, Status,
+    joining::{GroupView, next_join_step, surplus_voter},
 };
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{task::spawn_blocking, time::sleep};
@@ -45,72 +44,78 @@
     f(GroupView {
         members: &status.membership,
         silent_ticks: &status.silent_ticks,
+        reachable: &status.reachable,
+        caught_up: &status.caught_up,
+        confirmed: &status.confirmed,
         addresses: &nodes.filter_map(|id| Some((id, address_of(id)?))).collect(),
         target_voters: members_for(tolerated_losses),
         replace_after_ticks: REPLACE_AFTER_SILENT_TICKS,
     })
 }
 
-/// Whether an id was removed for good. The membership may come from a log entry that is not
-/// committed yet and may still be replaced, so all entries have to be committed.
+/// Whether an id was removed for good. Before the change is committed, it may still be replaced.
 fn is_retired(status: &Status, id: NodeId) -> bool {
-    status.membership.retired.contains(&id) && status.commit >= status.last_index
+    status.membership.retired.contains(&id) && status.is_membership_committed
 }
 
 impl ControlMember {
-    /// Admits a daemon to the group, one at a time. The daemon repeats its request until it is a
-    /// member.
+    /// Makes the next changes on a daemon's way into the group. The daemon repeats its request until it
+    /// is a member, so that one that has gone is not promoted.
     pub(crate) async fn admit(self: &Arc<Self>, id: NodeId, address: String) -> LeaderReply {
-        let status = self.voter().status();
-        if !status.is_leader() {
-            return self.not_leader();
-        }
-        if is_retired(&status, id) {
-            return LeaderReply::Retired;
-        }
-        let address_of = |id| self.voter().address_of(id);
-        let losses = self.settings().tolerated_losses;
-        let action =
-            with_group_view(&status, address_of, losses, |view| plan_join(view, id, &address));
-        let change = match action {
-            None => return LeaderReply::JoinPending,
-            Some(JoinAction::Add) => VoterChange::Add { id, address: address.clone() },
-            Some(JoinAction::Replace(old)) => {
-                VoterChange::Replace { old, new: id, address: address.clone() }
-            }
-        };
         let Some(_guard) = self.try_start_membership_change() else {
             return LeaderReply::JoinPending;
         };
-        log::info!(member = id, address = address.as_str(), change:? = change; "member admitted");
-        let voter = Arc::clone(self.voter());
-        match spawn_blocking(move || voter.change_voters(change)).await {
-            Ok(Ok(())) => log::info!(member = id; "member has joined"),
-            Ok(Err(err)) => log::warn!(member = id; "member has not joined: {err}"),
-            Err(err) => log::error!(member = id; "admission failed: {err}"),
+        // A removed voter and the promotion of its successor follow each other without a pause.
+        loop {
+            let status = self.voter().status();
+            if !status.is_leader() {
+                return self.not_leader();
+            }
+            if is_retired(&status, id) {
+                return LeaderReply::Retired;
+            }
+            let step = self.with_view(&status, |view| next_join_step(view, id, &address));
+            let Some(change) = step else { return LeaderReply::JoinPending };
+            log::info!(member = id, address = address.as_str(), change:? = change; "member admitted");
+            if change == MembershipChange::AddLearner(id) {
+                self.voter().learn_address(id, address.clone());
+            }
+            if let Err(err) = self.change_members(change).await {
+                log::warn!(member = id, change:? = change; "member has not joined: {err}");
+                return LeaderReply::JoinPending;
+            }
+            if change == MembershipChange::Promote(id) {
+                log::info!(member = id; "member has joined");
+            }
         }
-        LeaderReply::JoinPending
     }
 
-    /// Removes a member that is one too many, because the leader changed while it was being
-    /// replaced.
+    /// Removes a member that is one too many and doesn't answer, as its process ended before it could
+    /// leave.
     async fn remove_surplus(self: &Arc<Self>, status: &Status) {
-        let address_of = |id| self.voter().address_of(id);
-        let surplus =
-            with_group_view(status, address_of, self.settings().tolerated_losses, surplus_voter);
-        let Some(id) = surplus else { return };
+        let Some(id) = self.with_view(status, surplus_voter) else { return };
         let Some(_guard) = self.try_start_membership_change() else { return };
         let members = status.membership.voters.len();
         let silent_ticks = status.silent_ticks.get(&id).copied().unwrap_or_default();
         log::warn!(member = id, members, silent_ticks; "surplus member removed");
-        let voter = Arc::clone(self.voter());
-        match spawn_blocking(move || voter.change_voters(VoterChange::Remove { id })).await {
-            Ok(Ok(())) => {}
-            Ok(Err(err)) => log::warn!(member = id; "surplus member not removed: {err}"),
-            Err(err) => log::error!(member = id; "removal failed: {err}"),
+        if let Err(err) = self.change_members(MembershipChange::Remove(id)).await {
+            log::warn!(member = id; "surplus member not removed: {err}");
         }
     }
 
+    /// Calls `f` with the leader's view of the group.
+    fn with_view<T>(&self, status: &Status, f: impl FnOnce(GroupView<'_>) -> T) -> T {
+        let address_of = |id| self.voter().address_of(id);
+        with_group_view(status, address_of, self.settings().tolerated_losses, f)
+    }
+
+    /// Makes a membership change, and waits until it is committed.
+    async fn change_members(&self, change: MembershipChange) -> group::Result<()> {
+        let voter = Arc::clone(self.voter());
+        let changed = spawn_blocking(move || voter.change_members(change)).await;
+        changed.unwrap_or_else(|err| std::panic::resume_unwind(err.into_panic()))
+    }
+
     /// Joins the group, and joins again if this daemon was removed while it was down or cut off.
     /// Returns when this daemon's id can't be used any more, as the process then has to restart and
     /// get another, or when its voter has failed.
--- a/crates/toucansilld/src/voter.rs
+++ b/crates/toucansilld/src/voter.rs
@@ -39,6 +39,9 @@
 const CONFIRM_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum time for one step of a membership change.
 const MEMBERSHIP_TIMEOUT: Duration = Duration::from_secs(30);
+/// Maximum time for a membership change that the daemons make by themselves. It is planned anew if it
+/// fails, and nobody else joins or leaves meanwhile.
+const MEMBER_CHANGE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time between checks for expired leases.
 pub(crate) const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -153,9 +156,14 @@
         self.addresses.of(id)
     }
 
-    /// Applies one step of a membership change.
-    pub(crate) fn change_voters(&self, change: VoterChange) -> group::Result<()> {
-        self.apply_change(change).map(drop)
+    /// Adds or changes the link address of another voter.
+    pub(crate) fn learn_address(&self, id: NodeId, address: String) {
+        self.addresses.learn(&[(id, address)].into());
+    }
+
+    /// Makes one membership change, and waits until it is committed.
+    pub(crate) fn change_members(&self, change: MembershipChange) -> group::Result<()> {
+        self.handle.change_membership(change, MEMBER_CHANGE_TIMEOUT).map(drop)
     }
 
     /// Status of the group on this voter.
