Have members that stop leave the group if their successor has joined

The acknowledged configuration is never read again.

Cause: SIGTERM ended a member's voter and told nobody, so the group counted six voters, three of which were left. Only 2.5 s of silence removed it, counted anew by each leader and checked once a second, so leaders that are lost each 2.1 s never got there.

Evidence: of the four new tests in gateway/replacements.rs three failed on: two disks lost after a member or the leader has left, and a restart beside a successor (a_member_that_restarts_stays_a_member passed there as well). Ruled out: a successor without a vote (the tests wait for six members), and a removal that was proposed but not committed (none was proposed).

Change: a member that is told to stop asks the leader, and ends when it is removed, or when it is told that it stays a member as nobody has joined in its place. It waits while another node joins or the others are no majority. A voter that ends without notice is replaced after 1 s instead of 2.5 s, checked each 0.25 s.

--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -86,6 +86,8 @@
     placement_waiting: Notify,
     /// Held while the members of the group are changed.
     membership_change: tokio::sync::Mutex<()>,
+    /// When this daemon, as the leader, last told a member that it may stop and stays one.
+    last_kept: Mutex<Option<Instant>>,
     pub(super) watchlist: watch::Sender<ReadWatchlist>,
     reports_tx: flume::Sender<ReceivedReports>,
     refreshes: Arc<Refreshes>,
@@ -117,6 +119,7 @@
             position_reports: watch::Sender::new(0),
             placement_waiting: Notify::new(),
             membership_change: tokio::sync::Mutex::default(),
+            last_kept: Mutex::default(),
             watchlist: watch::Sender::new(ReadWatchlist::default()),
             reports_tx,
             refreshes,
@@ -180,6 +183,16 @@
         self.membership_change.try_lock().ok()
     }
 
+    /// Records that a member was told that it may stop and stays one.
+    pub(super) fn member_kept(&self) {
+        *lock(&self.last_kept) = Some(self.now());
+    }
+
+    /// Whether a member was told so within `time`.
+    pub(super) fn has_just_kept_member(&self, time: Duration) -> bool {
+        lock(&self.last_kept).is_some_and(|at| self.now().saturating_duration_since(at) < time)
+    }
+
     /// Watches the Raft role: starts and ends the leader's work, and cleans up periodically.
     pub(crate) async fn watch_leadership(self: Arc<Self>) {
         let mut last_clean_up = self.clock.now();
@@ -387,6 +400,12 @@
                     reply(responder, &control.admit(id, address).await);
                 });
             }
+            LeaderRequest::Leave { id, address } => {
+                let control = Arc::clone(self);
+                tokio::spawn(async move {
+                    reply(responder, &control.release(id, &address).await);
+                });
+            }
         }
     }
 
--- a/crates/toucansilld/src/gateway/members.rs
+++ b/crates/toucansilld/src/gateway/members.rs
@@ -1,4 +1,4 @@
-//! Membership of the control group: joining it and admitting other daemons.
+//! Membership of the control group: joining it, admitting other daemons, and leaving it.
 
 use super::{
     control::ControlMember,
@@ -7,25 +7,39 @@
 };
 use group::{
     MembershipChange, NodeId, Status,
-    joining::{GroupView, next_join_step, surplus_voter},
+    joining::{GroupView, LeaveStep, next_join_step, next_leave_step, surplus_voter},
+};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
 };
-use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{task::spawn_blocking, time::sleep};
 
 /// Interval of Raft ticks. With it, elections take 0.5 s to 1 s.
 pub(crate) const TICK: Duration = Duration::from_millis(50);
-/// Ticks of silence after which a joining daemon may replace a member: longer than an election,
-/// shorter than the time that a successor has to catch up.
-const REPLACE_AFTER_SILENT_TICKS: u32 = 50;
+/// Ticks of silence after which a member may be replaced. Each leader counts them anew, so a leader has
+/// to last this long; most members that restart are back sooner.
+const REPLACE_AFTER_SILENT_TICKS: u32 = 20;
 /// Ticks of silence after which the gauges count a member as not heard: two heartbeats and a
 /// margin.
 pub(crate) const UNHEARD_TICKS: u32 = 6;
 /// Interval between requests to join.
 const JOIN_RETRY_INTERVAL: Duration = Duration::from_millis(200);
-/// Interval at which a member checks that it still is one.
-const MEMBERSHIP_CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Interval at which a member checks that it still is one and, if it leads, whether there is one too many.
+const MEMBERSHIP_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Timeout for the reply to a request to join.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
+/// Timeout for the reply to a request to leave, which comes when the removal is committed.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Interval between requests to leave.
+const LEAVE_RETRY_INTERVAL: Duration = Duration::from_millis(50);
+/// Time after which a member that has no successor stops without a reply: the others may be stopping as
+/// well. Longer than most elections.
+const LEADERLESS_LEAVE_TIME: Duration = Duration::from_secs(2);
+/// Time for which nobody is admitted once a member was told that it may stop. By then the leader has
+/// noticed that the member is silent.
+const HOLD_OFF: Duration = Duration::from_millis(600);
 
 /// Number of members that a group needs to survive the loss of this many disks at once: the
 /// remaining members must be a majority.
@@ -63,8 +77,11 @@
     /// is a member, so that one that has gone is not promoted.
     pub(crate) async fn admit(self: &Arc<Self>, id: NodeId, address: String) -> LeaderReply {
         let Some(_guard) = self.try_start_membership_change() else {
-            return LeaderReply::JoinPending;
+            return LeaderReply::ChangePending;
         };
+        if self.has_just_kept_member(HOLD_OFF) {
+            return LeaderReply::ChangePending;
+        }
         // A removed voter and the promotion of its successor follow each other without a pause.
         loop {
             let status = self.voter().status();
@@ -75,14 +92,14 @@
                 return LeaderReply::Retired;
             }
             let step = self.with_view(&status, |view| next_join_step(view, id, &address));
-            let Some(change) = step else { return LeaderReply::JoinPending };
+            let Some(change) = step else { return LeaderReply::ChangePending };
             log::info!(member = id, address = address.as_str(), change:? = change; "member admitted");
             if change == MembershipChange::AddLearner(id) {
                 self.voter().learn_address(id, address.clone());
             }
             if let Err(err) = self.change_members(change).await {
                 log::warn!(member = id, change:? = change; "member has not joined: {err}");
-                return LeaderReply::JoinPending;
+                return LeaderReply::ChangePending;
             }
             if change == MembershipChange::Promote(id) {
                 log::info!(member = id; "member has joined");
@@ -90,6 +107,34 @@
         }
     }
 
+    /// Makes the next change for a member that is about to stop: removes it if its successor has joined.
+    /// The member repeats its request until it may stop.
+    pub(crate) async fn release(self: &Arc<Self>, id: NodeId, address: &str) -> LeaderReply {
+        let status = self.voter().status();
+        if !status.is_leader() {
+            return self.not_leader();
+        }
+        if is_retired(&status, id) {
+            return LeaderReply::Retired;
+        }
+        let Some(_guard) = self.try_start_membership_change() else {
+            return LeaderReply::ChangePending;
+        };
+        let change = match self.with_view(&status, |view| next_leave_step(view, id, address)) {
+            LeaveStep::Change(change) => change,
+            LeaveStep::Wait => return LeaderReply::ChangePending,
+            LeaveStep::Keep => {
+                self.member_kept();
+                return LeaderReply::Retained;
+            }
+        };
+        match self.change_members(change).await {
+            Ok(()) => log::info!(member = id, change:? = change; "member leaves"),
+            Err(err) => log::warn!(member = id, change:? = change; "member has not left: {err}"),
+        }
+        LeaderReply::ChangePending
+    }
+
     /// Removes a member that is one too many and doesn't answer, as its process ended before it could
     /// leave.
     async fn remove_surplus(self: &Arc<Self>, status: &Status) {
@@ -116,6 +161,54 @@
         changed.unwrap_or_else(|err| std::panic::resume_unwind(err.into_panic()))
     }
 
+    /// Leaves the group before this daemon stops, if its successor has joined: otherwise the group would
+    /// go on counting a vote that is never cast. Returns whether it has left. It stays a member if it has
+    /// no successor, or if the group doesn't reply until `deadline`.
+    pub(crate) async fn leave(self: &Arc<Self>, deadline: Instant) -> bool {
+        let started = self.now();
+        loop {
+            let status = self.voter().status();
+            let reply = self.request_leave(&status).await;
+            let now = self.now();
+            let without_leader = now.saturating_duration_since(started) >= LEADERLESS_LEAVE_TIME;
+            match reply {
+                Some(LeaderReply::Retired) => return true,
+                Some(LeaderReply::Retained) => return false,
+                None if without_leader && !self.has_surplus(&status) => return false,
+                _ if now >= deadline => {
+                    log::warn!(member = status.id; "this member stops, and the group still counts it");
+                    return false;
+                }
+                _ => sleep(LEAVE_RETRY_INTERVAL).await,
+            }
+        }
+    }
+
+    /// Whether the group has more voters than it should have, as far as this member knows.
+    fn has_surplus(&self, status: &Status) -> bool {
+        status.membership.voters.len() > members_for(self.settings().tolerated_losses)
+    }
+
+    /// Requests to leave, of the leader that the voter knows; `None` without one.
+    async fn request_leave(self: &Arc<Self>, status: &Status) -> Option<LeaderReply> {
+        let address = self.links().address().to_string();
+        if status.is_leader() {
+            return Some(self.release(status.id, &address).await);
+        }
+        let leader: SocketAddr = self.voter().address_of(status.leader?)?.parse().ok()?;
+        let request = LeaderRequest::Leave { id: status.id, address };
+        match self.links().request(leader, &request, LEAVE_TIMEOUT).await {
+            Ok(LeaderReply::NotLeader { .. }) => None,
+            Ok(reply) => Some(reply),
+            // A daemon of an earlier build refuses the request.
+            Err(err) if err.is_refused() => Some(LeaderReply::Retained),
+            Err(err) => {
+                log::warn!("{leader}: not released yet: {err}");
+                None
+            }
+        }
+    }
+
     /// Joins the group, and joins again if this daemon was removed while it was down or cut off.
     /// Returns when this daemon's id can't be used any more, as the process then has to restart and
     /// get another, or when its voter has failed.
@@ -164,7 +257,7 @@
     }
 
     /// Stops the voter and empties its data folder.
-    fn discard_member(&self, reason: &str) {
+    pub(crate) fn discard_member(&self, reason: &str) {
         log::warn!("this member starts anew: {reason}");
         self.voter().stop();
         if let Err(err) = identity::discard(self.settings()) {
--- a/crates/toucansilld/src/gateway/messages.rs
+++ b/crates/toucansilld/src/gateway/messages.rs
@@ -79,6 +79,14 @@
     OfferUpstreams(Vec<Registration>),
     /// Requests the receiver's copy of the directory, for a new leader that has none.
     ReadDirectory,
+    /// Request of a member that is about to stop to be removed from the control group, if its successor
+    /// has joined.
+    Leave {
+        /// Id that the daemon has as a voter.
+        id: u64,
+        /// Link address of the daemon.
+        address: String,
+    },
 }
 
 /// Run of an upstream that has registered again with nothing new.
@@ -103,11 +111,11 @@
     ProgressRecorded,
     /// Reply to [`LeaderRequest::Control`].
     Control(ControlHttpResponse),
-    /// Reply to [`LeaderRequest::Join`]: the id is already a member, or a membership change was
-    /// attempted or is under way. The daemon repeats its request until it is a member.
-    JoinPending,
-    /// Reply to [`LeaderRequest::Join`]: the id was removed from the group and can't be used
-    /// again.
+    /// Reply to [`LeaderRequest::Join`] and [`LeaderRequest::Leave`]: a membership change was made,
+    /// attempted or is under way. The daemon repeats its request until it is a member, or may stop.
+    ChangePending,
+    /// Reply to [`LeaderRequest::Join`] and [`LeaderRequest::Leave`]: the id was removed from the group
+    /// and can't be used again.
     Retired,
     /// The receiver does not lead the control group.
     NotLeader {
@@ -152,6 +160,9 @@
         /// Number of entry daemons, as the last leader counted them.
         entry_daemons: u32,
     },
+    /// Reply to [`LeaderRequest::Leave`]: the daemon may stop. The group keeps it as a member, as no other
+    /// has come in its place.
+    Retained,
 }
 
 /// Daemon that relays messages to upstreams.
--- a/crates/toucansilld/src/gateway/run.rs
+++ b/crates/toucansilld/src/gateway/run.rs
@@ -39,6 +39,7 @@
     runtime::Builder,
     signal::unix::{SignalKind, signal},
     sync::watch,
+    task::{JoinHandle, spawn_blocking},
     time::sleep,
 };
 
@@ -209,27 +210,52 @@
         member = Some(tokio::spawn(Arc::clone(control).maintain_membership()));
     }
 
-    await_stop(path, &settings, member).await?;
+    let membership_task = member.as_ref().map(JoinHandle::abort_handle);
+    let cause = await_stop(path, &settings, member).await?;
     let stopping = Instant::now();
     log::info!("stopping");
     // An error means that no task is left that would have to be told.
     let _ = is_stopping_tx.send(true);
-    if let Some(control) = &control {
-        let voter = Arc::clone(control.voter());
-        let stopped = tokio::task::spawn_blocking(move || {
-            voter.step_down();
-            voter.stop();
-        });
-        if let Err(err) = stopped.await {
-            log::error!("the voter did not stop: {err}");
+    if let Some(task) = membership_task {
+        task.abort();
+    }
+    let limit = settings.bounds.stop_time();
+    let stop_control = async {
+        if let (Some(control), StopCause::Signal) = (&control, cause) {
+            stop_voter(control, stopping + limit.saturating_sub(STOP_MARGIN)).await;
+        }
+    };
+    let drain_callers = async {
+        if let Some(callers) = callers {
+            let relayed = relayed.unwrap_or_default();
+            drain(callers, relayed, stopping, limit, &is_stopping_soon_tx).await;
         }
+    };
+    tokio::join!(stop_control, drain_callers);
+    Ok(())
+}
+
+/// Passes on the leadership, leaves the group if a successor has joined, and stops the voter. A voter
+/// that leaves is needed until then, so the process ends only after that, or at `deadline`.
+async fn stop_voter(control: &Arc<ControlMember>, deadline: Instant) {
+    let voter = Arc::clone(control.voter());
+    if let Err(err) = spawn_blocking(move || voter.step_down()).await {
+        log::error!("leadership was not transferred: {err}");
     }
-    if let Some(callers) = callers {
-        let limit = settings.bounds.stop_time();
-        let relayed = relayed.unwrap_or_default();
-        drain(callers, relayed, stopping, limit, &is_stopping_soon_tx).await;
+    if control.leave(deadline).await {
+        return control.discard_member("it has left the group");
+    }
+    let voter = Arc::clone(control.voter());
+    if let Err(err) = spawn_blocking(move || voter.stop()).await {
+        log::error!("the voter did not stop: {err}");
     }
-    Ok(())
+}
+
+/// Why a daemon stops.
+enum StopCause {
+    Signal,
+    /// Its id in the control group can't be used any more, or its voter has stopped.
+    Member,
 }
 
 /// Waits for a stop signal, or until this daemon has to restart because its id in the control
@@ -237,8 +263,8 @@
 async fn await_stop(
     path: &Path,
     settings: &GatewaySettings,
-    member: Option<tokio::task::JoinHandle<()>>,
-) -> Result<()> {
+    member: Option<JoinHandle<()>>,
+) -> Result<StopCause> {
     let fault = |err| Error::start("signals", err);
     let mut term = signal(SignalKind::terminate()).map_err(fault)?;
     let mut int = signal(SignalKind::interrupt()).map_err(fault)?;
@@ -253,9 +279,9 @@
     tokio::pin!(member);
     loop {
         tokio::select! {
-            _ = term.recv() => return Ok(()),
-            _ = int.recv() => return Ok(()),
-            () = &mut member => return Ok(()),
+            _ = term.recv() => return Ok(StopCause::Signal),
+            _ = int.recv() => return Ok(StopCause::Signal),
+            () = &mut member => return Ok(StopCause::Member),
             _ = hup.recv() => reload(path, settings),
         }
     }
--- a/crates/toucansilld/tests/gateway/main.rs
+++ b/crates/toucansilld/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod lost_paths;
 mod notices;
 mod region;
+mod replacements;
 mod silences;
 mod stand_ins;
 mod upgrade;
--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -206,7 +206,13 @@
 
     /// Starts daemons that are not running, for example because they have exited by themselves.
     pub(crate) fn restart_ended(&mut self) {
-        for i in 0..self.daemons.len() {
+        let all: Vec<usize> = (0..self.daemons.len()).collect();
+        self.restart_ended_of(&all);
+    }
+
+    /// Starts those of these daemons that are not running.
+    pub(crate) fn restart_ended_of(&mut self, daemons: &[usize]) {
+        for i in daemons.iter().copied() {
             let has_ended = |child: &mut Child| child.try_wait().expect("known").is_some();
             if self.children[i].as_mut().is_none_or(has_ended) {
                 self.start(i, false);
@@ -286,6 +292,11 @@
         }
     }
 
+    /// Id of a control daemon in its group.
+    pub(crate) fn member_id(&self, i: usize) -> String {
+        fs::read_to_string(self.data_folder(i).join("member-id")).expect("a member")
+    }
+
     /// Removes the data folder of a control daemon, to simulate the loss of its disk.
     pub(crate) fn lose_disk(&self, i: usize) {
         fs::remove_dir_all(self.data_folder(i)).expect("removed");
--- /dev/null
+++ b/crates/toucansilld/tests/gateway/replacements.rs
@@ -0,0 +1,80 @@
+//! Tests of groups whose members are replaced: at each moment two disks may be lost, and what was
+//! acknowledged must be read again.
+
+use super::{Region, eventually, version};
+use platform::stand_in::{DOCUMENT_PATH, document};
+
+/// Starts a group of five, and a sixth daemon that is to take the place of one of them.
+fn group_with_successor() -> Region {
+    let mut region = Region::new(6);
+    (0..5).for_each(|i| region.start(i, true));
+    region.await_members(5);
+    region.start(5, false);
+    region.await_members(6);
+    region
+}
+
+/// Two daemons lose their disks, and come back with empty ones.
+fn lose_two_disks(region: &mut Region, lost: [usize; 2]) {
+    lost.iter().for_each(|i| region.kill(*i));
+    lost.iter().for_each(|i| region.lose_disk(*i));
+    lost.iter().for_each(|i| region.start(*i, false));
+}
+
+/// Daemon `i` leaves as planned, and two others lose their disks as soon as its process has ended.
+fn check_planned_replacement(mut region: Region, i: usize) {
+    let others: Vec<usize> = (0..6).filter(|other| *other != i).collect();
+    region.control_request_until_ok(others[0], "PUT", DOCUMENT_PATH, &document(7, "/x/", "s1"));
+    region.stop(i);
+    lose_two_disks(&mut region, [others[1], others[3]]);
+    let body = region.control_request_until_ok(others[0], "GET", DOCUMENT_PATH, "");
+    assert_eq!(version(&body), 7);
+    eventually("all members", || {
+        region.restart_ended_of(&others);
+        region.is_group(5, 5).then_some(())
+    });
+}
+
+/// A member that had left was still counted as a voter: of six voters three were left, which is no
+/// majority.
+#[test]
+fn two_disks_are_lost_when_a_replaced_member_has_left() {
+    let region = group_with_successor();
+    let leader = region.await_leader(6);
+    check_planned_replacement(region, (leader + 1) % 5);
+}
+
+/// The same for the leader, which passes on its leadership first.
+#[test]
+fn two_disks_are_lost_when_a_replaced_leader_has_left() {
+    let region = group_with_successor();
+    let leader = region.await_leader(6);
+    check_planned_replacement(region, leader);
+}
+
+/// A member that stops without a successor may just restart: it must keep its id and its vote.
+#[test]
+fn a_member_that_restarts_stays_a_member() {
+    let mut region = Region::new(3);
+    region.start_all(true);
+    region.await_members(3);
+    let id = region.member_id(1);
+    region.stop(1);
+    region.start(1, false);
+    region.await_members(3);
+    assert_eq!(region.member_id(1), id);
+}
+
+/// A member that restarts while another one is being replaced leaves the group, as it can't tell which of
+/// them is to go. It must join again at its next start, without ending once more first.
+#[test]
+fn a_member_that_restarts_beside_a_successor_joins_again() {
+    let mut region = group_with_successor();
+    let id = region.member_id(1);
+    region.stop(1);
+    region.await_members(5);
+    region.start(1, false);
+    region.await_members(6);
+    assert_ne!(region.member_id(1), id);
+    assert!(region.is_running(1), "the process ended by itself");
+}
