--- a/crates/grant/src/directory.rs
+++ b/crates/grant/src/directory.rs
@@ -16,6 +16,9 @@
 /// Time for which a registration may be delayed on its way.
 const REGISTRATION_DELAY_MAX: Duration = Duration::from_secs(10);
 
+/// Longest time for which an upstream counts as cold after a registration.
+const COLD_TIME_MAX: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// One upstream of the directory.
 #[derive(Clone, Debug, Decode, Encode, Eq, PartialEq)]
 pub struct DirectoryEntry {
@@ -140,8 +143,7 @@
         if outcome == RegistrationOutcome::Started {
             self.mark_former_holders_departed(&registration);
         }
-        let timestamps =
-            Timestamps { last_heard: now, cold_until: now + registration.cold_remaining };
+        let timestamps = Timestamps { last_heard: now, cold_until: cold_until(now, &registration) };
         let revision = match outcome.is_change() {
             true => self.next_revision(),
             false => known_revision,
@@ -399,7 +401,7 @@
         }
         self.revision = revision;
         for entry in entries {
-            let cold_until = now + entry.registration.cold_remaining;
+            let cold_until = cold_until(now, &entry.registration);
             self.put(entry, Timestamps { last_heard: now, cold_until });
         }
     }
@@ -481,6 +483,12 @@
     }
 }
 
+/// Until when an upstream is cold. A remaining time that only some daemons could add to their clocks must
+/// not stop the others, so it is cut.
+fn cold_until(now: Instant, registration: &Registration) -> Instant {
+    now + registration.cold_remaining.min(COLD_TIME_MAX)
+}
+
 /// Whether an upstream announced a departure after it sent a registration.
 fn announces_after(departure: &UpstreamDeparture, registration: &Registration) -> bool {
     let is_same_run = departure.started_at_ms == registration.started_at_ms;
--- a/crates/grant/tests/directory.rs
+++ b/crates/grant/tests/directory.rs
@@ -1,7 +1,7 @@
 //! Registrations that arrive late, out of order, or from runs that have ended.
 
 use control::{Command, Departures, State, UpstreamDeparture};
-use grant::{Directory, Registration, RegistrationOutcome};
+use grant::{Directory, DirectoryEntry, Registration, RegistrationOutcome};
 use std::{
     collections::BTreeSet,
     time::{Duration, Instant},
@@ -262,3 +262,20 @@
         copy.changes_since(now, since).into_iter().map(|e| e.registration.id).collect();
     assert_eq!(changed, ["u", "w"]);
 }
+
+/// A remaining cold time may fit the clock of the leader and not that of a follower. The follower's task
+/// ended at it, so that it followed nothing any more.
+#[test]
+fn a_cold_time_beyond_the_clock_stops_no_daemon() {
+    let now = Instant::now();
+    let registration = Registration {
+        cold_remaining: Duration::MAX,
+        ..Registration::new("u1", "s1", "10.0.0.1:80".parse().expect("an address"))
+    };
+    let mut leader = Directory::new();
+    assert_eq!(leader.register(now, registration.clone()), RegistrationOutcome::Started);
+    let mut follower = Directory::new();
+    let entry = DirectoryEntry { registration, is_departed: false, revision: 1 };
+    follower.adopt_entries(now, true, 1, vec![entry]);
+    assert!(follower.get("u1").is_some());
+}
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -75,11 +75,15 @@
     /// of this length.
     pub fn full_pass_prefill_time(&self, prompt: Tokens) -> Duration {
         let chunks = prompt.max(1) as f64 / self.chunk_tokens.max(1) as f64;
-        self.prefill_time(prompt.max(1)).mul_f64(f64::from(self.steps_per_pass) / chunks)
+        let prefill_ms = self.prefill_time(prompt.max(1)).as_secs_f64() * 1e3;
+        millis(prefill_ms * f64::from(self.steps_per_pass) / chunks)
     }
 }
 
-/// A duration in milliseconds, limited to one day.
+/// A duration in milliseconds, limited to one day; zero if it is no number.
 fn millis(ms: f64) -> Duration {
-    Duration::from_secs_f64((ms / 1e3).clamp(0.0, 86_400.0))
+    match ms.is_nan() {
+        true => Duration::ZERO,
+        false => Duration::from_secs_f64((ms / 1e3).clamp(0.0, 86_400.0)),
+    }
 }
--- a/crates/toucansilld/tests/gateway/main.rs
+++ b/crates/toucansilld/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod link_resets;
 mod lost_paths;
 mod notices;
+mod odd_values;
 mod region;
 mod replacements;
 mod silences;
