End a part of a stream at the head of another response

The head ends with an empty line, as an event does, so it was passed on as one, and the stream looked complete.

Change: the splitter of events ends at a line that begins a response. Nothing from there on is passed on, nor an event that it cuts off, and the stream is resumed after the last whole event.

Evidence: a_head_within_a_stream_is_not_passed_on failed on (the head was in the caller's body), and passes. the_head_of_another_response_ends_the_events splits three such streams at each byte.

--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -24,6 +24,8 @@
     buf: BytesMut,
     /// Number of bytes at the start of `buf` that were searched for the end of an event.
     searched_bytes: usize,
+    /// Whether the head of another response was found among the events.
+    has_foreign_head: bool,
 }
 
 impl EventSplitter {
@@ -38,18 +40,32 @@
     }
 
     /// Removes and returns all whole events received since the last call. Returns `None` if none is
-    /// whole yet.
+    /// whole yet, or none is left before the head of another response.
     pub fn next_chunk(&mut self) -> Option<EventChunk> {
+        if self.has_foreign_head {
+            return None;
+        }
         // The end of an event may start within the bytes already searched.
         let from = self.searched_bytes.saturating_sub(MAX_END_BYTES - 1);
         let end = last_end(&self.buf[from..]).map(|end| from + end);
         self.searched_bytes = self.buf.len();
-        let bytes = self.buf.split_to(end?).freeze();
+        let mut end = end?;
+        if let Some(head) = status_line(&self.buf[..end]) {
+            self.has_foreign_head = true;
+            end = last_end(&self.buf[..head])?;
+        }
+        let bytes = self.buf.split_to(end).freeze();
         self.searched_bytes = self.buf.len();
         let last_id = last_id(&bytes);
         Some(EventChunk { bytes, last_id })
     }
 
+    /// Whether the head of another response was found where an event is due. A faulty upstream may send
+    /// one in the body of a response that ends with its connection; no field of an event looks like it.
+    pub fn has_foreign_head(&self) -> bool {
+        self.has_foreign_head
+    }
+
     /// Whether more bytes were received of an event that is not whole yet than an event may have. An
     /// upstream in trouble may send bytes without end, so nothing more should be pushed.
     pub fn is_event_too_long(&self) -> bool {
@@ -74,6 +90,14 @@
     last_after(b"\n\n").max(last_after(b"\r\n\r\n"))
 }
 
+/// Offset of the first line that begins a response.
+fn status_line(buf: &[u8]) -> Option<usize> {
+    const VERSION: &[u8] = b"HTTP/1.";
+    let is_start = |at: &usize| *at == 0 || buf[*at - 1] == b'\n';
+    let mut matches = buf.windows(VERSION.len()).enumerate().filter(|(_, w)| *w == VERSION);
+    matches.find(|(at, _)| is_start(at)).map(|(at, _)| at)
+}
+
 /// Number in the last `id:` line that holds one.
 fn last_id(bytes: &[u8]) -> Option<u64> {
     let lines = bytes.split(|byte| *byte == b'\n').rev();
--- a/crates/proxy/tests/events.rs
+++ b/crates/proxy/tests/events.rs
@@ -34,6 +34,31 @@
     assert!(events.incomplete().is_empty());
 }
 
+/// The head of another response must not be passed on as an event, nor an event that it cuts off.
+#[test]
+fn the_head_of_another_response_ends_the_events() {
+    for (stream, whole) in [
+        ("id: 1\ndata: a\n\nHTTP/1.1 503 Service Unavailable\r\n\r\n", 15),
+        ("id: 1\ndata: a\n\nid: 2\ndata:\nHTTP/1.1 503 Service Unavailable\r\n\r\n", 15),
+        ("HTTP/1.1 500 Internal Server Error\r\n\r\nid: 1\n\n", 0),
+    ] {
+        for split in 0..stream.len() {
+            let mut events = EventSplitter::new();
+            let (first, rest) = stream.as_bytes().split_at(split);
+            events.push(first);
+            let mut passed: Vec<u8> =
+                chunks(&mut events).iter().flat_map(|c| c.bytes.to_vec()).collect();
+            events.push(rest);
+            passed.extend(chunks(&mut events).iter().flat_map(|c| c.bytes.to_vec()));
+            assert_eq!(passed, &stream.as_bytes()[..whole], "split at {split}");
+            assert!(events.has_foreign_head());
+        }
+    }
+    let mut events = EventSplitter::new();
+    events.push(b"data: HTTP/1.1 503 is no head here\n\n");
+    assert!(events.next_chunk().is_some() && !events.has_foreign_head());
+}
+
 /// However the network splits a stream, no byte may be lost, repeated or moved.
 #[test]
 fn bytes_are_the_same_however_the_stream_is_split() {
--- a/crates/toucansilld/src/gateway/stream.rs
+++ b/crates/toucansilld/src/gateway/stream.rs
@@ -158,6 +158,10 @@
         if let Some(chunk) = events.next_chunk() {
             return Ok(chunk);
         }
+        if events.has_foreign_head() {
+            let reason = "the head of another response within the stream";
+            return Err(PartEnd::failed(AttemptFailure::Broken, reason));
+        }
         if events.is_event_too_long() {
             return Err(PartEnd::failed(AttemptFailure::Broken, "an event is too long"));
         }
--- a/crates/toucansilld/tests/gateway/answers.rs
+++ b/crates/toucansilld/tests/gateway/answers.rs
@@ -127,6 +127,7 @@
 }
 
 const START: &str = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n";
+const REST: &str = "id: 3\ndata: piece 3\n\n";
 const ERROR_TEXT: &str = "something went wrong";
 
 fn is_resumed(head: &str) -> bool {
@@ -191,3 +192,26 @@
         assert!(!body.ends_with("\r\n0\r\n\r\n"), "{error}: looks complete: {body}");
     }
 }
+
+/// An engine writes the head of another response into a stream that ends with its connection. It ends like
+/// an event, and was passed on as one.
+#[test]
+fn a_head_within_a_stream_is_not_passed_on() {
+    let (body, requests) = stream_of(|head, _| {
+        let id = request_id(head);
+        let signed = response_header_lines(&id);
+        match is_resumed(head) {
+            true => {
+                let length = REST.len();
+                format!("HTTP/1.1 200 OK\r\n{signed}Content-Length: {length}\r\n\r\n{REST}")
+            }
+            false => {
+                let refusal = turned_away_response(&id, 0.0);
+                format!("HTTP/1.1 200 OK\r\n{signed}Connection: close\r\n\r\n{START}{refusal}")
+            }
+        }
+    });
+    assert!(!body.contains("HTTP/1."), "{body}");
+    assert!(requests >= 2, "not resumed");
+    assert!(body.contains(REST) && body.ends_with("\r\n0\r\n\r\n"), "{body}");
+}
