Refuse requests that are complete late in a stop and would outlive the process

Cause: the listening socket closes at 2.9 s, but nothing compared a request that comes later, on a connection accepted before, with the end of the process.

Change: from then on a request whose deadline is after that end is refused as not run, with a Retry-After of 0; shorter ones are still served.

--- a/crates/toucansilld/src/gateway/entry.rs
+++ b/crates/toucansilld/src/gateway/entry.rs
@@ -2,7 +2,10 @@
 
 pub(crate) use super::placer::LeaderPlacedRequests;
 use super::{
-    forward::{ForwardContext, ForwardableRequest, ForwardedRequest, RequestError, short_hash},
+    forward::{
+        ForwardContext, ForwardableRequest, ForwardedRequest, RequestError, STOPPING_RETRY,
+        short_hash,
+    },
     placer::Placer,
     record::RequestRecord,
     stream,
@@ -45,6 +48,9 @@
     pub(crate) clock: SharedClock,
     /// See [`ForwardContext::is_stopping_soon`].
     pub(crate) is_stopping_soon: watch::Receiver<bool>,
+    /// When this daemon ends, from the time on at which callers should have gone to others; `None` until
+    /// then. A request that may run for longer is refused.
+    pub(crate) ends_at: watch::Receiver<Option<Instant>>,
     /// Memory for request bodies.
     pub(crate) body_budget: Arc<BodyBudget>,
     pub(crate) start_wait: StartWait,
@@ -110,6 +116,10 @@
             .ok_or(RequestError::not_run("too many bytes are under way", NOT_READY_RETRY_AFTER))?;
         let body = read_request_body(body, max_bytes, time_limit).await;
         let body = body.map_err(|status| RequestError::refused(status, "body not read"))?;
+        let deadline = arrived + time_limit;
+        if self.ends_at.borrow().is_some_and(|end| deadline > end) {
+            return Err(RequestError::not_run("this daemon stops", STOPPING_RETRY));
+        }
         let service = route
             .pick(fastrand::f64())
             .ok_or(RequestError::refused(StatusCode::BAD_GATEWAY, "the route leads nowhere"))?;
@@ -131,7 +141,7 @@
             service: service.clone(),
             is_leader_placed,
             arrived,
-            deadline: arrived + time_limit,
+            deadline,
         };
         let cx = ForwardContext {
             placer: Arc::clone(&self.placer),
--- a/crates/toucansilld/src/gateway/forward.rs
+++ b/crates/toucansilld/src/gateway/forward.rs
@@ -28,7 +28,7 @@
 const NOT_RUN_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// `Retry-After` for a caller that is refused because this daemon is about to stop: another
 /// daemon can take the request at once.
-const STOPPING_RETRY: Duration = Duration::ZERO;
+pub(super) const STOPPING_RETRY: Duration = Duration::ZERO;
 /// Target for the pause between events if the route states none: so long that it affects no
 /// decision.
 pub(super) const DEFAULT_PAUSE_TARGET: Duration = Duration::from_secs(10);
--- a/crates/toucansilld/src/gateway/run.rs
+++ b/crates/toucansilld/src/gateway/run.rs
@@ -111,6 +111,7 @@
     let limits: Arc<KnownLimits> = Arc::default();
     let (is_stopping_tx, is_stopping) = watch::channel(false);
     let (is_stopping_soon_tx, is_stopping_soon) = watch::channel(false);
+    let (ends_at_tx, ends_at) = watch::channel(None);
 
     let mut raft_out = None;
     let control = match &settings.control {
@@ -179,6 +180,7 @@
             placer: Arc::clone(&placer),
             clock: Arc::clone(&clock),
             is_stopping_soon: is_stopping_soon.clone(),
+            ends_at: ends_at.clone(),
             body_budget: Arc::clone(&body_budget),
             start_wait,
         });
@@ -228,7 +230,8 @@
     let drain_callers = async {
         if let Some(callers) = callers {
             let relayed = relayed.unwrap_or_default();
-            drain(callers, relayed, stopping, limit, &is_stopping_soon_tx).await;
+            let news = StopNews { is_stopping_soon: is_stopping_soon_tx, ends_at: ends_at_tx };
+            drain(callers, relayed, stopping, limit, &news).await;
         }
     };
     tokio::join!(stop_control, drain_callers);
@@ -299,15 +302,26 @@
     }
 }
 
-/// Lets requests in progress, of callers and of other daemons, finish within `limit` after `since`, the time of the stop signal. Half
-/// way, requests still waiting for an upstream are refused, so that callers have time left to try
-/// another daemon.
+/// What requests are told of a stop.
+struct StopNews {
+    /// See [`CallerHandler::is_stopping_soon`].
+    is_stopping_soon: watch::Sender<bool>,
+    /// See [`CallerHandler::ends_at`].
+    ends_at: watch::Sender<Option<Instant>>,
+}
+
+/// Lets requests in progress, of callers and of other daemons, finish within `limit` after `since`, the
+/// time of the stop signal.
+///
+/// Once the listening socket is closed, requests that are complete only now and may run for longer are
+/// refused. Half way, requests still waiting for an upstream are refused, so that callers have time left
+/// to try another daemon.
 async fn drain(
     callers: CallerServer,
     relayed: ConnectionCount,
     since: Instant,
     limit: Duration,
-    is_stopping_soon: &watch::Sender<bool>,
+    news: &StopNews,
 ) {
     let CallerServer { connections: callers, listener } = callers;
     let until = limit.saturating_sub(STOP_MARGIN);
@@ -315,9 +329,10 @@
         let passed = since.elapsed();
         if passed >= CLOSE_DELAY {
             listener.abort();
+            news.ends_at.send_replace(Some(since + until));
         }
         if passed >= limit / 2 {
-            is_stopping_soon.send_replace(true);
+            news.is_stopping_soon.send_replace(true);
         }
         if passed >= until {
             let open = callers.get() + relayed.get();
--- a/crates/toucansilld/tests/gateway/main.rs
+++ b/crates/toucansilld/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod replacements;
 mod silences;
 mod stand_ins;
+mod stops;
 mod upgrade;
 
 use platform::stand_in::{DOCUMENT_PATH, document, engine_document, upstream_path};
--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -68,6 +68,8 @@
     attempts: AtomicU64,
     /// Time within which an acknowledged change must be in force.
     apply_ms: u64,
+    /// Time from the stop signal until a daemon would be killed.
+    stop_ms: u64,
     /// Log entries after which control daemons take snapshots, if not the default.
     snapshot_entries: Option<u64>,
     /// Whether the settings allow requests to be sent again.
@@ -107,6 +109,7 @@
             children,
             attempts,
             apply_ms: 2_000,
+            stop_ms: 4_000,
             snapshot_entries: None,
             has_retries: true,
             more_bounds: "",
@@ -119,6 +122,11 @@
         self.apply_ms = apply_ms;
     }
 
+    /// Sets the time from the stop signal until a daemon would be killed, before its start.
+    pub(crate) fn set_stop_ms(&mut self, stop_ms: u64) {
+        self.stop_ms = stop_ms;
+    }
+
     /// Sets the data centre of daemon `i`, before its start.
     pub(crate) fn set_data_centre(&mut self, i: usize, data_centre: &str) {
         self.daemons[i].data_centre = data_centre.to_owned();
@@ -538,9 +546,10 @@
         let retries = if self.has_retries { "" } else { ", retry_ratio: 0, retry_slack: 0" };
         format!(
             "daemon: {name}\ndata_centre: {data_centre}\nlinks: '{ip}:{port}'\nmetrics: '{ip}:{}'\n\
-             seeds: [{}]\n{role_settings}\nbounds: {{stop_ms: 4000, apply_ms: {}{retries}{}}}\n",
+             seeds: [{}]\n{role_settings}\nbounds: {{stop_ms: {}, apply_ms: {}{retries}{}}}\n",
             port + 4,
             seeds.join(", "),
+            self.stop_ms,
             self.apply_ms,
             self.more_bounds
         )
