--- a/crates/raft/src/joining.rs
+++ b/crates/raft/src/joining.rs
@@ -97,9 +97,9 @@
 /// Plans how a node leaves the group before its process ends.
 ///
 /// A voter is removed only if the group has more than `target_voters` voters, that is, if its successor
-/// has joined; a learner that could succeed it is promoted first. A node that isn't a voter yet takes the
-/// one that it was to replace with it. Otherwise the process may just
-/// restart, and the node keeps its vote.
+/// has joined; a learner that could succeed it is promoted first. Otherwise the process may just restart,
+/// and the node keeps its vote. For a node that isn't a voter yet, the voter that it was to replace is
+/// removed as well.
 pub fn next_leave_step(view: GroupView<'_>, id: NodeId, address: &str) -> LeaveStep {
     let members = view.members;
     if !members.is_voter(id)
@@ -125,14 +125,15 @@
         view.silent_ticks.get(id).is_some_and(|ticks| *ticks >= view.replace_after_ticks)
     };
     let mut joining = members.learners.iter().filter(|learner| !is_silent(learner)).peekable();
-    let is_joined = joining.peek().is_none();
+    let has_joining = joining.peek().is_some();
     if let Some(successor) = joining.find(|learner| view.caught_up.contains(learner))
         && reachable >= members.voters_needed_to_grow()
     {
         return LeaveStep::Change(MembershipChange::Promote(*successor));
     }
     let others = reachable - usize::from(view.reachable.contains(&id));
-    match is_joined && (others >= members.quorum() || voters == 1) {
+    let is_spared = others >= members.quorum() || voters == 1;
+    match is_spared && !has_joining {
         true => LeaveStep::Keep,
         false => LeaveStep::Wait,
     }
--- a/crates/toucansilld/src/gateway/members.rs
+++ b/crates/toucansilld/src/gateway/members.rs
@@ -154,11 +154,13 @@
         with_group_view(status, address_of, self.settings().tolerated_losses, f)
     }
 
-    /// Makes a membership change, and waits until it is committed.
-    async fn change_members(&self, change: MembershipChange) -> group::Result<()> {
+    /// Makes a membership change, and waits until it is committed. The error says what is wrong.
+    async fn change_members(&self, change: MembershipChange) -> Result<(), String> {
         let voter = Arc::clone(self.voter());
-        let changed = spawn_blocking(move || voter.change_members(change)).await;
-        changed.unwrap_or_else(|err| std::panic::resume_unwind(err.into_panic()))
+        match spawn_blocking(move || voter.change_members(change)).await {
+            Ok(changed) => changed.map_err(|err| err.to_string()),
+            Err(err) => Err(format!("the change was not made: {err}")),
+        }
     }
 
     /// Leaves the group before this daemon stops, if its successor has joined: otherwise the group would
