--- a/crates/toucansilld/tests/gateway/answers.rs
+++ b/crates/toucansilld/tests/gateway/answers.rs
@@ -118,10 +118,14 @@
     for script in [refuse_other as fn(&str, &str) -> String, refuse_none, late_answer] {
         let upstreams = [Upstream::scripted(script), Upstream::scripted(script)];
         let region = start_calls(&upstreams.each_ref().map(|upstream| upstream.address));
-        let (status, _) = region.request("/call/1").expect("a response");
+        let runs = || upstreams.iter().map(|upstream| upstream.runs().len()).sum::<usize>();
+        // Until the entry has the directory, requests are refused, and rightly say that they haven't run.
+        let status = eventually("a request reaches an upstream", || {
+            let (status, _) = region.request("/call/1").expect("a response");
+            (runs() > 0).then_some(status)
+        });
         assert!(!PROMISES.contains(&status), "{status}");
-        let runs: usize = upstreams.iter().map(|upstream| upstream.runs().len()).sum();
-        assert_eq!(runs, 1, "runs");
+        assert_eq!(runs(), 1, "runs");
     }
 }
 
