Complete an interrupted emptying of a data folder at the next start

Callers saw nothing yet: the group was short of a member for good, so that the loss of two further disks, which it has to survive, would have taken its majority and with it every acknowledged configuration.

Cause: a member whose id is retired, or whose disk was lost, removes its id and then its log, with one sync at the end. If its process is killed in between, the next start generates a new id beside the former log, which the store refuses ("belongs to node .., not to node .."), at this and each later start. After a loss of power the removal of the id may be undone and that of the log not.

Change: the removal of the id is durable before anything else is removed, and a start without an id, or with an id that isn't that of the log, first removes the log. Such an id has taken no part in the group. The addresses of the other members stay.

--- a/crates/disk/src/lib.rs
+++ b/crates/disk/src/lib.rs
@@ -40,4 +40,4 @@
 pub use files::{Files, RenameFn, SyncFn, WriteFn};
 pub use recovery::Recovered;
 pub use snapshot::{read_backup, replace_file, write_backup};
-pub use store::{Store, StoreOptions};
+pub use store::{Store, StoreOptions, read_owner};
--- a/crates/disk/src/store.rs
+++ b/crates/disk/src/store.rs
@@ -352,6 +352,16 @@
     Ok(Segment { number, highest_index: 0, bytes: SEGMENT_HEADER.len() as u64, f })
 }
 
+/// Node that a data folder belongs to, if [`Store::claim`] has been called. The folder needn't exist, and isn't
+/// opened.
+///
+/// # Errors
+///
+/// [`Error::is_corrupt`] if the file that names the node is; any failure to read.
+pub fn read_owner(dir: impl AsRef<Path>) -> Result<Option<NodeId>> {
+    read_node(dir.as_ref())
+}
+
 /// Reads which node the folder belongs to.
 fn read_node(dir: &Path) -> Result<Option<NodeId>> {
     let path = dir.join(NODE_FILE);
--- a/crates/toucansilld/src/gateway/identity.rs
+++ b/crates/toucansilld/src/gateway/identity.rs
@@ -4,9 +4,11 @@
 use crate::{
     error::{Error, Result},
     settings::{InitialVoter, VoterSettings},
+    voter,
 };
 use disk::Files;
 use std::{
+    fmt,
     fs::{self, File},
     io,
     net::{IpAddr, SocketAddr},
@@ -35,6 +37,7 @@
     let file = control.data_folder.join(ID_FILE);
     let is_founder = control.founds_group && settings.seeds.contains(&control.listen);
     let stored = read_id(&file).map_err(start_error)?;
+    remove_former_log(control, stored)?;
     let id = match stored {
         Some(id) => id,
         None => {
@@ -54,21 +57,34 @@
     })
 }
 
-/// Removes the id and everything else in the data folder. The next start generates a new id.
+/// Removes a log that belongs to another id than the stored one, which has taken no part in the group then.
 ///
-/// The id file is removed first, so that an interrupted removal does not leave the old id with
-/// an incomplete log.
+/// It was left by a process that ended while it emptied the data folder.
+fn remove_former_log(control: &ControlSettings, stored: Option<u64>) -> Result<()> {
+    let start_error = |err: &dyn fmt::Display| Error::start("control.data_folder", err);
+    let owner = voter::stored_id(&control.data_folder).map_err(|err| start_error(&err))?;
+    if owner.is_some() && owner != stored {
+        log::warn!(former:? = owner, member:? = stored; "log of a former id removed");
+    }
+    if stored.is_none() || (owner.is_some() && owner != stored) {
+        voter::remove_stored(&control.data_folder).map_err(|err| start_error(&err))?;
+    }
+    Ok(())
+}
+
+/// Removes the id, and then all that belongs to it. The next start generates a new id, and completes a
+/// removal that was interrupted.
+///
+/// The removal of the id is durable before anything else is removed: after a loss of power, an id never
+/// comes back without its log, and a log without its id is removed.
 pub(crate) fn discard(control: &ControlSettings) -> io::Result<()> {
     let file = control.data_folder.join(ID_FILE);
     match fs::remove_file(&file) {
         Err(err) if err.kind() != io::ErrorKind::NotFound => return Err(err),
         _ => {}
     }
-    for entry in fs::read_dir(&control.data_folder)? {
-        let path = entry?.path();
-        if path.is_dir() { fs::remove_dir_all(&path)? } else { fs::remove_file(&path)? }
-    }
-    File::open(&control.data_folder)?.sync_all()
+    File::open(&control.data_folder)?.sync_all()?;
+    voter::remove_stored(&control.data_folder)
 }
 
 /// Id derived from the address of a seed, below [`FIRST_RANDOM_ID`].
--- a/crates/toucansilld/src/voter.rs
+++ b/crates/toucansilld/src/voter.rs
@@ -22,7 +22,8 @@
 use kernel::SharedClock;
 use leader::Leader;
 use std::{
-    fs,
+    fs::{self, File},
+    io,
     path::{Path, PathBuf},
     sync::{Arc, Mutex},
     time::Duration,
@@ -31,6 +32,8 @@
 /// Time between ticks of the consensus. Heartbeats and elections take several ticks. An election
 /// ends well before a session lease expires.
 pub(crate) const TICK: Duration = Duration::from_millis(100);
+/// Folder of the log and the snapshots, in the data folder.
+const GROUP_FOLDER: &str = "group";
 /// Name of the temporary file in which a back-up is encoded.
 const BACKUP_FILE: &str = "backup.new";
 /// Maximum time to wait for a proposal to be applied.
@@ -68,7 +71,7 @@
     ) -> Result<Self> {
         let state = Arc::new(Mutex::new(State::new()));
         let addresses = Addresses::open(settings, own_address)?;
-        let mut cfg = Config::new(settings.id, settings.data_folder.join("group"));
+        let mut cfg = Config::new(settings.id, settings.data_folder.join(GROUP_FOLDER));
         cfg.clock = Arc::clone(&clock);
         cfg.tick_interval = Some(tick);
         cfg.start_mode = start_mode(settings);
@@ -301,6 +304,26 @@
     }
 }
 
+/// Id of the voter whose log is in a data folder; `None` if there is none.
+pub(crate) fn stored_id(data_folder: &Path) -> disk::Result<Option<NodeId>> {
+    disk::read_owner(data_folder.join(GROUP_FOLDER))
+}
+
+/// Removes the log and all else that belongs to one id of a voter from a data folder, durably.
+pub(crate) fn remove_stored(data_folder: &Path) -> io::Result<()> {
+    let removed = [
+        fs::remove_dir_all(data_folder.join(GROUP_FOLDER)),
+        fs::remove_file(data_folder.join(BACKUP_FILE)),
+    ];
+    for result in removed {
+        match result {
+            Err(err) if err.kind() != io::ErrorKind::NotFound => return Err(err),
+            _ => {}
+        }
+    }
+    File::open(data_folder)?.sync_all()
+}
+
 /// Bootstraps a new group of the initial voters, or joins a running group if there are none.
 fn start_mode(settings: &VoterSettings) -> StartMode {
     if settings.initial.is_empty() {
--- a/crates/toucansilld/tests/gateway/main.rs
+++ b/crates/toucansilld/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod odd_values;
 mod region;
 mod replacements;
+mod restarts;
 mod silences;
 mod stand_ins;
 mod stops;
--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -335,6 +335,18 @@
         fs::remove_dir_all(self.data_folder(i)).expect("removed");
     }
 
+    /// Removes one file from the data folder of a control daemon that isn't running.
+    #[allow(dead_code, reason = "the soak doesn't use it")]
+    pub(crate) fn remove_stored(&self, i: usize, file: &str) {
+        fs::remove_file(self.data_folder(i).join(file)).expect("removed");
+    }
+
+    /// Stores another id for a control daemon that isn't running.
+    #[allow(dead_code, reason = "the soak doesn't use it")]
+    pub(crate) fn store_member_id(&self, i: usize, id: u64) {
+        fs::write(self.data_folder(i).join("member-id"), id.to_string()).expect("written");
+    }
+
     /// Sends a control request to a daemon. Returns status and body; `None` without a response.
     pub(crate) fn control_request(
         &self,
