Make the names of files durable by a full sync of their folder

Cause: folders were synced by fdatasync, which makes only data durable, and what is needed to read it. Names aren't covered: the manual page of fsync asks for an fsync of the folder, and ext4 needn't commit a rename for an fdatasync of the folder. A member then started under a new id, which has no vote, or found a log of another id and failed at each start.

Evidence: the system calls of a start, traced: each rename was followed by fdatasync of its folder, none by fsync. The simulated disk of the tests now tells the two calls apart; with the former call synced_records_survive_a_crash ends with "a sync of data doesn't make names durable".

Change: `Files::sync_folder`, which syncs all of a folder.

--- a/crates/disk/src/files.rs
+++ b/crates/disk/src/files.rs
@@ -9,7 +9,7 @@
 
 /// Writes the whole buffer at the current position of a file, whose path is given too.
 pub type WriteFn = Box<dyn FnMut(&mut File, &Path, &[u8]) -> io::Result<()> + Send>;
-/// Makes the content of a file, or the list of files of a folder, durable.
+/// Makes the content of a file, or the names of the files in a folder, durable.
 pub type SyncFn = Box<dyn FnMut(&File, &Path) -> io::Result<()> + Send>;
 /// Renames a file from the first path to the second, replacing any file there.
 pub type RenameFn = Box<dyn FnMut(&Path, &Path) -> io::Result<()> + Send>;
@@ -18,8 +18,10 @@
 pub struct Files {
     /// Writes to a file. The store writes only at the end.
     pub write: WriteFn,
-    /// Syncs a file or folder.
+    /// Syncs the content of a file.
     pub sync: SyncFn,
+    /// Syncs the names in a folder: files that were created, renamed or removed.
+    pub sync_folder: SyncFn,
     /// Renames a file.
     pub rename: RenameFn,
 }
@@ -30,6 +32,8 @@
         Self {
             write: Box::new(|f, _, buf| f.write_all(buf)),
             sync: Box::new(|f, _| f.sync_data()),
+            // A sync of the data alone needn't make names durable.
+            sync_folder: Box::new(|f, _| f.sync_all()),
             rename: Box::new(|from, to| fs::rename(from, to)),
         }
     }
--- a/crates/disk/src/snapshot.rs
+++ b/crates/disk/src/snapshot.rs
@@ -110,7 +110,7 @@
 pub(crate) fn sync_folder(dir: &Path, files: &mut Files) -> Result<()> {
     let fail = |e| Error::io(dir, "sync the folder", e);
     let f = File::open(dir).map_err(fail)?;
-    (files.sync)(&f, dir).map_err(fail)
+    (files.sync_folder)(&f, dir).map_err(fail)
 }
 
 /// Reads the latest snapshot in a folder; an empty one if there is none.
--- a/crates/disk/tests/common/mod.rs
+++ b/crates/disk/tests/common/mod.rs
@@ -47,9 +47,11 @@
     /// Settings of a store that uses this disk.
     pub fn options(&self, segment_bytes: u64) -> StoreOptions {
         let (for_write, for_sync, for_rename) = (self.clone(), self.clone(), self.clone());
+        let for_folders = self.clone();
         let files = Files {
             write: Box::new(move |f, _, buf| for_write.write(f, buf)),
             sync: Box::new(move |f, path| for_sync.sync(f, path)),
+            sync_folder: Box::new(move |_, path| for_folders.sync_folder(path)),
             rename: Box::new(move |from, to| for_rename.rename(from, to)),
         };
         StoreOptions { segment_bytes, files }
@@ -71,11 +73,17 @@
         if state.fail_syncs {
             return Err(io::Error::other("the device failed"));
         }
-        if path.is_dir() {
-            state.durable_names = paths(path).into_iter().collect();
-        } else {
-            state.synced_bytes.insert(path.to_owned(), f.metadata()?.len());
+        assert!(!path.is_dir(), "a sync of data doesn't make names durable");
+        state.synced_bytes.insert(path.to_owned(), f.metadata()?.len());
+        Ok(())
+    }
+
+    fn sync_folder(&self, path: &Path) -> io::Result<()> {
+        let mut state = self.0.lock().unwrap();
+        if state.fail_syncs {
+            return Err(io::Error::other("the device failed"));
         }
+        state.durable_names = paths(path).into_iter().collect();
         Ok(())
     }
 
