Let a daemon start anew within its process

Callers saw: a member that was replaced while it was frozen or cut off, whose log was lost, or whose disk was full, ended its process, and the group lacked a member until something started it again. With a full disk each start failed: 40 starts in 4 s when restarted every 0.1 s. A supervisor that waits longer after each failure, or gives up, keeps the member away long after the cause has gone.

Cause: ending the process was the only way to get rid of the former state.

Change: each run of the daemon has a runtime of its own, which is shut down before the next one is made. The first start still fails at once for faults of settings, ports or a corrupt log; a disk that is full, read-only or faulty is tried again every 0.2 s. Signals are also kept in a flag, as handlers of a runtime miss those that come between two runtimes. The settings are read again, and never found a group a second time. Links refer to the control part weakly, so that a former one isn't kept.

--- a/crates/disk/src/error.rs
+++ b/crates/disk/src/error.rs
@@ -69,10 +69,12 @@
 
     /// Whether the disk is full or its quota is used up.
     pub fn is_full(&self) -> bool {
-        matches!(&self.kind, Kind::Io { cause, .. } if matches!(
-            cause.kind(),
-            io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded
-        ))
+        matches!(&self.kind, Kind::Io { cause, .. } if is_full(cause))
+    }
+
+    /// Whether the disk can't be used now, as it is full, read-only or faulty. The same operation may succeed later.
+    pub fn is_unusable(&self) -> bool {
+        matches!(&self.kind, Kind::Io { cause, .. } if is_unusable(cause))
     }
 
     /// Whether the folder belongs to another node.
@@ -81,6 +83,20 @@
     }
 }
 
+/// Whether an operation failed because the disk is full or its quota is used up.
+fn is_full(err: &io::Error) -> bool {
+    matches!(err.kind(), io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded)
+}
+
+/// Whether an operation failed because the disk is full, read-only or faulty.
+pub fn is_unusable(err: &io::Error) -> bool {
+    /// Error number of Linux for a failed input or output operation.
+    const EIO: i32 = 5;
+    is_full(err)
+        || err.kind() == io::ErrorKind::ReadOnlyFilesystem
+        || err.raw_os_error() == Some(EIO)
+}
+
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let path = self.path.display();
--- a/crates/disk/src/lib.rs
+++ b/crates/disk/src/lib.rs
@@ -36,7 +36,7 @@
 mod snapshot;
 mod store;
 
-pub use error::{Error, Result};
+pub use error::{Error, Result, is_unusable};
 pub use files::{Files, RenameFn, SyncFn, WriteFn};
 pub use recovery::Recovered;
 pub use snapshot::{read_backup, replace_file, write_backup};
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -209,6 +209,8 @@
         let mut last_clean_up = self.clock.now();
         let mut last_quarantine_check = last_clean_up;
         let mut leaderless_report_due = last_clean_up + LEADERLESS_REPORT_INTERVAL;
+        // A daemon that started anew within the process may have led before.
+        self.record_group_metrics(&self.voter.status());
         loop {
             sleep(LEADERSHIP_CHECK_INTERVAL).await;
             self.read_watchlist();
--- a/crates/toucansilld/src/gateway/identity.rs
+++ b/crates/toucansilld/src/gateway/identity.rs
@@ -8,7 +8,6 @@
 };
 use disk::Files;
 use std::{
-    fmt,
     fs::{self, File},
     io,
     net::{IpAddr, SocketAddr},
@@ -32,7 +31,7 @@
     settings: &GatewaySettings,
     control: &ControlSettings,
 ) -> Result<VoterSettings> {
-    let start_error = |err: io::Error| Error::start("control.data_folder", err);
+    let start_error = |err: io::Error| Error::file("control.data_folder", &err);
     fs::create_dir_all(&control.data_folder).map_err(start_error)?;
     let file = control.data_folder.join(ID_FILE);
     let is_founder = control.founds_group && settings.seeds.contains(&control.listen);
@@ -61,11 +60,10 @@
 /// The two differ if the power failed before the name of the id's file was durable, and if a process of an earlier
 /// build ended while it emptied the folder. In the latter case the id is retired, and the leader says so.
 fn stored_id(data_folder: &Path, file: &Path) -> Result<Option<u64>> {
-    let start_error = |err: &dyn fmt::Display| Error::start("control.data_folder", err);
-    let stored = read_id(file).map_err(|err| start_error(&err))?;
-    let Some(id) = voter::stored_id(data_folder).map_err(|err| start_error(&err))? else {
-        return Ok(stored);
-    };
+    let stored = read_id(file).map_err(|err| Error::file("control.data_folder", &err))?;
+    let id =
+        voter::stored_id(data_folder).map_err(|err| Error::store("control.data_folder", &err))?;
+    let Some(id) = id else { return Ok(stored) };
     if stored != Some(id) {
         log::warn!(member = id, stored:? = stored; "the id of this member is that of its log");
         write_id(file, id)?;
@@ -76,7 +74,7 @@
 /// Stores the id durably.
 fn write_id(file: &Path, id: u64) -> Result<()> {
     disk::replace_file(file, id.to_string().as_bytes(), &mut Files::default())
-        .map_err(|err| Error::start("control.data_folder", err))
+        .map_err(|err| Error::store("control.data_folder", &err))
 }
 
 /// Removes the log and the id, so that the next start generates a new id.
--- a/crates/toucansilld/src/gateway/run.rs
+++ b/crates/toucansilld/src/gateway/run.rs
@@ -30,9 +30,17 @@
 use kernel::{SharedClock, SystemClock};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use proxy::{BodyBudget, ConnectionCount, Connector};
+use signal_hook::{
+    consts::{SIGHUP, SIGINT, SIGTERM},
+    flag,
+};
 use std::{
     path::Path,
-    sync::Arc,
+    sync::{
+        Arc, OnceLock, Weak,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
     time::{Duration, Instant},
 };
 use tokio::{
@@ -60,14 +68,24 @@
 const CLOSE_DELAY: Duration = Duration::from_millis(2_900);
 /// Time before the process would be killed at which it exits by itself.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
+/// Pause before a daemon starts anew within its process.
+const RESTART_PAUSE: Duration = Duration::from_millis(200);
+/// Interval at which it is checked meanwhile whether the process is to stop.
+const SIGNAL_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Longest time for which a daemon that starts anew waits for its former blocking work.
+const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(500);
 /// Interval at which a stopping daemon checks whether requests are still running.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Runs a gateway daemon with the settings in the file at `path`, until a signal stops it.
 ///
+/// A daemon whose id in the control group can't be used any more, or whose voter has failed, starts anew within the
+/// process: how soon a process is started again is not up to the daemon. While its disk can't be used, for example
+/// because it is full, the daemon tries again every [`RESTART_PAUSE`].
+///
 /// # Errors
 ///
-/// Fails if a setting is invalid, or a part of the daemon can't be started; the error names it.
+/// Fails if a setting is invalid, or a part of the daemon can't be started for the first time; the error names it.
 pub fn run(path: &Path) -> Result<()> {
     run_with(path, Connector::direct())
 }
@@ -78,30 +96,78 @@
 ///
 /// As for [`run`].
 pub fn run_with(path: &Path, connector: Connector) -> Result<()> {
+    // Before anything that takes time: without a handler, a signal ends the process. The runtimes have handlers of
+    // their own, which miss signals that come between two of them.
+    let stop_signal = StopSignal::listen()?;
+    let mut settings = GatewaySettings::load(path)?;
+    logs::install_bounded(&settings.daemon);
+    let mut has_started = false;
+    let stopped = loop {
+        let ended = run_once(path, &settings, connector.clone(), &stop_signal, &mut has_started);
+        match ended {
+            Ok(StopCause::Signal) => break Ok(()),
+            Ok(StopCause::Member) => log::warn!("this daemon starts anew"),
+            Err(err) if has_started || err.is_disk() => log::error!("not started: {err}"),
+            Err(err) => break Err(err),
+        }
+        if stop_signal.is_received_within(RESTART_PAUSE) {
+            break Ok(());
+        }
+        settings = restart_settings(path, settings);
+    };
+    match &stopped {
+        Ok(()) => log::info!("stopped"),
+        Err(err) => log::error!("stopped: {err}"),
+    }
+    logs::flush();
+    stopped
+}
+
+/// Settings for the next start within the process. The seeds may have changed since the last one.
+fn restart_settings(path: &Path, former: GatewaySettings) -> GatewaySettings {
+    let mut settings = GatewaySettings::load(path).unwrap_or_else(|err| {
+        log::error!("settings not read again; the former ones stay in use: {err}");
+        former
+    });
+    // The file may be that of the region's first start. A group must not be founded twice.
+    if let Some(control) = &mut settings.control {
+        control.founds_group = false;
+    }
+    settings
+}
+
+/// Runs the daemon on a runtime of its own, so that nothing of it is left when it ends. `has_started` is set
+/// once all of its parts run.
+fn run_once(
+    path: &Path,
+    settings: &GatewaySettings,
+    connector: Connector,
+    stop_signal: &StopSignal,
+    has_started: &mut bool,
+) -> Result<StopCause> {
     let runtime = Builder::new_current_thread()
         .enable_all()
         .max_blocking_threads(MAX_BLOCKING_THREADS)
         .build()
         .map_err(|err| Error::start("runtime", err))?;
-    // Before anything that takes time: without a handler, a signal ends the process.
     let signals = {
         let _runtime = runtime.enter();
         Signals::listen()?
     };
-    let settings = Arc::new(GatewaySettings::load(path)?);
-    logs::install_bounded(&settings.daemon);
+    if stop_signal.is_received() {
+        return Ok(StopCause::Signal);
+    }
     log::info!(
         entry = settings.entry.is_some(), control = settings.control.is_some(),
         data_centre = settings.data_centre.as_str(); "starting"
     );
-    let stopped = runtime.block_on(run_daemon(path, settings, connector, signals));
-    match &stopped {
-        Ok(()) => log::info!("stopped"),
-        Err(err) => log::error!("stopped: {err}"),
+    let settings = Arc::new(settings.clone());
+    let ended = runtime.block_on(run_daemon(path, settings, connector, signals, has_started));
+    match ended {
+        Ok(StopCause::Signal) => runtime.shutdown_background(),
+        _ => runtime.shutdown_timeout(SHUTDOWN_TIMEOUT),
     }
-    logs::flush();
-    runtime.shutdown_background();
-    stopped
+    ended
 }
 
 async fn run_daemon(
@@ -109,7 +175,8 @@
     settings: Arc<GatewaySettings>,
     connector: Connector,
     signals: Signals,
-) -> Result<()> {
+    has_started: &mut bool,
+) -> Result<StopCause> {
     let clock: SharedClock = Arc::new(SystemClock);
     let metrics = install_metrics()?;
     let view = View::new();
@@ -138,8 +205,8 @@
     let links = DaemonLinks::start(
         &settings,
         connector.clone(),
-        request_handler(control.clone()),
-        raft_handler(control.clone()),
+        request_handler(control.as_ref()),
+        raft_handler(control.as_ref()),
     )
     .await?;
     if let (Some(control), Some(outgoing)) = (&control, raft_out) {
@@ -219,6 +286,7 @@
         member = Some(tokio::spawn(Arc::clone(control).maintain_membership()));
     }
 
+    *has_started = true;
     let membership_task = member.as_ref().map(JoinHandle::abort_handle);
     let cause = await_stop(path, &settings, member, signals).await;
     let stopping = Instant::now();
@@ -230,7 +298,7 @@
     }
     let limit = settings.bounds.stop_time();
     let stop_control = async {
-        if let (Some(control), StopCause::Signal) = (&control, cause) {
+        if let (Some(control), StopCause::Signal) = (&control, &cause) {
             stop_voter(control, stopping + limit.saturating_sub(STOP_MARGIN)).await;
         }
     };
@@ -242,7 +310,7 @@
         }
     };
     tokio::join!(stop_control, drain_callers);
-    Ok(())
+    Ok(cause)
 }
 
 /// Passes on the leadership, leaves the group if a successor has joined, and stops the voter. A voter
@@ -268,7 +336,37 @@
     Member,
 }
 
-/// Signals that the process listens for.
+/// Whether the process was told to stop, at any time. SIGHUP has a handler as well: a start reads the settings
+/// anyway.
+struct StopSignal(Arc<AtomicBool>);
+
+impl StopSignal {
+    /// Starts to listen.
+    fn listen() -> Result<Self> {
+        let is_received = Arc::new(AtomicBool::new(false));
+        let fault = |err| Error::start("signals", err);
+        for signal in [SIGTERM, SIGINT] {
+            flag::register(signal, Arc::clone(&is_received)).map_err(fault)?;
+        }
+        flag::register(SIGHUP, Arc::default()).map_err(fault)?;
+        Ok(Self(is_received))
+    }
+
+    fn is_received(&self) -> bool {
+        self.0.load(Ordering::SeqCst)
+    }
+
+    /// Waits for this time at most.
+    fn is_received_within(&self, time: Duration) -> bool {
+        let until = Instant::now() + time;
+        while !self.is_received() && Instant::now() < until {
+            thread::sleep(SIGNAL_CHECK_INTERVAL);
+        }
+        self.is_received()
+    }
+}
+
+/// Signals that the running daemon awaits.
 struct Signals {
     term: Signal,
     int: Signal,
@@ -368,25 +466,29 @@
     }
 }
 
-/// Handler for requests of other daemons. A daemon without a control part never leads.
-fn request_handler(control: Option<Arc<ControlMember>>) -> RequestHandler {
-    Arc::new(move |request: LeaderRequest, responder| match &control {
-        Some(control) => control.handle(request, responder),
-        None => super::bus::reply(responder, &LeaderReply::NotLeader { leader: None }),
+/// Handler for requests of other daemons. A daemon without a control part never leads, nor does one that has
+/// ended. The links and the control part refer to each other, so one of them doesn't keep the other.
+fn request_handler(control: Option<&Arc<ControlMember>>) -> RequestHandler {
+    let control = control.map(Arc::downgrade);
+    Arc::new(move |request: LeaderRequest, responder| {
+        match control.as_ref().and_then(Weak::upgrade) {
+            Some(control) => control.handle(request, responder),
+            None => super::bus::reply(responder, &LeaderReply::NotLeader { leader: None }),
+        }
     })
 }
 
 /// Handler for Raft messages, on a daemon with a voter.
-fn raft_handler(control: Option<Arc<ControlMember>>) -> Option<RaftHandler> {
-    control.map(|control| -> RaftHandler {
-        Arc::new(move |envelope| {
-            // The sender may address a former node of this VM, whose disk was lost.
-            if let Some(address) = envelope.voters.get(&envelope.message.from) {
-                control.view().add_control_daemon(address);
-            }
-            control.voter().step(envelope);
-        })
-    })
+fn raft_handler(control: Option<&Arc<ControlMember>>) -> Option<RaftHandler> {
+    let control = control.map(Arc::downgrade)?;
+    Some(Arc::new(move |envelope| {
+        let Some(control) = control.upgrade() else { return };
+        // The sender may address a former node of this VM, whose disk was lost.
+        if let Some(address) = envelope.voters.get(&envelope.message.from) {
+            control.view().add_control_daemon(address);
+        }
+        control.voter().step(envelope);
+    }))
 }
 
 /// Sends the voter's outgoing messages. One whose recipient has no known address is dropped.
@@ -400,14 +502,17 @@
     }
 }
 
-/// Installs the recorder of metrics. A process has only one; a second daemon in the process does
-/// not get its own.
+/// Returns the recorder of metrics, of which a process has only one, and installs it at the first call.
 fn install_metrics() -> Result<PrometheusHandle> {
+    static INSTALLED: OnceLock<PrometheusHandle> = OnceLock::new();
+    if let Some(handle) = INSTALLED.get() {
+        return Ok(handle.clone());
+    }
     let builder = PrometheusBuilder::new().set_buckets(&LATENCY_BUCKETS_S);
     let recorder = builder.map_err(|err| Error::start("metrics", err))?.build_recorder();
     let handle = recorder.handle();
     if metrics::set_global_recorder(recorder).is_err() {
-        log::warn!("another daemon in this process records the metrics");
+        log::warn!("another program part records the metrics");
     }
-    Ok(handle)
+    Ok(INSTALLED.get_or_init(|| handle).clone())
 }
--- a/crates/toucansilld/src/voter.rs
+++ b/crates/toucansilld/src/voter.rs
@@ -82,7 +82,7 @@
             cfg.keep_entries = cfg.keep_entries.min(entries.get());
         }
         let handle = Group::start(cfg, machine::state_machine(&state), outbox)
-            .map_err(|err| Error::start("voter", err))?;
+            .map_err(|err| Error::voter("voter", &err))?;
         let backup_file = settings.data_folder.join(BACKUP_FILE);
         Ok(Self { handle, state, leader: Mutex::default(), addresses, backup_file, clock })
     }
--- a/crates/toucansilld/src/voter/addresses.rs
+++ b/crates/toucansilld/src/voter/addresses.rs
@@ -27,7 +27,7 @@
 impl Addresses {
     /// Reads the stored addresses, and adds those of the initial voters and of this voter.
     pub(crate) fn open(settings: &VoterSettings, own_address: &str) -> Result<Self> {
-        let error = |err: io::Error| Error::start("voter.data_folder", err);
+        let error = |err: io::Error| Error::file("voter.data_folder", &err);
         fs::create_dir_all(&settings.data_folder).map_err(error)?;
         let file = settings.data_folder.join(FILE_NAME);
         let initial = settings.initial.iter().map(|v| (v.id, v.address.to_string()));
@@ -37,7 +37,7 @@
         known.insert(settings.id, String::from(own_address));
         if known != stored {
             // Later settings may no longer name the initial voters.
-            write(&file, &known).map_err(|err| Error::start("voter.data_folder", err))?;
+            write(&file, &known).map_err(|err| Error::store("voter.data_folder", &err))?;
         }
         Ok(Self { file, own_id: settings.id, known: Mutex::new(known) })
     }
