Show the end of a voter's thread in its status

Callers saw: a daemon whose voter's thread had panicked stayed up without a vote. Its last status stayed for ever, so it forwarded calls to the leader that it last knew ("the leader has changed"), never voted again, and never restarted, as only `Status::failure` makes the daemon stop.

Cause: the status was published by the thread's loop only. A panic ended the thread without a last status. A voter that failed or was stopped also went on to name itself, or its former leader, as the leader.

Evidence: `a_node_whose_thread_panics_says_that_it_has_failed` failed before (`failure` was `None`), and so did `a_node_that_has_stopped_names_no_leader` (`(Leader, Some(1), None)`).

Change: the thread's body catches panics, as errors, and publishes a last status however it ends: a follower without a leader, with the reason if it failed. The reason of a panic holds its message. Queued requests are refused with it.

Result: both tests pass, and those of the crate.

--- a/crates/group/src/error.rs
+++ b/crates/group/src/error.rs
@@ -114,7 +114,8 @@
         matches!(&self.kind, Kind::Refused(e) if e.is_refused_change())
     }
 
-    /// Whether this node has stopped, on request or after a failure of its disk or state machine.
+    /// Whether this node has stopped, on request or after a failure of its disk or state machine, or a
+    /// panic.
     pub fn is_stopped(&self) -> bool {
         matches!(self.kind, Kind::Stopped(_))
     }
--- a/crates/group/src/runner.rs
+++ b/crates/group/src/runner.rs
@@ -13,6 +13,8 @@
 use kernel::SharedClock;
 use raft::{EntryPayload, LogEntry, LogPosition, Message, PersistedState, Raft, Ready, Snapshot};
 use std::{
+    any::Any,
+    panic::{AssertUnwindSafe, catch_unwind},
     sync::{Arc, Mutex, PoisonError},
     thread,
     time::Instant,
@@ -149,21 +151,36 @@
         Ok(Handle { requests, messages, status, clock, thread })
     }
 
-    /// Main loop of the thread.
+    /// Body of the thread. However it ends, the status says so.
     fn run(mut self) {
+        // After a panic the Raft state and the store may be inconsistent: neither is used again.
+        let failure = match catch_unwind(AssertUnwindSafe(|| self.run_until_stopped())) {
+            Ok(Ok(())) => None,
+            Ok(Err(e)) => Some(e.to_string()),
+            Err(panic) => Some(format!("the thread panicked: {}", panic_message(&*panic))),
+        };
+        if let Some(failure) = &failure {
+            log::error!("voter {} stopped after a failure: {failure}", self.cfg.raft.id);
+        }
+        self.publish_end(failure.clone());
+        self.refuse_queued(failure.as_deref().unwrap_or("by order"));
+    }
+
+    /// Main loop of the thread.
+    ///
+    /// After a failure, the callers of proposed entries get no reply, so that their outcomes are
+    /// unknown.
+    fn run_until_stopped(&mut self) -> Result<()> {
         while !self.is_stopping {
             self.handle_inputs();
             self.tick_if_due();
-            if let Err(e) = self.process_all() {
-                self.stop_after_failure(&e);
-                return;
-            }
+            self.process_all()?;
             self.publish_status();
             for reply in self.tick_replies.drain(..) {
                 drop(reply.try_send(Ok(())));
             }
         }
-        self.refuse_queued("by order");
+        Ok(())
     }
 
     /// Waits for an input, then handles it and those that are queued, up to the batch limit.
@@ -355,16 +372,9 @@
         *self.status.lock().unwrap_or_else(PoisonError::into_inner) = status;
     }
 
-    /// Stops after a failure. The callers of proposed entries get no reply, so that their outcomes
-    /// are unknown; queued requests are refused.
-    fn stop_after_failure(mut self, e: &Error) {
-        log::error!("voter {} stopped after a failure: {e}", self.cfg.raft.id);
-        self.publish_status();
-        let reason = e.to_string();
-        let mut status = self.status.lock().unwrap_or_else(PoisonError::into_inner);
-        status.failure = Some(reason.clone());
-        drop(status);
-        self.refuse_queued(&reason);
+    /// Publishes that the thread ends, and why if it failed.
+    fn publish_end(&self, failure: Option<String>) {
+        self.status.lock().unwrap_or_else(PoisonError::into_inner).end(failure);
     }
 
     /// Refuses the requests that are still queued.
@@ -374,3 +384,9 @@
         }
     }
 }
+
+/// Message of a panic, as a caller of `panic!` gave it.
+fn panic_message(panic: &(dyn Any + Send)) -> &str {
+    let text = panic.downcast_ref::<String>().map(String::as_str);
+    text.or_else(|| panic.downcast_ref::<&str>().copied()).unwrap_or("without a message")
+}
--- a/crates/group/src/status.rs
+++ b/crates/group/src/status.rs
@@ -13,7 +13,7 @@
     pub role: Role,
     /// Current term.
     pub term: Term,
-    /// Leader of the current term, if known.
+    /// Leader of the current term, if known; `None` on a node that has stopped.
     pub leader: Option<NodeId>,
     /// Last index known to be committed.
     pub commit: Index,
@@ -43,7 +43,8 @@
     pub confirmed: BTreeSet<NodeId>,
     /// On a leader: members that lack entries which they had acknowledged. They must be replaced.
     pub lost_logs: BTreeSet<NodeId>,
-    /// Why the node failed and stopped, if it did.
+    /// Why the node failed and stopped, if it did: a failure of its disk or state machine, or a panic of
+    /// its thread.
     pub failure: Option<String>,
     /// Whether the node's disk was lost. The node must then join again under a new id.
     pub lost_disk: bool,
@@ -84,6 +85,20 @@
         }
     }
 
+    /// Changes the status into that of a node that has stopped, which no longer leads and knows no leader.
+    pub(crate) fn end(&mut self, failure: Option<String>) {
+        self.role = Role::Follower;
+        self.leader = None;
+        self.votes.clear();
+        self.matched.clear();
+        self.silent_ticks.clear();
+        self.reachable.clear();
+        self.caught_up.clear();
+        self.confirmed.clear();
+        self.lost_logs.clear();
+        self.failure = failure;
+    }
+
     /// Whether the node considers itself the leader and hasn't failed.
     pub fn is_leader(&self) -> bool {
         self.role == Role::Leader && self.failure.is_none()
--- a/crates/group/tests/common/mod.rs
+++ b/crates/group/tests/common/mod.rs
@@ -40,14 +40,17 @@
 
 /// Command that the state machine can't apply.
 pub const UNKNOWN_COMMAND: &str = "unknown";
+/// Command at which the state machine panics.
+pub const PANIC_COMMAND: &str = "panic";
 
 /// A state machine that keeps all commands. Its output is their number.
 pub fn state_machine(state: &State) -> StateMachine {
     let (a, b, c) = (state.clone(), state.clone(), state.clone());
     StateMachine {
         apply: Box::new(move |_, command| {
-            let mut state = a.lock().unwrap();
             let command = String::from_utf8_lossy(command).into_owned();
+            assert!(command != PANIC_COMMAND, "the state machine met {command:?}");
+            let mut state = a.lock().unwrap();
             if command == UNKNOWN_COMMAND {
                 return Err("the command is not known".to_owned());
             }
--- a/crates/group/tests/group.rs
+++ b/crates/group/tests/group.rs
@@ -5,8 +5,8 @@
 
 mod common;
 
-use common::{Cluster, TIMEOUT, UNKNOWN_COMMAND};
-use group::{MembershipChange, StartMode};
+use common::{Cluster, PANIC_COMMAND, TIMEOUT, UNKNOWN_COMMAND};
+use group::{MembershipChange, Role, StartMode};
 
 #[test]
 fn a_group_of_one_commits_and_restarts() {
@@ -212,3 +212,41 @@
     cluster.until("it has stopped again", |cluster| failure(cluster).is_some());
     assert_eq!(cluster.state(1), ["a"]);
 }
+
+/// A voter whose thread had panicked looked like a live one for ever: its last status stayed, so its daemon ran
+/// on without a vote.
+#[test]
+fn a_node_whose_thread_panics_says_that_it_has_failed() {
+    let mut cluster = Cluster::bootstrap(1, |_| ());
+    cluster.elect();
+    let command = PANIC_COMMAND.as_bytes().to_vec();
+    let failed = cluster.run(1, |handle| handle.propose(command, TIMEOUT)).unwrap_err();
+    assert!(failed.is_unknown(), "{failed}");
+    let handle = cluster.nodes[&1].handle.clone();
+    let status = handle.status();
+    let failure = status.failure.clone().expect("a failure");
+    assert!(failure.contains("panicked: the state machine met \"panic\""), "{failure}");
+    assert!(!status.is_leader());
+    assert_eq!((status.role, status.leader), (Role::Follower, None));
+
+    let refused = handle.propose(b"a".to_vec(), TIMEOUT).unwrap_err();
+    assert!(refused.is_stopped() && refused.to_string().contains(&failure), "{refused}");
+
+    // It panics again after a restart, as the command is in its log.
+    cluster.stop(1);
+    cluster.start(1, StartMode::Join).unwrap();
+    cluster.until("it has failed again", |cluster| {
+        cluster.nodes[&1].handle.status().failure.is_some()
+    });
+}
+
+/// A node that was stopped went on to name itself as the leader.
+#[test]
+fn a_node_that_has_stopped_names_no_leader() {
+    let mut cluster = Cluster::bootstrap(1, |_| ());
+    cluster.elect();
+    let handle = cluster.nodes[&1].handle.clone();
+    handle.stop();
+    let status = handle.status();
+    assert_eq!((status.role, status.leader, status.failure), (Role::Follower, None, None));
+}
