Let nodes without a vote forget a silent leader

Callers saw: 503 "the leader has changed" from a learner, for as long as the group had no leader, at once and for each call: it forwarded them to the daemon that had led last. The line `no leader` with its reasons never came on it.

Cause: only `pre_campaign` forgot the leader, and a learner, a node without a membership, a removed voter and one whose disk was lost don't campaign. Besides, the election timer of such a node was drawn anew at each timeout, so that the silent leader counted as live again: for most of the time the node refused its vote to candidates that know it as a voter, before it has the entry of its promotion.

Evidence: `a_node_without_a_vote_forgets_a_silent_leader` failed before for the learner (`Some(1)` after 20 ticks), and `a_node_without_a_vote_grants_pre_votes_while_the_leader_is_silent` at tick 17 (`granted: false`). The simulator of the property tests checks now that no node knows another one as the leader after 20 silent ticks: four of the five properties failed before (`node 4 still knows a leader after 20 silent ticks`).

Change: a node that may not campaign forgets its leader at the election timeout. Voters are as they were: `is_sole_voter` waits for that timeout while a leader that removed itself is known, and a vote of a node that has forgotten its leader is still one a term.

--- a/crates/raft/src/election.rs
+++ b/crates/raft/src/election.rs
@@ -7,15 +7,18 @@
 };
 
 impl Raft {
-    /// Starts a pre-vote when the election timeout has passed without a leader's message.
+    /// When the election timeout has passed without a leader's message, starts a pre-vote, or, on a node
+    /// that may not campaign, only forgets the leader.
     pub(crate) fn tick_election(&mut self) {
         self.election_elapsed = self.election_elapsed.saturating_add(1);
         if self.election_elapsed < self.election_timeout && !self.is_sole_voter() {
             return;
         }
         self.reset_election_timer();
-        if self.may_campaign() {
-            self.pre_campaign();
+        match self.may_campaign() {
+            true => self.pre_campaign(),
+            // With the new timer, a leader that is still known would count as live again.
+            false => self.leader = None,
         }
     }
 
--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -244,7 +244,7 @@
         self.role == Role::Leader
     }
 
-    /// The leader of the current term, if the node knows it.
+    /// The leader of the current term, if the node knows it and has heard it within the election timeout.
     pub fn leader(&self) -> Option<NodeId> {
         self.leader
     }
--- a/crates/raft/tests/sim/mod.rs
+++ b/crates/raft/tests/sim/mod.rs
@@ -39,6 +39,8 @@
     /// Last index applied on any node when each unconfirmed read began, by the read's context.
     reads: BTreeMap<u64, Index>,
     crash_at: Option<CrashPoint>,
+    /// Ticks since a message of a leader or a candidate came.
+    silent_ticks: u32,
 }
 
 pub struct Sim {
@@ -94,6 +96,7 @@
             applied: 0,
             reads: BTreeMap::new(),
             crash_at: None,
+            silent_ticks: 0,
         };
         self.nodes.insert(id, node);
         self.restart(id);
@@ -144,6 +147,7 @@
         node.applied = node.disk.snapshot.meta.index;
         node.state = decode_state(&node.disk.snapshot);
         node.raft = Some(Raft::new(cfg, node.disk.clone()));
+        node.silent_ticks = 0;
         self.process_output(id);
     }
 
@@ -165,14 +169,47 @@
 
     pub fn tick(&mut self, id: NodeId) {
         self.with(id, Raft::tick);
+        self.check_known_leader(id);
     }
 
     pub fn deliver(&mut self, message: Message) {
         if !self.cut.contains(&(message.from, message.to)) {
+            self.note_heard(&message);
             self.with(message.to, |raft| raft.step(message));
         }
     }
 
+    /// Notes that a node gets a message that restarts its election timer.
+    fn note_heard(&mut self, message: &Message) {
+        let is_of_leader_or_candidate = matches!(
+            message.body,
+            MessageBody::Append { .. }
+                | MessageBody::Heartbeat { .. }
+                | MessageBody::SnapshotChunk { .. }
+                | MessageBody::Vote { .. }
+        );
+        if let Some(node) = self.nodes.get_mut(&message.to)
+            && is_of_leader_or_candidate
+        {
+            node.silent_ticks = 0;
+        }
+    }
+
+    /// Checks, after a tick, that a node knows no other node as the leader once that has been silent for the
+    /// longest election timeout.
+    fn check_known_leader(&mut self, id: NodeId) {
+        let longest = 2 * self.config(id).election_ticks;
+        let Some(node) = self.nodes.get_mut(&id) else { return };
+        let Some(raft) = &node.raft else { return };
+        node.silent_ticks += 1;
+        let is_known = raft.leader().is_some_and(|leader| leader != id);
+        assert!(
+            !is_known || node.silent_ticks < longest,
+            "node {id} still knows a leader after {} silent ticks",
+            node.silent_ticks
+        );
+    }
+
     /// Ticks every node, then delivers all messages in flight.
     pub fn round(&mut self) {
         self.round_with_ticks(|_| true);
@@ -183,6 +220,7 @@
         self.alive().into_iter().filter(|id| ticks(*id)).for_each(|id| self.tick(id));
         for message in std::mem::take(&mut self.network) {
             if !self.cut.contains(&(message.from, message.to)) {
+                self.note_heard(&message);
                 self.call_without_output(message.to, |raft| raft.step(message));
             }
         }
--- a/crates/raft/tests/steps.rs
+++ b/crates/raft/tests/steps.rs
@@ -1,8 +1,8 @@
 //! Single steps in an order that rarely occurs on a simulated network.
 
 use raft::{
-    Config, EntryPayload, HardState, LogEntry, LogPosition, Membership, Message, MessageBody,
-    PersistedState, Raft,
+    Config, EntryPayload, HardState, LogEntry, LogPosition, Membership, MembershipChange, Message,
+    MessageBody, PersistedState, Raft,
 };
 
 fn entry(index: u64, term: u64) -> LogEntry {
@@ -127,3 +127,67 @@
     raft.step(message(2, 1, 2, MessageBody::AppendAccepted { matched: 3 }));
     assert_eq!(raft.commit(), 3);
 }
+
+/// Node 4 in a group of three voters, whose log ends with this membership at index 1.
+fn node_without_vote(members: Membership) -> Raft {
+    Raft::new(Config::new(4), PersistedState::bootstrap(members))
+}
+
+/// Nodes with the id 4 that may not campaign: a learner, one without a membership, and a removed voter.
+fn nodes_without_vote() -> [(&'static str, Raft); 3] {
+    let three = Membership::initial(1, [1, 2, 3]);
+    let learner = three.after(MembershipChange::AddLearner(4)).unwrap();
+    let removed = learner.after(MembershipChange::Remove(4)).unwrap();
+    [
+        ("learner", node_without_vote(learner)),
+        ("new", Raft::new(Config::new(4), PersistedState::default())),
+        ("removed", node_without_vote(removed)),
+    ]
+}
+
+/// Node 1 leads term 2.
+fn heartbeat() -> Message {
+    message(1, 4, 2, MessageBody::Heartbeat { commit: 1, round: 1, voter: false })
+}
+
+/// A node without a vote never forgot its leader, so its daemon forwarded calls to one that led no more, and
+/// never logged that it had none.
+#[test]
+fn a_node_without_a_vote_forgets_a_silent_leader() {
+    for (name, mut raft) in nodes_without_vote() {
+        let ticks = Config::new(4).election_ticks;
+        raft.step(heartbeat());
+        (1..ticks).for_each(|_| raft.tick());
+        assert_eq!(raft.leader(), Some(1), "{name}: the leader may still be live");
+        (0..=ticks).for_each(|_| raft.tick());
+        assert_eq!(raft.leader(), None, "{name}");
+        raft.step(heartbeat());
+        assert_eq!(raft.leader(), Some(1), "{name}: the leader is back");
+    }
+}
+
+/// A node without a vote took a silent leader for a live one again after each election timeout, and refused
+/// its vote for most of the time to candidates that know it as a voter already.
+#[test]
+fn a_node_without_a_vote_grants_pre_votes_while_the_leader_is_silent() {
+    let three = Membership::initial(1, [1, 2, 3]);
+    let learner = three.after(MembershipChange::AddLearner(4)).unwrap();
+    let mut persisted_state = PersistedState::bootstrap(learner);
+    persisted_state.entries.push(entry(2, 2));
+    let mut raft = Raft::new(Config::new(4), persisted_state);
+    let election_ticks = Config::new(4).election_ticks;
+    raft.step(heartbeat());
+    while raft.ready().is_some() {
+        raft.persisted();
+    }
+    (0..election_ticks).for_each(|_| raft.tick());
+    for tick in election_ticks..5 * election_ticks {
+        let last = LogPosition { index: 2, term: 2 };
+        raft.step(message(2, 4, 3, MessageBody::PreVote { last }));
+        let ready = raft.ready().unwrap();
+        raft.persisted();
+        let bodies: Vec<_> = ready.messages.into_iter().map(|m| m.body).collect();
+        assert_eq!(bodies, [MessageBody::PreVoteResponse { granted: true }], "at tick {tick}");
+        raft.tick();
+    }
+}
