Keep the addresses of the others when a member starts anew

A member that is told that its id is retired, or that has lost its disk, empties its data folder. The addresses of the others go with it, although they hold for its next id, too. They stay now. (Nothing reads them for the search yet.)

--- a/crates/toucansilld/src/gateway/identity.rs
+++ b/crates/toucansilld/src/gateway/identity.rs
@@ -4,6 +4,7 @@
 use crate::{
     error::{Error, Result},
     settings::{InitialVoter, VoterSettings},
+    voter::ADDRESS_FILE,
 };
 use disk::Files;
 use std::{
@@ -54,7 +55,8 @@
     })
 }
 
-/// Removes the id and everything else in the data folder. The next start generates a new id.
+/// Removes the id and everything else in the data folder but the addresses of the other members. The next
+/// start generates a new id, and looks for the group at these addresses.
 ///
 /// The id file is removed first, so that an interrupted removal does not leave the old id with
 /// an incomplete log.
@@ -66,6 +68,9 @@
     }
     for entry in fs::read_dir(&control.data_folder)? {
         let path = entry?.path();
+        if path.file_name().is_some_and(|name| name == ADDRESS_FILE) {
+            continue;
+        }
         if path.is_dir() { fs::remove_dir_all(&path)? } else { fs::remove_file(&path)? }
     }
     File::open(&control.data_folder)?.sync_all()
--- a/crates/toucansilld/src/voter.rs
+++ b/crates/toucansilld/src/voter.rs
@@ -15,6 +15,7 @@
     sync::lock,
 };
 use addresses::Addresses;
+pub(crate) use addresses::FILE_NAME as ADDRESS_FILE;
 use control::{Command, InForceStatus, Outcome, RosterOutcome, State, relay};
 use group::{
     Config, Group, Handle, Membership, MembershipChange, NodeId, OutgoingMessage, Role, StartMode,
--- a/crates/toucansilld/src/voter/addresses.rs
+++ b/crates/toucansilld/src/voter/addresses.rs
@@ -15,7 +15,7 @@
 };
 
 /// Name of the file in the data folder.
-const FILE_NAME: &str = "voters.json";
+pub(crate) const FILE_NAME: &str = "voters.json";
 
 /// Addresses of the voters that this voter knows, with a copy on disk.
 pub(crate) struct Addresses {
