Look for the group at the stored addresses of its members

Callers saw: 503 `no leader is known` from one member, for good. It had been frozen and exchanged for a successor. When it woke, it was told that its id is retired, and started anew with settings that named only machines that were gone. No member sends it anything, as it is none, and it asked nobody who was there.

Cause: a daemon looked for the group at its seeds only, until a leader or a message came. The addresses of the members are on its disk.

Change: the view of a daemon begins with the addresses that its voter has stored.

--- a/crates/toucansilld/src/gateway/run.rs
+++ b/crates/toucansilld/src/gateway/run.rs
@@ -127,6 +127,7 @@
             let own = settings.links.to_string();
             let voter = identity::voter_settings(&settings, cfg)?;
             let voter = Arc::new(Voter::start(&voter, &own, TICK, Arc::clone(&clock), outbox)?);
+            voter.known_addresses().iter().for_each(|address| view.add_control_daemon(address));
             let (view, clock) = (Arc::clone(&view), Arc::clone(&clock));
             let (control, report_recorder) =
                 ControlMember::new(Arc::clone(&settings), cfg.clone(), voter, view, clock);
--- a/crates/toucansilld/src/gateway/view.rs
+++ b/crates/toucansilld/src/gateway/view.rs
@@ -44,7 +44,7 @@
     /// a leader was heard. They share the retry budget of placements without a leader.
     pub(crate) entry_daemons: u32,
     /// Link addresses of the control group's members, as the last leader listed them, and of those that have
-    /// sent messages since.
+    /// sent messages since. Until a leader was heard, those that the voter of this daemon has stored.
     pub(crate) control_addresses: Vec<SocketAddr>,
 }
 
@@ -85,8 +85,8 @@
         self.with(|state| state.table.clone())
     }
 
-    /// Adds a daemon of the control group that has sent a message, unless a leader is being followed, who
-    /// names all of them. All seeds of a daemon may be gone.
+    /// Adds a daemon of the control group that has sent a message, or whose address is stored, unless a leader is
+    /// being followed, who names all of them. All seeds of a daemon may be gone.
     pub(crate) fn add_control_daemon(&self, address: &str) {
         self.with(|state| {
             if state.leader.is_none()
@@ -99,7 +99,7 @@
     }
 
     /// Link address of the next daemon of the control group, in turn: those that the last leader
-    /// named or that have sent messages, and the seeds.
+    /// named, that have sent messages or are stored, and the seeds.
     pub(crate) fn next_control_daemon(
         &self,
         settings: &GatewaySettings,
--- a/crates/toucansilld/src/voter.rs
+++ b/crates/toucansilld/src/voter.rs
@@ -112,7 +112,7 @@
         Some((address, RaftEnvelope { message: outgoing.message, voters }))
     }
 
-    /// Link addresses of all known voters.
+    /// Link addresses of all known voters, this one included. They outlast the data of a member that starts anew.
     pub(crate) fn known_addresses(&self) -> Vec<String> {
         self.addresses.all().into_values().collect()
     }
--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -10,7 +10,7 @@
     collections::BTreeMap,
     env, fs,
     io::{Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{IpAddr, SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
     process::{self, Child, Command, Stdio},
     sync::atomic::{AtomicU64, Ordering},
@@ -35,6 +35,8 @@
     routes: Routes,
     /// Program of an earlier build, if it runs one.
     earlier_build: Option<PathBuf>,
+    /// Seeds in its settings, if not those of the region.
+    seeds: Option<Vec<SocketAddr>>,
 }
 
 /// Address that connections to an upstream are made to, by the address of the upstream.
@@ -96,6 +98,7 @@
             data_centre: String::from("dc-1"),
             routes: Routes::new(),
             earlier_build: None,
+            seeds: None,
         };
         let mut daemons: Vec<DaemonConfig> = (0..control_count).map(|i| daemon(i, true)).collect();
         daemons.extend((control_count..control_count + entry_count).map(|i| daemon(i, false)));
@@ -204,6 +207,21 @@
         self.daemons[i].routes = routes;
     }
 
+    #[allow(dead_code, reason = "the soak doesn't use it")]
+    /// Sets the seeds in the settings of daemon `i` from its next start on.
+    pub(crate) fn set_seeds(&mut self, i: usize, seeds: Vec<SocketAddr>) {
+        self.daemons[i].seeds = Some(seeds);
+    }
+
+    #[allow(dead_code, reason = "the soak doesn't use it")]
+    /// Control addresses of `count` machines of the region's network that don't run.
+    pub(crate) fn gone_machines(&self, count: u8) -> Vec<SocketAddr> {
+        let IpAddr::V4(first) = self.links_address(0).ip() else { unreachable!("IPv4") };
+        let [a, b, c, _] = first.octets();
+        let address = |n| SocketAddr::from(([a, b, c, u8::MAX - n], self.base_port + 1));
+        (1..=count).map(address).collect()
+    }
+
     /// Whether an entry says that it is ready for connections.
     pub(crate) fn is_ready(&self, i: usize) -> bool {
         let address = format!("{}:{}", self.daemons[i].ip, self.base_port + 3);
@@ -383,13 +401,19 @@
     /// Whether the group has `members` members, `heard` of which the leader hears, by the leader's
     /// metrics.
     pub(crate) fn is_group(&self, members: usize, heard: usize) -> bool {
+        let all: Vec<usize> = (0..self.daemons.len()).collect();
+        self.is_group_by(&all, members, heard)
+    }
+
+    /// [`is_group`](Self::is_group), by the metrics of these daemons only: others may be frozen.
+    pub(crate) fn is_group_by(&self, daemons: &[usize], members: usize, heard: usize) -> bool {
         let expected = [
             format!("toucansill_group_members {members}"),
             format!("toucansill_group_members_heard {heard}"),
         ];
         let is_expected =
             |page: &String| expected.iter().all(|line| page.lines().any(|l| l == line));
-        self.metrics().any(|page| is_expected(&page))
+        daemons.iter().filter_map(|i| self.metrics_of(*i)).any(|page| is_expected(&page))
     }
 
     /// Index of the daemon that leads a group of `members` members, by its metrics, once it hears
@@ -544,8 +568,12 @@
     fn settings(&self, i: usize, founds_group: bool) -> String {
         let DaemonConfig { ip, name, is_control, data_centre, .. } = &self.daemons[i];
         let port = self.base_port;
-        let seeds = self.daemons[..self.seed_count].iter();
-        let seeds: Vec<String> = seeds.map(|p| format!("'{}:{}'", p.ip, port + 1)).collect();
+        let seeds: Vec<String> = match &self.daemons[i].seeds {
+            Some(seeds) => seeds.iter().map(|seed| format!("'{seed}'")).collect(),
+            None => {
+                (0..self.seed_count).map(|i| format!("'{}'", self.control_address(i))).collect()
+            }
+        };
         let role_settings = if *is_control {
             let snapshots = self.snapshot_entries.map(|n| format!(", snapshot_entries: {n}"));
             format!(
--- a/crates/toucansilld/tests/gateway/replacements.rs
+++ b/crates/toucansilld/tests/gateway/replacements.rs
@@ -151,3 +151,32 @@
         (others.iter().all(has_joined) && region.is_group(5, 5)).then_some(())
     });
 }
+
+/// A member that was told that its id is retired forgot the addresses of the others with its log. It found nobody, as
+/// its settings named only machines that are gone, and answered each call with 503.
+#[test]
+fn a_retired_member_joins_again_although_all_its_seeds_are_gone() {
+    let mut region = Region::new(6);
+    (0..5).for_each(|i| region.start(i, true));
+    region.await_members(5);
+    let (others, frozen) = ([0, 1, 2, 3, 5], 4);
+    region.signal(frozen, "-STOP");
+    thread::sleep(REPLACEABLE_AFTER);
+    region.start(5, false);
+    eventually("a successor", || region.is_group_by(&others, 5, 5).then_some(()));
+    // Those that come back know nothing of the frozen member that isn't on their disks.
+    others.iter().for_each(|i| region.kill(*i));
+    others.iter().for_each(|i| region.start(*i, false));
+    eventually("the group", || region.is_group_by(&others, 5, 5).then_some(()));
+    region.signal(frozen, "-CONT");
+    eventually("the end of the retired member", || (!region.is_running(frozen)).then_some(()));
+    region.set_seeds(frozen, region.gone_machines(3));
+    region.start(frozen, false);
+    eventually("the member", || {
+        region.restart_ended();
+        let response = region.control_request(frozen, "GET", DOCUMENT_PATH, "");
+        let has_joined =
+            response.is_some_and(|(_, body)| body.contains("no routing was published yet"));
+        (has_joined && region.is_group(6, 6)).then_some(())
+    });
+}
