Forget the addresses of retired members

Callers saw nothing yet. Each replacement left an address for good on the disk of every member and in each message between them, and a daemon that looks for the group by its stored addresses has to try them one by one.

Cause: addresses were only ever added.

Evidence: `addresses_of_replaced_members_are_forgotten` failed before (`daemon 0 has stored 9 addresses`, after six replacements in a group of three).

Change: a voter keeps the addresses of the members, and of at most 16 nodes that are neither members nor retired. Those of retired ids go once the removal is committed, when the next address is learnt. A member that was retired itself isn't told so by the log, and keeps those of the others. The sender of a message, or a node that asks to join, always finds room, as it has to be answered.

--- a/crates/toucansilld/src/voter.rs
+++ b/crates/toucansilld/src/voter.rs
@@ -98,7 +98,7 @@
 
     /// Handles a consensus message of another voter.
     pub(crate) fn step(&self, envelope: RaftEnvelope) {
-        self.addresses.learn(&envelope.voters);
+        self.addresses.learn(&envelope.voters, envelope.message.from, || self.handle.status());
         self.handle.step(envelope.message);
     }
 
@@ -159,7 +159,7 @@
 
     /// Adds or changes the link address of another voter.
     pub(crate) fn learn_address(&self, id: NodeId, address: String) {
-        self.addresses.learn(&[(id, address)].into());
+        self.addresses.learn(&[(id, address)].into(), id, || self.handle.status());
     }
 
     /// Makes one membership change, and waits until it is committed.
@@ -227,14 +227,14 @@
     fn apply_change(&self, change: VoterChange) -> group::Result<ControlReply> {
         let index = match change {
             VoterChange::Add { id, address } => {
-                self.addresses.learn(&[(id, address)].into());
+                self.learn_address(id, address);
                 self.add(id)?
             }
             VoterChange::Remove { id } => {
                 self.handle.change_membership(MembershipChange::Remove(id), MEMBERSHIP_TIMEOUT)?
             }
             VoterChange::Replace { old, new, address } => {
-                self.addresses.learn(&[(new, address)].into());
+                self.learn_address(new, address);
                 self.handle.replace_voter(old, new, MEMBERSHIP_TIMEOUT)?
             }
         };
--- a/crates/toucansilld/src/voter/addresses.rs
+++ b/crates/toucansilld/src/voter/addresses.rs
@@ -1,4 +1,12 @@
 //! Link addresses of the voters, stored next to the log.
+//!
+//! What is kept doesn't grow with the number of replacements:
+//!
+//! - Addresses of the members, as of the last entry of the log, are always kept.
+//! - Those of retired ids are forgotten once that is committed. A member that was retired itself isn't told
+//!   so by the log: it goes on knowing the others.
+//! - Of others, such as nodes that are about to join, at most [`MAX_OTHERS`] are kept. A node that is itself about to
+//!   join knows no members yet, so that all are others to it.
 
 use crate::{
     control_messages::VoterAddresses,
@@ -7,7 +15,7 @@
     sync::lock,
 };
 use disk::Files;
-use group::NodeId;
+use group::{NodeId, Status};
 use std::{
     fs, io,
     path::{Path, PathBuf},
@@ -17,6 +25,10 @@
 /// Name of the file in the data folder.
 pub(crate) const FILE_NAME: &str = "voters.json";
 
+/// Maximum number of addresses that are kept of nodes that are neither members nor retired. All members of a large group
+/// fit, for a node that is about to join.
+const MAX_OTHERS: usize = 16;
+
 /// Addresses of the voters that this voter knows, with a copy on disk.
 pub(crate) struct Addresses {
     file: PathBuf,
@@ -52,8 +64,14 @@
         lock(&self.known).clone()
     }
 
-    /// Adds or changes addresses of other voters, and stores them.
-    pub(crate) fn learn(&self, learnt: &VoterAddresses) {
+    /// Adds or changes addresses of other voters, and stores them. `needed` is a node that has to be answered, as it
+    /// has sent the addresses or asks to join. `status` is called only if there is anything new.
+    pub(crate) fn learn(
+        &self,
+        learnt: &VoterAddresses,
+        needed: NodeId,
+        status: impl FnOnce() -> Status,
+    ) {
         let mut known = lock(&self.known);
         let is_changed = |(id, address): &(&NodeId, &String)| {
             **id != self.own_id && known.get(id) != Some(*address)
@@ -63,11 +81,49 @@
         if changed.is_empty() {
             return;
         }
-        known.extend(changed);
+        let next = self.merge(&known, changed, needed, &status());
+        if next == *known {
+            return;
+        }
+        *known = next;
         if let Err(err) = write(&self.file, &known) {
             log::error!("the voters' addresses were not saved: {err}");
         }
     }
+
+    /// The known addresses with the changed ones that are to be kept, and without those that aren't any more.
+    fn merge(
+        &self,
+        known: &VoterAddresses,
+        changed: VoterAddresses,
+        needed: NodeId,
+        status: &Status,
+    ) -> VoterAddresses {
+        let members = &status.membership;
+        let is_member = |id: NodeId| id == self.own_id || members.contains(id);
+        let is_retired = |id: NodeId| id != self.own_id && members.is_retired(id);
+        let mut next = known.clone();
+        // Before it is committed, a removal may be undone.
+        next.retain(|id, _| !(is_retired(*id) && status.is_membership_committed));
+        let mut others = next.keys().filter(|id| !is_member(**id)).count();
+        let mut changed: Vec<_> = changed.into_iter().filter(|(id, _)| !is_retired(*id)).collect();
+        changed.sort_by_key(|(id, _)| *id != needed);
+        for (id, address) in changed {
+            if !is_member(id) && !next.contains_key(&id) {
+                if others >= MAX_OTHERS && id != needed {
+                    continue;
+                }
+                if others >= MAX_OTHERS {
+                    // Messages bring back those that other members need.
+                    next.retain(|id, _| is_member(*id));
+                    others = 0;
+                }
+                others += 1;
+            }
+            next.insert(id, address);
+        }
+        next
+    }
 }
 
 /// Reads the file, which need not exist.
--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -348,6 +348,14 @@
         fs::read_to_string(self.data_folder(i).join("member-id")).expect("a member")
     }
 
+    #[allow(dead_code, reason = "the soak doesn't use it")]
+    /// Number of members' addresses that a control daemon has stored.
+    pub(crate) fn stored_addresses(&self, i: usize) -> usize {
+        let text = fs::read_to_string(self.data_folder(i).join("voters.json")).expect("addresses");
+        let stored: BTreeMap<String, String> = serde_json::from_str(&text).expect("JSON");
+        stored.len()
+    }
+
     /// Removes the data folder of a control daemon, to simulate the loss of its disk.
     pub(crate) fn lose_disk(&self, i: usize) {
         fs::remove_dir_all(self.data_folder(i)).expect("removed");
--- a/crates/toucansilld/tests/gateway/replacements.rs
+++ b/crates/toucansilld/tests/gateway/replacements.rs
@@ -180,3 +180,27 @@
         (has_joined && region.is_group(6, 6)).then_some(())
     });
 }
+
+/// Each replacement left an address for good on the disk of every member, and in each message between them.
+#[test]
+fn addresses_of_replaced_members_are_forgotten() {
+    const REPLACEMENTS: usize = 6;
+    let mut region = Region::new(3);
+    (0..3).for_each(|i| region.start(i, true));
+    region.await_members(3);
+    for count in 1..=REPLACEMENTS {
+        region.kill(2);
+        region.lose_disk(2);
+        region.start(2, false);
+        eventually("the member", || {
+            let logs = [0, 1].map(|i| region.log(i));
+            let joined = logs.iter().map(|log| log.matches("member has joined").count());
+            (joined.sum::<usize>() >= count).then_some(())
+        });
+    }
+    // Those that were replaced last may still be there.
+    for i in 0..3 {
+        let stored = region.stored_addresses(i);
+        assert!((3..=5).contains(&stored), "daemon {i} has stored {stored} addresses");
+    }
+}
