Ask further daemons while some are silent in the search for the leader

Callers saw: a daemon whose seeds or stored addresses were mostly of machines that had gone, or were frozen, found the group late. Each of them cost 0.4 s, the timeout of a connection, and a pause of 40 ms.

Cause: the search asked one daemon at a time, and waited for its reply or its failure.

Evidence: `a_daemon_finds_the_group_among_many_silent_machines`, with 160 silent machines that are asked first, failed before (`timed out waiting for: a leader`, 60 s).

Change: while no leader is known and no reply has come for 0.1 s, the next daemon is asked as well. Daemons that are up reply sooner, so a search among them takes as many requests as before. A known or named leader is still asked alone.

Result: the test passes within 17 s.

--- a/crates/toucansilld/src/gateway/follow.rs
+++ b/crates/toucansilld/src/gateway/follow.rs
@@ -11,11 +11,15 @@
 };
 use kernel::SharedClock;
 use std::{
+    collections::BTreeSet,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
-use tokio::time::sleep;
+use tokio::{
+    task::JoinSet,
+    time::{sleep, timeout},
+};
 
 /// Time beyond [`FOLLOW_WAIT`] after which a reply of the leader is overdue: a few scheduling
 /// delays of a busy VM.
@@ -36,6 +40,19 @@
 const MAX_OFFERED_AGE: Duration = Duration::from_secs(10);
 /// Pause before the next daemon is tried, while no leader is known.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
+/// Time without a reply after which the next daemon is asked as well, while no leader is known. Daemons that are up
+/// reply sooner, so that only those that are gone or frozen cost further requests.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Reply to a follow request, or why there is none.
+type FollowReply = wire::Result<LeaderReply>;
+
+/// Requests of a search for the leader that have no reply yet.
+#[derive(Default)]
+struct Search {
+    requests: JoinSet<(SocketAddr, FollowReply)>,
+    asked: BTreeSet<SocketAddr>,
+}
 
 /// Terms in which this daemon has waited for others to offer upstreams to the leader, and has offered
 /// them itself.
@@ -58,27 +75,34 @@
 impl Follower {
     /// Requests changes from the leader, one request at a time, until the task is aborted.
     ///
-    /// Without a known leader, it tries the daemons of the control group in turn. Each daemon
-    /// replies with changes if it leads, or names the leader if it knows one.
+    /// Without a known leader, it tries the daemons of the control group in turn, and doesn't wait for those
+    /// that are silent. Each daemon replies with changes if it leads, or names the leader if it knows one.
     pub(crate) async fn run(self) {
         let mut turn = usize::from(self.settings.links.port());
         let mut named_leader: Option<SocketAddr> = None;
         let mut known_term = 0;
         let mut last_read: Option<Instant> = None;
         let mut offers = Offers::default();
+        let mut search = Search::default();
         loop {
             if let Some(heard) = self.view.with(|state| state.leader_heard) {
                 let age = self.clock.now().saturating_duration_since(heard);
                 metrics::gauge!("toucansill_view_age_seconds").set(age.as_secs_f64());
             }
             let target = named_leader.take().or_else(|| self.view.with(|state| state.leader));
-            let Some(target) =
-                target.or_else(|| self.view.next_control_daemon(&self.settings, &mut turn))
-            else {
+            let replied = match target {
+                Some(target) => {
+                    // Replies to earlier requests would be of former positions of the view.
+                    search = Search::default();
+                    Some((target, self.request_change(target, known_term).await))
+                }
+                None => self.next_found(&mut search, &mut turn, known_term).await,
+            };
+            let Some((target, reply)) = replied else {
                 sleep(RETRY_PAUSE).await;
                 continue;
             };
-            match self.request_change(target, known_term).await {
+            match reply {
                 Ok(LeaderReply::View(change)) => {
                     if self.offer_missing(target, &change, &mut offers).await {
                         // The next view of this leader may have them.
@@ -121,14 +145,47 @@
         }
     }
 
-    /// Requests what has changed since the view's position. The leader holds the request for
-    /// up to [`FOLLOW_WAIT`] if nothing has. While no leader is followed, the last change is requested
-    /// once more, so that a leader replies at once.
-    async fn request_change(
+    /// Next reply of a daemon of the control group. Asks a further daemon now, and another one each
+    /// [`SEARCH_INTERVAL`] until a reply comes, so that the time that this takes hardly depends on how many are gone or
+    /// frozen. `None` if no daemon is known.
+    async fn next_found(
         &self,
-        target: SocketAddr,
+        search: &mut Search,
+        turn: &mut usize,
         known_term: u64,
-    ) -> wire::Result<LeaderReply> {
+    ) -> Option<(SocketAddr, FollowReply)> {
+        loop {
+            if search.requests.is_empty() {
+                search.asked.clear();
+            }
+            let target = self.view.next_control_daemon(&self.settings, turn)?;
+            if search.asked.insert(target) {
+                let links = Arc::clone(&self.links);
+                let follow = self.follow_request(known_term);
+                search
+                    .requests
+                    .spawn(async move { (target, request(&links, target, &follow).await) });
+            }
+            match timeout(SEARCH_INTERVAL, search.requests.join_next()).await {
+                Ok(Some(Ok((target, reply)))) => {
+                    search.asked.remove(&target);
+                    return Some((target, reply));
+                }
+                Ok(Some(Err(err))) => log::error!("a daemon was not asked for the leader: {err}"),
+                Ok(None) | Err(_) => {}
+            }
+        }
+    }
+
+    /// Requests what has changed since the view's position. The leader holds the request for
+    /// up to [`FOLLOW_WAIT`] if nothing has.
+    async fn request_change(&self, target: SocketAddr, known_term: u64) -> FollowReply {
+        request(&self.links, target, &self.follow_request(known_term)).await
+    }
+
+    /// Request for what has changed since the view's position. While no leader is followed, the last change
+    /// is requested once more, so that a leader replies at once.
+    fn follow_request(&self, known_term: u64) -> LeaderRequest {
         let (position, has_leader) =
             self.view.with(|state| (state.position, state.leader.is_some()));
         // A new leader does not know the requests that its predecessors placed. They are
@@ -137,13 +194,12 @@
             true => self.leader_placed.mark_reported(known_term),
             false => Vec::new(),
         };
-        let follow = FollowRequest {
+        LeaderRequest::Follow(FollowRequest {
             daemon: self.settings.daemon.clone(),
             is_entry: self.settings.entry.is_some(),
             position: if has_leader { position } else { position.before_last_change() },
             running,
-        };
-        self.links.request(target, &LeaderRequest::Follow(follow), FOLLOW_WAIT + REPLY_MARGIN).await
+        })
     }
 
     /// If a new leader's directory lacks upstreams that this daemon knows, as it has just started, waits
@@ -236,3 +292,8 @@
         });
     }
 }
+
+/// Sends a follow request, which a leader may hold.
+async fn request(links: &DaemonLinks, target: SocketAddr, follow: &LeaderRequest) -> FollowReply {
+    links.request(target, follow, FOLLOW_WAIT + REPLY_MARGIN).await
+}
--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -213,6 +213,27 @@
         self.daemons[i].seeds = Some(seeds);
     }
 
+    #[allow(dead_code, reason = "the soak doesn't use it")]
+    /// Machines that take connections for links and never answer, as frozen ones do, with the seeds of a daemon without
+    /// a voter that asks all of them before daemon `last`: it starts at a place in the sorted addresses that
+    /// follows from its port.
+    pub(crate) fn silent_machines(
+        &self,
+        count: usize,
+        last: usize,
+    ) -> (Vec<TcpListener>, Vec<SocketAddr>) {
+        let before = usize::from(self.base_port) % (count + 1);
+        let ip = |n: usize| match n < before {
+            true => [127, 0, (n / 250) as u8, 2 + (n % 250) as u8],
+            false => [127, 255, (n / 250) as u8, 2 + (n % 250) as u8],
+        };
+        let listen = |n| TcpListener::bind(SocketAddr::from((ip(n), self.base_port)));
+        let silent = (0..count).map(|n| listen(n).expect("a free port")).collect();
+        let seed = |n| SocketAddr::from((ip(n), self.base_port + 1));
+        let last = self.control_address(last).parse().expect("an address");
+        (silent, (0..count).map(seed).chain([last]).collect())
+    }
+
     #[allow(dead_code, reason = "the soak doesn't use it")]
     /// Control addresses of `count` machines of the region's network that don't run.
     pub(crate) fn gone_machines(&self, count: u8) -> Vec<SocketAddr> {
--- a/crates/toucansilld/tests/gateway/replacements.rs
+++ b/crates/toucansilld/tests/gateway/replacements.rs
@@ -204,3 +204,17 @@
         assert!((3..=5).contains(&stored), "daemon {i} has stored {stored} addresses");
     }
 }
+
+/// A daemon waited 0.4 s for each machine that was gone or frozen, one after the other, before it asked the one that was
+/// there.
+#[test]
+fn a_daemon_finds_the_group_among_many_silent_machines() {
+    let mut region = Region::new(1);
+    region.start(0, true);
+    region.await_members(1);
+    let (_silent, seeds) = region.silent_machines(160, 0);
+    let entry = region.entry();
+    region.set_seeds(entry, seeds);
+    region.start(entry, false);
+    eventually("a leader", || region.log(entry).contains("leader followed").then_some(()));
+}
