--- a/crates/toucansilld/src/gateway/identity.rs
+++ b/crates/toucansilld/src/gateway/identity.rs
@@ -77,7 +77,8 @@
         .map_err(|err| Error::store("control.data_folder", &err))
 }
 
-/// Removes the log and the id, so that the next start generates a new id.
+/// Removes the log and the id, so that the next start generates a new id, and looks for the group at the stored
+/// addresses of its members, which stay.
 ///
 /// A process that is killed meanwhile, or loses power, leaves an id without a log, a log that is set aside, or
 /// nothing. A voter without a log takes no part in its group.
--- a/crates/toucansilld/src/gateway/members.rs
+++ b/crates/toucansilld/src/gateway/members.rs
@@ -197,7 +197,9 @@
         if status.is_leader() {
             return Some(self.release(status.id, &address).await);
         }
-        let leader: SocketAddr = self.voter().address_of(status.leader?)?.parse().ok()?;
+        // A leader sends nothing to a member that it is removing, so the voter may have forgotten it.
+        let leader = status.leader.and_then(|id| self.voter().address_of(id)?.parse().ok());
+        let leader: SocketAddr = leader.or_else(|| self.known_leader())?;
         let request = LeaderRequest::Leave { id: status.id, address };
         match self.links().request(leader, &request, LEAVE_TIMEOUT).await {
             Ok(LeaderReply::NotLeader { .. }) => None,
--- a/crates/toucansilld/tests/gateway/replacements.rs
+++ b/crates/toucansilld/tests/gateway/replacements.rs
@@ -151,3 +151,69 @@
         (others.iter().all(has_joined) && region.is_group(5, 5)).then_some(())
     });
 }
+
+/// A member that was told that its id is retired forgot the addresses of the others with its log. It found nobody, as
+/// its settings named only machines that are gone, and answered each call with 503.
+#[test]
+fn a_retired_member_joins_again_although_all_its_seeds_are_gone() {
+    let mut region = Region::new(6);
+    (0..5).for_each(|i| region.start(i, true));
+    region.await_members(5);
+    let (others, frozen) = ([0, 1, 2, 3, 5], 4);
+    region.signal(frozen, "-STOP");
+    thread::sleep(REPLACEABLE_AFTER);
+    region.start(5, false);
+    eventually("a successor", || region.is_group_by(&others, 5, 5).then_some(()));
+    // Those that come back know nothing of the frozen member that isn't on their disks.
+    others.iter().for_each(|i| region.kill(*i));
+    others.iter().for_each(|i| region.start(*i, false));
+    eventually("the group", || region.is_group_by(&others, 5, 5).then_some(()));
+    region.set_seeds(frozen, region.gone_machines(3));
+    region.write_settings(frozen, false);
+    region.signal(frozen, "-CONT");
+    eventually("the member", || {
+        region.restart_ended();
+        let response = region.control_request(frozen, "GET", DOCUMENT_PATH, "");
+        let has_joined =
+            response.is_some_and(|(_, body)| body.contains("no routing was published yet"));
+        (has_joined && region.is_group(6, 6)).then_some(())
+    });
+}
+
+/// Each replacement left an address for good on the disk of every member, and in each message between them.
+#[test]
+fn addresses_of_replaced_members_are_forgotten() {
+    const REPLACEMENTS: usize = 6;
+    let mut region = Region::new(3);
+    (0..3).for_each(|i| region.start(i, true));
+    region.await_members(3);
+    for count in 1..=REPLACEMENTS {
+        region.kill(2);
+        region.lose_disk(2);
+        region.start(2, false);
+        eventually("the member", || {
+            let logs = [0, 1].map(|i| region.log(i));
+            let joined = logs.iter().map(|log| log.matches("member has joined").count());
+            (joined.sum::<usize>() >= count).then_some(())
+        });
+    }
+    // Those that were replaced last may still be there.
+    for i in 0..3 {
+        let stored = region.stored_addresses(i);
+        assert!((3..=5).contains(&stored), "daemon {i} has stored {stored} addresses");
+    }
+}
+
+/// A daemon waited 0.4 s for each machine that was gone or frozen, one after the other, before it asked the one that was
+/// there.
+#[test]
+fn a_daemon_finds_the_group_among_many_silent_machines() {
+    let mut region = Region::new(1);
+    region.start(0, true);
+    region.await_members(1);
+    let (_silent, seeds) = region.silent_machines(160, 0);
+    let entry = region.entry();
+    region.set_seeds(entry, seeds);
+    region.start(entry, false);
+    eventually("a leader", || region.log(entry).contains("leader followed").then_some(()));
+}
