Write the last frame at a start through the file operations of the store

Callers saw nothing: a start on a full disk failed as it should. Tests did not see it, as the write went past the operations that they replace, and a simulated full disk let a start succeed.

The last frame is now written through `Files::write`.

The script `disk_full` of the group started a voter on a disk that refused every write. That start is now refused, which the script checks, and its voter whose disk fills up later refuses every write after the one of the start.

--- a/crates/disk/src/files.rs
+++ b/crates/disk/src/files.rs
@@ -16,7 +16,7 @@
 
 /// File operations on which the durability of the store depends.
 pub struct Files {
-    /// Writes to a file. The store writes only at the end.
+    /// Writes to a file. The store writes at the end, and at its start the last frame of the log again.
     pub write: WriteFn,
     /// Syncs a file or folder.
     pub sync: SyncFn,
--- a/crates/disk/src/recovery.rs
+++ b/crates/disk/src/recovery.rs
@@ -10,6 +10,7 @@
 use raft::{HardState, Index, LogEntry, LogPosition, NodeId, PersistedState};
 use std::{
     fs::{self, File},
+    io::{Seek as _, SeekFrom},
     mem,
     ops::Range,
     os::unix::fs::FileExt as _,
@@ -168,7 +169,7 @@
     }
 }
 
-/// Writes the last frame of the log again and syncs it.
+/// Writes the last frame of the log again and syncs it. The position is at the end of the frame afterwards.
 ///
 /// If a process was killed before its sync, or the sync failed, its last frame may have been
 /// read from the cache of the operating system without ever having reached the disk. This
@@ -182,7 +183,8 @@
     let fail = |e| Error::io(path, "rewrite the last frame", e);
     let mut buf = vec![0; (frame.end - frame.start) as usize];
     f.read_exact_at(&mut buf, frame.start).map_err(fail)?;
-    f.write_all_at(&buf, frame.start).map_err(fail)?;
+    f.seek(SeekFrom::Start(frame.start)).map_err(fail)?;
+    (files.write)(f, path, &buf).map_err(fail)?;
     (files.sync)(f, path).map_err(fail)
 }
 
--- a/crates/group/tests/scenarios.rs
+++ b/crates/group/tests/scenarios.rs
@@ -5,7 +5,12 @@
 use common::{Cluster, TIMEOUT, state_machine};
 use goldenscript::{ArgumentConsumer, Command};
 use group::{Config, Group, Membership, NodeId, StartMode, restore_backup};
-use std::{error::Error, fs, io, result};
+use std::{
+    error::Error,
+    fs,
+    io::{self, Write as _},
+    result,
+};
 
 type Result<T> = result::Result<T, Box<dyn Error>>;
 
@@ -20,11 +25,23 @@
     cfg.store.segment_bytes = 1_000;
 }
 
-/// Makes every write to the log fail with "storage full".
+/// Makes every write fail with "storage full".
 fn fill_disk(cfg: &mut Config) {
     cfg.store.files.write = Box::new(|_, _, _| Err(io::ErrorKind::StorageFull.into()));
 }
 
+/// Makes every write but the first fail, which is that of a start: it writes the last frame again.
+fn fill_disk_after_start(cfg: &mut Config) {
+    let mut has_started = false;
+    cfg.store.files.write = Box::new(move |f, _, buf| match has_started {
+        true => Err(io::ErrorKind::StorageFull.into()),
+        false => {
+            has_started = true;
+            f.write_all(buf)
+        }
+    });
+}
+
 fn id(args: &mut ArgumentConsumer<'_>) -> Result<NodeId> {
     Ok(args.next_pos().ok_or("missing voter id")?.parse()?)
 }
@@ -69,6 +86,11 @@
                 let id = id(&mut args)?;
                 describe_start(self.cluster.start_with(id, StartMode::Join, fill_disk))
             }
+            "start-then-full" => {
+                let id = id(&mut args)?;
+                let started = self.cluster.start_with(id, StartMode::Join, fill_disk_after_start);
+                describe_start(started)
+            }
             "restart-all" => {
                 let ids: Vec<_> = self.cluster.nodes.keys().copied().collect();
                 ids.iter().for_each(|id| self.cluster.stop(*id));
