Sync the folder above a log at each start

A start that fails between making the folder of the log and syncing the folder above it leaves a folder that a loss of power may take away, with everything that was synced in it later: the next start found the folder and took it for durable. The voter would come back with its id and without its log and vote. Such a start is one on a full or failing disk, or one that is killed.

The folder above is now synced at each start, which costs one sync. The new test lets the first sync fail and checks that the second start repeats it; it failed before.

--- a/crates/disk/src/store.rs
+++ b/crates/disk/src/store.rs
@@ -311,12 +311,10 @@
     }
 }
 
-/// Creates a folder durably, unless it exists.
+/// Creates a folder, unless it exists, and makes it durable.
 fn create_folder(dir: &Path, files: &mut Files) -> Result<()> {
-    if dir.is_dir() {
-        return Ok(());
-    }
     fs::create_dir_all(dir).map_err(|e| Error::io(dir, "create the folder", e))?;
+    // Also if it exists: an earlier start may have ended between the two steps.
     let parent = dir.parent().filter(|p| !p.as_os_str().is_empty());
     snapshot::sync_folder(parent.unwrap_or(Path::new(".")), files)
 }
--- a/crates/disk/tests/starts.rs
+++ b/crates/disk/tests/starts.rs
@@ -3,11 +3,54 @@
 mod common;
 
 use common::{FakeDisk, entry};
-use disk::Store;
+use disk::{Files, Store, StoreOptions};
+use std::{
+    fs::{self, File},
+    io::{self, Write as _},
+    path::{Path, PathBuf},
+    sync::{Arc, Mutex},
+};
 
 /// Length of a segment that no test fills, in bytes.
 const SEGMENT_BYTES: u64 = 1 << 20;
 
+/// Folders that were synced, in order.
+type SyncedFolders = Arc<Mutex<Vec<PathBuf>>>;
+
+/// Settings of a store whose syncs of folders are recorded.
+fn recording(synced: &SyncedFolders) -> StoreOptions {
+    let synced = Arc::clone(synced);
+    let sync = move |_: &File, path: &Path| {
+        if path.is_dir() {
+            synced.lock().unwrap().push(path.to_owned());
+        }
+        Ok(())
+    };
+    let files = Files {
+        write: Box::new(|f, _, buf| f.write_all(buf)),
+        sync: Box::new(sync),
+        rename: Box::new(|from, to| fs::rename(from, to)),
+    };
+    StoreOptions { segment_bytes: SEGMENT_BYTES, files }
+}
+
+/// Guards against a data folder that a loss of power removes with all that was synced in it: its first start
+/// failed after it had made the folder and before that was durable, and later starts took it for durable.
+#[test]
+fn a_start_makes_a_folder_durable_that_a_failed_start_has_left() {
+    let parent = tempfile::tempdir().unwrap();
+    let dir = parent.path().join("group");
+    let failing =
+        Files { sync: Box::new(|_, _| Err(io::ErrorKind::StorageFull.into())), ..Files::default() };
+    let options = StoreOptions { segment_bytes: SEGMENT_BYTES, files: failing };
+    assert!(Store::open_with(&dir, options).unwrap_err().is_full());
+
+    let synced = SyncedFolders::default();
+    Store::open_with(&dir, recording(&synced)).unwrap();
+    let synced = synced.lock().unwrap();
+    assert_eq!(synced.first().map(PathBuf::as_path), Some(parent.path()), "{synced:?}");
+}
+
 /// Guards against a start on a full disk that seems to succeed in tests: opening a log writes its last frame
 /// again, and a full disk refuses that as well.
 #[test]
