Report a failure of a voter once its data folder is closed

A voter that failed reported it before it closed its folder. Whoever starts it again in the same process as soon as it reads the failure may find the folder locked by it. No run has shown this: today the process ends.

The thread now closes the folder first.

--- a/crates/group/src/runner.rs
+++ b/crates/group/src/runner.rs
@@ -143,27 +143,42 @@
         let clock = self.clock.clone();
         let thread = thread::Builder::new()
             .name(format!("voter-{}", self.cfg.raft.id))
-            .spawn(move || self.run())
+            .spawn(move || self.run_to_end())
             .map_err(|e| Error::stopped(e.to_string()))?;
         let thread = Arc::new(Mutex::new(Some(thread)));
         Ok(Handle { requests, messages, status, clock, thread })
     }
 
+    /// Runs the thread until it is told to stop or fails. Then closes the data folder, reports a
+    /// failure and refuses the requests that are still queued. The callers of proposed entries get no
+    /// reply, so that their outcomes are unknown.
+    fn run_to_end(mut self) {
+        let failure = self.run().err().map(|e| e.to_string());
+        let Self { cfg, store, status, requests, pending, .. } = self;
+        // Whoever learns of the failure may open the folder again at once.
+        drop(store);
+        if let Some(reason) = &failure {
+            log::error!("voter {} stopped after a failure: {reason}", cfg.raft.id);
+            status.lock().unwrap_or_else(PoisonError::into_inner).failure = failure.clone();
+        }
+        let e = Error::stopped(failure.as_deref().unwrap_or("by order"));
+        requests.drain().for_each(|request| request.fail(&e));
+        drop(pending);
+    }
+
     /// Main loop of the thread.
-    fn run(mut self) {
+    fn run(&mut self) -> Result<()> {
         while !self.is_stopping {
             self.handle_inputs();
             self.tick_if_due();
-            if let Err(e) = self.process_all() {
-                self.stop_after_failure(&e);
-                return;
-            }
+            let processed = self.process_all();
             self.publish_status();
+            processed?;
             for reply in self.tick_replies.drain(..) {
                 drop(reply.try_send(Ok(())));
             }
         }
-        self.refuse_queued("by order");
+        Ok(())
     }
 
     /// Waits for an input, then handles it and those that are queued, up to the batch limit.
@@ -354,23 +369,4 @@
         status.dropped_messages = self.dropped_messages;
         *self.status.lock().unwrap_or_else(PoisonError::into_inner) = status;
     }
-
-    /// Stops after a failure. The callers of proposed entries get no reply, so that their outcomes
-    /// are unknown; queued requests are refused.
-    fn stop_after_failure(mut self, e: &Error) {
-        log::error!("voter {} stopped after a failure: {e}", self.cfg.raft.id);
-        self.publish_status();
-        let reason = e.to_string();
-        let mut status = self.status.lock().unwrap_or_else(PoisonError::into_inner);
-        status.failure = Some(reason.clone());
-        drop(status);
-        self.refuse_queued(&reason);
-    }
-
-    /// Refuses the requests that are still queued.
-    fn refuse_queued(&mut self, reason: &str) {
-        for request in self.requests.drain() {
-            request.fail(&Error::stopped(reason));
-        }
-    }
 }
