Report a panic of a voter's thread as its failure

If the thread of a voter panicked, for example at an assertion of the Raft node, its status stayed what it was: the daemon took itself for a member for good, refused each request with "this voter has stopped", and its process neither ended nor started the voter again.

A panic is now a failure like that of the disk.

--- a/crates/group/src/runner.rs
+++ b/crates/group/src/runner.rs
@@ -13,6 +13,7 @@
 use kernel::SharedClock;
 use raft::{EntryPayload, LogEntry, LogPosition, Message, PersistedState, Raft, Ready, Snapshot};
 use std::{
+    panic::{self, AssertUnwindSafe},
     sync::{Arc, Mutex, PoisonError},
     thread,
     time::Instant,
@@ -149,11 +150,15 @@
         Ok(Handle { requests, messages, status, clock, thread })
     }
 
-    /// Runs the thread until it is told to stop or fails. Then closes the data folder, reports a
+    /// Runs the thread until it is told to stop, fails or panics. Then closes the data folder, reports a
     /// failure and refuses the requests that are still queued. The callers of proposed entries get no
     /// reply, so that their outcomes are unknown.
     fn run_to_end(mut self) {
-        let failure = self.run().err().map(|e| e.to_string());
+        let end = panic::catch_unwind(AssertUnwindSafe(|| self.run()));
+        let failure = match end {
+            Ok(end) => end.err().map(|e| e.to_string()),
+            Err(_) => Some(String::from("its thread panicked")),
+        };
         let Self { cfg, store, status, requests, pending, .. } = self;
         // Whoever learns of the failure may open the folder again at once.
         drop(store);
--- a/crates/group/tests/common/mod.rs
+++ b/crates/group/tests/common/mod.rs
@@ -40,17 +40,20 @@
 
 /// Command that the state machine can't apply.
 pub const UNKNOWN_COMMAND: &str = "unknown";
+/// Command on which the state machine panics.
+pub const PANIC_COMMAND: &str = "panic";
 
 /// A state machine that keeps all commands. Its output is their number.
 pub fn state_machine(state: &State) -> StateMachine {
     let (a, b, c) = (state.clone(), state.clone(), state.clone());
     StateMachine {
         apply: Box::new(move |_, command| {
-            let mut state = a.lock().unwrap();
             let command = String::from_utf8_lossy(command).into_owned();
+            assert_ne!(command, PANIC_COMMAND, "as the test wants");
             if command == UNKNOWN_COMMAND {
                 return Err("the command is not known".to_owned());
             }
+            let mut state = a.lock().unwrap();
             state.push(command);
             Ok(state.len().to_string().into_bytes())
         }),
--- a/crates/group/tests/failures.rs
+++ b/crates/group/tests/failures.rs
@@ -2,13 +2,28 @@
 
 mod common;
 
-use common::Cluster;
+use common::{Cluster, PANIC_COMMAND};
 use group::{Handle, StartMode};
 use std::{
     io,
     sync::{Arc, Mutex, OnceLock},
 };
 
+/// Guards against a node whose thread has panicked and that goes on for good as a member in the eyes of its
+/// daemon: the daemon refused every request, and its process didn't end.
+#[test]
+fn a_node_whose_thread_panics_reports_a_failure() {
+    let mut cluster = Cluster::bootstrap(1, |_| ());
+    cluster.elect();
+    cluster.propose("a").unwrap();
+    let pending = cluster.submit(1, PANIC_COMMAND);
+    let failure = |cluster: &Cluster| cluster.nodes[&1].handle.status().failure;
+    cluster.until("a failure", |cluster| failure(cluster).is_some());
+    assert!(pending.wait().is_err_and(|e| e.is_unknown()));
+    let status = cluster.nodes[&1].handle.status();
+    assert!(!status.is_leader(), "{status:?}");
+}
+
 /// Notes whether a node had reported its failure when its store was closed.
 struct Witness {
     handle: Arc<OnceLock<Handle>>,
