Save the address of a voter later if the disk was full

A member that learnt the address of another one while its disk was full kept it in memory, logged an error and never saved it: the next write came only with another new address. The log needs no room for that time if nothing is changed, so the member ran on. After a loss of power of all it couldn't reach that one, and waited to be reached.

The write is repeated every 0.5 s, with the messages of other voters, until it succeeds.

--- a/crates/toucansilld/src/voter.rs
+++ b/crates/toucansilld/src/voter.rs
@@ -8,7 +8,7 @@
 use crate::{
     control_messages::{
         ControlReply, ControlRequest, InForceReport, LaggingDaemonReport, RaftEnvelope,
-        VoterChange, VoterReport, VotersReport,
+        VoterAddresses, VoterChange, VoterReport, VotersReport,
     },
     error::{Error, Result},
     settings::VoterSettings,
@@ -97,7 +97,7 @@
 
     /// Handles a consensus message of another voter.
     pub(crate) fn step(&self, envelope: RaftEnvelope) {
-        self.addresses.learn(&envelope.voters);
+        self.learn(&envelope.voters);
         self.handle.step(envelope.message);
     }
 
@@ -158,7 +158,12 @@
 
     /// Adds or changes the link address of another voter.
     pub(crate) fn learn_address(&self, id: NodeId, address: String) {
-        self.addresses.learn(&[(id, address)].into());
+        self.learn(&[(id, address)].into());
+    }
+
+    /// Adds or changes link addresses of other voters.
+    fn learn(&self, addresses: &VoterAddresses) {
+        self.addresses.learn(addresses, self.clock.now());
     }
 
     /// Makes one membership change, and waits until it is committed.
@@ -226,14 +231,14 @@
     fn apply_change(&self, change: VoterChange) -> group::Result<ControlReply> {
         let index = match change {
             VoterChange::Add { id, address } => {
-                self.addresses.learn(&[(id, address)].into());
+                self.learn(&[(id, address)].into());
                 self.add(id)?
             }
             VoterChange::Remove { id } => {
                 self.handle.change_membership(MembershipChange::Remove(id), MEMBERSHIP_TIMEOUT)?
             }
             VoterChange::Replace { old, new, address } => {
-                self.addresses.learn(&[(new, address)].into());
+                self.learn(&[(new, address)].into());
                 self.handle.replace_voter(old, new, MEMBERSHIP_TIMEOUT)?
             }
         };
--- a/crates/toucansilld/src/voter/addresses.rs
+++ b/crates/toucansilld/src/voter/addresses.rs
@@ -12,16 +12,27 @@
     fs, io,
     path::{Path, PathBuf},
     sync::Mutex,
+    time::{Duration, Instant},
 };
 
 /// Name of the file in the data folder.
 const FILE_NAME: &str = "voters.json";
+/// Time after a failed write of the file until the next one: messages come every few milliseconds, and a
+/// disk stays full for seconds.
+const RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Addresses of the voters that this voter knows, with a copy on disk.
 pub(crate) struct Addresses {
     file: PathBuf,
     own_id: NodeId,
-    known: Mutex<VoterAddresses>,
+    known: Mutex<Known>,
+}
+
+/// Addresses and whether the file has them.
+struct Known {
+    addresses: VoterAddresses,
+    /// Time of the last write of the file, if it failed: the file lacks some addresses.
+    failed_at: Option<Instant>,
 }
 
 impl Addresses {
@@ -39,33 +50,45 @@
             // Later settings may no longer name the initial voters.
             write(&file, &known).map_err(|err| Error::start("voter.data_folder", err))?;
         }
+        let known = Known { addresses: known, failed_at: None };
         Ok(Self { file, own_id: settings.id, known: Mutex::new(known) })
     }
 
     /// Address of a voter, if known.
     pub(crate) fn of(&self, id: NodeId) -> Option<String> {
-        lock(&self.known).get(&id).cloned()
+        lock(&self.known).addresses.get(&id).cloned()
     }
 
     /// All addresses.
     pub(crate) fn all(&self) -> VoterAddresses {
-        lock(&self.known).clone()
+        lock(&self.known).addresses.clone()
     }
 
-    /// Adds or changes addresses of other voters, and stores them.
-    pub(crate) fn learn(&self, learnt: &VoterAddresses) {
+    /// Adds or changes addresses of other voters, and stores them. Those that were not stored before, as the
+    /// write failed, are stored by a later call.
+    pub(crate) fn learn(&self, learnt: &VoterAddresses, now: Instant) {
         let mut known = lock(&self.known);
         let is_changed = |(id, address): &(&NodeId, &String)| {
-            **id != self.own_id && known.get(id) != Some(*address)
+            **id != self.own_id && known.addresses.get(id) != Some(*address)
         };
         let changed: VoterAddresses =
             learnt.iter().filter(is_changed).map(|(id, address)| (*id, address.clone())).collect();
-        if changed.is_empty() {
+        let is_retry_due =
+            known.failed_at.is_some_and(|at| now.saturating_duration_since(at) >= RETRY_INTERVAL);
+        if changed.is_empty() && !is_retry_due {
             return;
         }
-        known.extend(changed);
-        if let Err(err) = write(&self.file, &known) {
-            log::error!("the voters' addresses were not saved: {err}");
+        known.addresses.extend(changed);
+        let had_failed = known.failed_at.is_some();
+        match write(&self.file, &known.addresses) {
+            Ok(()) => known.failed_at = None,
+            Err(err) => {
+                known.failed_at = Some(now);
+                return log::error!("the voters' addresses were not saved: {err}");
+            }
+        }
+        if had_failed {
+            log::info!("the voters' addresses are saved");
         }
     }
 }
--- a/crates/toucansilld/tests/gateway/main.rs
+++ b/crates/toucansilld/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod departures;
 mod engines;
 mod floods;
+mod full_disks;
 mod late_copies;
 mod limits;
 mod link_resets;
--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -527,7 +527,8 @@
         )
     }
 
-    fn data_folder(&self, i: usize) -> PathBuf {
+    /// Data folder of a control daemon.
+    pub(crate) fn data_folder(&self, i: usize) -> PathBuf {
         self.dir.path().join(&self.daemons[i].name)
     }
 
