--- a/crates/disk/tests/common/mod.rs
+++ b/crates/disk/tests/common/mod.rs
@@ -18,7 +18,7 @@
 pub struct State {
     /// Synced length of each file.
     synced_bytes: BTreeMap<PathBuf, u64>,
-    /// Files that existed when their folder was last synced.
+    /// Files and folders that existed when the folder above them was last synced.
     durable_names: BTreeSet<PathBuf>,
     /// Number of bytes that can still be written; unlimited if `None`.
     pub room_bytes: Option<usize>,
@@ -72,7 +72,8 @@
             return Err(io::Error::other("the device failed"));
         }
         if path.is_dir() {
-            state.durable_names = paths(path).into_iter().collect();
+            state.durable_names.retain(|name| name.parent() != Some(path));
+            state.durable_names.extend(paths(path));
         } else {
             state.synced_bytes.insert(path.to_owned(), f.metadata()?.len());
         }
