--- a/crates/group/src/runner.rs
+++ b/crates/group/src/runner.rs
@@ -151,7 +151,8 @@
         Ok(Handle { requests, messages, status, clock, thread })
     }
 
-    /// Body of the thread. However it ends, the status says so.
+    /// Body of the thread: runs until the node is told to stop, fails or panics. Then closes the data folder, says
+    /// in the status that the node has stopped, and refuses the requests that are still queued.
     fn run(mut self) {
         // After a panic the Raft state and the store may be inconsistent: neither is used again.
         let failure = match catch_unwind(AssertUnwindSafe(|| self.run_until_stopped())) {
@@ -159,11 +160,15 @@
             Ok(Err(e)) => Some(e.to_string()),
             Err(panic) => Some(format!("the thread panicked: {}", panic_message(&*panic))),
         };
+        let Self { cfg, store, status, requests, .. } = self;
+        // Whoever learns of the end may open the folder again at once.
+        drop(store);
         if let Some(failure) = &failure {
-            log::error!("voter {} stopped after a failure: {failure}", self.cfg.raft.id);
+            log::error!("voter {} stopped after a failure: {failure}", cfg.raft.id);
         }
-        self.publish_end(failure.clone());
-        self.refuse_queued(failure.as_deref().unwrap_or("by order"));
+        let e = Error::stopped(failure.as_deref().unwrap_or("by order"));
+        status.lock().unwrap_or_else(PoisonError::into_inner).end(failure);
+        requests.drain().for_each(|request| request.fail(&e));
     }
 
     /// Main loop of the thread.
@@ -174,8 +179,9 @@
         while !self.is_stopping {
             self.handle_inputs();
             self.tick_if_due();
-            self.process_all()?;
+            let processed = self.process_all();
             self.publish_status();
+            processed?;
             for reply in self.tick_replies.drain(..) {
                 drop(reply.try_send(Ok(())));
             }
@@ -371,18 +377,6 @@
         status.dropped_messages = self.dropped_messages;
         *self.status.lock().unwrap_or_else(PoisonError::into_inner) = status;
     }
-
-    /// Publishes that the thread ends, and why if it failed.
-    fn publish_end(&self, failure: Option<String>) {
-        self.status.lock().unwrap_or_else(PoisonError::into_inner).end(failure);
-    }
-
-    /// Refuses the requests that are still queued.
-    fn refuse_queued(&mut self, reason: &str) {
-        for request in self.requests.drain() {
-            request.fail(&Error::stopped(reason));
-        }
-    }
 }
 
 /// Message of a panic, as a caller of `panic!` gave it.
--- a/crates/group/tests/common/mod.rs
+++ b/crates/group/tests/common/mod.rs
@@ -50,10 +50,10 @@
         apply: Box::new(move |_, command| {
             let command = String::from_utf8_lossy(command).into_owned();
             assert!(command != PANIC_COMMAND, "the state machine met {command:?}");
-            let mut state = a.lock().unwrap();
             if command == UNKNOWN_COMMAND {
                 return Err("the command is not known".to_owned());
             }
+            let mut state = a.lock().unwrap();
             state.push(command);
             Ok(state.len().to_string().into_bytes())
         }),
--- a/crates/toucansilld/src/voter.rs
+++ b/crates/toucansilld/src/voter.rs
@@ -8,7 +8,7 @@
 use crate::{
     control_messages::{
         ControlReply, ControlRequest, InForceReport, LaggingDaemonReport, RaftEnvelope,
-        VoterChange, VoterReport, VotersReport,
+        VoterAddresses, VoterChange, VoterReport, VotersReport,
     },
     error::{Error, Result},
     settings::VoterSettings,
@@ -102,7 +102,7 @@
 
     /// Handles a consensus message of another voter.
     pub(crate) fn step(&self, envelope: RaftEnvelope) {
-        self.addresses.learn(&envelope.voters, envelope.message.from, || self.handle.status());
+        self.learn(&envelope.voters, envelope.message.from);
         self.handle.step(envelope.message);
     }
 
@@ -163,7 +163,12 @@
 
     /// Adds or changes the link address of another voter.
     pub(crate) fn learn_address(&self, id: NodeId, address: String) {
-        self.addresses.learn(&[(id, address)].into(), id, || self.handle.status());
+        self.learn(&[(id, address)].into(), id);
+    }
+
+    /// Adds or changes link addresses of other voters. `needed` is the one that has to be answered.
+    fn learn(&self, addresses: &VoterAddresses, needed: NodeId) {
+        self.addresses.learn(addresses, needed, self.clock.now(), || self.handle.status());
     }
 
     /// Makes one membership change, and waits until it is committed.
--- a/crates/toucansilld/src/voter/addresses.rs
+++ b/crates/toucansilld/src/voter/addresses.rs
@@ -20,10 +20,14 @@
     fs, io,
     path::{Path, PathBuf},
     sync::Mutex,
+    time::{Duration, Instant},
 };
 
 /// Name of the file in the data folder.
 const FILE_NAME: &str = "voters.json";
+/// Time after a failed write of the file until the next one: messages come every few milliseconds, and a
+/// disk stays full for seconds.
+const RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Maximum number of addresses that are kept of nodes that are neither members nor retired. All members of a large group
 /// fit, for a node that is about to join.
@@ -33,7 +37,14 @@
 pub(crate) struct Addresses {
     file: PathBuf,
     own_id: NodeId,
-    known: Mutex<VoterAddresses>,
+    known: Mutex<Known>,
+}
+
+/// Addresses and whether the file has them.
+struct Known {
+    addresses: VoterAddresses,
+    /// Time of the last write of the file, if it failed: the file lacks some addresses.
+    failed_at: Option<Instant>,
 }
 
 impl Addresses {
@@ -51,43 +62,56 @@
             // Later settings may no longer name the initial voters.
             write(&file, &known).map_err(|err| Error::store("voter.data_folder", &err))?;
         }
+        let known = Known { addresses: known, failed_at: None };
         Ok(Self { file, own_id: settings.id, known: Mutex::new(known) })
     }
 
     /// Address of a voter, if known.
     pub(crate) fn of(&self, id: NodeId) -> Option<String> {
-        lock(&self.known).get(&id).cloned()
+        lock(&self.known).addresses.get(&id).cloned()
     }
 
     /// All addresses.
     pub(crate) fn all(&self) -> VoterAddresses {
-        lock(&self.known).clone()
+        lock(&self.known).addresses.clone()
     }
 
     /// Adds or changes addresses of other voters, and stores them. `needed` is a node that has to be answered, as it
-    /// has sent the addresses or asks to join. `status` is called only if there is anything new.
+    /// has sent the addresses or asks to join. `status` is called only if there is anything new. Those that were not
+    /// stored before, as the write failed, are stored by a later call.
     pub(crate) fn learn(
         &self,
         learnt: &VoterAddresses,
         needed: NodeId,
+        now: Instant,
         status: impl FnOnce() -> Status,
     ) {
         let mut known = lock(&self.known);
         let is_changed = |(id, address): &(&NodeId, &String)| {
-            **id != self.own_id && known.get(id) != Some(*address)
+            **id != self.own_id && known.addresses.get(id) != Some(*address)
         };
         let changed: VoterAddresses =
             learnt.iter().filter(is_changed).map(|(id, address)| (*id, address.clone())).collect();
-        if changed.is_empty() {
+        let is_retry_due =
+            known.failed_at.is_some_and(|at| now.saturating_duration_since(at) >= RETRY_INTERVAL);
+        if changed.is_empty() && !is_retry_due {
             return;
         }
-        let next = self.merge(&known, changed, needed, &status());
-        if next == *known {
+        let next = self.merge(&known.addresses, changed, needed, &status());
+        if next == known.addresses && !is_retry_due {
             return;
         }
-        *known = next;
-        if let Err(err) = write(&self.file, &known) {
-            log::error!("the voters' addresses were not saved: {err}");
+        known.addresses = next;
+        let had_failed = known.failed_at.is_some();
+        match write(&self.file, &known.addresses) {
+            Ok(()) => known.failed_at = None,
+            Err(err) => {
+                known.failed_at = Some(now);
+                return log::error!("the voters' addresses were not saved: {err}");
+            }
+        }
+        if had_failed {
+            log::info!("the voters' addresses are saved");
         }
     }
 
