Replace a file of addresses that can't be read

Callers saw nothing yet: a member whose voters.json can't be read, for example after a write by another program, failed at each start, and the file now outlasts a discarded log.

Cause: an unreadable file of addresses was treated like one of the log. The other members send all addresses with each message.

Change: the fault is logged, and the file replaced.

--- a/crates/toucansilld/src/voter/addresses.rs
+++ b/crates/toucansilld/src/voter/addresses.rs
@@ -150,10 +150,13 @@
     }
 }
 
-/// Reads the file, which need not exist.
+/// Reads the file, which need not exist. An unreadable one is replaced: the others send what they know.
 fn read(file: &Path) -> io::Result<VoterAddresses> {
     match fs::read(file) {
-        Ok(buf) => Ok(serde_json::from_slice(&buf)?),
+        Ok(buf) => Ok(serde_json::from_slice(&buf).unwrap_or_else(|err| {
+            log::error!("{}: the voters' addresses can't be read: {err}", file.display());
+            VoterAddresses::new()
+        })),
         Err(err) if err.kind() == io::ErrorKind::NotFound => Ok(VoterAddresses::new()),
         Err(err) => Err(err),
     }
--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -407,10 +407,10 @@
         fs::rename(folder.join(from), folder.join(to)).expect("renamed");
     }
 
-    /// Stores another id for a control daemon that isn't running.
+    /// Replaces a file in the data folder of a control daemon that isn't running.
     #[allow(dead_code, reason = "the soak doesn't use it")]
-    pub(crate) fn store_member_id(&self, i: usize, id: u64) {
-        fs::write(self.data_folder(i).join("member-id"), id.to_string()).expect("written");
+    pub(crate) fn store(&self, i: usize, file: &str, content: &str) {
+        fs::write(self.data_folder(i).join(file), content).expect("written");
     }
 
     /// Sends a control request to a daemon. Returns status and body; `None` without a response.
--- a/crates/toucansilld/tests/gateway/restarts.rs
+++ b/crates/toucansilld/tests/gateway/restarts.rs
@@ -60,11 +60,19 @@
 fn a_member_with_another_id_than_its_log_joins_again() {
     let (mut region, member) = group_with_ended_member();
     let id = region.member_id(member);
-    region.store_member_id(member, 1 << 50);
+    region.store(member, "member-id", &(1_u64 << 50).to_string());
     check_joins_again(&mut region, member);
     assert_eq!(region.member_id(member), id);
 }
 
+/// A file of addresses that can't be read made each start fail, although the others send the addresses anyway.
+#[test]
+fn a_member_with_unreadable_addresses_joins_again() {
+    let (mut region, member) = group_with_ended_member();
+    region.store(member, "voters.json", "{\"1");
+    check_joins_again(&mut region, member);
+}
+
 /// A member that is killed while it empties its data folder must join again, whether its id was removed already
 /// or not.
 #[test]
