Notice when a task ends that a daemon can't do without

Callers saw nothing yet: a panic of one of ten tasks left a daemon half alive, for example a leader without the task that begins its work, which no other member replaces as it goes on sending heartbeats, and which answers no call.

Cause: the tasks were spawned, and nobody awaited them. Found by reading; no panic of a task was seen.

Change: `tasks::Tasks` names the first task that ends and how, and the daemon then starts anew, as after a failure of its voter. Panics of all threads are logged.

--- a/crates/toucansilld/src/gateway/run.rs
+++ b/crates/toucansilld/src/gateway/run.rs
@@ -23,6 +23,7 @@
 use crate::{
     error::{Error, Result},
     logs,
+    tasks::Tasks,
     voter::Voter,
 };
 use grant::StartWait;
@@ -35,6 +36,7 @@
     flag,
 };
 use std::{
+    panic,
     path::Path,
     sync::{
         Arc, OnceLock, Weak,
@@ -47,7 +49,7 @@
     runtime::Builder,
     signal::unix::{Signal, SignalKind, signal},
     sync::watch,
-    task::{JoinHandle, spawn_blocking},
+    task::spawn_blocking,
     time::sleep,
 };
 
@@ -101,12 +103,13 @@
     let stop_signal = StopSignal::listen()?;
     let mut settings = GatewaySettings::load(path)?;
     logs::install_bounded(&settings.daemon);
+    log_panics();
     let mut has_started = false;
     let stopped = loop {
         let ended = run_once(path, &settings, connector.clone(), &stop_signal, &mut has_started);
         match ended {
             Ok(StopCause::Signal) => break Ok(()),
-            Ok(StopCause::Member) => log::warn!("this daemon starts anew"),
+            Ok(StopCause::Task(end)) => log::warn!("this daemon starts anew: {end}"),
             Err(err) if has_started || err.is_disk() => log::error!("not started: {err}"),
             Err(err) => break Err(err),
         }
@@ -123,6 +126,15 @@
     stopped
 }
 
+/// Has panics of all threads logged, besides what is done with them otherwise.
+fn log_panics() {
+    let default = panic::take_hook();
+    panic::set_hook(Box::new(move |info| {
+        log::error!("panic: {info}");
+        default(info);
+    }));
+}
+
 /// Settings for the next start within the process. The seeds may have changed since the last one.
 fn restart_settings(path: &Path, former: GatewaySettings) -> GatewaySettings {
     let mut settings = GatewaySettings::load(path).unwrap_or_else(|err| {
@@ -186,6 +198,7 @@
     let (is_stopping_soon_tx, is_stopping_soon) = watch::channel(false);
     let (ends_at_tx, ends_at) = watch::channel(None);
 
+    let mut tasks = Tasks::default();
     let mut raft_out = None;
     let control = match &settings.control {
         Some(cfg) => {
@@ -198,7 +211,7 @@
             let (view, clock) = (Arc::clone(&view), Arc::clone(&clock));
             let (control, report_recorder) =
                 ControlMember::new(Arc::clone(&settings), cfg.clone(), voter, view, clock);
-            tokio::spawn(report_recorder);
+            tasks.spawn("reports", report_recorder);
             Some(control)
         }
         None => None,
@@ -212,11 +225,11 @@
     .await?;
     if let (Some(control), Some(outgoing)) = (&control, raft_out) {
         control.set_links(Arc::clone(&links));
-        tokio::spawn(send_raft(Arc::clone(control), outgoing));
-        tokio::spawn(Arc::clone(control).watch_leadership());
-        tokio::spawn(Arc::clone(control).poll_waiting_requests());
-        tokio::spawn(Arc::clone(control).serve_followers());
-        tokio::spawn(Arc::clone(control).send_refreshes());
+        tasks.spawn("Raft messages", send_raft(Arc::clone(control), outgoing));
+        tasks.spawn("leadership", Arc::clone(control).watch_leadership());
+        tasks.spawn("placements", Arc::clone(control).poll_waiting_requests());
+        tasks.spawn("followers", Arc::clone(control).serve_followers());
+        tasks.spawn("refreshes", Arc::clone(control).send_refreshes());
     }
     let follower = Follower {
         settings: Arc::clone(&settings),
@@ -226,7 +239,7 @@
         leader_placed: Arc::clone(&leader_placed),
         limits: Arc::clone(&limits),
     };
-    tokio::spawn(follower.run());
+    tasks.spawn("view", follower.run());
     serve_metrics(&settings, metrics, is_stopping.clone())?;
 
     let mut callers = None;
@@ -235,7 +248,7 @@
         let start_wait = StartWait::new(clock.now(), settings.bounds.recovery_time());
         let watchlist = WatchlistView::start(&settings, &view, &links, &clock);
         let paths = Paths::new(connector, Arc::clone(&clock), settings.data_centre.clone());
-        tokio::spawn(Arc::clone(&paths).check(Arc::clone(&view)));
+        tasks.spawn("paths", Arc::clone(&paths).check(Arc::clone(&view)));
         let parts = PlacerParts {
             view: Arc::clone(&view),
             links: Arc::clone(&links),
@@ -247,7 +260,7 @@
             start_wait,
         };
         let (placer, reporter) = Placer::new(&settings, parts);
-        tokio::spawn(reporter);
+        tasks.spawn("progress", reporter);
         let body_budget = Arc::new(BodyBudget::new(cfg.body_bytes()));
         let entry = Arc::new(CallerHandler {
             view: Arc::clone(&view),
@@ -277,19 +290,19 @@
                 is_stopping: is_stopping.clone(),
             };
             relayed = Some(serve_relay(address, relay, is_stopping.clone())?);
-            tokio::spawn(announcer.run());
+            tasks.spawn("relay", announcer.run());
         }
         serve_readiness(cfg, Arc::clone(&view), is_stopping.clone())?;
     }
-    let mut member = None;
+    let mut membership_task = None;
     if let (Some(cfg), Some(control)) = (&settings.control, &control) {
         serve_control(cfg, Arc::clone(control), is_stopping.clone())?;
-        member = Some(tokio::spawn(Arc::clone(control).maintain_membership()));
+        let membership = Arc::clone(control).maintain_membership();
+        membership_task = Some(tasks.spawn("membership", membership));
     }
 
     *has_started = true;
-    let membership_task = member.as_ref().map(JoinHandle::abort_handle);
-    let cause = await_stop(path, &settings, member, signals).await;
+    let cause = await_stop(path, &settings, &mut tasks, signals).await;
     let stopping = Instant::now();
     log::info!("stopping");
     // An error means that no task is left that would have to be told.
@@ -333,8 +346,8 @@
 /// Why a daemon stops.
 enum StopCause {
     Signal,
-    /// Its id in the control group can't be used any more, or its voter has stopped.
-    Member,
+    /// A task ended that it can't do without. This names it.
+    Task(String),
 }
 
 /// Whether the process was told to stop, at any time. SIGHUP has a handler as well: a start reads the settings
@@ -386,27 +399,19 @@
     }
 }
 
-/// Waits for a stop signal, or until this daemon has to restart because its id in the control
-/// group can't be used any more. SIGHUP reads the settings again.
+/// Waits for a stop signal, or until one of the daemon's tasks ends. That of its membership ends when its id in the
+/// control group can't be used any more, or its voter has failed. SIGHUP reads the settings again.
 async fn await_stop(
     path: &Path,
     settings: &GatewaySettings,
-    member: Option<JoinHandle<()>>,
+    tasks: &mut Tasks,
     Signals { mut term, mut int, mut hup }: Signals,
 ) -> StopCause {
-    let member = async {
-        match member {
-            // The task ends only when the id can't be used any more. A panic stops the daemon too.
-            Some(member) => drop(member.await),
-            None => std::future::pending().await,
-        }
-    };
-    tokio::pin!(member);
     loop {
         tokio::select! {
             _ = term.recv() => return StopCause::Signal,
             _ = int.recv() => return StopCause::Signal,
-            () = &mut member => return StopCause::Member,
+            end = tasks.first_end() => return StopCause::Task(end),
             _ = hup.recv() => reload(path, settings),
         }
     }
--- a/crates/toucansilld/src/lib.rs
+++ b/crates/toucansilld/src/lib.rs
@@ -32,6 +32,7 @@
 mod session;
 mod settings;
 mod sync;
+pub mod tasks;
 mod voter;
 
 pub use daemon::Daemon;
