Test daemons whose disks are full at their start, and let a founder wait for room

A founder that found no room at the first start of its region was started again as a daemon that joins, and the group was never founded. It still founds the group as long as it hasn't run.

Evidence: without the attempts within the process, the tests of a member whose disk is full and of one that is stopped meanwhile fail (ended by itself; no attempt in 60 s). All four tests of full_disks pass.

--- a/crates/toucansilld/src/gateway/run.rs
+++ b/crates/toucansilld/src/gateway/run.rs
@@ -116,7 +116,7 @@
         if stop_signal.is_received_within(RESTART_PAUSE) {
             break Ok(());
         }
-        settings = restart_settings(path, settings);
+        settings = restart_settings(path, settings, has_started);
     };
     match &stopped {
         Ok(()) => log::info!("stopped"),
@@ -136,14 +136,14 @@
 }
 
 /// Settings for the next start within the process. The seeds may have changed since the last one.
-fn restart_settings(path: &Path, former: GatewaySettings) -> GatewaySettings {
+fn restart_settings(path: &Path, former: GatewaySettings, has_started: bool) -> GatewaySettings {
     let mut settings = GatewaySettings::load(path).unwrap_or_else(|err| {
         log::error!("settings not read again; the former ones stay in use: {err}");
         former
     });
     // The file may be that of the region's first start. A group must not be founded twice.
     if let Some(control) = &mut settings.control {
-        control.founds_group = false;
+        control.founds_group &= !has_started;
     }
     settings
 }
--- a/crates/toucansilld/tests/gateway/full_disks.rs
+++ b/crates/toucansilld/tests/gateway/full_disks.rs
@@ -3,7 +3,10 @@
 //! A temporary file that is a link to `/dev/full` stands for a full disk: a write to it fails as on one.
 
 use super::{Region, eventually};
-use std::{fs, os::unix::fs::symlink};
+use std::{fs, os::unix::fs::symlink, thread, time::Duration};
+
+/// Time for which a daemon tries to start on a full disk: several attempts.
+const DISK_IS_FULL: Duration = Duration::from_secs(1);
 
 /// Guards against a member that learns the address of another one while its disk is full, and never saves it
 /// although there is room again: after a loss of power of all, it can't reach that one.
@@ -26,3 +29,50 @@
     fs::remove_file(&partial).expect("removed");
     eventually("the address is saved", || is_saved().then_some(()));
 }
+
+/// Guards against a member whose process ends at each start while its disk is full: a supervisor that waits longer after
+/// each failure, or gives up, keeps it away long after there is room again.
+#[test]
+fn a_member_whose_disk_is_full_at_its_start_joins_once_there_is_room() {
+    let mut region = Region::new(5);
+    (0..5).for_each(|i| region.start(i, true));
+    region.await_members(5);
+    let member = (region.await_leader(5) + 1) % 5;
+    region.kill(member);
+    region.lose_disk(member);
+    region.await_group(5, 4);
+    fs::create_dir(region.data_folder(member)).expect("a folder");
+    let partial = region.data_folder(member).join("member-id.partial");
+    symlink("/dev/full", &partial).expect("a link");
+    region.start(member, false);
+    thread::sleep(DISK_IS_FULL);
+    assert!(region.is_running(member), "the process ended by itself");
+    fs::remove_file(&partial).expect("removed");
+    region.await_members(5);
+    assert!(region.is_running(member), "the process ended by itself");
+}
+
+/// A daemon that waits for room on its disk must stop when it is told to.
+#[test]
+fn a_member_that_waits_for_room_on_its_disk_stops_when_it_is_told() {
+    let mut region = Region::new(1);
+    fs::create_dir(region.data_folder(0)).expect("a folder");
+    symlink("/dev/full", region.data_folder(0).join("member-id.partial")).expect("a link");
+    region.start(0, true);
+    eventually("an attempt", || region.log(0).contains("not started").then_some(()));
+    region.stop(0);
+    assert!(region.log(0).contains("\"text\":\"stopped\""));
+}
+
+/// A daemon that found no room at the first start of its region has to found the group once there is some.
+#[test]
+fn a_founder_whose_disk_is_full_founds_the_group_once_there_is_room() {
+    let mut region = Region::new(1);
+    fs::create_dir(region.data_folder(0)).expect("a folder");
+    let partial = region.data_folder(0).join("member-id.partial");
+    symlink("/dev/full", &partial).expect("a link");
+    region.start(0, true);
+    eventually("an attempt", || region.log(0).contains("not started").then_some(()));
+    fs::remove_file(&partial).expect("removed");
+    region.await_members(1);
+}
