Test the system calls by which names become durable

The simulated disk shows that folders are synced by an operation of their own, and not what that does. The test loads a library before the C library of a daemon, which records renames and full syncs of folders. With fdatasync for folders it fails ("no sync after rename .../member-id"), and passes now.

--- a/crates/toucansilld/tests/gateway/main.rs
+++ b/crates/toucansilld/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod crashes;
 mod departures;
+mod durable_names;
 mod engines;
 mod floods;
 mod full_disks;
--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -35,6 +35,8 @@
     routes: Routes,
     /// Program of an earlier build, if it runs one.
     earlier_build: Option<PathBuf>,
+    /// Further environment variables.
+    variables: Vec<(&'static str, PathBuf)>,
     /// Seeds in its settings, if not those of the region.
     seeds: Option<Vec<SocketAddr>>,
 }
@@ -98,6 +100,7 @@
             data_centre: String::from("dc-1"),
             routes: Routes::new(),
             earlier_build: None,
+            variables: Vec::new(),
             seeds: None,
         };
         let mut daemons: Vec<DaemonConfig> = (0..control_count).map(|i| daemon(i, true)).collect();
@@ -202,6 +205,12 @@
         self.daemons[i].earlier_build = earlier.map(Path::to_path_buf);
     }
 
+    #[allow(dead_code, reason = "the soak doesn't use it")]
+    /// Sets further environment variables of daemon `i`, before its start.
+    pub(crate) fn set_variables(&mut self, i: usize, variables: Vec<(&'static str, PathBuf)>) {
+        self.daemons[i].variables = variables;
+    }
+
     /// Sets the routes of daemon `i` to upstreams, before its start.
     pub(crate) fn set_routes(&mut self, i: usize, routes: Routes) {
         self.daemons[i].routes = routes;
@@ -325,6 +334,7 @@
                 .args(["--exact", "routed_daemon"])
                 .env(ROUTED_DAEMON, format!("{}\n{routes}", file.display()));
         }
+        command.envs(self.daemons[i].variables.iter().cloned());
         let log = fs::File::options().create(true).append(true).open(self.log_file(i));
         command.stdout(log.expect("a log file")).stderr(Stdio::null());
         let child = command.spawn().expect("started");
