Wait for the end of the voter before a daemon starts anew

Callers saw nothing yet. Cause: a run that ended because of a task only dropped its voter, whose thread may be held by a write or by blocking work, and the next run opened the folder. Only the lock of the folder kept two voters of one id from writing to one log, and a file system may grant locks without effect. Besides, a second caller of Handle::stop returned at once.

Change: the voter is stopped and awaited after each run that doesn't end by a signal. The pause before the next run grows to 3.2 s if runs end soon for a reason other than the disk.

--- a/crates/group/src/handle.rs
+++ b/crates/group/src/handle.rs
@@ -230,12 +230,12 @@
         receive(&rx, LOCAL_TIMEOUT)
     }
 
-    /// Stops the node and waits until its thread has ended and its data folder is closed.
+    /// Stops the node and waits until its thread has ended and its data folder is closed, whoever stops it.
     pub fn stop(&self) {
         // Fails if the node has already stopped.
         let _ = self.requests.send(Request::Stop);
-        let thread = self.thread.lock().unwrap_or_else(PoisonError::into_inner).take();
-        if thread.is_some_and(|thread| thread.join().is_err()) {
+        let mut thread = self.thread.lock().unwrap_or_else(PoisonError::into_inner);
+        if thread.take().is_some_and(|thread| thread.join().is_err()) {
             log::error!("the voter's thread panicked");
         }
     }
--- a/crates/toucansilld/src/gateway/run.rs
+++ b/crates/toucansilld/src/gateway/run.rs
@@ -72,6 +72,10 @@
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 /// Pause before a daemon starts anew within its process.
 const RESTART_PAUSE: Duration = Duration::from_millis(200);
+/// Longest such pause, after runs that all ended soon.
+const MAX_RESTART_PAUSE: Duration = Duration::from_millis(3_200);
+/// Time after which a run that ends is taken for a success, and the next pause is short.
+const LASTING_RUN: Duration = Duration::from_secs(10);
 /// Interval at which it is checked meanwhile whether the process is to stop.
 const SIGNAL_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Longest time for which a daemon that starts anew waits for its former blocking work.
@@ -83,7 +87,7 @@
 ///
 /// A daemon whose id in the control group can't be used any more, or whose voter has failed, starts anew within the
 /// process: how soon a process is started again is not up to the daemon. While its disk can't be used, for example
-/// because it is full, the daemon tries again every [`RESTART_PAUSE`].
+/// because it is full, the daemon tries again five times a second.
 ///
 /// # Errors
 ///
@@ -105,17 +109,23 @@
     logs::install_bounded(&settings.daemon);
     log_panics();
     let mut has_started = false;
+    let mut pause = RESTART_PAUSE;
     let stopped = loop {
+        let started = Instant::now();
         let ended = run_once(path, &settings, connector.clone(), &stop_signal, &mut has_started);
+        let is_disk_fault = ended.as_ref().is_err_and(Error::is_disk);
         match ended {
             Ok(StopCause::Signal) => break Ok(()),
             Ok(StopCause::Task(end)) => log::warn!("this daemon starts anew: {end}"),
             Err(err) if has_started || err.is_disk() => log::error!("not started: {err}"),
             Err(err) => break Err(err),
         }
-        if stop_signal.is_received_within(RESTART_PAUSE) {
+        // A fault that each start meets again is tried less and less often; a disk has room again at any moment.
+        let is_repeated = started.elapsed() < LASTING_RUN && !is_disk_fault;
+        if stop_signal.is_received_within(pause) {
             break Ok(());
         }
+        pause = if is_repeated { MAX_RESTART_PAUSE.min(pause * 2) } else { RESTART_PAUSE };
         settings = restart_settings(path, settings, has_started);
     };
     match &stopped {
@@ -148,6 +158,14 @@
     settings
 }
 
+/// What is known of one run of a daemon once it has ended.
+#[derive(Default)]
+struct Run {
+    /// Whether all parts of the daemon ran.
+    has_started: bool,
+    voter: Option<Arc<Voter>>,
+}
+
 /// Runs the daemon on a runtime of its own, so that nothing of it is left when it ends. `has_started` is set
 /// once all of its parts run.
 fn run_once(
@@ -174,10 +192,18 @@
         data_centre = settings.data_centre.as_str(); "starting"
     );
     let settings = Arc::new(settings.clone());
-    let ended = runtime.block_on(run_daemon(path, settings, connector, signals, has_started));
+    let mut run = Run::default();
+    let ended = runtime.block_on(run_daemon(path, settings, connector, signals, &mut run));
+    *has_started |= run.has_started;
     match ended {
         Ok(StopCause::Signal) => runtime.shutdown_background(),
-        _ => runtime.shutdown_timeout(SHUTDOWN_TIMEOUT),
+        _ => {
+            runtime.shutdown_timeout(SHUTDOWN_TIMEOUT);
+            // Blocking work may still refer to it, and the lock of the folder may have no effect.
+            if let Some(voter) = run.voter {
+                voter.stop();
+            }
+        }
     }
     ended
 }
@@ -187,7 +213,7 @@
     settings: Arc<GatewaySettings>,
     connector: Connector,
     signals: Signals,
-    has_started: &mut bool,
+    run: &mut Run,
 ) -> Result<StopCause> {
     let clock: SharedClock = Arc::new(SystemClock);
     let metrics = install_metrics()?;
@@ -207,6 +233,7 @@
             let own = settings.links.to_string();
             let voter = identity::voter_settings(&settings, cfg)?;
             let voter = Arc::new(Voter::start(&voter, &own, TICK, Arc::clone(&clock), outbox)?);
+            run.voter = Some(Arc::clone(&voter));
             voter.known_addresses().iter().for_each(|address| view.add_control_daemon(address));
             let (view, clock) = (Arc::clone(&view), Arc::clone(&clock));
             let (control, report_recorder) =
@@ -301,7 +328,7 @@
         membership_task = Some(tasks.spawn("membership", membership));
     }
 
-    *has_started = true;
+    run.has_started = true;
     let cause = await_stop(path, &settings, &mut tasks, signals).await;
     let stopping = Instant::now();
     log::info!("stopping");
