Start with an id file that can't be read, and with the rest of a discarded log

Callers saw nothing yet: both faults kept a member away for good, although the log has the id as well, and the rest of a discarded log isn't needed.

Evidence: an empty member-id failed each start before ("cannot parse integer from empty string", review). a_member_with_an_unreadable_id_joins_again passes.

--- a/crates/toucansilld/src/gateway/identity.rs
+++ b/crates/toucansilld/src/gateway/identity.rs
@@ -35,7 +35,9 @@
     fs::create_dir_all(&control.data_folder).map_err(start_error)?;
     let file = control.data_folder.join(ID_FILE);
     let is_founder = control.founds_group && settings.seeds.contains(&control.listen);
-    voter::remove_discarded(&control.data_folder).map_err(start_error)?;
+    if let Err(err) = voter::remove_discarded(&control.data_folder) {
+        log::error!("what is left of a discarded log was not removed: {err}");
+    }
     let id = match stored_id(&control.data_folder, &file)? {
         Some(id) => id,
         None => {
@@ -105,12 +107,16 @@
     fastrand::u64(FIRST_RANDOM_ID..u64::MAX)
 }
 
-/// Reads the stored id; `None` if there is no file.
+/// Reads the stored id; `None` if there is no file, or if it can't be read: the log has the id as well, and without a
+/// log a new one does.
 fn read_id(file: &Path) -> io::Result<Option<u64>> {
     match fs::read_to_string(file) {
         Ok(text) => match text.trim().parse() {
             Ok(id) => Ok(Some(id)),
-            Err(err) => Err(io::Error::new(io::ErrorKind::InvalidData, err)),
+            Err(err) => {
+                log::error!("{}: the id can't be read: {err}", file.display());
+                Ok(None)
+            }
         },
         Err(err) if err.kind() == io::ErrorKind::NotFound => Ok(None),
         Err(err) => Err(err),
--- a/crates/toucansilld/tests/gateway/restarts.rs
+++ b/crates/toucansilld/tests/gateway/restarts.rs
@@ -65,6 +65,16 @@
     assert_eq!(region.member_id(member), id);
 }
 
+/// A file of the id that can't be read made each start fail, although the log has the id as well.
+#[test]
+fn a_member_with_an_unreadable_id_joins_again() {
+    let (mut region, member) = group_with_ended_member();
+    let id = region.member_id(member);
+    region.store(member, "member-id", "");
+    check_joins_again(&mut region, member);
+    assert_eq!(region.member_id(member), id);
+}
+
 /// A file of addresses that can't be read made each start fail, although the others send the addresses anyway.
 #[test]
 fn a_member_with_unreadable_addresses_joins_again() {
