--- a/crates/group/src/backup.rs
+++ b/crates/group/src/backup.rs
@@ -39,6 +39,7 @@
     snapshot.meta.membership = members;
     let term = backup.meta.term;
     store.append(Some(HardState { term, vote: None }), &[]);
-    store.claim(id).map_err(Error::disk)?;
-    store.install_snapshot(&snapshot).map_err(Error::disk)
+    store.install_snapshot(&snapshot).map_err(Error::disk)?;
+    // Last: a folder that belongs to a node and holds nothing would be taken for that of a new one.
+    store.claim(id).map_err(Error::disk)
 }
--- a/crates/toucansill/src/command/backup.rs
+++ b/crates/toucansill/src/command/backup.rs
@@ -54,7 +54,7 @@
     Ok(Exit::Done)
 }
 
-/// Writes a temporary file in the same folder, verifies it and renames it, so that a failure
+/// Writes a temporary file in the same folder, verifies it and renames it durably, so that a failure
 /// half-way leaves an older backup intact.
 fn write_and_verify(file: &Path, buf: &[u8]) -> Result<Snapshot> {
     let mut temporary = file.as_os_str().to_os_string();
@@ -65,6 +65,8 @@
     f.sync_all()?;
     let snapshot = disk::read_backup(temporary)?;
     fs::rename(temporary, file)?;
+    let folder = file.parent().filter(|folder| !folder.as_os_str().is_empty());
+    File::open(folder.unwrap_or(Path::new(".")))?.sync_all()?;
     Ok(snapshot)
 }
 
