--- a/crates/toucansilld/src/gateway.rs
+++ b/crates/toucansilld/src/gateway.rs
@@ -22,6 +22,7 @@
 mod calls;
 mod compress;
 mod control;
+mod daemon;
 mod entry;
 mod exclusions;
 mod follow;
