Tests that fail: the vote of a silent member goes to the successor of another

Callers and the operator get 503, `no leader is known`, from all members, for good, although all of them are back: two votes of five are left. One member is silent with its disk whole, another one is gone for good, and two further disks are lost once the successor of the latter has caught up.

Cause, by the log of the leader in each run: a successor is exchanged for the voter that has been silent the longest (`member admitted`, `Exchange { old: the silent member }`), and a group with a voter too many removes the one that is silent for 1 s first (`surplus member removed`). The voter that is gone stays.

Nine tests, as processes: the silent member is frozen before the other one is gone, or after a leader is; cut off from all other members by hanging connections; ended, and restarted with its disk before or after the loss; the successor joins before or after the freeze; and the member that goes leaves as planned.

--- a/crates/toucansilld/tests/gateway/main.rs
+++ b/crates/toucansilld/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod departures;
 mod durable_names;
 mod engines;
+mod exchanges;
 mod floods;
 mod full_disks;
 mod late_copies;
--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -23,7 +23,7 @@
 /// Timeout for a condition that a test waits for. Only a failing test reaches it.
 const TIMEOUT: Duration = Duration::from_secs(60);
 /// Interval at which such a condition is checked.
-const POLL_INTERVAL: Duration = Duration::from_millis(20);
+pub(crate) const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// One daemon. Each has a loopback address of its own, as all use the same ports.
 struct DaemonConfig {
