Replace the voter that is gone, not the one that has been silent the longest

Callers and the operator got 503, `no leader is known`, from all members for good, although all of them were back. The group had counted a disk that was gone, and not one that was whole.

Cause: a successor at a new address was exchanged for the voter that had been silent the longest, and a group with a voter too many removed that one. A suspended voter may have been silent for longer than the one that is gone, a new leader counts silence anew, and the one that is gone may still count as reachable. Two further lost disks then leave two of five voters.

A leader now probes the voters that don't answer when a successor waits or a voter is one too many. A process that accepts connections is there, and so is its disk: it keeps its vote for 30 s, and as long as another one may be gone. If several may be gone, the choice waits until each has been silent for 2.5 s, and falls on a host that doesn't respond before one that refuses. No choice is made before each voter that counts as reachable has answered since the successor was added.

--- a/crates/group/src/status.rs
+++ b/crates/group/src/status.rs
@@ -38,8 +38,8 @@
     pub reachable: BTreeSet<NodeId>,
     /// On a leader: learners that can be promoted; see [`Raft::is_caught_up`].
     pub caught_up: BTreeSet<NodeId>,
-    /// On a leader: learners since whose addition every voter has answered; see
-    /// [`Raft::is_confirmed_by_all`].
+    /// On a leader: learners since whose addition every reachable voter has answered; see
+    /// [`Raft::is_confirmed_by_reachable`].
     pub confirmed: BTreeSet<NodeId>,
     /// On a leader: members that lack entries which they had acknowledged. They must be replaced.
     pub lost_logs: BTreeSet<NodeId>,
@@ -59,7 +59,7 @@
         let reachable = membership.nodes().filter(is_reachable).collect();
         let learners = || membership.learners.difference(&membership.voters).copied();
         let caught_up = learners().filter(|id| raft.is_caught_up(*id)).collect();
-        let confirmed = learners().filter(|id| raft.is_confirmed_by_all(*id)).collect();
+        let confirmed = learners().filter(|id| raft.is_confirmed_by_reachable(*id)).collect();
         let matched = membership.nodes().filter_map(|id| Some((id, raft.matched(id)?))).collect();
         Self {
             id: raft.id(),
--- a/crates/group/tests/full_disks.rs
+++ b/crates/group/tests/full_disks.rs
@@ -15,7 +15,7 @@
 use disks::FakeDisk;
 use group::{
     AppliedCommand, Config, MembershipChange, NodeId, StartMode, Status,
-    joining::{GroupView, next_join_step, surplus_voter},
+    joining::{GroupView, Presence, ReplaceAfter, next_join_step, surplus_voter},
 };
 use std::{
     collections::BTreeMap,
@@ -26,8 +26,8 @@
 
 /// Voters that the group should have.
 const VOTERS: usize = 5;
-/// Ticks of silence after which a voter may be replaced.
-const REPLACE_AFTER_TICKS: u32 = 20;
+/// Ticks of silence after which voters may be replaced.
+const REPLACE_AFTER: ReplaceAfter = ReplaceAfter { alone: 20, among_several: 50, listening: 600 };
 /// Rounds between two requests to join, and between two commands.
 const JOIN_ROUNDS: usize = 4;
 const PROPOSE_ROUNDS: usize = 3;
@@ -231,6 +231,11 @@
         let addresses = self.machines.iter().enumerate();
         let addresses: BTreeMap<NodeId, String> =
             addresses.map(|(at, machine)| (machine.node, at.to_string())).collect();
+        let presence = |id: &NodeId| match self.cluster.nodes.contains_key(id) {
+            true => Presence::Listening,
+            false => Presence::Refused,
+        };
+        let presence = status.membership.voters.iter().map(|id| (*id, presence(id))).collect();
         let view = GroupView {
             members: &status.membership,
             silent_ticks: &status.silent_ticks,
@@ -239,7 +244,8 @@
             confirmed: &status.confirmed,
             addresses: &addresses,
             target_voters: VOTERS,
-            replace_after_ticks: REPLACE_AFTER_TICKS,
+            presence: &presence,
+            replace_after: REPLACE_AFTER,
         };
         let mut running = self.machines.iter().filter(|m| self.cluster.nodes.contains_key(&m.node));
         let change = running
--- a/crates/raft/src/joining.rs
+++ b/crates/raft/src/joining.rs
@@ -13,6 +13,10 @@
 //! - A voter that doesn't answer is exchanged for another node. It may be gone for good, or come back with its
 //!   disk. In the joint membership both cases leave a quorum, also if the new node is lost as well; see
 //!   [`Membership`].
+//! - Of several voters that don't answer, the one that is gone is exchanged. A voter that keeps its vote although its
+//!   disk is gone costs as much as a lost disk, and so does a whole disk without a vote. What tells them
+//!   apart is their [`Presence`]: a process that is there has its disk. Where that doesn't tell, the exchange
+//!   waits a while, as some of them may come back.
 //! - A voter that answers is removed after another node has been promoted, as each of the two steps
 //!   then tolerates as many losses as a group of its usual size.
 //! - A group with more voters than it should have first removes one that doesn't answer.
@@ -25,6 +29,28 @@
 use crate::{Membership, MembershipChange, NodeId};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// What is known of a voter that doesn't answer.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Presence {
+    /// Its process is there, and may be suspended.
+    Listening,
+    /// Its host is there, and its process isn't: it may be about to start again.
+    Refused,
+    /// Its host doesn't respond: it is down, cut off or gone.
+    Unreachable,
+}
+
+/// Ticks of silence after which voters are replaced.
+#[derive(Clone, Copy, Debug)]
+pub struct ReplaceAfter {
+    /// If it is the only one that may be gone.
+    pub alone: u32,
+    /// If several may be gone: time for those that aren't to come back.
+    pub among_several: u32,
+    /// If its process is there all the time.
+    pub listening: u32,
+}
+
 /// A leader's knowledge of its group.
 #[derive(Clone, Copy, Debug)]
 pub struct GroupView<'a> {
@@ -38,15 +64,18 @@
     pub reachable: &'a BTreeSet<NodeId>,
     /// Learners that can be promoted; see [`Raft::is_caught_up`](crate::Raft::is_caught_up).
     pub caught_up: &'a BTreeSet<NodeId>,
-    /// Learners since whose addition every voter has answered; see
-    /// [`Raft::is_confirmed_by_all`](crate::Raft::is_confirmed_by_all).
+    /// Learners since whose addition every reachable voter has answered; see
+    /// [`Raft::is_confirmed_by_reachable`](crate::Raft::is_confirmed_by_reachable).
     pub confirmed: &'a BTreeSet<NodeId>,
     /// Last known address of each node.
     pub addresses: &'a BTreeMap<NodeId, String>,
     /// Number of voters that the group should have.
     pub target_voters: usize,
+    /// What is known of the voters that don't answer. As long as it lacks one of them, none is
+    /// replaced, except by a node at its own address.
+    pub presence: &'a BTreeMap<NodeId, Presence>,
     /// Ticks of silence after which a voter may be replaced.
-    pub replace_after_ticks: u32,
+    pub replace_after: ReplaceAfter,
 }
 
 /// Returns the next change on the way of a node to a vote, or `None` if there is none to make now: the
@@ -54,8 +83,8 @@
 /// exchange. It asks again then.
 ///
 /// The node takes the place of members that were last known at the same address: their disks are lost.
-/// Otherwise, if the group has at least `target_voters` voters, it takes the place of the voter that has
-/// been silent the longest, provided that it reached `replace_after_ticks`. If all voters answer, it
+/// Otherwise, if the group has at least `target_voters` voters, it takes the place of the silent voter that is most
+/// likely gone, once that has been silent for long enough; see [`ReplaceAfter`]. If all voters answer, it
 /// becomes an additional one, whose predecessor is expected to leave; see [`next_leave_step`].
 pub fn next_join_step(view: GroupView<'_>, id: NodeId, address: &str) -> Option<MembershipChange> {
     let members = view.members;
@@ -75,14 +104,16 @@
         return Some(replace(view, former, id));
     }
     let reachable = members.voters.intersection(view.reachable).count();
+    let is_confirmed = view.confirmed.contains(&id);
     let may_grow = match members.voters.len() < view.target_voters {
         true => reachable >= members.voters_needed_to_grow(),
-        false => view.confirmed.contains(&id),
+        false => is_confirmed && reachable == members.voters.len(),
     };
     if may_grow {
         return Some(MembershipChange::Promote(id));
     }
-    longest_silent_voter(view).map(|former| replace(view, former, id))
+    // The node's predecessor may still count as reachable.
+    replaceable_voter(view).filter(|_| is_confirmed).map(|former| replace(view, former, id))
 }
 
 /// The change by which a learner takes the place of a voter that doesn't answer. The voter is only removed
@@ -138,7 +169,7 @@
     }
     let reachable = members.voters.intersection(view.reachable).count();
     let is_silent = |id: &NodeId| {
-        view.silent_ticks.get(id).is_some_and(|ticks| *ticks >= view.replace_after_ticks)
+        view.silent_ticks.get(id).is_some_and(|ticks| *ticks >= view.replace_after.alone)
     };
     let mut joining = members.learners.iter().filter(|learner| !is_silent(learner)).peekable();
     let has_joining = joining.peek().is_some();
@@ -161,7 +192,7 @@
 /// the number of voters that a majority needs, so its removal never makes the group less tolerant.
 pub fn surplus_voter(view: GroupView<'_>) -> Option<NodeId> {
     let has_surplus = view.members.voters.len() > view.target_voters && !view.members.is_joint();
-    longest_silent_voter(view).filter(|_| has_surplus)
+    replaceable_voter(view).filter(|_| has_surplus)
 }
 
 /// Another node among `ids` with the address of node `id`: one whose disk was lost before.
@@ -175,9 +206,23 @@
     others.find(|other| view.addresses.get(other).is_some_and(|a| a == address)).copied()
 }
 
-/// The voter that has been silent the longest, if for at least `replace_after_ticks`.
-fn longest_silent_voter(view: GroupView<'_>) -> Option<NodeId> {
-    let silent = view.silent_ticks.iter().filter(|(_, ticks)| **ticks >= view.replace_after_ticks);
-    let silent_voters = silent.filter(|(id, _)| view.members.is_voter(**id));
-    silent_voters.max_by_key(|(_, ticks)| **ticks).map(|(id, _)| *id)
+/// The silent voter whose place another node may take, or that may be removed, if it can be told by now.
+fn replaceable_voter(view: GroupView<'_>) -> Option<NodeId> {
+    let silence = |id: NodeId| view.silent_ticks.get(&id).copied().unwrap_or(0);
+    let silent = view.members.voters.difference(view.reachable).copied();
+    let silent: Option<Vec<(Presence, u32, NodeId)>> =
+        silent.map(|id| Some((*view.presence.get(&id)?, silence(id), id))).collect();
+    let (listening, absent): (Vec<_>, Vec<_>) =
+        silent?.into_iter().partition(|(presence, ..)| *presence == Presence::Listening);
+    let after = view.replace_after;
+    let (candidates, after_ticks) = match absent.len() {
+        0 => (listening, after.listening),
+        1 => (absent, after.alone),
+        _ if absent.iter().all(|(_, ticks, _)| *ticks >= after.among_several) => {
+            (absent, after.among_several)
+        }
+        _ => return None,
+    };
+    let due = candidates.into_iter().filter(|(_, ticks, _)| *ticks >= after_ticks);
+    due.max().map(|(.., id)| id)
 }
--- a/crates/raft/src/membership.rs
+++ b/crates/raft/src/membership.rs
@@ -108,14 +108,14 @@
         id == self.cfg.id || self.progress.get(&id).is_some_and(has_answered)
     }
 
-    /// On a leader: whether every voter is reachable and has answered since this member was added or,
-    /// if that was earlier, since this node leads.
-    pub fn is_confirmed_by_all(&self, id: NodeId) -> bool {
+    /// On a leader: whether every reachable voter has answered since this member was added or,
+    /// if that was earlier, since this node leads. A voter that was lost before may still count as reachable.
+    pub fn is_confirmed_by_reachable(&self, id: NodeId) -> bool {
         let Some(member) = self.progress.get(&id) else { return false };
-        self.membership().voters.iter().all(|voter| {
+        let mut voters = self.membership().voters.iter().filter(|voter| self.is_reachable(**voter));
+        voters.all(|voter| {
             let progress = self.progress.get(voter);
-            let has_answered = progress.is_none_or(|p| p.silent_ticks < member.age_ticks);
-            self.is_reachable(*voter) && has_answered
+            progress.is_none_or(|p| p.silent_ticks < member.age_ticks)
         })
     }
 
--- a/crates/raft/tests/members.rs
+++ b/crates/raft/tests/members.rs
@@ -7,8 +7,11 @@
 
 use bolero::{TypeGenerator, generator::*};
 use raft::{
-    MembershipChange, NodeId, PersistedState,
-    joining::{GroupView, LeaveStep, next_join_step, next_leave_step, surplus_voter},
+    MembershipChange, NodeId, PersistedState, Term,
+    joining::{
+        GroupView, LeaveStep, Presence, ReplaceAfter, next_join_step, next_leave_step,
+        surplus_voter,
+    },
 };
 use sim::Sim;
 use std::collections::{BTreeMap, BTreeSet};
@@ -42,8 +45,8 @@
 /// Number of disks that may be lost at once.
 const TOLERATED_LOSSES: usize = 2;
 const MAX_ROUNDS: u8 = 60;
-/// Ticks of silence after which a voter may be replaced.
-const REPLACE_AFTER_TICKS: u32 = 20;
+/// Ticks of silence after which voters may be replaced.
+const REPLACE_AFTER: ReplaceAfter = ReplaceAfter { alone: 20, among_several: 50, listening: 600 };
 /// Rounds under a leader after which a VM that has come back no longer counts as lost: 4 s of ticks.
 const CATCH_UP_ROUNDS: u32 = 80;
 
@@ -57,6 +60,8 @@
     address: String,
     /// Rounds for which it has run and been connected under a leader, since it was lost.
     rounds_back: u32,
+    /// Rounds for which it has run and been connected, under the same leader, since its disk was lost.
+    rounds_under_leader: u32,
 }
 
 struct Driver {
@@ -71,21 +76,34 @@
     leaving: Option<(String, String)>,
     next_id: NodeId,
     commands: u32,
-    /// Whether a VM that is down or cut off counts as lost until it has been back for a while. If not, only
-    /// lost disks count, until the group is back at full size.
-    counts_outages: bool,
+    losses: Losses,
     /// Number of disks lost since the group was last at full size.
     lost_disks: usize,
+    /// Leader of the last round, with its term.
+    last_leader: Option<(NodeId, Term)>,
+}
+
+/// What counts as lost. The group tolerates [`TOLERATED_LOSSES`] of them.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Losses {
+    /// VMs that are down or cut off, or have lost their disks, until they have been back for a while.
+    Vms,
+    /// Disks, until the group is back at full size.
+    Disks,
+    /// Disks, each until its successor has run for a while under one leader. Any number of VMs may be down or suspended
+    /// meanwhile.
+    DisksWithoutSuccessor,
 }
 
 impl Driver {
-    fn new(counts_outages: bool) -> Self {
+    fn new(losses: Losses) -> Self {
         let mut sim = Sim::new(VM_COUNT as u64, |_| ());
         sim.may_lose_disks = true;
         let vm = |n| Vm {
             node: n as NodeId,
             address: format!("address {n}"),
             rounds_back: CATCH_UP_ROUNDS,
+            rounds_under_leader: CATCH_UP_ROUNDS,
         };
         let vms: Vec<_> = (1..=VM_COUNT).map(vm).collect();
         let addresses = vms.iter().map(|vm| (vm.node, vm.address.clone())).collect();
@@ -99,8 +117,9 @@
             leaving: None,
             next_id: VM_COUNT as NodeId + 1,
             commands: 0,
-            counts_outages,
+            losses,
             lost_disks: 0,
+            last_leader: None,
         }
     }
 
@@ -170,10 +189,14 @@
 
     /// Whether a VM may lose its disk: with it, no more VMs are lost than the group tolerates.
     fn may_be_lost(&self, at: usize) -> bool {
-        if !self.counts_outages {
+        if self.losses == Losses::Disks {
             return self.lost_disks < TOLERATED_LOSSES;
         }
-        let is_lost = |(i, vm): &(usize, &Vm)| *i == at || vm.rounds_back < CATCH_UP_ROUNDS;
+        let is_back = |vm: &Vm| match self.losses {
+            Losses::Vms => vm.rounds_back >= CATCH_UP_ROUNDS,
+            _ => vm.rounds_under_leader >= CATCH_UP_ROUNDS,
+        };
+        let is_lost = |(i, vm): &(usize, &Vm)| *i == at || !is_back(vm);
         self.vms.iter().enumerate().filter(is_lost).count() <= TOLERATED_LOSSES
     }
 
@@ -197,6 +220,7 @@
         let id = self.next_id;
         self.next_id += 1;
         self.vms[at].rounds_back = 0;
+        self.vms[at].rounds_under_leader = 0;
         self.addresses.insert(id, self.vms[at].address.clone());
         self.sim.add(id, PersistedState::default());
         self.set_cut(self.cut.clone());
@@ -205,12 +229,12 @@
     fn start_planned_replacement(&mut self, at: usize) {
         // The successor counts as lost until it has caught up.
         let lost = self.vms.iter().filter(|vm| vm.rounds_back < CATCH_UP_ROUNDS).count();
-        if self.leaving.is_some() || lost >= TOLERATED_LOSSES || !self.counts_outages {
+        if self.leaving.is_some() || lost >= TOLERATED_LOSSES || self.losses != Losses::Vms {
             return;
         }
         let address = format!("address of node {}", self.next_id);
         self.leaving = Some((self.vms[at].address.clone(), address.clone()));
-        self.vms.push(Vm { node: self.next_id, address, rounds_back: 0 });
+        self.vms.push(Vm { node: self.next_id, address, rounds_back: 0, rounds_under_leader: 0 });
         self.start_new_node(self.vms.len() - 1);
     }
 
@@ -229,13 +253,20 @@
     }
 
     fn count_rounds_back(&mut self) {
-        let has_leader = self.working_leader().is_some();
+        let leader = self.working_leader().map(|id| (id, self.sim.raft(id).term()));
+        let has_leader = leader.is_some();
+        let is_same = has_leader && self.last_leader == leader;
+        self.last_leader = leader;
         for vm in &mut self.vms {
             let is_up = self.sim.nodes[&vm.node].raft.is_some();
             vm.rounds_back = match is_up && !self.cut.contains(&vm.address) {
                 true => (vm.rounds_back + u32::from(has_leader)).min(CATCH_UP_ROUNDS),
                 false => 0,
             };
+            if vm.rounds_under_leader < CATCH_UP_ROUNDS {
+                let counts = is_same && vm.rounds_back > 0;
+                vm.rounds_under_leader = if counts { vm.rounds_under_leader + 1 } else { 0 };
+            }
         }
     }
 
@@ -279,7 +310,8 @@
         let silent_ticks: BTreeMap<NodeId, u32> = raft.silent_ticks().collect();
         let reachable = members.nodes().filter(|id| raft.is_reachable(*id)).collect();
         let caught_up = members.nodes().filter(|id| raft.is_caught_up(*id)).collect();
-        let confirmed = members.nodes().filter(|id| raft.is_confirmed_by_all(*id)).collect();
+        let confirmed = members.nodes().filter(|id| raft.is_confirmed_by_reachable(*id)).collect();
+        let presence = members.voters.iter().map(|id| (*id, self.presence(*id))).collect();
         let view = GroupView {
             members: &members,
             silent_ticks: &silent_ticks,
@@ -288,7 +320,8 @@
             confirmed: &confirmed,
             addresses: &self.addresses,
             target_voters: VM_COUNT,
-            replace_after_ticks: REPLACE_AFTER_TICKS,
+            presence: &presence,
+            replace_after: REPLACE_AFTER,
         };
         let can_reach = |id: NodeId| {
             self.sim.nodes[&id].raft.is_some() && !self.sim.cut.contains(&(id, leader))
@@ -325,6 +358,19 @@
         }
     }
 
+    /// What a connection tells about a node that doesn't answer.
+    fn presence(&self, id: NodeId) -> Presence {
+        let vm = self.vms.iter().find(|vm| vm.node == id);
+        // Where any number may be suspended, VMs that are cut off stand for suspended ones.
+        let is_suspended = self.losses == Losses::DisksWithoutSuccessor;
+        let vm = vm.filter(|vm| is_suspended || !self.cut.contains(&vm.address));
+        match vm.map(|vm| self.sim.nodes[&vm.node].raft.is_some()) {
+            Some(true) => Presence::Listening,
+            Some(false) => Presence::Refused,
+            None => Presence::Unreachable,
+        }
+    }
+
     /// The VM that leaves, once its successor has caught up.
     fn leaving_vm(&self) -> Option<&Vm> {
         let (predecessor, successor) = self.leaving.as_ref()?;
@@ -417,10 +463,10 @@
     }
 }
 
-fn check_group(counts_outages: bool) {
+fn check_group(losses: Losses) {
     let ops = produce::<Vec<Op>>().with().len(0..=120usize);
     seeded::check().with_generator((ops, produce::<u8>())).for_each(|(ops, choice)| {
-        let mut driver = Driver::new(counts_outages);
+        let mut driver = Driver::new(losses);
         ops.iter().for_each(|op| driver.run(op));
         driver.recover();
         driver.check_survives_two_failures(usize::from(*choice));
@@ -429,14 +475,21 @@
 
 #[test]
 fn a_group_that_loses_disks_recovers_its_size_and_all_applied_entries() {
-    check_group(true);
+    check_group(Losses::Vms);
 }
 
 /// The same while further VMs are down or cut off, with their disks kept: a voter that is replaced
 /// meanwhile may be one of them.
 #[test]
 fn a_group_that_loses_disks_during_outages_recovers_its_size_and_all_applied_entries() {
-    check_group(false);
+    check_group(Losses::Disks);
+}
+
+/// A successor took the place of a voter that was suspended or about to start again, and the group counted
+/// the disk of its predecessor for good: two further lost disks left two voters of five.
+#[test]
+fn a_group_that_loses_disks_while_others_are_suspended_recovers_its_size_and_all_applied_entries() {
+    check_group(Losses::DisksWithoutSuccessor);
 }
 
 /// A voter that is cut off is replaced, and comes back with its disk. At any moment of that, and up to the
@@ -460,13 +513,14 @@
 /// Replaces a VM that is cut off by a further one, which starts once the other one would be found silent, and
 /// takes the disks of two VMs after this many rounds.
 fn check_replacement(rounds: usize, lost: [usize; TOLERATED_LOSSES]) {
-    let mut driver = Driver::new(false);
+    let mut driver = Driver::new(Losses::Disks);
     driver.propose(1);
     driver.rounds(5);
     driver.set_cut([driver.vms[REPLACED].address.clone()].into());
-    driver.rounds(REPLACE_AFTER_TICKS as usize);
+    driver.rounds(REPLACE_AFTER.alone as usize);
     let address = format!("address of node {}", driver.next_id);
-    driver.vms.push(Vm { node: driver.next_id, address, rounds_back: 0 });
+    let vm = Vm { node: driver.next_id, address, rounds_back: 0, rounds_under_leader: 0 };
+    driver.vms.push(vm);
     driver.start_new_node(VM_COUNT);
     driver.rounds(rounds);
     lost.into_iter().for_each(|at| driver.lose_disk(at));
--- a/crates/toucansilld/src/gateway/bus.rs
+++ b/crates/toucansilld/src/gateway/bus.rs
@@ -10,7 +10,7 @@
 };
 use proxy::Connector;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
-use wire::{Inbound, LinkConfig, Links, Message, PeerRoute, RegionSecret, Responder};
+use wire::{Inbound, LinkConfig, Links, Message, PeerRoute, ProbeOutcome, RegionSecret, Responder};
 
 /// Fixed region secret. The daemons of a gateway have no way to share a real one: the platform
 /// gives each only its settings file. Their links accept anyone who reaches the internal ports.
@@ -33,6 +33,7 @@
 /// Links of this daemon to the others.
 pub(crate) struct DaemonLinks {
     links: Links,
+    connector: Connector,
 }
 
 impl DaemonLinks {
@@ -47,7 +48,8 @@
         let fault = |err: wire::Error| Error::start("links", err);
         let secret = RegionSecret::new(OPEN_SECRET).map_err(fault)?;
         let mut cfg = LinkConfig::new(settings.daemon.clone(), settings.links, secret);
-        cfg.route = PeerRoute::through(move |peer| connector.route_to(peer));
+        let route = connector.clone();
+        cfg.route = PeerRoute::through(move |peer| route.route_to(peer));
         cfg.inline_handler = true;
         cfg.connect_timeout = CONNECT_TIMEOUT;
         cfg.connect_attempts = 1;
@@ -55,7 +57,8 @@
         cfg.ping_interval = PING_INTERVAL;
         cfg.ping_timeout = PING_TIMEOUT;
         let handler = Arc::new(move |inbound| deliver(inbound, &on_request, on_raft.as_ref()));
-        Ok(Arc::new(Self { links: Links::attach(cfg, handler).await.map_err(fault)? }))
+        let links = Links::attach(cfg, handler).await.map_err(fault)?;
+        Ok(Arc::new(Self { links, connector }))
     }
 
     /// Address on which this daemon listens for links.
@@ -75,6 +78,11 @@
         wire::decode(&self.links.request_async(address, message, timeout).await?)
     }
 
+    /// What a new connection tells about a daemon that doesn't answer.
+    pub(crate) async fn probe(&self, address: SocketAddr) -> ProbeOutcome {
+        wire::probe(self.connector.route_to(address), CONNECT_TIMEOUT).await
+    }
+
     /// Sends a Raft message without waiting for delivery. Raft itself resends what is lost.
     pub(crate) fn send_raft(&self, address: SocketAddr, envelope: &RaftEnvelope) {
         let message =
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -147,7 +147,7 @@
 
     /// Tells the leader of the registrations that this daemon has answered, until the task is aborted.
     pub(crate) async fn send_refreshes(self: Arc<Self>) {
-        let links = Arc::clone(self.links.get().expect("the links are set before any task runs"));
+        let links = self.shared_links();
         Arc::clone(&self.refreshes).send(links).await;
     }
 
@@ -156,6 +156,11 @@
         self.links.get().expect("the links are set before any task runs")
     }
 
+    /// As [`links`](Self::links), for a task of its own.
+    pub(super) fn shared_links(&self) -> Arc<DaemonLinks> {
+        Arc::clone(self.links.get().expect("the links are set before any task runs"))
+    }
+
     /// Raft voter of this daemon.
     pub(crate) fn voter(&self) -> &Arc<Voter> {
         &self.voter
@@ -704,8 +709,7 @@
         let addresses = others.filter_map(|id| self.voter.address_of(id)?.parse().ok());
         let mut reads = JoinSet::new();
         for address in addresses {
-            let links =
-                Arc::clone(self.links.get().expect("the links are set before any task runs"));
+            let links = self.shared_links();
             reads.spawn(async move {
                 let request = LeaderRequest::ReadDirectory;
                 links.request(address, &request, READ_DIRECTORY_TIMEOUT).await
--- a/crates/toucansilld/src/gateway/members.rs
+++ b/crates/toucansilld/src/gateway/members.rs
@@ -7,20 +7,32 @@
 };
 use group::{
     MembershipChange, NodeId, Status,
-    joining::{GroupView, LeaveStep, next_join_step, next_leave_step, surplus_voter},
+    joining::{
+        GroupView, LeaveStep, Presence, ReplaceAfter, next_join_step, next_leave_step,
+        surplus_voter,
+    },
 };
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
-use tokio::{task::spawn_blocking, time::sleep};
+use tokio::{
+    task::{JoinSet, spawn_blocking},
+    time::sleep,
+};
+use wire::ProbeOutcome;
 
 /// Interval of Raft ticks. With it, elections take 0.5 s to 1 s.
 pub(crate) const TICK: Duration = Duration::from_millis(50);
-/// Ticks of silence after which a member may be replaced. Each leader counts them anew, so a leader has
-/// to last this long; most members that restart are back sooner.
-const REPLACE_AFTER_SILENT_TICKS: u32 = 20;
+/// Ticks of silence after which members may be replaced. Each leader counts them anew, so a leader has
+/// to last this long.
+///
+/// Most members that restart are back within `alone`. A successor has a vote within 4 s of its start
+/// after `among_several`, also if the leader was lost together with its predecessor. A process that has been
+/// suspended for `listening` isn't expected to come back by itself.
+const REPLACE_AFTER: ReplaceAfter = ReplaceAfter { alone: 20, among_several: 50, listening: 600 };
 /// Ticks of silence after which the gauges count a member as not heard: two heartbeats and a
 /// margin.
 pub(crate) const UNHEARD_TICKS: u32 = 6;
@@ -50,6 +62,7 @@
 /// Calls `f` with the leader's view of its group.
 fn with_group_view<T>(
     status: &Status,
+    presence: &BTreeMap<NodeId, Presence>,
     address_of: impl Fn(NodeId) -> Option<String>,
     tolerated_losses: usize,
     f: impl FnOnce(GroupView<'_>) -> T,
@@ -63,7 +76,8 @@
         confirmed: &status.confirmed,
         addresses: &nodes.filter_map(|id| Some((id, address_of(id)?))).collect(),
         target_voters: members_for(tolerated_losses),
-        replace_after_ticks: REPLACE_AFTER_SILENT_TICKS,
+        presence,
+        replace_after: REPLACE_AFTER,
     })
 }
 
@@ -76,6 +90,8 @@
     /// Makes the next changes on a daemon's way into the group. The daemon repeats its request until it
     /// is a member, so that one that has gone is not promoted.
     pub(crate) async fn admit(self: &Arc<Self>, id: NodeId, address: String) -> LeaderReply {
+        // A member may join at its former address meanwhile.
+        let presence = self.presence_for(id, &address).await;
         let Some(_guard) = self.try_start_membership_change() else {
             return LeaderReply::ChangePending;
         };
@@ -91,7 +107,8 @@
             if is_retired(&status, id) {
                 return LeaderReply::Retired;
             }
-            let step = self.with_view(&status, |view| next_join_step(view, id, &address));
+            let step =
+                self.with_view(&status, &presence, |view| next_join_step(view, id, &address));
             let Some(change) = step else { return LeaderReply::ChangePending };
             log::info!(member = id, address = address.as_str(), change:? = change; "member admitted");
             if change == MembershipChange::AddLearner(id) {
@@ -120,7 +137,8 @@
         let Some(_guard) = self.try_start_membership_change() else {
             return LeaderReply::ChangePending;
         };
-        let change = match self.with_view(&status, |view| next_leave_step(view, id, address)) {
+        let leave_step = |view: GroupView<'_>| next_leave_step(view, id, address);
+        let change = match self.with_view(&status, &BTreeMap::new(), leave_step) {
             LeaveStep::Change(change) => change,
             LeaveStep::Wait => return LeaderReply::ChangePending,
             LeaveStep::Keep => {
@@ -138,8 +156,13 @@
     /// Removes a member that is one too many and doesn't answer, as its process ended before it could
     /// leave.
     async fn remove_surplus(self: &Arc<Self>, status: &Status) {
-        let Some(id) = self.with_view(status, surplus_voter) else { return };
+        if !self.has_surplus(status) {
+            return;
+        }
+        let presence = self.probe_silent_voters(status).await;
         let Some(_guard) = self.try_start_membership_change() else { return };
+        let status = self.voter().status();
+        let Some(id) = self.with_view(&status, &presence, surplus_voter) else { return };
         let members = status.membership.voters.len();
         let silent_ticks = status.silent_ticks.get(&id).copied().unwrap_or_default();
         log::warn!(member = id, members, silent_ticks; "surplus member removed");
@@ -148,10 +171,46 @@
         }
     }
 
-    /// Calls `f` with the leader's view of the group.
-    fn with_view<T>(&self, status: &Status, f: impl FnOnce(GroupView<'_>) -> T) -> T {
+    /// What is to be known of silent voters before a node joins; empty if it needn't be known.
+    async fn presence_for(&self, id: NodeId, address: &str) -> BTreeMap<NodeId, Presence> {
+        let status = self.voter().status();
+        let unknown = BTreeMap::new();
+        let has_step =
+            self.with_view(&status, &unknown, |view| next_join_step(view, id, address)).is_some();
+        match status.caught_up.contains(&id) && !has_step {
+            true => self.probe_silent_voters(&status).await,
+            false => unknown,
+        }
+    }
+
+    /// Probes the voters that don't answer this leader. A voter whose address isn't known counts as unreachable.
+    async fn probe_silent_voters(&self, status: &Status) -> BTreeMap<NodeId, Presence> {
+        let mut probes = JoinSet::new();
+        for id in status.membership.voters.difference(&status.reachable).copied() {
+            let address = self.voter().address_of(id).and_then(|address| address.parse().ok());
+            let links = self.shared_links();
+            probes.spawn(async move {
+                let Some(address) = address else { return (id, Presence::Unreachable) };
+                let presence = match links.probe(address).await {
+                    ProbeOutcome::Accepted => Presence::Listening,
+                    ProbeOutcome::Refused => Presence::Refused,
+                    ProbeOutcome::NoResponse => Presence::Unreachable,
+                };
+                (id, presence)
+            });
+        }
+        probes.join_all().await.into_iter().collect()
+    }
+
+    /// Calls `f` with the leader's view of the group, and what was found out about silent voters.
+    fn with_view<T>(
+        &self,
+        status: &Status,
+        presence: &BTreeMap<NodeId, Presence>,
+        f: impl FnOnce(GroupView<'_>) -> T,
+    ) -> T {
         let address_of = |id| self.voter().address_of(id);
-        with_group_view(status, address_of, self.settings().tolerated_losses, f)
+        with_group_view(status, presence, address_of, self.settings().tolerated_losses, f)
     }
 
     /// Makes a membership change, and waits until it is committed. The error says what is wrong.
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -36,6 +36,7 @@
 mod handshake;
 mod links;
 mod ping;
+mod probe;
 mod responder;
 mod stream_in;
 
@@ -43,5 +44,6 @@
 pub use counters::LinkCounters;
 pub use frame::FrameDecoder;
 pub use links::Links;
+pub use probe::{ProbeOutcome, probe};
 pub use responder::{Inbound, InboundHandler, Responder};
 pub use stream_in::StreamIn;
