Ask other daemons about members that don't answer the leader

Cause: a leader that gets no response can't tell a host that it doesn't reach from one that is gone.

A leader has the members that answer, and up to three entries of different data centres, probe a member that it doesn't reach (`LeaderRequest::Probe`, answered by any daemon, for addresses with the port of the links only). One of them that reaches it is enough. Daemons of earlier builds refuse the request and count as not reaching it.

--- a/crates/proxy/src/relays.rs
+++ b/crates/proxy/src/relays.rs
@@ -57,6 +57,18 @@
         self.relays.insert(relay.daemon.clone(), (relay.clone(), now));
         relays
     }
+
+    /// Addresses of up to `count` relays, of as many data centres as possible.
+    pub fn spread(&self, count: usize) -> Vec<SocketAddr> {
+        let mut by_data_centre: BTreeMap<&DataCentreId, Vec<SocketAddr>> = BTreeMap::new();
+        for (relay, _) in self.relays.values() {
+            by_data_centre.entry(&relay.data_centre).or_default().push(relay.address);
+        }
+        let longest = by_data_centre.values().map(Vec::len).max().unwrap_or(0);
+        let turns =
+            (0..longest).flat_map(|n| by_data_centre.values().filter_map(move |r| r.get(n)));
+        turns.take(count).copied().collect()
+    }
 }
 
 /// Relays that a daemon knows.
--- a/crates/toucansilld/src/gateway/bus.rs
+++ b/crates/toucansilld/src/gateway/bus.rs
@@ -25,6 +25,9 @@
 /// partition has healed.
 const MAX_BACKOFF: Duration = Duration::from_millis(200);
 
+/// Timeout for the reply to [`LeaderRequest::Probe`]: that of a connection and a margin.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// Handles a request of another daemon and replies through the responder. It must not block.
 pub(crate) type RequestHandler = Arc<dyn Fn(LeaderRequest, Responder) + Send + Sync>;
 /// Handles Raft messages.
@@ -83,6 +86,20 @@
         wire::probe(self.connector.route_to(address), CONNECT_TIMEOUT).await
     }
 
+    /// Whether another daemon sees that the process of a daemon is there which doesn't answer this one.
+    pub(crate) async fn is_seen_by(&self, witness: SocketAddr, address: SocketAddr) -> bool {
+        let request = LeaderRequest::Probe { address: address.to_string() };
+        match self.request(witness, &request, PROBE_TIMEOUT).await {
+            Ok(LeaderReply::Probed { is_listening }) => is_listening,
+            Ok(_) => false,
+            // It is down, or of an earlier build.
+            Err(err) => {
+                log::debug!("{witness}: {address} not probed: {err}");
+                false
+            }
+        }
+    }
+
     /// Sends a Raft message without waiting for delivery. Raft itself resends what is lost.
     pub(crate) fn send_raft(&self, address: SocketAddr, envelope: &RaftEnvelope) {
         let message =
@@ -111,6 +128,26 @@
     }
 }
 
+/// Answers [`LeaderRequest::Probe`]. `links` is the address on which this daemon listens for links: the others
+/// use the same port.
+pub(crate) fn answer_probe(
+    connector: &Connector,
+    links: SocketAddr,
+    address: &str,
+    responder: Responder,
+) {
+    let address: Option<SocketAddr> = address.parse().ok();
+    let Some(address) = address.filter(|address| address.port() == links.port()) else {
+        let _ = responder.refuse("this is no address of a daemon");
+        return;
+    };
+    let route = connector.route_to(address);
+    tokio::spawn(async move {
+        let is_listening = wire::probe(route, CONNECT_TIMEOUT).await == ProbeOutcome::Accepted;
+        reply(responder, &LeaderReply::Probed { is_listening });
+    });
+}
+
 /// Sends a reply. The requester may have given up by now, so a failure is harmless.
 pub(crate) fn reply(responder: Responder, reply: &LeaderReply) {
     match wire::encode(reply) {
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -476,6 +476,8 @@
                     reply(responder, &control.release(id, &address).await);
                 });
             }
+            // Answered before, by daemons without a control part as well.
+            LeaderRequest::Probe { .. } => reply(responder, &self.not_leader()),
         }
     }
 
--- a/crates/toucansilld/src/gateway/daemon.rs
+++ b/crates/toucansilld/src/gateway/daemon.rs
@@ -31,6 +31,7 @@
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use proxy::{BodyBudget, ConnectionCount, Connector};
 use std::{
+    net::SocketAddr,
     path::Path,
     sync::{Arc, OnceLock, Weak},
     time::{Duration, Instant},
@@ -108,7 +109,7 @@
     let links = DaemonLinks::start(
         &settings,
         connector.clone(),
-        request_handler(control.as_ref()),
+        request_handler(control.as_ref(), connector.clone(), settings.links),
         raft_handler(control.as_ref()),
     )
     .await?;
@@ -331,11 +332,18 @@
     }
 }
 
-/// Handler for requests of other daemons. A daemon without a control part never leads, nor does one that has
+/// Handler for requests of other daemons. Any daemon probes a member for the leader. A daemon without a control part never leads, nor does one that has
 /// ended. The links and the control part refer to each other, so one of them doesn't keep the other.
-fn request_handler(control: Option<&Arc<ControlMember>>) -> RequestHandler {
+fn request_handler(
+    control: Option<&Arc<ControlMember>>,
+    connector: Connector,
+    links: SocketAddr,
+) -> RequestHandler {
     let control = control.map(Arc::downgrade);
     Arc::new(move |request: LeaderRequest, responder| {
+        if let LeaderRequest::Probe { address } = &request {
+            return super::bus::answer_probe(&connector, links, address, responder);
+        }
         match control.as_ref().and_then(Weak::upgrade) {
             Some(control) => control.handle(request, responder),
             None => super::bus::reply(responder, &LeaderReply::NotLeader { leader: None }),
--- a/crates/toucansilld/src/gateway/lead.rs
+++ b/crates/toucansilld/src/gateway/lead.rs
@@ -14,6 +14,7 @@
 use proxy::{AnnouncedRelays, RelayDaemon};
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -126,6 +127,12 @@
         self.relays.announce(now, relay)
     }
 
+    /// Addresses of a few daemons that have announced themselves as relays, from different data centres if
+    /// possible.
+    pub(crate) fn some_relays(&self, count: usize) -> Vec<SocketAddr> {
+        self.relays.spread(count)
+    }
+
     /// Lets requests for services without upstreams wait while each upstream registers once.
     pub(crate) fn await_upstreams(&mut self, now: Instant, registration_interval: Duration) {
         let until = now + registration_interval.mul_f64(AWAITED_REGISTRATIONS);
--- a/crates/toucansilld/src/gateway/members.rs
+++ b/crates/toucansilld/src/gateway/members.rs
@@ -1,6 +1,7 @@
 //! Membership of the control group: joining it, admitting other daemons, and leaving it.
 
 use super::{
+    bus::DaemonLinks,
     control::ControlMember,
     identity,
     messages::{LeaderReply, LeaderRequest},
@@ -36,6 +37,8 @@
 /// Ticks of silence after which the gauges count a member as not heard: two heartbeats and a
 /// margin.
 pub(crate) const UNHEARD_TICKS: u32 = 6;
+/// Maximum number of entries that are asked about a member that doesn't answer.
+const ENTRY_WITNESSES: usize = 3;
 /// Interval between requests to join.
 const JOIN_RETRY_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval at which a member checks that it still is one and, if it leads, whether there is one too many.
@@ -81,6 +84,28 @@
     })
 }
 
+/// What is known of the daemon at an address that doesn't answer this one.
+async fn presence_at(
+    links: Arc<DaemonLinks>,
+    address: SocketAddr,
+    witnesses: Vec<SocketAddr>,
+) -> Presence {
+    let mut seen = JoinSet::new();
+    for witness in witnesses {
+        let links = Arc::clone(&links);
+        seen.spawn(async move { links.is_seen_by(witness, address).await });
+    }
+    let own = match links.probe(address).await {
+        ProbeOutcome::Accepted => return Presence::Listening,
+        ProbeOutcome::Refused => Presence::Refused,
+        ProbeOutcome::NoResponse => Presence::Unreachable,
+    };
+    match seen.join_all().await.contains(&true) {
+        true => Presence::Listening,
+        false => own,
+    }
+}
+
 /// Whether an id was removed for good. Before the change is committed, it may still be replaced.
 fn is_retired(status: &Status, id: NodeId) -> bool {
     status.membership.is_retired(id) && status.is_membership_committed
@@ -183,18 +208,20 @@
         }
     }
 
-    /// Probes the voters that don't answer this leader. A voter whose address isn't known counts as unreachable.
+    /// Probes the voters that don't answer this leader, and has others do so. A voter whose address isn't known counts
+    /// as unreachable.
     async fn probe_silent_voters(&self, status: &Status) -> BTreeMap<NodeId, Presence> {
+        let silent: Vec<NodeId> =
+            status.membership.voters.difference(&status.reachable).copied().collect();
+        let witnesses = if silent.is_empty() { Vec::new() } else { self.witnesses(status) };
         let mut probes = JoinSet::new();
-        for id in status.membership.voters.difference(&status.reachable).copied() {
-            let address = self.voter().address_of(id).and_then(|address| address.parse().ok());
-            let links = self.shared_links();
+        for id in silent {
+            let address = self.link_address_of(id);
+            let (links, witnesses) = (self.shared_links(), witnesses.clone());
             probes.spawn(async move {
-                let Some(address) = address else { return (id, Presence::Unreachable) };
-                let presence = match links.probe(address).await {
-                    ProbeOutcome::Accepted => Presence::Listening,
-                    ProbeOutcome::Refused => Presence::Refused,
-                    ProbeOutcome::NoResponse => Presence::Unreachable,
+                let presence = match address {
+                    Some(address) => presence_at(links, address, witnesses).await,
+                    None => Presence::Unreachable,
                 };
                 (id, presence)
             });
@@ -202,6 +229,22 @@
         probes.join_all().await.into_iter().collect()
     }
 
+    /// Link addresses of the other members that answer, and of a few entries. These may reach a member that is cut off from
+    /// this one.
+    fn witnesses(&self, status: &Status) -> Vec<SocketAddr> {
+        let members = status.reachable.iter().filter(|id| **id != status.id);
+        let members = members.filter_map(|id| self.link_address_of(*id));
+        let entries = self.with_leader(|leader| leader.some_relays(ENTRY_WITNESSES));
+        // All daemons use the same port for links.
+        let port = self.links().address().port();
+        let entries = entries.unwrap_or_default().into_iter();
+        members.chain(entries.map(|relay| SocketAddr::new(relay.ip(), port))).collect()
+    }
+
+    fn link_address_of(&self, id: NodeId) -> Option<SocketAddr> {
+        self.voter().address_of(id)?.parse().ok()
+    }
+
     /// Calls `f` with the leader's view of the group, and what was found out about silent voters.
     fn with_view<T>(
         &self,
--- a/crates/toucansilld/src/gateway/messages.rs
+++ b/crates/toucansilld/src/gateway/messages.rs
@@ -99,6 +99,11 @@
         /// The order.
         request: ControlHttpRequest,
     },
+    /// Asks any daemon whether it sees the process of a member that doesn't answer the leader.
+    Probe {
+        /// Link address of the member.
+        address: String,
+    },
 }
 
 /// Run of an upstream that has registered again with nothing new.
@@ -179,6 +184,11 @@
     Ticket(OrderTicket),
     /// Reply to [`LeaderRequest::Order`]: the ticket has expired, and the order was not carried out.
     TicketExpired,
+    /// Reply to [`LeaderRequest::Probe`].
+    Probed {
+        /// Whether the member's process accepts connections.
+        is_listening: bool,
+    },
 }
 
 /// Daemon that relays messages to upstreams.
