Pass on leadership to a voter that answers

A leader that steps down now prefers voters that answer it. It may have heard none yet, so it still tries the others.

`a_leader_that_steps_down_passes_on_its_leadership_to_a_voter_that_answers` failed (30 s without an end of the transfer) and passes.

--- a/crates/group/src/handle.rs
+++ b/crates/group/src/handle.rs
@@ -186,9 +186,10 @@
     /// [`Error::is_unknown`] if this node still leads at the timeout; [`Error::is_stopped`].
     pub fn step_down(&self, timeout: Duration) -> Result<()> {
         let status = self.status();
-        // Only a leader knows how far the logs of others match.
+        // Only a leader knows which others answer, and how far their logs match.
         let voters = status.matched.iter().filter(|(id, _)| status.membership.is_voter(**id));
-        let successor = voters.max_by_key(|(_, matched)| **matched);
+        let successor =
+            voters.max_by_key(|(id, matched)| (status.reachable.contains(*id), **matched));
         let Some((successor, _)) = successor else { return Ok(()) };
         match self.transfer_leadership(*successor) {
             Err(e) if !e.is_not_leader() => Err(e),
--- a/crates/group/tests/group.rs
+++ b/crates/group/tests/group.rs
@@ -160,6 +160,26 @@
     assert_eq!(cluster.leader(), Some(new));
 }
 
+/// Leadership was transferred to a voter that didn't answer, as its log matched as far as that of the others. The stop
+/// of the leader then took as long as the transfer was waited for, and an election followed.
+#[test]
+fn a_leader_that_steps_down_passes_on_its_leadership_to_a_voter_that_answers() {
+    let mut cluster = Cluster::bootstrap(5, |_| ());
+    let old = cluster.elect();
+    cluster.propose("a").unwrap();
+    cluster.converge(1);
+    let last = (1..=5).rev().find(|id| *id != old).unwrap();
+    cluster.stop(last);
+    cluster.until("it doesn't answer", |cluster| {
+        !cluster.nodes[&old].handle.status().reachable.contains(&last)
+    });
+    let term = cluster.nodes[&old].handle.status().term;
+    cluster.run(old, |h| h.step_down(TIMEOUT)).unwrap();
+    let new = cluster.elect();
+    assert_ne!(new, old);
+    assert_eq!(cluster.nodes[&new].handle.status().term, term + 1, "without an election");
+}
+
 #[test]
 fn the_successor_completes_a_leaders_replacement_of_itself() {
     let mut cluster = Cluster::bootstrap(3, |_| ());
