raft: Let a candidate wait longer after campaigns that failed

Cause: a candidate began the next term after 10 to 20 ticks, however long the votes take. A vote waits for the sync of the voter's disk. With syncs of 0.8 s and more on all disks the votes of each term came too late, and the group stayed without a leader for good.

Change: the timeout of a candidate, not of followers or of pre-votes, is 4 and then 8 times as long after campaigns that got no majority, until the node knows a leader again. While it waits, it requests the missing votes again every 10 ticks, as messages may have been lost; a repeated request doesn't reset the timer of a voter that has granted it.

Why it works: a campaign is only begun once a majority has answered the pre-vote. Those that fail thus fail by slow or competing votes, not by members that are gone, and the longer timeouts lie further apart.

A leader still steps down if syncs of its followers take longer than 0.5 s at times.

--- a/crates/raft/src/election.rs
+++ b/crates/raft/src/election.rs
@@ -6,13 +6,20 @@
     types::{NodeId, Term},
 };
 
+/// Factors of a candidate's election timeout, by the number of its campaigns that have failed since it last knew a
+/// leader. The last one is for all further campaigns.
+const CAMPAIGN_TIMEOUT_FACTORS: [u32; 3] = [1, 4, 8];
+
 impl Raft {
     /// When the election timeout has passed without a leader's message, starts a pre-vote, or, on a node
     /// that may not campaign, only forgets the leader.
     pub(crate) fn tick_election(&mut self) {
         self.election_elapsed = self.election_elapsed.saturating_add(1);
         if self.election_elapsed < self.election_timeout && !self.is_sole_voter() {
-            return;
+            return self.resend_vote_requests();
+        }
+        if self.role == Role::Candidate {
+            self.failed_campaigns += 1;
         }
         self.reset_election_timer();
         match self.may_campaign() {
@@ -92,6 +99,10 @@
         self.hard_state.term += 1;
         self.hard_state.vote = Some(self.cfg.id);
         self.reset_election_timer();
+        // A vote waits for the voter's disk. If that takes longer than the timeout, the votes of each term come too
+        // late, as the next one has begun by then.
+        let last = CAMPAIGN_TIMEOUT_FACTORS.len() - 1;
+        self.election_timeout *= CAMPAIGN_TIMEOUT_FACTORS[self.failed_campaigns.min(last)];
         let body = MessageBody::Vote { last: self.log.last(), transfer };
         self.request_votes(self.hard_state.term, body);
         if self.has_won() {
@@ -102,13 +113,29 @@
     fn request_votes(&mut self, term: Term, body: MessageBody) {
         self.votes.clear();
         self.votes.insert(self.cfg.id, true);
+        self.request_missing_votes(term, &body);
+    }
+
+    /// Sends the request to the voters that have not answered it.
+    fn request_missing_votes(&mut self, term: Term, body: &MessageBody) {
         let voters = self.membership().voters.clone();
-        for id in voters.into_iter().filter(|id| *id != self.cfg.id) {
+        for id in voters.into_iter().filter(|id| !self.votes.contains_key(id)) {
             let message = self.message(id, term, body.clone());
             self.outbox.messages.push(message);
         }
     }
 
+    /// On a candidate that waits for longer than the minimum election timeout: requests the missing votes once more
+    /// after each of these, as messages may have been lost.
+    fn resend_vote_requests(&mut self) {
+        if self.role == Role::Candidate
+            && self.election_elapsed.is_multiple_of(self.cfg.election_ticks)
+        {
+            let body = MessageBody::Vote { last: self.log.last(), transfer: false };
+            self.request_missing_votes(self.hard_state.term, &body);
+        }
+    }
+
     /// Whether a quorum of voters has granted the running pre-vote or vote.
     fn has_won(&self) -> bool {
         self.membership().has_quorum(|id| self.votes.get(&id) == Some(&true))
@@ -149,7 +176,8 @@
             Some(id) => id == from,
         };
         let granted = is_free && self.may_vote(last);
-        if granted {
+        // A request that is sent again says nothing new of the candidate's chances.
+        if granted && self.hard_state.vote.is_none() {
             self.hard_state.vote = Some(from);
             self.reset_election_timer();
         }
--- a/crates/raft/src/follower.rs
+++ b/crates/raft/src/follower.rs
@@ -32,6 +32,7 @@
         }
         self.leader = Some(from);
         self.election_elapsed = 0;
+        self.failed_campaigns = 0;
         true
     }
 
--- a/crates/raft/src/leader.rs
+++ b/crates/raft/src/leader.rs
@@ -24,6 +24,7 @@
     pub(crate) fn become_leader(&mut self) {
         self.role = Role::Leader;
         self.leader = Some(self.cfg.id);
+        self.failed_campaigns = 0;
         self.heartbeat_elapsed = 0;
         self.incoming_snapshot = None;
         self.uncommitted_bytes = 0;
--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -49,6 +49,8 @@
     pub(crate) election_elapsed: u32,
     /// Ticks after which this node starts a pre-vote; drawn at random at each reset.
     pub(crate) election_timeout: u32,
+    /// Campaigns that got no majority in time since this node last knew a leader.
+    pub(crate) failed_campaigns: usize,
     /// On a leader: ticks since the last heartbeat round.
     pub(crate) heartbeat_elapsed: u32,
     /// Responses to the running pre-vote or vote: whether each node granted it.
@@ -102,6 +104,7 @@
             memberships,
             election_elapsed: 0,
             election_timeout: 0,
+            failed_campaigns: 0,
             heartbeat_elapsed: 0,
             votes: BTreeMap::new(),
             progress: BTreeMap::new(),
