Add a failing test of a member whose disk hangs at an address

What callers saw: none is known to. A member writes nothing, answers neither calls nor pings of links and sends no Raft message while its disk hangs, although the disk isn't asked for anything that these need.

A member stores the address of another one on the only thread of its tasks, within the handling of a message. The test lets this hang (a named pipe in place of the temporary file) while a spare machine joins.

--- a/crates/toucansilld/tests/gateway/full_disks.rs
+++ b/crates/toucansilld/tests/gateway/full_disks.rs
@@ -1,9 +1,11 @@
 //! Tests of daemons whose disks refuse writes for a while.
 //!
-//! A temporary file that is a link to `/dev/full` stands for a full disk: a write to it fails as on one.
+//! A temporary file that is a link to `/dev/full` stands for a full disk: a write to it fails as on one. One that is a
+//! named pipe stands for a disk that hangs: it can't be opened until somebody reads from it.
 
-use super::{Region, eventually};
-use std::{fs, os::unix::fs::symlink, thread, time::Duration};
+use super::{Region, eventually, version};
+use platform::stand_in::{DOCUMENT_PATH, document};
+use std::{fs, os::unix::fs::symlink, process::Command, thread, time::Duration};
 
 /// Time for which a daemon tries to start on a full disk: several attempts.
 const DISK_IS_FULL: Duration = Duration::from_secs(1);
@@ -76,3 +78,30 @@
     fs::remove_file(&partial).expect("removed");
     region.await_members(1);
 }
+
+/// Guards against a member that does nothing while its disk hangs at the address of another one: neither calls nor pings
+/// of links were answered, and it sent no messages.
+#[test]
+fn a_member_whose_disk_hangs_at_an_address_goes_on() {
+    let mut region = Region::new(6);
+    (0..5).for_each(|i| region.start(i, true));
+    region.await_members(5);
+    region.control_request_until_ok(0, "PUT", DOCUMENT_PATH, &document(7, "/x/", "s1"));
+    let follower = (region.await_leader(5) + 1) % 5;
+    let folder = region.data_folder(follower);
+    let partial = folder.join("voters.json.partial");
+    let made = Command::new("mkfifo").arg(&partial).status().expect("a named pipe");
+    assert!(made.success(), "mkfifo");
+    region.start(5, false);
+    region.await_members(6);
+    let body = region.control_request_until_ok(follower, "GET", DOCUMENT_PATH, "");
+    assert_eq!(version(&body), 7);
+    // A reader lets the attempt go on, which fails as a pipe can't be synced.
+    let reader = fs::File::options().read(true).write(true).open(&partial).expect("the pipe");
+    fs::remove_file(&partial).expect("removed");
+    eventually("the address is saved", || {
+        let text = fs::read_to_string(folder.join("voters.json")).expect("the addresses");
+        text.contains(&region.ip(5)).then_some(())
+    });
+    drop(reader);
+}
