Store the addresses of members on a thread of their own

Cause: `Addresses::learn` wrote and synced `voters.json` and its folder on the thread that all tasks of a daemon share. All members learn the address of a machine that joins at the same time. With a disk that hangs, or whose syncs take a second, they then did nothing for the length of two syncs: links were given up after 0.8 s, and followers missed their leader.

Change: what is learnt is known at once, and a thread stores it. The message that brought it reaches the voter only once it is stored, as before, so that the voter doesn't acknowledge a member that it may have forgotten after a restart; other messages aren't held up. The thread tries again every 0.5 s after a failure, and a voter that stops waits for it, so that it never writes into a folder that a later run uses.

--- a/crates/toucansilld/src/voter.rs
+++ b/crates/toucansilld/src/voter.rs
@@ -14,7 +14,7 @@
     settings::VoterSettings,
     sync::lock,
 };
-use addresses::Addresses;
+use addresses::{AddressWriter, Addresses};
 use control::{Command, InForceStatus, Outcome, RosterOutcome, State, relay};
 use group::{
     Config, Group, Handle, Membership, MembershipChange, NodeId, OutgoingMessage, Role, StartMode,
@@ -56,7 +56,8 @@
     state: Arc<Mutex<State>>,
     /// Leases and clock of the latest term that this voter was confirmed as the leader of.
     leader: Mutex<Option<Leader>>,
-    addresses: Addresses,
+    addresses: Arc<Addresses>,
+    address_writer: AddressWriter,
     backup_file: PathBuf,
     clock: SharedClock,
 }
@@ -72,7 +73,7 @@
         outbox: flume::Sender<OutgoingMessage>,
     ) -> Result<Self> {
         let state = Arc::new(Mutex::new(State::new()));
-        let addresses = Addresses::open(settings, own_address)?;
+        let addresses = Arc::new(Addresses::open(settings, own_address)?);
         let mut cfg = Config::new(settings.id, settings.data_folder.join(GROUP_FOLDER));
         cfg.clock = Arc::clone(&clock);
         cfg.tick_interval = Some(tick);
@@ -83,8 +84,12 @@
         }
         let handle = Group::start(cfg, machine::state_machine(&state), outbox)
             .map_err(|err| Error::voter("voter", &err))?;
+        let receiver = handle.clone();
+        let address_writer =
+            AddressWriter::start(Arc::clone(&addresses), move |message| receiver.step(message))?;
         let backup_file = settings.data_folder.join(BACKUP_FILE);
-        Ok(Self { handle, state, leader: Mutex::default(), addresses, backup_file, clock })
+        let leader = Mutex::default();
+        Ok(Self { handle, state, leader, addresses, address_writer, backup_file, clock })
     }
 
     /// Handles one request.
@@ -102,8 +107,11 @@
 
     /// Handles a consensus message of another voter.
     pub(crate) fn step(&self, envelope: RaftEnvelope) {
-        self.learn(&envelope.voters, envelope.message.from);
-        self.handle.step(envelope.message);
+        let RaftEnvelope { message, voters } = envelope;
+        match self.learn(&voters, message.from) {
+            true => self.address_writer.store(Some(message)),
+            false => self.handle.step(message),
+        }
     }
 
     /// The link address and the envelope for an outgoing message, or `None` if the address is not
@@ -163,12 +171,15 @@
 
     /// Adds or changes the link address of another voter.
     pub(crate) fn learn_address(&self, id: NodeId, address: String) {
-        self.learn(&[(id, address)].into(), id);
+        if self.learn(&[(id, address)].into(), id) {
+            self.address_writer.store(None);
+        }
     }
 
-    /// Adds or changes link addresses of other voters. `needed` is the one that has to be answered.
-    fn learn(&self, addresses: &VoterAddresses, needed: NodeId) {
-        self.addresses.learn(addresses, needed, self.clock.now(), || self.handle.status());
+    /// Adds or changes link addresses of other voters. `needed` is the one that has to be answered. Returns whether
+    /// there is anything to store.
+    fn learn(&self, addresses: &VoterAddresses, needed: NodeId) -> bool {
+        self.addresses.learn(addresses, needed, || self.handle.status())
     }
 
     /// Makes one membership change, and waits until it is committed.
@@ -184,6 +195,7 @@
     /// Stops the voter and closes its data folder.
     pub(crate) fn stop(&self) {
         self.handle.stop();
+        self.address_writer.stop();
     }
 
     /// Renews the leases of a batch.
--- a/crates/toucansilld/src/voter/addresses.rs
+++ b/crates/toucansilld/src/voter/addresses.rs
@@ -15,18 +15,20 @@
     sync::lock,
 };
 use disk::Files;
+use flume::{Receiver, RecvTimeoutError, Sender};
 use group::{NodeId, Status};
+use raft::Message;
 use std::{
     fs, io,
     path::{Path, PathBuf},
-    sync::Mutex,
-    time::{Duration, Instant},
+    sync::{Arc, Mutex},
+    thread::{self, JoinHandle},
+    time::Duration,
 };
 
 /// Name of the file in the data folder.
 const FILE_NAME: &str = "voters.json";
-/// Time after a failed write of the file until the next one: messages come every few milliseconds, and a
-/// disk stays full for seconds.
+/// Time after a failed write of the file until the next one: a disk stays full for seconds.
 const RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Maximum number of addresses that are kept of nodes that are neither members nor retired. All members of a large group
@@ -37,14 +39,7 @@
 pub(crate) struct Addresses {
     file: PathBuf,
     own_id: NodeId,
-    known: Mutex<Known>,
-}
-
-/// Addresses and whether the file has them.
-struct Known {
-    addresses: VoterAddresses,
-    /// Time of the last write of the file, if it failed: the file lacks some addresses.
-    failed_at: Option<Instant>,
+    known: Mutex<VoterAddresses>,
 }
 
 impl Addresses {
@@ -62,57 +57,50 @@
             // Later settings may no longer name the initial voters.
             write(&file, &known).map_err(|err| Error::store("voter.data_folder", &err))?;
         }
-        let known = Known { addresses: known, failed_at: None };
         Ok(Self { file, own_id: settings.id, known: Mutex::new(known) })
     }
 
     /// Address of a voter, if known.
     pub(crate) fn of(&self, id: NodeId) -> Option<String> {
-        lock(&self.known).addresses.get(&id).cloned()
+        lock(&self.known).get(&id).cloned()
     }
 
     /// All addresses.
     pub(crate) fn all(&self) -> VoterAddresses {
-        lock(&self.known).addresses.clone()
+        lock(&self.known).clone()
     }
 
-    /// Adds or changes addresses of other voters, and stores them. `needed` is a node that has to be answered, as it
-    /// has sent the addresses or asks to join. `status` is called only if there is anything new. Those that were not
-    /// stored before, as the write failed, are stored by a later call.
+    /// Adds or changes addresses of other voters. `needed` is a node that has to be answered, as it has sent the
+    /// addresses or asks to join. `status` is called only if there is anything new. Returns whether there is anything to
+    /// store.
     pub(crate) fn learn(
         &self,
         learnt: &VoterAddresses,
         needed: NodeId,
-        now: Instant,
         status: impl FnOnce() -> Status,
-    ) {
+    ) -> bool {
         let mut known = lock(&self.known);
         let is_changed = |(id, address): &(&NodeId, &String)| {
-            **id != self.own_id && known.addresses.get(id) != Some(*address)
+            **id != self.own_id && known.get(id) != Some(*address)
         };
         let changed: VoterAddresses =
             learnt.iter().filter(is_changed).map(|(id, address)| (*id, address.clone())).collect();
-        let is_retry_due =
-            known.failed_at.is_some_and(|at| now.saturating_duration_since(at) >= RETRY_INTERVAL);
-        if changed.is_empty() && !is_retry_due {
-            return;
-        }
-        let next = self.merge(&known.addresses, changed, needed, &status());
-        if next == known.addresses && !is_retry_due {
-            return;
-        }
-        known.addresses = next;
-        let had_failed = known.failed_at.is_some();
-        match write(&self.file, &known.addresses) {
-            Ok(()) => known.failed_at = None,
-            Err(err) => {
-                known.failed_at = Some(now);
-                return log::error!("the voters' addresses were not saved: {err}");
-            }
+        if changed.is_empty() {
+            return false;
         }
-        if had_failed {
-            log::info!("the voters' addresses are saved");
+        let next = self.merge(&known, changed, needed, &status());
+        let has_changed = next != *known;
+        *known = next;
+        has_changed
+    }
+
+    /// Writes the file. Returns whether that succeeded.
+    fn store(&self) -> bool {
+        let stored = write(&self.file, &self.all());
+        if let Err(err) = &stored {
+            log::error!("the voters' addresses were not saved: {err}");
         }
+        stored.is_ok()
     }
 
     /// The known addresses with the changed ones that are to be kept, and without those that aren't any more.
@@ -150,6 +138,70 @@
     }
 }
 
+/// Thread that stores the addresses, as a disk may take seconds, and a daemon's tasks share one thread.
+pub(crate) struct AddressWriter {
+    /// `None` once it was told to stop.
+    tx: Mutex<Option<Sender<Option<Message>>>>,
+    thread: Mutex<Option<JoinHandle<()>>>,
+}
+
+impl AddressWriter {
+    /// Starts the thread. It passes messages on to `deliver`.
+    pub(crate) fn start(
+        addresses: Arc<Addresses>,
+        deliver: impl Fn(Message) + Send + 'static,
+    ) -> Result<Self> {
+        let (tx, rx) = flume::unbounded();
+        let thread = thread::Builder::new()
+            .name(String::from("addresses"))
+            .spawn(move || store_addresses(&addresses, &rx, deliver))
+            .map_err(|err| Error::start("voter", err))?;
+        Ok(Self { tx: Mutex::new(Some(tx)), thread: Mutex::new(Some(thread)) })
+    }
+
+    /// Has the addresses stored. The message that brought them is passed on afterwards, so that this voter
+    /// acknowledges no member that it may have forgotten after a restart.
+    pub(crate) fn store(&self, message: Option<Message>) {
+        if let Some(tx) = &*lock(&self.tx) {
+            // Fails only if the thread has panicked.
+            let _ = tx.send(message);
+        }
+    }
+
+    /// Waits until what was learnt so far is stored, or that has failed, and ends the thread.
+    pub(crate) fn stop(&self) {
+        lock(&self.tx).take();
+        if lock(&self.thread).take().is_some_and(|thread| thread.join().is_err()) {
+            log::error!("the thread that stores addresses panicked");
+        }
+    }
+}
+
+/// Body of the thread: stores the addresses each time that it is told to, and again after a failure.
+fn store_addresses(
+    addresses: &Addresses,
+    rx: &Receiver<Option<Message>>,
+    deliver: impl Fn(Message),
+) {
+    let mut is_stored = true;
+    loop {
+        let first = match is_stored {
+            true => rx.recv().map_err(|_| RecvTimeoutError::Disconnected),
+            false => rx.recv_timeout(RETRY_INTERVAL),
+        };
+        if first == Err(RecvTimeoutError::Disconnected) {
+            return;
+        }
+        let messages: Vec<Message> = first.into_iter().chain(rx.try_iter()).flatten().collect();
+        let was_stored = is_stored;
+        is_stored = addresses.store();
+        if is_stored && !was_stored {
+            log::info!("the voters' addresses are saved");
+        }
+        messages.into_iter().for_each(&deliver);
+    }
+}
+
 /// Reads the file, which need not exist. An unreadable one is replaced: the others send what they know.
 fn read(file: &Path) -> io::Result<VoterAddresses> {
     match fs::read(file) {
