Keep the last failure to connect to each peer, and log repeated ones once in 5 s

A daemon that didn't reach another one logged that with each attempt, several times a second, and nothing else could ask why a peer isn't reached.

Links keep the last failure for each peer until it is reached: refused, no connection in time, no handshake in time, or another one. The line is written at most once in 5 s for each peer and kind, with the number of attempts since the last one. `link lost` names the peer.

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -23,9 +23,11 @@
 mod lifecycle;
 mod mailbox;
 mod registry;
+mod repeats;
 
 pub use clock::{Clock, ManualClock, SharedClock, SystemClock};
 pub use error::{Error, Result};
 pub use lifecycle::{Lifecycle, StopFn};
 pub use mailbox::{Mailbox, mailbox};
 pub use registry::Registry;
+pub use repeats::{Repeated, Repeats};
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -57,6 +57,11 @@
         self.kind
     }
 
+    /// Kind of the error of the operating system that caused this one, if one did.
+    pub(crate) fn io_kind(&self) -> Option<io::ErrorKind> {
+        self.source.as_ref().map(io::Error::kind)
+    }
+
     /// Whether the other daemon may have acted on the message.
     pub fn verdict(&self) -> Verdict {
         match self.kind {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -23,8 +23,8 @@
     RegionId, RequestId, ServiceId, Tokens, UpstreamId,
 };
 pub use link::{
-    FrameDecoder, Inbound, InboundHandler, LinkConfig, LinkCounters, Links, PeerRoute, Responder,
-    StreamIn, VersionRange,
+    FrameDecoder, Inbound, InboundHandler, LinkConfig, LinkCounters, LinkFailure, LinkFailureKind,
+    Links, PeerRoute, Responder, StreamIn, VersionRange,
 };
 pub use message::{MAX_MESSAGE_BYTES, Message, decode, encode};
 pub use secret::{RegionSecret, read_secret_file};
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -32,6 +32,7 @@
 mod connect;
 mod counters;
 mod exchange;
+mod failure;
 mod frame;
 mod handshake;
 mod links;
@@ -41,6 +42,7 @@
 
 pub use config::{LinkConfig, PeerRoute, VersionRange};
 pub use counters::LinkCounters;
+pub use failure::{LinkFailure, LinkFailureKind};
 pub use frame::FrameDecoder;
 pub use links::Links;
 pub use responder::{Inbound, InboundHandler, Responder};
--- a/crates/wire/src/link/connect.rs
+++ b/crates/wire/src/link/connect.rs
@@ -5,6 +5,7 @@
     config::LinkConfig,
     counters::LinkCounters,
     exchange::FrameReader,
+    failure::{LinkFailure, LinkFailureKind, LinkFailures},
     handshake::{self, MAX_HELLO_BYTES},
     ping::{self, OpenStreamCount, OpenStreamGuard},
 };
@@ -15,10 +16,11 @@
     client::{Connection, ResponseFuture, SendRequest},
 };
 use http::{Method, Request, Uri};
+use kernel::Repeated;
 use std::{
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -38,6 +40,7 @@
     cfg: Arc<LinkConfig>,
     counters: Arc<LinkCounters>,
     state: Arc<Mutex<ConnectionState>>,
+    failures: std::sync::Mutex<LinkFailures>,
 }
 
 #[derive(Default)]
@@ -71,7 +74,17 @@
         cfg: Arc<LinkConfig>,
         counters: Arc<LinkCounters>,
     ) -> Self {
-        Self { address, cfg, counters, state: Arc::default() }
+        let failures = std::sync::Mutex::default();
+        Self { address, cfg, counters, state: Arc::default(), failures }
+    }
+
+    /// The last failure to connect since the peer was reached.
+    pub(crate) fn last_failure(&self) -> Option<LinkFailure> {
+        self.failures().last()
+    }
+
+    fn failures(&self) -> MutexGuard<'_, LinkFailures> {
+        self.failures.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Opens a stream, on a new connection if none is open.
@@ -137,19 +150,20 @@
         };
         let mut attempt = 1;
         loop {
-            let e = match self.connect().await {
+            let (kind, e) = match self.connect().await {
                 Ok(link) => {
                     *state = ConnectionState::default();
+                    self.failures().end();
                     return Ok(link);
                 }
-                Err(e) => e,
+                Err(failed) => failed,
             };
             state.failures = state.failures.saturating_add(1);
             let pause = backoff(&self.cfg, state.failures);
             // A wrong secret or version would fail every further attempt as well.
             if attempt >= attempts || e.is_authentication_failure() || e.is_version_mismatch() {
                 state.retry_at = Some(Instant::now() + pause);
-                log::warn!("peer {} is unreachable: {e}", self.address);
+                self.record_failure(kind, &e);
                 return Err(e);
             }
             attempt += 1;
@@ -157,16 +171,36 @@
         }
     }
 
-    async fn connect(&self) -> Result<Link> {
+    /// Records that the peer is unreachable, and logs it unless it was logged a moment ago.
+    fn record_failure(&self, kind: LinkFailureKind, e: &Error) {
+        let address = self.address;
+        match self.failures().add(kind, Instant::now().into_std()) {
+            Some(Repeated { count: 1, .. }) => log::warn!("peer {address} is unreachable: {e}"),
+            Some(Repeated { count, since_last, .. }) => log::warn!(
+                "peer {address} is unreachable, {count} times in {:.1} s: {e}",
+                since_last.as_secs_f64()
+            ),
+            None => {}
+        }
+    }
+
+    async fn connect(&self) -> std::result::Result<Link, (LinkFailureKind, Error)> {
+        let failed = |e: Error| (LinkFailureKind::of(&e), e);
         let address = self.cfg.route.of(self.address);
         let connected = timeout(self.cfg.connect_timeout, TcpStream::connect(address)).await;
         let stream = match connected {
-            Ok(stream) => stream.map_err(|e| self.io_error(e))?,
-            Err(_) => return Err(self.unreachable_error("no connection in time")),
+            Ok(stream) => stream.map_err(|e| failed(self.io_error(e)))?,
+            Err(_) => {
+                let e = self.unreachable_error("no connection in time");
+                return Err((LinkFailureKind::Timeout, e));
+            }
         };
         match timeout(self.cfg.handshake_timeout, self.authenticate_on(stream)).await {
-            Ok(link) => link,
-            Err(_) => Err(self.unreachable_error("no handshake in time")),
+            Ok(link) => link.map_err(failed),
+            Err(_) => {
+                let e = self.unreachable_error("no handshake in time");
+                Err((LinkFailureKind::NoHandshake, e))
+            }
         }
     }
 
@@ -190,6 +224,7 @@
             self.counters.clone(),
             closed.clone(),
             established,
+            self.address,
         ));
         let send = self.authenticate(send).await?;
         // From now on the driver task keeps the connection even if this future is dropped.
@@ -249,6 +284,7 @@
     counters: Arc<LinkCounters>,
     closed: Arc<AtomicBool>,
     established: oneshot::Receiver<()>,
+    peer: SocketAddr,
 ) {
     if let Some(ping_pong) = connection.ping_pong() {
         let abandoned = async {
@@ -259,7 +295,7 @@
         tokio::select! {
             ended = connection => log::debug!("link ended: {ended:?}"),
             () = ping::watch_peer(ping_pong, open_streams, cfg, counters) =>
-                log::warn!("link lost: the peer stopped responding"),
+                log::warn!("link lost: peer {peer} stopped responding"),
             () = abandoned => (),
         }
     }
--- a/crates/wire/src/link/links.rs
+++ b/crates/wire/src/link/links.rs
@@ -6,6 +6,7 @@
     connect::{OpenStream, OutboundPeer},
     counters::LinkCounters,
     exchange::{FrameReader, OpenFrame, ReplyFrame, encode_frame, send_all, stream_error},
+    failure::LinkFailure,
     responder::InboundHandler,
     stream_in::{StreamIn, StreamItem},
 };
@@ -114,6 +115,12 @@
         &self.outbound.counters
     }
 
+    /// The last failure to connect to a peer; `None` if none was attempted, or the last attempt succeeded.
+    pub fn last_failure(&self, peer: SocketAddr) -> Option<LinkFailure> {
+        let peers = self.outbound.peers.lock().unwrap_or_else(PoisonError::into_inner);
+        peers.get(&peer)?.last_failure()
+    }
+
     /// Number of known peers, with or without an open link.
     pub fn peer_count(&self) -> usize {
         self.outbound.peers.lock().unwrap_or_else(PoisonError::into_inner).len()
--- a/crates/wire/tests/links.rs
+++ b/crates/wire/tests/links.rs
@@ -10,7 +10,10 @@
     thread,
     time::{Duration, Instant},
 };
-use wire::{Inbound, InboundHandler, LinkConfig, Links, Message, RegionSecret, Result, Verdict};
+use wire::{
+    Inbound, InboundHandler, LinkConfig, LinkFailureKind, Links, Message, RegionSecret, Result,
+    Verdict,
+};
 
 /// Longest wait for an event that a test expects. It passes only if the test fails.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
@@ -489,6 +492,31 @@
     assert!(e.to_string().contains("no handshake in time"), "{e}");
 }
 
+/// Why a peer wasn't reached could be told only from a line that was logged once for each attempt.
+#[test]
+fn the_last_failure_to_connect_is_known_until_the_peer_is_reached() {
+    let mut cfg = config("client");
+    cfg.handshake_timeout = Duration::from_millis(50);
+    cfg.connect_attempts = 1;
+    let client = start(cfg, drop);
+    let kind_after_request = |peer| {
+        let e = request(&client, peer).expect_err("unreachable");
+        assert!(e.is_unreachable(), "{e}");
+        client.last_failure(peer).map(|failure| failure.kind)
+    };
+    let silent = TcpListener::bind("127.0.0.1:0").expect("listen");
+    let peer = silent.local_addr().expect("address");
+    assert_eq!(client.last_failure(peer), None);
+    assert_eq!(kind_after_request(peer), Some(LinkFailureKind::NoHandshake));
+    drop(silent);
+    wait_for("the listener is gone", || kind_after_request(peer) == Some(LinkFailureKind::Refused));
+    let mut cfg = config("server");
+    cfg.listen = peer;
+    let _server = start(cfg, echo);
+    wait_for("the peer is reached", || request(&client, peer).is_ok());
+    assert_eq!(client.last_failure(peer), None);
+}
+
 /// Both ends run on one thread: a blocking call in either would stall this test.
 #[test]
 fn attached_links_use_the_runtime_of_the_caller() {
