Log in the text what a member knows of its group, and its pauses

`no leader` now begins with the votes for, against and missing, the last index, the term and the role, and the voters whose vote is missing by the reason: the last failure to connect to each, a newer log, or a refused vote. For this, the status has the last index that other members have named in requests for votes. Each member logs each change of the members with the voters since then; the leader logs the reason for each change that it makes. A start logs what it found on the disk. A pause of more than a second is logged: of the whole process, of its event loop, or of its voter's thread, and a sync of the log that takes as long. The texts name a member by four digits of its id and two numbers of its address; the fields are as they were, with the last failure in `members`.

Tests render these lines with long names and ids and cut them at 200 characters. With the daemons as processes, three members of which one is killed and one is frozen: the third logs `no leader 1/0/2, last 2, term 2, pre: refused 0914@55.2, no handshake 0915@55.3`, whole within the cut.

--- a/crates/group/src/runner.rs
+++ b/crates/group/src/runner.rs
@@ -17,9 +17,12 @@
     panic::{AssertUnwindSafe, catch_unwind},
     sync::{Arc, Mutex, PoisonError},
     thread,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
+/// Time from which on a sync of the log is reported.
+const SLOW_SYNC: Duration = Duration::from_secs(1);
+
 /// Entry point to start a node of a group.
 #[derive(Debug)]
 pub struct Group;
@@ -70,6 +73,7 @@
     tick_replies: Vec<Reply<()>>,
     /// Time of the next tick; `None` if only requests tick the node.
     next_tick: Option<Instant>,
+    ticks: u64,
     dropped_messages: u64,
     /// Index of the last snapshot, or 0.
     snapshot_index: u64,
@@ -115,7 +119,7 @@
         let clock = cfg.clock.clone();
         Ok(Self {
             next_tick: cfg.tick_interval.map(|tick| clock.now() + tick),
-            status: Arc::new(Mutex::new(Status::of(&raft))),
+            status: Arc::new(Mutex::new(Status::of(&raft, clock.now()))),
             clock,
             raft,
             store,
@@ -127,6 +131,7 @@
             message_tx: Some(message_tx),
             pending: PendingRequests::default(),
             tick_replies: Vec::new(),
+            ticks: 0,
             dropped_messages: 0,
             snapshot_index,
             bytes_since_snapshot: 0,
@@ -237,6 +242,7 @@
     }
 
     fn tick(&mut self) {
+        self.ticks += 1;
         self.raft.tick();
         self.pending.expire(self.clock.now());
     }
@@ -294,7 +300,12 @@
             self.store.install_snapshot(snapshot).map_err(Error::disk)?;
         }
         self.store.append(ready.hard_state, &ready.entries);
+        let started = self.clock.now();
         self.store.sync().map_err(Error::disk)?;
+        let taken = self.clock.now().saturating_duration_since(started);
+        if taken >= SLOW_SYNC {
+            log::warn!("the disk took {:.1} s to sync the log", taken.as_secs_f64());
+        }
         self.raft.persisted();
         self.publish_status();
         self.send(ready.messages);
@@ -373,7 +384,8 @@
     /// Publishes the status. This comes before any reply, so that a caller never finds a status
     /// older than its reply.
     fn publish_status(&self) {
-        let mut status = Status::of(&self.raft);
+        let mut status = Status::of(&self.raft, self.clock.now());
+        status.ticks = self.ticks;
         status.dropped_messages = self.dropped_messages;
         *self.status.lock().unwrap_or_else(PoisonError::into_inner) = status;
     }
--- a/crates/group/src/status.rs
+++ b/crates/group/src/status.rs
@@ -1,7 +1,10 @@
 //! The status that a node publishes.
 
 use raft::{Index, Membership, NodeId, Raft, Role, Term};
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Instant,
+};
 
 /// A node's knowledge of itself and its group. It may be outdated: only
 /// [`Handle::confirm_leadership`](crate::Handle::confirm_leadership) confirms leadership.
@@ -25,11 +28,15 @@
     pub last_index: Index,
     /// Members and epoch of the group.
     pub membership: Membership,
+    /// Index of the entry that holds the members.
+    pub membership_index: Index,
     /// Whether the last change of the members is known to be committed.
     pub is_membership_committed: bool,
     /// On a candidate: the voters that have answered its last request for votes, and whether each would
     /// vote for it.
     pub votes: BTreeMap<NodeId, bool>,
+    /// Last index of each other member, as of its latest request for votes since a leader was known.
+    pub candidate_logs: BTreeMap<NodeId, Index>,
     /// On a leader: last index up to which each other member is known to hold the log on disk.
     pub matched: BTreeMap<NodeId, Index>,
     /// On a leader: ticks since the last message from each other member.
@@ -48,12 +55,16 @@
     pub failure: Option<String>,
     /// Whether the node's disk was lost. The node must then join again under a new id.
     pub lost_disk: bool,
+    /// When the node's thread published this; `None` on a node that has stopped.
+    pub published_at: Option<Instant>,
+    /// Ticks since the node started.
+    pub ticks: u64,
     /// Number of outgoing messages dropped because the outbox was full or closed.
     pub dropped_messages: u64,
 }
 
 impl Status {
-    pub(crate) fn of(raft: &Raft) -> Self {
+    pub(crate) fn of(raft: &Raft, now: Instant) -> Self {
         let membership = raft.membership().clone();
         let is_reachable = |id: &NodeId| raft.is_leader() && raft.is_reachable(*id);
         let reachable = membership.nodes().filter(is_reachable).collect();
@@ -71,8 +82,10 @@
             first_index: raft.first_index(),
             last_index: raft.last_index(),
             membership,
+            membership_index: raft.membership_index(),
             is_membership_committed: raft.is_membership_committed(),
             votes: raft.votes().clone(),
+            candidate_logs: raft.candidate_logs().clone(),
             matched,
             silent_ticks: raft.silent_ticks().collect(),
             reachable,
@@ -81,6 +94,8 @@
             lost_logs: raft.lost_logs().collect(),
             failure: None,
             lost_disk: raft.has_lost_disk(),
+            published_at: Some(now),
+            ticks: 0,
             dropped_messages: 0,
         }
     }
@@ -96,6 +111,7 @@
         self.caught_up.clear();
         self.confirmed.clear();
         self.lost_logs.clear();
+        self.published_at = None;
         self.failure = failure;
     }
 
--- a/crates/raft/src/election.rs
+++ b/crates/raft/src/election.rs
@@ -125,7 +125,14 @@
         own.index > 0 && !may_have_lost_disk && last.is_up_to_date_with(own)
     }
 
+    fn note_candidate(&mut self, from: NodeId, last: LogPosition) {
+        if self.membership().contains(from) {
+            self.candidate_logs.insert(from, last.index);
+        }
+    }
+
     pub(crate) fn handle_pre_vote(&mut self, from: NodeId, term: Term, last: LogPosition) {
+        self.note_candidate(from, last);
         let granted = term > self.hard_state.term && !self.has_live_leader() && self.may_vote(last);
         let response_term = if granted { term } else { self.hard_state.term };
         let message = self.message(from, response_term, MessageBody::PreVoteResponse { granted });
@@ -144,6 +151,7 @@
     }
 
     pub(crate) fn handle_vote(&mut self, from: NodeId, last: LogPosition) {
+        self.note_candidate(from, last);
         let is_free = match self.hard_state.vote {
             None => self.leader.is_none(),
             Some(id) => id == from,
--- a/crates/raft/src/follower.rs
+++ b/crates/raft/src/follower.rs
@@ -31,6 +31,7 @@
             self.become_follower(self.hard_state.term, Some(from));
         }
         self.leader = Some(from);
+        self.candidate_logs.clear();
         self.election_elapsed = 0;
         true
     }
--- a/crates/raft/src/leader.rs
+++ b/crates/raft/src/leader.rs
@@ -24,6 +24,7 @@
     pub(crate) fn become_leader(&mut self) {
         self.role = Role::Leader;
         self.leader = Some(self.cfg.id);
+        self.candidate_logs.clear();
         self.heartbeat_elapsed = 0;
         self.incoming_snapshot = None;
         self.uncommitted_bytes = 0;
--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -53,6 +53,8 @@
     pub(crate) heartbeat_elapsed: u32,
     /// Responses to the running pre-vote or vote: whether each node granted it.
     pub(crate) votes: BTreeMap<NodeId, bool>,
+    /// See [`Raft::candidate_logs`].
+    pub(crate) candidate_logs: BTreeMap<NodeId, Index>,
     /// On a leader: replication progress of each other member.
     pub(crate) progress: BTreeMap<NodeId, Progress>,
     /// Bytes of entries that this leader has appended and not yet committed.
@@ -104,6 +106,7 @@
             election_timeout: 0,
             heartbeat_elapsed: 0,
             votes: BTreeMap::new(),
+            candidate_logs: BTreeMap::new(),
             progress: BTreeMap::new(),
             uncommitted_bytes: 0,
             transfer: None,
@@ -284,6 +287,11 @@
         &self.memberships[self.memberships.len() - 1].1
     }
 
+    /// Index of the entry that holds these members, or of the snapshot that does; 0 on a node without any.
+    pub fn membership_index(&self) -> Index {
+        self.memberships[self.memberships.len() - 1].0
+    }
+
     /// Whether the last change of the members is known to be committed. Until then it may be replaced.
     pub fn is_membership_committed(&self) -> bool {
         self.memberships[self.memberships.len() - 1].0 <= self.commit
@@ -313,6 +321,11 @@
         &self.votes
     }
 
+    /// Last index of each other node, as of its latest request for votes since this node knew a leader.
+    pub fn candidate_logs(&self) -> &BTreeMap<NodeId, Index> {
+        &self.candidate_logs
+    }
+
     /// Whether a leader counts this node as a voter although its log is empty.
     ///
     /// Such a node ignores all messages and never campaigns, as it may have voted and
--- a/crates/toucansilld/src/gateway.rs
+++ b/crates/toucansilld/src/gateway.rs
@@ -27,6 +27,7 @@
 mod exclusions;
 mod follow;
 mod forward;
+pub mod group_report;
 mod guard;
 mod identity;
 mod lead;
--- a/crates/toucansilld/src/gateway/bus.rs
+++ b/crates/toucansilld/src/gateway/bus.rs
@@ -10,7 +10,7 @@
 };
 use proxy::Connector;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
-use wire::{Inbound, LinkConfig, Links, Message, PeerRoute, RegionSecret, Responder};
+use wire::{Inbound, LinkConfig, LinkFailure, Links, Message, PeerRoute, RegionSecret, Responder};
 
 /// Fixed region secret. The daemons of a gateway have no way to share a real one: the platform
 /// gives each only its settings file. Their links accept anyone who reaches the internal ports.
@@ -63,6 +63,11 @@
         self.links.address()
     }
 
+    /// The last failure to connect to the daemon at `address`, if it hasn't been reached since.
+    pub(crate) fn last_failure(&self, address: SocketAddr) -> Option<LinkFailure> {
+        self.links.last_failure(address)
+    }
+
     /// Sends a request to the daemon at `address` and returns its reply.
     pub(crate) async fn request(
         &self,
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -4,6 +4,7 @@
 use super::{
     bus::{DaemonLinks, reply, reply_encoded},
     calls::{read_registration, registered},
+    group_report::{self, Contact, Observer},
     lead::{FOLLOW_WAIT, LeaderState, PlacementReply},
     members::{self, members_for},
     messages::{
@@ -18,7 +19,7 @@
 use crate::{sync::lock, voter::Voter};
 use follow::{HeldRequest, HeldRequests, ViewPosition};
 use grant::{Directory, DispatcherConfig, MAX_QUEUED_REPLY_TIME};
-use group::Status;
+use group::{NodeId, Status};
 use http::StatusCode;
 use kernel::SharedClock;
 use std::{
@@ -32,7 +33,7 @@
     task::{JoinSet, spawn_blocking},
     time::{sleep, timeout},
 };
-use wire::{Responder, Verdict};
+use wire::{LinkFailure, Responder, Verdict};
 
 /// Interval at which the Raft role is checked: a fraction of the time that an election takes, so
 /// that a new leader starts work soon after it.
@@ -210,11 +211,19 @@
         let mut last_quarantine_check = last_clean_up;
         let mut leaderless_report_due = last_clean_up + LEADERLESS_REPORT_INTERVAL;
         // A daemon that started anew within the process may have led before.
-        self.record_group_metrics(&self.voter.status());
+        let status = self.voter.status();
+        self.record_group_metrics(&status);
+        let mut observer = Observer::new(&status, last_clean_up);
         loop {
+            let slept_at = self.clock.now();
             sleep(LEADERSHIP_CHECK_INTERVAL).await;
             self.read_watchlist();
             let status = self.voter.status();
+            let now = self.clock.now();
+            let pauses =
+                [observer.pause(&status, slept_at, now), observer.voter_pause(&status, now)];
+            pauses.iter().flatten().for_each(|text| log::warn!("{text}"));
+            self.report_members(&mut observer, &status);
             if status.leader.is_some() {
                 leaderless_report_due = self.clock.now() + LEADERLESS_REPORT_INTERVAL;
             } else if self.clock.now() >= leaderless_report_due {
@@ -259,13 +268,15 @@
     }
 
     /// Logs what tells the reasons apart for which a group has no leader: which members vote, which of them
-    /// this one knows the addresses of, and which have answered its last request for votes.
+    /// this one knows the addresses of and reaches, and which have answered its last request for votes.
     fn report_leaderless(&self, status: &Status) {
+        let address_of = |id| self.voter.address_of(id);
+        let now = self.clock.now();
         let members: Vec<String> = status
             .membership
             .nodes()
             .map(|id| {
-                let address = self.voter.address_of(id);
+                let address = address_of(id);
                 let address = address.as_deref().unwrap_or("unknown address");
                 let vote = match status.votes.get(&id) {
                     _ if !status.membership.is_voter(id) => "no voter",
@@ -273,16 +284,43 @@
                     Some(false) => "against",
                     None => "none",
                 };
-                format!("{id} {address} {vote}")
+                let failure = self.last_failure(id).map(|failure| {
+                    let ago = now.saturating_duration_since(failure.at).as_millis();
+                    format!(" {:?} {ago} ms ago", failure.kind)
+                });
+                format!("{id} {address} {vote}{}", failure.unwrap_or_default())
             })
             .collect();
+        let contact = |id| match (address_of(id), self.last_failure(id)) {
+            (None, _) => Contact::Unknown,
+            (Some(_), Some(failure)) => Contact::Unreachable(failure.kind),
+            (Some(_), None) => Contact::Linked,
+        };
         log::warn!(
             member = status.id, role:? = status.role, term = status.term, commit = status.commit,
             last = status.last_index, joint = status.membership.is_joint(), members:? = members,
-            lost_disk = status.lost_disk; "no leader"
+            lost_disk = status.lost_disk; "{}", group_report::no_leader(status, address_of, contact)
         );
     }
 
+    /// Logs a change of the members since the last call.
+    fn report_members(&self, observer: &mut Observer, status: &Status) {
+        let address_of = |id| self.voter.address_of(id);
+        let Some(text) = observer.members_changed(status, address_of) else { return };
+        let voters = status.membership.voters.iter();
+        let voters: Vec<String> =
+            voters.map(|id| format!("{id} {}", address_of(*id).unwrap_or_default())).collect();
+        log::info!(
+            member = status.id, index = status.membership_index, voters:? = voters; "{text}"
+        );
+    }
+
+    /// The last failure to connect to another member, if it hasn't been reached since.
+    fn last_failure(&self, id: NodeId) -> Option<LinkFailure> {
+        let address = self.voter.address_of(id)?.parse().ok()?;
+        self.links().last_failure(address)
+    }
+
     /// Sets the gauges of the group's members and of those that the leader hears, itself included.
     /// Both are 0 on daemons that don't lead.
     fn record_group_metrics(&self, status: &Status) {
--- a/crates/toucansilld/src/gateway/daemon.rs
+++ b/crates/toucansilld/src/gateway/daemon.rs
@@ -5,7 +5,7 @@
     control::ControlMember,
     entry::{CallerHandler, LeaderPlacedRequests},
     follow::Follower,
-    identity,
+    group_report, identity,
     limits::KnownLimits,
     members::TICK,
     messages::{LeaderReply, LeaderRequest},
@@ -96,6 +96,11 @@
             let voter = identity::voter_settings(&settings, cfg)?;
             let voter = Arc::new(Voter::start(&voter, &own, TICK, Arc::clone(&clock), outbox)?);
             run.voter = Some(Arc::clone(&voter));
+            let found = voter.status();
+            log::info!(
+                member = found.id, last = found.last_index, term = found.term;
+                "{}", group_report::found_on_disk(&found)
+            );
             voter.known_addresses().iter().for_each(|address| view.add_control_daemon(address));
             let (view, clock) = (Arc::clone(&view), Arc::clone(&clock));
             let (control, report_recorder) =
--- /dev/null
+++ b/crates/toucansilld/src/gateway/group_report.rs
@@ -0,0 +1,296 @@
+//! Texts of the lines in which a member of the control group logs what it knows of the group.
+//!
+//! Collectors may cut lines, and fields come after the text. So the text itself says what decides, in few
+//! characters: a member is named by the last four digits of its id and the last two numbers of its address.
+
+use super::members::TICK;
+use group::{Membership, MembershipChange, NodeId, Role, Status};
+use std::{
+    collections::BTreeMap,
+    fmt, mem,
+    net::{IpAddr, SocketAddr},
+    time::{Duration, Instant},
+};
+use wire::LinkFailureKind;
+
+/// Pause of a process, or of its voter's thread, from which on it is reported.
+const REPORTED_PAUSE: Duration = Duration::from_secs(1);
+
+/// What a member knows of its way to another one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Contact {
+    /// Its address is unknown.
+    Unknown,
+    /// The last attempt to connect failed.
+    Unreachable(LinkFailureKind),
+    /// There is a connection, or no attempt has failed yet.
+    Linked,
+}
+
+/// Why a member's vote is missing.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Missing {
+    NoAddress,
+    Unreachable(LinkFailureKind),
+    /// It is reached and hasn't answered.
+    NoAnswer,
+    /// It has refused its vote, as its own log is newer.
+    NewerLog,
+    /// It has refused its vote, as its log is newer or it takes a leader for live.
+    Against,
+}
+
+impl fmt::Display for Missing {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::NoAddress => "no address",
+            Self::Unreachable(LinkFailureKind::Refused) => "refused",
+            Self::Unreachable(LinkFailureKind::Timeout) => "timeout",
+            Self::Unreachable(LinkFailureKind::NoHandshake) => "no handshake",
+            Self::Unreachable(LinkFailureKind::Other) => "unreachable",
+            Self::NoAnswer => "no answer",
+            Self::NewerLog => "newer log",
+            Self::Against => "against",
+        })
+    }
+}
+
+/// Short name of a member: `4659@0.19` for an id that ends with 4659 and the address 10.3.0.19:7840.
+pub fn short_name(id: NodeId, address: Option<&str>) -> String {
+    let digits = short_id(id);
+    match address.map(|address| address.parse::<SocketAddr>()) {
+        Some(Ok(address)) => match address.ip() {
+            IpAddr::V4(ip) => format!("{digits}@{}.{}", ip.octets()[2], ip.octets()[3]),
+            IpAddr::V6(ip) => format!("{digits}@{:x}", ip.segments()[7]),
+        },
+        Some(Err(_)) | None => digits,
+    }
+}
+
+/// Last four digits of an id.
+fn short_id(id: NodeId) -> String {
+    format!("{:04}", id % 10_000)
+}
+
+fn short_ids(ids: impl IntoIterator<Item = NodeId>) -> String {
+    ids.into_iter().map(short_id).collect::<Vec<_>>().join(" ")
+}
+
+/// Why a member knows no leader: how many voters are for it, against it, and missing; the end of its log,
+/// its term and its role; and the voters whose vote it lacks, by the reason.
+pub fn no_leader(
+    status: &Status,
+    address_of: impl Fn(NodeId) -> Option<String>,
+    contact: impl Fn(NodeId) -> Contact,
+) -> String {
+    let voters = &status.membership.voters;
+    let votes = |vote| voters.iter().filter(|id| status.votes.get(id) == Some(&vote)).count();
+    let (granted, refused) = (votes(true), votes(false));
+    let mut missing: BTreeMap<Missing, Vec<String>> = BTreeMap::new();
+    let others = voters.iter().filter(|id| **id != status.id);
+    for id in others.filter(|id| status.votes.get(id) != Some(&true)) {
+        let name = short_name(*id, address_of(*id).as_deref());
+        missing.entry(reason(status, *id, contact(*id))).or_default().push(name);
+    }
+    let missing: Vec<String> =
+        missing.iter().map(|(reason, names)| format!("{reason} {}", names.join(" "))).collect();
+    format!(
+        "no leader {granted}/{refused}/{}, last {}, term {}, {}: {}",
+        voters.len() - granted - refused,
+        status.last_index,
+        status.term,
+        role(status),
+        missing.join(", ")
+    )
+}
+
+fn reason(status: &Status, id: NodeId, contact: Contact) -> Missing {
+    let is_newer = status.candidate_logs.get(&id).is_some_and(|last| *last > status.last_index);
+    match (status.votes.get(&id), contact) {
+        (Some(_), _) if is_newer => Missing::NewerLog,
+        (Some(_), _) => Missing::Against,
+        (None, Contact::Unknown) => Missing::NoAddress,
+        (None, Contact::Unreachable(kind)) => Missing::Unreachable(kind),
+        (None, Contact::Linked) => Missing::NoAnswer,
+    }
+}
+
+/// Role of a member that knows no leader, or why it doesn't vote.
+fn role(status: &Status) -> &'static str {
+    let members = &status.membership;
+    match status.role {
+        _ if status.lost_disk => "lost disk",
+        _ if members.is_retired(status.id) => "retired",
+        _ if !members.contains(status.id) => "no member",
+        _ if !members.is_voter(status.id) => "learner",
+        Role::Follower => "follower",
+        Role::PreCandidate => "pre",
+        Role::Candidate => "candidate",
+        Role::Leader => "leader",
+    }
+}
+
+/// What a member found on its disk when it started.
+pub fn found_on_disk(status: &Status) -> String {
+    let id = short_id(status.id);
+    if status.last_index == 0 && status.membership.is_empty() {
+        return format!("empty disk, starts as {id}");
+    }
+    format!(
+        "on disk: member {id}, last {}, term {}, voters {}",
+        status.last_index,
+        status.term,
+        short_ids(status.membership.voters.iter().copied())
+    )
+}
+
+/// How the members have changed since `former`, as a member itself sees it: voters that came (`+`) and went
+/// (`-`), learners that came, and the voters now.
+pub fn members_changed(
+    former: &Membership,
+    status: &Status,
+    address_of: impl Fn(NodeId) -> Option<String>,
+) -> String {
+    let members = &status.membership;
+    let name = |id: NodeId| short_name(id, address_of(id).as_deref());
+    let mut changes = Vec::new();
+    if !former.is_empty() {
+        let came = members.voters.difference(&former.voters);
+        let gone = former.nodes().filter(|id| !members.contains(*id));
+        let learners = members.learners.iter().filter(|id| !former.contains(**id));
+        changes.extend(came.map(|id| format!("+{}", name(*id))));
+        changes.extend(gone.map(|id| format!("-{}", name(id))));
+        changes.extend(learners.map(|id| format!("learner {}", name(*id))));
+    }
+    if members.is_joint() {
+        changes.push(String::from("joint"));
+    }
+    let separator = if changes.is_empty() { "" } else { ", " };
+    format!(
+        "members at {}: {}{separator}{} voters {}",
+        status.membership_index,
+        changes.join(" "),
+        members.voters.len(),
+        short_ids(members.voters.iter().copied())
+    )
+}
+
+/// What a member has reported of its voter and its group.
+#[derive(Debug)]
+pub struct Observer {
+    membership: Membership,
+    /// Ticks of the voter at the last look.
+    ticks: u64,
+    /// End of the last pause of this process, in which the voter's thread didn't run either.
+    paused_until: Instant,
+    /// When the voter's thread last ran, while it is known to be blocked.
+    voter_blocked_since: Option<Instant>,
+}
+
+impl Observer {
+    /// Starts with the status as it is.
+    pub fn new(status: &Status, now: Instant) -> Self {
+        Self {
+            membership: status.membership.clone(),
+            ticks: status.ticks,
+            paused_until: now,
+            voter_blocked_since: None,
+        }
+    }
+
+    /// Reports a sleep of a few milliseconds that has lasted for more than a second. If the voter's thread ran
+    /// meanwhile, only the event loop was blocked.
+    pub fn pause(&mut self, status: &Status, slept_at: Instant, now: Instant) -> Option<String> {
+        let passed = now.saturating_duration_since(slept_at);
+        let ticks = status.ticks.saturating_sub(mem::replace(&mut self.ticks, status.ticks));
+        if passed < REPORTED_PAUSE {
+            return None;
+        }
+        let has_voter_run = u128::from(ticks) * TICK.as_millis() > passed.as_millis() / 2;
+        if !has_voter_run {
+            self.paused_until = now;
+        }
+        let what = if has_voter_run { "event loop blocked" } else { "no processor time" };
+        Some(format!("{what} for {:.1} s", passed.as_secs_f64()))
+    }
+
+    /// Reports that the voter's thread doesn't run, as its disk blocks it, and that it runs again.
+    pub fn voter_pause(&mut self, status: &Status, now: Instant) -> Option<String> {
+        let published_at = status.published_at?;
+        let silence = now.saturating_duration_since(published_at.max(self.paused_until));
+        match self.voter_blocked_since {
+            None if silence >= REPORTED_PAUSE => {
+                self.voter_blocked_since = Some(published_at.max(self.paused_until));
+                Some(format!("voter blocked for {:.1} s so far", silence.as_secs_f64()))
+            }
+            Some(since) if published_at > since => {
+                self.voter_blocked_since = None;
+                let blocked = published_at.saturating_duration_since(since);
+                Some(format!("voter runs again after {:.1} s", blocked.as_secs_f64()))
+            }
+            _ => None,
+        }
+    }
+
+    /// Reports a change of the members since the last call; see [`members_changed`].
+    pub fn members_changed(
+        &mut self,
+        status: &Status,
+        address_of: impl Fn(NodeId) -> Option<String>,
+    ) -> Option<String> {
+        if status.membership == self.membership {
+            return None;
+        }
+        let former = mem::replace(&mut self.membership, status.membership.clone());
+        Some(members_changed(&former, status, address_of))
+    }
+}
+
+/// A change of the members that a leader proposes, with its reason. `address` is that of the node that asked
+/// for it.
+pub fn proposed_change(
+    change: MembershipChange,
+    status: &Status,
+    address: &str,
+    address_of: impl Fn(NodeId) -> Option<String>,
+) -> String {
+    let name = |id: NodeId| short_name(id, address_of(id).as_deref());
+    let absence = |id: NodeId| match address_of(id) {
+        Some(former) if former == address => String::from("same address"),
+        _ => silence(status, id),
+    };
+    match change {
+        MembershipChange::AddLearner(id) => {
+            format!("learner {}, asks to join", short_name(id, Some(address)))
+        }
+        MembershipChange::Promote(id) => format!("+{}, additional", name(id)),
+        MembershipChange::Remove(id) => format!("-{}, {}", name(id), absence(id)),
+        MembershipChange::Exchange { old, new } => {
+            format!("+{} -{}, {}", name(new), name(old), absence(old))
+        }
+    }
+}
+
+/// A change of the members that a leader has made as member `id` is about to stop.
+pub fn planned_leave(
+    change: MembershipChange,
+    id: NodeId,
+    address_of: impl Fn(NodeId) -> Option<String>,
+) -> String {
+    let name = |id: NodeId| short_name(id, address_of(id).as_deref());
+    let change = match change {
+        MembershipChange::Remove(id) => format!("-{}", name(id)),
+        MembershipChange::Promote(id) => format!("+{}", name(id)),
+        MembershipChange::AddLearner(id) => format!("learner {}", name(id)),
+        MembershipChange::Exchange { old, new } => format!("+{} -{}", name(new), name(old)),
+    };
+    format!("{change}, as {} stops as planned", name(id))
+}
+
+/// For how long a leader hasn't heard a member.
+pub fn silence(status: &Status, id: NodeId) -> String {
+    match status.silent_ticks.get(&id) {
+        Some(ticks) => format!("silent for {} ms", (TICK * *ticks).as_millis()),
+        None => String::from("never heard"),
+    }
+}
--- a/crates/toucansilld/src/gateway/members.rs
+++ b/crates/toucansilld/src/gateway/members.rs
@@ -2,7 +2,7 @@
 
 use super::{
     control::ControlMember,
-    identity,
+    group_report, identity,
     messages::{LeaderReply, LeaderRequest},
 };
 use group::{
@@ -93,7 +93,12 @@
             }
             let step = self.with_view(&status, |view| next_join_step(view, id, &address));
             let Some(change) = step else { return LeaderReply::ChangePending };
-            log::info!(member = id, address = address.as_str(), change:? = change; "member admitted");
+            let text = group_report::proposed_change(change, &status, &address, |id| {
+                self.voter().address_of(id)
+            });
+            log::info!(
+                member = id, address = address.as_str(), change:? = change; "member admitted: {text}"
+            );
             if change == MembershipChange::AddLearner(id) {
                 self.voter().learn_address(id, address.clone());
             }
@@ -129,7 +134,11 @@
             }
         };
         match self.change_members(change).await {
-            Ok(()) => log::info!(member = id, change:? = change; "member leaves"),
+            Ok(()) => {
+                let text =
+                    group_report::planned_leave(change, id, |id| self.voter().address_of(id));
+                log::info!(member = id, change:? = change; "member leaves: {text}");
+            }
             Err(err) => log::warn!(member = id, change:? = change; "member has not left: {err}"),
         }
         LeaderReply::ChangePending
@@ -142,7 +151,13 @@
         let Some(_guard) = self.try_start_membership_change() else { return };
         let members = status.membership.voters.len();
         let silent_ticks = status.silent_ticks.get(&id).copied().unwrap_or_default();
-        log::warn!(member = id, members, silent_ticks; "surplus member removed");
+        let address = self.voter().address_of(id);
+        log::warn!(
+            member = id, members, silent_ticks;
+            "surplus member removed: -{}, {}",
+            group_report::short_name(id, address.as_deref()),
+            group_report::silence(status, id)
+        );
         if let Err(err) = self.change_members(MembershipChange::Remove(id)).await {
             log::warn!(member = id; "surplus member not removed: {err}");
         }
--- a/crates/toucansilld/src/logs.rs
+++ b/crates/toucansilld/src/logs.rs
@@ -156,6 +156,16 @@
 
 /// Writes a record as one line of JSON.
 fn write_line(buf: &mut Formatter, daemon: &str, record: &Record<'_>) -> io::Result<()> {
+    buf.write_all(&line(daemon, record)?)?;
+    buf.write_all(b"\n")
+}
+
+/// A record as one line of JSON, without the end of the line.
+///
+/// # Errors
+///
+/// Fails if the line can't be serialised.
+pub fn line(daemon: &str, record: &Record<'_>) -> io::Result<Vec<u8>> {
     let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let mut fields = Fields(Map::new());
     if record.key_values().visit(&mut fields).is_err() {
@@ -169,8 +179,7 @@
         text: record.args().to_string(),
         fields: fields.0,
     };
-    serde_json::to_writer(&mut *buf, &line)?;
-    buf.write_all(b"\n")
+    Ok(serde_json::to_vec(&line)?)
 }
 
 /// Collects the key-value pairs of a line.
--- /dev/null
+++ b/crates/toucansilld/tests/gateway/log_lines.rs
@@ -0,0 +1,82 @@
+//! Tests of what the processes of a group log of the group, in lines that are cut.
+
+use super::{Region, eventually};
+use std::{thread, time::Duration};
+
+/// Length at which collectors cut lines.
+const CUT_CHARS: usize = 200;
+/// Time for which a member is frozen: longer than the pause from which on it is logged.
+const FREEZE_TIME: Duration = Duration::from_millis(1_500);
+
+/// Lines of a daemon, cut.
+fn cut_lines(region: &Region, i: usize) -> Vec<String> {
+    region.log(i).lines().map(|line| line.chars().take(CUT_CHARS).collect()).collect()
+}
+
+/// Waits for a line of the daemon that contains all of `parts` before the cut.
+fn await_line(region: &Region, i: usize, parts: &[&str]) {
+    eventually(&format!("{parts:?}"), || {
+        let has_all = |line: &String| parts.iter().all(|part| line.contains(part));
+        cut_lines(region, i).iter().any(has_all).then_some(())
+    });
+}
+
+/// How texts name member `i`.
+fn short_name(region: &Region, i: usize) -> String {
+    let (id, ip) = (region.member_id(i), region.ip(i));
+    let octets: Vec<&str> = ip.trim_end_matches(':').split('.').collect();
+    format!("{}@{}.{}", &id[id.len() - 4..], octets[2], octets[3])
+}
+
+/// Which voters a member lacked, and why, was cut off.
+#[test]
+fn a_member_without_a_quorum_logs_who_is_missing_and_why() {
+    let mut region = Region::new(3);
+    (0..3).for_each(|i| region.start(i, true));
+    region.await_members(3);
+    let (gone, frozen) = (short_name(&region, 1), short_name(&region, 2));
+    region.kill(1);
+    region.signal(2, "-STOP");
+    let refused = format!("refused {gone}");
+    await_line(&region, 0, &["no leader 1/0/2, last ", &refused]);
+    let no_handshake = format!("no handshake {frozen}");
+    await_line(&region, 0, &["no leader 1/0/2, last ", &refused, &no_handshake]);
+}
+
+/// When the voters had changed, and why, could not be told from the members' own lines.
+#[test]
+fn changes_of_the_members_are_logged_by_each_of_them() {
+    let mut region = Region::new(3);
+    (0..3).for_each(|i| region.start(i, true));
+    region.await_members(3);
+    let leader = region.await_leader(3);
+    let [lost, other] = [1, 2].map(|n| (leader + n) % 3);
+    let (former_id, former) = (region.stored_id(lost), short_name(&region, lost));
+    region.kill(lost);
+    region.lose_disk(lost);
+    region.start(lost, false);
+    eventually("another id", || region.stored_id(lost).filter(|id| Some(id) != former_id.as_ref()));
+    let successor = short_name(&region, lost);
+    await_line(&region, lost, &["\"empty disk, starts as ", &successor[..4]]);
+    let admitted = format!("member admitted: +{successor} -{former}, same address");
+    await_line(&region, leader, &[&admitted]);
+    for member in [leader, other] {
+        await_line(&region, member, &["members at ", &format!("-{former}, 3 voters ")]);
+    }
+    await_line(&region, lost, &["members at ", ", 3 voters "]);
+    region.kill(other);
+    region.start(other, false);
+    await_line(&region, other, &["\"on disk: member ", ", last ", ", voters ", &successor[..4]]);
+}
+
+/// A process that did nothing for a minute had no line that said so.
+#[test]
+fn a_pause_of_a_process_is_logged() {
+    let mut region = Region::new(1);
+    region.start(0, true);
+    region.await_members(1);
+    region.signal(0, "-STOP");
+    thread::sleep(FREEZE_TIME);
+    region.signal(0, "-CONT");
+    await_line(&region, 0, &["\"no processor time for "]);
+}
--- a/crates/toucansilld/tests/gateway/main.rs
+++ b/crates/toucansilld/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod late_copies;
 mod limits;
 mod link_resets;
+mod log_lines;
 mod lost_paths;
 mod notices;
 mod odd_values;
--- /dev/null
+++ b/crates/toucansilld/tests/log_lines.rs
@@ -0,0 +1,226 @@
+//! What is left of the lines of a control daemon's log when a collector cuts them.
+
+use group::{Membership, MembershipChange, NodeId, Role, Status};
+use log::{Level, Record};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+use toucansilld::{
+    gateway::group_report::{
+        Contact, Observer, found_on_disk, members_changed, no_leader, planned_leave,
+        proposed_change,
+    },
+    logs,
+};
+use wire::LinkFailureKind;
+
+/// Length at which collectors cut lines.
+const CUT_CHARS: usize = 200;
+const DAEMON: &str = "core-cl-centro-b-1";
+/// Modules that log these lines.
+const CONTROL: &str = "toucansilld::gateway::control";
+const MEMBERS: &str = "toucansilld::gateway::members";
+const DAEMONS: &str = "toucansilld::gateway::daemon";
+/// Five members with ids of 20 digits, by the last number of their addresses.
+const IDS: [NodeId; 5] = [
+    12_364_169_870_143_201_119,
+    13_641_698_701_432_011_220,
+    14_169_870_143_201_122_321,
+    15_987_014_320_112_344_422,
+    16_870_143_201_123_456_523,
+];
+const NEW_ID: NodeId = 17_143_201_123_456_786_624;
+
+fn address_of(id: NodeId) -> Option<String> {
+    let members = IDS.iter().chain([&NEW_ID]);
+    let numbered = members.zip(19..).find(|(known, _)| **known == id);
+    numbered.map(|(_, number)| format!("10.3.0.{number}:7840"))
+}
+
+/// Status of the first member: a candidate without an answer.
+fn status() -> Status {
+    Status {
+        id: IDS[0],
+        role: Role::PreCandidate,
+        term: 137,
+        leader: None,
+        commit: 15_140,
+        applied: 15_140,
+        first_index: 1,
+        last_index: 15_140,
+        membership: Membership::initial(1, IDS),
+        membership_index: 15_135,
+        is_membership_committed: true,
+        votes: BTreeMap::from([(IDS[0], true)]),
+        candidate_logs: BTreeMap::new(),
+        matched: BTreeMap::new(),
+        silent_ticks: BTreeMap::new(),
+        reachable: BTreeSet::new(),
+        caught_up: BTreeSet::new(),
+        confirmed: BTreeSet::new(),
+        lost_logs: BTreeSet::new(),
+        failure: None,
+        lost_disk: false,
+        published_at: Some(Instant::now()),
+        ticks: 0,
+        dropped_messages: 0,
+    }
+}
+
+/// A line as the logger renders it, up to the cut.
+fn cut_line(target: &str, text: &str) -> String {
+    let args = format_args!("{text}");
+    let record = Record::builder().level(Level::Warn).target(target).args(args).build();
+    let line = logs::line(DAEMON, &record).expect("a line");
+    String::from_utf8(line).expect("UTF-8").chars().take(CUT_CHARS).collect()
+}
+
+fn check_within_cut(target: &str, text: &str, expected: &[&str]) {
+    let line = cut_line(target, text);
+    for part in expected {
+        assert!(line.contains(part), "{part} is cut off: {line}");
+    }
+}
+
+/// The votes and the missing members were fields, and were cut off: why there was no leader stayed unknown.
+#[test]
+fn a_cut_line_says_which_votes_are_missing_and_why() {
+    let status = Status { votes: BTreeMap::from([(IDS[0], true), (IDS[1], true)]), ..status() };
+    let contact = |id| match IDS.iter().position(|known| *known == id) {
+        Some(2) => Contact::Unreachable(LinkFailureKind::Refused),
+        Some(3) => Contact::Unreachable(LinkFailureKind::NoHandshake),
+        _ => Contact::Linked,
+    };
+    let text = no_leader(&status, address_of, contact);
+    check_within_cut(
+        CONTROL,
+        &text,
+        &["no leader 2/0/3, last 15140, term 137, pre: refused 2321@0.21", "no handshake 4422@0"],
+    );
+    let refused = |_| Contact::Unreachable(LinkFailureKind::Refused);
+    let text = no_leader(&status, address_of, refused);
+    check_within_cut(CONTROL, &text, &["refused 2321@0.21 4422@0.22 6523@0.23"]);
+}
+
+#[test]
+fn each_reason_for_a_missing_vote_is_told_from_the_others() {
+    let linked = |_| Contact::Linked;
+    let voters = [IDS[0], IDS[1]];
+    let base = Status { membership: Membership::initial(1, voters), ..status() };
+    let tail = |status: &Status, contact: Contact| {
+        let text = no_leader(status, address_of, |_| contact);
+        text.split_once(": ").expect("a text with members").1.to_owned()
+    };
+    let contacts = [
+        (Contact::Unknown, "no address 1220@0.20"),
+        (Contact::Unreachable(LinkFailureKind::Refused), "refused 1220@0.20"),
+        (Contact::Unreachable(LinkFailureKind::Timeout), "timeout 1220@0.20"),
+        (Contact::Unreachable(LinkFailureKind::NoHandshake), "no handshake 1220@0.20"),
+        (Contact::Unreachable(LinkFailureKind::Other), "unreachable 1220@0.20"),
+        (Contact::Linked, "no answer 1220@0.20"),
+    ];
+    for (contact, expected) in contacts {
+        assert_eq!(tail(&base, contact), expected);
+    }
+    let against =
+        Status { votes: BTreeMap::from([(IDS[0], true), (IDS[1], false)]), ..base.clone() };
+    assert_eq!(tail(&against, Contact::Linked), "against 1220@0.20");
+    let newer = Status { candidate_logs: BTreeMap::from([(IDS[1], 15_141)]), ..against.clone() };
+    assert_eq!(tail(&newer, Contact::Linked), "newer log 1220@0.20");
+    assert!(no_leader(&against, address_of, linked).starts_with("no leader 1/1/0, "));
+    let learner = Status { id: NEW_ID, role: Role::Follower, votes: BTreeMap::new(), ..base };
+    assert!(no_leader(&learner, address_of, linked).contains("no member: "));
+}
+
+/// Which voters there were before a fault could not be told from any line.
+#[test]
+fn cut_lines_have_each_change_of_the_members() {
+    let former = Membership::initial(1, IDS);
+    let learner = former.after(MembershipChange::AddLearner(NEW_ID)).expect("valid");
+    let joint =
+        learner.after(MembershipChange::Exchange { old: IDS[0], new: NEW_ID }).expect("valid");
+    let last = joint.after_exchange();
+    let texts = [(&former, &learner), (&learner, &joint), (&joint, &last)].map(|(from, to)| {
+        let status = Status { membership: to.clone(), ..status() };
+        members_changed(from, &status, address_of)
+    });
+    let voters = "1119 1220 2321 4422 6523";
+    check_within_cut(
+        CONTROL,
+        &texts[0],
+        &["members at 15135: learner 6624@0.24, 5 voters", voters],
+    );
+    check_within_cut(CONTROL, &texts[1], &[" +6624@0.24 joint, 6 voters 1119 1220 2321 4422 6523"]);
+    check_within_cut(CONTROL, &texts[2], &[" -1119@0.19, 5 voters 1220 2321 4422 6523 6624"]);
+}
+
+/// Nor could the reasons for which a leader exchanged one voter for another.
+#[test]
+fn cut_lines_have_the_reasons_for_which_a_leader_changes_the_members() {
+    let status = Status { silent_ticks: BTreeMap::from([(IDS[1], 25)]), ..status() };
+    let (old, new) = (IDS[1], NEW_ID);
+    let text = |change, address| {
+        format!("member admitted: {}", proposed_change(change, &status, address, address_of))
+    };
+    let exchange = MembershipChange::Exchange { old, new };
+    check_within_cut(
+        MEMBERS,
+        &text(exchange, "10.3.0.24:7840"),
+        &["member admitted: +6624@0.24 -1220@0.20, silent for 1250 ms"],
+    );
+    check_within_cut(MEMBERS, &text(exchange, "10.3.0.20:7840"), &["-1220@0.20, same address"]);
+    let promote = text(MembershipChange::Promote(new), "10.3.0.24:7840");
+    check_within_cut(MEMBERS, &promote, &["member admitted: +6624@0.24, additional"]);
+    let leave = planned_leave(MembershipChange::Remove(old), old, address_of);
+    check_within_cut(
+        MEMBERS,
+        &format!("member leaves: {leave}"),
+        &["-1220@0.20, as 1220@0.20 stops as planned"],
+    );
+}
+
+#[test]
+fn cut_lines_have_what_a_member_found_on_its_disk() {
+    check_within_cut(
+        DAEMONS,
+        &found_on_disk(&status()),
+        &["on disk: member 1119, last 15140, term 137, voters 1119 1220 2321 4422 6523"],
+    );
+    let empty = Status { last_index: 0, membership: Membership::default(), ..status() };
+    check_within_cut(DAEMONS, &found_on_disk(&empty), &["empty disk, starts as 1119"]);
+}
+
+#[test]
+fn a_member_that_joins_reports_the_voters_alone() {
+    let text = members_changed(&Membership::default(), &status(), address_of);
+    assert_eq!(text, "members at 15135: 5 voters 1119 1220 2321 4422 6523");
+}
+
+/// A process that did nothing for a minute, a blocked event loop and a blocked disk could not be told apart.
+#[test]
+fn pauses_of_the_process_its_event_loop_and_its_voter_are_told_apart() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let with = |ms, ticks| Status { published_at: Some(at(ms)), ticks, ..status() };
+    let mut observer = Observer::new(&with(0, 0), start);
+    assert_eq!(observer.pause(&with(100, 2), at(50), at(100)), None);
+    // The process is frozen, and looks at its status before the voter's thread has run again.
+    let frozen = with(100, 2);
+    let text = observer.pause(&frozen, at(100), at(53_200)).expect("a pause");
+    assert_eq!(text, "no processor time for 53.1 s");
+    assert_eq!(observer.voter_pause(&frozen, at(53_200)), None);
+    assert_eq!(observer.voter_pause(&with(53_210, 3), at(53_250)), None);
+    // The voter's thread alone is blocked.
+    let blocked = with(54_000, 10);
+    assert_eq!(observer.voter_pause(&blocked, at(54_900)), None);
+    let text = observer.voter_pause(&blocked, at(55_000)).expect("blocked");
+    assert_eq!(text, "voter blocked for 1.0 s so far");
+    assert_eq!(observer.voter_pause(&blocked, at(58_000)), None);
+    let text = observer.voter_pause(&with(59_500, 11), at(59_540)).expect("it runs again");
+    assert_eq!(text, "voter runs again after 5.5 s");
+    // The event loop alone is blocked.
+    assert_eq!(observer.pause(&with(59_500, 11), at(59_500), at(59_550)), None);
+    let text = observer.pause(&with(62_500, 71), at(59_550), at(62_550)).expect("a pause");
+    assert_eq!(text, "event loop blocked for 3.0 s");
+}
