Log refused calls once a second for each reason, with their number

A control daemon without a leader logged `call not answered` for each call.

Calls that are not answered, not read or refused as invalid are counted by the reason. The first of a series is logged at once, and further ones once a second: `48 calls not answered in 1.0 s: no leader is known (1/0/2: refused 1330@28.2 1331@28.3)`. While no leader is known, the line has the votes as in `no leader`, as few other lines may be kept. The fields are those of the last call, with the number of calls and the time since the first. At most 8 reasons are told apart at a time; others share a line.

--- a/crates/toucansilld/src/gateway.rs
+++ b/crates/toucansilld/src/gateway.rs
@@ -48,6 +48,7 @@
 mod settings;
 mod stream;
 mod tickets;
+pub mod unanswered;
 mod view;
 mod watchlist;
 
--- a/crates/toucansilld/src/gateway/calls.rs
+++ b/crates/toucansilld/src/gateway/calls.rs
@@ -8,6 +8,8 @@
     control::ControlMember,
     lead::LeaderState,
     messages::{ControlHttpRequest, ControlHttpResponse},
+    servers::{INVALID, log_refused},
+    unanswered::RefusedCall,
 };
 use control::{Command, Outcome, PublishedRouting, RoutingOutcome, UpstreamDeparture};
 use follow::ViewPosition;
@@ -33,11 +35,13 @@
         let decoded = match control_api::decode(&method, &request.path, &request.body) {
             Ok(decoded) => decoded,
             Err(err) => {
-                log::warn!(
-                    method = request.method.as_str(), path = request.path.as_str(),
-                    bytes = request.body.len(); "call refused: {err}"
-                );
-                return Some(ControlHttpResponse::new(err.status().as_u16(), &err.to_string()));
+                let status = err.status().as_u16();
+                let reason = err.to_string();
+                let ControlHttpRequest { method, path, .. } = request;
+                let call = RefusedCall { method, path, status };
+                let line = self.invalid.add(self.now(), &reason, call);
+                line.iter().for_each(|line| log_refused(self, INVALID, line));
+                return Some(ControlHttpResponse::new(status, &reason));
             }
         };
         match decoded {
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -13,7 +13,9 @@
     },
     quarantine::{ReadWatchlist, ReceivedReports},
     refreshes::Refreshes,
+    servers,
     settings::{Bounds, ControlSettings, GatewaySettings},
+    unanswered::RefusedCalls,
     view::View,
 };
 use crate::{sync::lock, voter::Voter};
@@ -103,6 +105,12 @@
     pub(super) watchlist: watch::Sender<ReadWatchlist>,
     reports_tx: flume::Sender<ReceivedReports>,
     refreshes: Arc<Refreshes>,
+    /// Calls that got no answer, by the reason.
+    pub(super) unanswered: RefusedCalls,
+    /// Calls whose request could not be read, by the reason.
+    pub(super) unread: RefusedCalls,
+    /// Calls that were refused as invalid, by the reason.
+    pub(super) invalid: RefusedCalls,
 }
 
 impl ControlMember {
@@ -135,6 +143,9 @@
             watchlist: watch::Sender::new(ReadWatchlist::default()),
             reports_tx,
             refreshes,
+            unanswered: RefusedCalls::default(),
+            unread: RefusedCalls::default(),
+            invalid: RefusedCalls::default(),
         });
         (Arc::clone(&member), member.record_reports(reports))
     }
@@ -217,6 +228,7 @@
         loop {
             let slept_at = self.clock.now();
             sleep(LEADERSHIP_CHECK_INTERVAL).await;
+            servers::log_refused_calls(&self);
             self.read_watchlist();
             let status = self.voter.status();
             let now = self.clock.now();
@@ -291,11 +303,7 @@
                 format!("{id} {address} {vote}{}", failure.unwrap_or_default())
             })
             .collect();
-        let contact = |id| match (address_of(id), self.last_failure(id)) {
-            (None, _) => Contact::Unknown,
-            (Some(_), Some(failure)) => Contact::Unreachable(failure.kind),
-            (Some(_), None) => Contact::Linked,
-        };
+        let contact = |id| self.contact(id);
         log::warn!(
             member = status.id, role:? = status.role, term = status.term, commit = status.commit,
             last = status.last_index, joint = status.membership.is_joint(), members:? = members,
@@ -303,6 +311,23 @@
         );
     }
 
+    /// Which votes this member lacks to be elected; `None` while it knows a leader.
+    pub(super) fn missing_votes(&self) -> Option<String> {
+        let status = self.voter.status();
+        let address_of = |id| self.voter.address_of(id);
+        let has_none = status.leader.is_none();
+        has_none.then(|| group_report::missing_votes(&status, address_of, |id| self.contact(id)))
+    }
+
+    /// What is known of the way to another member.
+    fn contact(&self, id: NodeId) -> Contact {
+        match (self.voter.address_of(id), self.last_failure(id)) {
+            (None, _) => Contact::Unknown,
+            (Some(_), Some(failure)) => Contact::Unreachable(failure.kind),
+            (Some(_), None) => Contact::Linked,
+        }
+    }
+
     /// Logs a change of the members since the last call.
     fn report_members(&self, observer: &mut Observer, status: &Status) {
         let address_of = |id| self.voter.address_of(id);
--- a/crates/toucansilld/src/gateway/group_report.rs
+++ b/crates/toucansilld/src/gateway/group_report.rs
@@ -83,25 +83,48 @@
     address_of: impl Fn(NodeId) -> Option<String>,
     contact: impl Fn(NodeId) -> Contact,
 ) -> String {
+    format!(
+        "no leader {}, last {}, term {}, {}: {}",
+        vote_counts(status),
+        status.last_index,
+        status.term,
+        role(status),
+        missing_voters(status, address_of, contact)
+    )
+}
+
+/// The part of [`no_leader`] that says which votes a member lacks.
+pub fn missing_votes(
+    status: &Status,
+    address_of: impl Fn(NodeId) -> Option<String>,
+    contact: impl Fn(NodeId) -> Contact,
+) -> String {
+    format!("{}: {}", vote_counts(status), missing_voters(status, address_of, contact))
+}
+
+/// Numbers of the voters that are for a member, against it, and missing.
+fn vote_counts(status: &Status) -> String {
     let voters = &status.membership.voters;
     let votes = |vote| voters.iter().filter(|id| status.votes.get(id) == Some(&vote)).count();
     let (granted, refused) = (votes(true), votes(false));
+    format!("{granted}/{refused}/{}", voters.len() - granted - refused)
+}
+
+/// The voters whose vote a member lacks, by the reason.
+fn missing_voters(
+    status: &Status,
+    address_of: impl Fn(NodeId) -> Option<String>,
+    contact: impl Fn(NodeId) -> Contact,
+) -> String {
     let mut missing: BTreeMap<Missing, Vec<String>> = BTreeMap::new();
-    let others = voters.iter().filter(|id| **id != status.id);
+    let others = status.membership.voters.iter().filter(|id| **id != status.id);
     for id in others.filter(|id| status.votes.get(id) != Some(&true)) {
         let name = short_name(*id, address_of(*id).as_deref());
         missing.entry(reason(status, *id, contact(*id))).or_default().push(name);
     }
     let missing: Vec<String> =
         missing.iter().map(|(reason, names)| format!("{reason} {}", names.join(" "))).collect();
-    format!(
-        "no leader {granted}/{refused}/{}, last {}, term {}, {}: {}",
-        voters.len() - granted - refused,
-        status.last_index,
-        status.term,
-        role(status),
-        missing.join(", ")
-    )
+    missing.join(", ")
 }
 
 fn reason(status: &Status, id: NodeId, contact: Contact) -> Missing {
--- a/crates/toucansilld/src/gateway/messages.rs
+++ b/crates/toucansilld/src/gateway/messages.rs
@@ -328,4 +328,11 @@
         let body = serde_json::json!({ "reason": reason }).to_string().into_bytes();
         Self { status, body }
     }
+
+    /// The reason that [`new`](Self::new) has put into the body; of any other body, its text.
+    pub(crate) fn reason(&self) -> String {
+        let value = serde_json::from_slice::<serde_json::Value>(&self.body).ok();
+        let reason = value.as_ref().and_then(|value| value.get("reason")?.as_str());
+        reason.map_or_else(|| String::from_utf8_lossy(&self.body).into_owned(), String::from)
+    }
 }
--- a/crates/toucansilld/src/gateway/servers.rs
+++ b/crates/toucansilld/src/gateway/servers.rs
@@ -8,10 +8,11 @@
     messages::ControlHttpRequest,
     relay_server::RelayHandler,
     settings::{ControlSettings, EntrySettings, GatewaySettings},
+    unanswered::{RefusedCall, RefusedLine},
     view::View,
 };
 use crate::error::{Error, Result};
-use http::{Request, Response, StatusCode};
+use http::{Request, Response, StatusCode, request::Parts};
 use hyper::body::Incoming;
 use metrics_exporter_prometheus::PrometheusHandle;
 use proxy::{Body, ConnectionCount, Server, ServerConfig, empty, full, read_request_body, serve};
@@ -32,6 +33,11 @@
 /// memory.
 const METRICS_UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
 
+/// What happened to calls that are logged together.
+const UNANSWERED: &str = "not answered";
+const UNREAD: &str = "not read";
+pub(super) const INVALID: &str = "refused";
+
 /// Server for callers.
 pub(super) struct CallerServer {
     pub(super) connections: ConnectionCount,
@@ -130,9 +136,10 @@
     let body = match read_request_body(body, DOCUMENT_BYTES_MAX, CONTROL_BODY_TIMEOUT).await {
         Ok(body) => body,
         Err(status) => {
-            log::warn!(
-                path = parts.uri.path(), status = status.as_u16(); "control request not read"
-            );
+            let call = refused_call(&parts, status);
+            let reason = status.canonical_reason().unwrap_or("no reason");
+            let line = control.unread.add(control.now(), reason, call);
+            line.iter().for_each(|line| log_refused(&control, UNREAD, line));
             return with_status(status);
         }
     };
@@ -144,10 +151,10 @@
     let control_response = control.handle_control(request).await;
     let status = status_of(&control_response);
     if status.is_server_error() {
-        log::warn!(
-            method:% = parts.method, path = parts.uri.path(), status = control_response.status;
-            "call not answered: {}", String::from_utf8_lossy(&control_response.body)
-        );
+        let reason = control_response.reason();
+        let call = refused_call(&parts, status);
+        let line = control.unanswered.add(control.now(), &reason, call);
+        line.iter().for_each(|line| log_refused(&control, UNANSWERED, line));
     }
     let mut response = Response::new(full(control_response.body));
     *response.status_mut() = status;
@@ -156,6 +163,37 @@
     response
 }
 
+fn refused_call(parts: &Parts, status: StatusCode) -> RefusedCall {
+    RefusedCall {
+        method: parts.method.to_string(),
+        path: parts.uri.path().to_owned(),
+        status: status.as_u16(),
+    }
+}
+
+/// Logs how many calls were refused since the last lines that say so, where a line is due.
+pub(super) fn log_refused_calls(control: &ControlMember) {
+    let now = control.now();
+    let kinds =
+        [(UNANSWERED, &control.unanswered), (UNREAD, &control.unread), (INVALID, &control.invalid)];
+    for (what, calls) in kinds {
+        calls.take_due(now).iter().for_each(|line| log_refused(control, what, line));
+    }
+}
+
+/// Logs calls that were refused. `what` says how. If they were not answered as no leader is known, the line says
+/// which votes are missing.
+pub(super) fn log_refused(control: &ControlMember, what: &str, line: &RefusedLine) {
+    let RefusedCall { method, path, status } = &line.last;
+    let votes = control.missing_votes().filter(|_| what == UNANSWERED);
+    let votes = votes.map(|votes| format!(" ({votes})")).unwrap_or_default();
+    log::warn!(
+        method = method.as_str(), path = path.as_str(), status = *status,
+        count = line.repeated.count, since_ms = line.repeated.since_first.as_millis() as u64;
+        "{}{votes}", line.text(what)
+    );
+}
+
 /// Starts the server for metrics, and their periodic aggregation.
 pub(super) fn serve_metrics(
     settings: &GatewaySettings,
--- a/crates/toucansilld/tests/gateway/log_lines.rs
+++ b/crates/toucansilld/tests/gateway/log_lines.rs
@@ -1,6 +1,8 @@
 //! Tests of what the processes of a group log of the group, in lines that are cut.
 
 use super::{Region, eventually};
+use platform::stand_in::DOCUMENT_PATH;
+use serde_json::Value;
 use std::{thread, time::Duration};
 
 /// Length at which collectors cut lines.
@@ -43,6 +45,31 @@
     await_line(&region, 0, &["no leader 1/0/2, last ", &refused, &no_handshake]);
 }
 
+/// Each refused call had a line of its own, so that a short record had nothing else.
+#[test]
+fn refused_calls_are_logged_as_counts() {
+    const CALLS: usize = 50;
+    let mut region = Region::new(3);
+    region.start(0, true);
+    await_line(&region, 0, &["no leader 1/0/2"]);
+    let statuses: Vec<u16> = (0..CALLS)
+        .filter_map(|_| region.control_request(0, "GET", DOCUMENT_PATH, ""))
+        .map(|(status, _)| status)
+        .collect();
+    assert_eq!(statuses, [503; CALLS]);
+    let counts = eventually("all calls", || {
+        let log = region.log(0);
+        let lines = log.lines().filter(|line| line.contains("not answered"));
+        let counts: Vec<u64> = lines
+            .map(|line| serde_json::from_str::<Value>(line).expect("JSON"))
+            .map(|line| line["count"].as_u64().expect("a count"))
+            .collect();
+        (counts.iter().sum::<u64>() == CALLS as u64).then_some(counts)
+    });
+    assert!(counts.len() < CALLS / 2, "{counts:?}");
+    await_line(&region, 0, &[" calls not answered in ", ": no leader is known (1/0/2: refused "]);
+}
+
 /// When the voters had changed, and why, could not be told from the members' own lines.
 #[test]
 fn changes_of_the_members_are_logged_by_each_of_them() {
--- a/crates/toucansilld/tests/log_lines.rs
+++ b/crates/toucansilld/tests/log_lines.rs
@@ -7,9 +7,12 @@
     time::{Duration, Instant},
 };
 use toucansilld::{
-    gateway::group_report::{
-        Contact, Observer, found_on_disk, members_changed, no_leader, planned_leave,
-        proposed_change,
+    gateway::{
+        group_report::{
+            Contact, Observer, found_on_disk, members_changed, missing_votes, no_leader,
+            planned_leave, proposed_change,
+        },
+        unanswered::{RefusedCall, RefusedCalls},
     },
     logs,
 };
@@ -21,6 +24,7 @@
 /// Modules that log these lines.
 const CONTROL: &str = "toucansilld::gateway::control";
 const MEMBERS: &str = "toucansilld::gateway::members";
+const SERVERS: &str = "toucansilld::gateway::servers";
 const DAEMONS: &str = "toucansilld::gateway::daemon";
 /// Five members with ids of 20 digits, by the last number of their addresses.
 const IDS: [NodeId; 5] = [
@@ -224,3 +228,51 @@
     let text = observer.pause(&with(62_500, 71), at(59_550), at(62_550)).expect("a pause");
     assert_eq!(text, "event loop blocked for 3.0 s");
 }
+
+fn call(path: &str) -> RefusedCall {
+    RefusedCall { method: String::from("PUT"), path: path.to_owned(), status: 503 }
+}
+
+/// Each refused call had a line, dozens a second, and a record of a few lines a process had no others.
+#[test]
+fn refused_calls_are_counted_and_logged_once_a_second_for_each_reason() {
+    const REASON: &str = "no leader is known";
+    let calls = RefusedCalls::default();
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let first = calls.add(at(0), REASON, call("/a")).expect("the first is logged at once");
+    assert_eq!(first.text("not answered"), "call not answered: no leader is known");
+    assert!((1..100).all(|i| calls.add(at(i * 9), REASON, call("/b")).is_none()));
+    let other = calls.add(at(500), "the leader has changed", call("/c"));
+    assert_eq!(other.expect("another reason").repeated.count, 1);
+    assert!(calls.take_due(at(900)).is_empty());
+    let due = calls.take_due(at(1_000));
+    let [line] = due.as_slice() else { panic!("{due:?}") };
+    assert_eq!((line.repeated.count, line.last.path.as_str()), (99, "/b"));
+    let text = line.text("not answered");
+    check_within_cut(SERVERS, &text, &["\"99 calls not answered in 1.0 s: no leader is known\""]);
+    let refused = |_| Contact::Unreachable(LinkFailureKind::Refused);
+    let votes = missing_votes(&status(), address_of, refused);
+    check_within_cut(SERVERS, &format!("{text} ({votes})"), &["known (1/0/4: refused 1220@0.20 "]);
+    // Further calls of the series, and then a new series.
+    assert!(calls.add(at(1_500), REASON, call("/a")).is_none());
+    let [line] = calls.take_due(at(2_100)).try_into().expect("one line");
+    assert_eq!((line.repeated.count, line.repeated.since_first), (1, Duration::from_millis(2_100)));
+    assert!(calls.take_due(at(9_000)).is_empty());
+    let again = calls.add(at(9_500), REASON, call("/a")).expect("a new series");
+    assert_eq!((again.repeated.count, again.repeated.since_first), (1, Duration::ZERO));
+}
+
+/// Guards against reasons that differ with each call, such as by a time, and that would be kept for good.
+#[test]
+fn reasons_that_differ_with_each_call_share_one_line() {
+    let calls = RefusedCalls::default();
+    let now = Instant::now();
+    let lines =
+        (0..1_000).filter_map(|i| calls.add(now, &format!("no answer in {i} ms"), call("/a")));
+    let reasons: Vec<String> = lines.map(|line| line.reason).collect();
+    assert_eq!(reasons.len(), 9);
+    assert_eq!(reasons[8], "other reasons");
+    let [line] = calls.take_due(now + Duration::from_secs(1)).try_into().expect("one line");
+    assert_eq!((line.reason.as_str(), line.repeated.count), ("other reasons", 991));
+}
