Name the cause of a failed store before its path

`the store fails until it is opened again` and the line of a voter that stops began with a path or an id of 20 digits, so that the cause was cut off at 200 characters. The cause now comes before the path, and the id is a field.

cargo test -p disk -p group: all pass.

--- a/crates/disk/src/store.rs
+++ b/crates/disk/src/store.rs
@@ -10,6 +10,7 @@
 };
 use raft::{HardState, Index, LogEntry, LogPosition, NodeId, Snapshot};
 use std::{
+    error::Error as _,
     fs::{self, File, TryLockError},
     io::{self, Seek as _, SeekFrom},
     mem,
@@ -237,7 +238,8 @@
     /// Poisons the store if the result is an error, and returns the result.
     fn poison_on_failure<T>(&mut self, result: Result<T>) -> Result<T> {
         if let Err(e) = &result {
-            log::error!("the store fails until it is opened again: {e}");
+            let cause = e.source().map(ToString::to_string).unwrap_or_default();
+            log::error!("the store fails until it is opened again ({cause}): {e}");
             self.is_poisoned = true;
         }
         result
--- a/crates/group/src/runner.rs
+++ b/crates/group/src/runner.rs
@@ -169,7 +169,7 @@
         // Whoever learns of the end may open the folder again at once.
         drop(store);
         if let Some(failure) = &failure {
-            log::error!("voter {} stopped after a failure: {failure}", cfg.raft.id);
+            log::error!(member = cfg.raft.id; "the voter stopped: {failure}");
         }
         let e = Error::stopped(failure.as_deref().unwrap_or("by order"));
         status.lock().unwrap_or_else(PoisonError::into_inner).end(failure);
