--- a/crates/raft/tests/steps.rs
+++ b/crates/raft/tests/steps.rs
@@ -191,3 +191,18 @@
         raft.tick();
     }
 }
+
+/// A vote that is refused says nothing of the reason. The logs of other candidates do, until there is a leader.
+#[test]
+fn a_candidate_knows_the_logs_of_other_candidates_until_it_hears_a_leader() {
+    let persisted_state = PersistedState::bootstrap(Membership::initial(1, [1, 2, 3]));
+    let mut raft = Raft::new(Config::new(1), persisted_state);
+    let last = |index| LogPosition { index, term: 1 };
+    raft.step(message(2, 1, 2, MessageBody::PreVote { last: last(5) }));
+    raft.step(message(3, 1, 2, MessageBody::Vote { last: last(4), transfer: false }));
+    raft.step(message(9, 1, 2, MessageBody::PreVote { last: last(7) }));
+    let logs: Vec<_> = raft.candidate_logs().iter().map(|(id, index)| (*id, *index)).collect();
+    assert_eq!(logs, [(2, 5), (3, 4)], "node 9 is no member");
+    raft.step(message(3, 1, 2, MessageBody::Heartbeat { commit: 0, round: 1, voter: true }));
+    assert!(raft.candidate_logs().is_empty());
+}
