--- a/crates/raft/src/leader.rs
+++ b/crates/raft/src/leader.rs
@@ -25,6 +25,7 @@
         self.role = Role::Leader;
         self.leader = Some(self.cfg.id);
         self.failed_campaigns = 0;
+        self.candidate_logs.clear();
         self.heartbeat_elapsed = 0;
         self.incoming_snapshot = None;
         self.uncommitted_bytes = 0;
--- a/crates/toucansilld/src/gateway.rs
+++ b/crates/toucansilld/src/gateway.rs
@@ -27,6 +27,7 @@
 mod exclusions;
 mod follow;
 mod forward;
+pub mod group_report;
 mod guard;
 mod identity;
 mod lead;
@@ -47,6 +48,7 @@
 mod settings;
 mod stream;
 mod tickets;
+pub mod unanswered;
 mod view;
 mod watchlist;
 
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -4,6 +4,7 @@
 use super::{
     bus::{DaemonLinks, reply, reply_encoded},
     calls::{read_registration, registered},
+    group_report::{self, Contact, Observer},
     lead::{FOLLOW_WAIT, LeaderState, PlacementReply},
     members::{self, members_for},
     messages::{
@@ -12,7 +13,9 @@
     },
     quarantine::{ReadWatchlist, ReceivedReports},
     refreshes::Refreshes,
+    servers,
     settings::{Bounds, ControlSettings, GatewaySettings},
+    unanswered::RefusedCalls,
     view::View,
 };
 use crate::{sync::lock, voter::Voter};
@@ -32,7 +35,7 @@
     task::{JoinSet, spawn_blocking},
     time::{sleep, timeout},
 };
-use wire::{Responder, Verdict};
+use wire::{LinkFailure, Responder, Verdict};
 
 /// Interval at which the Raft role is checked: a fraction of the time that an election takes, so
 /// that a new leader starts work soon after it.
@@ -104,6 +107,12 @@
     pub(super) watchlist: watch::Sender<ReadWatchlist>,
     reports_tx: flume::Sender<ReceivedReports>,
     refreshes: Arc<Refreshes>,
+    /// Calls that got no answer, by the reason.
+    pub(super) unanswered: RefusedCalls,
+    /// Calls whose request could not be read, by the reason.
+    pub(super) unread: RefusedCalls,
+    /// Calls that were refused as invalid, by the reason.
+    pub(super) invalid: RefusedCalls,
 }
 
 impl ControlMember {
@@ -137,6 +146,9 @@
             watchlist: watch::Sender::new(ReadWatchlist::default()),
             reports_tx,
             refreshes,
+            unanswered: RefusedCalls::default(),
+            unread: RefusedCalls::default(),
+            invalid: RefusedCalls::default(),
         });
         (Arc::clone(&member), member.record_reports(reports))
     }
@@ -223,11 +235,20 @@
         let mut last_quarantine_check = last_clean_up;
         let mut leaderless_report_due = last_clean_up + LEADERLESS_REPORT_INTERVAL;
         // A daemon that started anew within the process may have led before.
-        self.record_group_metrics(&self.voter.status());
+        let status = self.voter.status();
+        self.record_group_metrics(&status);
+        let mut observer = Observer::new(&status, last_clean_up);
         loop {
+            let slept_at = self.clock.now();
             sleep(LEADERSHIP_CHECK_INTERVAL).await;
+            servers::log_refused_calls(&self);
             self.read_watchlist();
             let status = self.voter.status();
+            let now = self.clock.now();
+            let pauses =
+                [observer.pause(&status, slept_at, now), observer.voter_pause(&status, now)];
+            pauses.iter().flatten().for_each(|text| log::warn!("{text}"));
+            self.report_members(&mut observer, &status);
             if status.leader.is_some() {
                 leaderless_report_due = self.clock.now() + LEADERLESS_REPORT_INTERVAL;
             } else if self.clock.now() >= leaderless_report_due {
@@ -272,13 +293,15 @@
     }
 
     /// Logs what tells the reasons apart for which a group has no leader: which members vote, which of them
-    /// this one knows the addresses of, and which have answered its last request for votes.
+    /// this one knows the addresses of and reaches, and which have answered its last request for votes.
     fn report_leaderless(&self, status: &Status) {
+        let address_of = |id| self.voter.address_of(id);
+        let now = self.clock.now();
         let members: Vec<String> = status
             .membership
             .nodes()
             .map(|id| {
-                let address = self.voter.address_of(id);
+                let address = address_of(id);
                 let address = address.as_deref().unwrap_or("unknown address");
                 let vote = match status.votes.get(&id) {
                     _ if !status.membership.is_voter(id) => "no voter",
@@ -286,16 +309,56 @@
                     Some(false) => "against",
                     None => "none",
                 };
-                format!("{id} {address} {vote}")
+                let failure = self.last_failure(id).map(|failure| {
+                    let ago = now.saturating_duration_since(failure.at).as_millis();
+                    format!(" {:?} {ago} ms ago", failure.kind)
+                });
+                format!("{id} {address} {vote}{}", failure.unwrap_or_default())
             })
             .collect();
+        let contact = |id| self.contact(id);
         log::warn!(
             member = status.id, role:? = status.role, term = status.term, commit = status.commit,
             last = status.last_index, joint = status.membership.is_joint(), members:? = members,
-            lost_disk = status.lost_disk; "no leader"
+            lost_disk = status.lost_disk; "{}", group_report::no_leader(status, address_of, contact)
         );
     }
 
+    /// Which votes this member lacks to be elected; `None` while it knows a leader.
+    pub(super) fn missing_votes(&self) -> Option<String> {
+        let status = self.voter.status();
+        let address_of = |id| self.voter.address_of(id);
+        let has_none = status.leader.is_none();
+        has_none.then(|| group_report::missing_votes(&status, address_of, |id| self.contact(id)))
+    }
+
+    /// What is known of the way to another member.
+    fn contact(&self, id: NodeId) -> Contact {
+        match (self.voter.address_of(id), self.last_failure(id)) {
+            (None, _) => Contact::Unknown,
+            (Some(_), Some(failure)) => Contact::Unreachable(failure.kind),
+            (Some(_), None) => Contact::Linked,
+        }
+    }
+
+    /// Logs a change of the members since the last call.
+    fn report_members(&self, observer: &mut Observer, status: &Status) {
+        let address_of = |id| self.voter.address_of(id);
+        let Some(text) = observer.members_changed(status, address_of) else { return };
+        let voters = status.membership.voters.iter();
+        let voters: Vec<String> =
+            voters.map(|id| format!("{id} {}", address_of(*id).unwrap_or_default())).collect();
+        log::info!(
+            member = status.id, index = status.membership_index, voters:? = voters; "{text}"
+        );
+    }
+
+    /// The last failure to connect to another member, if it hasn't been reached since.
+    fn last_failure(&self, id: NodeId) -> Option<LinkFailure> {
+        let address = self.voter.address_of(id)?.parse().ok()?;
+        self.links().last_failure(address)
+    }
+
     /// Sets the gauges of the group's members and of those that the leader hears, itself included.
     /// Both are 0 on daemons that don't lead.
     fn record_group_metrics(&self, status: &Status) {
--- a/crates/toucansilld/src/gateway/members.rs
+++ b/crates/toucansilld/src/gateway/members.rs
@@ -3,7 +3,7 @@
 use super::{
     bus::DaemonLinks,
     control::ControlMember,
-    identity,
+    group_report, identity,
     messages::{LeaderReply, LeaderRequest},
 };
 use group::{
@@ -138,7 +138,12 @@
             let step =
                 self.with_view(&status, &presence, |view| next_join_step(view, id, &address));
             let Some(change) = step else { return LeaderReply::ChangePending };
-            log::info!(member = id, address = address.as_str(), change:? = change; "member admitted");
+            let text = group_report::proposed_change(change, &status, &address, |id| {
+                self.voter().address_of(id)
+            });
+            log::info!(
+                member = id, address = address.as_str(), change:? = change; "member admitted: {text}"
+            );
             if change == MembershipChange::AddLearner(id) {
                 self.voter().learn_address(id, address.clone());
             }
@@ -183,7 +188,8 @@
                 log::warn!(member = id, change:? = change; "member has not left: {err}");
                 return LeaderReply::ChangePending;
             }
-            log::info!(member = id, change:? = change; "member leaves");
+            let text = group_report::planned_leave(change, id, |id| self.voter().address_of(id));
+            log::info!(member = id, change:? = change; "member leaves: {text}");
             if change == MembershipChange::Remove(id) {
                 return LeaderReply::ChangePending;
             }
@@ -202,7 +208,13 @@
         let Some(id) = self.with_view(&status, &presence, surplus_voter) else { return };
         let members = status.membership.voters.len();
         let silent_ticks = status.silent_ticks.get(&id).copied().unwrap_or_default();
-        log::warn!(member = id, members, silent_ticks; "surplus member removed");
+        let address = self.voter().address_of(id);
+        log::warn!(
+            member = id, members, silent_ticks;
+            "surplus member removed: -{}, {}",
+            group_report::short_name(id, address.as_deref()),
+            group_report::silence(&status, id)
+        );
         if let Err(err) = self.change_members(MembershipChange::Remove(id)).await {
             log::warn!(member = id; "surplus member not removed: {err}");
         }
--- a/crates/toucansilld/src/voter/addresses.rs
+++ b/crates/toucansilld/src/voter/addresses.rs
@@ -162,9 +162,10 @@
     /// Has the addresses stored. The message that brought them is passed on afterwards, so that this voter
     /// acknowledges no member that it may have forgotten after a restart.
     pub(crate) fn store(&self, message: Option<Message>) {
-        if let Some(tx) = &*lock(&self.tx) {
-            // Fails only if the thread has panicked.
-            let _ = tx.send(message);
+        let tx = lock(&self.tx);
+        // A voter that stops has dropped the sender, and needs no messages any more.
+        if tx.as_ref().is_some_and(|tx| tx.send(message).is_err()) {
+            log::error!("the thread that stores addresses has ended");
         }
     }
 
