--- a/crates/toucansilld/src/gateway/group_report.rs
+++ b/crates/toucansilld/src/gateway/group_report.rs
@@ -4,7 +4,7 @@
 //! characters: a member is named by the last four digits of its id and the last two numbers of its address.
 
 use super::members::TICK;
-use group::{Membership, MembershipChange, NodeId, Role, Status};
+use group::{Membership, MembershipChange, NodeId, Role, Status, joining::Presence};
 use std::{
     collections::BTreeMap,
     fmt, mem,
@@ -310,6 +310,22 @@
     format!("{change}, as {} stops as planned", name(id))
 }
 
+/// What probes have shown of the voters that don't answer a leader, as the end of a text; empty if there are none.
+pub fn probed(presence: &BTreeMap<NodeId, Presence>) -> String {
+    let mut voters: Vec<(Presence, NodeId)> = presence.iter().map(|(id, p)| (*p, *id)).collect();
+    voters.sort_unstable();
+    let voters = voters.into_iter().map(|(presence, id)| {
+        let seen = match presence {
+            Presence::Listening => "listens",
+            Presence::Refused => "refuses",
+            Presence::Unreachable => "silent",
+        };
+        format!("{} {seen}", short_id(id))
+    });
+    let voters: Vec<String> = voters.collect();
+    if voters.is_empty() { String::new() } else { format!("; {}", voters.join(", ")) }
+}
+
 /// For how long a leader hasn't heard a member.
 pub fn silence(status: &Status, id: NodeId) -> String {
     match status.silent_ticks.get(&id) {
--- a/crates/toucansilld/src/gateway/members.rs
+++ b/crates/toucansilld/src/gateway/members.rs
@@ -142,7 +142,8 @@
                 self.voter().address_of(id)
             });
             log::info!(
-                member = id, address = address.as_str(), change:? = change; "member admitted: {text}"
+                member = id, address = address.as_str(), change:? = change;
+                "member admitted: {text}{}", group_report::probed(&presence)
             );
             if change == MembershipChange::AddLearner(id) {
                 self.voter().learn_address(id, address.clone());
@@ -211,9 +212,10 @@
         let address = self.voter().address_of(id);
         log::warn!(
             member = id, members, silent_ticks;
-            "surplus member removed: -{}, {}",
+            "surplus member removed: -{}, {}{}",
             group_report::short_name(id, address.as_deref()),
-            group_report::silence(&status, id)
+            group_report::silence(&status, id),
+            group_report::probed(&presence)
         );
         if let Err(err) = self.change_members(MembershipChange::Remove(id)).await {
             log::warn!(member = id; "surplus member not removed: {err}");
--- a/crates/toucansilld/tests/log_lines.rs
+++ b/crates/toucansilld/tests/log_lines.rs
@@ -1,6 +1,6 @@
 //! What is left of the lines of a control daemon's log when a collector cuts them.
 
-use group::{Membership, MembershipChange, NodeId, Role, Status};
+use group::{Membership, MembershipChange, NodeId, Role, Status, joining::Presence};
 use log::{Level, Record};
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -10,7 +10,7 @@
     gateway::{
         group_report::{
             Contact, Observer, found_on_disk, members_changed, missing_votes, no_leader,
-            planned_leave, proposed_change,
+            planned_leave, probed, proposed_change,
         },
         unanswered::{RefusedCall, RefusedCalls},
     },
@@ -174,6 +174,12 @@
         &["member admitted: +6624@0.24 -1220@0.20, silent for 1250 ms"],
     );
     check_within_cut(MEMBERS, &text(exchange, "10.3.0.20:7840"), &["-1220@0.20, same address"]);
+    let presence = [(IDS[1], Presence::Unreachable), (IDS[2], Presence::Listening)].into();
+    check_within_cut(
+        MEMBERS,
+        &format!("{}{}", text(exchange, "10.3.0.24:7840"), probed(&presence)),
+        &["silent for 1250 ms; 2321 listens, 1220 s"],
+    );
     let promote = text(MembershipChange::Promote(new), "10.3.0.24:7840");
     check_within_cut(MEMBERS, &promote, &["member admitted: +6624@0.24, additional"]);
     let leave = planned_leave(MembershipChange::Remove(old), old, address_of);
