Add a failing test of an entry that follows a leader whose disk hangs

What callers saw: a change that the operator had been told was in force isn't, at entries that follow the former leader, for as long as its disk hangs; such a change can be a route that was added (rule of the configuration).

The thread of the leader's voter waits for the disk, and the others elect a successor within a second. The daemon of the former leader goes on answering its followers as the leader. They thus stay, and the successor acknowledges changes without them, as they aren't its followers.

--- a/crates/toucansilld/tests/gateway/full_disks.rs
+++ b/crates/toucansilld/tests/gateway/full_disks.rs
@@ -3,8 +3,8 @@
 //! A temporary file that is a link to `/dev/full` stands for a full disk: a write to it fails as on one. One that is a
 //! named pipe stands for a disk that hangs: it can't be opened until somebody reads from it.
 
-use super::{Region, eventually, version};
-use platform::stand_in::{DOCUMENT_PATH, document};
+use super::{Region, Upstream, eventually, version};
+use platform::stand_in::{DOCUMENT_PATH, document, upstream_path};
 use std::{fs, os::unix::fs::symlink, process::Command, thread, time::Duration};
 
 /// Time for which a daemon tries to start on a full disk: several attempts.
@@ -105,3 +105,39 @@
     });
     drop(reader);
 }
+
+/// Guards against an entry that follows a leader whose disk hangs, and so doesn't get the changes that its successor
+/// acknowledges.
+#[test]
+fn an_entry_leaves_a_leader_whose_disk_hangs() {
+    const CHANGES: u64 = 60;
+    let mut region = Region::new(5);
+    region.set_snapshot_entries(20);
+    region.start_all(true);
+    region.await_members(5);
+    let upstreams = [("s1", Upstream::start("first")), ("s2", Upstream::start("second"))];
+    region.control_request_until_ok(0, "PUT", DOCUMENT_PATH, &document(1, "/x/", "s1"));
+    for (service, upstream) in &upstreams {
+        let registration = upstream.registration(service, 1, "ready");
+        let path = upstream_path(service);
+        region.control_request_until_ok(0, "PUT", &path, &registration);
+    }
+    let is_served_by = |region: &Region, name: &str| {
+        region.request("/x/1").is_some_and(|(status, body)| status == 200 && body.starts_with(name))
+    };
+    eventually("the document is in force", || is_served_by(&region, "first").then_some(()));
+    let leader = region.await_leader(5);
+    // The next snapshot is of one of these entries.
+    let folder = region.data_folder(leader).join("group");
+    let partial_snapshots = (1..200).map(|i| folder.join(format!("snapshot-{i:020}.partial")));
+    let made = Command::new("mkfifo").args(partial_snapshots).status().expect("named pipes");
+    assert!(made.success(), "mkfifo");
+    let other = (leader + 1) % 5;
+    for version in 2..CHANGES {
+        let (service, name) = [("s1", "first"), ("s2", "second")][(version % 2) as usize];
+        let body = document(version, "/x/", service);
+        region.control_request_until_ok(other, "PUT", DOCUMENT_PATH, &body);
+        eventually("the document is in force", || is_served_by(&region, name).then_some(()));
+    }
+    assert!(!region.leads(leader), "its disk hangs");
+}
