group: Don't show a leader as one while its disk hangs

Cause: the status is that of the last pass of the voter's thread. While this thread waits for the disk, the status goes on saying that the node leads, although the others have elected a successor. All of the daemon's work as a leader follows the status.

Change: a leader whose thread has published no status for twice the minimum election timeout (1 s in the gateway) is shown as a node that knows no leader, so that its daemon stops leading and followers look for the successor. The next pass of the thread shows what is true then.

--- a/crates/group/src/handle.rs
+++ b/crates/group/src/handle.rs
@@ -3,7 +3,7 @@
 use crate::{
     error::{Error, Result},
     request::{AppliedCommand, ConfirmedLeadership, Goal, Request},
-    status::Status,
+    status::{PublishedStatus, Status},
 };
 use flume::{Receiver, RecvTimeoutError, SendTimeoutError, Sender, TrySendError};
 use kernel::SharedClock;
@@ -22,7 +22,9 @@
 pub struct Handle {
     pub(crate) requests: Sender<Request>,
     pub(crate) messages: Sender<Message>,
-    pub(crate) status: Arc<Mutex<Status>>,
+    pub(crate) status: Arc<Mutex<PublishedStatus>>,
+    /// Time without a new status after which a leader doesn't count as one; `None` on a node that only requests tick.
+    pub(crate) max_pause: Option<Duration>,
     pub(crate) clock: SharedClock,
     pub(crate) thread: Arc<Mutex<Option<JoinHandle<()>>>>,
 }
@@ -109,9 +111,11 @@
         }
     }
 
-    /// The node's last published status.
+    /// The node's last published status. A leader whose thread has waited for its disk for longer than any election
+    /// timeout is shown as a node that knows no leader.
     pub fn status(&self) -> Status {
-        self.status.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        let published = self.status.lock().unwrap_or_else(PoisonError::into_inner);
+        published.as_of(self.clock.now(), self.max_pause)
     }
 
     /// Changes the membership. Returns the log index of the change once it is committed. An exchange of
--- a/crates/group/src/runner.rs
+++ b/crates/group/src/runner.rs
@@ -5,7 +5,7 @@
     error::{Error, Result},
     handle::Handle,
     request::{Reply, Request},
-    status::Status,
+    status::{PublishedStatus, Status},
     waiting::{EntryReply, PendingRequests},
 };
 use disk::Store;
@@ -64,7 +64,7 @@
     request_tx: Option<Sender<Request>>,
     /// Sender of `messages` until the thread is started.
     message_tx: Option<Sender<Message>>,
-    status: Arc<Mutex<Status>>,
+    status: Arc<Mutex<PublishedStatus>>,
     pending: PendingRequests,
     /// Replies to tick requests, sent when the output of the batch is processed.
     tick_replies: Vec<Reply<()>>,
@@ -113,9 +113,10 @@
         let (request_tx, requests) = flume::bounded(cfg.max_queued_requests);
         let (message_tx, messages) = flume::bounded(cfg.max_queued_messages);
         let clock = cfg.clock.clone();
+        let published = PublishedStatus { status: Status::of(&raft), at: clock.now() };
         Ok(Self {
             next_tick: cfg.tick_interval.map(|tick| clock.now() + tick),
-            status: Arc::new(Mutex::new(Status::of(&raft))),
+            status: Arc::new(Mutex::new(published)),
             clock,
             raft,
             store,
@@ -143,12 +144,14 @@
         };
         let status = self.status.clone();
         let clock = self.clock.clone();
+        // Election timeouts are shorter than twice the minimum.
+        let max_pause = self.cfg.tick_interval.map(|tick| tick * 2 * self.cfg.raft.election_ticks);
         let thread = thread::Builder::new()
             .name(format!("voter-{}", self.cfg.raft.id))
             .spawn(move || self.run())
             .map_err(|e| Error::stopped(e.to_string()))?;
         let thread = Arc::new(Mutex::new(Some(thread)));
-        Ok(Handle { requests, messages, status, clock, thread })
+        Ok(Handle { requests, messages, status, max_pause, clock, thread })
     }
 
     /// Body of the thread: runs until the node is told to stop, fails or panics. Then closes the data folder, says
@@ -167,7 +170,7 @@
             log::error!("voter {} stopped after a failure: {failure}", cfg.raft.id);
         }
         let e = Error::stopped(failure.as_deref().unwrap_or("by order"));
-        status.lock().unwrap_or_else(PoisonError::into_inner).end(failure);
+        status.lock().unwrap_or_else(PoisonError::into_inner).status.end(failure);
         requests.drain().for_each(|request| request.fail(&e));
     }
 
@@ -375,7 +378,8 @@
     fn publish_status(&self) {
         let mut status = Status::of(&self.raft);
         status.dropped_messages = self.dropped_messages;
-        *self.status.lock().unwrap_or_else(PoisonError::into_inner) = status;
+        let published = PublishedStatus { status, at: self.clock.now() };
+        *self.status.lock().unwrap_or_else(PoisonError::into_inner) = published;
     }
 }
 
--- a/crates/group/src/status.rs
+++ b/crates/group/src/status.rs
@@ -1,7 +1,10 @@
 //! The status that a node publishes.
 
 use raft::{Index, Membership, NodeId, Raft, Role, Term};
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
 
 /// A node's knowledge of itself and its group. It may be outdated: only
 /// [`Handle::confirm_leadership`](crate::Handle::confirm_leadership) confirms leadership.
@@ -52,6 +55,26 @@
     pub dropped_messages: u64,
 }
 
+/// The last status that a node's thread has published, and when.
+#[derive(Debug)]
+pub(crate) struct PublishedStatus {
+    pub(crate) status: Status,
+    pub(crate) at: Instant,
+}
+
+impl PublishedStatus {
+    /// The status at `now`. A leader whose thread has published none for `max_pause` waits for its disk: its followers
+    /// may have elected another one, so it counts as none.
+    pub(crate) fn as_of(&self, now: Instant, max_pause: Option<Duration>) -> Status {
+        let mut status = self.status.clone();
+        let pause = now.saturating_duration_since(self.at);
+        if status.is_leader() && max_pause.is_some_and(|max_pause| pause >= max_pause) {
+            status.end(None);
+        }
+        status
+    }
+}
+
 impl Status {
     pub(crate) fn of(raft: &Raft) -> Self {
         let membership = raft.membership().clone();
