--- a/crates/group/src/runner.rs
+++ b/crates/group/src/runner.rs
@@ -148,12 +148,14 @@
         };
         let status = self.status.clone();
         let clock = self.clock.clone();
+        // Election timeouts are shorter than twice the minimum.
+        let max_pause = self.cfg.tick_interval.map(|tick| tick * 2 * self.cfg.raft.election_ticks);
         let thread = thread::Builder::new()
             .name(format!("voter-{}", self.cfg.raft.id))
             .spawn(move || self.run())
             .map_err(|e| Error::stopped(e.to_string()))?;
         let thread = Arc::new(Mutex::new(Some(thread)));
-        Ok(Handle { requests, messages, status, clock, thread })
+        Ok(Handle { requests, messages, status, max_pause, clock, thread })
     }
 
     /// Body of the thread: runs until the node is told to stop, fails or panics. Then closes the data folder, says
--- a/crates/group/src/status.rs
+++ b/crates/group/src/status.rs
@@ -3,7 +3,7 @@
 use raft::{Index, Membership, NodeId, Raft, Role, Term};
 use std::{
     collections::{BTreeMap, BTreeSet},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 /// A node's knowledge of itself and its group. It may be outdated: only
@@ -100,6 +100,18 @@
         }
     }
 
+    /// The status at `now`. A leader whose thread has published none for `max_pause` waits for its disk: its followers
+    /// may have elected another one, so it counts as none.
+    pub(crate) fn as_of(&self, now: Instant, max_pause: Option<Duration>) -> Self {
+        let mut status = self.clone();
+        let pause = self.published_at.map(|at| now.saturating_duration_since(at));
+        if self.is_leader() && max_pause.is_some_and(|max_pause| pause >= Some(max_pause)) {
+            status.end(None);
+            status.published_at = self.published_at;
+        }
+        status
+    }
+
     /// Changes the status into that of a node that has stopped, which no longer leads and knows no leader.
     pub(crate) fn end(&mut self, failure: Option<String>) {
         self.role = Role::Follower;
