Pass calls on to the next leader while the own disk hangs

A member whose disk hung answered each call with 503 (`the leader has changed`, or `the leader did not answer`) for as long as that lasted, although the group had a leader: its voter's thread went on showing the leader that it had known before.

A node that has published no status for longer than any election timeout is shown as one that knows no leader, and a daemon whose voter knows none passes calls on to the leader that the daemon follows. That serves members that have yet to join as well.

`a_member_whose_disk_hangs_passes_calls_on_to_the_next_leader` failed (60 s without an answer) and passes, with the tests of full disks, log lines and `group`.

--- a/crates/group/src/handle.rs
+++ b/crates/group/src/handle.rs
@@ -111,8 +111,8 @@
         }
     }
 
-    /// The node's last published status. A leader whose thread has waited for its disk for longer than any election
-    /// timeout is shown as a node that knows no leader.
+    /// The node's last published status. A node whose thread has waited for its disk for longer than any election
+    /// timeout is shown as one that doesn't lead and knows no leader.
     pub fn status(&self) -> Status {
         let published = self.status.lock().unwrap_or_else(PoisonError::into_inner);
         published.as_of(self.clock.now(), self.max_pause)
--- a/crates/group/src/status.rs
+++ b/crates/group/src/status.rs
@@ -100,15 +100,19 @@
         }
     }
 
-    /// The status at `now`. A leader whose thread has published none for `max_pause` waits for its disk: its followers
-    /// may have elected another one, so it counts as none.
+    /// The status at `now`. The thread of a node that has published none for `max_pause` waits for its disk: the others
+    /// may have elected another leader, so the node counts as one that neither leads nor knows the leader.
     pub(crate) fn as_of(&self, now: Instant, max_pause: Option<Duration>) -> Self {
         let mut status = self.clone();
         let pause = self.published_at.map(|at| now.saturating_duration_since(at));
-        if self.is_leader() && max_pause.is_some_and(|max_pause| pause >= Some(max_pause)) {
-            status.end(None);
-            status.published_at = self.published_at;
+        if max_pause.is_none_or(|max_pause| pause < Some(max_pause)) {
+            return status;
         }
+        match self.is_leader() {
+            true => status.end(None),
+            false => status.leader = None,
+        }
+        status.published_at = self.published_at;
         status
     }
 
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -647,7 +647,9 @@
     fn leader_address(&self) -> Result<SocketAddr, String> {
         let status = self.voter.status();
         let Some(leader) = status.leader else {
-            return Err(String::from("no leader is known"));
+            // A daemon that has yet to join, or whose voter waits for its disk, may follow one.
+            let followed = self.known_leader().filter(|leader| *leader != self.links().address());
+            return followed.ok_or_else(|| String::from("no leader is known"));
         };
         if leader == status.id {
             return Err(String::from("this daemon leads, and is not confirmed yet"));
--- a/crates/toucansilld/src/gateway/members.rs
+++ b/crates/toucansilld/src/gateway/members.rs
@@ -395,7 +395,8 @@
         }
     }
 
-    fn known_leader(&self) -> Option<SocketAddr> {
+    /// Link address of the leader that this daemon follows.
+    pub(super) fn known_leader(&self) -> Option<SocketAddr> {
         self.view().with(|state| state.leader)
     }
 
--- a/crates/toucansilld/tests/gateway/full_disks.rs
+++ b/crates/toucansilld/tests/gateway/full_disks.rs
@@ -106,6 +106,37 @@
     drop(reader);
 }
 
+/// Has the disk of a daemon hang at its next snapshot.
+fn let_disk_hang(region: &Region, i: usize) {
+    let folder = region.data_folder(i).join("group");
+    let partial_snapshots = (1..200).map(|i| folder.join(format!("snapshot-{i:020}.partial")));
+    let made = Command::new("mkfifo").args(partial_snapshots).status().expect("named pipes");
+    assert!(made.success(), "mkfifo");
+}
+
+/// A member whose disk hung passed calls on to the leader that it had known before, which was gone, and answered each of
+/// them with 503.
+#[test]
+fn a_member_whose_disk_hangs_passes_calls_on_to_the_next_leader() {
+    const CHANGES: u64 = 30;
+    let mut region = Region::new(5);
+    region.set_snapshot_entries(20);
+    (0..5).for_each(|i| region.start(i, true));
+    region.await_members(5);
+    let leader = region.await_leader(5);
+    let [hanging, other] = [1, 2].map(|n| (leader + n) % 5);
+    let_disk_hang(&region, hanging);
+    for version in 1..CHANGES {
+        let body = document(version, "/x/", "s1");
+        region.control_request_until_ok(other, "PUT", DOCUMENT_PATH, &body);
+    }
+    region.kill(leader);
+    let body = document(CHANGES, "/x/", "s1");
+    region.control_request_until_ok(other, "PUT", DOCUMENT_PATH, &body);
+    let read = region.control_request_until_ok(hanging, "GET", DOCUMENT_PATH, "");
+    assert_eq!(version(&read), CHANGES);
+}
+
 /// Guards against an entry that follows a leader whose disk hangs, and so doesn't get the changes that its successor
 /// acknowledges.
 #[test]
@@ -127,11 +158,7 @@
     };
     eventually("the document is in force", || is_served_by(&region, "first").then_some(()));
     let leader = region.await_leader(5);
-    // The next snapshot is of one of these entries.
-    let folder = region.data_folder(leader).join("group");
-    let partial_snapshots = (1..200).map(|i| folder.join(format!("snapshot-{i:020}.partial")));
-    let made = Command::new("mkfifo").args(partial_snapshots).status().expect("named pipes");
-    assert!(made.success(), "mkfifo");
+    let_disk_hang(&region, leader);
     let other = (leader + 1) % 5;
     for version in 2..CHANGES {
         let (service, name) = [("s1", "first"), ("s2", "second")][(version % 2) as usize];
