Log that the group still counts a former member at an address

A member that had lost its disk logged `no leader 0/0/0, ... no member`, as one that was never a member does, and the others saw it as `no answer`: a sound member that is slow looks the same to them.

A daemon remembers the id that Raft messages to it name, if that isn't its own, and adds `still counted as 2321` to `no leader` while it has no vote.

--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -18,7 +18,7 @@
     unanswered::RefusedCalls,
     view::View,
 };
-use crate::{sync::lock, voter::Voter};
+use crate::{control_messages::RaftEnvelope, sync::lock, voter::Voter};
 use follow::{HeldRequest, HeldRequests, ViewPosition};
 use grant::{Directory, DispatcherConfig, MAX_QUEUED_REPLY_TIME};
 use group::{NodeId, Status};
@@ -105,6 +105,9 @@
     pub(super) watchlist: watch::Sender<ReadWatchlist>,
     reports_tx: flume::Sender<ReceivedReports>,
     refreshes: Arc<Refreshes>,
+    member: NodeId,
+    /// Former member at this address that others still send Raft messages to.
+    former_member: Mutex<Option<NodeId>>,
     /// Calls that got no answer, by the reason.
     pub(super) unanswered: RefusedCalls,
     /// Calls whose request could not be read, by the reason.
@@ -124,7 +127,8 @@
     ) -> (Arc<Self>, impl Future<Output = ()> + Send) {
         let (reports_tx, reports) = flume::unbounded();
         let refreshes = Refreshes::new(Arc::clone(&view), Arc::clone(&clock));
-        let member = Arc::new(Self {
+        let member = voter.status().id;
+        let control_part = Arc::new(Self {
             settings,
             control,
             voter,
@@ -143,11 +147,13 @@
             watchlist: watch::Sender::new(ReadWatchlist::default()),
             reports_tx,
             refreshes,
+            member,
+            former_member: Mutex::default(),
             unanswered: RefusedCalls::default(),
             unread: RefusedCalls::default(),
             invalid: RefusedCalls::default(),
         });
-        (Arc::clone(&member), member.record_reports(reports))
+        (Arc::clone(&control_part), control_part.record_reports(reports))
     }
 
     /// Sets the links. They are created after this value, as they call it to handle requests.
@@ -307,7 +313,8 @@
         log::warn!(
             member = status.id, role:? = status.role, term = status.term, commit = status.commit,
             last = status.last_index, joint = status.membership.is_joint(), members:? = members,
-            lost_disk = status.lost_disk; "{}", group_report::no_leader(status, address_of, contact)
+            lost_disk = status.lost_disk;
+            "{}", group_report::no_leader(status, *lock(&self.former_member), address_of, contact)
         );
     }
 
@@ -340,6 +347,16 @@
         );
     }
 
+    /// Handles a Raft message of another member. One that addresses a former member at this address, whose disk
+    /// was lost, tells that the group still counts that one.
+    pub(super) fn step(&self, envelope: RaftEnvelope) {
+        let to = envelope.message.to;
+        if to != self.member {
+            *lock(&self.former_member) = Some(to);
+        }
+        self.voter.step(envelope);
+    }
+
     /// The last failure to connect to another member, if it hasn't been reached since.
     fn last_failure(&self, id: NodeId) -> Option<LinkFailure> {
         let address = self.voter.address_of(id)?.parse().ok()?;
--- a/crates/toucansilld/src/gateway/daemon.rs
+++ b/crates/toucansilld/src/gateway/daemon.rs
@@ -357,7 +357,7 @@
         if let Some(address) = envelope.voters.get(&envelope.message.from) {
             control.view().add_control_daemon(address);
         }
-        control.voter().step(envelope);
+        control.step(envelope);
     }))
 }
 
--- a/crates/toucansilld/src/gateway/group_report.rs
+++ b/crates/toucansilld/src/gateway/group_report.rs
@@ -77,19 +77,25 @@
 }
 
 /// Why a member knows no leader: how many voters are for it, against it, and missing; the end of its log,
-/// its term and its role; and the voters whose vote it lacks, by the reason.
+/// its term and its role; and the voters whose vote it lacks, by the reason. `former_member` is one at the same
+/// address that others still send messages to.
 pub fn no_leader(
     status: &Status,
+    former_member: Option<NodeId>,
     address_of: impl Fn(NodeId) -> Option<String>,
     contact: impl Fn(NodeId) -> Contact,
 ) -> String {
+    let missing = missing_voters(status, address_of, contact);
+    let former = former_member.filter(|_| !status.membership.is_voter(status.id));
+    let former = former.map(|id| format!(", still counted as {}", short_id(id)));
     format!(
-        "no leader {}, last {}, term {}, {}: {}",
+        "no leader {}, last {}, term {}, {}{}{}{missing}",
         vote_counts(status),
         status.last_index,
         status.term,
         role(status),
-        missing_voters(status, address_of, contact)
+        former.unwrap_or_default(),
+        if missing.is_empty() { "" } else { ": " }
     )
 }
 
--- a/crates/toucansilld/tests/gateway/log_lines.rs
+++ b/crates/toucansilld/tests/gateway/log_lines.rs
@@ -108,3 +108,18 @@
     region.signal(0, "-CONT");
     await_line(&region, 0, &["\"no processor time for "]);
 }
+
+/// A machine that had lost its disk looked like a sound one that knows nobody, while the group waited for the vote
+/// of its former id.
+#[test]
+fn a_member_without_its_disk_logs_that_its_former_id_still_counts() {
+    let mut region = Region::new(3);
+    (0..3).for_each(|i| region.start(i, true));
+    region.await_members(3);
+    let former = short_name(&region, 1);
+    [1, 2].into_iter().for_each(|i| region.kill(i));
+    region.lose_disk(1);
+    region.start(1, false);
+    await_line(&region, 1, &[&format!("no member, still counted as {}", &former[..4])]);
+    await_line(&region, 0, &["no leader 1/0/2, last ", &format!("no answer {former}")]);
+}
--- a/crates/toucansilld/tests/log_lines.rs
+++ b/crates/toucansilld/tests/log_lines.rs
@@ -96,14 +96,14 @@
         Some(3) => Contact::Unreachable(LinkFailureKind::NoHandshake),
         _ => Contact::Linked,
     };
-    let text = no_leader(&status, address_of, contact);
+    let text = no_leader(&status, None, address_of, contact);
     check_within_cut(
         CONTROL,
         &text,
         &["no leader 2/0/3, last 15140, term 137, pre: refused 2321@0.21", "no handshake 4422@0"],
     );
     let refused = |_| Contact::Unreachable(LinkFailureKind::Refused);
-    let text = no_leader(&status, address_of, refused);
+    let text = no_leader(&status, None, address_of, refused);
     check_within_cut(CONTROL, &text, &["refused 2321@0.21 4422@0.22 6523@0.23"]);
 }
 
@@ -113,7 +113,7 @@
     let voters = [IDS[0], IDS[1]];
     let base = Status { membership: Membership::initial(1, voters), ..status() };
     let tail = |status: &Status, contact: Contact| {
-        let text = no_leader(status, address_of, |_| contact);
+        let text = no_leader(status, None, address_of, |_| contact);
         text.split_once(": ").expect("a text with members").1.to_owned()
     };
     let contacts = [
@@ -132,9 +132,23 @@
     assert_eq!(tail(&against, Contact::Linked), "against 1220@0.20");
     let newer = Status { candidate_logs: BTreeMap::from([(IDS[1], 15_141)]), ..against.clone() };
     assert_eq!(tail(&newer, Contact::Linked), "newer log 1220@0.20");
-    assert!(no_leader(&against, address_of, linked).starts_with("no leader 1/1/0, "));
+    assert!(no_leader(&against, None, address_of, linked).starts_with("no leader 1/1/0, "));
     let learner = Status { id: NEW_ID, role: Role::Follower, votes: BTreeMap::new(), ..base };
-    assert!(no_leader(&learner, address_of, linked).contains("no member: "));
+    assert!(no_leader(&learner, None, address_of, linked).contains("no member: "));
+}
+
+/// A machine that had lost its disk looked like a sound one that knows nobody, while the group waited for the vote
+/// of its former id.
+#[test]
+fn a_cut_line_says_that_the_group_still_counts_a_former_member() {
+    let membership = Membership::default();
+    let votes = BTreeMap::new();
+    let empty = Status { id: NEW_ID, last_index: 0, term: 0, membership, votes, ..status() };
+    let text = no_leader(&empty, Some(IDS[2]), address_of, |_| Contact::Linked);
+    assert_eq!(text, "no leader 0/0/0, last 0, term 0, no member, still counted as 2321");
+    check_within_cut(CONTROL, &text, &["still counted as 2321"]);
+    let voter = no_leader(&status(), Some(IDS[2]), address_of, |_| Contact::Linked);
+    assert!(!voter.contains("still counted"), "{voter}");
 }
 
 /// Which voters there were before a fault could not be told from any line.
