--- a/crates/raft/tests/slow_disks.rs
+++ b/crates/raft/tests/slow_disks.rs
@@ -7,7 +7,7 @@
 const VOTERS: NodeId = 5;
 /// Rounds of one tick that a sync takes: more than most election timeouts, which are 10 to 20 ticks.
 const SYNC_ROUNDS: usize = 16;
-/// Rounds within which the group must have a leader that commits: a minute with ticks of 50 ms.
+/// Rounds after which a group counts as one without a leader for good: a minute with ticks of 50 ms.
 const ELECTION_ROUNDS: usize = 1_200;
 
 struct Node {
