Soak: run a whole deployment as processes under overlapping faults

The links between control daemons, and those of the entries to them, lead through proxies of their own, so that VMs can be dark (frozen or killed, with connections that hang), cut off, split, or heard in one direction only. Faults overlap freely; no more disks are lost at a time than the group tolerates. The newest acknowledged document must be read within 12 s of the end of the faults, in the middle of the run and after the final fault, and no read that is sent 2 s after an acknowledgement may return an older one.

`FaultProxy` drops the bytes of one direction only, and lets only new connections hang.

--- a/crates/fake/src/relay.rs
+++ b/crates/fake/src/relay.rs
@@ -100,6 +100,16 @@
         }
     }
 
+    /// Drops all further bytes from the clients on the open connections, which stay open: responses still
+    /// arrive, requests don't. New connections work.
+    pub fn silence_requests(&self) {
+        let state = self.shared.lock();
+        state
+            .connections
+            .values()
+            .for_each(|connection| connection.drops_requests.store(true, Ordering::SeqCst));
+    }
+
     /// Drops all further bytes from the server on the open connections, which stay open: requests
     /// still arrive, responses don't. New connections work.
     pub fn silence_responses(&self) {
@@ -155,6 +165,15 @@
     /// If the port can't be bound again.
     pub fn hang(&self) -> io::Result<()> {
         self.silence();
+        self.hang_new()
+    }
+
+    /// Lets new connections hang, until [`FaultProxy::open`]. Open ones work.
+    ///
+    /// # Errors
+    ///
+    /// If the port can't be bound again.
+    pub fn hang_new(&self) -> io::Result<()> {
         self.refuse();
         let kept = self.shared.lock().closed_socket.take();
         let socket = kept.map_or_else(|| self.shared.bind(), |(socket, _)| Ok(socket))?;
--- a/crates/fake/tests/relay.rs
+++ b/crates/fake/tests/relay.rs
@@ -2,7 +2,7 @@
 
 use fake::FaultProxy;
 use std::{
-    io::{Read, Write},
+    io::{ErrorKind, Read, Write},
     net::{TcpListener, TcpStream},
     time::Duration,
 };
@@ -41,6 +41,32 @@
     );
 }
 
+#[test]
+fn responses_arrive_while_requests_are_dropped() {
+    let (proxy, mut client, mut server) = connected();
+    client.write_all(b"a").expect("sent");
+    assert_eq!(received_byte(&mut server), b'a');
+    proxy.silence_requests();
+    server.write_all(b"r").expect("sent");
+    assert_eq!(received_byte(&mut client), b'r');
+    client.write_all(b"b").expect("sent");
+    server.set_read_timeout(Some(Duration::from_millis(50))).expect("set");
+    assert!(server.read(&mut [0]).is_err(), "expected a time-out");
+}
+
+#[test]
+fn new_connections_hang_while_open_ones_work() {
+    let (proxy, mut client, mut server) = connected();
+    proxy.hang_new().expect("the port is still free");
+    client.write_all(b"a").expect("sent");
+    assert_eq!(received_byte(&mut server), b'a');
+    let new = TcpStream::connect_timeout(&proxy.address(), Duration::from_millis(50));
+    let hangs = |err: &std::io::Error| err.kind() == ErrorKind::TimedOut;
+    assert!(new.as_ref().is_err_and(hangs), "expected a time-out: {new:?}");
+    proxy.open().expect("the port is still free");
+    TcpStream::connect(proxy.address()).expect("accepted");
+}
+
 #[test]
 fn delayed_bytes_arrive_whole_and_in_order() {
     let (proxy, mut client, mut server) = connected();
--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -193,6 +193,12 @@
         self.has_retries = false;
     }
 
+    #[allow(dead_code, reason = "only the soak uses it")]
+    /// Sets further bounds in the settings, each after a comma, before the start.
+    pub(crate) fn set_more_bounds(&mut self, bounds: &'static str) {
+        self.more_bounds = bounds;
+    }
+
     /// States within which time the region has to serve again, and lets the pace of upstreams be
     /// learnt, before the start.
     pub(crate) fn set_hard_load(&mut self) {
@@ -216,7 +222,6 @@
         self.daemons[i].routes = routes;
     }
 
-    #[allow(dead_code, reason = "the soak doesn't use it")]
     /// Sets the seeds in the settings of daemon `i` from its next start on.
     pub(crate) fn set_seeds(&mut self, i: usize, seeds: Vec<SocketAddr>) {
         self.daemons[i].seeds = Some(seeds);
--- /dev/null
+++ b/crates/toucansilld/tests/soak/deployment.rs
@@ -0,0 +1,751 @@
+//! Randomised soak test of a whole deployment: the control group with its spares, entries, upstreams that
+//! register, callers on connections that they keep open, and an operator that publishes and reads documents.
+//! `SOAK_SECONDS` sets the length of a run. `SOAK_LOGS` names a folder for the logs of runs that fail.
+//!
+//! Faults overlap. VMs may be frozen, killed, dark or cut off in any number, but at each time no more disks
+//! may be lost than the group tolerates. The disk of a VM, or a VM that is gone for good, counts as lost until
+//! its successor has run for [`CATCH_UP_TIME`] beside a majority that is in touch with it.
+//!
+//! The newest acknowledged document must be read within [`RECOVERY_TIME`] of the end of the faults, in the
+//! middle of the run and after a final fault, and none that is older than [`APPLY_TIME`] may be missed by a read.
+
+use crate::{
+    region::{Region, eventually},
+    world::{Callers, Upstreams, lock, publish_version, read_version_within_a_second},
+};
+use fake::FaultProxy;
+use std::{
+    env, fmt, fs,
+    net::SocketAddr,
+    path::Path,
+    sync::{
+        Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+/// VMs that found the group, and those with a disk in all.
+const FOUNDERS: usize = 5;
+const CONTROLS: usize = 8;
+const ENTRIES: usize = 8;
+/// Upstreams besides the two of [`Notices`](crate::notices::Notices).
+const UPSTREAMS: usize = 19;
+const CALLERS: usize = 8;
+const TOLERATED_LOSSES: usize = 2;
+/// Data centres of the control daemons and of the entries.
+const CONTROL_PLACES: [&str; CONTROLS] = ["a", "a", "b", "b", "c", "a", "b", "c"];
+const ENTRY_PLACES: [&str; ENTRIES] = ["a", "a", "a", "b", "b", "b", "c", "c"];
+/// Number of seeds in the settings.
+const SEEDS: usize = 3;
+const STOP_MS: u64 = 8_000;
+const APPLY_TIME: Duration = Duration::from_secs(2);
+const CATCH_UP_TIME: Duration = Duration::from_secs(4);
+const RECOVERY_TIME: Duration = Duration::from_secs(12);
+/// Time within which a change must be acknowledged once no further faults are injected.
+const ACKNOWLEDGED_TIME: Duration = Duration::from_secs(40);
+/// Interval at which VMs come back and links are cut and healed.
+const TICK: Duration = Duration::from_millis(50);
+/// Pauses between two changes of the operator, two of its reads, and two requests of a caller.
+const CHANGE_INTERVAL: Duration = Duration::from_millis(150);
+const READ_INTERVAL: Duration = Duration::from_millis(20);
+const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
+/// Number of last lines of a log that a failing run prints.
+const REPORTED_LINES: usize = 80;
+
+type Result<T> = std::result::Result<T, String>;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum State {
+    Unused,
+    Up,
+    Frozen,
+    Down,
+    /// It has got SIGTERM, and starts again.
+    Stopping,
+    /// It has got SIGTERM, and is gone then.
+    Leaving,
+    Gone,
+}
+
+#[derive(Clone, Copy)]
+struct Vm {
+    state: State,
+    /// When it comes back, or has to have ended.
+    until: Instant,
+    /// Whether its links hang.
+    is_dark: bool,
+}
+
+/// Why a VM has an empty disk.
+#[derive(Clone, Copy, PartialEq)]
+enum Cause {
+    Loss,
+    Addition,
+    /// It comes before this one leaves.
+    Exchange(usize),
+}
+
+/// VM that started with an empty disk, and since when it could get the document.
+struct CatchUp {
+    vm: usize,
+    cause: Cause,
+    since: Option<Instant>,
+}
+
+/// Links between VMs, from one to the other, that drop all bytes for a time.
+struct Cut {
+    links: Vec<(usize, usize)>,
+    until: Instant,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Link {
+    Open,
+    Refused,
+    Silent { requests: bool, responses: bool },
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    Kill,
+    KillAll,
+    KillEntry,
+    Freeze,
+    Restart,
+    Dark,
+    LoseDisk,
+    Replace,
+    ReplaceAsPlanned,
+    Add,
+    Split,
+    OneWay,
+    CutOff,
+    /// Connections of one VM go silent for good, while new ones work.
+    HalfOpen,
+    ResetLinks,
+    /// A minority misses changes, then one of the others loses its disk and the rest go dark.
+    Behind,
+}
+
+const FAULTS: [Fault; 18] = [
+    Fault::Kill,
+    Fault::KillAll,
+    Fault::KillEntry,
+    Fault::Freeze,
+    Fault::Freeze,
+    Fault::Restart,
+    Fault::Dark,
+    Fault::LoseDisk,
+    Fault::LoseDisk,
+    Fault::Replace,
+    Fault::ReplaceAsPlanned,
+    Fault::Add,
+    Fault::Split,
+    Fault::OneWay,
+    Fault::CutOff,
+    Fault::HalfOpen,
+    Fault::ResetLinks,
+    Fault::Behind,
+];
+
+/// What happens to the VMs that keep their disks when others lose theirs.
+#[derive(Clone, Copy, Debug)]
+enum Others {
+    Stay,
+    Die,
+    GoDark,
+    /// They and all entries die, and no disk is lost.
+    DieAlone,
+    /// They and all entries die.
+    DieWithEntries,
+}
+
+const OTHERS: [Others; 5] =
+    [Others::Stay, Others::Die, Others::GoDark, Others::DieAlone, Others::DieWithEntries];
+
+struct Deployment {
+    region: Region,
+    rng: fastrand::Rng,
+    started: Instant,
+    /// Control daemons, then entries.
+    vms: Vec<Vm>,
+    /// Proxies on the links to the control daemons, by the VM that connects; the last are those of the entries.
+    proxies: Vec<Vec<FaultProxy>>,
+    links: Vec<Vec<Link>>,
+    cuts: Vec<Cut>,
+    catching_up: Vec<CatchUp>,
+}
+
+impl Deployment {
+    fn start(seed: u64) -> Self {
+        let mut region = Region::with_entries(CONTROLS, ENTRIES);
+        region.set_tolerated_losses(TOLERATED_LOSSES);
+        region.set_stop_ms(STOP_MS);
+        region.set_more_bounds(", recover_ms: 12000");
+        let places = CONTROL_PLACES.iter().chain(&ENTRY_PLACES).enumerate();
+        places.for_each(|(i, place)| region.set_data_centre(i, place));
+        let addresses: Vec<SocketAddr> = (0..CONTROLS).map(|i| region.links_address(i)).collect();
+        let proxy = |address: &SocketAddr| FaultProxy::start(*address).expect("a port");
+        let row = |_| addresses.iter().map(proxy).collect();
+        let proxies: Vec<Vec<FaultProxy>> = (0..=CONTROLS).map(row).collect();
+        for i in 0..CONTROLS + ENTRIES {
+            let own = proxies[i.min(CONTROLS)].iter().map(FaultProxy::address);
+            let routes =
+                addresses.iter().copied().zip(own).filter(|(to, _)| *to != region.links_address(i));
+            let routes = routes.collect();
+            region.set_routes(i, routes);
+        }
+        let vm = |i| {
+            let is_used = !(FOUNDERS..CONTROLS).contains(&i);
+            let state = if is_used { State::Up } else { State::Unused };
+            Vm { state, until: Instant::now(), is_dark: false }
+        };
+        let vms: Vec<Vm> = (0..CONTROLS + ENTRIES).map(vm).collect();
+        (0..vms.len()).filter(|i| vms[*i].state == State::Up).for_each(|i| region.start(i, true));
+        region.await_members(FOUNDERS);
+        Self {
+            region,
+            rng: fastrand::Rng::with_seed(seed),
+            started: Instant::now(),
+            vms,
+            proxies,
+            links: vec![vec![Link::Open; CONTROLS]; CONTROLS + 1],
+            cuts: Vec::new(),
+            catching_up: Vec::new(),
+        }
+    }
+
+    fn say(&self, event: impl fmt::Debug, vms: &[usize]) {
+        println!("  +{:.1} {event:?} {vms:?}", self.started.elapsed().as_secs_f64());
+    }
+
+    /// Control VMs in one of these states.
+    fn in_state(&self, states: &[State]) -> Vec<usize> {
+        (0..CONTROLS).filter(|i| states.contains(&self.vms[*i].state)).collect()
+    }
+
+    /// Control VMs that run or come back.
+    fn present(&self) -> Vec<usize> {
+        let states = [State::Up, State::Frozen, State::Down, State::Stopping, State::Leaving];
+        self.in_state(&states)
+    }
+
+    fn up(&self) -> Vec<usize> {
+        self.in_state(&[State::Up])
+    }
+
+    /// Whether a VM has had the time to get the document.
+    fn is_whole(&self, i: usize) -> bool {
+        self.catching_up.iter().all(|catch_up| catch_up.vm != i)
+    }
+
+    fn lost_disks(&self) -> usize {
+        self.catching_up.iter().filter(|catch_up| catch_up.cause == Cause::Loss).count()
+    }
+
+    fn soon(&mut self, ms: std::ops::Range<u64>) -> Instant {
+        Instant::now() + Duration::from_millis(self.rng.u64(ms))
+    }
+
+    fn set(&mut self, i: usize, state: State, until: Instant, is_dark: bool) {
+        self.vms[i] = Vm { state, until, is_dark };
+    }
+
+    fn start_vm(&mut self, i: usize) {
+        let mut seeds = self.present();
+        self.rng.shuffle(&mut seeds);
+        let seeds = seeds.iter().take(SEEDS).map(|i| self.region.control_address(*i));
+        let seeds = seeds.map(|address| address.parse().expect("an address")).collect();
+        self.region.set_seeds(i, seeds);
+        self.region.start(i, false);
+        self.set(i, State::Up, Instant::now(), false);
+    }
+
+    fn kill(&mut self, i: usize, until: Instant, is_dark: bool) {
+        self.region.kill(i);
+        self.set(i, State::Down, until, is_dark);
+    }
+
+    fn freeze(&mut self, i: usize, until: Instant, is_dark: bool) {
+        self.region.signal(i, "-STOP");
+        self.set(i, State::Frozen, until, is_dark);
+    }
+
+    /// Lets a VM go dark for a time: it is frozen, or it is killed and its links hang.
+    fn darken(&mut self, i: usize, until: Instant) {
+        if self.rng.bool() { self.freeze(i, until, true) } else { self.kill(i, until, true) }
+    }
+
+    fn lose_disk(&mut self, i: usize) {
+        let until = self.soon(100..1_500);
+        self.kill(i, until, false);
+        self.region.lose_disk(i);
+        self.catching_up.push(CatchUp { vm: i, cause: Cause::Loss, since: None });
+    }
+
+    /// Adds a spare VM, if there is one left.
+    fn add(&mut self, cause: Cause) -> Option<usize> {
+        let i = self.in_state(&[State::Unused]).first().copied()?;
+        let until = self.soon(100..1_500);
+        self.set(i, State::Down, until, false);
+        self.catching_up.push(CatchUp { vm: i, cause, since: None });
+        Some(i)
+    }
+
+    /// Cuts the links for some seconds.
+    fn cut(&mut self, ms: std::ops::Range<u64>, is_cut: impl Fn(usize, usize) -> bool) {
+        let pairs = (0..CONTROLS).flat_map(|a| (0..CONTROLS).map(move |b| (a, b)));
+        let links = pairs.filter(|(a, b)| is_cut(*a, *b)).collect();
+        let until = self.soon(ms);
+        self.cuts.push(Cut { links, until });
+    }
+
+    /// Whether bytes from one VM to the other are lost.
+    fn is_cut(&self, from: usize, to: usize) -> bool {
+        let is_dark = |i: usize| i < CONTROLS && self.vms[i].is_dark;
+        is_dark(from) || is_dark(to) || self.cuts.iter().any(|c| c.links.contains(&(from, to)))
+    }
+
+    /// Passes the time, in which VMs wake and start again and links heal.
+    fn pass(&mut self, time: Duration) {
+        let until = Instant::now() + time;
+        loop {
+            self.tick();
+            let now = Instant::now();
+            if now >= until {
+                return;
+            }
+            thread::sleep(TICK.min(until - now));
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = Instant::now();
+        for i in 0..self.vms.len() {
+            let Vm { state, until, is_dark } = self.vms[i];
+            match state {
+                State::Frozen if until <= now => {
+                    self.region.signal(i, "-CONT");
+                    self.set(i, State::Up, now, false);
+                }
+                State::Down if until <= now => self.start_vm(i),
+                State::Up if !self.region.is_running(i) => {
+                    self.say("ended by itself", &[i]);
+                    self.start_vm(i);
+                }
+                State::Stopping | State::Leaving if until <= now || !self.region.is_running(i) => {
+                    self.region.kill(i);
+                    let is_gone = state == State::Leaving && !self.possible_leaders().is_empty();
+                    let next = if is_gone { State::Gone } else { State::Down };
+                    self.set(i, next, now, is_dark);
+                }
+                _ => {}
+            }
+        }
+        self.cuts.retain(|cut| cut.until > now);
+        self.apply_links();
+        self.catch_up(now);
+    }
+
+    /// Brings the proxies in line with the cuts and the states of the VMs.
+    fn apply_links(&mut self) {
+        for (from, to) in (0..=CONTROLS).flat_map(|a| (0..CONTROLS).map(move |b| (a, b))) {
+            let is_listening = matches!(
+                self.vms[to].state,
+                State::Up | State::Frozen | State::Stopping | State::Leaving
+            );
+            let wanted = match (self.is_cut(from, to), self.is_cut(to, from)) {
+                (false, false) if is_listening => Link::Open,
+                (false, false) => Link::Refused,
+                (requests, responses) => Link::Silent { requests, responses },
+            };
+            let former = std::mem::replace(&mut self.links[from][to], wanted);
+            if former == wanted {
+                continue;
+            }
+            let proxy = &self.proxies[from][to];
+            match wanted {
+                Link::Open | Link::Refused => proxy.open().expect("the port is still free"),
+                Link::Silent { requests, responses } => {
+                    if requests {
+                        proxy.silence_requests();
+                    }
+                    if responses {
+                        proxy.silence_responses();
+                    }
+                    proxy.hang_new().expect("the port is still free");
+                }
+            }
+            if wanted == Link::Refused {
+                proxy.close();
+            } else if wanted == Link::Open && self.rng.bool() {
+                // The others stay silent: bytes of theirs are lost.
+                proxy.cut();
+            }
+        }
+    }
+
+    fn are_in_touch(&self, a: usize, b: usize) -> bool {
+        !self.is_cut(a, b) && !self.is_cut(b, a)
+    }
+
+    /// VMs with their disks that are in touch with a majority of those.
+    fn possible_leaders(&self) -> Vec<usize> {
+        let is_whole = |i: &usize| self.is_whole(*i);
+        let count = self.present().into_iter().filter(is_whole).count() + self.lost_disks();
+        let up: Vec<usize> = self.up().into_iter().filter(is_whole).collect();
+        let leads =
+            |a: &usize| up.iter().filter(|b| self.are_in_touch(*a, **b)).count() * 2 > count;
+        up.iter().copied().filter(leads).collect()
+    }
+
+    /// Ends the catching up of VMs that had the time for it, and lets the ones leave that they replace.
+    fn catch_up(&mut self, now: Instant) {
+        let (up, leaders) = (self.up(), self.possible_leaders());
+        let can_learn =
+            |i: usize| up.contains(&i) && leaders.iter().any(|l| self.are_in_touch(*l, i));
+        let learns: Vec<bool> = self.catching_up.iter().map(|c| can_learn(c.vm)).collect();
+        for (catch_up, learns) in self.catching_up.iter_mut().zip(learns) {
+            catch_up.since = learns.then(|| catch_up.since.unwrap_or(now));
+        }
+        let is_done = |c: &mut CatchUp| c.since.is_some_and(|since| now - since >= CATCH_UP_TIME);
+        let done: Vec<CatchUp> = self.catching_up.extract_if(.., is_done).collect();
+        for catch_up in done {
+            let Cause::Exchange(leaver) = catch_up.cause else { continue };
+            if self.vms[leaver].state == State::Up && self.is_whole(leaver) {
+                self.say("leaves", &[leaver]);
+                self.region.terminate(leaver);
+                let until = now + Duration::from_millis(STOP_MS);
+                self.set(leaver, State::Leaving, until, false);
+            }
+        }
+    }
+
+    fn inject(&mut self, fault: Fault) {
+        let up = self.up();
+        let whole: Vec<usize> = up.iter().copied().filter(|i| self.is_whole(*i)).collect();
+        let (any, whole) = (self.rng.choice(up.clone()), self.rng.choice(whole));
+        let (Some(i), may_lose) = (any, self.lost_disks() < TOLERATED_LOSSES) else { return };
+        let is_dark = self.rng.bool();
+        match (fault, whole) {
+            (Fault::Kill, _) => {
+                let until = self.soon(100..3_500);
+                self.kill(i, until, false);
+            }
+            (Fault::KillAll, _) => {
+                let until = self.soon(100..1_000);
+                up.iter().for_each(|i| self.kill(*i, until, false));
+            }
+            (Fault::KillEntry, _) => {
+                let (entry, until) = (CONTROLS + self.rng.usize(0..ENTRIES), self.soon(100..2_000));
+                self.kill(entry, until, false);
+            }
+            (Fault::Freeze, _) => {
+                let until = self.soon(2_000..10_000);
+                self.freeze(i, until, false);
+            }
+            (Fault::Restart, _) => {
+                self.region.terminate(i);
+                let until = Instant::now() + Duration::from_millis(STOP_MS);
+                self.set(i, State::Stopping, until, false);
+            }
+            (Fault::Dark, _) => {
+                let until = self.soon(1_000..8_000);
+                self.darken(i, until);
+            }
+            (Fault::LoseDisk, Some(i)) if may_lose => self.lose_disk(i),
+            (Fault::Replace, Some(i)) if may_lose => {
+                if let Some(spare) = self.add(Cause::Loss) {
+                    self.region.kill(i);
+                    self.set(i, State::Gone, Instant::now(), is_dark);
+                    return self.say(fault, &[i, spare]);
+                }
+            }
+            (Fault::ReplaceAsPlanned, Some(i)) => drop(self.add(Cause::Exchange(i))),
+            (Fault::Add, _) => drop(self.add(Cause::Addition)),
+            (Fault::Split, _) => {
+                let side: Vec<bool> = (0..CONTROLS).map(|_| self.rng.bool()).collect();
+                self.cut(2_000..8_000, |a, b| side[a] != side[b]);
+            }
+            (Fault::OneWay, _) => {
+                self.cut(2_000..6_000, |a, b| a != b && i == if is_dark { a } else { b });
+            }
+            (Fault::CutOff, _) => {
+                let other = self.rng.choice(up.clone()).unwrap_or(i);
+                let is_off = |v: usize| v == i || v == other;
+                self.cut(2_000..8_000, |a, b| is_off(a) != is_off(b));
+            }
+            (Fault::HalfOpen, _) => {
+                self.proxies.iter().for_each(|row| row[i].silence());
+                self.proxies[i].iter().for_each(FaultProxy::silence);
+            }
+            (Fault::ResetLinks, _) => self.proxies.iter().flatten().for_each(FaultProxy::cut),
+            (Fault::Behind, _) => return self.leave_behind(up),
+            (Fault::LoseDisk | Fault::Replace | Fault::ReplaceAsPlanned, _) => return,
+        }
+        self.say(fault, &[i]);
+    }
+
+    /// Cuts two VMs off, takes the disk of another one, and lets the rest go dark as the cut heals.
+    fn leave_behind(&mut self, mut up: Vec<usize>) {
+        self.rng.shuffle(&mut up);
+        let behind: Vec<usize> = up.drain(..up.len().min(TOLERATED_LOSSES)).collect();
+        self.say("behind", &behind);
+        let is_behind = |i: usize| behind.contains(&i);
+        let ms = self.rng.u64(2_000..6_000);
+        // It heals just after the others are dark.
+        self.cut(ms + 300..ms + 301, |a, b| is_behind(a) != is_behind(b));
+        self.pass(Duration::from_millis(ms));
+        up.retain(|i| self.vms[*i].state == State::Up);
+        let lost = up.iter().copied().find(|i| self.is_whole(*i));
+        if let Some(lost) = lost.filter(|_| self.lost_disks() < TOLERATED_LOSSES) {
+            up.retain(|i| *i != lost);
+            self.lose_disk(lost);
+            self.say("loses its disk", &[lost]);
+        }
+        let until = self.soon(2_000..8_000);
+        up.iter().for_each(|i| self.darken(*i, until));
+        self.say("dark", &up);
+    }
+
+    /// Takes as many disks as may still be lost, while the others stay, die or go dark.
+    fn lose_most(&mut self, others: Others) {
+        let mut up = self.up();
+        self.rng.shuffle(&mut up);
+        let count = match others {
+            Others::DieAlone => 0,
+            _ => TOLERATED_LOSSES - self.lost_disks().min(TOLERATED_LOSSES),
+        };
+        let whole = up.iter().copied().filter(|i| self.is_whole(*i));
+        let lost: Vec<usize> = whole.take(count).collect();
+        lost.iter().for_each(|i| self.lose_disk(*i));
+        up.retain(|i| !lost.contains(i));
+        if matches!(others, Others::DieAlone | Others::DieWithEntries) {
+            up.extend(CONTROLS..CONTROLS + ENTRIES);
+        }
+        for i in up {
+            let until = self.soon(200..3_000);
+            match others {
+                Others::Stay => {}
+                Others::GoDark => self.darken(i, until),
+                Others::Die | Others::DieAlone | Others::DieWithEntries => {
+                    self.kill(i, until, false);
+                }
+            }
+        }
+        self.tick();
+        self.say(others, &lost);
+    }
+
+    /// Injects faults, one into the other, until this time.
+    fn disturb(&mut self, until: Instant, changes: &Changes) -> Result<()> {
+        let max_pause = self.rng.choice([800, 2_000, 4_000]).expect("one of them");
+        while Instant::now() < until {
+            let fault = self.rng.choice(FAULTS).expect("a fault");
+            self.inject(fault);
+            let pause = Duration::from_millis(self.rng.u64(20..max_pause));
+            self.pass(pause.min(until.saturating_duration_since(Instant::now())));
+            changes.check()?;
+        }
+        Ok(())
+    }
+
+    /// Takes disks right after an acknowledgement. The document must be read once all VMs are back.
+    fn disturb_and_recover(&mut self, changes: &Changes) -> Result<()> {
+        let since = Instant::now();
+        let most = self.rng.bool();
+        while most && self.lost_disks() > 0 && since.elapsed() < CATCH_UP_TIME * 2 {
+            self.pass(TICK);
+        }
+        let before = changes.newest();
+        changes.last.store(before + 1, Ordering::SeqCst);
+        while changes.newest() == before {
+            self.pass(Duration::from_millis(1));
+            changes.check()?;
+            if since.elapsed() > ACKNOWLEDGED_TIME {
+                return Err(format!("no change is acknowledged after {before}"));
+            }
+        }
+        let others = self.rng.choice(OTHERS).expect("one of them");
+        self.lose_most(others);
+        self.catching_up.retain(|catch_up| !matches!(catch_up.cause, Cause::Exchange(_)));
+        let is_away = |vm: &Vm| !matches!(vm.state, State::Unused | State::Gone | State::Up);
+        while !self.cuts.is_empty() || self.vms.iter().any(is_away) {
+            self.pass(TICK);
+            changes.check()?;
+        }
+        let calm = Instant::now();
+        let mut first = None;
+        loop {
+            self.pass(TICK);
+            changes.check()?;
+            let version = changes.newest();
+            let read = changes.read_since(calm, version);
+            let mut unread = self.present();
+            unread.retain(|i| !read.contains(i));
+            if !read.is_empty() {
+                first.get_or_insert(calm.elapsed());
+            }
+            if unread.is_empty() || calm.elapsed() > RECOVERY_TIME {
+                self.say(format!("{version} read after {first:?}, not at {unread:?}"), &read);
+                let reads = lock(&changes.reads).clone();
+                first.ok_or_else(|| format!("{version} isn't read in calm: {reads:?}"))?;
+                changes.last.store(u64::MAX, Ordering::SeqCst);
+                return Ok(());
+            }
+        }
+    }
+
+    /// Lines of the logs that tell what the members knew of each other.
+    fn report(&self, seed: u64) {
+        let folder = self.region.data_folder(0);
+        let folder = folder.parent().map(|f| f.display().to_string()).unwrap_or_default();
+        for i in 0..self.vms.len() {
+            let log = self.region.log(i).replace(&folder, "");
+            if let Some(logs) = env::var_os("SOAK_LOGS") {
+                let file = Path::new(&logs).join(format!("{seed}-{i}.log"));
+                fs::write(file, &log).expect("written");
+            }
+            let tells = |line: &&str| {
+                ["WARN", "member", "leader"].iter().any(|word| line.contains(word))
+                    && !line.contains("call not answered")
+            };
+            let lines: Vec<&str> = log.lines().filter(tells).collect();
+            if i < CONTROLS {
+                println!("VM {i}, {:?}:", self.vms[i].state);
+                let skipped = lines.len().saturating_sub(REPORTED_LINES);
+                lines.iter().skip(skipped).for_each(|line| println!("{line}"));
+            }
+        }
+    }
+}
+
+/// What the operator has published and read.
+struct Changes {
+    controls: Vec<String>,
+    /// Acknowledged versions, with the times.
+    acknowledged: Mutex<Vec<(Instant, u64)>>,
+    /// Last read of each control daemon, with the time at which it was sent.
+    reads: Mutex<Vec<Option<(Instant, u64)>>>,
+    /// Version after which nothing is published.
+    last: AtomicU64,
+    violation: Mutex<Option<String>>,
+}
+
+impl Changes {
+    fn new(region: &Region) -> Self {
+        Self {
+            controls: (0..CONTROLS).map(|i| region.control_address(i)).collect(),
+            acknowledged: Mutex::default(),
+            reads: Mutex::new(vec![None; CONTROLS]),
+            last: AtomicU64::new(u64::MAX),
+            violation: Mutex::default(),
+        }
+    }
+
+    /// Newest acknowledged version, 0 without one.
+    fn newest(&self) -> u64 {
+        lock(&self.acknowledged).last().map_or(0, |(_, version)| *version)
+    }
+
+    fn check(&self) -> Result<()> {
+        lock(&self.violation).clone().map_or(Ok(()), Err)
+    }
+
+    /// Control daemons that returned at least this version since then.
+    fn read_since(&self, since: Instant, version: u64) -> Vec<usize> {
+        let reads = lock(&self.reads);
+        let is_read =
+            |read: &Option<_>| read.is_some_and(|(at, read)| at > since && read >= version);
+        (0..CONTROLS).filter(|i| is_read(&reads[*i])).collect()
+    }
+
+    /// Publishes documents with rising versions, one at a time, at one control daemon after the other.
+    fn publish(&self, is_done: &AtomicBool) {
+        let (mut turn, mut version) = (0, 1);
+        while !is_done.load(Ordering::SeqCst) {
+            if publish_version(&self.controls[turn % CONTROLS], version) {
+                lock(&self.acknowledged).push((Instant::now(), version));
+                version += 1;
+                thread::sleep(CHANGE_INTERVAL);
+            } else {
+                turn += 1;
+                thread::sleep(READ_INTERVAL);
+            }
+            while version > self.last.load(Ordering::SeqCst) && !is_done.load(Ordering::SeqCst) {
+                thread::sleep(READ_INTERVAL);
+            }
+        }
+    }
+
+    /// Reads at one control daemon after the other.
+    fn read(&self, is_done: &AtomicBool) {
+        while !is_done.load(Ordering::SeqCst) {
+            for (i, control) in self.controls.iter().enumerate() {
+                let sent = Instant::now();
+                let acknowledged = lock(&self.acknowledged);
+                let in_force = acknowledged.iter().rev().find(|(at, _)| *at + APPLY_TIME < sent);
+                let in_force = in_force.map_or(0, |(_, version)| *version);
+                drop(acknowledged);
+                let Some(read) = read_version_within_a_second(control) else { continue };
+                lock(&self.reads)[i] = Some((sent, read));
+                if read < in_force {
+                    let text = format!("{i} returned {read} though {in_force} is in force");
+                    lock(&self.violation).get_or_insert(text);
+                }
+            }
+            thread::sleep(READ_INTERVAL);
+        }
+    }
+}
+
+/// Sets a flag when it is dropped, also by a panic.
+struct SetOnDrop<'a>(&'a AtomicBool);
+
+impl Drop for SetOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+}
+
+/// Runs one seed for this time.
+pub(crate) fn run(seed: u64, length: Duration) {
+    let mut deployment = Deployment::start(seed);
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock that is set");
+    println!("  starts at {} ms", since_epoch.as_millis());
+    let entries = CONTROLS..CONTROLS + ENTRIES;
+    let entries = entries.map(|i| deployment.region.callers_address(i)).collect();
+    let callers = Callers::with_kept_connections(entries, REQUEST_INTERVAL);
+    let upstreams = Upstreams::start(UPSTREAMS);
+    let changes = Changes::new(&deployment.region);
+    let is_done = AtomicBool::new(false);
+    let result = thread::scope(|scope| {
+        let _done = SetOnDrop(&is_done);
+        scope.spawn(|| upstreams.register_patiently(&changes.controls, &is_done));
+        scope.spawn(|| changes.publish(&is_done));
+        scope.spawn(|| changes.read(&is_done));
+        for caller in 0..CALLERS {
+            let (callers, is_done, notices) = (&callers, &is_done, &upstreams.notices);
+            scope.spawn(move || callers.send_requests(caller, notices, is_done));
+        }
+        let start = Instant::now();
+        eventually("responses", || (callers.answered_count() > 0).then_some(()));
+        deployment.disturb(start + length * 19 / 30, &changes)?;
+        deployment.disturb_and_recover(&changes)?;
+        deployment.disturb(start + length * 29 / 30, &changes)?;
+        deployment.disturb_and_recover(&changes)?;
+        let before = callers.answered_count();
+        eventually("responses after faults", || {
+            (callers.answered_count() > before + 20).then_some(())
+        });
+        Ok::<(), String>(())
+    });
+    if let Err(violation) = result {
+        deployment.report(seed);
+        panic!("seed {seed}: {violation}");
+    }
+    callers.check(&upstreams);
+    println!("  {} acknowledged, {} answered", changes.newest(), callers.answered_count());
+}
--- a/crates/toucansilld/tests/soak/main.rs
+++ b/crates/toucansilld/tests/soak/main.rs
@@ -20,6 +20,7 @@
 //! - A request under which upstreams crash is refused for good once a daemon has refused it.
 //! - Requests are served again after the faults.
 
+mod deployment;
 mod members;
 mod notices;
 mod world;
@@ -77,6 +78,9 @@
 /// Number of faults for each seed in CI.
 const CI_FAULT_COUNT: usize = 5;
 
+/// Length of a run of a whole deployment in CI.
+const CI_DEPLOYMENT_TIME: Duration = Duration::from_secs(30);
+
 /// Fault to inject. One follows the other, but the effects of several can overlap.
 #[derive(Clone, Copy, Debug)]
 enum Fault {
@@ -151,6 +155,16 @@
     }
 }
 
+#[test]
+fn a_whole_deployment_keeps_documents_under_overlapping_faults() {
+    let seconds = env::var("SOAK_SECONDS").ok().and_then(|n| n.parse().ok());
+    let seeds = env::var("SOAK_SEEDS").map_or(vec![CI_SEED], |_| seeds());
+    for seed in seeds {
+        println!("seed {seed}");
+        deployment::run(seed, seconds.map_or(CI_DEPLOYMENT_TIME, Duration::from_secs));
+    }
+}
+
 /// Seeds to run: those of `SOAK_SEEDS`, or those of CI.
 fn seeds() -> Vec<u64> {
     let Ok(range) = env::var("SOAK_SEEDS") else {
--- a/crates/toucansilld/tests/soak/world.rs
+++ b/crates/toucansilld/tests/soak/world.rs
@@ -11,6 +11,8 @@
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
+    io::{BufRead, BufReader, Read, Write},
+    net::TcpStream,
     sync::{
         Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -27,6 +29,8 @@
 pub(crate) const WATCH_TIME: Duration = Duration::from_millis(1_500);
 /// Time for which an operator waits for a response before going on to another daemon.
 const CALL_PATIENCE: Duration = Duration::from_secs(1);
+/// Time for which a caller waits for the next bytes of a response.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Pause between changes of the operator.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(120);
 /// Prefix of the ids of attempts of the request that crashes upstreams.
@@ -131,6 +135,24 @@
         }
     }
 
+    /// As [`register`](Self::register), at one control daemon for as long as it accepts registrations within
+    /// a second.
+    pub(crate) fn register_patiently(&self, controls: &[String], is_done: &AtomicBool) {
+        let mut next_control = 0;
+        while !is_done.load(Ordering::SeqCst) {
+            let own = (0..self.upstreams.len()).filter_map(|i| self.next_registration(i));
+            let others = self.notices.registrations().into_iter();
+            let others = others.map(|(name, body)| put(&upstream_path(&name), &body));
+            for request in own.chain(others) {
+                let control = &controls[next_control % controls.len()];
+                if !is_ok(exchange_within(control, &request, CALL_PATIENCE).as_ref()) {
+                    next_control += 1;
+                }
+            }
+            thread::sleep(REGISTRATION_INTERVAL);
+        }
+    }
+
     /// Next registration of an upstream; `None` once it has deregistered.
     fn next_registration(&self, i: usize) -> Option<String> {
         let mut states = lock(&self.states);
@@ -300,9 +322,42 @@
     serde_json::from_str::<serde_json::Value>(&body).ok()?["version"].as_u64()
 }
 
+/// Connection of a caller to an entry, which stays open from one request to the next.
+#[derive(Default)]
+struct KeptConnection(Option<BufReader<TcpStream>>);
+
+impl KeptConnection {
+    /// Sends a request. Returns head and body of the response; `None` if it doesn't come whole.
+    fn exchange(&mut self, address: &str, request: &str) -> Option<String> {
+        let mut stream = match self.0.take() {
+            Some(stream) => stream,
+            None => {
+                let address = address.parse().expect("an address");
+                let stream = TcpStream::connect_timeout(&address, CALL_PATIENCE).ok()?;
+                stream.set_read_timeout(Some(RESPONSE_TIMEOUT)).ok()?;
+                BufReader::new(stream)
+            }
+        };
+        stream.get_mut().write_all(request.as_bytes()).ok()?;
+        let mut text = String::new();
+        while !text.ends_with("\r\n\r\n") {
+            (stream.read_line(&mut text).ok()? > 0).then_some(())?;
+        }
+        let head = text.to_ascii_lowercase();
+        let field = |name| head.lines().find_map(|line| line.strip_prefix(name).map(str::trim));
+        let mut body = vec![0; field("content-length:")?.parse().ok()?];
+        stream.read_exact(&mut body).ok()?;
+        text.push_str(&String::from_utf8(body).ok()?);
+        self.0 = (field("connection:") != Some("close")).then_some(stream);
+        Some(text)
+    }
+}
+
 /// Callers, whose requests must not be retried.
 pub(crate) struct Callers {
     entries: Vec<String>,
+    /// Pause between two requests of a caller on connections that it keeps open, if it does.
+    kept_connections: Option<Duration>,
     next: AtomicU64,
     answered_count: AtomicU64,
     refused: Mutex<BTreeSet<String>>,
@@ -314,6 +369,7 @@
         let (next, answered_count) = (AtomicU64::new(0), AtomicU64::new(0));
         Self {
             entries,
+            kept_connections: None,
             next,
             answered_count,
             refused: Mutex::default(),
@@ -321,6 +377,11 @@
         }
     }
 
+    /// Callers that keep their connections open and pause between two requests.
+    pub(crate) fn with_kept_connections(entries: Vec<String>, pause: Duration) -> Self {
+        Self { kept_connections: Some(pause), ..Self::new(entries) }
+    }
+
     pub(crate) fn answered_count(&self) -> u64 {
         self.answered_count.load(Ordering::SeqCst)
     }
@@ -328,15 +389,22 @@
     /// Sends requests of one caller to the entries in turn.
     pub(crate) fn send_requests(&self, caller: usize, notices: &Notices, is_done: &AtomicBool) {
         let mut next_entry = caller;
+        let mut kept: Vec<KeptConnection> =
+            self.entries.iter().map(|_| Default::default()).collect();
+        let connection = self.kept_connections.map_or("Connection: close\r\n", |_| "");
         while !is_done.load(Ordering::SeqCst) {
             next_entry = (next_entry + 1) % self.entries.len();
             let attempt = format!("a{}", self.next.fetch_add(1, Ordering::SeqCst));
             let request = format!(
-                "POST /x/{attempt} HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n{}Content-Length: 2\r\n\r\nhi",
+                "POST /x/{attempt} HTTP/1.1\r\nHost: a.example\r\n{connection}{}Content-Length: 2\r\n\r\nhi",
                 request_header_lines(&attempt, 3_000)
             );
             notices.sending(&attempt, next_entry);
-            let response = exchange_text(&self.entries[next_entry], &request);
+            let entry = &self.entries[next_entry];
+            let response = match self.kept_connections {
+                Some(_) => kept[next_entry].exchange(entry, &request),
+                None => exchange_text(entry, &request),
+            };
             if let Some(response) = &response {
                 notices.passed_on(next_entry, response);
             }
@@ -354,7 +422,7 @@
                 // Any other result leaves open whether the request ran.
                 Some(_) | None => {}
             }
-            thread::sleep(REQUEST_INTERVAL);
+            thread::sleep(self.kept_connections.unwrap_or(REQUEST_INTERVAL));
         }
     }
 
