--- a/crates/toucansilld/tests/soak/deployment.rs
+++ b/crates/toucansilld/tests/soak/deployment.rs
@@ -7,21 +7,19 @@
 //! its successor has run for [`CATCH_UP_TIME`] beside a majority that is in touch with it.
 //!
 //! The newest acknowledged document must be read within [`RECOVERY_TIME`] of the end of the faults, in the
-//! middle of the run and after a final fault, and none that is older than [`APPLY_TIME`] may be missed by a read.
+//! middle of the run and after a final fault, and [`Changes`] never reads an older one than those in force.
 
 use crate::{
+    changes::Changes,
+    links::{Links, Reach},
     region::{Region, eventually},
-    world::{Callers, Upstreams, lock, publish_version, read_version_within_a_second},
+    world::{Callers, Upstreams, lock},
 };
 use fake::FaultProxy;
 use std::{
     env, fmt, fs,
-    net::SocketAddr,
     path::Path,
-    sync::{
-        Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
-    },
+    sync::atomic::{AtomicBool, Ordering},
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -29,6 +27,7 @@
 /// VMs that found the group, and those with a disk in all.
 const FOUNDERS: usize = 5;
 const CONTROLS: usize = 8;
+const SPARES: usize = CONTROLS - FOUNDERS;
 const ENTRIES: usize = 8;
 /// Upstreams besides the two of [`Notices`](crate::notices::Notices).
 const UPSTREAMS: usize = 19;
@@ -40,16 +39,13 @@
 /// Number of seeds in the settings.
 const SEEDS: usize = 3;
 const STOP_MS: u64 = 8_000;
-const APPLY_TIME: Duration = Duration::from_secs(2);
 const CATCH_UP_TIME: Duration = Duration::from_secs(4);
 const RECOVERY_TIME: Duration = Duration::from_secs(12);
 /// Time within which a change must be acknowledged once no further faults are injected.
 const ACKNOWLEDGED_TIME: Duration = Duration::from_secs(40);
 /// Interval at which VMs come back and links are cut and healed.
 const TICK: Duration = Duration::from_millis(50);
-/// Pauses between two changes of the operator, two of its reads, and two requests of a caller.
-const CHANGE_INTERVAL: Duration = Duration::from_millis(150);
-const READ_INTERVAL: Duration = Duration::from_millis(20);
+/// Pause between two requests of a caller.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
 /// Number of last lines of a log that a failing run prints.
 const REPORTED_LINES: usize = 80;
@@ -94,19 +90,6 @@
     since: Option<Instant>,
 }
 
-/// Links between VMs, from one to the other, that drop all bytes for a time.
-struct Cut {
-    links: Vec<(usize, usize)>,
-    until: Instant,
-}
-
-#[derive(Clone, Copy, PartialEq)]
-enum Link {
-    Open,
-    Refused,
-    Silent { requests: bool, responses: bool },
-}
-
 #[derive(Clone, Copy, Debug)]
 enum Fault {
     Kill,
@@ -129,7 +112,7 @@
     Behind,
 }
 
-const FAULTS: [Fault; 18] = [
+const FAULTS: [Fault; 19] = [
     Fault::Kill,
     Fault::KillAll,
     Fault::KillEntry,
@@ -140,6 +123,7 @@
     Fault::LoseDisk,
     Fault::LoseDisk,
     Fault::Replace,
+    Fault::Replace,
     Fault::ReplaceAsPlanned,
     Fault::Add,
     Fault::Split,
@@ -150,6 +134,18 @@
     Fault::Behind,
 ];
 
+/// Faults just before the final one: members that are absent for a time or for good.
+const ABSENCES: [Fault; 8] = [
+    Fault::Freeze,
+    Fault::Freeze,
+    Fault::Dark,
+    Fault::Kill,
+    Fault::LoseDisk,
+    Fault::Replace,
+    Fault::Replace,
+    Fault::CutOff,
+];
+
 /// What happens to the VMs that keep their disks when others lose theirs.
 #[derive(Clone, Copy, Debug)]
 enum Others {
@@ -171,32 +167,20 @@
     started: Instant,
     /// Control daemons, then entries.
     vms: Vec<Vm>,
-    /// Proxies on the links to the control daemons, by the VM that connects; the last are those of the entries.
-    proxies: Vec<Vec<FaultProxy>>,
-    links: Vec<Vec<Link>>,
-    cuts: Vec<Cut>,
+    links: Links,
     catching_up: Vec<CatchUp>,
 }
 
 impl Deployment {
     fn start(seed: u64) -> Self {
+        let mut rng = fastrand::Rng::with_seed(seed);
         let mut region = Region::with_entries(CONTROLS, ENTRIES);
         region.set_tolerated_losses(TOLERATED_LOSSES);
         region.set_stop_ms(STOP_MS);
         region.set_more_bounds(", recover_ms: 12000");
         let places = CONTROL_PLACES.iter().chain(&ENTRY_PLACES).enumerate();
         places.for_each(|(i, place)| region.set_data_centre(i, place));
-        let addresses: Vec<SocketAddr> = (0..CONTROLS).map(|i| region.links_address(i)).collect();
-        let proxy = |address: &SocketAddr| FaultProxy::start(*address).expect("a port");
-        let row = |_| addresses.iter().map(proxy).collect();
-        let proxies: Vec<Vec<FaultProxy>> = (0..=CONTROLS).map(row).collect();
-        for i in 0..CONTROLS + ENTRIES {
-            let own = proxies[i.min(CONTROLS)].iter().map(FaultProxy::address);
-            let routes =
-                addresses.iter().copied().zip(own).filter(|(to, _)| *to != region.links_address(i));
-            let routes = routes.collect();
-            region.set_routes(i, routes);
-        }
+        let links = Links::start(&mut region, CONTROLS, ENTRIES, rng.fork());
         let vm = |i| {
             let is_used = !(FOUNDERS..CONTROLS).contains(&i);
             let state = if is_used { State::Up } else { State::Unused };
@@ -205,20 +189,12 @@
         let vms: Vec<Vm> = (0..CONTROLS + ENTRIES).map(vm).collect();
         (0..vms.len()).filter(|i| vms[*i].state == State::Up).for_each(|i| region.start(i, true));
         region.await_members(FOUNDERS);
-        Self {
-            region,
-            rng: fastrand::Rng::with_seed(seed),
-            started: Instant::now(),
-            vms,
-            proxies,
-            links: vec![vec![Link::Open; CONTROLS]; CONTROLS + 1],
-            cuts: Vec::new(),
-            catching_up: Vec::new(),
-        }
+        Self { region, rng, started: Instant::now(), vms, links, catching_up: Vec::new() }
     }
 
     fn say(&self, event: impl fmt::Debug, vms: &[usize]) {
-        println!("  +{:.1} {event:?} {vms:?}", self.started.elapsed().as_secs_f64());
+        let (time, lost) = (self.started.elapsed().as_secs_f64(), self.lost_disks());
+        println!("  +{time:.1} {event:?} {vms:?}, {lost} disks lost");
     }
 
     /// Control VMs in one of these states.
@@ -285,9 +261,13 @@
         self.catching_up.push(CatchUp { vm: i, cause: Cause::Loss, since: None });
     }
 
-    /// Adds a spare VM, if there is one left.
+    /// Adds a spare VM, if there is one left. The last ones are kept for VMs that are gone.
     fn add(&mut self, cause: Cause) -> Option<usize> {
-        let i = self.in_state(&[State::Unused]).first().copied()?;
+        let spares = self.in_state(&[State::Unused]);
+        let i = spares.first().copied()?;
+        if cause != Cause::Loss && spares.len() < SPARES {
+            return None;
+        }
         let until = self.soon(100..1_500);
         self.set(i, State::Down, until, false);
         self.catching_up.push(CatchUp { vm: i, cause, since: None });
@@ -296,16 +276,8 @@
 
     /// Cuts the links for some seconds.
     fn cut(&mut self, ms: std::ops::Range<u64>, is_cut: impl Fn(usize, usize) -> bool) {
-        let pairs = (0..CONTROLS).flat_map(|a| (0..CONTROLS).map(move |b| (a, b)));
-        let links = pairs.filter(|(a, b)| is_cut(*a, *b)).collect();
         let until = self.soon(ms);
-        self.cuts.push(Cut { links, until });
-    }
-
-    /// Whether bytes from one VM to the other are lost.
-    fn is_cut(&self, from: usize, to: usize) -> bool {
-        let is_dark = |i: usize| i < CONTROLS && self.vms[i].is_dark;
-        is_dark(from) || is_dark(to) || self.cuts.iter().any(|c| c.links.contains(&(from, to)))
+        self.links.cut(until, is_cut);
     }
 
     /// Passes the time, in which VMs wake and start again and links heal.
@@ -344,60 +316,23 @@
                 _ => {}
             }
         }
-        self.cuts.retain(|cut| cut.until > now);
-        self.apply_links();
+        let vms = &self.vms;
+        let reach = |i: usize| match vms.get(i).filter(|_| i < CONTROLS) {
+            Some(vm) if vm.is_dark => Reach::Dark,
+            Some(Vm { state: State::Unused | State::Down | State::Gone, .. }) => Reach::Refuses,
+            _ => Reach::Accepts,
+        };
+        self.links.apply(now, reach);
         self.catch_up(now);
     }
 
-    /// Brings the proxies in line with the cuts and the states of the VMs.
-    fn apply_links(&mut self) {
-        for (from, to) in (0..=CONTROLS).flat_map(|a| (0..CONTROLS).map(move |b| (a, b))) {
-            let is_listening = matches!(
-                self.vms[to].state,
-                State::Up | State::Frozen | State::Stopping | State::Leaving
-            );
-            let wanted = match (self.is_cut(from, to), self.is_cut(to, from)) {
-                (false, false) if is_listening => Link::Open,
-                (false, false) => Link::Refused,
-                (requests, responses) => Link::Silent { requests, responses },
-            };
-            let former = std::mem::replace(&mut self.links[from][to], wanted);
-            if former == wanted {
-                continue;
-            }
-            let proxy = &self.proxies[from][to];
-            match wanted {
-                Link::Open | Link::Refused => proxy.open().expect("the port is still free"),
-                Link::Silent { requests, responses } => {
-                    if requests {
-                        proxy.silence_requests();
-                    }
-                    if responses {
-                        proxy.silence_responses();
-                    }
-                    proxy.hang_new().expect("the port is still free");
-                }
-            }
-            if wanted == Link::Refused {
-                proxy.close();
-            } else if wanted == Link::Open && self.rng.bool() {
-                // The others stay silent: bytes of theirs are lost.
-                proxy.cut();
-            }
-        }
-    }
-
-    fn are_in_touch(&self, a: usize, b: usize) -> bool {
-        !self.is_cut(a, b) && !self.is_cut(b, a)
-    }
-
     /// VMs with their disks that are in touch with a majority of those.
     fn possible_leaders(&self) -> Vec<usize> {
         let is_whole = |i: &usize| self.is_whole(*i);
         let count = self.present().into_iter().filter(is_whole).count() + self.lost_disks();
         let up: Vec<usize> = self.up().into_iter().filter(is_whole).collect();
         let leads =
-            |a: &usize| up.iter().filter(|b| self.are_in_touch(*a, **b)).count() * 2 > count;
+            |a: &usize| up.iter().filter(|b| self.links.are_open(*a, **b)).count() * 2 > count;
         up.iter().copied().filter(leads).collect()
     }
 
@@ -405,7 +340,7 @@
     fn catch_up(&mut self, now: Instant) {
         let (up, leaders) = (self.up(), self.possible_leaders());
         let can_learn =
-            |i: usize| up.contains(&i) && leaders.iter().any(|l| self.are_in_touch(*l, i));
+            |i: usize| up.contains(&i) && leaders.iter().any(|l| self.links.are_open(*l, i));
         let learns: Vec<bool> = self.catching_up.iter().map(|c| can_learn(c.vm)).collect();
         for (catch_up, learns) in self.catching_up.iter_mut().zip(learns) {
             catch_up.since = learns.then(|| catch_up.since.unwrap_or(now));
@@ -426,9 +361,10 @@
     fn inject(&mut self, fault: Fault) {
         let up = self.up();
         let whole: Vec<usize> = up.iter().copied().filter(|i| self.is_whole(*i)).collect();
-        let (any, whole) = (self.rng.choice(up.clone()), self.rng.choice(whole));
-        let (Some(i), may_lose) = (any, self.lost_disks() < TOLERATED_LOSSES) else { return };
-        let is_dark = self.rng.bool();
+        let (Some(i), whole) = (self.rng.choice(up.clone()), self.rng.choice(whole)) else {
+            return;
+        };
+        let (may_lose, is_dark) = (self.lost_disks() < TOLERATED_LOSSES, self.rng.bool());
         match (fault, whole) {
             (Fault::Kill, _) => {
                 let until = self.soon(100..3_500);
@@ -455,16 +391,24 @@
                 let until = self.soon(1_000..8_000);
                 self.darken(i, until);
             }
-            (Fault::LoseDisk, Some(i)) if may_lose => self.lose_disk(i),
+            (Fault::LoseDisk, Some(i)) if may_lose => {
+                self.lose_disk(i);
+                return self.say(fault, &[i]);
+            }
             (Fault::Replace, Some(i)) if may_lose => {
-                if let Some(spare) = self.add(Cause::Loss) {
-                    self.region.kill(i);
-                    self.set(i, State::Gone, Instant::now(), is_dark);
-                    return self.say(fault, &[i, spare]);
-                }
+                let Some(spare) = self.add(Cause::Loss) else { return };
+                self.region.kill(i);
+                self.set(i, State::Gone, Instant::now(), is_dark);
+                return self.say(fault, &[i, spare]);
+            }
+            (Fault::ReplaceAsPlanned, Some(i)) => {
+                let Some(spare) = self.add(Cause::Exchange(i)) else { return };
+                return self.say(fault, &[i, spare]);
+            }
+            (Fault::Add, _) => {
+                let Some(spare) = self.add(Cause::Addition) else { return };
+                return self.say(fault, &[spare]);
             }
-            (Fault::ReplaceAsPlanned, Some(i)) => drop(self.add(Cause::Exchange(i))),
-            (Fault::Add, _) => drop(self.add(Cause::Addition)),
             (Fault::Split, _) => {
                 let side: Vec<bool> = (0..CONTROLS).map(|_| self.rng.bool()).collect();
                 self.cut(2_000..8_000, |a, b| side[a] != side[b]);
@@ -478,10 +422,9 @@
                 self.cut(2_000..8_000, |a, b| is_off(a) != is_off(b));
             }
             (Fault::HalfOpen, _) => {
-                self.proxies.iter().for_each(|row| row[i].silence());
-                self.proxies[i].iter().for_each(FaultProxy::silence);
+                self.links.proxies_of(i).for_each(FaultProxy::silence);
             }
-            (Fault::ResetLinks, _) => self.proxies.iter().flatten().for_each(FaultProxy::cut),
+            (Fault::ResetLinks, _) => self.links.proxies().for_each(FaultProxy::cut),
             (Fault::Behind, _) => return self.leave_behind(up),
             (Fault::LoseDisk | Fault::Replace | Fault::ReplaceAsPlanned, _) => return,
         }
@@ -539,13 +482,27 @@
         self.say(others, &lost);
     }
 
-    /// Injects faults, one into the other, until this time.
+    /// Injects some faults, one into the other.
+    fn disturb_once(
+        &mut self,
+        faults: &[Fault],
+        max_pause_ms: u64,
+        changes: &Changes,
+    ) -> Result<()> {
+        for _ in 0..self.rng.usize(1..=5) {
+            let fault = faults[self.rng.usize(0..faults.len())];
+            self.inject(fault);
+            let pause = Duration::from_millis(self.rng.u64(20..max_pause_ms));
+            self.pass(pause);
+        }
+        changes.check()
+    }
+
+    /// Injects faults until this time, with pauses in which VMs can catch up.
     fn disturb(&mut self, until: Instant, changes: &Changes) -> Result<()> {
-        let max_pause = self.rng.choice([800, 2_000, 4_000]).expect("one of them");
         while Instant::now() < until {
-            let fault = self.rng.choice(FAULTS).expect("a fault");
-            self.inject(fault);
-            let pause = Duration::from_millis(self.rng.u64(20..max_pause));
+            self.disturb_once(&FAULTS, 1_500, changes)?;
+            let pause = Duration::from_millis(self.rng.u64(500..9_000));
             self.pass(pause.min(until.saturating_duration_since(Instant::now())));
             changes.check()?;
         }
@@ -554,6 +511,7 @@
 
     /// Takes disks right after an acknowledgement. The document must be read once all VMs are back.
     fn disturb_and_recover(&mut self, changes: &Changes) -> Result<()> {
+        self.disturb_once(&ABSENCES, 500, changes)?;
         let since = Instant::now();
         let most = self.rng.bool();
         while most && self.lost_disks() > 0 && since.elapsed() < CATCH_UP_TIME * 2 {
@@ -570,9 +528,11 @@
         }
         let others = self.rng.choice(OTHERS).expect("one of them");
         self.lose_most(others);
-        self.catching_up.retain(|catch_up| !matches!(catch_up.cause, Cause::Exchange(_)));
+        // None leaves as planned meanwhile.
+        let exchanges = self.catching_up.iter_mut().filter(|c| c.cause != Cause::Loss);
+        exchanges.for_each(|c| c.cause = Cause::Addition);
         let is_away = |vm: &Vm| !matches!(vm.state, State::Unused | State::Gone | State::Up);
-        while !self.cuts.is_empty() || self.vms.iter().any(is_away) {
+        while self.links.are_cut() || self.vms.iter().any(is_away) {
             self.pass(TICK);
             changes.check()?;
         }
@@ -622,85 +582,6 @@
     }
 }
 
-/// What the operator has published and read.
-struct Changes {
-    controls: Vec<String>,
-    /// Acknowledged versions, with the times.
-    acknowledged: Mutex<Vec<(Instant, u64)>>,
-    /// Last read of each control daemon, with the time at which it was sent.
-    reads: Mutex<Vec<Option<(Instant, u64)>>>,
-    /// Version after which nothing is published.
-    last: AtomicU64,
-    violation: Mutex<Option<String>>,
-}
-
-impl Changes {
-    fn new(region: &Region) -> Self {
-        Self {
-            controls: (0..CONTROLS).map(|i| region.control_address(i)).collect(),
-            acknowledged: Mutex::default(),
-            reads: Mutex::new(vec![None; CONTROLS]),
-            last: AtomicU64::new(u64::MAX),
-            violation: Mutex::default(),
-        }
-    }
-
-    /// Newest acknowledged version, 0 without one.
-    fn newest(&self) -> u64 {
-        lock(&self.acknowledged).last().map_or(0, |(_, version)| *version)
-    }
-
-    fn check(&self) -> Result<()> {
-        lock(&self.violation).clone().map_or(Ok(()), Err)
-    }
-
-    /// Control daemons that returned at least this version since then.
-    fn read_since(&self, since: Instant, version: u64) -> Vec<usize> {
-        let reads = lock(&self.reads);
-        let is_read =
-            |read: &Option<_>| read.is_some_and(|(at, read)| at > since && read >= version);
-        (0..CONTROLS).filter(|i| is_read(&reads[*i])).collect()
-    }
-
-    /// Publishes documents with rising versions, one at a time, at one control daemon after the other.
-    fn publish(&self, is_done: &AtomicBool) {
-        let (mut turn, mut version) = (0, 1);
-        while !is_done.load(Ordering::SeqCst) {
-            if publish_version(&self.controls[turn % CONTROLS], version) {
-                lock(&self.acknowledged).push((Instant::now(), version));
-                version += 1;
-                thread::sleep(CHANGE_INTERVAL);
-            } else {
-                turn += 1;
-                thread::sleep(READ_INTERVAL);
-            }
-            while version > self.last.load(Ordering::SeqCst) && !is_done.load(Ordering::SeqCst) {
-                thread::sleep(READ_INTERVAL);
-            }
-        }
-    }
-
-    /// Reads at one control daemon after the other.
-    fn read(&self, is_done: &AtomicBool) {
-        while !is_done.load(Ordering::SeqCst) {
-            for (i, control) in self.controls.iter().enumerate() {
-                let sent = Instant::now();
-                let acknowledged = lock(&self.acknowledged);
-                let in_force = acknowledged.iter().rev().find(|(at, _)| *at + APPLY_TIME < sent);
-                let in_force = in_force.map_or(0, |(_, version)| *version);
-                drop(acknowledged);
-                let Some(read) = read_version_within_a_second(control) else { continue };
-                lock(&self.reads)[i] = Some((sent, read));
-                if read < in_force {
-                    let text = format!("{i} returned {read} though {in_force} is in force");
-                    lock(&self.violation).get_or_insert(text);
-                }
-            }
-            thread::sleep(READ_INTERVAL);
-        }
-    }
-}
-
 /// Sets a flag when it is dropped, also by a panic.
 struct SetOnDrop<'a>(&'a AtomicBool);
 
@@ -719,7 +600,7 @@
     let entries = entries.map(|i| deployment.region.callers_address(i)).collect();
     let callers = Callers::with_kept_connections(entries, REQUEST_INTERVAL);
     let upstreams = Upstreams::start(UPSTREAMS);
-    let changes = Changes::new(&deployment.region);
+    let changes = Changes::new(&deployment.region, CONTROLS);
     let is_done = AtomicBool::new(false);
     let result = thread::scope(|scope| {
         let _done = SetOnDrop(&is_done);
--- a/crates/toucansilld/tests/soak/main.rs
+++ b/crates/toucansilld/tests/soak/main.rs
@@ -20,7 +20,9 @@
 //! - A request under which upstreams crash is refused for good once a daemon has refused it.
 //! - Requests are served again after the faults.
 
+mod changes;
 mod deployment;
+mod links;
 mod members;
 mod notices;
 mod world;
