--- a/crates/toucansilld/tests/soak/deployment.rs
+++ b/crates/toucansilld/tests/soak/deployment.rs
@@ -167,6 +167,7 @@
     started: Instant,
     /// Control daemons, then entries.
     vms: Vec<Vm>,
+    kept_spares: usize,
     links: Links,
     catching_up: Vec<CatchUp>,
 }
@@ -189,7 +190,15 @@
         let vms: Vec<Vm> = (0..CONTROLS + ENTRIES).map(vm).collect();
         (0..vms.len()).filter(|i| vms[*i].state == State::Up).for_each(|i| region.start(i, true));
         region.await_members(FOUNDERS);
-        Self { region, rng, started: Instant::now(), vms, links, catching_up: Vec::new() }
+        Self {
+            region,
+            rng,
+            started: Instant::now(),
+            vms,
+            kept_spares: 1,
+            links,
+            catching_up: Vec::new(),
+        }
     }
 
     fn say(&self, event: impl fmt::Debug, vms: &[usize]) {
@@ -261,11 +270,11 @@
         self.catching_up.push(CatchUp { vm: i, cause: Cause::Loss, since: None });
     }
 
-    /// Adds a spare VM, if there is one left. The last ones are kept for VMs that are gone.
+    /// Adds a spare VM, if one is left. One is kept for the second half, and two for VMs that are gone.
     fn add(&mut self, cause: Cause) -> Option<usize> {
         let spares = self.in_state(&[State::Unused]);
         let i = spares.first().copied()?;
-        if cause != Cause::Loss && spares.len() < SPARES {
+        if spares.len() <= if cause == Cause::Loss { self.kept_spares } else { SPARES - 1 } {
             return None;
         }
         let until = self.soon(100..1_500);
@@ -615,6 +624,7 @@
         eventually("responses", || (callers.answered_count() > 0).then_some(()));
         deployment.disturb(start + length * 19 / 30, &changes)?;
         deployment.disturb_and_recover(&changes)?;
+        deployment.kept_spares = 0;
         deployment.disturb(start + length * 29 / 30, &changes)?;
         deployment.disturb_and_recover(&changes)?;
         let before = callers.answered_count();
