Soak: replace VMs of a deployment while others are frozen

A frozen VM that has been silent for longer than the one that is gone may be exchanged in its place.

--- a/crates/toucansilld/tests/soak/deployment.rs
+++ b/crates/toucansilld/tests/soak/deployment.rs
@@ -100,6 +100,8 @@
     Dark,
     LoseDisk,
     Replace,
+    /// A VM is replaced while another one, which comes back, has been silent for longer.
+    ReplaceBesideFrozen,
     ReplaceAsPlanned,
     Add,
     Split,
@@ -123,7 +125,7 @@
     Fault::LoseDisk,
     Fault::LoseDisk,
     Fault::Replace,
-    Fault::Replace,
+    Fault::ReplaceBesideFrozen,
     Fault::ReplaceAsPlanned,
     Fault::Add,
     Fault::Split,
@@ -135,14 +137,15 @@
 ];
 
 /// Faults just before the final one: members that are absent for a time or for good.
-const ABSENCES: [Fault; 8] = [
+const ABSENCES: [Fault; 9] = [
     Fault::Freeze,
     Fault::Freeze,
     Fault::Dark,
     Fault::Kill,
     Fault::LoseDisk,
     Fault::Replace,
-    Fault::Replace,
+    Fault::ReplaceBesideFrozen,
+    Fault::ReplaceBesideFrozen,
     Fault::CutOff,
 ];
 
@@ -410,6 +413,14 @@
                 self.set(i, State::Gone, Instant::now(), is_dark);
                 return self.say(fault, &[i, spare]);
             }
+            (Fault::ReplaceBesideFrozen, Some(i)) => {
+                let until = self.soon(6_000..10_000);
+                self.freeze(i, until, false);
+                self.say("frozen", &[i]);
+                let pause = Duration::from_millis(self.rng.u64(100..1_000));
+                self.pass(pause);
+                return self.inject(Fault::Replace);
+            }
             (Fault::ReplaceAsPlanned, Some(i)) => {
                 let Some(spare) = self.add(Cause::Exchange(i)) else { return };
                 return self.say(fault, &[i, spare]);
@@ -435,7 +446,7 @@
             }
             (Fault::ResetLinks, _) => self.links.proxies().for_each(FaultProxy::cut),
             (Fault::Behind, _) => return self.leave_behind(up),
-            (Fault::LoseDisk | Fault::Replace | Fault::ReplaceAsPlanned, _) => return,
+            (_, None) | (Fault::LoseDisk | Fault::Replace, _) => return,
         }
         self.say(fault, &[i]);
     }
