--- a/crates/toucansilld/tests/soak/deployment.rs
+++ b/crates/toucansilld/tests/soak/deployment.rs
@@ -529,14 +529,22 @@
         Ok(())
     }
 
+    /// Waits until no disk counts as lost, at most for this time.
+    fn settle(&mut self, limit: Duration) {
+        let since = Instant::now();
+        while self.lost_disks() > 0 && since.elapsed() < limit {
+            self.pass(TICK);
+        }
+    }
+
     /// Takes disks right after an acknowledgement. The document must be read once all VMs are back.
     fn disturb_and_recover(&mut self, changes: &Changes) -> Result<()> {
+        self.settle(CATCH_UP_TIME * 4);
         self.disturb_once(&ABSENCES, 500, changes)?;
-        let since = Instant::now();
-        let most = self.rng.bool();
-        while most && self.lost_disks() > 0 && since.elapsed() < CATCH_UP_TIME * 2 {
-            self.pass(TICK);
+        if self.rng.u8(0..4) > 0 {
+            self.settle(CATCH_UP_TIME * 2);
         }
+        let since = Instant::now();
         let before = changes.newest();
         changes.last.store(before + 1, Ordering::SeqCst);
         while changes.newest() == before {
