--- a/crates/toucansilld/tests/soak/deployment.rs
+++ b/crates/toucansilld/tests/soak/deployment.rs
@@ -170,6 +170,7 @@
     started: Instant,
     /// Control daemons, then entries.
     vms: Vec<Vm>,
+    /// Spares kept for VMs that are gone just before disks are lost.
     kept_spares: usize,
     links: Links,
     catching_up: Vec<CatchUp>,
@@ -198,7 +199,7 @@
             rng,
             started: Instant::now(),
             vms,
-            kept_spares: 1,
+            kept_spares: SPARES - 1,
             links,
             catching_up: Vec::new(),
         }
@@ -273,7 +274,7 @@
         self.catching_up.push(CatchUp { vm: i, cause: Cause::Loss, since: None });
     }
 
-    /// Adds a spare VM, if one is left. One is kept for the second half, and two for VMs that are gone.
+    /// Adds a spare VM, if one is left beside those that are kept. VMs are added without need only once.
     fn add(&mut self, cause: Cause) -> Option<usize> {
         let spares = self.in_state(&[State::Unused]);
         let i = spares.first().copied()?;
@@ -540,6 +541,7 @@
     /// Takes disks right after an acknowledgement. The document must be read once all VMs are back.
     fn disturb_and_recover(&mut self, changes: &Changes) -> Result<()> {
         self.settle(CATCH_UP_TIME * 4);
+        self.kept_spares -= 1;
         self.disturb_once(&ABSENCES, 500, changes)?;
         if self.rng.u8(0..4) > 0 {
             self.settle(CATCH_UP_TIME * 2);
@@ -643,7 +645,6 @@
         eventually("responses", || (callers.answered_count() > 0).then_some(()));
         deployment.disturb(start + length * 19 / 30, &changes)?;
         deployment.disturb_and_recover(&changes)?;
-        deployment.kept_spares = 0;
         deployment.disturb(start + length * 29 / 30, &changes)?;
         deployment.disturb_and_recover(&changes)?;
         let before = callers.answered_count();
