--- a/crates/toucansilld/tests/soak/deployment.rs
+++ b/crates/toucansilld/tests/soak/deployment.rs
@@ -137,7 +137,7 @@
 ];
 
 /// Faults just before the final one: members that are absent for a time or for good.
-const ABSENCES: [Fault; 9] = [
+const ABSENCES: [Fault; 8] = [
     Fault::Freeze,
     Fault::Freeze,
     Fault::Dark,
@@ -145,7 +145,6 @@
     Fault::LoseDisk,
     Fault::Replace,
     Fault::ReplaceBesideFrozen,
-    Fault::ReplaceBesideFrozen,
     Fault::CutOff,
 ];
 
@@ -542,7 +541,11 @@
     fn disturb_and_recover(&mut self, changes: &Changes) -> Result<()> {
         self.settle(CATCH_UP_TIME * 4);
         self.kept_spares -= 1;
-        self.disturb_once(&ABSENCES, 500, changes)?;
+        if self.rng.bool() {
+            self.inject(Fault::ReplaceBesideFrozen);
+        } else {
+            self.disturb_once(&ABSENCES, 500, changes)?;
+        }
         if self.rng.u8(0..4) > 0 {
             self.settle(CATCH_UP_TIME * 2);
         }
