--- a/crates/toucansilld/tests/soak/main.rs
+++ b/crates/toucansilld/tests/soak/main.rs
@@ -80,6 +80,9 @@
 /// Number of faults for each seed in CI.
 const CI_FAULT_COUNT: usize = 5;
 
+/// Seed of a run of a whole deployment that failed in the past: the successor of a VM that was gone took the vote of a frozen
+/// leader.
+const FORMER_DEPLOYMENT_FAILURE: u64 = 1403;
 /// Length of a run of a whole deployment in CI.
 const CI_DEPLOYMENT_TIME: Duration = Duration::from_secs(30);
 
@@ -160,7 +163,8 @@
 #[test]
 fn a_whole_deployment_keeps_documents_under_overlapping_faults() {
     let seconds = env::var("SOAK_SECONDS").ok().and_then(|n| n.parse().ok());
-    let seeds = env::var("SOAK_SEEDS").map_or(vec![CI_SEED], |_| seeds());
+    let ci_seeds = vec![CI_SEED, FORMER_DEPLOYMENT_FAILURE];
+    let seeds = env::var("SOAK_SEEDS").map_or(ci_seeds, |_| seeds());
     for seed in seeds {
         println!("seed {seed}");
         deployment::run(seed, seconds.map_or(CI_DEPLOYMENT_TIME, Duration::from_secs));
