Keep the port of a fault proxy, and end the threads of a test that panics

The only calls in it that can fail are those of the proxies, whose ports were free between two of their sockets. That another process took one is suspected, not shown.

A proxy now holds its port by a socket that never listens, and the flag is set on a panic as well, so that the test fails with its message.

--- a/crates/fake/src/relay.rs
+++ b/crates/fake/src/relay.rs
@@ -46,6 +46,9 @@
 
 struct Shared {
     address: SocketAddr,
+    /// Bound to the address all the time, and never listens: between two sockets that do, no other process
+    /// may take the port.
+    _keeper: Socket,
     target: SocketAddr,
     delay_ms: AtomicU64,
     state: Mutex<State>,
@@ -66,13 +69,15 @@
     ///
     /// If no port can be bound.
     pub fn start(target: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind((ADDRESS, 0))?;
-        let address = listener.local_addr()?;
+        let keeper = bind(SocketAddr::from((ADDRESS, 0)))?;
+        let address = keeper.local_addr()?.as_socket().ok_or(io::ErrorKind::AddrNotAvailable)?;
+        let listener = bind(address)?;
+        listener.listen(BACKLOG)?;
         let state = Mutex::new(State { is_open: true, ..State::default() });
-        let proxy = Self {
-            shared: Arc::new(Shared { address, target, delay_ms: AtomicU64::new(0), state }),
-        };
-        proxy.spawn_accept(listener);
+        let delay_ms = AtomicU64::new(0);
+        let shared = Shared { address, _keeper: keeper, target, delay_ms, state };
+        let proxy = Self { shared: Arc::new(shared) };
+        proxy.spawn_accept(listener.into());
         Ok(proxy)
     }
 
@@ -151,7 +156,7 @@
         let _ = TcpStream::connect(self.shared.address);
         let _ = accept_thread.join();
         // A socket that is bound but doesn't listen keeps the port from being used by others.
-        match self.shared.bind() {
+        match bind(self.shared.address) {
             Ok(socket) => self.shared.lock().closed_socket = Some((socket, None)),
             Err(err) => log::warn!("fault proxy {}: port not kept: {err}", self.shared.address),
         }
@@ -176,7 +181,7 @@
     pub fn hang_new(&self) -> io::Result<()> {
         self.refuse();
         let kept = self.shared.lock().closed_socket.take();
-        let socket = kept.map_or_else(|| self.shared.bind(), |(socket, _)| Ok(socket))?;
+        let socket = kept.map_or_else(|| bind(self.shared.address), |(socket, _)| Ok(socket))?;
         // The queue has room for one connection. Packets that open further ones are dropped.
         socket.listen(0)?;
         // If it can't be made, a client has filled the queue.
@@ -196,7 +201,7 @@
             return Ok(());
         }
         let kept = state.closed_socket.take();
-        let socket = kept.map_or_else(|| self.shared.bind(), |(socket, _)| Ok(socket))?;
+        let socket = kept.map_or_else(|| bind(self.shared.address), |(socket, _)| Ok(socket))?;
         socket.listen(BACKLOG)?;
         state.is_open = true;
         drop(state);
@@ -222,19 +227,20 @@
     }
 }
 
+/// Socket with an address of a proxy that doesn't listen yet. Others of the same proxy may have the same address.
+fn bind(address: SocketAddr) -> io::Result<Socket> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(true)?;
+    socket.bind(&address.into())?;
+    Ok(socket)
+}
+
 impl Shared {
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Socket with the proxy's address that doesn't listen yet.
-    fn bind(&self) -> io::Result<Socket> {
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
-        socket.set_reuse_address(true)?;
-        socket.bind(&self.address.into())?;
-        Ok(socket)
-    }
-
     /// Connects to the server, and copies bytes in both directions.
     fn forward(self: &Arc<Self>, client: TcpStream) -> io::Result<()> {
         let server = TcpStream::connect(self.target)?;
--- a/crates/toucansilld/tests/gateway/lost_paths.rs
+++ b/crates/toucansilld/tests/gateway/lost_paths.rs
@@ -136,6 +136,8 @@
                     self.register(sequence);
                 }
             });
+            // Also after a panic: the scope waits for its threads.
+            let _done = SetOnDrop(&is_done);
             self.proxies.iter().for_each(&cut);
             let counted_from = Instant::now() + DETECTION_TIME;
             for entry in 0..DATA_CENTRES.len() {
@@ -158,12 +160,20 @@
                 });
             }
             thread::sleep(CUT_TIME);
-            is_done.store(true, Ordering::SeqCst);
         });
         attempts.into_inner().expect("not poisoned")
     }
 }
 
+/// Sets a flag at the end of a scope.
+struct SetOnDrop<'a>(&'a AtomicBool);
+
+impl Drop for SetOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+}
+
 /// Checks that callers are served at entries whose paths are cut by `cut` about as well as at the
 /// others, and again at all entries once the paths are back.
 fn check_served_without_paths(cut: impl Fn(&FaultProxy)) {
