Let a test of log lines wait until the leader is lost

By reading: for the 0.3 s in which the leader still takes both members for reachable it may append the addition of the one that has come back, which then is a member. The logs of that run weren't kept, so this is suspected only.

--- a/crates/toucansilld/tests/gateway/log_lines.rs
+++ b/crates/toucansilld/tests/gateway/log_lines.rs
@@ -119,6 +119,8 @@
     let former = short_name(&region, 1);
     [1, 2].into_iter().for_each(|i| region.kill(i));
     region.lose_disk(1);
+    // Before that, a leader may still add the member under its new id.
+    await_line(&region, 0, &["no leader "]);
     region.start(1, false);
     await_line(&region, 1, &[&format!("no member, still counted as {}", &former[..4])]);
     await_line(&region, 0, &["no leader 1/0/2, last ", &format!("no answer {former}")]);
