Don't use an id again whose log is missing

A daemon whose data folder has the file of its id and no log went on under that id. As a voter it is told by the leader, which counts it, that its disk is lost. As a learner it isn't: it would catch up and get a vote again, although it may have forgotten votes that it cast under that id. With voters that become learners and get their votes back, this could happen after a process was killed while it emptied its folder.

An id without a log isn't used, unless the daemon founds the group. By reading; restarts:: and durable_names:: of the gateway tests pass, among them a_member_without_its_log_joins_again_without_ending_its_process, which checks that the id is another one.

--- a/crates/toucansilld/src/gateway/identity.rs
+++ b/crates/toucansilld/src/gateway/identity.rs
@@ -56,8 +56,8 @@
     })
 }
 
-/// The id of this daemon in its data folder, if there is one: that of the log or, without a log, the one that
-/// was stored for it.
+/// The id of this daemon in its data folder: that of the log. An id without a log isn't used: the log may be lost, and with it
+/// the votes that were cast under the id.
 ///
 /// The two differ if the power failed before the name of the id's file was durable, and if a process of an earlier
 /// build ended while it emptied the folder. In the latter case the id is retired, and the leader says so.
@@ -65,7 +65,12 @@
     let stored = read_id(file).map_err(|err| Error::file("control.data_folder", &err))?;
     let id =
         voter::stored_id(data_folder).map_err(|err| Error::store("control.data_folder", &err))?;
-    let Some(id) = id else { return Ok(stored) };
+    let Some(id) = id else {
+        if let Some(stored) = stored {
+            log::warn!(member = stored; "the id {stored} is not used again, as its log is missing");
+        }
+        return Ok(None);
+    };
     if stored != Some(id) {
         log::warn!(member = id, stored:? = stored; "the id of this member is that of its log");
         write_id(file, id)?;
