--- a/crates/group/src/handle.rs
+++ b/crates/group/src/handle.rs
@@ -118,22 +118,43 @@
         published.as_of(self.clock.now(), self.max_pause)
     }
 
-    /// Changes the membership. Returns the log index of the change once it is committed. An exchange of
-    /// voters goes on after that: the leader ends it by itself. While another change is uncommitted or a
-    /// voter is being exchanged, or the learner to promote hasn't caught up, the change waits.
+    /// Changes the membership. Returns the log index of the change once it is committed and, if the voters
+    /// change, their membership isn't joint any more. While another change is uncommitted or the voters
+    /// are joint, or the learner to promote hasn't caught up, the change waits. Both parts may take the whole timeout.
     ///
     /// # Errors
     ///
-    /// [`Error::is_refused_change`], [`Error::is_not_leader`], [`Error::is_unknown`].
+    /// [`Error::is_refused_change`], [`Error::is_not_leader`], [`Error::is_unknown`]. A leader that demotes itself may
+    /// lead no more once that is committed.
     pub fn change_membership(&self, change: MembershipChange, timeout: Duration) -> Result<Index> {
-        self.await_goal(Goal::MembershipChange(change), timeout)
+        let index = self.await_goal(Goal::MembershipChange(change), timeout)?;
+        self.await_goal(Goal::Settled, timeout)?;
+        Ok(index)
+    }
+
+    /// Removes a member, and retires its id: a voter becomes a learner first. Does nothing if it is no member.
+    ///
+    /// Each step may take the whole timeout. If one fails, call this again: steps that were completed are skipped.
+    ///
+    /// # Errors
+    ///
+    /// As [`Handle::change_membership`]. A leader that removes itself fails with
+    /// [`Error::is_not_leader`]; a call on its successor completes the removal.
+    pub fn remove_member(&self, id: NodeId, timeout: Duration) -> Result<Index> {
+        if self.status().membership.is_voter(id) {
+            self.change_membership(MembershipChange::Demote(id), timeout)?;
+        }
+        match self.status().membership.contains(id) {
+            true => self.change_membership(MembershipChange::Remove(id), timeout),
+            false => self.confirm_leadership(timeout),
+        }
     }
 
     /// Replaces the voter `old` with the node `new`, which must be running with
     /// [`StartMode::Join`](crate::StartMode::Join).
     ///
     /// Adds the new node as a learner and waits until it has caught up. Then it promotes the new node
-    /// and removes the old one, or exchanges the two if the old one doesn't answer; see
+    /// and demotes the old one, or exchanges the two if the old one doesn't answer, and removes the old one; see
     /// [`joining`](crate::joining).
     /// At last it waits until the new node has all of this on its disk. From then on a second voter may
     /// be lost without losing committed commands. Returns the log index that the new node holds.
@@ -162,10 +183,7 @@
             self.change_membership(change, timeout)?;
         }
         self.await_goal(Goal::Settled, timeout)?;
-        let members = self.status().membership;
-        if members.contains(old) {
-            self.change_membership(MembershipChange::Remove(old), timeout)?;
-        }
+        self.remove_member(old, timeout)?;
         let index = self.confirm_leadership(timeout)?;
         self.await_goal(Goal::Matched { node: new, index }, timeout)
     }
@@ -181,6 +199,14 @@
         receive(&rx, LOCAL_TIMEOUT)
     }
 
+    /// Tells the node that the disk of a voter is lost; see [`Raft::note_lost_disk`](raft::Raft::note_lost_disk). Dropped if
+    /// the request queue is full.
+    pub fn note_lost_disk(&self, id: NodeId) {
+        if self.requests.try_send(Request::NoteLostDisk(id)).is_err() {
+            log::debug!("the queue is full or the voter has stopped: a lost disk was not noted");
+        }
+    }
+
     /// Transfers leadership to the voter whose log matches furthest, and waits until this node no
     /// longer leads. Before a planned stop this saves the other voters an election timeout. Does
     /// nothing on a node that doesn't lead or has no other voters.
--- a/crates/group/src/request.rs
+++ b/crates/group/src/request.rs
@@ -33,6 +33,7 @@
     Confirm { deadline: Instant, reply: Reply<ConfirmedLeadership> },
     Await { goal: Goal, deadline: Instant, reply: Reply<Index> },
     Transfer { to: NodeId, reply: Reply<()> },
+    NoteLostDisk(NodeId),
     Backup { reply: Reply<Snapshot> },
     Tick { reply: Reply<()> },
     Stop,
@@ -64,7 +65,7 @@
             Self::Await { reply, .. } => drop(reply.try_send(Err(e))),
             Self::Transfer { reply, .. } | Self::Tick { reply } => drop(reply.try_send(Err(e))),
             Self::Backup { reply } => drop(reply.try_send(Err(e))),
-            Self::Stop => (),
+            Self::NoteLostDisk(_) | Self::Stop => (),
         }
     }
 }
--- a/crates/group/src/runner.rs
+++ b/crates/group/src/runner.rs
@@ -271,6 +271,7 @@
             Request::Transfer { to, reply } => {
                 drop(reply.try_send(self.raft.transfer_leadership(to).map_err(Error::refused)));
             }
+            Request::NoteLostDisk(id) => self.raft.note_lost_disk(id),
             Request::Backup { reply } => drop(reply.try_send(self.take_snapshot())),
             Request::Tick { reply } => {
                 self.tick_replies.push(reply);
--- a/crates/group/src/status.rs
+++ b/crates/group/src/status.rs
@@ -35,6 +35,8 @@
     /// On a candidate: the voters that have answered its last request for votes, and whether each would
     /// vote for it.
     pub votes: BTreeMap<NodeId, bool>,
+    /// Voters whose disks are known to be lost; see [`Raft::note_lost_disk`].
+    pub known_lost: BTreeSet<NodeId>,
     /// Last index of each other member, as of its latest request for votes since a leader was known.
     pub candidate_logs: BTreeMap<NodeId, Index>,
     /// On a leader: last index up to which each other member is known to hold the log on disk.
@@ -85,6 +87,7 @@
             membership_index: raft.membership_index(),
             is_membership_committed: raft.is_membership_committed(),
             votes: raft.votes().clone(),
+            known_lost: raft.known_lost().clone(),
             candidate_logs: raft.candidate_logs().clone(),
             matched,
             silent_ticks: raft.silent_ticks().collect(),
--- a/crates/group/tests/group.rs
+++ b/crates/group/tests/group.rs
@@ -270,3 +270,65 @@
     let status = handle.status();
     assert_eq!((status.role, status.leader, status.failure), (Role::Follower, None, None));
 }
+
+/// Guards against callers that go on while the group still needs the voters of before: of a promotion, its new voter
+/// and a majority without it, of a removal, the voter that is gone.
+#[test]
+fn a_change_of_the_voters_is_complete_once_it_returns() {
+    let mut cluster = Cluster::bootstrap(3, |_| ());
+    let leader = cluster.elect();
+    cluster.start(4, StartMode::Join).unwrap();
+    let old = (1..=3).find(|id| *id != leader).unwrap();
+    let members = |cluster: &Cluster| cluster.nodes[&leader].handle.status().membership;
+    for change in [
+        MembershipChange::AddLearner(4),
+        MembershipChange::Promote(4),
+        MembershipChange::Demote(old),
+        MembershipChange::Exchange { old: 4, new: old },
+    ] {
+        cluster.run(leader, |h| h.change_membership(change, TIMEOUT)).unwrap();
+        assert!(!members(&cluster).is_joint(), "{change:?}");
+    }
+    assert_eq!(members(&cluster).voters, [1, 2, 3].into());
+    assert_eq!(members(&cluster).learners, [4].into());
+}
+
+#[test]
+fn a_voter_is_demoted_before_it_is_removed() {
+    let mut cluster = Cluster::bootstrap(3, |_| ());
+    let leader = cluster.elect();
+    let old = (1..=3).find(|id| *id != leader).unwrap();
+    let change = MembershipChange::Remove(old);
+    let refused = cluster.run(leader, |h| h.change_membership(change, TIMEOUT)).unwrap_err();
+    assert!(refused.is_refused_change() && refused.to_string().contains("demote it first"));
+    // A repeated call changes nothing.
+    for _ in 0..2 {
+        cluster.run(leader, |h| h.remove_member(old, TIMEOUT)).unwrap();
+        let members = cluster.nodes[&leader].handle.status().membership;
+        assert!(members.is_retired(old) && !members.contains(old) && !members.is_joint());
+        assert_eq!(members.voters.len(), 2);
+    }
+}
+
+/// Four voters without two of them had no leader although the disk of one of these was known to be lost.
+#[test]
+fn half_of_four_voters_go_on_once_a_lost_disk_is_known() {
+    let mut cluster = Cluster::bootstrap(4, |_| ());
+    cluster.elect();
+    cluster.propose("a").unwrap();
+    cluster.converge(1);
+    [3, 4].into_iter().for_each(|id| cluster.stop(id));
+    cluster.until("no leader", |cluster| cluster.leader().is_none());
+    (0..200).for_each(|_| cluster.round());
+    assert_eq!(cluster.leader(), None, "the two others may go on by themselves");
+    for id in [1, 2] {
+        cluster.nodes[&id].handle.note_lost_disk(4);
+    }
+    cluster.elect();
+    cluster.propose("b").unwrap();
+    cluster.converge(2);
+    for id in [1, 2] {
+        let known = cluster.nodes[&id].handle.status().known_lost;
+        assert!(known.iter().eq([&4]), "{known:?}");
+    }
+}
--- a/crates/raft/src/election.rs
+++ b/crates/raft/src/election.rs
@@ -73,6 +73,7 @@
         self.role = Role::Follower;
         self.leader = leader;
         self.votes.clear();
+        self.excluded.clear();
         self.progress.clear();
         self.transfer = None;
         self.reads.clear();
@@ -110,7 +111,10 @@
         }
     }
 
+    /// Begins a pre-vote or a vote. Losses of disks that become known later don't count in it: of the votes that it
+    /// has by then, some may have been cast before.
     fn request_votes(&mut self, term: Term, body: MessageBody) {
+        self.excluded = self.known_lost.clone();
         self.votes.clear();
         self.votes.insert(self.cfg.id, true);
         self.request_missing_votes(term, &body);
@@ -138,7 +142,7 @@
 
     /// Whether a quorum of voters has granted the running pre-vote or vote.
     fn has_won(&self) -> bool {
-        self.membership().has_quorum(|id| self.votes.get(&id) == Some(&true))
+        self.has_quorum(|id| self.votes.get(&id) == Some(&true))
     }
 
     /// Whether the node may vote for a candidate whose log ends at `last`.
--- a/crates/raft/src/joining.rs
+++ b/crates/raft/src/joining.rs
@@ -3,28 +3,32 @@
 //!
 //! A node that lost its disk must join again under a new id, as it may have voted under the old one.
 //! Nodes are also replaced as planned: a successor joins first, then its predecessor leaves. The leader
-//! calls these functions each time that a node asks to join or to leave, and proposes the change that
+//! calls these functions each time that a node asks to join or to leave, and now and then, and proposes the change that
 //! they return. They are pure functions of what a leader knows, so a new leader goes on where the last
 //! one ended.
 //!
 //! The changes keep the voters whose disks are whole a quorum at every step, wherever the tolerated number of
 //! disks is lost:
 //!
-//! - A voter that doesn't answer is exchanged for another node. It may be gone for good, or come back with its
+//! - An absent voter is exchanged for another node. It may be gone for good, or come back with its
 //!   disk. In the joint membership both cases leave a quorum, also if the new node is lost as well; see
 //!   [`Membership`].
-//! - Of several voters that don't answer, the one that is gone is exchanged. A voter that keeps its vote although its
-//!   disk is gone costs as much as a lost disk, and so does a whole disk without a vote. What tells them
-//!   apart is their [`Presence`]: a process that is there has its disk. Where that doesn't tell, the exchange
-//!   waits a while, as some of them may come back.
-//! - A voter that answers is removed after another node has been promoted, as each of the two steps
+//! - A voter that loses its vote because it is absent becomes a learner. It keeps its id and its disk, and
+//!   is promoted again once it answers. Only a learner whose disk is known to be lost, which leaves as planned or which
+//!   has been silent for very long is removed.
+//! - Of several absent voters, one may be gone for good and another one come back with its disk, and nothing tells them
+//!   apart. A group that counts the former and not the latter depends on a disk too many. So two of them become learners, as long as
+//!   [enough voters](GroupView::min_voters) are left: these answer. Both are exchanged for the new node in one change, as
+//!   either order of two changes counts a disk too few in between. The same holds for a voter that leaves as planned beside a
+//!   learner that was set aside before.
+//! - A process that accepts connections has its disk, even if it is suspended, and keeps its vote; see [`Presence`].
+//! - A voter that answers and leaves as planned loses its vote after another node has been promoted, as each of the two steps
 //!   then tolerates as many losses as a group of its usual size.
-//! - A group with more voters than it should have first removes one that doesn't answer.
 //! - A group that has all of its voters grows only if every one of them has answered since the new node was
 //!   added. So a node whose predecessor has just been lost waits until the leader notices.
 //!
 //! [`Raft::propose_change`](crate::Raft::propose_change) refuses any change after which the voters that
-//! answer would be no majority without the new one.
+//! answer would be no quorum without the new one.
 
 use crate::{Membership, MembershipChange, NodeId};
 use std::collections::{BTreeMap, BTreeSet};
@@ -40,15 +44,15 @@
     Unreachable,
 }
 
-/// Ticks of silence after which voters are replaced.
+/// Ticks of silence after which members are replaced or removed.
 #[derive(Clone, Copy, Debug)]
-pub struct ReplaceAfter {
-    /// If it is the only one that may be gone.
-    pub alone: u32,
-    /// If several may be gone: time for those that aren't to come back.
-    pub among_several: u32,
-    /// If its process is there all the time.
+pub struct SilenceLimits {
+    /// After which a voter is absent, unless its process is there.
+    pub absent: u32,
+    /// After which a voter is absent although its process is there all the time.
     pub listening: u32,
+    /// After which a learner isn't expected to come back.
+    pub forgotten: u32,
 }
 
 /// A leader's knowledge of its group.
@@ -69,29 +73,106 @@
     pub confirmed: &'a BTreeSet<NodeId>,
     /// Last known address of each node.
     pub addresses: &'a BTreeMap<NodeId, String>,
-    /// Number of voters that the group should have.
+    /// Number of voters that the group should have, an odd number.
     pub target_voters: usize,
     /// What is known of the voters that don't answer. As long as it lacks one of them, none is
     /// replaced, except by a node at its own address.
     pub presence: &'a BTreeMap<NodeId, Presence>,
-    /// Ticks of silence after which a voter may be replaced.
-    pub replace_after: ReplaceAfter,
+    /// Ticks of silence after which members are replaced or removed.
+    pub limits: SilenceLimits,
+}
+
+impl GroupView<'_> {
+    /// Number of voters below which no voter is set aside: twice the number of losses that
+    /// [`target_voters`](Self::target_voters) tolerate. A majority of them is one more than these losses.
+    pub fn min_voters(&self) -> usize {
+        self.target_voters.saturating_sub(1).max(1)
+    }
+
+    fn may_set_aside(&self) -> bool {
+        self.members.voters.len() > self.min_voters()
+    }
+
+    fn silence(&self, id: NodeId) -> u32 {
+        self.silent_ticks.get(&id).copied().unwrap_or(0)
+    }
+
+    /// Whether the processes of all voters that don't answer are there.
+    fn are_silent_voters_there(&self) -> bool {
+        let mut silent = self.members.voters.difference(self.reachable);
+        silent.all(|id| self.presence.get(id) == Some(&Presence::Listening))
+    }
+
+    /// Number of voters that answer.
+    fn reachable_voters(&self) -> usize {
+        self.members.voters.intersection(self.reachable).count()
+    }
+
+    fn is_at(&self, id: NodeId, address: &str) -> bool {
+        self.addresses.get(&id).is_some_and(|known| known == address)
+    }
+
+    /// Another node among `ids` with the address of node `id`: one whose disk was lost before.
+    fn former_node(&self, ids: &BTreeSet<NodeId>, id: NodeId, address: &str) -> Option<NodeId> {
+        ids.iter().copied().find(|other| *other != id && self.is_at(*other, address))
+    }
+
+    /// Whether the disk of a silent learner is lost, as a voter has its address that was heard later. A learner that has
+    /// just been added may not have answered yet when the last answer of its former node arrives.
+    fn is_lost_learner(&self, id: NodeId) -> bool {
+        let silence = self.silence(id);
+        let is_successor = |voter: &NodeId, address: &str| {
+            self.is_at(*voter, address) && self.silence(*voter) < silence
+        };
+        let has_successor =
+            |address: &String| self.members.voters.iter().any(|voter| is_successor(voter, address));
+        silence >= self.limits.absent
+            && !self.members.is_voter(id)
+            && self.addresses.get(&id).is_some_and(has_successor)
+    }
+
+    /// Whether a learner doesn't answer that is about to come back with its disk.
+    fn has_absent_learner(&self) -> bool {
+        let absent = self.limits.absent..self.limits.listening;
+        let mut learners = self.members.learners.iter().filter(|id| !self.is_lost_learner(**id));
+        learners.any(|id| absent.contains(&self.silence(*id)))
+    }
+
+    /// The absent voters, with the one that is most likely gone at the end; none until all of them have been silent for
+    /// long enough.
+    fn absent_voters(&self) -> Vec<NodeId> {
+        let silent = self.members.voters.difference(self.reachable).copied();
+        let known: Option<Vec<(Presence, u32, NodeId)>> =
+            silent.map(|id| Some((*self.presence.get(&id)?, self.silence(id), id))).collect();
+        let (mut listening, mut absent): (Vec<_>, Vec<_>) = known
+            .unwrap_or_default()
+            .into_iter()
+            .partition(|(presence, ..)| *presence == Presence::Listening);
+        if absent.is_empty() {
+            listening.retain(|(_, ticks, _)| *ticks >= self.limits.listening);
+            return listening.into_iter().max().map(|(.., id)| id).into_iter().collect();
+        }
+        if absent.iter().any(|(_, ticks, _)| *ticks < self.limits.absent) {
+            return Vec::new();
+        }
+        absent.sort_unstable();
+        absent.into_iter().map(|(.., id)| id).collect()
+    }
 }
 
 /// Returns the next change on the way of a node to a vote, or `None` if there is none to make now: the
-/// node is a voter or retired, has to catch up first, or has to wait for other voters or for an
-/// exchange. It asks again then.
+/// node is a voter or retired, has to catch up first, or has to wait for other voters or for a
+/// change of the voters that is under way. It asks again then.
 ///
 /// The node takes the place of members that were last known at the same address: their disks are lost.
-/// Otherwise, if the group has at least `target_voters` voters, it takes the place of the silent voter that is most
-/// likely gone, once that has been silent for long enough; see [`ReplaceAfter`]. If all voters answer, it
+/// Otherwise, if the group has enough voters, it takes the place of an absent voter, or of two of them. If all voters answer, the node
 /// becomes an additional one, whose predecessor is expected to leave; see [`next_leave_step`].
 pub fn next_join_step(view: GroupView<'_>, id: NodeId, address: &str) -> Option<MembershipChange> {
     let members = view.members;
     if members.is_voter(id) || members.retired.contains(&id) || members.is_joint() {
         return None;
     }
-    if let Some(former) = former_node(view, &members.learners, id, address) {
+    if let Some(former) = view.former_node(&members.learners, id, address) {
         return Some(MembershipChange::Remove(former));
     }
     if !members.contains(id) {
@@ -100,12 +181,18 @@
     if !view.caught_up.contains(&id) {
         return None;
     }
-    if let Some(former) = former_node(view, &members.voters, id, address) {
-        return Some(replace(view, former, id));
+    if let Some(former) = view.former_node(&members.voters, id, address) {
+        // Otherwise the request is a late one of the former node.
+        let is_former = view.silence(former) > view.silence(id);
+        return is_former.then(|| replace(view, former, id));
     }
-    let reachable = members.voters.intersection(view.reachable).count();
+    let reachable = view.reachable_voters();
     let is_confirmed = view.confirmed.contains(&id);
     let may_grow = match members.voters.len() < view.target_voters {
+        // An absent voter may be gone. It loses its vote to the node, so that the group doesn't depend on it.
+        true if members.voters.len() >= view.min_voters() && !view.are_silent_voters_there() => {
+            false
+        }
         true => reachable >= members.voters_needed_to_grow(),
         false => is_confirmed && reachable == members.voters.len(),
     };
@@ -113,14 +200,21 @@
         return Some(MembershipChange::Promote(id));
     }
     // The node's predecessor may still count as reachable.
-    replaceable_voter(view).filter(|_| is_confirmed).map(|former| replace(view, former, id))
+    let absent = if is_confirmed { view.absent_voters() } else { Vec::new() };
+    match absent[..] {
+        [first, second] if members.voters.len() == view.target_voters && view.may_set_aside() => {
+            Some(MembershipChange::ExchangeTwo { old: [first, second], new: id })
+        }
+        [.., old] => Some(replace(view, old, id)),
+        [] => None,
+    }
 }
 
-/// The change by which a learner takes the place of a voter that doesn't answer. The voter is only removed
+/// The change by which a learner takes the place of a voter. The voter is only demoted
 /// if the group is larger than it should be.
 fn replace(view: GroupView<'_>, old: NodeId, new: NodeId) -> MembershipChange {
     match view.members.voters.len() > view.target_voters {
-        true => MembershipChange::Remove(old),
+        true => MembershipChange::Demote(old),
         false => MembershipChange::Exchange { old, new },
     }
 }
@@ -132,7 +226,7 @@
     Change(MembershipChange),
     /// Keeps the node as a member; the process may end.
     Keep,
-    /// Keeps the node for now: another one is joining, a voter is being exchanged, the voters that answer are
+    /// Keeps the node for now: another one is joining, the voters are being changed, those that answer are
     /// no majority without it, or its removal isn't known to be committed. The process should ask again.
     Wait,
 }
@@ -141,7 +235,8 @@
 ///
 /// A voter is removed only if the group has more than `target_voters` voters, that is, if its successor
 /// has joined; a learner that could succeed it is promoted first. Otherwise the process may just restart,
-/// and the node keeps its vote. For a learner, the voter that it was to replace is removed as well.
+/// and the node keeps its vote, unless another member is absent that may be the one which comes back: then the node stays as a
+/// learner. A learner that a whole group doesn't need is removed, and so is the voter that it was to replace.
 pub fn next_leave_step(view: GroupView<'_>, id: NodeId, address: &str) -> LeaveStep {
     let members = view.members;
     if members.is_joint() {
@@ -149,13 +244,19 @@
     }
     // A node that is no member may be a former one, whose request comes late, of a machine that has joined
     // again.
-    if members.learners.contains(&id)
-        && let Some(former) = former_node(view, &members.voters, id, address)
-    {
-        return LeaveStep::Change(MembershipChange::Remove(former));
-    }
     if members.learners.contains(&id) {
-        return LeaveStep::Change(MembershipChange::Remove(id));
+        let former_voter = view.former_node(&members.voters, id, address);
+        let former_learner = view.former_node(&members.learners, id, address);
+        return match (former_voter, former_learner) {
+            (Some(former), _) if view.silence(former) <= view.silence(id) => LeaveStep::Wait,
+            (Some(former), _) if view.may_set_aside() => {
+                LeaveStep::Change(MembershipChange::Demote(former))
+            }
+            (Some(_), _) => LeaveStep::Keep,
+            (None, Some(former)) => LeaveStep::Change(MembershipChange::Remove(former)),
+            (None, None) if members.voters.len() < view.target_voters => LeaveStep::Keep,
+            (None, None) => LeaveStep::Change(MembershipChange::Remove(id)),
+        };
     }
     if members.retired.contains(&id) {
         return LeaveStep::Wait;
@@ -165,12 +266,10 @@
     }
     let voters = members.voters.len();
     if voters > view.target_voters {
-        return LeaveStep::Change(MembershipChange::Remove(id));
+        return LeaveStep::Change(MembershipChange::Demote(id));
     }
-    let reachable = members.voters.intersection(view.reachable).count();
-    let is_silent = |id: &NodeId| {
-        view.silent_ticks.get(id).is_some_and(|ticks| *ticks >= view.replace_after.alone)
-    };
+    let reachable = view.reachable_voters();
+    let is_silent = |id: &NodeId| view.silence(*id) >= view.limits.absent;
     let mut joining = members.learners.iter().filter(|learner| !is_silent(learner)).peekable();
     let has_joining = joining.peek().is_some();
     if let Some(successor) = joining.find(|learner| view.caught_up.contains(learner))
@@ -181,48 +280,50 @@
     let others = reachable - usize::from(view.reachable.contains(&id));
     let is_spared = others > voters / 2 || voters == 1;
     match is_spared && !has_joining {
+        true if view.has_absent_learner() && view.may_set_aside() => {
+            LeaveStep::Change(MembershipChange::Demote(id))
+        }
         true => LeaveStep::Keep,
         false => LeaveStep::Wait,
     }
 }
 
-/// Returns a silent voter to remove if the group has more than `target_voters` voters.
+/// Returns a change that nobody asks for, if one is due.
 ///
-/// Such a voter is left over if it ended without leaving after its successor had joined. It raises
-/// the number of voters that a majority needs, so its removal never makes the group less tolerant.
-pub fn surplus_voter(view: GroupView<'_>) -> Option<NodeId> {
-    let has_surplus = view.members.voters.len() > view.target_voters && !view.members.is_joint();
-    replaceable_voter(view).filter(|_| has_surplus)
-}
-
-/// Another node among `ids` with the address of node `id`: one whose disk was lost before.
-fn former_node(
-    view: GroupView<'_>,
-    ids: &BTreeSet<NodeId>,
-    id: NodeId,
-    address: &str,
-) -> Option<NodeId> {
-    let mut others = ids.iter().filter(|other| **other != id);
-    others.find(|other| view.addresses.get(other).is_some_and(|a| a == address)).copied()
+/// - A learner is removed whose disk is lost, or which has been silent for very long while all voters answer.
+/// - An absent voter is demoted if the group has more than `target_voters` voters. It
+///   is left over if it ended without leaving after its successor had joined. It raises
+///   the number of voters that a majority needs, so this never makes the group less tolerant. Two of them are demoted
+///   together, as either may be the one that comes back.
+pub fn next_upkeep_step(view: GroupView<'_>) -> Option<MembershipChange> {
+    let members = view.members;
+    if members.is_joint() {
+        return None;
+    }
+    let mut learners = members.learners.iter().copied();
+    if let Some(lost) = learners.find(|id| view.is_lost_learner(*id)) {
+        return Some(MembershipChange::Remove(lost));
+    }
+    let voters = members.voters.len();
+    if voters >= view.target_voters && view.reachable_voters() == voters {
+        let is_forgotten = |id: &NodeId| view.silence(*id) >= view.limits.forgotten;
+        let forgotten = members.learners.iter().copied().find(is_forgotten);
+        return forgotten.map(MembershipChange::Remove);
+    }
+    if voters <= view.target_voters {
+        return None;
+    }
+    match view.absent_voters()[..] {
+        [first, second] if voters - 2 >= view.min_voters() => {
+            Some(MembershipChange::DemoteTwo([first, second]))
+        }
+        [.., absent] => Some(MembershipChange::Demote(absent)),
+        [] => None,
+    }
 }
 
-/// The silent voter whose place another node may take, or that may be removed, if it can be told by now.
-fn replaceable_voter(view: GroupView<'_>) -> Option<NodeId> {
-    let silence = |id: NodeId| view.silent_ticks.get(&id).copied().unwrap_or(0);
-    let silent = view.members.voters.difference(view.reachable).copied();
-    let silent: Option<Vec<(Presence, u32, NodeId)>> =
-        silent.map(|id| Some((*view.presence.get(&id)?, silence(id), id))).collect();
-    let (listening, absent): (Vec<_>, Vec<_>) =
-        silent?.into_iter().partition(|(presence, ..)| *presence == Presence::Listening);
-    let after = view.replace_after;
-    let (candidates, after_ticks) = match absent.len() {
-        0 => (listening, after.listening),
-        1 => (absent, after.alone),
-        _ if absent.iter().all(|(_, ticks, _)| *ticks >= after.among_several) => {
-            (absent, after.among_several)
-        }
-        _ => return None,
-    };
-    let due = candidates.into_iter().filter(|(_, ticks, _)| *ticks >= after_ticks);
-    due.max().map(|(.., id)| id)
+/// Whether [`next_upkeep_step`] depends on the [`Presence`] of voters that don't answer.
+pub fn needs_presence(view: GroupView<'_>) -> bool {
+    let voters = view.members.voters.len();
+    view.reachable_voters() < voters && voters > view.target_voters
 }
--- a/crates/raft/src/leader.rs
+++ b/crates/raft/src/leader.rs
@@ -61,7 +61,7 @@
     /// timeout.
     fn has_active_quorum(&self) -> bool {
         let ticks = self.cfg.election_ticks;
-        self.membership().has_quorum(|id| {
+        self.has_quorum(|id| {
             id == self.cfg.id || self.progress.get(&id).is_some_and(|p| p.is_active(ticks))
         })
     }
@@ -217,7 +217,7 @@
         if !self.is_leader() {
             return;
         }
-        let index = self.membership().quorum_value(|id| match id == self.cfg.id {
+        let index = self.quorum_value(|id| match id == self.cfg.id {
             true => self.log.stable(),
             false => self.matched(id).unwrap_or(0),
         });
--- a/crates/raft/src/lib.rs
+++ b/crates/raft/src/lib.rs
@@ -3,7 +3,8 @@
 //! A group of nodes replicates a log of commands. An entry is committed once a majority of the
 //! voters has it on disk, and every node applies the committed entries in the same order. The
 //! crate implements leader election with pre-votes, log replication, snapshots, membership
-//! changes one at a time, with joint consensus where a voter is exchanged, leadership transfer, and
+//! changes one at a time, with joint consensus where the voters change, elections by half of an even number of voters
+//! once the disk of one is known to be lost ([`Membership`]), leadership transfer, and
 //! linearizable reads that need no log entry. It performs no I/O and reads no clock: the caller, the
 //! `group` crate, owns the thread, the disk and the network.
 //!
--- a/crates/raft/src/membership.rs
+++ b/crates/raft/src/membership.rs
@@ -15,12 +15,11 @@
     ///
     /// # Errors
     ///
-    /// [`Error::is_not_leader`]; [`Error::is_busy`] while another change is uncommitted or a voter is
-    /// being exchanged, while this leader hasn't committed an entry of its term, or while leadership is being
+    /// [`Error::is_not_leader`]; [`Error::is_busy`] while another change is uncommitted or the voters are
+    /// joint, while this leader hasn't committed an entry of its term, or while leadership is being
     /// transferred; [`Error::is_behind`] while the learner to promote hasn't caught up;
-    /// [`Error::is_refused_change`] if the change is invalid for the current members, if the
-    /// reachable voters would be no majority of the new members, or, for a promotion, if they would be
-    /// none without the new voter.
+    /// [`Error::is_refused_change`] if the change is invalid for the current members, or if the
+    /// reachable voters would be no quorum without a new one.
     pub fn propose_change(&mut self, change: MembershipChange) -> Result<LogPosition> {
         if !self.is_leader() {
             return Err(Error::not_leader(self.leader));
@@ -38,7 +37,10 @@
             return Err(Error::busy("leadership is being transferred"));
         }
         let next = members.after(change)?;
-        if let MembershipChange::Promote(id) | MembershipChange::Exchange { new: id, .. } = change {
+        if let MembershipChange::Promote(id)
+        | MembershipChange::Exchange { new: id, .. }
+        | MembershipChange::ExchangeTwo { new: id, .. } = change
+        {
             self.check_caught_up(id)?;
         }
         self.check_keeps_quorum(change, &next)?;
@@ -56,43 +58,44 @@
         }
     }
 
-    /// Refuses a change after which the group might never commit again.
+    /// Refuses a change of the voters after which the group might never commit again.
     ///
-    /// The reachable voters have to be a majority of the new members. A change takes effect once it is
-    /// appended and can't be taken back, so a new voter that is lost right after its promotion must not
-    /// be needed for that majority, nor one that is exchanged. The second voter of a group is always needed.
+    /// The reachable voters have to be a quorum. A change takes effect once it is
+    /// appended and can't be taken back, so a new voter that is lost right after that must not
+    /// be needed, nor one that is exchanged. The second voter of a group is always needed.
     fn check_keeps_quorum(&self, change: MembershipChange, next: &Membership) -> Result<()> {
-        let is_kept = match change {
-            MembershipChange::Promote(id) => {
-                let members = self.membership();
-                let voters = members.voters.iter().filter(|id| self.is_reachable(**id));
-                voters.count() >= members.voters_needed_to_grow() && self.is_reachable(id)
-            }
-            MembershipChange::Exchange { old, new } => {
-                self.is_reachable(new)
-                    && next.has_quorum(|id| ![old, new].contains(&id) && self.is_reachable(id))
-            }
-            _ => next.has_quorum(|id| self.is_reachable(id)),
+        if !next.is_joint() {
+            return Ok(());
+        }
+        let (new, old) = match change {
+            MembershipChange::Exchange { old, new } => (Some(new), vec![old]),
+            MembershipChange::ExchangeTwo { old, new } => (Some(new), old.to_vec()),
+            MembershipChange::Promote(new) => (Some(new), Vec::new()),
+            _ => (None, Vec::new()),
         };
-        match (is_kept, change) {
-            (true, _) => Ok(()),
-            (false, MembershipChange::Promote(_) | MembershipChange::Exchange { .. }) => {
-                Err(Error::refused_change("too few of the other voters answer"))
-            }
-            (false, _) => Err(Error::refused_change("too few of the remaining voters answer")),
+        let is_second = self.membership().voters.len() == 1;
+        let is_moving = |id: NodeId| new == Some(id) || old.contains(&id);
+        let counts = |id| self.is_reachable(id) && (is_second || !is_moving(id));
+        // A node that takes the place of a lost one is known to be lost, too, if its disk is lost right after that.
+        let mut lost = self.excluded.clone();
+        lost.extend(new.filter(|_| old.iter().any(|id| self.excluded.contains(id))));
+        let is_kept = next.has_quorum_without(&lost, counts);
+        match is_kept && new.is_none_or(|id| self.is_reachable(id)) {
+            true => Ok(()),
+            false => Err(Error::refused_change("too few of the other voters answer")),
         }
     }
 
-    /// On a leader: ends the exchange of a voter once the joint membership is committed. From then on the
+    /// On a leader: ends the change of the voters once the joint membership is committed. From then on the
     /// voters of afterwards decide alone.
-    pub(crate) fn end_exchange(&mut self) {
+    pub(crate) fn end_joint(&mut self) {
         let members = self.membership();
         if self.is_leader()
             && members.is_joint()
             && self.is_membership_committed()
             && self.has_committed_in_term()
         {
-            let next = members.after_exchange();
+            let next = members.after_joint();
             self.append(EntryPayload::Membership(next));
             self.track_members();
         }
--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -11,7 +11,7 @@
     ready::Outbox,
     types::{EntryPayload, GroupId, HardState, Index, Membership, NodeId, Snapshot, Term},
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Role of a node in the current term.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -55,6 +55,11 @@
     pub(crate) heartbeat_elapsed: u32,
     /// Responses to the running pre-vote or vote: whether each node granted it.
     pub(crate) votes: BTreeMap<NodeId, bool>,
+    /// See [`Raft::note_lost_disk`].
+    pub(crate) known_lost: BTreeSet<NodeId>,
+    /// On a candidate or leader: voters whose disks were known to be lost when its campaign began. They don't count as
+    /// long as it is one, and half of an even number of voters is enough without them; see [`Membership`].
+    pub(crate) excluded: BTreeSet<NodeId>,
     /// See [`Raft::candidate_logs`].
     pub(crate) candidate_logs: BTreeMap<NodeId, Index>,
     /// On a leader: replication progress of each other member.
@@ -109,6 +114,8 @@
             failed_campaigns: 0,
             heartbeat_elapsed: 0,
             votes: BTreeMap::new(),
+            known_lost: BTreeSet::new(),
+            excluded: BTreeSet::new(),
             candidate_logs: BTreeMap::new(),
             progress: BTreeMap::new(),
             uncommitted_bytes: 0,
@@ -146,6 +153,7 @@
         if self.membership().is_empty() {
             self.joining_group = message.group;
         }
+        self.note_whole_disk(message.from);
         if message.term > self.hard_state.term && !self.handle_newer_term(&message) {
             return;
         }
@@ -157,6 +165,25 @@
         self.dispatch(message);
     }
 
+    /// Records that the disk of a voter is lost: it will never act under its id again. From its next campaign on this
+    /// node doesn't count the voter, and half of an even number of voters is enough for it.
+    ///
+    /// Only a daemon with another id at the voter's address tells so. What the voter did before doesn't count in
+    /// such a campaign, so the loss must be known when it begins.
+    pub fn note_lost_disk(&mut self, id: NodeId) {
+        if id != self.cfg.id && self.membership().is_voter(id) {
+            self.known_lost.insert(id);
+        }
+    }
+
+    /// A node that sends a message hasn't lost its disk, whatever is at the address at which it was expected.
+    fn note_whole_disk(&mut self, id: NodeId) {
+        self.known_lost.remove(&id);
+        if self.excluded.contains(&id) {
+            self.become_follower(self.hard_state.term, None);
+        }
+    }
+
     /// Handles a message of a newer term: becomes a follower in that term, unless the message is
     /// a pre-vote or grants one. Returns whether to process the message further: a vote request
     /// is ignored while there is a live leader, unless that leader asked for the campaign.
@@ -324,6 +351,21 @@
         &self.votes
     }
 
+    /// Voters whose disks are known to be lost; see [`Raft::note_lost_disk`].
+    pub fn known_lost(&self) -> &BTreeSet<NodeId> {
+        &self.known_lost
+    }
+
+    /// Whether the nodes for which `f` is true are a quorum for this node.
+    pub(crate) fn has_quorum(&self, f: impl Fn(NodeId) -> bool) -> bool {
+        self.membership().has_quorum_without(&self.excluded, f)
+    }
+
+    /// The highest value that is reached by each node of some quorum for this node.
+    pub(crate) fn quorum_value(&self, value: impl Fn(NodeId) -> u64) -> u64 {
+        self.membership().quorum_value_without(&self.excluded, value)
+    }
+
     /// Last index of each other node, as of its latest request for votes since this node knew a leader.
     pub fn candidate_logs(&self) -> &BTreeMap<NodeId, Index> {
         &self.candidate_logs
--- a/crates/raft/src/read.rs
+++ b/crates/raft/src/read.rs
@@ -125,7 +125,7 @@
 
     /// Last heartbeat round that a quorum of voters has responded to.
     fn confirmed_round(&self) -> u64 {
-        self.membership().quorum_value(|id| match id == self.cfg.id {
+        self.quorum_value(|id| match id == self.cfg.id {
             true => self.reads.round,
             false => self.progress.get(&id).map_or(0, |p| p.round),
         })
--- a/crates/raft/src/ready.rs
+++ b/crates/raft/src/ready.rs
@@ -58,7 +58,7 @@
         if self.outbox.unsynced_end.is_some() {
             return None;
         }
-        self.end_exchange();
+        self.end_joint();
         self.send_heartbeat_round();
         self.replicate();
         let is_changed = self.hard_state != self.emitted_hard_state;
--- a/crates/raft/tests/lost_voters.rs
+++ b/crates/raft/tests/lost_voters.rs
@@ -54,20 +54,20 @@
     Scenario { losses: 1, ..Scenario::new(rule, from, &[(Nodes::first(from), to)]) }
 }
 
-// Guards against two halves of four voters that decide without each other.
+/// Guards against two halves of four voters that decide without each other.
 #[test]
 fn a_half_of_four_voters_decides_safely_after_a_known_loss() {
     assert_safe(&Scenario { terms: 3, losses: 1, ..Scenario::new(Rule::Design, 4, &[]) });
     assert_safe(&Scenario { losses: 3, ..Scenario::new(Rule::Design, 4, &[]) });
 }
 
-// Guards against quorums of the voters before and after a change that have no node in common.
+/// Guards against quorums of the voters before and after a change that have no node in common.
 #[test]
 fn joint_changes_of_two_and_three_voters_are_safe() {
     changes(2).into_iter().for_each(|(from, to)| assert_safe(&change(Rule::Design, from, to)));
 }
 
-// Guards against a half of four voters that misses what three voters decide.
+/// Guards against a half of four voters that misses what three voters decide.
 #[test]
 fn joint_changes_between_three_and_four_voters_are_safe() {
     let largest = bound("MODEL_VOTERS", 4);
@@ -75,14 +75,14 @@
     all.for_each(|(from, to)| assert_safe(&change(Rule::Design, from, to)));
 }
 
-// Guards against two leaders that begin different changes, one of them with an old log.
+/// Guards against two leaders that begin different changes, one of them with an old log.
 #[test]
 fn different_changes_of_leaders_of_different_terms_are_safe() {
     let both = [Nodes::first(3), Nodes::of(&[0, 2])].map(|to| (Nodes::first(2), to));
     assert_safe(&Scenario { losses: 1, ..Scenario::new(Rule::Design, 2, &both) });
 }
 
-// Guards against one wrong answer that makes a group of four lose what it committed.
+/// Guards against one wrong answer that makes a group of four lose what it committed.
 #[test]
 fn one_voter_that_is_always_the_one_taken_for_lost_does_no_harm() {
     let x = Nodes::of(&[3]);
@@ -92,7 +92,7 @@
     assert_safe(&Scenario { losses: 1, mistaken: x, always: x, ..design });
 }
 
-// Guards against a model in which the exclusion of two voters that aren't lost is harmless.
+/// Guards against a model in which the exclusion of two voters that aren't lost is harmless.
 #[test]
 fn two_voters_wrongly_taken_for_lost_break_safety() {
     let design = Scenario::new(Rule::Design, 4, &[]);
@@ -100,7 +100,7 @@
     assert_unsafe(&wrong, &[Violation::TwoLeaders]);
 }
 
-// Guards against the belief that one wrong answer stays harmless once another voter is lost.
+/// Guards against the belief that one wrong answer stays harmless once another voter is lost.
 #[test]
 fn one_voter_wrongly_taken_for_lost_and_the_loss_of_another_break_safety() {
     let design = Scenario::new(Rule::Design, 4, &[]);
@@ -108,13 +108,13 @@
     assert_unsafe(&wrong, &[Violation::TwoLeaders]);
 }
 
-// Guards against a model in which it doesn't matter that a candidate fixes what it excludes.
+/// Guards against a model in which it doesn't matter that a candidate fixes what it excludes.
 #[test]
 fn exclusions_that_grow_during_a_term_break_safety() {
     assert_unsafe(&Scenario::new(Rule::GrowingExclusions, 4, &[]), &[Violation::TwoLeaders]);
 }
 
-// Guards against a model in which changes in a single step are harmless.
+/// Guards against a model in which changes in a single step are harmless.
 #[test]
 fn changes_in_a_single_step_break_safety() {
     let expected = [Violation::TwoLeaders, Violation::LeaderLacksCommitted];
@@ -122,7 +122,7 @@
     assert_unsafe(&change(Rule::SingleStep, 3, Nodes::first(2)), &expected);
 }
 
-// Guards against a model in which each further exclusion may lower what is needed.
+/// Guards against a model in which each further exclusion may lower what is needed.
 #[test]
 fn a_majority_of_the_voters_that_are_left_breaks_safety() {
     let expected = [Violation::TwoLeaders];
@@ -133,7 +133,7 @@
     assert_unsafe(&Scenario { losses: 3, ..rest }, &expected);
 }
 
-// Guards against a model in which a half decides without any loss.
+/// Guards against a model in which a half decides without any loss.
 #[test]
 fn a_half_without_a_known_loss_breaks_safety() {
     let half = Scenario { losses: 0, ..Scenario::new(Rule::HalfAlways, 4, &[]) };
@@ -152,7 +152,7 @@
     cases.filter(is_stuck).collect()
 }
 
-// Guards against four voters that stop once two disks are lost, one of them known to be.
+/// Guards against four voters that stop once two disks are lost, one of them known to be.
 #[test]
 fn four_voters_are_left_with_a_quorum_after_any_two_losses() {
     let config = Config { current: Nodes::first(4), next: Nodes::first(4) };
@@ -165,7 +165,7 @@
     steps.map(|(from, next)| Config { current: Nodes::first(from), next })
 }
 
-// Guards against a change of voters that makes a group depend on more disks than before.
+/// Guards against a change of voters that makes a group depend on more disks than before.
 #[test]
 fn joint_steps_survive_two_losses_of_which_one_is_known() {
     for config in joint_steps() {
@@ -174,8 +174,8 @@
     }
 }
 
-// Guards against a statement about voters that are gone, and not known to be lost, that is too strong:
-// during a change such a voter counts as one of the two losses.
+/// Guards against a statement about voters that are gone, and not known to be lost, that is too strong:
+/// during a change such a voter counts as one of the two losses.
 #[test]
 fn joint_steps_survive_one_loss_beside_a_voter_that_is_gone() {
     for config in joint_steps() {
@@ -194,7 +194,7 @@
     }
 }
 
-// Guards against an exchange of a voter that is gone that needs more than the two sets of four do.
+/// Guards against an exchange of a voter that is gone that needs more than the two sets of four do.
 #[test]
 fn an_exchange_of_four_voters_survives_the_loss_of_the_successor_and_a_known_one() {
     let [_, _, (_, next)] = changes(4);
--- a/crates/raft/tests/scenarios.rs
+++ b/crates/raft/tests/scenarios.rs
@@ -83,6 +83,10 @@
                 let (leader, id) = pair(&mut args)?;
                 return Ok(self.change(leader, MembershipChange::Promote(id)));
             }
+            "demote" => {
+                let (leader, id) = pair(&mut args)?;
+                return Ok(self.change(leader, MembershipChange::Demote(id)));
+            }
             "remove" => {
                 let (leader, id) = pair(&mut args)?;
                 return Ok(self.change(leader, MembershipChange::Remove(id)));
@@ -100,6 +104,10 @@
                     Err(e) => e.to_string(),
                 });
             }
+            "note-lost" => {
+                let (id, lost) = pair(&mut args)?;
+                self.sim.with(id, |raft| raft.note_lost_disk(lost));
+            }
             "isolate" => {
                 for id in ids(&mut args)? {
                     let others: Vec<_> = self.sim.nodes.keys().copied().collect();
--- a/crates/toucansilld/src/gateway.rs
+++ b/crates/toucansilld/src/gateway.rs
@@ -32,6 +32,7 @@
 mod identity;
 mod lead;
 mod limits;
+mod lost_disks;
 mod members;
 mod messages;
 mod paths;
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -564,6 +564,9 @@
                     reply(responder, &control.release(id, &address).await);
                 });
             }
+            LeaderRequest::Identify => {
+                reply(responder, &LeaderReply::Identified { id: self.member });
+            }
             // Answered before, by daemons without a control part as well.
             LeaderRequest::Probe { .. } => reply(responder, &self.not_leader()),
         }
--- a/crates/toucansilld/src/gateway/daemon.rs
+++ b/crates/toucansilld/src/gateway/daemon.rs
@@ -122,6 +122,7 @@
         control.set_links(Arc::clone(&links));
         tasks.spawn("Raft messages", send_raft(Arc::clone(control), outgoing));
         tasks.spawn("leadership", Arc::clone(control).watch_leadership());
+        tasks.spawn("lost disks", Arc::clone(control).find_lost_disks());
         tasks.spawn("placements", Arc::clone(control).poll_waiting_requests());
         tasks.spawn("followers", Arc::clone(control).serve_followers());
         tasks.spawn("refreshes", Arc::clone(control).send_refreshes());
--- a/crates/toucansilld/src/gateway/group_report.rs
+++ b/crates/toucansilld/src/gateway/group_report.rs
@@ -31,6 +31,8 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Missing {
     NoAddress,
+    /// Its disk is lost.
+    LostDisk,
     Unreachable(LinkFailureKind),
     /// It is reached and hasn't answered.
     NoAnswer,
@@ -44,6 +46,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::NoAddress => "no address",
+            Self::LostDisk => "lost disk",
             Self::Unreachable(LinkFailureKind::Refused) => "refused",
             Self::Unreachable(LinkFailureKind::Timeout) => "timeout",
             Self::Unreachable(LinkFailureKind::NoHandshake) => "no handshake",
@@ -136,6 +139,7 @@
 fn reason(status: &Status, id: NodeId, contact: Contact) -> Missing {
     let is_newer = status.candidate_logs.get(&id).is_some_and(|last| *last > status.last_index);
     match (status.votes.get(&id), contact) {
+        _ if status.known_lost.contains(&id) => Missing::LostDisk,
         (Some(_), _) if is_newer => Missing::NewerLog,
         (Some(_), _) => Missing::Against,
         (None, Contact::Unknown) => Missing::NoAddress,
@@ -173,8 +177,8 @@
     )
 }
 
-/// How the members have changed since `former`, as a member itself sees it: voters that came (`+`) and went
-/// (`-`), learners that came, and the voters now.
+/// How the members have changed since `former`, as a member itself sees it: voters that came (`+`), voters that were set
+/// aside as learners, members that went (`-`), learners that came, and the voters now.
 pub fn members_changed(
     former: &Membership,
     status: &Status,
@@ -185,9 +189,12 @@
     let mut changes = Vec::new();
     if !former.is_empty() {
         let came = members.voters.difference(&former.voters);
+        let set_aside = former.voters.difference(&members.voters);
+        let set_aside = set_aside.filter(|id| members.contains(**id));
         let gone = former.nodes().filter(|id| !members.contains(*id));
         let learners = members.learners.iter().filter(|id| !former.contains(**id));
         changes.extend(came.map(|id| format!("+{}", name(*id))));
+        changes.extend(set_aside.map(|id| format!("set aside {}", name(*id))));
         changes.extend(gone.map(|id| format!("-{}", name(id))));
         changes.extend(learners.map(|id| format!("learner {}", name(*id))));
     }
@@ -297,6 +304,22 @@
         MembershipChange::Exchange { old, new } => {
             format!("+{} -{}, {}", name(new), name(old), absence(old))
         }
+        MembershipChange::ExchangeTwo { old: [first, second], new } => format!(
+            "+{} -{} -{}, {}, {}",
+            name(new),
+            name(first),
+            name(second),
+            absence(first),
+            absence(second)
+        ),
+        MembershipChange::Demote(id) => format!("set aside {}, {}", name(id), absence(id)),
+        MembershipChange::DemoteTwo([first, second]) => format!(
+            "set aside {} {}, {}, {}",
+            name(first),
+            name(second),
+            absence(first),
+            absence(second)
+        ),
     }
 }
 
@@ -312,6 +335,13 @@
         MembershipChange::Promote(id) => format!("+{}", name(id)),
         MembershipChange::AddLearner(id) => format!("learner {}", name(id)),
         MembershipChange::Exchange { old, new } => format!("+{} -{}", name(new), name(old)),
+        MembershipChange::ExchangeTwo { old: [first, second], new } => {
+            format!("+{} -{} -{}", name(new), name(first), name(second))
+        }
+        MembershipChange::Demote(id) => format!("set aside {}", name(id)),
+        MembershipChange::DemoteTwo([first, second]) => {
+            format!("set aside {} {}", name(first), name(second))
+        }
     };
     format!("{change}, as {} stops as planned", name(id))
 }
--- /dev/null
+++ b/crates/toucansilld/src/gateway/lost_disks.rs
@@ -0,0 +1,68 @@
+//! Losses of disks that a member without a leader finds out about.
+//!
+//! A daemon that has another id than the voter that was at its address has an empty disk behind it: ids are
+//! stored with the log, and never used again. With that knowledge half of an even number of voters can elect a
+//! leader; see [`raft::Membership`].
+
+use super::{
+    control::ControlMember,
+    messages::{LeaderReply, LeaderRequest},
+};
+use group::{NodeId, Status};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{task::JoinSet, time::sleep};
+
+/// Interval at which a member without a leader asks the voters for their ids: less than the shortest election timeout.
+const IDENTIFY_INTERVAL: Duration = Duration::from_millis(300);
+/// Timeout for the reply.
+const IDENTIFY_TIMEOUT: Duration = Duration::from_millis(400);
+
+impl ControlMember {
+    /// Asks for the ids of the daemons at the addresses of voters while this member knows no leader, until the
+    /// task is aborted.
+    pub(crate) async fn find_lost_disks(self: Arc<Self>) {
+        loop {
+            sleep(IDENTIFY_INTERVAL).await;
+            let status = self.voter().status();
+            let mut asked = JoinSet::new();
+            for (id, address) in self.unheard_voters(&status) {
+                let control = Arc::clone(&self);
+                asked.spawn(async move { (id, address, control.identify(address).await) });
+            }
+            for (id, address, found) in asked.join_all().await {
+                if let Some(found) = found.filter(|found| *found != id) {
+                    log::warn!(member = id; "{address}: the disk of {id} is lost, as {found} is there");
+                    self.voter().note_lost_disk(id);
+                }
+            }
+        }
+    }
+
+    /// Voters that haven't granted this member's last request for votes, with their addresses; none on a member that can't be
+    /// elected, or needn't.
+    fn unheard_voters(&self, status: &Status) -> Vec<(NodeId, SocketAddr)> {
+        let members = &status.membership;
+        if status.leader.is_some() || !members.is_voter(status.id) {
+            return Vec::new();
+        }
+        let is_unheard = |id: &NodeId| {
+            *id != status.id && !status.votes.contains_key(id) && !status.known_lost.contains(id)
+        };
+        let unheard = members.voters.iter().copied().filter(is_unheard);
+        unheard.filter_map(|id| Some((id, self.link_address_of(id)?))).collect()
+    }
+
+    /// Id of the member at an address; `None` if it doesn't tell.
+    async fn identify(&self, address: SocketAddr) -> Option<NodeId> {
+        let reply = self.links().request(address, &LeaderRequest::Identify, IDENTIFY_TIMEOUT).await;
+        match reply {
+            Ok(LeaderReply::Identified { id }) => Some(id),
+            Ok(_) => None,
+            // It is down, or of an earlier build.
+            Err(err) => {
+                log::debug!("{address}: not identified: {err}");
+                None
+            }
+        }
+    }
+}
--- a/crates/toucansilld/src/gateway/members.rs
+++ b/crates/toucansilld/src/gateway/members.rs
@@ -9,8 +9,8 @@
 use group::{
     MembershipChange, NodeId, Status,
     joining::{
-        GroupView, LeaveStep, Presence, ReplaceAfter, next_join_step, next_leave_step,
-        surplus_voter,
+        GroupView, LeaveStep, Presence, SilenceLimits, needs_presence, next_join_step,
+        next_leave_step, next_upkeep_step,
     },
 };
 use std::{
@@ -27,13 +27,14 @@
 
 /// Interval of Raft ticks. With it, elections take 0.5 s to 1 s.
 pub(crate) const TICK: Duration = Duration::from_millis(50);
-/// Ticks of silence after which members may be replaced. Each leader counts them anew, so a leader has
+/// Ticks of silence after which members may be replaced: 1 s, 30 s and 5 min. Each leader counts them anew, so a leader has
 /// to last this long.
 ///
-/// Most members that restart are back within `alone`. A successor has a vote within 4 s of its start
-/// after `among_several`, also if the leader was lost together with its predecessor. A process that has been
+/// Most members that restart are back within `absent`, and a successor still has its vote within 4 s of its start,
+/// also if the leader was lost together with its predecessor. A process that has been
 /// suspended for `listening` isn't expected to come back by itself.
-const REPLACE_AFTER: ReplaceAfter = ReplaceAfter { alone: 20, among_several: 40, listening: 600 };
+const SILENCE_LIMITS: SilenceLimits =
+    SilenceLimits { absent: 20, listening: 600, forgotten: 6_000 };
 /// Ticks of silence after which the gauges count a member as not heard: two heartbeats and a
 /// margin.
 pub(crate) const UNHEARD_TICKS: u32 = 6;
@@ -83,7 +84,7 @@
         addresses: &nodes.filter_map(|id| Some((id, address_of(id)?))).collect(),
         target_voters: members_for(tolerated_losses),
         presence,
-        replace_after: REPLACE_AFTER,
+        limits: SILENCE_LIMITS,
     })
 }
 
@@ -152,7 +153,13 @@
                 log::warn!(member = id, change:? = change; "member has not joined: {err}");
                 return LeaderReply::ChangePending;
             }
-            if matches!(change, MembershipChange::Promote(_) | MembershipChange::Exchange { .. }) {
+            let has_vote = matches!(
+                change,
+                MembershipChange::Promote(_)
+                    | MembershipChange::Exchange { .. }
+                    | MembershipChange::ExchangeTwo { .. }
+            );
+            if has_vote {
                 log::info!(member = id; "member has joined");
             }
         }
@@ -197,28 +204,40 @@
         }
     }
 
-    /// Removes a member that is one too many and doesn't answer, as its process ended before it could
-    /// leave.
-    async fn remove_surplus(self: &Arc<Self>, status: &Status) {
-        if !self.has_surplus(status) {
-            return;
-        }
-        let presence = self.probe_silent_voters(status).await;
+    /// Makes the changes of the members that are due without a request, such as for a member that is one too many, as its
+    /// process ended before it could leave.
+    async fn keep_up(self: &Arc<Self>, status: &Status) {
+        let unknown = BTreeMap::new();
+        let presence = match self.with_view(status, &unknown, needs_presence) {
+            true => self.probe_silent_voters(status).await,
+            false => unknown,
+        };
         let Some(_guard) = self.try_start_membership_change() else { return };
         let status = self.voter().status();
-        let Some(id) = self.with_view(&status, &presence, surplus_voter) else { return };
+        if !status.is_leader() {
+            return;
+        }
+        let Some(change) = self.with_view(&status, &presence, next_upkeep_step) else { return };
+        let (what, ids) = match change {
+            MembershipChange::Demote(id) => ("surplus member removed", vec![id]),
+            MembershipChange::DemoteTwo(ids) => ("surplus member removed", ids.to_vec()),
+            MembershipChange::Remove(id) => ("former member removed", vec![id]),
+            other => return log::error!("{other:?} isn't made without a request"),
+        };
         let members = status.membership.voters.len();
-        let silent_ticks = status.silent_ticks.get(&id).copied().unwrap_or_default();
-        let address = self.voter().address_of(id);
-        log::warn!(
-            member = id, members, silent_ticks;
-            "surplus member removed: -{}, {}{}",
-            group_report::short_name(id, address.as_deref()),
-            group_report::silence(&status, id),
-            group_report::probed(&presence)
-        );
-        if let Err(err) = self.change_members(MembershipChange::Remove(id)).await {
-            log::warn!(member = id; "surplus member not removed: {err}");
+        for id in ids {
+            let silent_ticks = status.silent_ticks.get(&id).copied().unwrap_or_default();
+            let address = self.voter().address_of(id);
+            log::warn!(
+                member = id, members, silent_ticks;
+                "{what}: -{}, {}{}",
+                group_report::short_name(id, address.as_deref()),
+                group_report::silence(&status, id),
+                group_report::probed(&presence)
+            );
+        }
+        if let Err(err) = self.change_members(change).await {
+            log::warn!(change:? = change; "{what}: not done: {err}");
         }
     }
 
@@ -282,7 +301,7 @@
         members.chain(entries.map(|relay| SocketAddr::new(relay.ip(), port))).collect()
     }
 
-    fn link_address_of(&self, id: NodeId) -> Option<SocketAddr> {
+    pub(super) fn link_address_of(&self, id: NodeId) -> Option<SocketAddr> {
         self.voter().address_of(id)?.parse().ok()
     }
 
@@ -371,7 +390,7 @@
             // A member that knows no leader may have been removed: nobody informs it of that.
             if status.membership.is_voter(status.id) && status.leader.is_some() {
                 if status.is_leader() {
-                    self.remove_surplus(&status).await;
+                    self.keep_up(&status).await;
                 }
                 sleep(MEMBERSHIP_CHECK_INTERVAL).await;
                 continue;
--- a/crates/toucansilld/src/gateway/messages.rs
+++ b/crates/toucansilld/src/gateway/messages.rs
@@ -104,6 +104,9 @@
         /// Link address of the member.
         address: String,
     },
+    /// Asks a member of the control group for its id. If it isn't the one that is expected at its address, the disk of
+    /// that one is lost.
+    Identify,
 }
 
 /// Run of an upstream that has registered again with nothing new.
@@ -189,6 +192,11 @@
         /// Whether the member's process accepts connections.
         is_listening: bool,
     },
+    /// Reply to [`LeaderRequest::Identify`].
+    Identified {
+        /// Id that the daemon has as a voter.
+        id: u64,
+    },
 }
 
 /// Daemon that relays messages to upstreams.
--- a/crates/toucansilld/src/voter.rs
+++ b/crates/toucansilld/src/voter.rs
@@ -147,6 +147,11 @@
         }
     }
 
+    /// Tells the voter that the disk of another one is lost.
+    pub(crate) fn note_lost_disk(&self, id: NodeId) {
+        self.handle.note_lost_disk(id);
+    }
+
     /// Transfers leadership to another voter, so that a planned stop costs no election.
     pub(crate) fn step_down(&self) {
         if let Err(err) = self.handle.step_down(CONFIRM_TIMEOUT) {
@@ -251,9 +256,7 @@
                 self.learn_address(id, address);
                 self.add(id)?
             }
-            VoterChange::Remove { id } => {
-                self.handle.change_membership(MembershipChange::Remove(id), MEMBERSHIP_TIMEOUT)?
-            }
+            VoterChange::Remove { id } => self.handle.remove_member(id, MEMBERSHIP_TIMEOUT)?,
             VoterChange::Replace { old, new, address } => {
                 self.learn_address(new, address);
                 self.handle.replace_voter(old, new, MEMBERSHIP_TIMEOUT)?
