Log what came before a group had no leader

Five lines of 200 characters a process told the end of a group that has lost its voters from that of one whose leaders don't last, and not how they came about: the lines that say so are seconds older than the first refused call.

Each 2 s without a leader, a member logs since when, how many leaders it has known, for how long its voter was held up, and the last change of the members with its age, within 83 characters of text. a_cut_line_says_what_came_before_a_group_had_no_leader renders and cuts it.

--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -255,11 +255,15 @@
                 [observer.pause(&status, slept_at, now), observer.voter_pause(&status, now)];
             pauses.iter().flatten().for_each(|text| log::warn!("{text}"));
             self.report_members(&mut observer, &status);
+            observer.observe(&status, now);
             if status.leader.is_some() {
                 leaderless_report_due = self.clock.now() + LEADERLESS_REPORT_INTERVAL;
             } else if self.clock.now() >= leaderless_report_due {
                 leaderless_report_due = self.clock.now() + LEADERLESS_REPORT_INTERVAL;
                 self.report_leaderless(&status);
+                if let Some(text) = observer.leaderless(now) {
+                    log::warn!(member = status.id; "{text}");
+                }
             }
             let leading_term = lock(&self.leader).as_ref().map(LeaderState::term);
             match (status.is_leader(), leading_term) {
@@ -351,7 +355,8 @@
     /// Logs a change of the members since the last call.
     fn report_members(&self, observer: &mut Observer, status: &Status) {
         let address_of = |id| self.voter.address_of(id);
-        let Some(text) = observer.members_changed(status, address_of) else { return };
+        let now = self.clock.now();
+        let Some(text) = observer.members_changed(status, now, address_of) else { return };
         let voters = status.membership.voters.iter();
         let voters: Vec<String> =
             voters.map(|id| format!("{id} {}", address_of(*id).unwrap_or_default())).collect();
--- a/crates/toucansilld/src/gateway/group_report.rs
+++ b/crates/toucansilld/src/gateway/group_report.rs
@@ -185,19 +185,7 @@
     address_of: impl Fn(NodeId) -> Option<String>,
 ) -> String {
     let members = &status.membership;
-    let name = |id: NodeId| short_name(id, address_of(id).as_deref());
-    let mut changes = Vec::new();
-    if !former.is_empty() {
-        let came = members.voters.difference(&former.voters);
-        let set_aside = former.voters.difference(&members.voters);
-        let set_aside = set_aside.filter(|id| members.contains(**id));
-        let gone = former.nodes().filter(|id| !members.contains(*id));
-        let learners = members.learners.iter().filter(|id| !former.contains(**id));
-        changes.extend(came.map(|id| format!("+{}", name(*id))));
-        changes.extend(set_aside.map(|id| format!("set aside {}", name(*id))));
-        changes.extend(gone.map(|id| format!("-{}", name(id))));
-        changes.extend(learners.map(|id| format!("learner {}", name(*id))));
-    }
+    let mut changes = changes_since(former, members, &address_of);
     if members.is_joint() {
         changes.push(String::from("joint"));
     }
@@ -211,6 +199,28 @@
     )
 }
 
+/// Changes of the members since `former`, without those of a member that had none before.
+fn changes_since(
+    former: &Membership,
+    members: &Membership,
+    address_of: &impl Fn(NodeId) -> Option<String>,
+) -> Vec<String> {
+    if former.is_empty() {
+        return Vec::new();
+    }
+    let name = |id: &NodeId| short_name(*id, address_of(*id).as_deref());
+    let came = members.voters.difference(&former.voters);
+    let lost_vote = former.voters.difference(&members.voters);
+    let set_aside = lost_vote.filter(|id| members.contains(**id));
+    let gone = former.nodes().filter(|id| !members.contains(*id));
+    let learners = members.learners.iter().filter(|id| !former.contains(**id));
+    let came = came.map(|id| format!("+{}", name(id)));
+    let set_aside = set_aside.map(|id| format!("set aside {}", name(id)));
+    let gone = gone.map(|id| format!("-{}", name(&id)));
+    let learners = learners.map(|id| format!("learner {}", name(id)));
+    came.chain(set_aside).chain(gone).chain(learners).collect()
+}
+
 /// What a member has reported of its voter and its group.
 #[derive(Debug)]
 pub struct Observer {
@@ -221,6 +231,14 @@
     paused_until: Instant,
     /// When the voter's thread last ran, while it is known to be blocked.
     voter_blocked_since: Option<Instant>,
+    /// The last change of the members, and when it was seen.
+    last_change: Option<(Instant, String)>,
+    /// Since when no leader is known.
+    leaderless_since: Option<Instant>,
+    /// Leaders that were known since this member started.
+    leaders: u64,
+    /// Longest time for which the voter's thread didn't run since a leader was known.
+    longest_block: Duration,
 }
 
 impl Observer {
@@ -231,9 +249,49 @@
             ticks: status.ticks,
             paused_until: now,
             voter_blocked_since: None,
+            last_change: None,
+            leaderless_since: status.leader.is_none().then_some(now),
+            leaders: u64::from(status.leader.is_some()),
+            longest_block: Duration::ZERO,
         }
     }
 
+    /// Notes whether a leader is known, and for how long the voter's thread hasn't run.
+    pub fn observe(&mut self, status: &Status, now: Instant) {
+        let block = status
+            .published_at
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at.max(self.paused_until)));
+        match (status.leader, self.leaderless_since) {
+            (None, None) => {
+                self.leaderless_since = Some(now);
+                self.longest_block = block;
+            }
+            (None, Some(_)) => self.longest_block = self.longest_block.max(block),
+            (Some(_), Some(_)) => {
+                self.leaderless_since = None;
+                self.leaders += 1;
+            }
+            (Some(_), None) => {}
+        }
+    }
+
+    /// What came before the group had no leader: since when, how often there was one, what held up this member's voter and
+    /// how the members changed last. It tells a group that has lost its voters from one whose leaders don't last.
+    pub fn leaderless(&self, now: Instant) -> Option<String> {
+        let since = self.leaderless_since?;
+        let seconds = |at: Instant| now.saturating_duration_since(at).as_secs_f64();
+        let change = match &self.last_change {
+            Some((at, text)) => format!("{:.0} s ago: {text}", seconds(*at)),
+            None => String::from("same members"),
+        };
+        Some(format!(
+            "leaderless {:.0} s, leaders {}, blocked {:.1} s, {change}",
+            seconds(since),
+            self.leaders,
+            self.longest_block.as_secs_f64()
+        ))
+    }
+
     /// Reports a sleep of a few milliseconds that has lasted for more than a second. If the voter's thread ran
     /// meanwhile, only the event loop was blocked.
     pub fn pause(&mut self, status: &Status, slept_at: Instant, now: Instant) -> Option<String> {
@@ -272,12 +330,17 @@
     pub fn members_changed(
         &mut self,
         status: &Status,
+        now: Instant,
         address_of: impl Fn(NodeId) -> Option<String>,
     ) -> Option<String> {
         if status.membership == self.membership {
             return None;
         }
         let former = mem::replace(&mut self.membership, status.membership.clone());
+        let changes = changes_since(&former, &status.membership, &address_of).join(" ");
+        if !changes.is_empty() {
+            self.last_change = Some((now, changes));
+        }
         Some(members_changed(&former, status, address_of))
     }
 }
--- a/crates/toucansilld/tests/log_lines.rs
+++ b/crates/toucansilld/tests/log_lines.rs
@@ -262,6 +262,35 @@
     assert_eq!(text, "event loop blocked for 3.0 s");
 }
 
+/// A group that had lost its voters and one whose leaders didn't last, as disks were slow, logged the same lines at the end.
+#[test]
+fn a_cut_line_says_what_came_before_a_group_had_no_leader() {
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let with = |leader, published| Status { leader, published_at: Some(at(published)), ..status() };
+    let mut observer = Observer::new(&with(None, 0), start);
+    assert_eq!(
+        observer.leaderless(at(2)).expect("none yet"),
+        "leaderless 2 s, leaders 0, blocked 0.0 s, same members"
+    );
+    for (second, leader) in [(2, Some(IDS[1])), (3, None), (4, Some(IDS[2]))] {
+        observer.observe(&with(leader, second), at(second));
+    }
+    assert_eq!(observer.leaderless(at(4)), None);
+    let learner = status().membership.after(MembershipChange::AddLearner(NEW_ID)).expect("valid");
+    let exchange = MembershipChange::Exchange { old: IDS[0], new: NEW_ID };
+    let membership = learner.after(exchange).expect("valid").after_joint();
+    let changed = Status { membership, ..with(Some(IDS[2]), 5) };
+    observer.members_changed(&changed, at(5), address_of).expect("a change");
+    observer.observe(&with(None, 5), at(6));
+    observer.observe(&with(None, 7), at(9));
+    let text = observer.leaderless(at(20)).expect("no leader");
+    let expected =
+        "leaderless 14 s, leaders 2, blocked 2.0 s, 15 s ago: +6624@0.24 set aside 1119@0.19";
+    assert_eq!(text, expected);
+    check_within_cut(CONTROL, &text, &["blocked 2.0 s, 15 s ago: +6624@0.24 set aside 1119"]);
+}
+
 fn call(path: &str) -> RefusedCall {
     RefusedCall { method: String::from("PUT"), path: path.to_owned(), status: 503 }
 }
