--- a/crates/toucansilld/tests/gateway/main.rs
+++ b/crates/toucansilld/tests/gateway/main.rs
@@ -20,6 +20,7 @@
 mod region;
 mod replacements;
 mod restarts;
+mod set_aside;
 mod silences;
 mod stand_ins;
 mod stops;
--- a/crates/toucansilld/tests/gateway/replacements.rs
+++ b/crates/toucansilld/tests/gateway/replacements.rs
@@ -217,3 +217,28 @@
     region.start(entry, false);
     eventually("a leader", || region.log(entry).contains("leader followed").then_some(()));
 }
+
+/// The leader removed a daemon with an empty disk as the former node of the voter at its address, whose vote it was to take:
+/// it had to begin anew with another id, several times in a row.
+#[test]
+fn a_daemon_with_an_empty_disk_has_a_vote_under_its_first_id() {
+    let mut region = Region::new(5);
+    region.start_all(true);
+    region.await_members(5);
+    for i in (0..5).chain(0..5) {
+        region.kill(i);
+        region.lose_disk(i);
+        region.start(i, false);
+        eventually("a vote", || {
+            let joined = format!("\"member\":{}", region.stored_id(i)?.trim());
+            let has_joined = |log: String| {
+                log.lines().any(|l| l.contains("member has joined") && l.contains(&joined))
+            };
+            (0..5).any(|i| has_joined(region.log(i))).then_some(())
+        });
+        let log = region.log(i);
+        let removed = log.lines().find(|line| line.contains("its id was removed"));
+        assert_eq!(removed, None);
+        region.await_members(5);
+    }
+}
