--- a/crates/toucansilld/tests/gateway/exchanges.rs
+++ b/crates/toucansilld/tests/gateway/exchanges.rs
@@ -132,10 +132,11 @@
     assert_eq!(version(&body), 7);
 }
 
-/// The lines of the control daemons about changes of the members.
+/// The lines of the control daemons about changes of the members and leaders, and what held them up.
 pub(crate) fn membership_lines(region: &Region) -> String {
-    let is_change =
-        |line: &&str| ["Exchange", "Remove", "surplus"].iter().any(|word| line.contains(word));
+    const WORDS: [&str; 6] =
+        ["members at ", "member admitted", "surplus", "lead", "the disk ", "blocked"];
+    let is_change = |line: &&str| WORDS.iter().any(|word| line.contains(word));
     let logs = (0..=SUCCESSOR + 1).map(|i| (i, region.log(i)));
     logs.flat_map(|(i, log)| {
         let lines: Vec<String> =
