--- a/crates/group/src/handle.rs
+++ b/crates/group/src/handle.rs
@@ -23,7 +23,8 @@
     pub(crate) requests: Sender<Request>,
     pub(crate) messages: Sender<Message>,
     pub(crate) status: Arc<Mutex<Status>>,
-    /// Time without a new status after which a leader doesn't count as one; `None` on a node that only requests tick.
+    /// Time without a new status after which a leader doesn't count as one; `None` on a node that
+    /// only requests tick.
     pub(crate) max_pause: Option<Duration>,
     pub(crate) clock: SharedClock,
     pub(crate) thread: Arc<Mutex<Option<JoinHandle<()>>>>,
@@ -111,30 +112,33 @@
         }
     }
 
-    /// The node's last published status. A node whose thread has waited for its disk for longer than any election
-    /// timeout is shown as one that doesn't lead and knows no leader.
+    /// The node's last published status. A node whose thread has waited for its disk for longer
+    /// than any election timeout is shown as one that doesn't lead and knows no leader.
     pub fn status(&self) -> Status {
         let published = self.status.lock().unwrap_or_else(PoisonError::into_inner);
         published.as_of(self.clock.now(), self.max_pause)
     }
 
-    /// Changes the membership. Returns the log index of the change once it is committed and, if the voters
-    /// change, their membership isn't joint any more. While another change is uncommitted or the voters
-    /// are joint, or the learner to promote hasn't caught up, the change waits. Both parts may take the whole timeout.
+    /// Changes the membership. Returns the log index of the change once it is committed and, if the
+    /// voters change, their membership isn't joint any more. While another change is uncommitted or
+    /// the voters are joint, or the learner to promote hasn't caught up, the change waits. Both
+    /// parts may take the whole timeout.
     ///
     /// # Errors
     ///
-    /// [`Error::is_refused_change`], [`Error::is_not_leader`], [`Error::is_unknown`]. A leader that demotes itself may
-    /// lead no more once that is committed.
+    /// [`Error::is_refused_change`], [`Error::is_not_leader`], [`Error::is_unknown`]. A leader that
+    /// demotes itself may lead no more once that is committed.
     pub fn change_membership(&self, change: MembershipChange, timeout: Duration) -> Result<Index> {
         let index = self.await_goal(Goal::MembershipChange(change), timeout)?;
         self.await_goal(Goal::Settled, timeout)?;
         Ok(index)
     }
 
-    /// Removes a member, and retires its id: a voter becomes a learner first. Does nothing if it is no member.
+    /// Removes a member, and retires its id: a voter becomes a learner first. Does nothing if it is
+    /// no member.
     ///
-    /// Each step may take the whole timeout. If one fails, call this again: steps that were completed are skipped.
+    /// Each step may take the whole timeout. If one fails, call this again: steps that were
+    /// completed are skipped.
     ///
     /// # Errors
     ///
@@ -153,11 +157,11 @@
     /// Replaces the voter `old` with the node `new`, which must be running with
     /// [`StartMode::Join`](crate::StartMode::Join).
     ///
-    /// Adds the new node as a learner and waits until it has caught up. Then it promotes the new node
-    /// and demotes the old one, or exchanges the two if the old one doesn't answer, and removes the old one; see
-    /// [`joining`](crate::joining).
-    /// At last it waits until the new node has all of this on its disk. From then on a second voter may
-    /// be lost without losing committed commands. Returns the log index that the new node holds.
+    /// Adds the new node as a learner and waits until it has caught up. Then it promotes the new
+    /// node and demotes the old one, or exchanges the two if the old one doesn't answer, and
+    /// removes the old one; see [`joining`](crate::joining). At last it waits until the new node
+    /// has all of this on its disk. From then on a second voter may be lost without losing
+    /// committed commands. Returns the log index that the new node holds.
     ///
     /// Each step may take the whole timeout. If a step fails, call this again: steps that were
     /// completed are skipped.
@@ -199,8 +203,8 @@
         receive(&rx, LOCAL_TIMEOUT)
     }
 
-    /// Tells the node that the disk of a voter is lost; see [`Raft::note_lost_disk`](raft::Raft::note_lost_disk). Dropped if
-    /// the request queue is full.
+    /// Tells the node that the disk of a voter is lost; see
+    /// [`Raft::note_lost_disk`](raft::Raft::note_lost_disk). Dropped if the request queue is full.
     pub fn note_lost_disk(&self, id: NodeId) {
         if self.requests.try_send(Request::NoteLostDisk(id)).is_err() {
             log::debug!("the queue is full or the voter has stopped: a lost disk was not noted");
@@ -261,7 +265,8 @@
         receive(&rx, LOCAL_TIMEOUT)
     }
 
-    /// Stops the node and waits until its thread has ended and its data folder is closed, whoever stops it.
+    /// Stops the node and waits until its thread has ended and its data folder is closed, whoever
+    /// stops it.
     pub fn stop(&self) {
         // Fails if the node has already stopped.
         let _ = self.requests.send(Request::Stop);
--- a/crates/raft/src/election.rs
+++ b/crates/raft/src/election.rs
@@ -6,13 +6,13 @@
     types::{NodeId, Term},
 };
 
-/// Factors of a candidate's election timeout, by the number of its campaigns that have failed since it last knew a
-/// leader. The last one is for all further campaigns.
+/// Factors of a candidate's election timeout, by the number of its campaigns that have failed since
+/// it last knew a leader. The last one is for all further campaigns.
 const CAMPAIGN_TIMEOUT_FACTORS: [u32; 3] = [1, 4, 8];
 
 impl Raft {
-    /// When the election timeout has passed without a leader's message, starts a pre-vote, or, on a node
-    /// that may not campaign, only forgets the leader.
+    /// When the election timeout has passed without a leader's message, starts a pre-vote, or, on a
+    /// node that may not campaign, only forgets the leader.
     pub(crate) fn tick_election(&mut self) {
         self.election_elapsed = self.election_elapsed.saturating_add(1);
         if self.election_elapsed < self.election_timeout && !self.is_sole_voter() {
@@ -100,8 +100,8 @@
         self.hard_state.term += 1;
         self.hard_state.vote = Some(self.cfg.id);
         self.reset_election_timer();
-        // A vote waits for the voter's disk. If that takes longer than the timeout, the votes of each term come too
-        // late, as the next one has begun by then.
+        // A vote waits for the voter's disk. If that takes longer than the timeout, the votes of
+        // each term come too late, as the next one has begun by then.
         let last = CAMPAIGN_TIMEOUT_FACTORS.len() - 1;
         self.election_timeout *= CAMPAIGN_TIMEOUT_FACTORS[self.failed_campaigns.min(last)];
         let body = MessageBody::Vote { last: self.log.last(), transfer };
@@ -111,8 +111,8 @@
         }
     }
 
-    /// Begins a pre-vote or a vote. Losses of disks that become known later don't count in it: of the votes that it
-    /// has by then, some may have been cast before.
+    /// Begins a pre-vote or a vote. Losses of disks that become known later don't count in it: of
+    /// the votes that it has by then, some may have been cast before.
     fn request_votes(&mut self, term: Term, body: MessageBody) {
         self.excluded = self.known_lost.clone();
         self.votes.clear();
@@ -129,8 +129,8 @@
         }
     }
 
-    /// On a candidate that waits for longer than the minimum election timeout: requests the missing votes once more
-    /// after each of these, as messages may have been lost.
+    /// On a candidate that waits for longer than the minimum election timeout: requests the missing
+    /// votes once more after each of these, as messages may have been lost.
     fn resend_vote_requests(&mut self) {
         if self.role == Role::Candidate
             && self.election_elapsed.is_multiple_of(self.cfg.election_ticks)
--- a/crates/raft/src/joining.rs
+++ b/crates/raft/src/joining.rs
@@ -1,34 +1,36 @@
-//! Chooses the membership changes that keep a group at its size, and able to commit, while nodes are
-//! replaced.
+//! Chooses the membership changes that keep a group at its size, and able to commit, while nodes
+//! are replaced.
 //!
-//! A node that lost its disk must join again under a new id, as it may have voted under the old one.
-//! Nodes are also replaced as planned: a successor joins first, then its predecessor leaves. The leader
-//! calls these functions each time that a node asks to join or to leave, and now and then, and proposes the change that
-//! they return. They are pure functions of what a leader knows, so a new leader goes on where the last
-//! one ended.
+//! A node that lost its disk must join again under a new id, as it may have voted under the old
+//! one. Nodes are also replaced as planned: a successor joins first, then its predecessor leaves.
+//! The leader calls these functions each time that a node asks to join or to leave, and now and
+//! then, and proposes the change that they return. They are pure functions of what a leader knows,
+//! so a new leader goes on where the last one ended.
 //!
-//! The changes keep the voters whose disks are whole a quorum at every step, wherever the tolerated number of
-//! disks is lost:
+//! The changes keep the voters whose disks are whole a quorum at every step, wherever the tolerated
+//! number of disks is lost:
 //!
 //! - An absent voter is exchanged for another node. It may be gone for good, or come back with its
-//!   disk. In the joint membership both cases leave a quorum, also if the new node is lost as well; see
-//!   [`Membership`].
-//! - A voter that loses its vote because it is absent becomes a learner. It keeps its id and its disk, and
-//!   is promoted again once it answers. Only a learner whose disk is known to be lost, which leaves as planned or which
-//!   has been silent for very long is removed.
-//! - Of several absent voters, one may be gone for good and another one come back with its disk, and nothing tells them
-//!   apart. A group that counts the former and not the latter depends on a disk too many. So two of them become learners, as long as
-//!   [enough voters](GroupView::min_voters) are left: these answer. Both are exchanged for the new node in one change, as
-//!   either order of two changes counts a disk too few in between. The same holds for a voter that leaves as planned beside a
-//!   learner that was set aside before.
-//! - A process that accepts connections has its disk, even if it is suspended, and keeps its vote; see [`Presence`].
-//! - A voter that answers and leaves as planned loses its vote after another node has been promoted, as each of the two steps
-//!   then tolerates as many losses as a group of its usual size.
-//! - A group that has all of its voters grows only if every one of them has answered since the new node was
-//!   added. So a node whose predecessor has just been lost waits until the leader notices.
+//!   disk. In the joint membership both cases leave a quorum, also if the new node is lost as well;
+//!   see [`Membership`].
+//! - A voter that loses its vote because it is absent becomes a learner. It keeps its id and its
+//!   disk, and is promoted again once it answers. Only a learner whose disk is known to be lost,
+//!   which leaves as planned or which has been silent for very long is removed.
+//! - Of several absent voters, one may be gone for good and another one come back with its disk,
+//!   and nothing tells them apart. A group that counts the former and not the latter depends on a
+//!   disk too many. So two of them become learners, as long as [enough
+//!   voters](GroupView::min_voters) are left: these answer. Both are exchanged for the new node in
+//!   one change, as either order of two changes counts a disk too few in between. The same holds
+//!   for a voter that leaves as planned beside a learner that was set aside before.
+//! - A process that accepts connections has its disk, even if it is suspended, and keeps its vote;
+//!   see [`Presence`].
+//! - A voter that answers and leaves as planned loses its vote after another node has been
+//!   promoted, as each of the two steps then tolerates as many losses as a group of its usual size.
+//! - A group that has all of its voters grows only if every one of them has answered since the new
+//!   node was added. So a node whose predecessor has just been lost waits until the leader notices.
 //!
-//! [`Raft::propose_change`](crate::Raft::propose_change) refuses any change after which the voters that
-//! answer would be no quorum without the new one.
+//! [`Raft::propose_change`](crate::Raft::propose_change) refuses any change after which the voters
+//! that answer would be no quorum without the new one.
 
 use crate::{Membership, MembershipChange, NodeId};
 use std::collections::{BTreeMap, BTreeSet};
@@ -84,7 +86,8 @@
 
 impl GroupView<'_> {
     /// Number of voters below which no voter is set aside: twice the number of losses that
-    /// [`target_voters`](Self::target_voters) tolerate. A majority of them is one more than these losses.
+    /// [`target_voters`](Self::target_voters) tolerate. A majority of them is one more than these
+    /// losses.
     pub fn min_voters(&self) -> usize {
         self.target_voters.saturating_sub(1).max(1)
     }
@@ -117,8 +120,9 @@
         ids.iter().copied().find(|other| *other != id && self.is_at(*other, address))
     }
 
-    /// Whether the disk of a silent learner is lost, as a voter has its address that was heard later. A learner that has
-    /// just been added may not have answered yet when the last answer of its former node arrives.
+    /// Whether the disk of a silent learner is lost, as a voter has its address that was heard
+    /// later. A learner that has just been added may not have answered yet when the last answer of
+    /// its former node arrives.
     fn is_lost_learner(&self, id: NodeId) -> bool {
         let silence = self.silence(id);
         let is_successor = |voter: &NodeId, address: &str| {
@@ -138,8 +142,8 @@
         learners.any(|id| absent.contains(&self.silence(*id)))
     }
 
-    /// The absent voters, with the one that is most likely gone at the end; none until all of them have been silent for
-    /// long enough.
+    /// The absent voters, with the one that is most likely gone at the end; none until all of them
+    /// have been silent for long enough.
     fn absent_voters(&self) -> Vec<NodeId> {
         let silent = self.members.voters.difference(self.reachable).copied();
         let known: Option<Vec<(Presence, u32, NodeId)>> =
@@ -160,13 +164,14 @@
     }
 }
 
-/// Returns the next change on the way of a node to a vote, or `None` if there is none to make now: the
-/// node is a voter or retired, has to catch up first, or has to wait for other voters or for a
+/// Returns the next change on the way of a node to a vote, or `None` if there is none to make now:
+/// the node is a voter or retired, has to catch up first, or has to wait for other voters or for a
 /// change of the voters that is under way. It asks again then.
 ///
-/// The node takes the place of members that were last known at the same address: their disks are lost.
-/// Otherwise, if the group has enough voters, it takes the place of an absent voter, or of two of them. If all voters answer, the node
-/// becomes an additional one, whose predecessor is expected to leave; see [`next_leave_step`].
+/// The node takes the place of members that were last known at the same address: their disks are
+/// lost. Otherwise, if the group has enough voters, it takes the place of an absent voter, or of
+/// two of them. If all voters answer, the node becomes an additional one, whose predecessor is
+/// expected to leave; see [`next_leave_step`].
 pub fn next_join_step(view: GroupView<'_>, id: NodeId, address: &str) -> Option<MembershipChange> {
     let members = view.members;
     if members.is_voter(id) || members.retired.contains(&id) || members.is_joint() {
@@ -189,7 +194,8 @@
     let reachable = view.reachable_voters();
     let is_confirmed = view.confirmed.contains(&id);
     let may_grow = match members.voters.len() < view.target_voters {
-        // An absent voter may be gone. It loses its vote to the node, so that the group doesn't depend on it.
+        // An absent voter may be gone. It loses its vote to the node, so that the group doesn't
+        // depend on it.
         true if members.voters.len() >= view.min_voters() && !view.are_silent_voters_there() => {
             false
         }
@@ -226,24 +232,26 @@
     Change(MembershipChange),
     /// Keeps the node as a member; the process may end.
     Keep,
-    /// Keeps the node for now: another one is joining, the voters are being changed, those that answer are
-    /// no majority without it, or its removal isn't known to be committed. The process should ask again.
+    /// Keeps the node for now: another one is joining, the voters are being changed, those that
+    /// answer are no majority without it, or its removal isn't known to be committed. The process
+    /// should ask again.
     Wait,
 }
 
 /// Plans how a node leaves the group before its process ends.
 ///
-/// A voter is removed only if the group has more than `target_voters` voters, that is, if its successor
-/// has joined; a learner that could succeed it is promoted first. Otherwise the process may just restart,
-/// and the node keeps its vote, unless another member is absent that may be the one which comes back: then the node stays as a
-/// learner. A learner that a whole group doesn't need is removed, and so is the voter that it was to replace.
+/// A voter is removed only if the group has more than `target_voters` voters, that is, if its
+/// successor has joined; a learner that could succeed it is promoted first. Otherwise the process
+/// may just restart, and the node keeps its vote, unless another member is absent that may be the
+/// one which comes back: then the node stays as a learner. A learner that a whole group doesn't
+/// need is removed, and so is the voter that it was to replace.
 pub fn next_leave_step(view: GroupView<'_>, id: NodeId, address: &str) -> LeaveStep {
     let members = view.members;
     if members.is_joint() {
         return LeaveStep::Wait;
     }
-    // A node that is no member may be a former one, whose request comes late, of a machine that has joined
-    // again.
+    // A node that is no member may be a former one, whose request comes late, of a machine that has
+    // joined again.
     if members.learners.contains(&id) {
         let former_voter = view.former_node(&members.voters, id, address);
         let former_learner = view.former_node(&members.learners, id, address);
@@ -290,10 +298,11 @@
 
 /// Returns a change that nobody asks for, if one is due.
 ///
-/// - A learner is removed whose disk is lost, or which has been silent for very long while all voters answer.
-/// - An absent voter is demoted if the group has more than `target_voters` voters. It
-///   is left over if it ended without leaving after its successor had joined. It raises
-///   the number of voters that a majority needs, so this never makes the group less tolerant. Two of them are demoted
+/// - A learner is removed whose disk is lost, or which has been silent for very long while all
+///   voters answer.
+/// - An absent voter is demoted if the group has more than `target_voters` voters. It is left over
+///   if it ended without leaving after its successor had joined. It raises the number of voters
+///   that a majority needs, so this never makes the group less tolerant. Two of them are demoted
 ///   together, as either may be the one that comes back.
 pub fn next_upkeep_step(view: GroupView<'_>) -> Option<MembershipChange> {
     let members = view.members;
--- a/crates/raft/src/lib.rs
+++ b/crates/raft/src/lib.rs
@@ -1,12 +1,12 @@
 //! The Raft consensus algorithm, as a library that does no I/O.
 //!
 //! A group of nodes replicates a log of commands. An entry is committed once a majority of the
-//! voters has it on disk, and every node applies the committed entries in the same order. The
-//! crate implements leader election with pre-votes, log replication, snapshots, membership
-//! changes one at a time, with joint consensus where the voters change, elections by half of an even number of voters
-//! once the disk of one is known to be lost ([`Membership`]), leadership transfer, and
-//! linearizable reads that need no log entry. It performs no I/O and reads no clock: the caller, the
-//! `group` crate, owns the thread, the disk and the network.
+//! voters has it on disk, and every node applies the committed entries in the same order. The crate
+//! implements leader election with pre-votes, log replication, snapshots, membership changes one at
+//! a time, with joint consensus where the voters change, elections by half of an even number of
+//! voters once the disk of one is known to be lost ([`Membership`]), leadership transfer, and
+//! linearizable reads that need no log entry. It performs no I/O and reads no clock: the caller,
+//! the `group` crate, owns the thread, the disk and the network.
 //!
 //! The inputs of a [`Raft`] node are ticks, messages and proposals. After each input, or after
 //! a batch of them, [`Raft::ready`] returns what to write, send and apply. The caller
--- a/crates/raft/src/membership.rs
+++ b/crates/raft/src/membership.rs
@@ -15,11 +15,11 @@
     ///
     /// # Errors
     ///
-    /// [`Error::is_not_leader`]; [`Error::is_busy`] while another change is uncommitted or the voters are
-    /// joint, while this leader hasn't committed an entry of its term, or while leadership is being
-    /// transferred; [`Error::is_behind`] while the learner to promote hasn't caught up;
-    /// [`Error::is_refused_change`] if the change is invalid for the current members, or if the
-    /// reachable voters would be no quorum without a new one.
+    /// [`Error::is_not_leader`]; [`Error::is_busy`] while another change is uncommitted or the
+    /// voters are joint, while this leader hasn't committed an entry of its term, or while
+    /// leadership is being transferred; [`Error::is_behind`] while the learner to promote hasn't
+    /// caught up; [`Error::is_refused_change`] if the change is invalid for the current members, or
+    /// if the reachable voters would be no quorum without a new one.
     pub fn propose_change(&mut self, change: MembershipChange) -> Result<LogPosition> {
         if !self.is_leader() {
             return Err(Error::not_leader(self.leader));
@@ -76,7 +76,8 @@
         let is_second = self.membership().voters.len() == 1;
         let is_moving = |id: NodeId| new == Some(id) || old.contains(&id);
         let counts = |id| self.is_reachable(id) && (is_second || !is_moving(id));
-        // A node that takes the place of a lost one is known to be lost, too, if its disk is lost right after that.
+        // A node that takes the place of a lost one is known to be lost, too, if its disk is lost
+        // right after that.
         let mut lost = self.excluded.clone();
         lost.extend(new.filter(|_| old.iter().any(|id| self.excluded.contains(id))));
         let is_kept = next.has_quorum_without(&lost, counts);
@@ -86,8 +87,8 @@
         }
     }
 
-    /// On a leader: ends the change of the voters once the joint membership is committed. From then on the
-    /// voters of afterwards decide alone.
+    /// On a leader: ends the change of the voters once the joint membership is committed. From then
+    /// on the voters of afterwards decide alone.
     pub(crate) fn end_joint(&mut self) {
         let members = self.membership();
         if self.is_leader()
@@ -101,8 +102,8 @@
         }
     }
 
-    /// On a leader: whether a member was heard from in this term, and within the last few heartbeats.
-    /// The leader itself always is.
+    /// On a leader: whether a member was heard from in this term, and within the last few
+    /// heartbeats. The leader itself always is.
     pub fn is_reachable(&self, id: NodeId) -> bool {
         /// Two heartbeats may be lost or late.
         const HEARTBEATS: u32 = 3;
@@ -111,8 +112,9 @@
         id == self.cfg.id || self.progress.get(&id).is_some_and(has_answered)
     }
 
-    /// On a leader: whether every reachable voter has answered since this member was added or,
-    /// if that was earlier, since this node leads. A voter that was lost before may still count as reachable.
+    /// On a leader: whether every reachable voter has answered since this member was added or, if
+    /// that was earlier, since this node leads. A voter that was lost before may still count as
+    /// reachable.
     pub fn is_confirmed_by_reachable(&self, id: NodeId) -> bool {
         let Some(member) = self.progress.get(&id) else { return false };
         let mut voters = self.membership().voters.iter().filter(|voter| self.is_reachable(**voter));
--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -57,8 +57,9 @@
     pub(crate) votes: BTreeMap<NodeId, bool>,
     /// See [`Raft::note_lost_disk`].
     pub(crate) known_lost: BTreeSet<NodeId>,
-    /// On a candidate or leader: voters whose disks were known to be lost when its campaign began. They don't count as
-    /// long as it is one, and half of an even number of voters is enough without them; see [`Membership`].
+    /// On a candidate or leader: voters whose disks were known to be lost when its campaign began.
+    /// They don't count as long as it is one, and half of an even number of voters is enough
+    /// without them; see [`Membership`].
     pub(crate) excluded: BTreeSet<NodeId>,
     /// See [`Raft::candidate_logs`].
     pub(crate) candidate_logs: BTreeMap<NodeId, Index>,
@@ -165,18 +166,20 @@
         self.dispatch(message);
     }
 
-    /// Records that the disk of a voter is lost: it will never act under its id again. From its next campaign on this
-    /// node doesn't count the voter, and half of an even number of voters is enough for it.
+    /// Records that the disk of a voter is lost: it will never act under its id again. From its
+    /// next campaign on this node doesn't count the voter, and half of an even number of voters is
+    /// enough for it.
     ///
-    /// Only a daemon with another id at the voter's address tells so. What the voter did before doesn't count in
-    /// such a campaign, so the loss must be known when it begins.
+    /// Only a daemon with another id at the voter's address tells so. What the voter did before
+    /// doesn't count in such a campaign, so the loss must be known when it begins.
     pub fn note_lost_disk(&mut self, id: NodeId) {
         if id != self.cfg.id && self.membership().is_voter(id) {
             self.known_lost.insert(id);
         }
     }
 
-    /// A node that sends a message hasn't lost its disk, whatever is at the address at which it was expected.
+    /// A node that sends a message hasn't lost its disk, whatever is at the address at which it was
+    /// expected.
     fn note_whole_disk(&mut self, id: NodeId) {
         self.known_lost.remove(&id);
         if self.excluded.contains(&id) {
@@ -277,7 +280,8 @@
         self.role == Role::Leader
     }
 
-    /// The leader of the current term, if the node knows it and has heard it within the election timeout.
+    /// The leader of the current term, if the node knows it and has heard it within the election
+    /// timeout.
     pub fn leader(&self) -> Option<NodeId> {
         self.leader
     }
@@ -317,12 +321,14 @@
         &self.memberships[self.memberships.len() - 1].1
     }
 
-    /// Index of the entry that holds these members, or of the snapshot that does; 0 on a node without any.
+    /// Index of the entry that holds these members, or of the snapshot that does; 0 on a node
+    /// without any.
     pub fn membership_index(&self) -> Index {
         self.memberships[self.memberships.len() - 1].0
     }
 
-    /// Whether the last change of the members is known to be committed. Until then it may be replaced.
+    /// Whether the last change of the members is known to be committed. Until then it may be
+    /// replaced.
     pub fn is_membership_committed(&self) -> bool {
         self.memberships[self.memberships.len() - 1].0 <= self.commit
     }
@@ -345,8 +351,8 @@
         self.progress.iter().filter(|(_, p)| p.has_lost_log).map(|(id, _)| *id)
     }
 
-    /// On a candidate: the voters that have answered its last request for votes, this node included, and
-    /// whether each would vote for it.
+    /// On a candidate: the voters that have answered its last request for votes, this node
+    /// included, and whether each would vote for it.
     pub fn votes(&self) -> &BTreeMap<NodeId, bool> {
         &self.votes
     }
@@ -366,7 +372,8 @@
         self.membership().quorum_value_without(&self.excluded, value)
     }
 
-    /// Last index of each other node, as of its latest request for votes since this node knew a leader.
+    /// Last index of each other node, as of its latest request for votes since this node knew a
+    /// leader.
     pub fn candidate_logs(&self) -> &BTreeMap<NodeId, Index> {
         &self.candidate_logs
     }
--- a/crates/raft/src/types.rs
+++ b/crates/raft/src/types.rs
@@ -92,7 +92,8 @@
     Promote(NodeId),
     /// Removes a learner and retires its id.
     Remove(NodeId),
-    /// Gives the vote of a voter to a learner that has caught up. The former voter becomes a learner.
+    /// Gives the vote of a voter to a learner that has caught up. The former voter becomes a
+    /// learner.
     Exchange {
         /// Voter that loses its vote.
         old: NodeId,
@@ -101,7 +102,8 @@
     },
     /// Turns a voter into a learner. It keeps its id and its disk, and can be promoted again.
     Demote(NodeId),
-    /// Gives the votes of two voters to one learner that has caught up. The former voters become learners.
+    /// Gives the votes of two voters to one learner that has caught up. The former voters become
+    /// learners.
     ExchangeTwo {
         /// Voters that lose their votes.
         old: [NodeId; 2],
@@ -115,22 +117,24 @@
 /// The members of a group.
 ///
 /// While the voters change, the membership is *joint*: it holds the voters of before
-/// ([`current_voters`](Self::current_voters)) and those of afterwards ([`next_voters`](Self::next_voters)),
-/// and a [quorum](Self::has_quorum) is one of both. So at no time does the group depend on fewer
-/// disks than it does without the change.
+/// ([`current_voters`](Self::current_voters)) and those of afterwards
+/// ([`next_voters`](Self::next_voters)), and a [quorum](Self::has_quorum) is one of both. So at no
+/// time does the group depend on fewer disks than it does without the change.
 ///
-/// `voters` then has both sets. An incoming voter is also listed in `learners` and an outgoing one also in
-/// `retired`, so that the stored form is the same with and without a change. A build without joint memberships
-/// takes one for a membership with additional voters. Any majority of that has a node in common with any majority of
-/// each of the two sets.
+/// `voters` then has both sets. An incoming voter is also listed in `learners` and an outgoing one
+/// also in `retired`, so that the stored form is the same with and without a change. So `retired`
+/// has nodes for a moment that may get their votes back. A build without joint memberships takes
+/// one for a membership with additional voters. Any majority of that has a node in common with any
+/// majority of each of the two sets.
 ///
 /// # Lost voters
 ///
-/// Half of an even number of voters is a quorum if the disk of one of the others is known to be lost
-/// ([`has_quorum_without`](Self::has_quorum_without)). Such a half meets each majority in a voter that has its disk: of
-/// `2m` voters, a majority has `m` without the lost one, and there are only `2m - 1` of these. So a group of four survives the loss
-/// of two disks, as one of five does. Two halves that leave out different voters meet as well, provided that nothing
-/// counts which a voter did before the loss was known; `docs/design/absent-voters.md` has the argument.
+/// Half of an even number of voters is a quorum if the disk of one of the others is known to be
+/// lost ([`has_quorum_without`](Self::has_quorum_without)). Such a half meets each majority in a
+/// voter that has its disk: of `2m` voters, a majority has `m` without the lost one, and there are
+/// only `2m - 1` of these. So a group of four survives the loss of two disks, as one of five does.
+/// Two halves that leave out different voters meet as well, provided that nothing counts which a
+/// voter did before the loss was known; `docs/design/absent-voters.md` has the argument.
 #[derive(Clone, Debug, Decode, Default, Encode, Eq, PartialEq)]
 pub struct Membership {
     /// Id of the group. A node drops messages of any other group.
@@ -141,7 +145,8 @@
     pub voters: BTreeSet<NodeId>,
     /// Nodes that receive the log but have no vote, and the incoming voters of a joint membership.
     pub learners: BTreeSet<NodeId>,
-    /// Ids of removed nodes, which can't be added again, and the outgoing voters of a joint membership.
+    /// Ids of removed nodes, which can't be added again, and the outgoing voters of a joint
+    /// membership.
     pub retired: BTreeSet<NodeId>,
 }
 
@@ -175,14 +180,14 @@
         !self.voters.is_disjoint(&self.learners) || !self.voters.is_disjoint(&self.retired)
     }
 
-    /// Whether the nodes for which `f` is true are a quorum: a majority of the voters or, while these
-    /// are being changed, of the voters both before and after that.
+    /// Whether the nodes for which `f` is true are a quorum: a majority of the voters or, while
+    /// these are being changed, of the voters both before and after that.
     pub fn has_quorum(&self, f: impl Fn(NodeId) -> bool) -> bool {
         self.has_quorum_without(&BTreeSet::new(), f)
     }
 
-    /// As [`has_quorum`](Self::has_quorum), where the disks of some voters are known to be lost: these don't count, and half of
-    /// an even number of voters is enough if one of them is lost.
+    /// As [`has_quorum`](Self::has_quorum), where the disks of some voters are known to be lost:
+    /// these don't count, and half of an even number of voters is enough if one of them is lost.
     ///
     /// ```
     /// let members = raft::Membership::initial(1, [1, 2, 3, 4]);
@@ -198,7 +203,8 @@
         self.quorum_value_without(&BTreeSet::new(), value)
     }
 
-    /// As [`quorum_value`](Self::quorum_value), where the disks of some voters are known to be lost.
+    /// As [`quorum_value`](Self::quorum_value), where the disks of some voters are known to be
+    /// lost.
     pub fn quorum_value_without(
         &self,
         lost: &BTreeSet<NodeId>,
@@ -219,9 +225,9 @@
         of_voters(&mut self.current_voters()).min(of_voters(&mut self.next_voters()))
     }
 
-    /// Number of the current voters that must answer before another one is added. With one vote more
-    /// they are a majority by themselves, so the group doesn't depend on the new voter. The only
-    /// voter of a group can't be, and is enough.
+    /// Number of the current voters that must answer before another one is added. With one vote
+    /// more they are a majority by themselves, so the group doesn't depend on the new voter. The
+    /// only voter of a group can't be, and is enough.
     pub fn voters_needed_to_grow(&self) -> usize {
         let voters = self.voters.len();
         (voters.div_ceil(2) + 1).min(voters)
@@ -237,7 +243,8 @@
         self.is_voter(id) || self.learners.contains(&id)
     }
 
-    /// Whether the node was a member and is none any more: it has no vote, and its id can't be added again.
+    /// Whether the node was a member and is none any more: it has no vote, and its id can't be
+    /// added again.
     pub fn is_retired(&self, id: NodeId) -> bool {
         self.retired.contains(&id) && !self.is_voter(id)
     }
@@ -258,8 +265,8 @@
     ///
     /// [`Error::is_refused_change`] if the change is invalid for these members: the node to add is
     /// a member or retired, the node to promote is no learner, the node to demote is no voter or
-    /// the last one, the node to remove is no learner, the nodes to exchange are no voters and no learner, or the voters
-    /// are being changed.
+    /// the last one, the node to remove is no learner, the nodes to exchange are no voters and no
+    /// learner, or the voters are being changed.
     pub fn after(&self, change: MembershipChange) -> Result<Self> {
         let mut next = self.clone();
         match change {
@@ -325,7 +332,8 @@
         Ok(next)
     }
 
-    /// Returns the members after the change of the voters that is under way: outgoing voters are learners.
+    /// Returns the members after the change of the voters that is under way: outgoing voters are
+    /// learners.
     pub fn after_joint(&self) -> Self {
         let voters: BTreeSet<_> = self.next_voters().collect();
         let is_outgoing = |id: &NodeId| self.voters.contains(id) && !voters.contains(id);
--- a/crates/raft/tests/absent_voters.rs
+++ b/crates/raft/tests/absent_voters.rs
@@ -50,8 +50,8 @@
     })
 }
 
-/// A member that has joined again with an empty disk, and is catching up, was removed as one whose disk is lost: it has
-/// the address of the voter that it replaces.
+/// A member that has joined again with an empty disk, and is catching up, was removed as one whose
+/// disk is lost: it has the address of the voter that it replaces.
 #[test]
 fn a_learner_that_replaces_a_lost_disk_at_its_address_is_not_removed() {
     let mut known = Known::new(members(5, &[MembershipChange::AddLearner(6)]), 5);
@@ -73,8 +73,8 @@
     }
 }
 
-/// Node 1 leads by the votes of a half of `voters`, among which 2 is known to be lost. The other ones of these are silent. Node 9,
-/// at the address of 2, has caught up.
+/// Node 1 leads by the votes of a half of `voters`, among which 2 is known to be lost. The other
+/// ones of these are silent. Node 9, at the address of 2, has caught up.
 fn check_lost_voter_is_replaced(voters: NodeId, half: &[NodeId], target_voters: usize) {
     let disk = PersistedState::bootstrap(Membership::initial(1, 1..=voters));
     let mut raft = Raft::new(Config::new(1), disk);
@@ -112,15 +112,17 @@
     raft.propose_change(change).unwrap_or_else(|err| panic!("{change:?}: {err}"));
 }
 
-/// A group of two voters, of which one had lost its disk, was led by the other one and never gave the vote to the
-/// node that joined at the same address, or to any other. All that it acknowledged was on a single disk.
+/// A group of two voters, of which one had lost its disk, was led by the other one and never gave
+/// the vote to the node that joined at the same address, or to any other. All that it acknowledged
+/// was on a single disk.
 #[test]
 fn a_leader_by_one_of_two_voters_replaces_the_lost_one() {
     check_lost_voter_is_replaced(2, &[], 3);
 }
 
-/// The node that joined in place of a lost one of four voters got no vote while another one was down, so that what the
-/// group acknowledged meanwhile depended on two disks for longer than the loss of the first one counts.
+/// The node that joined in place of a lost one of four voters got no vote while another one was
+/// down, so that what the group acknowledged meanwhile depended on two disks for longer than the
+/// loss of the first one counts.
 #[test]
 fn a_leader_by_two_of_four_voters_replaces_the_lost_one_while_another_is_down() {
     check_lost_voter_is_replaced(4, &[3], 5);
--- a/crates/raft/tests/driver/mod.rs
+++ b/crates/raft/tests/driver/mod.rs
@@ -1,5 +1,5 @@
-//! Driver of the property test of replacements: VMs fail, lose their disks and are replaced, and the leader follows
-//! `raft::joining`.
+//! Driver of the property test of replacements: VMs fail, lose their disks and are replaced, and
+//! the leader follows `raft::joining`.
 
 // Not every test uses every function.
 #![allow(unreachable_pub)]
@@ -46,11 +46,12 @@
 const MAX_ROUNDS: u8 = 60;
 /// Ticks of silence after which members are replaced or removed.
 pub const LIMITS: SilenceLimits = SilenceLimits { absent: 20, listening: 600, forgotten: 6_000 };
-/// Rounds under a leader after which a VM that has come back no longer counts as lost: 4 s of ticks.
+/// Rounds under a leader after which a VM that has come back no longer counts as lost: 4 s of
+/// ticks.
 pub const CATCH_UP_ROUNDS: u32 = 80;
 
-/// Rounds for which no node is admitted once a voter was told that it may end: until it would be found
-/// silent.
+/// Rounds for which no node is admitted once a voter was told that it may end: until it would be
+/// found silent.
 const HOLD_OFF_ROUNDS: u32 = 12;
 
 pub struct Vm {
@@ -59,7 +60,8 @@
     pub address: String,
     /// Rounds for which it has run and been connected under a leader, since it was lost.
     pub rounds_back: u32,
-    /// Rounds for which it has run and been connected, under the same leader, since its disk was lost.
+    /// Rounds for which it has run and been connected, under the same leader, since its disk was
+    /// lost.
     pub rounds_under_leader: u32,
 }
 
@@ -76,7 +78,8 @@
     pub next_id: NodeId,
     commands: u32,
     losses: Losses,
-    /// For each node, by its bit, what a connection tells while it is down or gone. It doesn't tell these two apart.
+    /// For each node, by its bit, what a connection tells while it is down or gone. It doesn't tell
+    /// these two apart.
     pub kinds: u64,
     /// Number of disks lost since the group was last at full size.
     lost_disks: usize,
@@ -87,12 +90,13 @@
 /// What counts as lost. The group tolerates [`TOLERATED_LOSSES`] of them.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Losses {
-    /// VMs that are down or cut off, or have lost their disks, until they have been back for a while.
+    /// VMs that are down or cut off, or have lost their disks, until they have been back for a
+    /// while.
     Vms,
     /// Disks, until the group is back at full size.
     Disks,
-    /// Disks, each until its successor has run for a while under one leader. Any number of VMs may be down or suspended
-    /// meanwhile.
+    /// Disks, each until its successor has run for a while under one leader. Any number of VMs may
+    /// be down or suspended meanwhile.
     DisksWithoutSuccessor,
 }
 
@@ -255,8 +259,8 @@
         }
     }
 
-    /// Lets each node ask at the addresses of the other ones for their ids. A VM that answers under another id has lost
-    /// the disk of the node that was expected there.
+    /// Lets each node ask at the addresses of the other ones for their ids. A VM that answers under
+    /// another id has lost the disk of the node that was expected there.
     fn tell_lost_disks(&mut self) {
         let is_up = |vm: &&Vm| self.sim.nodes[&vm.node].raft.is_some();
         let answers: Vec<(NodeId, String)> =
@@ -278,7 +282,8 @@
         }
     }
 
-    /// Nodes whose disks are known to be lost, as another one runs at the address, unless that is replaced.
+    /// Nodes whose disks are known to be lost, as another one runs at the address, unless that is
+    /// replaced.
     fn known_lost(&self, replaced: Option<usize>) -> BTreeSet<NodeId> {
         let is_known = |(id, address): &(&NodeId, &String)| {
             let mut vms = self.vms.iter().enumerate().filter(|(at, _)| Some(*at) != replaced);
@@ -336,8 +341,8 @@
         }
     }
 
-    /// Has the leader make the next change: for a VM that leaves, for one whose node isn't a voter yet,
-    /// or else the removal of a surplus voter.
+    /// Has the leader make the next change: for a VM that leaves, for one whose node isn't a voter
+    /// yet, or else the removal of a surplus voter.
     fn change_members(&mut self) {
         let Some(leader) = self.sim.leader() else { return };
         let raft = self.sim.raft(leader);
@@ -393,7 +398,8 @@
         }
     }
 
-    /// What a connection tells about a node that doesn't answer: nothing that tells whether its VM is down or gone.
+    /// What a connection tells about a node that doesn't answer: nothing that tells whether its VM
+    /// is down or gone.
     fn presence(&self, id: NodeId) -> Presence {
         let vm = self.vms.iter().find(|vm| vm.node == id);
         // Where any number may be suspended, VMs that are cut off stand for suspended ones.
@@ -431,9 +437,10 @@
         );
     }
 
-    /// Whether a VM may be replaced at another address. With an even number of voters of which half are lost, nobody
-    /// can decide unless one of the lost ones has a VM at its address, which tells that its disk is lost: either half could
-    /// be the one that is left. No policy avoids this. A change of the members may still be in flight.
+    /// Whether a VM may be replaced at another address. With an even number of voters of which half
+    /// are lost, nobody can decide unless one of the lost ones has a VM at its address, which tells
+    /// that its disk is lost: either half could be the one that is left. No policy avoids this. A
+    /// change of the members may still be in flight.
     fn can_decide_without(&self, at: usize) -> bool {
         let Some((newest, has_disk)) = self.newest_members(Some(at)) else { return false };
         let is_left = |id| has_disk.contains(&id);
@@ -453,7 +460,8 @@
         })
     }
 
-    /// The members as of the newest log of the disks that are left, without that of a VM that is to be replaced, and the nodes of these.
+    /// The members as of the newest log of the disks that are left, without that of a VM that is to
+    /// be replaced, and the nodes of these.
     fn newest_members(&self, replaced: Option<usize>) -> Option<(&Membership, BTreeSet<NodeId>)> {
         let vms = self.vms.iter().enumerate().filter(|(at, _)| Some(*at) != replaced);
         let holds = vms.map(|(_, vm)| vm.node).filter(|id| !self.is_lost(*id));
--- a/crates/raft/tests/joining.rs
+++ b/crates/raft/tests/joining.rs
@@ -44,8 +44,8 @@
     })
 }
 
-/// Guards against a former node of a VM whose request, held up in the network, removes the node that
-/// the VM has now.
+/// Guards against a former node of a VM whose request, held up in the network, removes the node
+/// that the VM has now.
 #[test]
 fn a_late_request_to_join_of_a_former_node_changes_nothing() {
     use MembershipChange::{AddLearner, Demote, Exchange, Remove};
@@ -89,7 +89,8 @@
     });
 }
 
-/// Calls `f` with the view of a leader of these members that hasn't heard the `silent` ones for this number of ticks.
+/// Calls `f` with the view of a leader of these members that hasn't heard the `silent` ones for
+/// this number of ticks.
 fn with_silent<T>(
     members: &Membership,
     silent: &[(NodeId, u32, Presence)],
@@ -109,15 +110,15 @@
     })
 }
 
-/// Calls [`next_join_step`] for a learner that replaces one of five voters. Of these, the `silent` ones haven't been heard
-/// for this number of ticks.
+/// Calls [`next_join_step`] for a learner that replaces one of five voters. Of these, the `silent`
+/// ones haven't been heard for this number of ticks.
 fn replacement(silent: &[(NodeId, u32, Presence)]) -> Option<MembershipChange> {
     let members = members(&[MembershipChange::AddLearner(6)]);
     with_silent(&members, silent, |view| next_join_step(view, 6, "10.0.0.7:1"))
 }
 
-/// A voter that was suspended for longer lost its vote to the successor of one that was gone: the group counted a disk
-/// that was gone, and didn't count one that was whole.
+/// A voter that was suspended for longer lost its vote to the successor of one that was gone: the
+/// group counted a disk that was gone, and didn't count one that was whole.
 #[test]
 fn a_voter_that_is_gone_is_replaced_before_one_that_is_suspended_for_longer() {
     let exchange = Some(MembershipChange::Exchange { old: 4, new: 6 });
@@ -129,8 +130,9 @@
     }
 }
 
-/// A voter that is down with its disk lost its vote to the successor of one that is gone, whichever of the two looked more
-/// like being gone: the group went on to count a disk that was gone, and not the one that was whole.
+/// A voter that is down with its disk lost its vote to the successor of one that is gone, whichever
+/// of the two looked more like being gone: the group went on to count a disk that was gone, and not
+/// the one that was whole.
 #[test]
 fn two_absent_voters_are_exchanged_together() {
     use MembershipChange::{Exchange, ExchangeTwo};
@@ -148,15 +150,17 @@
                 "{change:?} for {first:?} and {second:?}"
             );
         }
-        // No voter loses its vote that hasn't been silent for long enough, nor one beside such a voter.
+        // No voter loses its vote that hasn't been silent for long enough, nor one beside such a
+        // voter.
         assert_eq!(replacement(&[(3, ticks, first), (4, ticks - 1, second)]), None);
     }
     let suspended = [(3, ticks, Presence::Listening), (4, ticks, Presence::Refused)];
     assert_eq!(replacement(&suspended), Some(Exchange { old: 4, new: 6 }));
 }
 
-/// The successor was promoted beside the other absent voter, before that was set aside as well: with the successor lost again and
-/// one more disk, two voters of five were left, and the disk of the voter that came back didn't count.
+/// The successor was promoted beside the other absent voter, before that was set aside as well:
+/// with the successor lost again and one more disk, two voters of five were left, and the disk of
+/// the voter that came back didn't count.
 #[test]
 fn beside_a_voter_that_was_set_aside_the_other_absent_one_is_exchanged() {
     use MembershipChange::{AddLearner, Demote, Exchange, Promote};
@@ -178,8 +182,8 @@
     }
 }
 
-/// A voter that was down lost its vote beside a learner that was gone for good: with two further VMs gone for good, half of four
-/// voters were left, and nothing told of the losses.
+/// A voter that was down lost its vote beside a learner that was gone for good: with two further
+/// VMs gone for good, half of four voters were left, and nothing told of the losses.
 #[test]
 fn a_voter_that_is_absent_beside_an_absent_learner_keeps_its_vote() {
     use MembershipChange::{AddLearner, Exchange};
@@ -253,8 +257,9 @@
     });
 }
 
-/// Guards against a node that took the place of another one at its address, and loses it again as the former one is
-/// a learner still: it asked to leave or to join before it lost its disk, and the request was held up in the network.
+/// Guards against a node that took the place of another one at its address, and loses it again as
+/// the former one is a learner still: it asked to leave or to join before it lost its disk, and the
+/// request was held up in the network.
 #[test]
 fn a_late_request_of_a_former_node_that_is_a_learner_still_takes_no_vote() {
     use MembershipChange::{AddLearner, Exchange, Remove};
@@ -273,8 +278,8 @@
     }
 }
 
-/// A node that had come back without its disk, and had yet to catch up, was removed, as the address was that of a voter: its
-/// former node.
+/// A node that had come back without its disk, and had yet to catch up, was removed, as the address
+/// was that of a voter: its former node.
 #[test]
 fn a_node_that_catches_up_at_the_address_of_its_former_one_is_not_removed() {
     let members = members(&[MembershipChange::AddLearner(6)]);
@@ -284,7 +289,8 @@
     }
 }
 
-/// A learner that had just been added was removed, as the last answer of its former node came after that.
+/// A learner that had just been added was removed, as the last answer of its former node came after
+/// that.
 #[test]
 fn a_learner_whose_disk_is_lost_is_removed_once_it_is_absent() {
     use MembershipChange::{AddLearner, Demote, Exchange, Remove};
@@ -309,15 +315,16 @@
         assert_eq!(replacement(&[(4, LIMITS.absent, presence)]), exchange);
         assert_eq!(replacement(&[(4, LIMITS.absent - 1, presence)]), None);
     }
-    // The node that comes back without its disk takes the place of its former one, whoever else is absent.
+    // The node that comes back without its disk takes the place of its former one, whoever else is
+    // absent.
     let members = members(&[MembershipChange::AddLearner(6)]);
     let silent = [(3, 50, Presence::Refused), (5, 1, Presence::Listening)];
     let step = with_silent(&members, &silent, |view| next_join_step(view, 6, ADDRESS));
     assert_eq!(step, Some(MembershipChange::Exchange { old: 5, new: 6 }));
 }
 
-/// A learner was promoted beside a voter that was gone: of five voters, two further lost disks left two, and the disk of another
-/// learner that came back didn't count.
+/// A learner was promoted beside a voter that was gone: of five voters, two further lost disks left
+/// two, and the disk of another learner that came back didn't count.
 #[test]
 fn a_learner_that_answers_is_promoted_while_the_group_has_too_few_voters() {
     use MembershipChange::{Demote, Exchange, Promote};
@@ -370,8 +377,8 @@
     assert_eq!(step(0), LeaveStep::Keep, "it may just restart");
 }
 
-/// A voter stopped for good kept its vote beside a learner that was set aside and came back: the group counted a disk
-/// that was gone, and not the one that was whole.
+/// A voter stopped for good kept its vote beside a learner that was set aside and came back: the
+/// group counted a disk that was gone, and not the one that was whole.
 #[test]
 fn a_voter_that_stops_as_planned_beside_an_absent_learner_stays_as_a_learner() {
     use MembershipChange::{AddLearner, Demote, Exchange};
--- a/crates/raft/tests/lost_disks.rs
+++ b/crates/raft/tests/lost_disks.rs
@@ -54,7 +54,8 @@
     step(raft, from, MessageBody::AppendAccepted { matched });
 }
 
-/// Node 1 of four voters, which leads with the vote of node 2 alone, as the disk of node 4 is known to be lost.
+/// Node 1 of four voters, which leads with the vote of node 2 alone, as the disk of node 4 is known
+/// to be lost.
 fn leader_without_4() -> Raft {
     let mut raft = node(4);
     raft.note_lost_disk(4);
@@ -96,7 +97,8 @@
     assert_eq!(raft.known_lost(), &BTreeSet::from([4]));
 }
 
-/// A vote that was cast before the loss was known may be one of two halves that leave out a voter each.
+/// A vote that was cast before the loss was known may be one of two halves that leave out a voter
+/// each.
 #[test]
 fn a_loss_that_becomes_known_during_a_campaign_counts_from_the_next_one_on() {
     let mut raft = node(4);
@@ -120,7 +122,8 @@
     assert!(raft.is_leader());
 }
 
-/// The same for a loss that becomes known during the pre-vote: of its answers nothing depends, and the vote begins later.
+/// The same for a loss that becomes known during the pre-vote: of its answers nothing depends, and
+/// the vote begins later.
 #[test]
 fn a_loss_that_becomes_known_during_a_pre_vote_counts_in_the_vote() {
     let mut raft = node(4);
@@ -240,8 +243,8 @@
     }
 }
 
-/// Guards against a leader that lacks a committed entry: of two halves, each left out a voter that the other one counted for what
-/// it did before its disk was lost.
+/// Guards against a leader that lacks a committed entry: of two halves, each left out a voter that
+/// the other one counted for what it did before its disk was lost.
 #[test]
 fn two_halves_that_leave_out_different_voters_do_not_both_decide() {
     let mut sim = Sim::new(4, |_| ());
@@ -251,7 +254,8 @@
     sim.network.clear();
     let others: Vec<NodeId> = (1..=4).filter(|id| *id != leader).collect();
     let [candidate, voted, accepted] = others[..] else { panic!("four voters") };
-    // The others don't hear the leader, and one of them campaigns with the vote of another one, which is late.
+    // The others don't hear the leader, and one of them campaigns with the vote of another one,
+    // which is late.
     let longest = 2 * sim.config(candidate).election_ticks;
     for _ in 0..longest {
         [voted, accepted].into_iter().for_each(|id| sim.tick(id));
@@ -268,7 +272,8 @@
     exchange(&mut sim, &[(candidate, voted)], |_| true);
     sim.crash(voted);
     sim.lose_disk(voted);
-    // The leader learns of this, and the third one acknowledges an entry, before its disk is lost, too.
+    // The leader learns of this, and the third one acknowledges an entry, before its disk is lost,
+    // too.
     sim.with(leader, |raft| raft.note_lost_disk(voted));
     assert!(sim.propose(leader, b"a"));
     sim.with(leader, |_| ());
--- a/crates/raft/tests/lost_voters.rs
+++ b/crates/raft/tests/lost_voters.rs
@@ -174,8 +174,8 @@
     }
 }
 
-/// Guards against a statement about voters that are gone, and not known to be lost, that is too strong:
-/// during a change such a voter counts as one of the two losses.
+/// Guards against a statement about voters that are gone, and not known to be lost, that is too
+/// strong: during a change such a voter counts as one of the two losses.
 #[test]
 fn joint_steps_survive_one_loss_beside_a_voter_that_is_gone() {
     for config in joint_steps() {
--- a/crates/raft/tests/members.rs
+++ b/crates/raft/tests/members.rs
@@ -1,7 +1,7 @@
-//! Property test: while nodes lose their disks, are replaced as planned or without notice, and the leader
-//! changes, a group that follows `raft::joining` can commit at every step with the voters that still have
-//! their disks. It gets back to its full size, loses no applied entry, and then survives the failure of
-//! any two VMs.
+//! Property test: while nodes lose their disks, are replaced as planned or without notice, and the
+//! leader changes, a group that follows `raft::joining` can commit at every step with the voters
+//! that still have their disks. It gets back to its full size, loses no applied entry, and then
+//! survives the failure of any two VMs.
 
 mod driver;
 mod sim;
@@ -33,16 +33,16 @@
     check_group(Losses::Disks);
 }
 
-/// A successor took the place of a voter that was suspended or about to start again, and the group counted
-/// the disk of its predecessor for good: two further lost disks left two voters of five.
+/// A successor took the place of a voter that was suspended or about to start again, and the group
+/// counted the disk of its predecessor for good: two further lost disks left two voters of five.
 #[test]
 fn a_group_that_loses_disks_while_others_are_suspended_recovers_its_size_and_all_applied_entries() {
     check_group(Losses::DisksWithoutSuccessor);
 }
 
-/// A voter that is cut off is replaced, and comes back with its disk. At any moment of that, and up to the
-/// time after which the leader notices it, two others lose their disks, perhaps the leader's or the
-/// successor's.
+/// A voter that is cut off is replaced, and comes back with its disk. At any moment of that, and up
+/// to the time after which the leader notices it, two others lose their disks, perhaps the leader's
+/// or the successor's.
 #[test]
 fn whole_disks_restore_the_group_at_each_moment_at_which_a_voter_that_comes_back_is_replaced() {
     /// Rounds by which the successor is a voter, and the group has gone on.
@@ -58,8 +58,8 @@
 /// Position of the VM that is replaced.
 const REPLACED: usize = 1;
 
-/// Replaces a VM that is cut off by a further one, which starts once the other one would be found silent, and
-/// takes the disks of two VMs after this many rounds.
+/// Replaces a VM that is cut off by a further one, which starts once the other one would be found
+/// silent, and takes the disks of two VMs after this many rounds.
 fn check_replacement(rounds: usize, lost: [usize; TOLERATED_LOSSES]) {
     let mut driver = Driver::new(Losses::Disks, 0);
     driver.propose(1);
@@ -99,7 +99,8 @@
 /// Position of the VM that is gone, and then that of its successor if this isn't planned.
 const GONE: usize = 2;
 
-/// What a connection tells of the VM that is down and of the one that is gone: one bit for each, by their nodes.
+/// What a connection tells of the VM that is down and of the one that is gone: one bit for each, by
+/// their nodes.
 fn kinds() -> impl Iterator<Item = u64> {
     let (down, gone) = (1 << (DOWN + 1), 1 << (GONE + 1));
     [0, down, gone, down | gone].into_iter()
@@ -122,7 +123,8 @@
     driver.recover();
 }
 
-/// Half of four voters led for good without getting a further one: each change counted on one that was gone, too.
+/// Half of four voters led for good without getting a further one: each change counted on one that
+/// was gone, too.
 #[test]
 fn half_of_four_voters_restore_the_group_to_its_full_size() {
     for (kinds, lost) in
@@ -149,8 +151,9 @@
     }
 }
 
-/// Of two VMs that didn't answer, one was gone and the other one came back with its disk. The successor took the place of
-/// the latter: the group counted the disk that was gone, and two further lost disks left two voters of five.
+/// Of two VMs that didn't answer, one was gone and the other one came back with its disk. The
+/// successor took the place of the latter: the group counted the disk that was gone, and two
+/// further lost disks left two voters of five.
 #[test]
 fn whole_disks_restore_the_group_at_each_moment_at_which_one_is_down_and_another_one_is_gone() {
     const ROUNDS: usize = CATCH_UP_ROUNDS as usize + 30;
@@ -174,8 +177,8 @@
     }
 }
 
-/// The same where the other VM left as planned after its successor had caught up: the group kept the vote of the voter that was
-/// down, whose place nobody took, or that of the one that had left.
+/// The same where the other VM left as planned after its successor had caught up: the group kept
+/// the vote of the voter that was down, whose place nobody took, or that of the one that had left.
 #[test]
 fn whole_disks_restore_the_group_at_each_moment_at_which_one_is_down_and_another_one_leaves() {
     const ROUNDS: usize = CATCH_UP_ROUNDS as usize + 30;
--- a/crates/toucansilld/src/gateway/group_report.rs
+++ b/crates/toucansilld/src/gateway/group_report.rs
@@ -1,7 +1,8 @@
 //! Texts of the lines in which a member of the control group logs what it knows of the group.
 //!
-//! Collectors may cut lines, and fields come after the text. So the text itself says what decides, in few
-//! characters: a member is named by the last four digits of its id and the last two numbers of its address.
+//! Collectors may cut lines, and fields come after the text. So the text itself says what decides,
+//! in few characters: a member is named by the last four digits of its id and the last two numbers
+//! of its address.
 
 use super::members::TICK;
 use group::{Membership, MembershipChange, NodeId, Role, Status, joining::Presence};
@@ -58,7 +59,8 @@
     }
 }
 
-/// Short name of a member: `4659@0.19` for an id that ends with 4659 and the address 10.3.0.19:7840.
+/// Short name of a member: `4659@0.19` for an id that ends with 4659 and the address
+/// 10.3.0.19:7840.
 pub fn short_name(id: NodeId, address: Option<&str>) -> String {
     let digits = short_id(id);
     match address.map(|address| address.parse::<SocketAddr>()) {
@@ -79,9 +81,9 @@
     ids.into_iter().map(short_id).collect::<Vec<_>>().join(" ")
 }
 
-/// Why a member knows no leader: how many voters are for it, against it, and missing; the end of its log,
-/// its term and its role; and the voters whose vote it lacks, by the reason. `former_member` is one at the same
-/// address that others still send messages to.
+/// Why a member knows no leader: how many voters are for it, against it, and missing; the end of
+/// its log, its term and its role; and the voters whose vote it lacks, by the reason.
+/// `former_member` is one at the same address that others still send messages to.
 pub fn no_leader(
     status: &Status,
     former_member: Option<NodeId>,
@@ -177,8 +179,9 @@
     )
 }
 
-/// How the members have changed since `former`, as a member itself sees it: voters that came (`+`), voters that were set
-/// aside as learners, members that went (`-`), learners that came, and the voters now.
+/// How the members have changed since `former`, as a member itself sees it: voters that came (`+`),
+/// voters that were set aside as learners, members that went (`-`), learners that came, and the
+/// voters now.
 pub fn members_changed(
     former: &Membership,
     status: &Status,
@@ -275,8 +278,9 @@
         }
     }
 
-    /// What came before the group had no leader: since when, how often there was one, what held up this member's voter and
-    /// how the members changed last. It tells a group that has lost its voters from one whose leaders don't last.
+    /// What came before the group had no leader: since when, how often there was one, what held up
+    /// this member's voter and how the members changed last. It tells a group that has lost its
+    /// voters from one whose leaders don't last.
     pub fn leaderless(&self, now: Instant) -> Option<String> {
         let since = self.leaderless_since?;
         let seconds = |at: Instant| now.saturating_duration_since(at).as_secs_f64();
@@ -292,8 +296,8 @@
         ))
     }
 
-    /// Reports a sleep of a few milliseconds that has lasted for more than a second. If the voter's thread ran
-    /// meanwhile, only the event loop was blocked.
+    /// Reports a sleep of a few milliseconds that has lasted for more than a second. If the voter's
+    /// thread ran meanwhile, only the event loop was blocked.
     pub fn pause(&mut self, status: &Status, slept_at: Instant, now: Instant) -> Option<String> {
         let passed = now.saturating_duration_since(slept_at);
         let ticks = status.ticks.saturating_sub(mem::replace(&mut self.ticks, status.ticks));
@@ -345,8 +349,8 @@
     }
 }
 
-/// A change of the members that a leader proposes, with its reason. `address` is that of the node that asked
-/// for it.
+/// A change of the members that a leader proposes, with its reason. `address` is that of the node
+/// that asked for it.
 pub fn proposed_change(
     change: MembershipChange,
     status: &Status,
@@ -409,7 +413,8 @@
     format!("{change}, as {} stops as planned", name(id))
 }
 
-/// What probes have shown of the voters that don't answer a leader, as the end of a text; empty if there are none.
+/// What probes have shown of the voters that don't answer a leader, as the end of a text; empty if
+/// there are none.
 pub fn probed(presence: &BTreeMap<NodeId, Presence>) -> String {
     let mut voters: Vec<(Presence, NodeId)> = presence.iter().map(|(id, p)| (*p, *id)).collect();
     voters.sort_unstable();
--- a/crates/toucansilld/src/gateway/identity.rs
+++ b/crates/toucansilld/src/gateway/identity.rs
@@ -56,11 +56,12 @@
     })
 }
 
-/// The id of this daemon in its data folder: that of the log. An id without a log isn't used: the log may be lost, and with it
-/// the votes that were cast under the id.
+/// The id of this daemon in its data folder: that of the log. An id without a log isn't used: the
+/// log may be lost, and with it the votes that were cast under the id.
 ///
-/// The two differ if the power failed before the name of the id's file was durable, and if a process of an earlier
-/// build ended while it emptied the folder. In the latter case the id is retired, and the leader says so.
+/// The two differ if the power failed before the name of the id's file was durable, and if a
+/// process of an earlier build ended while it emptied the folder. In the latter case the id is
+/// retired, and the leader says so.
 fn stored_id(data_folder: &Path, file: &Path) -> Result<Option<u64>> {
     let stored = read_id(file).map_err(|err| Error::file("control.data_folder", &err))?;
     let id =
@@ -84,11 +85,11 @@
         .map_err(|err| Error::store("control.data_folder", &err))
 }
 
-/// Removes the log and the id, so that the next start generates a new id, and looks for the group at the stored
-/// addresses of its members, which stay.
+/// Removes the log and the id, so that the next start generates a new id, and looks for the group
+/// at the stored addresses of its members, which stay.
 ///
-/// A process that is killed meanwhile, or loses power, leaves an id without a log, a log that is set aside, or
-/// nothing. A voter without a log takes no part in its group.
+/// A process that is killed meanwhile, or loses power, leaves an id without a log, a log that is
+/// set aside, or nothing. A voter without a log takes no part in its group.
 pub(crate) fn discard(control: &ControlSettings) -> io::Result<()> {
     voter::discard_log(&control.data_folder)?;
     match fs::remove_file(control.data_folder.join(ID_FILE)) {
@@ -112,8 +113,8 @@
     fastrand::u64(FIRST_RANDOM_ID..u64::MAX)
 }
 
-/// Reads the stored id; `None` if there is no file, or if it can't be read: the log has the id as well, and without a
-/// log a new one does.
+/// Reads the stored id; `None` if there is no file, or if it can't be read: the log has the id as
+/// well, and without a log a new one does.
 fn read_id(file: &Path) -> io::Result<Option<u64>> {
     match fs::read_to_string(file) {
         Ok(text) => match text.trim().parse() {
--- a/crates/toucansilld/src/gateway/lost_disks.rs
+++ b/crates/toucansilld/src/gateway/lost_disks.rs
@@ -1,8 +1,8 @@
 //! Losses of disks that a member without a leader finds out about.
 //!
-//! A daemon that has another id than the voter that was at its address has an empty disk behind it: ids are
-//! stored with the log, and never used again. With that knowledge half of an even number of voters can elect a
-//! leader; see [`raft::Membership`].
+//! A daemon that has another id than the voter that was at its address has an empty disk behind it:
+//! ids are stored with the log, and never used again. With that knowledge half of an even number of
+//! voters can elect a leader; see [`raft::Membership`].
 
 use super::{
     control::ControlMember,
@@ -12,14 +12,15 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{task::JoinSet, time::sleep};
 
-/// Interval at which a member without a leader asks the voters for their ids: less than the shortest election timeout.
+/// Interval at which a member without a leader asks the voters for their ids: less than the
+/// shortest election timeout.
 const IDENTIFY_INTERVAL: Duration = Duration::from_millis(300);
 /// Timeout for the reply.
 const IDENTIFY_TIMEOUT: Duration = Duration::from_millis(400);
 
 impl ControlMember {
-    /// Asks for the ids of the daemons at the addresses of voters while this member knows no leader, until the
-    /// task is aborted.
+    /// Asks for the ids of the daemons at the addresses of voters while this member knows no
+    /// leader, until the task is aborted.
     pub(crate) async fn find_lost_disks(self: Arc<Self>) {
         loop {
             sleep(IDENTIFY_INTERVAL).await;
@@ -38,8 +39,8 @@
         }
     }
 
-    /// Voters that haven't granted this member's last request for votes, with their addresses; none on a member that can't be
-    /// elected, or needn't.
+    /// Voters that haven't granted this member's last request for votes, with their addresses; none
+    /// on a member that can't be elected, or needn't.
     fn unheard_voters(&self, status: &Status) -> Vec<(NodeId, SocketAddr)> {
         let members = &status.membership;
         if status.leader.is_some() || !members.is_voter(status.id) {
--- a/crates/toucansilld/src/gateway/members.rs
+++ b/crates/toucansilld/src/gateway/members.rs
@@ -27,25 +27,26 @@
 
 /// Interval of Raft ticks. With it, elections take 0.5 s to 1 s.
 pub(crate) const TICK: Duration = Duration::from_millis(50);
-/// Ticks of silence after which members may be replaced: 1 s, 30 s and 5 min. Each leader counts them anew, so a leader has
-/// to last this long.
+/// Ticks of silence after which members may be replaced: 1 s, 30 s and 5 min. Each leader counts
+/// them anew, so a leader has to last this long.
 ///
-/// Most members that restart are back within `absent`, and a successor still has its vote within 4 s of its start,
-/// also if the leader was lost together with its predecessor. A process that has been
-/// suspended for `listening` isn't expected to come back by itself.
+/// Most members that restart are back within `absent`, and a successor still has its vote within 4
+/// s of its start, also if the leader was lost together with its predecessor. A process that has
+/// been suspended for `listening` isn't expected to come back by itself.
 const SILENCE_LIMITS: SilenceLimits =
     SilenceLimits { absent: 20, listening: 600, forgotten: 6_000 };
 /// Ticks of silence after which the gauges count a member as not heard: two heartbeats and a
 /// margin.
 pub(crate) const UNHEARD_TICKS: u32 = 6;
-/// Time for which the result of a probe is used. A suspended process accepts no connection, and its queue of new
-/// ones must not fill up.
+/// Time for which the result of a probe is used. A suspended process accepts no connection, and its
+/// queue of new ones must not fill up.
 const PRESENCE_LIFETIME: Duration = Duration::from_secs(1);
 /// Maximum number of entries that are asked about a member that doesn't answer.
 const ENTRY_WITNESSES: usize = 3;
 /// Interval between requests to join.
 const JOIN_RETRY_INTERVAL: Duration = Duration::from_millis(200);
-/// Interval at which a member checks that it still is one and, if it leads, whether there is one too many.
+/// Interval at which a member checks that it still is one and, if it leads, whether there is one
+/// too many.
 const MEMBERSHIP_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Timeout for the reply to a request to join.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
@@ -53,11 +54,11 @@
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Interval between requests to leave.
 const LEAVE_RETRY_INTERVAL: Duration = Duration::from_millis(50);
-/// Time after which a member that has no successor stops without a reply: the others may be stopping as
-/// well. Longer than most elections.
+/// Time after which a member that has no successor stops without a reply: the others may be
+/// stopping as well. Longer than most elections.
 const LEADERLESS_LEAVE_TIME: Duration = Duration::from_secs(2);
-/// Time for which nobody is admitted once a member was told that it may stop. By then the leader has
-/// noticed that the member is silent.
+/// Time for which nobody is admitted once a member was told that it may stop. By then the leader
+/// has noticed that the member is silent.
 const HOLD_OFF: Duration = Duration::from_millis(600);
 
 /// Number of members that a group needs to survive the loss of this many disks at once: the
@@ -116,8 +117,8 @@
 }
 
 impl ControlMember {
-    /// Makes the next changes on a daemon's way into the group. The daemon repeats its request until it
-    /// is a member, so that one that has gone is not promoted.
+    /// Makes the next changes on a daemon's way into the group. The daemon repeats its request
+    /// until it is a member, so that one that has gone is not promoted.
     pub(crate) async fn admit(self: &Arc<Self>, id: NodeId, address: String) -> LeaderReply {
         // A member may join at its former address meanwhile.
         let presence = self.presence_for(id, &address).await;
@@ -165,8 +166,9 @@
         }
     }
 
-    /// Makes the next changes for a member that is about to stop: removes it if its successor has joined.
-    /// The member repeats its request until it may stop.
+    /// Makes the next changes for a member that is about to stop: removes it if its successor has
+    /// joined, or takes its vote if another member is absent that may come back. The member repeats
+    /// its request until it may stop.
     pub(crate) async fn release(self: &Arc<Self>, id: NodeId, address: &str) -> LeaderReply {
         let status = self.voter().status();
         if !status.is_leader() {
@@ -179,8 +181,8 @@
             return LeaderReply::ChangePending;
         };
         let leave_step = |view: GroupView<'_>| next_leave_step(view, id, address);
-        // The changes follow each other without a pause: once its successor has been promoted, the group must not
-        // remove another member than this one as surplus.
+        // The changes follow each other without a pause: once its successor has been promoted, the
+        // group must not remove another member than this one as surplus.
         loop {
             let status = self.voter().status();
             let change = match self.with_view(&status, &BTreeMap::new(), leave_step) {
@@ -204,8 +206,8 @@
         }
     }
 
-    /// Makes the changes of the members that are due without a request, such as for a member that is one too many, as its
-    /// process ended before it could leave.
+    /// Makes the changes of the members that are due without a request, such as for a member that
+    /// is one too many, as its process ended before it could leave.
     async fn keep_up(self: &Arc<Self>, status: &Status) {
         let unknown = BTreeMap::new();
         let presence = match self.with_view(status, &unknown, needs_presence) {
@@ -256,8 +258,8 @@
         }
     }
 
-    /// Probes the voters that don't answer this leader, and has others do so. A voter whose address isn't known counts
-    /// as unreachable.
+    /// Probes the voters that don't answer this leader, and has others do so. A voter whose address
+    /// isn't known counts as unreachable.
     async fn probe_silent_voters(&self, status: &Status) -> BTreeMap<NodeId, Presence> {
         // Several nodes may wait for the same probes.
         let mut probed = self.probed().lock().await;
@@ -289,8 +291,8 @@
         probed.iter().map(|(id, (_, presence))| (*id, *presence)).collect()
     }
 
-    /// Link addresses of the other members that answer, and of a few entries. These may reach a member that is cut off from
-    /// this one.
+    /// Link addresses of the other members that answer, and of a few entries. These may reach a
+    /// member that is cut off from this one.
     fn witnesses(&self, status: &Status) -> Vec<SocketAddr> {
         let members = status.reachable.iter().filter(|id| **id != status.id);
         let members = members.filter_map(|id| self.link_address_of(*id));
@@ -325,9 +327,9 @@
         }
     }
 
-    /// Leaves the group before this daemon stops, if its successor has joined: otherwise the group would
-    /// go on counting a vote that is never cast. Returns whether it has left. It stays a member if it has
-    /// no successor, or if the group doesn't reply until `deadline`.
+    /// Leaves the group before this daemon stops, if its successor has joined: otherwise the group
+    /// would go on counting a vote that is never cast. Returns whether it has left. It stays a
+    /// member if it has no successor, or if the group doesn't reply until `deadline`.
     pub(crate) async fn leave(self: &Arc<Self>, deadline: Instant) -> bool {
         let started = self.now();
         loop {
@@ -359,7 +361,8 @@
         if status.is_leader() {
             return Some(self.release(status.id, &address).await);
         }
-        // A leader sends nothing to a member that it is removing, so the voter may have forgotten it.
+        // A leader sends nothing to a member that it is removing, so the voter may have forgotten
+        // it.
         let leader = status.leader.and_then(|id| self.voter().address_of(id)?.parse().ok());
         let leader: SocketAddr = leader.or_else(|| self.known_leader())?;
         let request = LeaderRequest::Leave { id: status.id, address };
--- a/crates/toucansilld/tests/gateway/absences.rs
+++ b/crates/toucansilld/tests/gateway/absences.rs
@@ -1,6 +1,6 @@
-//! Tests of groups in which one member is gone for good while another one is down with its disk. Hosts of both refuse
-//! connections, so that nothing tells them apart. Two further disks may be lost once the successor of the first has
-//! caught up.
+//! Tests of groups in which one member is gone for good while another one is down with its disk.
+//! Hosts of both refuse connections, so that nothing tells them apart. Two further disks may be
+//! lost once the successor of the first has caught up.
 
 use crate::{
     Region,
@@ -71,8 +71,8 @@
     LosePower,
 }
 
-/// Starts a group of five with a document. Returns the indexes of its leader, and of the others in the order of their
-/// ids.
+/// Starts a group of five with a document. Returns the indexes of its leader, and of the others in
+/// the order of their ids.
 fn start_group(successors: usize) -> (Region, usize, [usize; 4]) {
     let mut region = Region::new(5 + successors);
     region.set_tolerated_losses(TOLERATED_LOSSES);
@@ -172,7 +172,8 @@
     check_lost_disks(region, group, lost, survivors);
 }
 
-/// The successor took the vote of a member that was killed before the one that was gone, as it had been silent for longer.
+/// The successor took the vote of a member that was killed before the one that was gone, as it had
+/// been silent for longer.
 #[test]
 fn a_member_that_is_down_before_another_is_gone_keeps_its_vote() {
     let (mut region, leader, [down, .., gone]) = start_group(1);
@@ -226,8 +227,8 @@
     check_down_and_gone(&mut region, &group, [gone, down], [second, third], Survivors::LosePower);
 }
 
-/// Starts a group of five. Returns its members in the order of their ids, and the place among these of the leader, which
-/// isn't `excluded`.
+/// Starts a group of five. Returns its members in the order of their ids, and the place among these
+/// of the leader, which isn't `excluded`.
 fn start_group_led_by_others(excluded: usize) -> (Region, [usize; 5], usize) {
     let mut region = Region::new(6);
     let mut leader = start_five(&mut region);
@@ -243,7 +244,8 @@
     (region, members, place)
 }
 
-/// A new leader counted silence anew, so that the one with the higher id was replaced of two that were killed.
+/// A new leader counted silence anew, so that the one with the higher id was replaced of two that
+/// were killed.
 #[test]
 fn a_member_that_is_down_after_a_leader_is_gone_keeps_its_vote() {
     let (mut region, members, place) = start_group_led_by_others(4);
@@ -263,7 +265,8 @@
     check_down_and_gone(&mut region, &group, order, [second, third], Survivors::Run);
 }
 
-/// The successor of a member that had stopped as planned took the vote of one that was killed before.
+/// The successor of a member that had stopped as planned took the vote of one that was killed
+/// before.
 #[test]
 fn a_member_that_stops_before_its_successor_starts_leaves_one_that_is_down_its_vote() {
     let (mut region, leader, [down, .., gone]) = start_group(1);
@@ -292,8 +295,8 @@
     check_lost_disks(&mut region, &group, [second, third], Survivors::Run);
 }
 
-/// A group that waited for a member to leave as planned removed one that was down, so that the member that left found no
-/// successor and kept its vote.
+/// A group that waited for a member to leave as planned removed one that was down, so that the
+/// member that left found no successor and kept its vote.
 #[test]
 fn a_planned_replacement_after_its_successor_has_joined_leaves_a_member_that_is_down_its_vote() {
     let (mut region, leader, [down, .., gone]) = start_group(1);
@@ -307,7 +310,8 @@
     check_lost_disks(&mut region, &group, [second, third], Survivors::Run);
 }
 
-/// A group with a voter too many removed one that was down, as that had been silent for longer than the one that was gone.
+/// A group with a voter too many removed one that was down, as that had been silent for longer than
+/// the one that was gone.
 #[test]
 fn a_surplus_member_that_is_gone_is_removed_and_not_one_that_is_down() {
     let (mut region, leader, [down, .., gone]) = start_group(1);
@@ -338,7 +342,8 @@
     check_lost_disks(&mut region, &group, [second, third], Survivors::Run);
 }
 
-/// The member that was down was told that its id was retired, and discarded its disk just before two others were lost.
+/// The member that was down was told that its id was retired, and discarded its disk just before
+/// two others were lost.
 #[test]
 fn a_member_that_was_down_and_is_back_just_before_the_losses_keeps_its_vote() {
     check_back_before_the_loss(Duration::from_millis(300));
@@ -356,8 +361,8 @@
     check_back_before_the_loss(Duration::from_millis(4_000));
 }
 
-/// The first of two rounds broke as above. Guards as well against a group that has fewer than five voters once it has
-/// recovered.
+/// The first of two rounds broke as above. Guards as well against a group that has fewer than five
+/// voters once it has recovered.
 #[test]
 fn a_group_bears_the_same_losses_again_once_it_has_recovered() {
     let (mut region, leader, [down, .., gone]) = start_group(2);
@@ -379,7 +384,8 @@
     check_down_and_gone(&mut region, &group, [down, gone], [second, third], Survivors::LosePower);
 }
 
-/// Two members are down, and both are back, before or after two others lose their disks. A spare has joined meanwhile.
+/// Two members are down, and both are back, before or after two others lose their disks. A spare
+/// has joined meanwhile.
 fn check_two_down_beside_a_spare(are_back_before: bool) {
     let (mut region, leader, [first, .., second]) = start_group(1);
     let group = Group::new(leader, first, second);
@@ -434,8 +440,9 @@
     check_document_is_read(&mut region, &group, &members);
 }
 
-/// Two of the members that answer lose their disks once a successor has caught up, some of them together with their VMs. The
-/// document must be read, from the member that is down as well if it comes back.
+/// Two of the members that answer lose their disks once a successor has caught up, some of them
+/// together with their VMs. The document must be read, from the member that is down as well if it
+/// comes back.
 fn check_losses_of_vms(are_gone: [bool; 2], is_back: bool) {
     let (mut region, leader, [down, .., gone]) = start_group(2);
     let group = Group::new(leader, down, gone);
@@ -463,14 +470,15 @@
     check_document_is_read(&mut region, &group, &members);
 }
 
-/// Of the two disks one was lost with its VM, whose successor has another address, and the vote of a member that was down
-/// had been taken before.
+/// Of the two disks one was lost with its VM, whose successor has another address, and the vote of
+/// a member that was down had been taken before.
 #[test]
 fn a_member_that_is_down_keeps_its_vote_also_if_one_of_two_disks_is_lost_with_its_vm() {
     check_losses_of_vms([false, true], true);
 }
 
-/// A member that was down didn't come back at all, and the two others that had the document weren't enough.
+/// A member that was down didn't come back at all, and the two others that had the document weren't
+/// enough.
 #[test]
 fn two_disks_are_enough_while_a_member_that_is_down_stays_away() {
     check_losses_of_vms([false, false], false);
@@ -482,8 +490,8 @@
     check_losses_of_vms([true, true], true);
 }
 
-/// Guards against a group in which the successors of both members that are silent cost the one that is down its disk
-/// without a gain.
+/// Guards against a group in which the successors of both members that are silent cost the one that
+/// is down its disk without a gain.
 #[test]
 fn a_group_with_successors_of_both_silent_members_survives_two_lost_disks() {
     let (mut region, leader, [down, .., gone]) = start_group(2);
@@ -495,8 +503,8 @@
     check_lost_disks(&mut region, &group, [second, third], Survivors::LosePower);
 }
 
-/// Guards against a member whose disk is full while a successor joins, and that doesn't find the successor after a loss of
-/// power.
+/// Guards against a member whose disk is full while a successor joins, and that doesn't find the
+/// successor after a loss of power.
 #[test]
 fn a_member_that_could_not_save_the_address_of_a_successor_finds_it_after_losses() {
     let (mut region, leader, [down, .., gone]) = start_group(1);
--- a/crates/toucansilld/tests/gateway/set_aside.rs
+++ b/crates/toucansilld/tests/gateway/set_aside.rs
@@ -14,8 +14,8 @@
     region.log(i).lines().filter(|line| line.contains("this member starts anew")).count()
 }
 
-/// A member that joined again with an empty disk was removed while it caught up, as it has the address of the voter
-/// that it replaces.
+/// A member that joined again with an empty disk was removed while it caught up, as it has the
+/// address of the voter that it replaces.
 #[test]
 fn a_member_that_lost_its_disk_joins_again_under_one_id() {
     let mut region = Region::new(5);
@@ -38,8 +38,8 @@
     assert_eq!(discarded, vec![0; 5], "{removals:#?}");
 }
 
-/// A group of two voters, beside one that was set aside, was left with a single disk once one of the two had lost its
-/// own: no member was given a vote again.
+/// A group of two voters, beside one that was set aside, was left with a single disk once one of
+/// the two had lost its own: no member was given a vote again.
 #[test]
 fn a_group_that_tolerates_one_loss_recovers_its_voters_after_one_was_set_aside() {
     let mut region = Region::new(4);
@@ -80,8 +80,9 @@
     assert_eq!(version(&body), 7);
 }
 
-/// A member that was down for some seconds lost its vote, as the VM of another one had been replaced for good before. Two
-/// further VMs that went for good left two of four votes, although three disks of the former five voters were whole.
+/// A member that was down for some seconds lost its vote, as the VM of another one had been
+/// replaced for good before. Two further VMs that went for good left two of four votes, although
+/// three disks of the former five voters were whole.
 #[test]
 fn a_member_that_is_down_keeps_its_vote_beside_one_that_was_replaced_for_good() {
     let mut region = Region::new(8);
