FaultProxy: limit the bytes per second of a connection

Tests could delay or drop what passes between two daemons, but not squeeze a link, on which a log takes seconds while single messages pass. `set_rate` limits each connection in each direction, until it is set to 0; bytes arrive in pieces of a twentieth of a second, so that a new rate is in force at once.

--- a/crates/fake/src/relay.rs
+++ b/crates/fake/src/relay.rs
@@ -1,5 +1,5 @@
-//! A TCP proxy that injects faults: it cuts or delays connections, or drops their bytes in one
-//! direction or both.
+//! A TCP proxy that injects faults: it cuts, delays or slows down connections, or drops their bytes in
+//! one direction or both.
 
 use socket2::{Domain, Socket, Type};
 use std::{
@@ -23,6 +23,8 @@
 const FILLER_TIMEOUT: Duration = Duration::from_millis(100);
 /// Most bytes that one read from a connection returns.
 const BUF_BYTES: usize = 64 * 1024;
+/// Pieces per second in which bytes arrive at a limited rate.
+const PIECES_PER_S: u64 = 20;
 
 /// A connection from a client to the server, and which bytes on it are dropped.
 struct Connection {
@@ -51,6 +53,8 @@
     _keeper: Socket,
     target: SocketAddr,
     delay_ms: AtomicU64,
+    /// Bytes per second of each connection in each direction; 0 for no limit.
+    rate: AtomicU64,
     state: Mutex<State>,
 }
 
@@ -74,8 +78,8 @@
         let listener = bind(address)?;
         listener.listen(BACKLOG)?;
         let state = Mutex::new(State { is_open: true, ..State::default() });
-        let delay_ms = AtomicU64::new(0);
-        let shared = Shared { address, _keeper: keeper, target, delay_ms, state };
+        let (delay_ms, rate) = (AtomicU64::new(0), AtomicU64::new(0));
+        let shared = Shared { address, _keeper: keeper, target, delay_ms, rate, state };
         let proxy = Self { shared: Arc::new(shared) };
         proxy.spawn_accept(listener.into());
         Ok(proxy)
@@ -132,6 +136,11 @@
         self.shared.delay_ms.store(ms, Ordering::SeqCst);
     }
 
+    /// Limits each connection to this number of bytes per second in each direction; 0 ends the limit.
+    pub fn set_rate(&self, bytes_per_s: u64) {
+        self.shared.rate.store(bytes_per_s, Ordering::SeqCst);
+    }
+
     /// Closes all open connections. New connections work.
     pub fn cut(&self) {
         let mut state = self.shared.lock();
@@ -274,7 +283,7 @@
     ) {
         let shared = Arc::clone(self);
         thread::spawn(move || {
-            copy(from, to, &drops_bytes, &shared.delay_ms);
+            copy(from, to, &drops_bytes, &shared);
             let mut state = shared.lock();
             // A silent connection stays open when one side closes it, so that the other side doesn't
             // notice.
@@ -302,19 +311,32 @@
 }
 
 /// Copies bytes until either side is closed, and drops them while `drops_bytes` is set.
-fn copy(mut from: TcpStream, mut to: TcpStream, drops_bytes: &AtomicBool, delay_ms: &AtomicU64) {
+fn copy(mut from: TcpStream, mut to: TcpStream, drops_bytes: &AtomicBool, shared: &Shared) {
     let mut buf = vec![0; BUF_BYTES];
     loop {
         let n = match from.read(&mut buf) {
             Ok(0) | Err(_) => return,
             Ok(n) => n,
         };
-        thread::sleep(Duration::from_millis(delay_ms.load(Ordering::SeqCst)));
-        if drops_bytes.load(Ordering::SeqCst) {
-            continue;
-        }
-        if to.write_all(&buf[..n]).is_err() {
-            return;
+        thread::sleep(Duration::from_millis(shared.delay_ms.load(Ordering::SeqCst)));
+        let mut rest = &buf[..n];
+        while !rest.is_empty() {
+            let piece;
+            (piece, rest) = rest.split_at(wait_for_piece(rest.len(), &shared.rate));
+            if !drops_bytes.load(Ordering::SeqCst) && to.write_all(piece).is_err() {
+                return;
+            }
         }
     }
 }
+
+/// Waits as long as the next piece of `n` bytes takes at this rate. Returns its length.
+fn wait_for_piece(n: usize, rate: &AtomicU64) -> usize {
+    let rate = rate.load(Ordering::SeqCst);
+    if rate == 0 {
+        return n;
+    }
+    let piece_bytes = n.min((rate / PIECES_PER_S).max(1) as usize);
+    thread::sleep(Duration::from_secs_f64(piece_bytes as f64 / rate as f64));
+    piece_bytes
+}
--- a/crates/fake/tests/relay.rs
+++ b/crates/fake/tests/relay.rs
@@ -4,7 +4,7 @@
 use std::{
     io::{ErrorKind, Read, Write},
     net::{TcpListener, TcpStream},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// A proxy, and both ends of a connection through it: the client's and the server's.
@@ -77,3 +77,22 @@
     server.read_exact(&mut buf).expect("all bytes");
     assert_eq!(&buf, b"onetwo");
 }
+
+#[test]
+fn bytes_arrive_at_the_rate_of_the_proxy_until_the_limit_ends() {
+    const RATE: u64 = 10_000;
+    let (proxy, mut client, mut server) = connected();
+    proxy.set_rate(RATE);
+    let sent: Vec<u8> = (0..100_000).map(|i| (i % 251) as u8).collect();
+    client.write_all(&sent).expect("sent");
+    let started = Instant::now();
+    let mut received = vec![0; 2_000];
+    server.read_exact(&mut received).expect("bytes");
+    assert!(started.elapsed() >= Duration::from_millis(150), "faster than the rate");
+    proxy.set_rate(0);
+    let mut rest = vec![0; sent.len() - received.len()];
+    server.read_exact(&mut rest).expect("bytes");
+    assert!(started.elapsed() < Duration::from_secs(5), "the limit goes on");
+    received.extend(rest);
+    assert!(received == sent, "bytes are missing or out of order");
+}
