Gateway tests: delay syncs in the preloaded library

No test had a daemon whose disk takes seconds for each sync, as the hosts of users have had. The library that records calls now waits before fsync and fdatasync while there is a file that `SYNC_DELAY` names, for the milliseconds in it. It can be created and removed while the daemon runs.

--- a/crates/toucansilld/tests/gateway/durable_names.rs
+++ b/crates/toucansilld/tests/gateway/durable_names.rs
@@ -8,7 +8,8 @@
 };
 
 /// A library that is loaded before the C library. It records renames and full syncs of folders, a line each, in the file
-/// that `CALL_LOG` names.
+/// that `CALL_LOG` names. While there is a file that `SYNC_DELAY` names, each sync takes as many milliseconds longer as it
+/// says.
 const RECORDER: &str = r#"
 type Char = std::ffi::c_char;
 type Int = std::ffi::c_int;
@@ -28,6 +29,14 @@
     }
 }
 
+fn delay() {
+    let file = std::env::var_os("SYNC_DELAY");
+    let text = file.and_then(|file| std::fs::read_to_string(file).ok());
+    if let Some(ms) = text.and_then(|text| text.parse().ok()) {
+        std::thread::sleep(std::time::Duration::from_millis(ms));
+    }
+}
+
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn rename(from: *const Char, to: *const Char) -> Int {
     type Rename = unsafe extern "C" fn(*const Char, *const Char) -> Int;
@@ -41,8 +50,19 @@
     }
 }
 
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn fdatasync(fd: Int) -> Int {
+    delay();
+    unsafe {
+        let next: unsafe extern "C" fn(Int) -> Int =
+            std::mem::transmute(dlsym(RTLD_NEXT, c"fdatasync".as_ptr()));
+        next(fd)
+    }
+}
+
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn fsync(fd: Int) -> Int {
+    delay();
     let result = unsafe {
         let next: unsafe extern "C" fn(Int) -> Int =
             std::mem::transmute(dlsym(RTLD_NEXT, c"fsync".as_ptr()));
@@ -59,7 +79,7 @@
 "#;
 
 /// Builds the library in this folder.
-fn build_recorder(folder: &Path) -> PathBuf {
+pub(crate) fn build_recorder(folder: &Path) -> PathBuf {
     let (source, library) = (folder.join("recorder.rs"), folder.join("librecorder.so"));
     fs::write(&source, RECORDER).expect("written");
     let compiler = env::var_os("RUSTC").unwrap_or_else(|| "rustc".into());
