Gateway tests: guards beside those of stalled learners

The tests of wiped VMs that stall fail at present, and would as well if the proxies on the links or the way of losing disks broke the group by themselves. Three tests do the same without holding a VM up: one VM wiped, two at once, and a successor at another address.

--- a/crates/toucansilld/tests/gateway/stalled_learners.rs
+++ b/crates/toucansilld/tests/gateway/stalled_learners.rs
@@ -349,3 +349,27 @@
     let restore = |group: &Group| group.paths.restore();
     group.check(&[gone], &[SUCCESSOR], Since::Start, Lost::Followers, silence, restore);
 }
+
+/// Guards against a group that doesn't bear the loss of two disks once a wiped VM that isn't held up has caught up.
+#[test]
+fn two_disks_may_be_lost_once_a_wiped_vm_has_caught_up() {
+    let group = Group::start();
+    let wiped = [group.followers[0]];
+    group.check(&wiped, &wiped, Since::Start, Lost::WithLeader, |_| (), |_| ());
+}
+
+/// The same with two VMs that are wiped at once.
+#[test]
+fn two_disks_may_be_lost_once_two_wiped_vms_have_caught_up() {
+    let group = Group::start();
+    let wiped = [group.followers[0], group.followers[1]];
+    group.check(&wiped, &wiped, Since::Start, Lost::WithLeader, |_| (), |_| ());
+}
+
+/// The same with a successor at another address.
+#[test]
+fn two_disks_may_be_lost_once_a_successor_has_caught_up() {
+    let group = Group::start();
+    let gone = group.followers[0];
+    group.check(&[gone], &[SUCCESSOR], Since::Start, Lost::Followers, |_| (), |_| ());
+}
