Keep rare log lines when frequent ones exceed the log's bounds

What operators saw: with 40 callers at once several of a leader's `member admitted` lines were missing from its log, and no line said that any had been left out.

Cause: the bounded writer dropped every line above 400 in a second or 2,048 in the queue, whatever it said. The first 400 lines of a second were mostly those of calls, so a change of the members later in that second was lost. Only a counter told of it.

Change: a budget decides by the call site of a record (its module and line). The first 10 lines of a call site in a second may use the whole rate, further ones half of it. A call site with fewer than 32 queued lines may use the whole queue, others half of it. So the totals stay 400 lines a second and 2,048 lines, and half of both is left to call sites that log little; no call site has to be marked. The writer's thread adds one line a second at most, `N lines left out in N s: ...`, with the number of each kind, its module and line, its level and the beginning of its first text. `toucansill_log_lines_dropped_total` is as before. The budget needs the record, so the bounded logger is one of its own rather than a pipe behind env_logger, which goes on deciding what is logged.

--- a/crates/toucansilld/src/logs.rs
+++ b/crates/toucansilld/src/logs.rs
@@ -2,12 +2,17 @@
 //!
 //! [`install`] writes them to standard error on the caller's thread. [`install_bounded`] writes
 //! them to standard output on a thread of its own, so that a slow or stuck reader blocks no
-//! caller. Lines above a maximum rate or a maximum queue length are dropped and counted.
+//! caller. Lines above a maximum rate or a maximum queue length are dropped and counted, frequent
+//! ones first, and a line each second says which: see [`LineBudget`].
 
-use env_logger::{Builder, Env, Target, fmt::Formatter};
-use flume::Sender;
+pub mod budget;
+
+use crate::sync::lock;
+use budget::{Admission, CallSite, LineBudget};
+use env_logger::{Builder, Env, Logger, Target, fmt::Formatter};
+use flume::{Receiver, RecvTimeoutError, Sender};
 use log::{
-    Record,
+    Level, Log, Metadata, Record,
     kv::{Error as KvError, Key, Value, VisitSource},
 };
 use serde::Serialize;
@@ -15,18 +20,15 @@
 use std::{
     io::{self, Write},
     sync::{
-        Mutex, OnceLock,
+        Arc, Mutex, OnceLock,
         atomic::{AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-/// Maximum number of lines queued for the writer.
-const MAX_QUEUED_LINES: usize = 2_048;
-/// Maximum number of lines in one second: ten times the rate of a daemon at the load of the current
-/// sites.
-const MAX_LINES_PER_SECOND: u64 = 400;
+/// Interval at which the writer looks for lines that were left out, while there are no others.
+const REPORT_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Maximum time to wait for the last lines to be written when a process stops.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -48,36 +50,41 @@
 ///
 /// A second call in the same process changes nothing.
 pub fn install(daemon: &str) {
-    install_to(daemon, Target::Stderr);
+    let daemon = String::from(daemon);
+    let installed = builder()
+        .target(Target::Stderr)
+        .format(move |buf, record| write_line(buf, &daemon, record))
+        .try_init();
+    if installed.is_err() {
+        log::debug!("a logger is already installed");
+    }
 }
 
 /// Installs the logger like [`install`], with lines written to standard output by a thread of its
 /// own. Logging never blocks a caller.
 pub fn install_bounded(daemon: &str) {
-    let (tx, rx) = flume::bounded::<Message>(MAX_QUEUED_LINES);
-    let spawned = thread::Builder::new().name(String::from("logs")).spawn(move || {
-        let mut out = io::stdout().lock();
-        for message in rx {
-            let written = match message {
-                Message::Line(line) => out.write_all(&line),
-                Message::Flush(done) => {
-                    let flushed = out.flush();
-                    drop(done);
-                    flushed
-                }
-            };
-            if written.is_err() {
-                // The reader is gone, so the failure can't be logged either.
-                DROPPED.fetch_add(1, Ordering::Relaxed);
-            }
-        }
-    });
-    if spawned.is_ok() && WRITER.set(tx.clone()).is_ok() {
-        let window = Mutex::new(RateWindow { start: Instant::now(), lines: 0 });
-        install_to(daemon, Target::Pipe(Box::new(BoundedWriter { tx, window })));
+    // The budget bounds the number of lines in the channel.
+    let (tx, rx) = flume::unbounded::<Message>();
+    let budget = Arc::new(Mutex::new(LineBudget::new(Instant::now())));
+    let writer = Writer { daemon: String::from(daemon), rx, budget: Arc::clone(&budget) };
+    let spawned = thread::Builder::new().name(String::from("logs")).spawn(move || writer.run());
+    if spawned.is_err() || WRITER.set(tx.clone()).is_err() {
+        return;
+    }
+    let filter = builder().build();
+    let max_level = filter.filter();
+    let logger = BoundedLogger { filter, daemon: String::from(daemon), tx, budget };
+    match log::set_boxed_logger(Box::new(logger)) {
+        Ok(()) => log::set_max_level(max_level),
+        Err(_) => log::debug!("a logger is already installed"),
     }
 }
 
+/// Builder of a logger with the level that the environment sets.
+fn builder() -> Builder {
+    Builder::from_env(Env::new().filter_or("TOUCANSILL_LOG", "info"))
+}
+
 /// Waits until the lines logged so far are written, at most 200 ms. Returns at once unless
 /// [`install_bounded`] was called.
 pub fn flush() {
@@ -97,61 +104,104 @@
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 static WRITER: OnceLock<Sender<Message>> = OnceLock::new();
 
+/// Counts a line that isn't written.
+fn count_dropped() {
+    let dropped = DROPPED.fetch_add(1, Ordering::Relaxed) + 1;
+    metrics::counter!("toucansill_log_lines_dropped_total").absolute(dropped);
+}
+
 /// Message to the writer's thread.
 enum Message {
-    Line(Vec<u8>),
+    Line(CallSite, Vec<u8>),
     /// Flushes the output, and then drops the sender.
     Flush(Sender<()>),
 }
 
-/// Number of lines in the current second.
-struct RateWindow {
-    start: Instant,
-    lines: u64,
+/// Writes lines to standard output.
+struct Writer {
+    daemon: String,
+    rx: Receiver<Message>,
+    budget: Arc<Mutex<LineBudget>>,
 }
 
-/// Passes lines to the writer's thread, within the maximum rate.
-struct BoundedWriter {
-    tx: Sender<Message>,
-    window: Mutex<RateWindow>,
-}
-
-impl BoundedWriter {
-    /// Counts a line, and returns whether it exceeds the maximum rate.
-    fn is_over_rate(&self) -> bool {
-        let mut window = crate::sync::lock(&self.window);
-        if window.start.elapsed() >= Duration::from_secs(1) {
-            *window = RateWindow { start: Instant::now(), lines: 0 };
+impl Writer {
+    fn run(self) {
+        let mut out = io::stdout().lock();
+        loop {
+            let written = match self.rx.recv_timeout(REPORT_CHECK_INTERVAL) {
+                Ok(Message::Line(site, line)) => {
+                    let written = out.write_all(&line);
+                    lock(&self.budget).written(site);
+                    written
+                }
+                Ok(Message::Flush(done)) => {
+                    let report = lock(&self.budget).report(Instant::now());
+                    let flushed = self.write_report(&mut out, report).and_then(|()| out.flush());
+                    drop(done);
+                    flushed
+                }
+                Err(RecvTimeoutError::Timeout) => Ok(()),
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            let report = lock(&self.budget).due_report(Instant::now());
+            if written.and_then(|()| self.write_report(&mut out, report)).is_err() {
+                // The reader is gone, so the failure can't be logged either.
+                count_dropped();
+            }
         }
-        window.lines += 1;
-        window.lines > MAX_LINES_PER_SECOND
     }
-}
 
-impl Write for BoundedWriter {
-    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
-        if self.is_over_rate() || self.tx.try_send(Message::Line(buf.to_vec())).is_err() {
-            let dropped = DROPPED.fetch_add(1, Ordering::Relaxed) + 1;
-            metrics::counter!("toucansill_log_lines_dropped_total").absolute(dropped);
-        }
-        Ok(buf.len())
+    /// Writes the line that says which others were left out.
+    fn write_report(&self, out: &mut impl Write, report: Option<String>) -> io::Result<()> {
+        let Some(text) = report else { return Ok(()) };
+        let record = Record::builder().level(Level::Warn).target(module_path!()).build();
+        out.write_all(&line_with(&self.daemon, &record, text)?)?;
+        out.write_all(b"\n")
     }
+}
 
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
+/// Passes lines to the writer's thread, within the bounds of the log.
+struct BoundedLogger {
+    /// Decides which records are logged.
+    filter: Logger,
+    daemon: String,
+    tx: Sender<Message>,
+    budget: Arc<Mutex<LineBudget>>,
 }
 
-fn install_to(daemon: &str, target: Target) {
-    let daemon = String::from(daemon);
-    let env = Env::new().filter_or("TOUCANSILL_LOG", "info");
-    let installed = Builder::from_env(env)
-        .target(target)
-        .format(move |buf, record| write_line(buf, &daemon, record))
-        .try_init();
-    if installed.is_err() {
-        log::debug!("a logger is already installed");
+impl Log for BoundedLogger {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        self.filter.enabled(metadata)
     }
+
+    fn log(&self, record: &Record<'_>) {
+        if !self.filter.matches(record) {
+            return;
+        }
+        let site = CallSite::of(record);
+        let admission = lock(&self.budget).admit(Instant::now(), site);
+        match admission {
+            Admission::Queued => {}
+            Admission::LeftOut { is_first } => {
+                if is_first {
+                    // Values may log as they are formatted.
+                    let text = record.args().to_string();
+                    lock(&self.budget).describe(site, record.level(), &text);
+                }
+                return count_dropped();
+            }
+        }
+        let sent = line(&self.daemon, record).map(|mut line| {
+            line.push(b'\n');
+            self.tx.send(Message::Line(site, line))
+        });
+        if !matches!(sent, Ok(Ok(()))) {
+            lock(&self.budget).written(site);
+            count_dropped();
+        }
+    }
+
+    fn flush(&self) {}
 }
 
 /// Writes a record as one line of JSON.
@@ -166,6 +216,11 @@
 ///
 /// Fails if the line can't be serialised.
 pub fn line(daemon: &str, record: &Record<'_>) -> io::Result<Vec<u8>> {
+    line_with(daemon, record, record.args().to_string())
+}
+
+/// As [`line`], with this text.
+fn line_with(daemon: &str, record: &Record<'_>, text: String) -> io::Result<Vec<u8>> {
     let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let mut fields = Fields(Map::new());
     if record.key_values().visit(&mut fields).is_err() {
@@ -176,7 +231,7 @@
         level: record.level().as_str(),
         target: record.target(),
         daemon,
-        text: record.args().to_string(),
+        text,
         fields: fields.0,
     };
     Ok(serde_json::to_vec(&line)?)
