Log why a member of the control group has no vote yet

What callers saw: a wiped VM was back for six seconds, its leader knew it, and it had no vote when two more disks went, after which nobody led. No line said what it had waited for: a message, entries, another change of the members or an answer.

Cause: the leader logged only the changes that it made. `next_join_step` gives no step while a node must wait, and nothing was logged then.

Change: the leader computes the reason from its status and a few notes (requests to join, the change under way, the last refused one, probes) and logs it for each node without a vote and each voter that doesn't answer: when it changes, and else each second, after 30 s each ten, as a warning from 2 s on. A member without a vote logs every 2 s when it last heard the leader, what it holds and since when, and the last answer to its request to join. What decides is within the first 200 characters of the line, also with ids and addresses of full length.

The texts of planned leaves share a function with those of changes under way.

--- a/crates/toucansilld/src/gateway.rs
+++ b/crates/toucansilld/src/gateway.rs
@@ -35,7 +35,9 @@
 mod lost_disks;
 mod members;
 mod messages;
+pub mod own_vote;
 mod paths;
+pub mod pending_votes;
 mod placer;
 mod quarantine;
 mod record;
@@ -51,6 +53,7 @@
 mod tickets;
 pub mod unanswered;
 mod view;
+pub mod votes;
 mod watchlist;
 
 pub use run::{run, run_with};
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -11,12 +11,15 @@
         ControlHttpRequest, ControlHttpResponse, FollowRequest, LeaderReply, LeaderRequest,
         RefreshedUpstream, ReplicatedState,
     },
+    own_vote::OwnVote,
+    pending_votes::PendingVotes,
     quarantine::{ReadWatchlist, ReceivedReports},
     refreshes::Refreshes,
     servers,
     settings::{Bounds, ControlSettings, GatewaySettings},
     unanswered::RefusedCalls,
     view::View,
+    votes::VoteNotes,
 };
 use crate::{control_messages::RaftEnvelope, sync::lock, voter::Voter};
 use follow::{HeldRequest, HeldRequests, ViewPosition};
@@ -110,6 +113,8 @@
     member: NodeId,
     /// Former member at this address that others still send Raft messages to.
     former_member: Mutex<Option<NodeId>>,
+    /// What lines about missing votes need.
+    pub(super) vote_notes: Mutex<VoteNotes>,
     /// Calls that got no answer, by the reason.
     pub(super) unanswered: RefusedCalls,
     /// Calls whose request could not be read, by the reason.
@@ -152,6 +157,7 @@
             refreshes,
             member,
             former_member: Mutex::default(),
+            vote_notes: Mutex::default(),
             unanswered: RefusedCalls::default(),
             unread: RefusedCalls::default(),
             invalid: RefusedCalls::default(),
@@ -244,6 +250,8 @@
         let status = self.voter.status();
         self.record_group_metrics(&status);
         let mut observer = Observer::new(&status, last_clean_up);
+        let mut pending_votes = PendingVotes::new(&status, last_clean_up);
+        let mut own_vote = OwnVote::new(&status, last_clean_up);
         loop {
             let slept_at = self.clock.now();
             sleep(LEADERSHIP_CHECK_INTERVAL).await;
@@ -255,6 +263,7 @@
                 [observer.pause(&status, slept_at, now), observer.voter_pause(&status, now)];
             pauses.iter().flatten().for_each(|text| log::warn!("{text}"));
             self.report_members(&mut observer, &status);
+            self.report_votes(&mut pending_votes, &mut own_vote, &status);
             observer.observe(&status, now);
             if status.leader.is_some() {
                 leaderless_report_due = self.clock.now() + LEADERLESS_REPORT_INTERVAL;
@@ -344,7 +353,7 @@
     }
 
     /// What is known of the way to another member.
-    fn contact(&self, id: NodeId) -> Contact {
+    pub(super) fn contact(&self, id: NodeId) -> Contact {
         match (self.voter.address_of(id), self.last_failure(id)) {
             (None, _) => Contact::Unknown,
             (Some(_), Some(failure)) => Contact::Unreachable(failure.kind),
@@ -372,6 +381,7 @@
         if to != self.member {
             *lock(&self.former_member) = Some(to);
         }
+        self.note_vote(|notes, now| notes.heard(now, envelope.message.from));
         self.voter.step(envelope);
     }
 
@@ -558,6 +568,7 @@
                 reply(responder, &copy);
             }
             LeaderRequest::Join { id, address } => {
+                self.note_vote(|notes, now| notes.asked(now, id, &address));
                 let control = Arc::clone(self);
                 tokio::spawn(async move {
                     reply(responder, &control.admit(id, address).await);
--- a/crates/toucansilld/src/gateway/group_report.rs
+++ b/crates/toucansilld/src/gateway/group_report.rs
@@ -59,6 +59,15 @@
     }
 }
 
+/// Why there is no connection to a member, if none can be made.
+pub(super) fn contact_failure(contact: Contact) -> Option<String> {
+    match contact {
+        Contact::Unknown => Some(Missing::NoAddress.to_string()),
+        Contact::Unreachable(kind) => Some(Missing::Unreachable(kind).to_string()),
+        Contact::Linked => None,
+    }
+}
+
 /// Short name of a member: `4659@0.19` for an id that ends with 4659 and the address
 /// 10.3.0.19:7840.
 pub fn short_name(id: NodeId, address: Option<&str>) -> String {
@@ -397,7 +406,12 @@
     address_of: impl Fn(NodeId) -> Option<String>,
 ) -> String {
     let name = |id: NodeId| short_name(id, address_of(id).as_deref());
-    let change = match change {
+    format!("{}, as {} stops as planned", short_change(change, name), name(id))
+}
+
+/// A change of the members without its reason.
+pub(super) fn short_change(change: MembershipChange, name: impl Fn(NodeId) -> String) -> String {
+    match change {
         MembershipChange::Remove(id) => format!("-{}", name(id)),
         MembershipChange::Promote(id) => format!("+{}", name(id)),
         MembershipChange::AddLearner(id) => format!("learner {}", name(id)),
@@ -409,8 +423,7 @@
         MembershipChange::DemoteTwo([first, second]) => {
             format!("set aside {} {}", name(first), name(second))
         }
-    };
-    format!("{change}, as {} stops as planned", name(id))
+    }
 }
 
 /// What probes have shown of the voters that don't answer a leader, as the end of a text; empty if
--- a/crates/toucansilld/src/gateway/members.rs
+++ b/crates/toucansilld/src/gateway/members.rs
@@ -5,6 +5,7 @@
     control::ControlMember,
     group_report, identity,
     messages::{LeaderReply, LeaderRequest},
+    votes::join_answer,
 };
 use group::{
     MembershipChange, NodeId, Status,
@@ -321,10 +322,14 @@
     /// Makes a membership change, and waits until it is committed. The error says what is wrong.
     async fn change_members(&self, change: MembershipChange) -> Result<(), String> {
         let voter = Arc::clone(self.voter());
-        match spawn_blocking(move || voter.change_members(change)).await {
+        self.note_vote(|notes, now| notes.change_started(now, change));
+        let changed = match spawn_blocking(move || voter.change_members(change)).await {
             Ok(changed) => changed.map_err(|err| err.to_string()),
             Err(err) => Err(format!("the change was not made: {err}")),
-        }
+        };
+        let error = changed.as_ref().err().map(String::as_str);
+        self.note_vote(|notes, now| notes.change_ended(now, error));
+        changed
     }
 
     /// Leaves the group before this daemon stops, if its successor has joined: otherwise the group
@@ -411,6 +416,8 @@
         let address = self.links().address().to_string();
         let reply =
             self.links().request(leader, &LeaderRequest::Join { id, address }, JOIN_TIMEOUT).await;
+        let answer = reply.as_ref().map_or_else(ToString::to_string, join_answer);
+        self.note_vote(|notes, now| notes.answered(now, &answer));
         match reply {
             Ok(LeaderReply::Retired) => true,
             Ok(_) => false,
--- a/crates/toucansilld/tests/gateway/log_lines.rs
+++ b/crates/toucansilld/tests/gateway/log_lines.rs
@@ -125,3 +125,31 @@
     await_line(&region, 1, &[&format!("no member, still counted as {}", &former[..4])]);
     await_line(&region, 0, &["no leader 1/0/2, last ", &format!("lost disk {former}")]);
 }
+
+/// What a wiped member waited for, and since when, was in no line, neither its own nor the leader's.
+#[test]
+fn missing_votes_are_logged_by_the_leader_and_by_the_member() {
+    let mut region = Region::new(3);
+    (0..3).for_each(|i| region.start(i, true));
+    region.await_members(3);
+    let leader = region.await_leader(3);
+    let [lost, other] = [1, 2].map(|n| (leader + n) % 3);
+    let frozen = short_name(&region, other);
+    region.signal(other, "-STOP");
+    await_line(&region, leader, &["WARN", "no answer for ", &frozen, "no learner "]);
+    region.signal(other, "-CONT");
+    await_line(&region, leader, &[&format!("{frozen} answers again after ")]);
+    let former_id = region.stored_id(lost);
+    region.kill(lost);
+    region.lose_disk(lost);
+    region.start(lost, false);
+    eventually("another id", || region.stored_id(lost).filter(|id| Some(id) != former_id.as_ref()));
+    let successor = short_name(&region, lost);
+    await_line(&region, leader, &["no vote for ", &format!(" s: {successor} ")]);
+    await_line(&region, leader, &[&format!("{successor} has a vote after ")]);
+    // Without a leader it gets no vote.
+    [leader, other, lost].into_iter().for_each(|i| region.kill(i));
+    region.lose_disk(lost);
+    region.start(lost, false);
+    await_line(&region, lost, &["WARN", "no vote for ", "no leader, no message, 0/0 for "]);
+}
--- a/crates/toucansilld/tests/log_lines.rs
+++ b/crates/toucansilld/tests/log_lines/main.rs
@@ -1,5 +1,7 @@
 //! What is left of the lines of a control daemon's log when a collector cuts them.
 
+mod votes;
+
 use group::{Membership, MembershipChange, NodeId, Role, Status, joining::Presence};
 use log::{Level, Record};
 use std::{
