Log what held up a member before its leader was lost, and lost disks by age

What callers saw: in two records of groups without a leader the members had `blocked 0.0 s`, which speaks of the time since the leader was lost only. Whether slow disks came before, and since when each of the three disks in `lost disk` was known to be lost, was in no line.

Cause: `longest_block` starts anew when the leader is lost, and the status holds the lost disks without a time.

Change: the observer keeps the longest blocks of the last 10 s and adds that of the 10 s before the loss: `blocked 0.1 s, before 3.0 s`. Below 0.1 s nothing is added, so that the last change of the members stays within the first 200 characters of the line. `lost disks, known/silent s: 8913@200.1 25/29, ...` follows each `no leader` line on a member that counts voters as lost; the text of `no leader` itself is full with three such voters. The observer has a file of its own now.

--- a/crates/toucansilld/src/gateway.rs
+++ b/crates/toucansilld/src/gateway.rs
@@ -35,6 +35,7 @@
 mod lost_disks;
 mod members;
 mod messages;
+pub mod observer;
 pub mod own_vote;
 mod paths;
 pub mod pending_votes;
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -4,13 +4,14 @@
 use super::{
     bus::{DaemonLinks, reply, reply_encoded},
     calls::{read_registration, registered},
-    group_report::{self, Contact, Observer},
+    group_report::{self, Contact},
     lead::{FOLLOW_WAIT, LeaderState, PlacementReply},
     members::{self, members_for},
     messages::{
         ControlHttpRequest, ControlHttpResponse, FollowRequest, LeaderReply, LeaderRequest,
         RefreshedUpstream, ReplicatedState,
     },
+    observer::Observer,
     own_vote::OwnVote,
     pending_votes::PendingVotes,
     quarantine::{ReadWatchlist, ReceivedReports},
@@ -270,7 +271,10 @@
             } else if self.clock.now() >= leaderless_report_due {
                 leaderless_report_due = self.clock.now() + LEADERLESS_REPORT_INTERVAL;
                 self.report_leaderless(&status);
-                if let Some(text) = observer.leaderless(now) {
+                let silence = |id| lock(&self.vote_notes).silence(now, id);
+                let address_of = |id| self.voter.address_of(id);
+                let lost_disks = observer.lost_disks(&status, now, silence, address_of);
+                for text in observer.leaderless(now).into_iter().chain(lost_disks) {
                     log::warn!(member = status.id; "{text}");
                 }
             }
--- a/crates/toucansilld/src/gateway/group_report.rs
+++ b/crates/toucansilld/src/gateway/group_report.rs
@@ -8,15 +8,11 @@
 use group::{Membership, MembershipChange, NodeId, Role, Status, joining::Presence};
 use std::{
     collections::BTreeMap,
-    fmt, mem,
+    fmt,
     net::{IpAddr, SocketAddr},
-    time::{Duration, Instant},
 };
 use wire::LinkFailureKind;
 
-/// Pause of a process, or of its voter's thread, from which on it is reported.
-const REPORTED_PAUSE: Duration = Duration::from_secs(1);
-
 /// What a member knows of its way to another one.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Contact {
@@ -212,7 +208,7 @@
 }
 
 /// Changes of the members since `former`, without those of a member that had none before.
-fn changes_since(
+pub(super) fn changes_since(
     former: &Membership,
     members: &Membership,
     address_of: &impl Fn(NodeId) -> Option<String>,
@@ -233,131 +229,6 @@
     came.chain(set_aside).chain(gone).chain(learners).collect()
 }
 
-/// What a member has reported of its voter and its group.
-#[derive(Debug)]
-pub struct Observer {
-    membership: Membership,
-    /// Ticks of the voter at the last look.
-    ticks: u64,
-    /// End of the last pause of this process, in which the voter's thread didn't run either.
-    paused_until: Instant,
-    /// When the voter's thread last ran, while it is known to be blocked.
-    voter_blocked_since: Option<Instant>,
-    /// The last change of the members, and when it was seen.
-    last_change: Option<(Instant, String)>,
-    /// Since when no leader is known.
-    leaderless_since: Option<Instant>,
-    /// Leaders that were known since this member started.
-    leaders: u64,
-    /// Longest time for which the voter's thread didn't run since a leader was known.
-    longest_block: Duration,
-}
-
-impl Observer {
-    /// Starts with the status as it is.
-    pub fn new(status: &Status, now: Instant) -> Self {
-        Self {
-            membership: status.membership.clone(),
-            ticks: status.ticks,
-            paused_until: now,
-            voter_blocked_since: None,
-            last_change: None,
-            leaderless_since: status.leader.is_none().then_some(now),
-            leaders: u64::from(status.leader.is_some()),
-            longest_block: Duration::ZERO,
-        }
-    }
-
-    /// Notes whether a leader is known, and for how long the voter's thread hasn't run.
-    pub fn observe(&mut self, status: &Status, now: Instant) {
-        let block = status
-            .published_at
-            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at.max(self.paused_until)));
-        match (status.leader, self.leaderless_since) {
-            (None, None) => {
-                self.leaderless_since = Some(now);
-                self.longest_block = block;
-            }
-            (None, Some(_)) => self.longest_block = self.longest_block.max(block),
-            (Some(_), Some(_)) => {
-                self.leaderless_since = None;
-                self.leaders += 1;
-            }
-            (Some(_), None) => {}
-        }
-    }
-
-    /// What came before the group had no leader: since when, how often there was one, what held up
-    /// this member's voter and how the members changed last. It tells a group that has lost its
-    /// voters from one whose leaders don't last.
-    pub fn leaderless(&self, now: Instant) -> Option<String> {
-        let since = self.leaderless_since?;
-        let seconds = |at: Instant| now.saturating_duration_since(at).as_secs_f64();
-        let change = match &self.last_change {
-            Some((at, text)) => format!("{:.0} s ago: {text}", seconds(*at)),
-            None => String::from("same members"),
-        };
-        Some(format!(
-            "leaderless {:.0} s, leaders {}, blocked {:.1} s, {change}",
-            seconds(since),
-            self.leaders,
-            self.longest_block.as_secs_f64()
-        ))
-    }
-
-    /// Reports a sleep of a few milliseconds that has lasted for more than a second. If the voter's
-    /// thread ran meanwhile, only the event loop was blocked.
-    pub fn pause(&mut self, status: &Status, slept_at: Instant, now: Instant) -> Option<String> {
-        let passed = now.saturating_duration_since(slept_at);
-        let ticks = status.ticks.saturating_sub(mem::replace(&mut self.ticks, status.ticks));
-        if passed < REPORTED_PAUSE {
-            return None;
-        }
-        let has_voter_run = u128::from(ticks) * TICK.as_millis() > passed.as_millis() / 2;
-        if !has_voter_run {
-            self.paused_until = now;
-        }
-        let what = if has_voter_run { "event loop blocked" } else { "no processor time" };
-        Some(format!("{what} for {:.1} s", passed.as_secs_f64()))
-    }
-
-    /// Reports that the voter's thread doesn't run, as its disk blocks it, and that it runs again.
-    pub fn voter_pause(&mut self, status: &Status, now: Instant) -> Option<String> {
-        let published_at = status.published_at?;
-        let silence = now.saturating_duration_since(published_at.max(self.paused_until));
-        match self.voter_blocked_since {
-            None if silence >= REPORTED_PAUSE => {
-                self.voter_blocked_since = Some(published_at.max(self.paused_until));
-                Some(format!("voter blocked for {:.1} s so far", silence.as_secs_f64()))
-            }
-            Some(since) if published_at > since => {
-                self.voter_blocked_since = None;
-                let blocked = published_at.saturating_duration_since(since);
-                Some(format!("voter runs again after {:.1} s", blocked.as_secs_f64()))
-            }
-            _ => None,
-        }
-    }
-
-    /// Reports a change of the members since the last call; see [`members_changed`].
-    pub fn members_changed(
-        &mut self,
-        status: &Status,
-        now: Instant,
-        address_of: impl Fn(NodeId) -> Option<String>,
-    ) -> Option<String> {
-        if status.membership == self.membership {
-            return None;
-        }
-        let former = mem::replace(&mut self.membership, status.membership.clone());
-        let changes = changes_since(&former, &status.membership, &address_of).join(" ");
-        if !changes.is_empty() {
-            self.last_change = Some((now, changes));
-        }
-        Some(members_changed(&former, status, address_of))
-    }
-}
-
 /// A change of the members that a leader proposes, with its reason. `address` is that of the node
 /// that asked for it.
 pub fn proposed_change(
--- a/crates/toucansilld/tests/gateway/log_lines.rs
+++ b/crates/toucansilld/tests/gateway/log_lines.rs
@@ -124,6 +124,7 @@
     region.start(1, false);
     await_line(&region, 1, &[&format!("no member, still counted as {}", &former[..4])]);
     await_line(&region, 0, &["no leader 1/0/2, last ", &format!("lost disk {former}")]);
+    await_line(&region, 0, &[&format!("\"lost disks, known/silent s: {former} ")]);
 }
 
 /// What a wiped member waited for, and since when, was in no line, neither its own nor the leader's.
--- a/crates/toucansilld/tests/log_lines/main.rs
+++ b/crates/toucansilld/tests/log_lines/main.rs
@@ -11,9 +11,10 @@
 use toucansilld::{
     gateway::{
         group_report::{
-            Contact, Observer, found_on_disk, members_changed, missing_votes, no_leader,
-            planned_leave, probed, proposed_change,
+            Contact, found_on_disk, members_changed, missing_votes, no_leader, planned_leave,
+            probed, proposed_change,
         },
+        observer::Observer,
         unanswered::{RefusedCall, RefusedCalls},
     },
     logs,
@@ -293,6 +294,57 @@
     check_within_cut(CONTROL, &text, &["blocked 2.0 s, 15 s ago: +6624@0.24 set aside 1119"]);
 }
 
+/// A disk that had held up a member until its leader was lost looked like one that never had.
+#[test]
+fn a_cut_line_says_what_held_up_a_member_before_it_had_no_leader() {
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let with = |leader, published| Status { leader, published_at: Some(at(published)), ..status() };
+    let leader = Some(IDS[1]);
+    let mut observer = Observer::new(&with(leader, 0), start);
+    // A long block a while before, and then shorter ones.
+    for (second, published) in [(1, 1), (9, 1), (10, 10), (15, 12), (16, 16), (17, 16), (18, 18)] {
+        observer.observe(&with(leader, published), at(second));
+    }
+    observer.observe(&with(None, 20), at(20));
+    observer.observe(&with(None, 21), at(22));
+    let text = observer.leaderless(at(22)).expect("no leader");
+    assert_eq!(text, "leaderless 2 s, leaders 1, blocked 1.0 s, before 3.0 s, same members");
+    check_within_cut(CONTROL, &text, &["blocked 1.0 s, before 3.0 s, same"]);
+    // What held it up without a leader comes before the next loss.
+    observer.observe(&with(leader, 23), at(23));
+    observer.observe(&with(None, 24), at(24));
+    let text = observer.leaderless(at(24)).expect("no leader");
+    assert_eq!(text, "leaderless 0 s, leaders 2, blocked 0.0 s, before 3.0 s, same members");
+    observer.observe(&with(leader, 30), at(30));
+    observer.observe(&with(None, 31), at(31));
+    let text = observer.leaderless(at(31)).expect("no leader");
+    assert_eq!(text, "leaderless 0 s, leaders 3, blocked 0.0 s, before 1.0 s, same members");
+}
+
+/// Three voters counted as lost, and since when each of them did was in no line.
+#[test]
+fn a_cut_line_says_for_how_long_each_disk_is_known_to_be_lost() {
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let with = |lost: &[usize]| {
+        let known_lost = lost.iter().map(|i| IDS[*i]).collect();
+        Status { known_lost, ..status() }
+    };
+    let mut observer = Observer::new(&with(&[]), start);
+    for (second, lost) in [(1, &[2][..]), (22, &[2, 3]), (24, &[2, 3, 4]), (26, &[2, 3, 4])] {
+        observer.observe(&with(lost), at(second));
+    }
+    let silence = |id| (id != IDS[4]).then_some(Duration::from_secs(29));
+    let line = |status: &Status| observer.lost_disks(status, at(26), silence, address_of);
+    let text = line(&with(&[2, 3, 4])).expect("lost disks");
+    let expected = "lost disks, known/silent s: 2321@0.21 25/29, 4422@0.22 4/29, 6523@0.23 2/?";
+    assert_eq!(text, expected);
+    check_within_cut(CONTROL, &text, &[expected]);
+    let replaced = Status { membership: Membership::initial(1, [IDS[0], IDS[1]]), ..status() };
+    assert_eq!(line(&replaced), None);
+}
+
 fn call(path: &str) -> RefusedCall {
     RefusedCall { method: String::from("PUT"), path: path.to_owned(), status: 503 }
 }
