Test the bounded log in a process that logs too much

The budget of log lines was tested as a function only, and not the logger and the writer's thread around it.

Change: a test starts a process that logs 5,000 lines of one call site and one of another. The latter must be written, and the lines that say how many were left out must add up to the counter.

--- a/crates/toucansilld/tests/log_budget.rs
+++ b/crates/toucansilld/tests/log_budget.rs
@@ -1,14 +1,25 @@
 //! Which lines of a log are left out.
 
 use log::Level;
-use std::time::{Duration, Instant};
-use toucansilld::logs::budget::{Admission, CallSite, LineBudget};
+use serde_json::Value;
+use std::{
+    env,
+    process::{self, Command},
+    time::{Duration, Instant},
+};
+use toucansilld::logs::{
+    self,
+    budget::{Admission, CallSite, LineBudget},
+};
 
 /// Maximum number of lines in one second.
 const MAX_LINES_PER_SECOND: usize = 400;
 /// Maximum number of queued lines.
 const MAX_QUEUED_LINES: usize = 2_048;
 
+/// Environment variable that is set in a process that logs too much.
+const FLOODED: &str = "TOUCANSILL_TEST_FLOODED_LOG";
+
 fn site(line: u32) -> CallSite {
     CallSite { module: Some("toucansilld::gateway::servers"), line: Some(line) }
 }
@@ -114,3 +125,57 @@
     let text = budget.report(at(9_500)).expect("a report");
     assert_eq!(text, "1 lines left out in 0.5 s: 1 servers:9");
 }
+
+/// Not a test by itself: a process that logs too much, if [`FLOODED`] is set.
+#[test]
+fn flooded_log() {
+    if env::var_os(FLOODED).is_none() {
+        return;
+    }
+    logs::install_bounded("d1");
+    for i in 0..5_000 {
+        log::info!(number = i; "frequent");
+    }
+    log::info!("rare");
+    logs::flush();
+    eprintln!("dropped {}", logs::dropped());
+    // The log keeps standard output, to which the end of a test would be written.
+    process::exit(0);
+}
+
+/// Guards against a process whose log lacks rare lines, or doesn't say that any were left out.
+#[test]
+fn a_process_that_logs_too_much_writes_rare_lines_and_what_it_left_out() {
+    let mut child = Command::new(env::current_exe().expect("this program"));
+    let child = child.args(["--exact", "flooded_log", "--nocapture"]).env(FLOODED, "1");
+    let output = child.output().expect("output");
+    let errors = String::from_utf8(output.stderr).expect("UTF-8");
+    let output = String::from_utf8(output.stdout).expect("UTF-8");
+    let dropped = errors.lines().find_map(|line| line.strip_prefix("dropped ")).expect("a number");
+    let dropped: usize = dropped.parse().expect("a number");
+    let is_line = |line: &&str| line.starts_with('{');
+    let lines: Vec<Value> = output
+        .lines()
+        .filter(is_line)
+        .map(|line| serde_json::from_str(line).expect("JSON"))
+        .collect();
+    let texts: Vec<&str> =
+        lines.iter().map(|line| line["text"].as_str().expect("a text")).collect();
+    assert!(texts.contains(&"rare"), "{texts:?}");
+    let written = texts.iter().filter(|text| **text == "frequent").count();
+    // The log is written in the meantime, and a second may end.
+    assert!((200..2_000).contains(&written), "{written}");
+    assert_eq!(written + dropped, 5_000);
+    let reports = lines.iter().zip(&texts).filter(|(_, text)| text.contains(" lines left out in "));
+    let reported: Vec<usize> = reports
+        .map(|(line, text)| {
+            assert_eq!(
+                (&line["level"], &line["target"]),
+                (&"WARN".into(), &"toucansilld::logs".into())
+            );
+            assert!(text.contains(" INFO \"frequent\""), "{text}");
+            text.split(' ').next().expect("a number").parse::<usize>().expect("a number")
+        })
+        .collect();
+    assert_eq!(reported.iter().sum::<usize>(), dropped, "{texts:?}");
+}
