--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -4,19 +4,23 @@
 use super::{
     bus::{DaemonLinks, reply, reply_encoded},
     calls::{read_registration, registered},
-    group_report::{self, Contact, Observer},
+    group_report::{self, Contact},
     lead::{FOLLOW_WAIT, LeaderState, PlacementReply},
     members::{self, members_for},
     messages::{
         ControlHttpRequest, ControlHttpResponse, FollowRequest, LeaderReply, LeaderRequest,
         RefreshedUpstream, ReplicatedState,
     },
+    observer::Observer,
+    own_vote::OwnVote,
+    pending_votes::PendingVotes,
     quarantine::{ReadWatchlist, ReceivedReports},
     refreshes::Refreshes,
     servers,
     settings::{Bounds, ControlSettings, GatewaySettings},
     unanswered::RefusedCalls,
     view::View,
+    votes::VoteNotes,
 };
 use crate::{control_messages::RaftEnvelope, sync::lock, voter::Voter};
 use follow::{HeldRequest, HeldRequests, ViewPosition};
@@ -110,6 +114,8 @@
     member: NodeId,
     /// Former member at this address that others still send Raft messages to.
     former_member: Mutex<Option<NodeId>>,
+    /// What lines about missing votes need.
+    pub(super) vote_notes: Mutex<VoteNotes>,
     /// Calls that got no answer, by the reason.
     pub(super) unanswered: RefusedCalls,
     /// Calls whose request could not be read, by the reason.
@@ -152,6 +158,7 @@
             refreshes,
             member,
             former_member: Mutex::default(),
+            vote_notes: Mutex::default(),
             unanswered: RefusedCalls::default(),
             unread: RefusedCalls::default(),
             invalid: RefusedCalls::default(),
@@ -244,6 +251,8 @@
         let status = self.voter.status();
         self.record_group_metrics(&status);
         let mut observer = Observer::new(&status, last_clean_up);
+        let mut pending_votes = PendingVotes::new(&status, last_clean_up);
+        let mut own_vote = OwnVote::new(&status, last_clean_up);
         loop {
             let slept_at = self.clock.now();
             sleep(LEADERSHIP_CHECK_INTERVAL).await;
@@ -255,13 +264,17 @@
                 [observer.pause(&status, slept_at, now), observer.voter_pause(&status, now)];
             pauses.iter().flatten().for_each(|text| log::warn!("{text}"));
             self.report_members(&mut observer, &status);
+            self.report_votes(&mut pending_votes, &mut own_vote, &status);
             observer.observe(&status, now);
             if status.leader.is_some() {
                 leaderless_report_due = self.clock.now() + LEADERLESS_REPORT_INTERVAL;
             } else if self.clock.now() >= leaderless_report_due {
                 leaderless_report_due = self.clock.now() + LEADERLESS_REPORT_INTERVAL;
                 self.report_leaderless(&status);
-                if let Some(text) = observer.leaderless(now) {
+                let silence = |id| lock(&self.vote_notes).silence(now, id);
+                let address_of = |id| self.voter.address_of(id);
+                let lost_disks = observer.lost_disks(&status, now, silence, address_of);
+                for text in observer.leaderless(now).into_iter().chain(lost_disks) {
                     log::warn!(member = status.id; "{text}");
                 }
             }
@@ -344,7 +357,7 @@
     }
 
     /// What is known of the way to another member.
-    fn contact(&self, id: NodeId) -> Contact {
+    pub(super) fn contact(&self, id: NodeId) -> Contact {
         match (self.voter.address_of(id), self.last_failure(id)) {
             (None, _) => Contact::Unknown,
             (Some(_), Some(failure)) => Contact::Unreachable(failure.kind),
@@ -372,6 +385,7 @@
         if to != self.member {
             *lock(&self.former_member) = Some(to);
         }
+        self.note_vote(|notes, now| notes.heard(now, envelope.message.from));
         self.voter.step(envelope);
     }
 
@@ -558,6 +572,7 @@
                 reply(responder, &copy);
             }
             LeaderRequest::Join { id, address } => {
+                self.note_vote(|notes, now| notes.asked(now, id, &address));
                 let control = Arc::clone(self);
                 tokio::spawn(async move {
                     reply(responder, &control.admit(id, address).await);
