Set lost voters aside before their successors have caught up

Callers got 503 with `no leader is known` from each member, for good: a VM that had lost its disk had no vote 4 s after its start, and two more disks went. Two of five votes were left.

Cause: a lost disk goes on counting as a voter until one node, over one path, has caught up with the leader. A silent path, a slow disk, a squeezed link, another change of the members or a new leader hold that up.

A voter whose disk is known to be lost is demoted at once, as long as enough voters are left; that needs a quorum and no successor. The leader now asks for the ids at the addresses of silent voters itself. If the voter can't be set aside, a successor takes its vote before it has caught up, so that two VMs that lose their disks at once, and stall both, don't end the group for good. It votes with an empty log only if its id was generated at this start of its daemon. The only absent voter of a whole group is set aside while a successor catches up.

--- a/crates/raft/src/election.rs
+++ b/crates/raft/src/election.rs
@@ -148,12 +148,14 @@
     /// Whether the node may vote for a candidate whose log ends at `last`.
     ///
     /// A node whose log is empty, or holds only the bootstrap entry, may have lost its disk after
-    /// it had acknowledged further entries. It therefore never votes with an empty log, and with
-    /// only the bootstrap entry it doesn't vote for a candidate with a longer log.
+    /// it had acknowledged further entries, unless its id [is new](crate::Config::has_new_id). It
+    /// therefore never votes with an empty log, and with only the bootstrap entry it doesn't vote
+    /// for a candidate with a longer log.
     fn may_vote(&self, last: LogPosition) -> bool {
         let own = self.log.last();
-        let may_have_lost_disk = own.index <= 1 && last.index > own.index;
-        own.index > 0 && !may_have_lost_disk && last.is_up_to_date_with(own)
+        let is_longer = own.index <= 1 && last.index > own.index;
+        let may_have_lost_disk = !self.cfg.has_new_id && (own.index == 0 || is_longer);
+        !may_have_lost_disk && last.is_up_to_date_with(own)
     }
 
     fn note_candidate(&mut self, from: NodeId, last: LogPosition) {
--- a/crates/raft/src/follower.rs
+++ b/crates/raft/src/follower.rs
@@ -21,9 +21,9 @@
     /// Accepts the sender as the leader of this term.
     ///
     /// Returns false, and marks the disk as lost, if the leader counts this node as a voter
-    /// although its log is empty.
+    /// although its log is empty and its id [isn't new](crate::Config::has_new_id).
     pub(crate) fn accept_leader(&mut self, from: NodeId, voter: bool) -> bool {
-        if voter && self.log.last_index() == 0 {
+        if voter && self.log.last_index() == 0 && !self.cfg.has_new_id {
             self.lost_disk = true;
             return false;
         }
--- a/crates/raft/src/joining.rs
+++ b/crates/raft/src/joining.rs
@@ -10,9 +10,13 @@
 //! The changes keep the voters whose disks are whole a quorum at every step, wherever the tolerated
 //! number of disks is lost:
 //!
+//! - A voter whose disk is known to be lost is set aside at once, as long as [enough
+//!   voters](GroupView::min_voters) are left. That needs a quorum, and neither a successor nor a
+//!   learner that catches up in time. If too few would be left, a successor takes its vote before
+//!   it has caught up: it has a new id, so it may vote with an empty log.
 //! - An absent voter is exchanged for another node. It may be gone for good, or come back with its
 //!   disk. In the joint membership both cases leave a quorum, also if the new node is lost as well;
-//!   see [`Membership`].
+//!   see [`Membership`]. If it is the only one, it is set aside while the node catches up.
 //! - A voter that loses its vote because it is absent becomes a learner. It keeps its id and its
 //!   disk, and is promoted again once it answers. Only a learner whose disk is known to be lost,
 //!   which leaves as planned or which has been silent for very long is removed.
@@ -49,6 +53,9 @@
 /// Ticks of silence after which members are replaced or removed.
 #[derive(Clone, Copy, Debug)]
 pub struct SilenceLimits {
+    /// After which a voter whose disk is said to be lost is believed to be: less than `absent`, and
+    /// enough for a voter that answers to be heard.
+    pub lost: u32,
     /// After which a voter is absent, unless its process is there.
     pub absent: u32,
     /// After which a voter is absent although its process is there all the time.
@@ -80,6 +87,9 @@
     /// What is known of the voters that don't answer. As long as it lacks one of them, none is
     /// replaced, except by a node at its own address.
     pub presence: &'a BTreeMap<NodeId, Presence>,
+    /// Voters whose disks are known to be lost; see
+    /// [`Raft::note_lost_disk`](crate::Raft::note_lost_disk).
+    pub known_lost: &'a BTreeSet<NodeId>,
     /// Ticks of silence after which members are replaced or removed.
     pub limits: SilenceLimits,
 }
@@ -106,6 +116,15 @@
         silent.all(|id| self.presence.get(id) == Some(&Presence::Listening))
     }
 
+    /// The voter that has been silent for longest among those whose disks are known to be lost, or
+    /// that have the address of another node.
+    fn lost_voter(&self, has_other_node: impl Fn(NodeId) -> bool) -> Option<NodeId> {
+        let voters = self.members.voters.difference(self.reachable).copied();
+        let is_lost = |id: &NodeId| self.known_lost.contains(id) || has_other_node(*id);
+        let lost = voters.filter(|id| is_lost(id) && self.silence(*id) >= self.limits.lost);
+        lost.max_by_key(|id| (self.silence(*id), *id))
+    }
+
     /// Number of voters that answer.
     fn reachable_voters(&self) -> usize {
         self.members.voters.intersection(self.reachable).count()
@@ -138,7 +157,8 @@
     /// Whether a learner doesn't answer that is about to come back with its disk.
     fn has_absent_learner(&self) -> bool {
         let absent = self.limits.absent..self.limits.listening;
-        let mut learners = self.members.learners.iter().filter(|id| !self.is_lost_learner(**id));
+        let is_lost = |id: NodeId| self.known_lost.contains(&id) || self.is_lost_learner(id);
+        let mut learners = self.members.learners.iter().filter(|id| !is_lost(**id));
         learners.any(|id| absent.contains(&self.silence(*id)))
     }
 
@@ -168,31 +188,50 @@
 /// the node is a voter or retired, has to catch up first, or has to wait for other voters or for a
 /// change of the voters that is under way. It asks again then.
 ///
-/// The node takes the place of members that were last known at the same address: their disks are
-/// lost. Otherwise, if the group has enough voters, it takes the place of an absent voter, or of
-/// two of them. If all voters answer, the node becomes an additional one, whose predecessor is
-/// expected to leave; see [`next_leave_step`].
+/// Members that were last known at the node's address have lost their disks. They are set aside and
+/// removed first. Then the node takes the place of a voter whose disk is known to be lost, or
+/// otherwise, if the group has enough voters, of an absent voter, or of two of them. If all voters
+/// answer, the node becomes an additional one, whose predecessor is expected to leave; see
+/// [`next_leave_step`].
 pub fn next_join_step(view: GroupView<'_>, id: NodeId, address: &str) -> Option<MembershipChange> {
     let members = view.members;
     if members.is_voter(id) || members.retired.contains(&id) || members.is_joint() {
         return None;
     }
+    // Otherwise the request is a late one of a former node.
+    let is_former = |voter: NodeId| view.silence(voter) > view.silence(id);
+    let lost = view.lost_voter(|voter| view.is_at(voter, address) && is_former(voter));
+    let is_caught_up = view.caught_up.contains(&id);
+    let former = view.former_node(&members.voters, id, address);
+    match lost.or(former.filter(|voter| is_caught_up && is_former(*voter))) {
+        Some(lost) if is_caught_up => return Some(replace(view, lost, id)),
+        Some(lost) if view.may_set_aside() => return Some(MembershipChange::Demote(lost)),
+        _ => {}
+    }
     if let Some(former) = view.former_node(&members.learners, id, address) {
         return Some(MembershipChange::Remove(former));
     }
     if !members.contains(id) {
         return Some(MembershipChange::AddLearner(id));
     }
-    if !view.caught_up.contains(&id) {
-        return None;
+    if let Some(lost) = lost {
+        let may_vote = may_vote_before_catching_up(view, lost, id);
+        return may_vote.then_some(MembershipChange::Exchange { old: lost, new: id });
+    }
+    let is_confirmed = view.confirmed.contains(&id);
+    if !is_caught_up {
+        // The group doesn't depend on the only absent voter while the node catches up.
+        let is_usual = members.voters.len() == view.target_voters && view.may_set_aside();
+        let absent = if is_confirmed && is_usual { view.absent_voters() } else { Vec::new() };
+        return match absent[..] {
+            [absent] => Some(MembershipChange::Demote(absent)),
+            _ => None,
+        };
     }
-    if let Some(former) = view.former_node(&members.voters, id, address) {
-        // Otherwise the request is a late one of the former node.
-        let is_former = view.silence(former) > view.silence(id);
-        return is_former.then(|| replace(view, former, id));
+    if former.is_some() {
+        return None;
     }
     let reachable = view.reachable_voters();
-    let is_confirmed = view.confirmed.contains(&id);
     let may_grow = match members.voters.len() < view.target_voters {
         // An absent voter may be gone. It loses its vote to the node, so that the group doesn't
         // depend on it.
@@ -216,6 +255,15 @@
     }
 }
 
+/// Whether a node that has yet to catch up takes the vote of a lost voter that can't be set aside.
+/// A node that catches up soon is better, and so is one that the leader hears.
+fn may_vote_before_catching_up(view: GroupView<'_>, lost: NodeId, id: NodeId) -> bool {
+    let learners = &view.members.learners;
+    view.silence(lost) >= view.limits.absent
+        && learners.is_disjoint(view.caught_up)
+        && (view.reachable.contains(&id) || learners.is_disjoint(view.reachable))
+}
+
 /// The change by which a learner takes the place of a voter. The voter is only demoted
 /// if the group is larger than it should be.
 fn replace(view: GroupView<'_>, old: NodeId, new: NodeId) -> MembershipChange {
@@ -300,6 +348,7 @@
 ///
 /// - A learner is removed whose disk is lost, or which has been silent for very long while all
 ///   voters answer.
+/// - A voter whose disk is known to be lost is demoted, if enough voters are left.
 /// - An absent voter is demoted if the group has more than `target_voters` voters. It is left over
 ///   if it ended without leaving after its successor had joined. It raises the number of voters
 ///   that a majority needs, so this never makes the group less tolerant. Two of them are demoted
@@ -313,6 +362,9 @@
     if let Some(lost) = learners.find(|id| view.is_lost_learner(*id)) {
         return Some(MembershipChange::Remove(lost));
     }
+    if let Some(lost) = view.lost_voter(|_| false).filter(|_| view.may_set_aside()) {
+        return Some(MembershipChange::Demote(lost));
+    }
     let voters = members.voters.len();
     if voters >= view.target_voters && view.reachable_voters() == voters {
         let is_forgotten = |id: &NodeId| view.silence(*id) >= view.limits.forgotten;
--- a/crates/raft/src/membership.rs
+++ b/crates/raft/src/membership.rs
@@ -18,8 +18,9 @@
     /// [`Error::is_not_leader`]; [`Error::is_busy`] while another change is uncommitted or the
     /// voters are joint, while this leader hasn't committed an entry of its term, or while
     /// leadership is being transferred; [`Error::is_behind`] while the learner to promote hasn't
-    /// caught up; [`Error::is_refused_change`] if the change is invalid for the current members, or
-    /// if the reachable voters would be no quorum without a new one.
+    /// caught up, unless it takes the place of a voter whose disk is [known to be
+    /// lost](Self::note_lost_disk); [`Error::is_refused_change`] if the change is invalid for the
+    /// current members, or if the reachable voters would be no quorum without a new one.
     pub fn propose_change(&mut self, change: MembershipChange) -> Result<LogPosition> {
         if !self.is_leader() {
             return Err(Error::not_leader(self.leader));
@@ -37,11 +38,12 @@
             return Err(Error::busy("leadership is being transferred"));
         }
         let next = members.after(change)?;
-        if let MembershipChange::Promote(id)
-        | MembershipChange::Exchange { new: id, .. }
-        | MembershipChange::ExchangeTwo { new: id, .. } = change
-        {
-            self.check_caught_up(id)?;
+        match change {
+            MembershipChange::Exchange { old, .. } if self.known_lost.contains(&old) => {}
+            MembershipChange::Promote(id)
+            | MembershipChange::Exchange { new: id, .. }
+            | MembershipChange::ExchangeTwo { new: id, .. } => self.check_caught_up(id)?,
+            _ => {}
         }
         self.check_keeps_quorum(change, &next)?;
         let position = self.append(EntryPayload::Membership(next));
@@ -74,14 +76,17 @@
             _ => (None, Vec::new()),
         };
         let is_second = self.membership().voters.len() == 1;
+        let is_caught_up = |id: NodeId| self.check_caught_up(id).is_ok();
         let is_moving = |id: NodeId| new == Some(id) || old.contains(&id);
         let counts = |id| self.is_reachable(id) && (is_second || !is_moving(id));
         // A node that takes the place of a lost one is known to be lost, too, if its disk is lost
         // right after that.
+        // One that has yet to catch up acknowledges nothing, lost or not.
         let mut lost = self.excluded.clone();
-        lost.extend(new.filter(|_| old.iter().any(|id| self.excluded.contains(id))));
+        let caught_up = new.filter(|id| is_caught_up(*id));
+        lost.extend(caught_up.filter(|_| old.iter().any(|id| self.excluded.contains(id))));
         let is_kept = next.has_quorum_without(&lost, counts);
-        match is_kept && new.is_none_or(|id| self.is_reachable(id)) {
+        match is_kept && caught_up.is_none_or(|id| self.is_reachable(id)) {
             true => Ok(()),
             false => Err(Error::refused_change("too few of the other voters answer")),
         }
--- a/crates/raft/src/node.rs
+++ b/crates/raft/src/node.rs
@@ -170,6 +170,8 @@
     /// next campaign on this node doesn't count the voter, and half of an even number of voters is
     /// enough for it.
     ///
+    /// On a leader, it allows a successor that has yet to catch up to take the voter's place.
+    ///
     /// Only a daemon with another id at the voter's address tells so. What the voter did before
     /// doesn't count in such a campaign, so the loss must be known when it begins.
     pub fn note_lost_disk(&mut self, id: NodeId) {
@@ -378,7 +380,8 @@
         &self.candidate_logs
     }
 
-    /// Whether a leader counts this node as a voter although its log is empty.
+    /// Whether a leader counts this node as a voter although its log is empty and its id [isn't
+    /// new](crate::Config::has_new_id).
     ///
     /// Such a node ignores all messages and never campaigns, as it may have voted and
     /// acknowledged entries before its disk was lost. Remove it and let it join under a new id.
--- a/crates/toucansilld/src/gateway/identity.rs
+++ b/crates/toucansilld/src/gateway/identity.rs
@@ -38,7 +38,8 @@
     if let Err(err) = voter::remove_discarded(&control.data_folder) {
         log::error!("what is left of a discarded log was not removed: {err}");
     }
-    let id = match stored_id(&control.data_folder, &file)? {
+    let stored = stored_id(&control.data_folder, &file)?;
+    let id = match stored {
         Some(id) => id,
         None => {
             let id = if is_founder { founder_id(control.listen) } else { random_id() };
@@ -53,6 +54,8 @@
         data_folder: control.data_folder.clone(),
         snapshot_entries: control.snapshot_entries,
         initial: if is_founder && id < FIRST_RANDOM_ID { initial.collect() } else { Vec::new() },
+        // A stored id without entries may be one whose log was lost in part.
+        has_new_id: stored.is_none() && id >= FIRST_RANDOM_ID,
     })
 }
 
--- a/crates/toucansilld/src/gateway/lost_disks.rs
+++ b/crates/toucansilld/src/gateway/lost_disks.rs
@@ -1,26 +1,28 @@
-//! Losses of disks that a member without a leader finds out about.
+//! Losses of disks that a leader, or a member without one, finds out about.
 //!
 //! A daemon that has another id than the voter that was at its address has an empty disk behind it:
 //! ids are stored with the log, and never used again. With that knowledge half of an even number of
-//! voters can elect a leader; see [`raft::Membership`].
+//! voters can elect a leader, see [`raft::Membership`], and a leader sets the voter aside, see
+//! [`raft::joining`].
 
 use super::{
     control::ControlMember,
+    members::SILENCE_LIMITS,
     messages::{LeaderReply, LeaderRequest},
 };
 use group::{NodeId, Status};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{task::JoinSet, time::sleep};
 
-/// Interval at which a member without a leader asks the voters for their ids: less than the
-/// shortest election timeout.
+/// Interval at which a member asks voters that it doesn't hear for their ids: less than the shortest
+/// election timeout.
 const IDENTIFY_INTERVAL: Duration = Duration::from_millis(300);
 /// Timeout for the reply.
 const IDENTIFY_TIMEOUT: Duration = Duration::from_millis(400);
 
 impl ControlMember {
-    /// Asks for the ids of the daemons at the addresses of voters while this member knows no
-    /// leader, until the task is aborted.
+    /// Asks for the ids of the daemons at the addresses of voters while this member leads or knows
+    /// no leader, until the task is aborted.
     pub(crate) async fn find_lost_disks(self: Arc<Self>) {
         loop {
             sleep(IDENTIFY_INTERVAL).await;
@@ -39,16 +41,20 @@
         }
     }
 
-    /// Voters that haven't granted this member's last request for votes, with their addresses; none
-    /// on a member that can't be elected, or needn't.
+    /// Voters that don't answer a leader, or haven't granted the last request for votes of a member
+    /// without one, with their addresses; none on a member that follows a leader or can't be
+    /// elected.
     fn unheard_voters(&self, status: &Status) -> Vec<(NodeId, SocketAddr)> {
         let members = &status.membership;
-        if status.leader.is_some() || !members.is_voter(status.id) {
+        if (status.leader.is_some() && !status.is_leader()) || !members.is_voter(status.id) {
             return Vec::new();
         }
-        let is_unheard = |id: &NodeId| {
-            *id != status.id && !status.votes.contains_key(id) && !status.known_lost.contains(id)
+        let is_silent = |id: &NodeId| match status.is_leader() {
+            true => status.silent_ticks.get(id).is_some_and(|t| *t >= SILENCE_LIMITS.lost),
+            false => !status.votes.contains_key(id),
         };
+        let is_unheard =
+            |id: &NodeId| *id != status.id && is_silent(id) && !status.known_lost.contains(id);
         let unheard = members.voters.iter().copied().filter(is_unheard);
         unheard.filter_map(|id| Some((id, self.link_address_of(id)?))).collect()
     }
--- a/crates/toucansilld/src/gateway/members.rs
+++ b/crates/toucansilld/src/gateway/members.rs
@@ -28,14 +28,14 @@
 
 /// Interval of Raft ticks. With it, elections take 0.5 s to 1 s.
 pub(crate) const TICK: Duration = Duration::from_millis(50);
-/// Ticks of silence after which members may be replaced: 1 s, 30 s and 5 min. Each leader counts
-/// them anew, so a leader has to last this long.
+/// Ticks of silence after which members may be replaced: 0.3 s, 1 s, 30 s and 5 min. Each leader
+/// counts them anew, so a leader has to last this long.
 ///
-/// Most members that restart are back within `absent`, and a successor still has its vote within 4
+/// A voter that answers is heard within `lost`. Most members that restart are back within `absent`, and a successor still has its vote within 4
 /// s of its start, also if the leader was lost together with its predecessor. A process that has
 /// been suspended for `listening` isn't expected to come back by itself.
-const SILENCE_LIMITS: SilenceLimits =
-    SilenceLimits { absent: 20, listening: 600, forgotten: 6_000 };
+pub(super) const SILENCE_LIMITS: SilenceLimits =
+    SilenceLimits { lost: 6, absent: 20, listening: 600, forgotten: 6_000 };
 /// Ticks of silence after which the gauges count a member as not heard: two heartbeats and a
 /// margin.
 pub(crate) const UNHEARD_TICKS: u32 = 6;
@@ -86,6 +86,7 @@
         addresses: &nodes.filter_map(|id| Some((id, address_of(id)?))).collect(),
         target_voters: members_for(tolerated_losses),
         presence,
+        known_lost: &status.known_lost,
         limits: SILENCE_LIMITS,
     })
 }
@@ -148,8 +149,16 @@
                 member = id, address = address.as_str(), change:? = change;
                 "member admitted: {text}{}", group_report::probed(&presence)
             );
-            if change == MembershipChange::AddLearner(id) {
-                self.voter().learn_address(id, address.clone());
+            match change {
+                MembershipChange::AddLearner(id) => {
+                    self.voter().learn_address(id, address.clone());
+                }
+                MembershipChange::Exchange { old, .. }
+                    if self.voter().address_of(old).as_ref() == Some(&address) =>
+                {
+                    self.voter().note_lost_disk(old);
+                }
+                _ => {}
             }
             if let Err(err) = self.change_members(change).await {
                 log::warn!(member = id, change:? = change; "member has not joined: {err}");
@@ -222,9 +231,12 @@
         }
         let Some(change) = self.with_view(&status, &presence, next_upkeep_step) else { return };
         let (what, ids) = match change {
-            MembershipChange::Demote(id) => ("surplus member removed", vec![id]),
-            MembershipChange::DemoteTwo(ids) => ("surplus member removed", ids.to_vec()),
-            MembershipChange::Remove(id) => ("former member removed", vec![id]),
+            MembershipChange::Demote(id) if status.known_lost.contains(&id) => {
+                ("disk lost: set aside ", vec![id])
+            }
+            MembershipChange::Demote(id) => ("surplus member removed: -", vec![id]),
+            MembershipChange::DemoteTwo(ids) => ("surplus member removed: -", ids.to_vec()),
+            MembershipChange::Remove(id) => ("former member removed: -", vec![id]),
             other => return log::error!("{other:?} isn't made without a request"),
         };
         let members = status.membership.voters.len();
@@ -233,14 +245,14 @@
             let address = self.voter().address_of(id);
             log::warn!(
                 member = id, members, silent_ticks;
-                "{what}: -{}, {}{}",
+                "{what}{}, {}{}",
                 group_report::short_name(id, address.as_deref()),
                 group_report::silence(&status, id),
                 group_report::probed(&presence)
             );
         }
         if let Err(err) = self.change_members(change).await {
-            log::warn!(change:? = change; "{what}: not done: {err}");
+            log::warn!(change:? = change; "members not changed: {err}");
         }
     }
 
@@ -253,7 +265,7 @@
         }
         let has_step =
             self.with_view(&status, &unknown, |view| next_join_step(view, id, address)).is_some();
-        match status.caught_up.contains(&id) && !has_step {
+        match status.membership.learners.contains(&id) && !has_step {
             true => self.probe_silent_voters(&status).await,
             false => unknown,
         }
--- a/crates/toucansilld/src/settings.rs
+++ b/crates/toucansilld/src/settings.rs
@@ -80,6 +80,9 @@
     /// Number of log entries after which a snapshot is taken; `None` for the default.
     #[serde(default)]
     pub snapshot_entries: Option<NonZeroU64>,
+    /// Whether the id was generated at this start, so that it was never used before.
+    #[serde(skip)]
+    pub has_new_id: bool,
 }
 
 /// One of the first voters of a new control group.
--- a/crates/toucansilld/src/voter.rs
+++ b/crates/toucansilld/src/voter.rs
@@ -78,6 +78,7 @@
         cfg.clock = Arc::clone(&clock);
         cfg.tick_interval = Some(tick);
         cfg.start_mode = start_mode(settings);
+        cfg.raft.has_new_id = settings.has_new_id;
         if let Some(entries) = settings.snapshot_entries {
             cfg.snapshot_interval_entries = entries.get();
             cfg.keep_entries = cfg.keep_entries.min(entries.get());
