Take changes while one voter is set aside

A leader refused changes with 503 `the control group is not complete yet` for 20 s after its election while the group had four of five voters: one was set aside, as its disk was lost and its successor stalled, or as it was absent. Operators got no acknowledgement in that time.

Cause: `is_formed` asked for all voters, to keep changes back while the founders wait for the others. Four voters of five keep what three of them have acknowledged when two disks are lost, as one of them is set aside only for that reason.

The tests of stalled learners now ask for an acknowledgement within 5 s before the last disks go.

--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -6,7 +6,7 @@
     calls::{read_registration, registered},
     group_report::{self, Contact},
     lead::{FOLLOW_WAIT, LeaderState, PlacementReply},
-    members::{self, members_for},
+    members::{self, least_voters_for},
     messages::{
         ControlHttpRequest, ControlHttpResponse, FollowRequest, LeaderReply, LeaderRequest,
         RefreshedUpstream, ReplicatedState,
@@ -717,11 +717,11 @@
         }
     }
 
-    /// Whether the group has all members that it needs to keep acknowledged changes when the
+    /// Whether the group has the voters that it needs to keep acknowledged changes when the
     /// tolerated number of disks is lost, or this daemon has led without them for
-    /// [`FORMATION_TIMEOUT`].
+    /// [`FORMATION_TIMEOUT`]. One voter may be set aside.
     pub(super) fn is_formed(&self) -> bool {
-        let needed = members_for(self.control.tolerated_losses);
+        let needed = least_voters_for(self.control.tolerated_losses);
         let now = self.clock.now();
         let has_timed_out = lock(&self.leading_since)
             .is_some_and(|since| now.saturating_duration_since(since) >= FORMATION_TIMEOUT);
--- a/crates/toucansilld/src/gateway/members.rs
+++ b/crates/toucansilld/src/gateway/members.rs
@@ -68,6 +68,12 @@
     2 * tolerated_losses + 1
 }
 
+/// Number of voters below which none is set aside; with them, a group survives these losses if each
+/// is known. See [`GroupView::min_voters`].
+pub(crate) fn least_voters_for(tolerated_losses: usize) -> usize {
+    (2 * tolerated_losses).max(1)
+}
+
 /// Calls `f` with the leader's view of its group.
 fn with_group_view<T>(
     status: &Status,
--- a/crates/toucansilld/tests/gateway/stalled_learners.rs
+++ b/crates/toucansilld/tests/gateway/stalled_learners.rs
@@ -23,6 +23,8 @@
 
 /// Time from the start of a VM until it is no longer held up.
 const STALL_TIME: Duration = Duration::from_secs(8);
+/// Time within which a change has to be acknowledged.
+const ACKNOWLEDGED_TIME: Duration = Duration::from_secs(5);
 /// What each sync of a slow disk takes, in milliseconds.
 const SLOW_SYNC_MS: u64 = 2_500;
 /// Bytes per second of a connection on a squeezed link.
@@ -172,7 +174,9 @@
             Lost::Followers => [others[0], others[1]],
         };
         let body = document(7, "/x/", "s1");
+        let sent = Instant::now();
         self.region.control_request_until_ok(self.leader, "PUT", DOCUMENT_PATH, &body);
+        assert!(sent.elapsed() < ACKNOWLEDGED_TIME, "acknowledged after {:?}", sent.elapsed());
         lost.iter().for_each(|i| self.region.kill(*i));
         for i in lost {
             self.region.lose_disk(i);
@@ -237,10 +241,24 @@
         let variables = vec![("LD_PRELOAD", library), ("SYNC_DELAY", delay.clone())];
         self.region.set_variables(wiped, variables);
         let slow_down = |_: &Self| fs::write(&delay, SLOW_SYNC_MS.to_string()).expect("written");
-        let speed_up = |_: &Self| fs::remove_file(&delay).expect("removed");
+        let speed_up = |group: &Self| {
+            if let (Lost::Followers, Since::Listening) = (lost, since) {
+                group.check_wait_is_logged(wiped);
+            }
+            fs::remove_file(&delay).expect("removed");
+        };
         self.check(&[wiped], &[wiped], since, lost, slow_down, speed_up);
     }
 
+    /// The leader's lines must say that a learner has no vote, and later that it has one or is gone.
+    fn check_wait_is_logged(&self, learner: usize) {
+        let id = self.region.stored_id(learner).expect("an id");
+        let id = id.trim();
+        let (log, name) = (self.region.log(self.leader), &id[id.len() - 4..]);
+        let tells = |line: &str| line.contains("no vote for ") && line.contains(name);
+        assert!(log.lines().any(tells), "no line of {name} in {log}");
+    }
+
     /// A VM loses its disk, and its links are squeezed while it has to get a large document.
     fn check_squeezed_links(self, since: Since, lost: Lost) {
         // The log holds it compressed.
