Tell which id a daemon has before its voter has opened its disk

The group depended on a lost disk for as long as the successor's disk was slow: with syncs of 2.5 s, the daemon of a wiped VM listened for links 22 s after its start, after nine syncs, so that nobody could learn that another id is at the address. Two more disks went, and nobody led for good.

Cause: the links were started after the voter, whose folder, id and log have to be durable first.

The id is found or generated without a write, then the links start, and answer `Identify` with it; the voter is opened beside them, on a thread for blocking work. Another id than the former one tells of the loss, whether it is stored later or not.

`stalled_learners::two_disks_may_be_lost_while_the_disk_of_a_wiped_vm_is_slow` failed in each of 5 runs before, and in one with the leader asking for ids, and passes now, as do the tests of full disks, restarts and durable names.

--- a/crates/toucansilld/src/gateway/daemon.rs
+++ b/crates/toucansilld/src/gateway/daemon.rs
@@ -5,7 +5,8 @@
     control::ControlMember,
     entry::{CallerHandler, LeaderPlacedRequests},
     follow::Follower,
-    group_report, identity,
+    group_report,
+    identity::{self, Identity},
     limits::KnownLimits,
     members::TICK,
     messages::{LeaderReply, LeaderRequest},
@@ -16,7 +17,7 @@
     servers::{
         CallerServer, serve_control, serve_entry, serve_metrics, serve_readiness, serve_relay,
     },
-    settings::GatewaySettings,
+    settings::{ControlSettings, GatewaySettings},
     view::View,
     watchlist::WatchlistView,
 };
@@ -88,14 +89,22 @@
     let (ends_at_tx, ends_at) = watch::channel(None);
 
     let mut tasks = Tasks::default();
+    let identity = settings.control.as_ref().map(|cfg| identity::find(&settings, cfg));
+    let slot = Arc::new(ControlSlot::new(identity.transpose()?));
+    // The others learn which id is here, also while a slow disk holds up the voter.
+    let links = DaemonLinks::start(
+        &settings,
+        connector.clone(),
+        request_handler(Arc::clone(&slot), connector.clone(), settings.links),
+        settings.control.as_ref().map(|_| raft_handler(Arc::clone(&slot))),
+    )
+    .await?;
     let mut raft_out = None;
-    let control = match &settings.control {
-        Some(cfg) => {
+    let control = match (&settings.control, slot.identity) {
+        (Some(cfg), Some(identity)) => {
             let (outbox, outgoing) = flume::bounded(RAFT_OUTBOX_CAPACITY);
             raft_out = Some(outgoing);
-            let own = settings.links.to_string();
-            let voter = identity::voter_settings(&settings, cfg)?;
-            let voter = Arc::new(Voter::start(&voter, &own, TICK, Arc::clone(&clock), outbox)?);
+            let voter = open_voter(&settings, cfg, identity, &clock, outbox).await?;
             run.voter = Some(Arc::clone(&voter));
             let found = voter.status();
             log::info!(
@@ -109,17 +118,11 @@
             tasks.spawn("reports", report_recorder);
             Some(control)
         }
-        None => None,
+        _ => None,
     };
-    let links = DaemonLinks::start(
-        &settings,
-        connector.clone(),
-        request_handler(control.as_ref(), connector.clone(), settings.links),
-        raft_handler(control.as_ref()),
-    )
-    .await?;
     if let (Some(control), Some(outgoing)) = (&control, raft_out) {
         control.set_links(Arc::clone(&links));
+        slot.fill(control);
         tasks.spawn("Raft messages", send_raft(Arc::clone(control), outgoing));
         tasks.spawn("leadership", Arc::clone(control).watch_leadership());
         tasks.spawn("lost disks", Arc::clone(control).find_lost_disks());
@@ -338,36 +341,78 @@
     }
 }
 
-/// Handler for requests of other daemons. Any daemon probes a member for the leader. A daemon without a control part never leads, nor does one that has
-/// ended. The links and the control part refer to each other, so one of them doesn't keep the other.
+/// The control part of a daemon, from the moment on at which its voter runs. The links and the control
+/// part refer to each other, so one of them doesn't keep the other.
+struct ControlSlot {
+    identity: Option<Identity>,
+    control: OnceLock<Weak<ControlMember>>,
+}
+
+impl ControlSlot {
+    fn new(identity: Option<Identity>) -> Self {
+        Self { identity, control: OnceLock::new() }
+    }
+
+    fn fill(&self, control: &Arc<ControlMember>) {
+        if self.control.set(Arc::downgrade(control)).is_err() {
+            log::error!("the control part was set twice");
+        }
+    }
+
+    /// The control part; `None` if there is none, if its voter doesn't run yet, and once it has ended.
+    fn get(&self) -> Option<Arc<ControlMember>> {
+        self.control.get().and_then(Weak::upgrade)
+    }
+}
+
+/// Opens the voter of this daemon. Its syncs don't hold up the links.
+async fn open_voter(
+    settings: &Arc<GatewaySettings>,
+    cfg: &ControlSettings,
+    identity: Identity,
+    clock: &SharedClock,
+    outbox: flume::Sender<OutgoingMessage>,
+) -> Result<Arc<Voter>> {
+    let (settings, cfg, clock) = (Arc::clone(settings), cfg.clone(), Arc::clone(clock));
+    let open = move || {
+        let voter = identity::voter_settings(&settings, &cfg, identity)?;
+        Voter::start(&voter, &settings.links.to_string(), TICK, clock, outbox)
+    };
+    let opened = spawn_blocking(open).await.map_err(|err| Error::start("voter", err))?;
+    opened.map(Arc::new)
+}
+
+/// Handler for requests of other daemons. Any daemon probes a member for the leader. A daemon without a
+/// control part never leads, nor does one whose voter doesn't run.
 fn request_handler(
-    control: Option<&Arc<ControlMember>>,
+    slot: Arc<ControlSlot>,
     connector: Connector,
     links: SocketAddr,
 ) -> RequestHandler {
-    let control = control.map(Arc::downgrade);
     Arc::new(move |request: LeaderRequest, responder| {
         if let LeaderRequest::Probe { address } = &request {
             return super::bus::answer_probe(&connector, links, address, responder);
         }
-        match control.as_ref().and_then(Weak::upgrade) {
-            Some(control) => control.handle(request, responder),
-            None => super::bus::reply(responder, &LeaderReply::NotLeader { leader: None }),
+        match (slot.get(), &request, slot.identity) {
+            (Some(control), ..) => control.handle(request, responder),
+            (None, LeaderRequest::Identify, Some(Identity { id, .. })) => {
+                super::bus::reply(responder, &LeaderReply::Identified { id });
+            }
+            _ => super::bus::reply(responder, &LeaderReply::NotLeader { leader: None }),
         }
     })
 }
 
 /// Handler for Raft messages, on a daemon with a voter.
-fn raft_handler(control: Option<&Arc<ControlMember>>) -> Option<RaftHandler> {
-    let control = control.map(Arc::downgrade)?;
-    Some(Arc::new(move |envelope| {
-        let Some(control) = control.upgrade() else { return };
+fn raft_handler(slot: Arc<ControlSlot>) -> RaftHandler {
+    Arc::new(move |envelope| {
+        let Some(control) = slot.get() else { return };
         // The sender may address a former node of this VM, whose disk was lost.
         if let Some(address) = envelope.voters.get(&envelope.message.from) {
             control.view().add_control_daemon(address);
         }
         control.step(envelope);
-    }))
+    })
 }
 
 /// Sends the voter's outgoing messages. One whose recipient has no known address is dropped.
--- a/crates/toucansilld/src/gateway/identity.rs
+++ b/crates/toucansilld/src/gateway/identity.rs
@@ -20,42 +20,65 @@
 /// addresses of founders, so that no id is used twice.
 const FIRST_RANDOM_ID: u64 = 1 << 40;
 
-/// Returns the settings of this daemon's voter. Creates the data folder and stores the id, if
-/// missing.
+/// Id of this daemon in its control group.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Identity {
+    pub(crate) id: u64,
+    /// Whether the id was generated at this start, and may not be stored yet.
+    is_new: bool,
+}
+
+/// Finds the id of this daemon, or generates one. Only reads from the disk.
 ///
 /// When a region starts for the first time, its seeds found the group: all have the same list
 /// of seeds, so all derive the same initial members from it. Any other daemon without a
 /// stored id generates one and requests to join. So does a daemon that has lost its disk: it
 /// may have voted under its former id, which therefore must not vote again.
+pub(crate) fn find(settings: &GatewaySettings, control: &ControlSettings) -> Result<Identity> {
+    match stored_id(&control.data_folder)? {
+        Some(id) => Ok(Identity { id, is_new: false }),
+        None if is_founder(settings, control) => {
+            Ok(Identity { id: founder_id(control.listen), is_new: true })
+        }
+        None => Ok(Identity { id: random_id(), is_new: true }),
+    }
+}
+
+fn is_founder(settings: &GatewaySettings, control: &ControlSettings) -> bool {
+    control.founds_group && settings.seeds.contains(&control.listen)
+}
+
+/// Returns the settings of this daemon's voter. Creates the data folder and stores the id, if
+/// missing.
 pub(crate) fn voter_settings(
     settings: &GatewaySettings,
     control: &ControlSettings,
+    identity: Identity,
 ) -> Result<VoterSettings> {
     let start_error = |err: io::Error| Error::file("control.data_folder", &err);
     fs::create_dir_all(&control.data_folder).map_err(start_error)?;
-    let file = control.data_folder.join(ID_FILE);
-    let is_founder = control.founds_group && settings.seeds.contains(&control.listen);
     if let Err(err) = voter::remove_discarded(&control.data_folder) {
         log::error!("what is left of a discarded log was not removed: {err}");
     }
-    let stored = stored_id(&control.data_folder, &file)?;
-    let id = match stored {
-        Some(id) => id,
-        None => {
-            let id = if is_founder { founder_id(control.listen) } else { random_id() };
-            write_id(&file, id)?;
-            id
+    let Identity { id, is_new } = identity;
+    let file = control.data_folder.join(ID_FILE);
+    let stored = read_id(&file).map_err(start_error)?;
+    if stored != Some(id) {
+        if !is_new {
+            log::warn!(member = id, stored:? = stored; "the id of this member is that of its log");
         }
-    };
+        write_id(&file, id)?;
+    }
     let founders = settings.seeds.iter().zip(settings.seed_links());
     let initial = founders.map(|(seed, address)| InitialVoter { id: founder_id(*seed), address });
+    let is_initial = is_founder(settings, control) && id < FIRST_RANDOM_ID;
     Ok(VoterSettings {
         id,
         data_folder: control.data_folder.clone(),
         snapshot_entries: control.snapshot_entries,
-        initial: if is_founder && id < FIRST_RANDOM_ID { initial.collect() } else { Vec::new() },
+        initial: if is_initial { initial.collect() } else { Vec::new() },
         // A stored id without entries may be one whose log was lost in part.
-        has_new_id: stored.is_none() && id >= FIRST_RANDOM_ID,
+        has_new_id: is_new && id >= FIRST_RANDOM_ID,
     })
 }
 
@@ -65,21 +88,15 @@
 /// The two differ if the power failed before the name of the id's file was durable, and if a
 /// process of an earlier build ended while it emptied the folder. In the latter case the id is
 /// retired, and the leader says so.
-fn stored_id(data_folder: &Path, file: &Path) -> Result<Option<u64>> {
-    let stored = read_id(file).map_err(|err| Error::file("control.data_folder", &err))?;
+fn stored_id(data_folder: &Path) -> Result<Option<u64>> {
+    let file = data_folder.join(ID_FILE);
+    let stored = read_id(&file).map_err(|err| Error::file("control.data_folder", &err))?;
     let id =
         voter::stored_id(data_folder).map_err(|err| Error::store("control.data_folder", &err))?;
-    let Some(id) = id else {
-        if let Some(stored) = stored {
-            log::warn!(member = stored; "the id {stored} is not used again, as its log is missing");
-        }
-        return Ok(None);
-    };
-    if stored != Some(id) {
-        log::warn!(member = id, stored:? = stored; "the id of this member is that of its log");
-        write_id(file, id)?;
+    if let (None, Some(stored)) = (id, stored) {
+        log::warn!(member = stored; "the id {stored} is not used again, as its log is missing");
     }
-    Ok(Some(id))
+    Ok(id)
 }
 
 /// Stores the id durably.
