Links tell for how long an attempt to connect has been under way

Callers could tell a peer that isn't reached only by its last failed attempt. A peer that accepts connections and answers nothing on them counted as reached for the 3 s that a handshake may take.

Change: Links::connecting_for, next to last_failure, which is unchanged. The start is kept until the failure is recorded, so that one of the two always tells.

--- a/crates/wire/src/link/connect.rs
+++ b/crates/wire/src/link/connect.rs
@@ -41,6 +41,8 @@
     counters: Arc<LinkCounters>,
     state: Arc<Mutex<ConnectionState>>,
     failures: std::sync::Mutex<LinkFailures>,
+    /// Start of the attempts to connect that are under way.
+    connecting_since: std::sync::Mutex<Option<Instant>>,
 }
 
 #[derive(Default)]
@@ -75,7 +77,8 @@
         counters: Arc<LinkCounters>,
     ) -> Self {
         let failures = std::sync::Mutex::default();
-        Self { address, cfg, counters, state: Arc::default(), failures }
+        let connecting_since = std::sync::Mutex::default();
+        Self { address, cfg, counters, state: Arc::default(), failures, connecting_since }
     }
 
     /// The last failure to connect since the peer was reached.
@@ -83,6 +86,15 @@
         self.failures().last()
     }
 
+    /// Time for which attempts to connect have been under way; `None` if none is.
+    pub(crate) fn connecting_for(&self) -> Option<Duration> {
+        self.connecting_since().map(|since| since.elapsed())
+    }
+
+    fn connecting_since(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.connecting_since.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn failures(&self) -> MutexGuard<'_, LinkFailures> {
         self.failures.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -149,11 +161,13 @@
             _ => 1,
         };
         let mut attempt = 1;
+        *self.connecting_since() = Some(Instant::now());
         loop {
             let (kind, e) = match self.connect().await {
                 Ok(link) => {
                     *state = ConnectionState::default();
                     self.failures().end();
+                    *self.connecting_since() = None;
                     return Ok(link);
                 }
                 Err(failed) => failed,
@@ -164,6 +178,7 @@
             if attempt >= attempts || e.is_authentication_failure() || e.is_version_mismatch() {
                 state.retry_at = Some(Instant::now() + pause);
                 self.record_failure(kind, &e);
+                *self.connecting_since() = None;
                 return Err(e);
             }
             attempt += 1;
--- a/crates/wire/src/link/links.rs
+++ b/crates/wire/src/link/links.rs
@@ -124,6 +124,13 @@
         peers.get(&peer)?.last_failure()
     }
 
+    /// Time for which attempts to connect to a peer have been under way, with their handshakes; `None` if none
+    /// is.
+    pub fn connecting_for(&self, peer: SocketAddr) -> Option<Duration> {
+        let peers = self.outbound.peers.lock().unwrap_or_else(PoisonError::into_inner);
+        peers.get(&peer)?.connecting_for()
+    }
+
     /// Number of known peers, with or without an open link.
     pub fn peer_count(&self) -> usize {
         self.outbound.peers.lock().unwrap_or_else(PoisonError::into_inner).len()
