A silent way between the leader and one member no longer stalls that member

Change: - A Raft message to a daemon that isn't reached is sent directly and passed to other members, two for small messages and one for large ones, which send it to its receiver. One hop; a relay passes messages to known voters only and tells whether it reaches the receiver, so that one that doesn't is left out for 0.5 s. - Not reached means that the last attempt to connect failed, other than by a refusal, or that the present one has lasted for 400 ms. - A member that reaches fewer members than it doesn't sends no messages of a leader or candidate by relays, so that one that the others reach directly leads. - A daemon that isn't a member, and whose request the leader doesn't answer, has two other control daemons at a time pass it on.

Both are new variants at the end of LeaderRequest, with one at the end of LeaderReply. Earlier builds refuse them with a line in their log, and are then left out for 30 s.

--- a/crates/toucansilld/src/gateway.rs
+++ b/crates/toucansilld/src/gateway.rs
@@ -38,6 +38,7 @@
 mod paths;
 mod placer;
 mod quarantine;
+pub mod raft_relay;
 mod record;
 mod refreshes;
 mod relay;
--- a/crates/toucansilld/src/gateway/bus.rs
+++ b/crates/toucansilld/src/gateway/bus.rs
@@ -11,8 +11,8 @@
 use proxy::Connector;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use wire::{
-    Inbound, LinkConfig, LinkFailure, Links, Message, PeerRoute, ProbeOutcome, RegionSecret,
-    Responder,
+    Inbound, LinkConfig, LinkFailure, LinkFailureKind, Links, Message, PeerRoute, ProbeOutcome,
+    RegionSecret, Responder,
 };
 
 /// Fixed region secret. The daemons of a gateway have no way to share a real one: the platform
@@ -77,6 +77,19 @@
         self.links.last_failure(address)
     }
 
+    /// Whether messages to the daemon at `address` don't get there, although something may listen: the last attempt
+    /// to connect has failed, or the present one takes as long as one may that gets no answer.
+    pub(crate) fn is_cut_off_from(&self, address: SocketAddr) -> bool {
+        let failure = self.last_failure(address);
+        failure.is_some_and(|failure| failure.kind != LinkFailureKind::Refused)
+            || self.links.connecting_for(address).is_some_and(|time| time >= CONNECT_TIMEOUT)
+    }
+
+    /// Whether messages to the daemon at `address` get there, as far as is known.
+    pub(crate) fn reaches(&self, address: SocketAddr) -> bool {
+        self.last_failure(address).is_none() && !self.is_cut_off_from(address)
+    }
+
     /// Sends a request to the daemon at `address` and returns its reply.
     pub(crate) async fn request(
         &self,
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -12,6 +12,7 @@
         RefreshedUpstream, ReplicatedState,
     },
     quarantine::{ReadWatchlist, ReceivedReports},
+    raft_relay::RelayTable,
     refreshes::Refreshes,
     servers,
     settings::{Bounds, ControlSettings, GatewaySettings},
@@ -102,6 +103,8 @@
     membership_change: tokio::sync::Mutex<()>,
     /// What the last probes of voters that don't answer have shown, and when. Locked during probes.
     probed: tokio::sync::Mutex<BTreeMap<NodeId, (Instant, Presence)>>,
+    /// Daemons that pass requests to join on; the receiver is this daemon.
+    join_relays: Mutex<RelayTable>,
     /// When this daemon, as the leader, last told a member that it may stop and stays one.
     last_kept: Mutex<Option<Instant>>,
     pub(super) watchlist: watch::Sender<ReadWatchlist>,
@@ -146,6 +149,7 @@
             placement_waiting: Notify::new(),
             membership_change: tokio::sync::Mutex::default(),
             probed: tokio::sync::Mutex::default(),
+            join_relays: Mutex::default(),
             last_kept: Mutex::default(),
             watchlist: watch::Sender::new(ReadWatchlist::default()),
             reports_tx,
@@ -215,6 +219,13 @@
         &self.control
     }
 
+    /// Link addresses of the other daemons of the control group, as far as they are known.
+    pub(super) fn other_control_daemons(&self) -> Vec<SocketAddr> {
+        let own = self.links().address();
+        let known = self.view.control_daemons(&self.settings).into_iter();
+        known.filter(|address| *address != own).collect()
+    }
+
     /// Returns the exclusive right to change the members, unless it is taken.
     pub(crate) fn try_start_membership_change(&self) -> Option<tokio::sync::MutexGuard<'_, ()>> {
         self.membership_change.try_lock().ok()
@@ -225,6 +236,11 @@
         &self.probed
     }
 
+    /// Daemons that pass requests to join on.
+    pub(super) fn join_relays(&self) -> &Mutex<RelayTable> {
+        &self.join_relays
+    }
+
     /// Records that a member was told that it may stop and stays one.
     pub(super) fn member_kept(&self) {
         *lock(&self.last_kept) = Some(self.now());
@@ -572,6 +588,15 @@
             LeaderRequest::Identify => {
                 reply(responder, &LeaderReply::Identified { id: self.member });
             }
+            LeaderRequest::RelayRaft { address, envelope } => {
+                reply(responder, &self.relay_raft(&address, &envelope));
+            }
+            LeaderRequest::PassJoin { id, address } => {
+                let control = Arc::clone(self);
+                tokio::spawn(async move {
+                    reply(responder, &control.pass_join(id, address).await);
+                });
+            }
             // Answered before, by daemons without a control part as well.
             LeaderRequest::Probe { .. } => reply(responder, &self.not_leader()),
         }
--- a/crates/toucansilld/src/gateway/daemon.rs
+++ b/crates/toucansilld/src/gateway/daemon.rs
@@ -11,6 +11,7 @@
     messages::{LeaderReply, LeaderRequest},
     paths::Paths,
     placer::{Placer, PlacerParts},
+    raft_relay::RaftRelays,
     relay_announcer::RelayAnnouncer,
     relay_server::RelayHandler,
     servers::{
@@ -370,12 +371,17 @@
     }))
 }
 
-/// Sends the voter's outgoing messages. One whose recipient has no known address is dropped.
+/// Sends the voter's outgoing messages, also by way of other members if their recipient isn't reached. One
+/// whose recipient has no known address is dropped.
 async fn send_raft(control: Arc<ControlMember>, outgoing: flume::Receiver<OutgoingMessage>) {
+    let relays = RaftRelays::new(Arc::clone(&control));
     while let Ok(outgoing) = outgoing.recv_async().await {
         let Some((address, envelope)) = control.voter().envelope(outgoing) else { continue };
         match address.parse() {
-            Ok(address) => control.links().send_raft(address, &envelope),
+            Ok(address) => {
+                control.links().send_raft(address, &envelope);
+                relays.send(address, envelope);
+            }
             Err(err) => log::error!("{address}: {err}"),
         }
     }
--- a/crates/toucansilld/src/gateway/members.rs
+++ b/crates/toucansilld/src/gateway/members.rs
@@ -5,7 +5,9 @@
     control::ControlMember,
     group_report, identity,
     messages::{LeaderReply, LeaderRequest},
+    raft_relay::REFUSED_PAUSE,
 };
+use crate::sync::lock;
 use group::{
     MembershipChange, NodeId, Status,
     joining::{
@@ -50,6 +52,10 @@
 const MEMBERSHIP_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Timeout for the reply to a request to join.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
+/// The same for a request that another daemon passes on.
+const PASSED_JOIN_TIMEOUT: Duration = Duration::from_millis(600);
+/// Number of daemons that are asked at once to pass a request to join on.
+const JOIN_RELAYS: usize = 2;
 /// Timeout for the reply to a request to leave, which comes when the removal is committed.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Interval between requests to leave.
@@ -405,18 +411,75 @@
         }
     }
 
-    /// Requests to join, if a leader is known. Returns whether the id is retired.
+    /// Requests to join, of the leader if one is known that answers, or by way of other daemons. Returns whether
+    /// the id is retired.
     async fn request_join(&self, id: NodeId) -> bool {
-        let Some(leader) = self.known_leader() else { return false };
         let address = self.links().address().to_string();
-        let reply =
-            self.links().request(leader, &LeaderRequest::Join { id, address }, JOIN_TIMEOUT).await;
-        match reply {
-            Ok(LeaderReply::Retired) => true,
-            Ok(_) => false,
+        if let Some(leader) = self.known_leader() {
+            let request = LeaderRequest::Join { id, address: address.clone() };
+            match self.links().request(leader, &request, JOIN_TIMEOUT).await {
+                Ok(LeaderReply::Retired) => return true,
+                Ok(LeaderReply::ChangePending) => return false,
+                Ok(_) => {}
+                Err(err) => log::debug!("{leader}: not admitted yet: {err}"),
+            }
+        }
+        self.request_join_by_relays(id, address).await
+    }
+
+    /// Has other daemons pass a request to join to the leader that they know. Returns whether the id is retired.
+    async fn request_join_by_relays(&self, id: NodeId, address: String) -> bool {
+        let own = self.links().address();
+        let is_reached = |other: &SocketAddr| self.links().reaches(*other);
+        let (mut candidates, unreached): (Vec<_>, Vec<_>) =
+            self.other_control_daemons().into_iter().partition(is_reached);
+        if candidates.is_empty() {
+            candidates = unreached;
+        }
+        let relays = lock(self.join_relays()).choose(own, &candidates, JOIN_RELAYS, self.now());
+        let request = LeaderRequest::PassJoin { id, address };
+        let mut passed = JoinSet::new();
+        for relay in relays {
+            let (links, request) = (self.shared_links(), request.clone());
+            passed.spawn(async move {
+                (relay, links.request(relay, &request, PASSED_JOIN_TIMEOUT).await)
+            });
+        }
+        while let Some(replied) = passed.join_next().await {
+            match replied {
+                Ok((_, Ok(LeaderReply::Retired))) => return true,
+                Ok((_, Ok(LeaderReply::ChangePending))) => return false,
+                Ok((relay, Ok(_))) => log::debug!("{relay}: knows no leader that answers"),
+                Ok((relay, Err(err))) => {
+                    log::debug!("{relay}: not admitted yet: {err}");
+                    // It is of an earlier build.
+                    if err.is_refused() {
+                        let until = self.now() + REFUSED_PAUSE;
+                        lock(self.join_relays()).pause(own, relay, until);
+                    }
+                }
+                Err(err) => log::error!("a daemon was not asked to pass a request on: {err}"),
+            }
+        }
+        false
+    }
+
+    /// Handles a request to join that its sender couldn't send to the leader.
+    pub(super) async fn pass_join(self: &Arc<Self>, id: NodeId, address: String) -> LeaderReply {
+        let status = self.voter().status();
+        if status.is_leader() {
+            return self.admit(id, address).await;
+        }
+        let leader = status.leader.and_then(|id| self.link_address_of(id));
+        let Some(leader) = leader.or_else(|| self.known_leader()) else {
+            return self.not_leader();
+        };
+        match self.links().request(leader, &LeaderRequest::Join { id, address }, JOIN_TIMEOUT).await
+        {
+            Ok(reply) => reply,
             Err(err) => {
-                log::debug!("{leader}: not admitted yet: {err}");
-                false
+                log::debug!("{leader}: request to join not passed on: {err}");
+                self.not_leader()
             }
         }
     }
--- a/crates/toucansilld/src/gateway/messages.rs
+++ b/crates/toucansilld/src/gateway/messages.rs
@@ -2,6 +2,7 @@
 //!
 //! They are encoded by position: the order of fields and variants is part of the format.
 
+use crate::control_messages::RaftEnvelope;
 use bincode::{Decode, Encode};
 use control::{Departures, PartHash, RequestHash, Watchlist};
 use follow::{OrderTicket, ViewPosition};
@@ -107,6 +108,21 @@
     /// Asks a member of the control group for its id. If it isn't the one that is expected at its address, the disk of
     /// that one is lost.
     Identify,
+    /// Asks a member to send a Raft message to another one, which the sender doesn't reach.
+    RelayRaft {
+        /// Link address of the receiver.
+        address: String,
+        /// The message.
+        envelope: Box<RaftEnvelope>,
+    },
+    /// [`LeaderRequest::Join`] of a daemon that doesn't reach the leader. The receiver passes it to the leader that
+    /// it knows.
+    PassJoin {
+        /// Id that the daemon has as a voter.
+        id: u64,
+        /// Link address of the daemon.
+        address: String,
+    },
 }
 
 /// Run of an upstream that has registered again with nothing new.
@@ -197,6 +213,11 @@
         /// Id that the daemon has as a voter.
         id: u64,
     },
+    /// Reply to [`LeaderRequest::RelayRaft`].
+    RaftRelayed {
+        /// Whether the member sent it, and isn't known not to reach the receiver.
+        is_reached: bool,
+    },
 }
 
 /// Daemon that relays messages to upstreams.
--- a/crates/toucansilld/src/gateway/view.rs
+++ b/crates/toucansilld/src/gateway/view.rs
@@ -98,17 +98,23 @@
         });
     }
 
-    /// Link address of the next daemon of the control group, in turn: those that the last leader
-    /// named, that have sent messages or are stored, and the seeds.
+    /// Link addresses of the daemons of the control group, sorted: those that the last leader named, that have
+    /// sent messages or are stored, and the seeds.
+    pub(crate) fn control_daemons(&self, settings: &GatewaySettings) -> Vec<SocketAddr> {
+        let mut known = self.with(|state| state.control_addresses.clone());
+        known.extend(settings.seed_links());
+        known.sort_unstable();
+        known.dedup();
+        known
+    }
+
+    /// Link address of the next of these, in turn.
     pub(crate) fn next_control_daemon(
         &self,
         settings: &GatewaySettings,
         turn: &mut usize,
     ) -> Option<SocketAddr> {
-        let mut known = self.with(|state| state.control_addresses.clone());
-        known.extend(settings.seed_links());
-        known.sort_unstable();
-        known.dedup();
+        let known = self.control_daemons(settings);
         *turn = turn.wrapping_add(1);
         known.get(*turn % known.len().max(1)).copied()
     }
--- a/crates/toucansilld/tests/gateway/main.rs
+++ b/crates/toucansilld/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod notices;
 mod odd_values;
 mod region;
+mod relays;
 mod replacements;
 mod restarts;
 mod set_aside;
