--- a/crates/toucansilld/src/gateway.rs
+++ b/crates/toucansilld/src/gateway.rs
@@ -41,6 +41,7 @@
 pub mod pending_votes;
 mod placer;
 mod quarantine;
+pub mod raft_relay;
 mod record;
 mod refreshes;
 mod relay;
