Soak of a whole deployment: faults in a file of their own

The kinds of faults, and what injects them, go to faults.rs; what they use of the deployment becomes visible in the crate. No change of behaviour: the same draws in the same order.

--- a/crates/toucansilld/tests/soak/deployment.rs
+++ b/crates/toucansilld/tests/soak/deployment.rs
@@ -11,11 +11,11 @@
 
 use crate::{
     changes::Changes,
+    faults::{ABSENCES, FAULTS, Fault, OTHERS},
     links::{Links, Reach},
     region::{Region, eventually},
     world::{Callers, Upstreams, lock},
 };
-use fake::FaultProxy;
 use std::{
     env, fmt, fs,
     path::Path,
@@ -26,19 +26,19 @@
 
 /// VMs that found the group, and those with a disk in all.
 const FOUNDERS: usize = 5;
-const CONTROLS: usize = 8;
+pub(crate) const CONTROLS: usize = 8;
 const SPARES: usize = CONTROLS - FOUNDERS;
-const ENTRIES: usize = 8;
+pub(crate) const ENTRIES: usize = 8;
 /// Upstreams besides the two of [`Notices`](crate::notices::Notices).
 const UPSTREAMS: usize = 19;
 const CALLERS: usize = 8;
-const TOLERATED_LOSSES: usize = 2;
+pub(crate) const TOLERATED_LOSSES: usize = 2;
 /// Data centres of the control daemons and of the entries.
 const CONTROL_PLACES: [&str; CONTROLS] = ["a", "a", "b", "b", "c", "a", "b", "c"];
 const ENTRY_PLACES: [&str; ENTRIES] = ["a", "a", "a", "b", "b", "b", "c", "c"];
 /// Number of seeds in the settings.
 const SEEDS: usize = 3;
-const STOP_MS: u64 = 8_000;
+pub(crate) const STOP_MS: u64 = 8_000;
 const CATCH_UP_TIME: Duration = Duration::from_secs(4);
 const RECOVERY_TIME: Duration = Duration::from_secs(12);
 /// Time within which a change must be acknowledged once no further faults are injected.
@@ -50,10 +50,10 @@
 /// Number of last lines of a log that a failing run prints.
 const REPORTED_LINES: usize = 80;
 
-type Result<T> = std::result::Result<T, String>;
+pub(crate) type Result<T> = std::result::Result<T, String>;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum State {
+pub(crate) enum State {
     Unused,
     Up,
     Frozen,
@@ -66,8 +66,8 @@
 }
 
 #[derive(Clone, Copy)]
-struct Vm {
-    state: State,
+pub(crate) struct Vm {
+    pub(crate) state: State,
     /// When it comes back, or has to have ended.
     until: Instant,
     /// Whether its links hang.
@@ -76,7 +76,7 @@
 
 /// Why a VM has an empty disk.
 #[derive(Clone, Copy, PartialEq)]
-enum Cause {
+pub(crate) enum Cause {
     Loss,
     Addition,
     /// It comes before this one leaves.
@@ -90,88 +90,15 @@
     since: Option<Instant>,
 }
 
-#[derive(Clone, Copy, Debug)]
-enum Fault {
-    Kill,
-    KillAll,
-    KillEntry,
-    Freeze,
-    Restart,
-    Dark,
-    LoseDisk,
-    Replace,
-    /// A VM is replaced while another one, which comes back, has been silent for longer.
-    ReplaceBesideFrozen,
-    ReplaceAsPlanned,
-    Add,
-    Split,
-    OneWay,
-    CutOff,
-    /// Connections of one VM go silent for good, while new ones work.
-    HalfOpen,
-    ResetLinks,
-    /// A minority misses changes, then one of the others loses its disk and the rest go dark.
-    Behind,
-}
-
-const FAULTS: [Fault; 19] = [
-    Fault::Kill,
-    Fault::KillAll,
-    Fault::KillEntry,
-    Fault::Freeze,
-    Fault::Freeze,
-    Fault::Restart,
-    Fault::Dark,
-    Fault::LoseDisk,
-    Fault::LoseDisk,
-    Fault::Replace,
-    Fault::ReplaceBesideFrozen,
-    Fault::ReplaceAsPlanned,
-    Fault::Add,
-    Fault::Split,
-    Fault::OneWay,
-    Fault::CutOff,
-    Fault::HalfOpen,
-    Fault::ResetLinks,
-    Fault::Behind,
-];
-
-/// Faults just before the final one: members that are absent for a time or for good.
-const ABSENCES: [Fault; 8] = [
-    Fault::Freeze,
-    Fault::Freeze,
-    Fault::Dark,
-    Fault::Kill,
-    Fault::LoseDisk,
-    Fault::Replace,
-    Fault::ReplaceBesideFrozen,
-    Fault::CutOff,
-];
-
-/// What happens to the VMs that keep their disks when others lose theirs.
-#[derive(Clone, Copy, Debug)]
-enum Others {
-    Stay,
-    Die,
-    GoDark,
-    /// They and all entries die, and no disk is lost.
-    DieAlone,
-    /// They and all entries die.
-    DieWithEntries,
-}
-
-const OTHERS: [Others; 5] =
-    [Others::Stay, Others::Die, Others::GoDark, Others::DieAlone, Others::DieWithEntries];
-
-struct Deployment {
-    region: Region,
-    rng: fastrand::Rng,
+pub(crate) struct Deployment {
+    pub(crate) region: Region,
+    pub(crate) rng: fastrand::Rng,
     started: Instant,
     /// Control daemons, then entries.
-    vms: Vec<Vm>,
+    pub(crate) vms: Vec<Vm>,
     /// Spares kept for VMs that are gone just before disks are lost.
     kept_spares: usize,
-    links: Links,
+    pub(crate) links: Links,
     catching_up: Vec<CatchUp>,
 }
 
@@ -204,7 +131,7 @@
         }
     }
 
-    fn say(&self, event: impl fmt::Debug, vms: &[usize]) {
+    pub(crate) fn say(&self, event: impl fmt::Debug, vms: &[usize]) {
         let (time, lost) = (self.started.elapsed().as_secs_f64(), self.lost_disks());
         println!("  +{time:.1} {event:?} {vms:?}, {lost} disks lost");
     }
@@ -220,24 +147,24 @@
         self.in_state(&states)
     }
 
-    fn up(&self) -> Vec<usize> {
+    pub(crate) fn up(&self) -> Vec<usize> {
         self.in_state(&[State::Up])
     }
 
     /// Whether a VM has had the time to get the document.
-    fn is_whole(&self, i: usize) -> bool {
+    pub(crate) fn is_whole(&self, i: usize) -> bool {
         self.catching_up.iter().all(|catch_up| catch_up.vm != i)
     }
 
-    fn lost_disks(&self) -> usize {
+    pub(crate) fn lost_disks(&self) -> usize {
         self.catching_up.iter().filter(|catch_up| catch_up.cause == Cause::Loss).count()
     }
 
-    fn soon(&mut self, ms: std::ops::Range<u64>) -> Instant {
+    pub(crate) fn soon(&mut self, ms: std::ops::Range<u64>) -> Instant {
         Instant::now() + Duration::from_millis(self.rng.u64(ms))
     }
 
-    fn set(&mut self, i: usize, state: State, until: Instant, is_dark: bool) {
+    pub(crate) fn set(&mut self, i: usize, state: State, until: Instant, is_dark: bool) {
         self.vms[i] = Vm { state, until, is_dark };
     }
 
@@ -251,22 +178,22 @@
         self.set(i, State::Up, Instant::now(), false);
     }
 
-    fn kill(&mut self, i: usize, until: Instant, is_dark: bool) {
+    pub(crate) fn kill(&mut self, i: usize, until: Instant, is_dark: bool) {
         self.region.kill(i);
         self.set(i, State::Down, until, is_dark);
     }
 
-    fn freeze(&mut self, i: usize, until: Instant, is_dark: bool) {
+    pub(crate) fn freeze(&mut self, i: usize, until: Instant, is_dark: bool) {
         self.region.signal(i, "-STOP");
         self.set(i, State::Frozen, until, is_dark);
     }
 
     /// Lets a VM go dark for a time: it is frozen, or it is killed and its links hang.
-    fn darken(&mut self, i: usize, until: Instant) {
+    pub(crate) fn darken(&mut self, i: usize, until: Instant) {
         if self.rng.bool() { self.freeze(i, until, true) } else { self.kill(i, until, true) }
     }
 
-    fn lose_disk(&mut self, i: usize) {
+    pub(crate) fn lose_disk(&mut self, i: usize) {
         let until = self.soon(100..1_500);
         self.kill(i, until, false);
         self.region.lose_disk(i);
@@ -274,7 +201,7 @@
     }
 
     /// Adds a spare VM, if one is left beside those that are kept. VMs are added without need only once.
-    fn add(&mut self, cause: Cause) -> Option<usize> {
+    pub(crate) fn add(&mut self, cause: Cause) -> Option<usize> {
         let spares = self.in_state(&[State::Unused]);
         let i = spares.first().copied()?;
         if spares.len() <= if cause == Cause::Loss { self.kept_spares } else { SPARES - 1 } {
@@ -287,13 +214,13 @@
     }
 
     /// Cuts the links for some seconds.
-    fn cut(&mut self, ms: std::ops::Range<u64>, is_cut: impl Fn(usize, usize) -> bool) {
+    pub(crate) fn cut(&mut self, ms: std::ops::Range<u64>, is_cut: impl Fn(usize, usize) -> bool) {
         let until = self.soon(ms);
         self.links.cut(until, is_cut);
     }
 
     /// Passes the time, in which VMs wake and start again and links heal.
-    fn pass(&mut self, time: Duration) {
+    pub(crate) fn pass(&mut self, time: Duration) {
         let until = Instant::now() + time;
         loop {
             self.tick();
@@ -305,7 +232,7 @@
         }
     }
 
-    fn tick(&mut self) {
+    pub(crate) fn tick(&mut self) {
         let now = Instant::now();
         for i in 0..self.vms.len() {
             let Vm { state, until, is_dark } = self.vms[i];
@@ -370,154 +297,6 @@
         }
     }
 
-    fn inject(&mut self, fault: Fault) {
-        let up = self.up();
-        let whole: Vec<usize> = up.iter().copied().filter(|i| self.is_whole(*i)).collect();
-        let (Some(i), whole) = (self.rng.choice(up.clone()), self.rng.choice(whole)) else {
-            return;
-        };
-        let (may_lose, is_dark) = (self.lost_disks() < TOLERATED_LOSSES, self.rng.bool());
-        match (fault, whole) {
-            (Fault::Kill, _) => {
-                let until = self.soon(100..3_500);
-                self.kill(i, until, false);
-            }
-            (Fault::KillAll, _) => {
-                let until = self.soon(100..1_000);
-                up.iter().for_each(|i| self.kill(*i, until, false));
-            }
-            (Fault::KillEntry, _) => {
-                let (entry, until) = (CONTROLS + self.rng.usize(0..ENTRIES), self.soon(100..2_000));
-                self.kill(entry, until, false);
-            }
-            (Fault::Freeze, _) => {
-                let until = self.soon(2_000..10_000);
-                self.freeze(i, until, false);
-            }
-            (Fault::Restart, _) => {
-                self.region.terminate(i);
-                let until = Instant::now() + Duration::from_millis(STOP_MS);
-                self.set(i, State::Stopping, until, false);
-            }
-            (Fault::Dark, _) => {
-                let until = self.soon(1_000..8_000);
-                self.darken(i, until);
-            }
-            (Fault::LoseDisk, Some(i)) if may_lose => {
-                self.lose_disk(i);
-                return self.say(fault, &[i]);
-            }
-            (Fault::Replace, Some(i)) if may_lose => {
-                let Some(spare) = self.add(Cause::Loss) else { return };
-                self.region.kill(i);
-                self.set(i, State::Gone, Instant::now(), is_dark);
-                return self.say(fault, &[i, spare]);
-            }
-            (Fault::ReplaceBesideFrozen, Some(i)) => {
-                let until = self.soon(6_000..10_000);
-                self.freeze(i, until, false);
-                self.say("frozen", &[i]);
-                let pause = Duration::from_millis(self.rng.u64(100..1_000));
-                self.pass(pause);
-                return self.inject(Fault::Replace);
-            }
-            (Fault::ReplaceAsPlanned, Some(i)) => {
-                let Some(spare) = self.add(Cause::Exchange(i)) else { return };
-                return self.say(fault, &[i, spare]);
-            }
-            (Fault::Add, _) => {
-                let Some(spare) = self.add(Cause::Addition) else { return };
-                return self.say(fault, &[spare]);
-            }
-            (Fault::Split, _) => {
-                let side: Vec<bool> = (0..CONTROLS).map(|_| self.rng.bool()).collect();
-                self.cut(2_000..8_000, |a, b| side[a] != side[b]);
-            }
-            (Fault::OneWay, _) => {
-                self.cut(2_000..6_000, |a, b| a != b && i == if is_dark { a } else { b });
-            }
-            (Fault::CutOff, _) => {
-                let other = self.rng.choice(up.clone()).unwrap_or(i);
-                let is_off = |v: usize| v == i || v == other;
-                self.cut(2_000..8_000, |a, b| is_off(a) != is_off(b));
-            }
-            (Fault::HalfOpen, _) => {
-                self.links.proxies_of(i).for_each(FaultProxy::silence);
-            }
-            (Fault::ResetLinks, _) => self.links.proxies().for_each(FaultProxy::cut),
-            (Fault::Behind, _) => return self.leave_behind(up),
-            (_, None) | (Fault::LoseDisk | Fault::Replace, _) => return,
-        }
-        self.say(fault, &[i]);
-    }
-
-    /// Cuts two VMs off, takes the disk of another one, and lets the rest go dark as the cut heals.
-    fn leave_behind(&mut self, mut up: Vec<usize>) {
-        self.rng.shuffle(&mut up);
-        let behind: Vec<usize> = up.drain(..up.len().min(TOLERATED_LOSSES)).collect();
-        self.say("behind", &behind);
-        let is_behind = |i: usize| behind.contains(&i);
-        let ms = self.rng.u64(2_000..6_000);
-        // It heals just after the others are dark.
-        self.cut(ms + 300..ms + 301, |a, b| is_behind(a) != is_behind(b));
-        self.pass(Duration::from_millis(ms));
-        up.retain(|i| self.vms[*i].state == State::Up);
-        let lost = up.iter().copied().find(|i| self.is_whole(*i));
-        if let Some(lost) = lost.filter(|_| self.lost_disks() < TOLERATED_LOSSES) {
-            up.retain(|i| *i != lost);
-            self.lose_disk(lost);
-            self.say("loses its disk", &[lost]);
-        }
-        let until = self.soon(2_000..8_000);
-        up.iter().for_each(|i| self.darken(*i, until));
-        self.say("dark", &up);
-    }
-
-    /// Takes as many disks as may still be lost, while the others stay, die or go dark.
-    fn lose_most(&mut self, others: Others) {
-        let mut up = self.up();
-        self.rng.shuffle(&mut up);
-        let count = match others {
-            Others::DieAlone => 0,
-            _ => TOLERATED_LOSSES - self.lost_disks().min(TOLERATED_LOSSES),
-        };
-        let whole = up.iter().copied().filter(|i| self.is_whole(*i));
-        let lost: Vec<usize> = whole.take(count).collect();
-        lost.iter().for_each(|i| self.lose_disk(*i));
-        up.retain(|i| !lost.contains(i));
-        if matches!(others, Others::DieAlone | Others::DieWithEntries) {
-            up.extend(CONTROLS..CONTROLS + ENTRIES);
-        }
-        for i in up {
-            let until = self.soon(200..3_000);
-            match others {
-                Others::Stay => {}
-                Others::GoDark => self.darken(i, until),
-                Others::Die | Others::DieAlone | Others::DieWithEntries => {
-                    self.kill(i, until, false);
-                }
-            }
-        }
-        self.tick();
-        self.say(others, &lost);
-    }
-
-    /// Injects some faults, one into the other.
-    fn disturb_once(
-        &mut self,
-        faults: &[Fault],
-        max_pause_ms: u64,
-        changes: &Changes,
-    ) -> Result<()> {
-        for _ in 0..self.rng.usize(1..=5) {
-            let fault = faults[self.rng.usize(0..faults.len())];
-            self.inject(fault);
-            let pause = Duration::from_millis(self.rng.u64(20..max_pause_ms));
-            self.pass(pause);
-        }
-        changes.check()
-    }
-
     /// Injects faults until this time, with pauses in which VMs can catch up.
     fn disturb(&mut self, until: Instant, changes: &Changes) -> Result<()> {
         while Instant::now() < until {
--- a/crates/toucansilld/tests/soak/main.rs
+++ b/crates/toucansilld/tests/soak/main.rs
@@ -22,6 +22,7 @@
 
 mod changes;
 mod deployment;
+mod faults;
 mod links;
 mod members;
 mod notices;
