Soak of a whole deployment: silent paths of single pairs of VMs

New faults: a VM loses its disk, and the path between it and the leader is silent both ways from its start, or from 0.2 to 0.5 s after it, for 5 to 9 s; as many disks as may be lost go at once, one of the VMs with such a path; the path of two VMs that keep their disks is silent. In one of two ends of a disturbance, the final losses follow as soon as the 4 s of such a VM have passed, and take other disks than its own, while its path to the leader is still silent.

A disk counts as lost until its successor has run for 4 s while more than half of the VMs, lost ones included, are in touch with each other, and it is in touch with more than half of those whose disks aren't lost, all of them in such a set. Under the former faults this is what it was: there, being in touch parts the VMs into groups.

Seeds below 4000 run without the new faults, and draw as before.

--- a/crates/toucansilld/tests/soak/deployment.rs
+++ b/crates/toucansilld/tests/soak/deployment.rs
@@ -4,14 +4,16 @@
 //!
 //! Faults overlap. VMs may be frozen, killed, dark or cut off in any number, but at each time no more disks
 //! may be lost than the group tolerates. The disk of a VM, or a VM that is gone for good, counts as lost until
-//! its successor has run for [`CATCH_UP_TIME`] beside a majority that is in touch with it.
+//! its successor has run for [`CATCH_UP_TIME`] without being cut off: more than half of the VMs with disks, lost
+//! ones included, are in touch with each other, and the successor is in touch with so many of them that they are
+//! more than half of those whose disks aren't lost. So the path to any one VM, also to the leader, may be silent.
 //!
 //! The newest acknowledged document must be read within [`RECOVERY_TIME`] of the end of the faults, in the
 //! middle of the run and after a final fault, and [`Changes`] never reads an older one than those in force.
 
 use crate::{
     changes::Changes,
-    faults::{ABSENCES, FAULTS, Fault, OTHERS},
+    faults::{ABSENCES, FAULTS, Fault, OLD_ABSENCES, OLD_FAULTS, OTHERS, SILENT_LOSSES},
     links::{Links, Reach},
     region::{Region, eventually},
     world::{Callers, Upstreams, lock},
@@ -43,6 +45,8 @@
 const RECOVERY_TIME: Duration = Duration::from_secs(12);
 /// Time within which a change must be acknowledged once no further faults are injected.
 const ACKNOWLEDGED_TIME: Duration = Duration::from_secs(40);
+/// Seeds below this one run without silent paths, so that they give the same sequence as before.
+const FIRST_SEED_OF_SILENT_PATHS: u64 = 4_000;
 /// Interval at which VMs come back and links are cut and healed.
 const TICK: Duration = Duration::from_millis(50);
 /// Pause between two requests of a caller.
@@ -69,7 +73,7 @@
 pub(crate) struct Vm {
     pub(crate) state: State,
     /// When it comes back, or has to have ended.
-    until: Instant,
+    pub(crate) until: Instant,
     /// Whether its links hang.
     is_dark: bool,
 }
@@ -100,6 +104,7 @@
     kept_spares: usize,
     pub(crate) links: Links,
     catching_up: Vec<CatchUp>,
+    has_silent_paths: bool,
 }
 
 impl Deployment {
@@ -128,6 +133,7 @@
             kept_spares: SPARES - 1,
             links,
             catching_up: Vec::new(),
+            has_silent_paths: seed >= FIRST_SEED_OF_SILENT_PATHS,
         }
     }
 
@@ -213,10 +219,15 @@
         Some(i)
     }
 
+    /// Control VM that leads, by its metrics.
+    pub(crate) fn leader(&self) -> Option<usize> {
+        self.up().into_iter().find(|i| self.region.leads(*i))
+    }
+
     /// Cuts the links for some seconds.
     pub(crate) fn cut(&mut self, ms: std::ops::Range<u64>, is_cut: impl Fn(usize, usize) -> bool) {
         let until = self.soon(ms);
-        self.links.cut(until, is_cut);
+        self.links.cut(Instant::now(), until, is_cut);
     }
 
     /// Passes the time, in which VMs wake and start again and links heal.
@@ -248,7 +259,7 @@
                 }
                 State::Stopping | State::Leaving if until <= now || !self.region.is_running(i) => {
                     self.region.kill(i);
-                    let is_gone = state == State::Leaving && !self.possible_leaders().is_empty();
+                    let is_gone = state == State::Leaving && !self.quorums().0.is_empty();
                     let next = if is_gone { State::Gone } else { State::Down };
                     self.set(i, next, now, is_dark);
                 }
@@ -265,21 +276,28 @@
         self.catch_up(now);
     }
 
-    /// VMs with their disks that are in touch with a majority of those.
-    fn possible_leaders(&self) -> Vec<usize> {
+    /// Sets of VMs with their disks that are in touch with each other, and more than half of all that have one
+    /// or have lost it. Returns also the number of those that have one.
+    fn quorums(&self) -> (Vec<Vec<usize>>, usize) {
         let is_whole = |i: &usize| self.is_whole(*i);
-        let count = self.present().into_iter().filter(is_whole).count() + self.lost_disks();
+        let whole = self.present().into_iter().filter(is_whole).count();
         let up: Vec<usize> = self.up().into_iter().filter(is_whole).collect();
-        let leads =
-            |a: &usize| up.iter().filter(|b| self.links.are_open(*a, **b)).count() * 2 > count;
-        up.iter().copied().filter(leads).collect()
+        let set = |bits: u32| (0..up.len()).filter(move |n| bits >> n & 1 == 1).map(|n| up[n]);
+        let sets = (0..1 << up.len()).map(|bits| set(bits).collect::<Vec<_>>());
+        let is_quorum = |set: &Vec<usize>| {
+            set.len() * 2 > whole + self.lost_disks()
+                && set.iter().all(|a| set.iter().all(|b| self.links.are_open(*a, *b)))
+        };
+        (sets.filter(is_quorum).collect(), whole)
     }
 
     /// Ends the catching up of VMs that had the time for it, and lets the ones leave that they replace.
     fn catch_up(&mut self, now: Instant) {
-        let (up, leaders) = (self.up(), self.possible_leaders());
-        let can_learn =
-            |i: usize| up.contains(&i) && leaders.iter().any(|l| self.links.are_open(*l, i));
+        let (up, (quorums, whole)) = (self.up(), self.quorums());
+        let is_reached = |i: usize, quorum: &Vec<usize>| {
+            quorum.iter().filter(|other| self.links.are_open(**other, i)).count() * 2 > whole
+        };
+        let can_learn = |i: usize| up.contains(&i) && quorums.iter().any(|q| is_reached(i, q));
         let learns: Vec<bool> = self.catching_up.iter().map(|c| can_learn(c.vm)).collect();
         for (catch_up, learns) in self.catching_up.iter_mut().zip(learns) {
             catch_up.since = learns.then(|| catch_up.since.unwrap_or(now));
@@ -300,7 +318,8 @@
     /// Injects faults until this time, with pauses in which VMs can catch up.
     fn disturb(&mut self, until: Instant, changes: &Changes) -> Result<()> {
         while Instant::now() < until {
-            self.disturb_once(&FAULTS, 1_500, changes)?;
+            let faults = if self.has_silent_paths { &FAULTS[..] } else { &FAULTS[..OLD_FAULTS] };
+            self.disturb_once(faults, 1_500, changes)?;
             let pause = Duration::from_millis(self.rng.u64(500..9_000));
             self.pass(pause.min(until.saturating_duration_since(Instant::now())));
             changes.check()?;
@@ -316,16 +335,25 @@
         }
     }
 
-    /// Takes disks right after an acknowledgement. The document must be read once all VMs are back.
+    /// Takes disks right after an acknowledgement, at times as soon as a VM without its disk no longer counts
+    /// as lost, while its path to the leader is silent. The document must be read once all VMs are back.
     fn disturb_and_recover(&mut self, changes: &Changes) -> Result<()> {
         self.settle(CATCH_UP_TIME * 4);
         self.kept_spares -= 1;
         if self.rng.bool() {
             self.inject(Fault::ReplaceBesideFrozen);
         } else {
-            self.disturb_once(&ABSENCES, 500, changes)?;
+            let count = if self.has_silent_paths { ABSENCES.len() } else { OLD_ABSENCES };
+            self.disturb_once(&ABSENCES[..count], 500, changes)?;
         }
-        if self.rng.u8(0..4) > 0 {
+        let mut spared = Vec::new();
+        if self.has_silent_paths && self.rng.bool() {
+            self.settle(CATCH_UP_TIME * 2);
+            let fault = self.rng.choice(SILENT_LOSSES).expect("one of them");
+            self.inject(fault);
+            spared.extend(self.catching_up.iter().map(|catch_up| catch_up.vm));
+            self.settle(CATCH_UP_TIME * 2);
+        } else if self.rng.u8(0..4) > 0 {
             self.settle(CATCH_UP_TIME * 2);
         }
         let since = Instant::now();
@@ -339,7 +367,7 @@
             }
         }
         let others = self.rng.choice(OTHERS).expect("one of them");
-        self.lose_most(others);
+        self.lose_most(others, &spared);
         // None leaves as planned meanwhile.
         let exchanges = self.catching_up.iter_mut().filter(|c| c.cause != Cause::Loss);
         exchanges.for_each(|c| c.cause = Cause::Addition);
--- a/crates/toucansilld/tests/soak/faults.rs
+++ b/crates/toucansilld/tests/soak/faults.rs
@@ -29,9 +29,16 @@
     ResetLinks,
     /// A minority misses changes, then one of the others loses its disk and the rest go dark.
     Behind,
+    /// A VM loses its disk, and the path between it and the leader is silent from its start on, or from just
+    /// after it.
+    SilentPath,
+    /// Another one loses its disk at the same time.
+    SilentPathBesideLoss,
+    /// The path between two VMs that keep their disks is silent.
+    SilentPair,
 }
 
-pub(crate) const FAULTS: [Fault; 19] = [
+pub(crate) const FAULTS: [Fault; 23] = [
     Fault::Kill,
     Fault::KillAll,
     Fault::KillEntry,
@@ -51,10 +58,16 @@
     Fault::HalfOpen,
     Fault::ResetLinks,
     Fault::Behind,
+    Fault::SilentPath,
+    Fault::SilentPath,
+    Fault::SilentPathBesideLoss,
+    Fault::SilentPair,
 ];
+/// Number of them that there were before silent paths.
+pub(crate) const OLD_FAULTS: usize = 19;
 
 /// Faults just before the final one: members that are absent for a time or for good.
-pub(crate) const ABSENCES: [Fault; 8] = [
+pub(crate) const ABSENCES: [Fault; 10] = [
     Fault::Freeze,
     Fault::Freeze,
     Fault::Dark,
@@ -63,7 +76,14 @@
     Fault::Replace,
     Fault::ReplaceBesideFrozen,
     Fault::CutOff,
+    Fault::SilentPath,
+    Fault::SilentPair,
 ];
+/// Number of them that there were before silent paths.
+pub(crate) const OLD_ABSENCES: usize = 8;
+
+/// Losses of disks at whose end the path of a VM to the leader is still silent.
+pub(crate) const SILENT_LOSSES: [Fault; 2] = [Fault::SilentPath, Fault::SilentPathBesideLoss];
 
 /// What happens to the VMs that keep their disks when others lose theirs.
 #[derive(Clone, Copy, Debug)]
@@ -80,6 +100,11 @@
 pub(crate) const OTHERS: [Others; 5] =
     [Others::Stay, Others::Die, Others::GoDark, Others::DieAlone, Others::DieWithEntries];
 
+/// Whether a link is one between these two.
+fn is_between(a: usize, b: usize) -> impl Fn(usize, usize) -> bool {
+    move |from, to| (from, to) == (a, b) || (from, to) == (b, a)
+}
+
 impl Deployment {
     pub(crate) fn inject(&mut self, fault: Fault) {
         let up = self.up();
@@ -157,11 +182,42 @@
             }
             (Fault::ResetLinks, _) => self.links.proxies().for_each(FaultProxy::cut),
             (Fault::Behind, _) => return self.leave_behind(up),
-            (_, None) | (Fault::LoseDisk | Fault::Replace, _) => return,
+            (Fault::SilentPath, _) if may_lose => return self.lose_beside_silent_path(1),
+            (Fault::SilentPathBesideLoss, _) if may_lose => {
+                return self.lose_beside_silent_path(TOLERATED_LOSSES - self.lost_disks());
+            }
+            (Fault::SilentPair, _) => {
+                let others = up.into_iter().filter(|other| *other != i);
+                let Some(other) = self.rng.choice(others.collect::<Vec<_>>()) else { return };
+                self.cut(2_000..9_000, is_between(i, other));
+                return self.say(fault, &[i, other]);
+            }
+            (_, None)
+            | (
+                Fault::LoseDisk | Fault::Replace | Fault::SilentPath | Fault::SilentPathBesideLoss,
+                _,
+            ) => return,
         }
         self.say(fault, &[i]);
     }
 
+    /// Takes the disks of this many VMs. The path between the first one and the leader, or any other VM if none is
+    /// known, goes silent.
+    fn lose_beside_silent_path(&mut self, count: usize) {
+        let mut up = self.up();
+        self.rng.shuffle(&mut up);
+        let Some(leader) = self.leader().or(up.first().copied()) else { return };
+        up.retain(|i| *i != leader && self.is_whole(*i));
+        up.truncate(count);
+        let Some(first) = up.first().copied() else { return };
+        up.iter().for_each(|i| self.lose_disk(*i));
+        let delay_ms = if self.rng.bool() { 0 } else { self.rng.u64(200..500) };
+        let since = self.vms[first].until + Duration::from_millis(delay_ms);
+        let until = since + Duration::from_millis(self.rng.u64(5_000..9_000));
+        self.links.cut(since, until, is_between(first, leader));
+        self.say(format!("path to {leader} silent after {delay_ms} ms"), &up);
+    }
+
     /// Cuts two VMs off, takes the disk of another one, and lets the rest go dark as the cut heals.
     fn leave_behind(&mut self, mut up: Vec<usize>) {
         self.rng.shuffle(&mut up);
@@ -184,10 +240,12 @@
         self.say("dark", &up);
     }
 
-    /// Takes as many disks as may still be lost, while the others stay, die or go dark.
-    pub(crate) fn lose_most(&mut self, others: Others) {
+    /// Takes as many disks as may still be lost, those of the spared VMs last, while the others stay, die or go
+    /// dark.
+    pub(crate) fn lose_most(&mut self, others: Others, spared: &[usize]) {
         let mut up = self.up();
         self.rng.shuffle(&mut up);
+        up.sort_by_key(|i| spared.contains(i));
         let count = match others {
             Others::DieAlone => 0,
             _ => TOLERATED_LOSSES - self.lost_disks().min(TOLERATED_LOSSES),
--- a/crates/toucansilld/tests/soak/links.rs
+++ b/crates/toucansilld/tests/soak/links.rs
@@ -23,6 +23,7 @@
 /// Links from one VM to the other that drop all bytes for a time.
 struct Cut {
     links: Vec<(usize, usize)>,
+    since: Instant,
     until: Instant,
 }
 
@@ -68,15 +69,20 @@
         self.proxies.iter().map(move |row| &row[i]).chain(&self.proxies[i])
     }
 
-    /// Cuts links until this time, from the next [`Links::apply`] on.
-    pub(crate) fn cut(&mut self, until: Instant, is_cut: impl Fn(usize, usize) -> bool) {
+    /// Cuts links between these times, at the next [`Links::apply`] each.
+    pub(crate) fn cut(
+        &mut self,
+        since: Instant,
+        until: Instant,
+        is_cut: impl Fn(usize, usize) -> bool,
+    ) {
         let controls = self.proxies.len() - 1;
         let pairs = (0..controls).flat_map(|from| (0..controls).map(move |to| (from, to)));
-        self.cuts
-            .push(Cut { links: pairs.filter(|(from, to)| is_cut(*from, *to)).collect(), until });
+        let links = pairs.filter(|(from, to)| is_cut(*from, *to)).collect();
+        self.cuts.push(Cut { links, since, until });
     }
 
-    /// Whether any link is cut.
+    /// Whether any link is cut, or will be.
     pub(crate) fn are_cut(&self) -> bool {
         !self.cuts.is_empty()
     }
@@ -93,8 +99,8 @@
         let count = self.proxies.len();
         for (from, to) in (0..count).flat_map(|from| (0..count).map(move |to| (from, to))) {
             let is_dark = [from, to].iter().any(|i| reach(*i) == Reach::Dark);
-            self.broken[from][to] =
-                is_dark || self.cuts.iter().any(|cut| cut.links.contains(&(from, to)));
+            let is_cut = |cut: &Cut| cut.since <= now && cut.links.contains(&(from, to));
+            self.broken[from][to] = is_dark || self.cuts.iter().any(is_cut);
         }
         for (from, to) in (0..count).flat_map(|from| (0..count - 1).map(move |to| (from, to))) {
             let wanted = match (self.broken[from][to], self.broken[to][from]) {
