--- a/crates/toucansilld/tests/soak/deployment.rs
+++ b/crates/toucansilld/tests/soak/deployment.rs
@@ -4,18 +4,20 @@
 //!
 //! Faults overlap. VMs may be frozen, killed, dark or cut off in any number, but at each time no more disks
 //! may be lost than the group tolerates. The disk of a VM, or a VM that is gone for good, counts as lost until
-//! its successor has run for [`CATCH_UP_TIME`] beside a majority that is in touch with it.
+//! its successor has run for [`CATCH_UP_TIME`] without being cut off: more than half of the VMs with disks, lost
+//! ones included, are in touch with each other, and the successor is in touch with so many of them that they are
+//! more than half of those whose disks aren't lost. So the path to any one VM, also to the leader, may be silent.
 //!
 //! The newest acknowledged document must be read within [`RECOVERY_TIME`] of the end of the faults, in the
 //! middle of the run and after a final fault, and [`Changes`] never reads an older one than those in force.
 
 use crate::{
     changes::Changes,
+    faults::{ABSENCES, FAULTS, Fault, OLD_ABSENCES, OLD_FAULTS, OTHERS, SILENT_LOSSES},
     links::{Links, Reach},
     region::{Region, eventually},
     world::{Callers, Upstreams, lock},
 };
-use fake::FaultProxy;
 use std::{
     env, fmt, fs,
     path::Path,
@@ -26,23 +28,25 @@
 
 /// VMs that found the group, and those with a disk in all.
 const FOUNDERS: usize = 5;
-const CONTROLS: usize = 8;
+pub(crate) const CONTROLS: usize = 8;
 const SPARES: usize = CONTROLS - FOUNDERS;
-const ENTRIES: usize = 8;
+pub(crate) const ENTRIES: usize = 8;
 /// Upstreams besides the two of [`Notices`](crate::notices::Notices).
 const UPSTREAMS: usize = 19;
 const CALLERS: usize = 8;
-const TOLERATED_LOSSES: usize = 2;
+pub(crate) const TOLERATED_LOSSES: usize = 2;
 /// Data centres of the control daemons and of the entries.
 const CONTROL_PLACES: [&str; CONTROLS] = ["a", "a", "b", "b", "c", "a", "b", "c"];
 const ENTRY_PLACES: [&str; ENTRIES] = ["a", "a", "a", "b", "b", "b", "c", "c"];
 /// Number of seeds in the settings.
 const SEEDS: usize = 3;
-const STOP_MS: u64 = 8_000;
+pub(crate) const STOP_MS: u64 = 8_000;
 const CATCH_UP_TIME: Duration = Duration::from_secs(4);
 const RECOVERY_TIME: Duration = Duration::from_secs(12);
 /// Time within which a change must be acknowledged once no further faults are injected.
 const ACKNOWLEDGED_TIME: Duration = Duration::from_secs(40);
+/// Seeds below this one run without silent paths, so that they give the same sequence as before.
+const FIRST_SEED_OF_SILENT_PATHS: u64 = 4_000;
 /// Interval at which VMs come back and links are cut and healed.
 const TICK: Duration = Duration::from_millis(50);
 /// Pause between two requests of a caller.
@@ -50,10 +54,10 @@
 /// Number of last lines of a log that a failing run prints.
 const REPORTED_LINES: usize = 80;
 
-type Result<T> = std::result::Result<T, String>;
+pub(crate) type Result<T> = std::result::Result<T, String>;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum State {
+pub(crate) enum State {
     Unused,
     Up,
     Frozen,
@@ -66,17 +70,17 @@
 }
 
 #[derive(Clone, Copy)]
-struct Vm {
-    state: State,
+pub(crate) struct Vm {
+    pub(crate) state: State,
     /// When it comes back, or has to have ended.
-    until: Instant,
+    pub(crate) until: Instant,
     /// Whether its links hang.
     is_dark: bool,
 }
 
 /// Why a VM has an empty disk.
 #[derive(Clone, Copy, PartialEq)]
-enum Cause {
+pub(crate) enum Cause {
     Loss,
     Addition,
     /// It comes before this one leaves.
@@ -90,89 +94,17 @@
     since: Option<Instant>,
 }
 
-#[derive(Clone, Copy, Debug)]
-enum Fault {
-    Kill,
-    KillAll,
-    KillEntry,
-    Freeze,
-    Restart,
-    Dark,
-    LoseDisk,
-    Replace,
-    /// A VM is replaced while another one, which comes back, has been silent for longer.
-    ReplaceBesideFrozen,
-    ReplaceAsPlanned,
-    Add,
-    Split,
-    OneWay,
-    CutOff,
-    /// Connections of one VM go silent for good, while new ones work.
-    HalfOpen,
-    ResetLinks,
-    /// A minority misses changes, then one of the others loses its disk and the rest go dark.
-    Behind,
-}
-
-const FAULTS: [Fault; 19] = [
-    Fault::Kill,
-    Fault::KillAll,
-    Fault::KillEntry,
-    Fault::Freeze,
-    Fault::Freeze,
-    Fault::Restart,
-    Fault::Dark,
-    Fault::LoseDisk,
-    Fault::LoseDisk,
-    Fault::Replace,
-    Fault::ReplaceBesideFrozen,
-    Fault::ReplaceAsPlanned,
-    Fault::Add,
-    Fault::Split,
-    Fault::OneWay,
-    Fault::CutOff,
-    Fault::HalfOpen,
-    Fault::ResetLinks,
-    Fault::Behind,
-];
-
-/// Faults just before the final one: members that are absent for a time or for good.
-const ABSENCES: [Fault; 8] = [
-    Fault::Freeze,
-    Fault::Freeze,
-    Fault::Dark,
-    Fault::Kill,
-    Fault::LoseDisk,
-    Fault::Replace,
-    Fault::ReplaceBesideFrozen,
-    Fault::CutOff,
-];
-
-/// What happens to the VMs that keep their disks when others lose theirs.
-#[derive(Clone, Copy, Debug)]
-enum Others {
-    Stay,
-    Die,
-    GoDark,
-    /// They and all entries die, and no disk is lost.
-    DieAlone,
-    /// They and all entries die.
-    DieWithEntries,
-}
-
-const OTHERS: [Others; 5] =
-    [Others::Stay, Others::Die, Others::GoDark, Others::DieAlone, Others::DieWithEntries];
-
-struct Deployment {
-    region: Region,
-    rng: fastrand::Rng,
+pub(crate) struct Deployment {
+    pub(crate) region: Region,
+    pub(crate) rng: fastrand::Rng,
     started: Instant,
     /// Control daemons, then entries.
-    vms: Vec<Vm>,
+    pub(crate) vms: Vec<Vm>,
     /// Spares kept for VMs that are gone just before disks are lost.
     kept_spares: usize,
-    links: Links,
+    pub(crate) links: Links,
     catching_up: Vec<CatchUp>,
+    has_silent_paths: bool,
 }
 
 impl Deployment {
@@ -201,10 +133,11 @@
             kept_spares: SPARES - 1,
             links,
             catching_up: Vec::new(),
+            has_silent_paths: seed >= FIRST_SEED_OF_SILENT_PATHS,
         }
     }
 
-    fn say(&self, event: impl fmt::Debug, vms: &[usize]) {
+    pub(crate) fn say(&self, event: impl fmt::Debug, vms: &[usize]) {
         let (time, lost) = (self.started.elapsed().as_secs_f64(), self.lost_disks());
         println!("  +{time:.1} {event:?} {vms:?}, {lost} disks lost");
     }
@@ -220,24 +153,24 @@
         self.in_state(&states)
     }
 
-    fn up(&self) -> Vec<usize> {
+    pub(crate) fn up(&self) -> Vec<usize> {
         self.in_state(&[State::Up])
     }
 
     /// Whether a VM has had the time to get the document.
-    fn is_whole(&self, i: usize) -> bool {
+    pub(crate) fn is_whole(&self, i: usize) -> bool {
         self.catching_up.iter().all(|catch_up| catch_up.vm != i)
     }
 
-    fn lost_disks(&self) -> usize {
+    pub(crate) fn lost_disks(&self) -> usize {
         self.catching_up.iter().filter(|catch_up| catch_up.cause == Cause::Loss).count()
     }
 
-    fn soon(&mut self, ms: std::ops::Range<u64>) -> Instant {
+    pub(crate) fn soon(&mut self, ms: std::ops::Range<u64>) -> Instant {
         Instant::now() + Duration::from_millis(self.rng.u64(ms))
     }
 
-    fn set(&mut self, i: usize, state: State, until: Instant, is_dark: bool) {
+    pub(crate) fn set(&mut self, i: usize, state: State, until: Instant, is_dark: bool) {
         self.vms[i] = Vm { state, until, is_dark };
     }
 
@@ -251,22 +184,22 @@
         self.set(i, State::Up, Instant::now(), false);
     }
 
-    fn kill(&mut self, i: usize, until: Instant, is_dark: bool) {
+    pub(crate) fn kill(&mut self, i: usize, until: Instant, is_dark: bool) {
         self.region.kill(i);
         self.set(i, State::Down, until, is_dark);
     }
 
-    fn freeze(&mut self, i: usize, until: Instant, is_dark: bool) {
+    pub(crate) fn freeze(&mut self, i: usize, until: Instant, is_dark: bool) {
         self.region.signal(i, "-STOP");
         self.set(i, State::Frozen, until, is_dark);
     }
 
     /// Lets a VM go dark for a time: it is frozen, or it is killed and its links hang.
-    fn darken(&mut self, i: usize, until: Instant) {
+    pub(crate) fn darken(&mut self, i: usize, until: Instant) {
         if self.rng.bool() { self.freeze(i, until, true) } else { self.kill(i, until, true) }
     }
 
-    fn lose_disk(&mut self, i: usize) {
+    pub(crate) fn lose_disk(&mut self, i: usize) {
         let until = self.soon(100..1_500);
         self.kill(i, until, false);
         self.region.lose_disk(i);
@@ -274,7 +207,7 @@
     }
 
     /// Adds a spare VM, if one is left beside those that are kept. VMs are added without need only once.
-    fn add(&mut self, cause: Cause) -> Option<usize> {
+    pub(crate) fn add(&mut self, cause: Cause) -> Option<usize> {
         let spares = self.in_state(&[State::Unused]);
         let i = spares.first().copied()?;
         if spares.len() <= if cause == Cause::Loss { self.kept_spares } else { SPARES - 1 } {
@@ -286,14 +219,19 @@
         Some(i)
     }
 
+    /// Control VM that leads, by its metrics.
+    pub(crate) fn leader(&self) -> Option<usize> {
+        self.up().into_iter().find(|i| self.region.leads(*i))
+    }
+
     /// Cuts the links for some seconds.
-    fn cut(&mut self, ms: std::ops::Range<u64>, is_cut: impl Fn(usize, usize) -> bool) {
+    pub(crate) fn cut(&mut self, ms: std::ops::Range<u64>, is_cut: impl Fn(usize, usize) -> bool) {
         let until = self.soon(ms);
-        self.links.cut(until, is_cut);
+        self.links.cut(Instant::now(), until, is_cut);
     }
 
     /// Passes the time, in which VMs wake and start again and links heal.
-    fn pass(&mut self, time: Duration) {
+    pub(crate) fn pass(&mut self, time: Duration) {
         let until = Instant::now() + time;
         loop {
             self.tick();
@@ -305,7 +243,7 @@
         }
     }
 
-    fn tick(&mut self) {
+    pub(crate) fn tick(&mut self) {
         let now = Instant::now();
         for i in 0..self.vms.len() {
             let Vm { state, until, is_dark } = self.vms[i];
@@ -321,7 +259,7 @@
                 }
                 State::Stopping | State::Leaving if until <= now || !self.region.is_running(i) => {
                     self.region.kill(i);
-                    let is_gone = state == State::Leaving && !self.possible_leaders().is_empty();
+                    let is_gone = state == State::Leaving && !self.quorums().0.is_empty();
                     let next = if is_gone { State::Gone } else { State::Down };
                     self.set(i, next, now, is_dark);
                 }
@@ -338,21 +276,28 @@
         self.catch_up(now);
     }
 
-    /// VMs with their disks that are in touch with a majority of those.
-    fn possible_leaders(&self) -> Vec<usize> {
+    /// Sets of VMs with their disks that are in touch with each other, and more than half of all that have one
+    /// or have lost it. Returns also the number of those that have one.
+    fn quorums(&self) -> (Vec<Vec<usize>>, usize) {
         let is_whole = |i: &usize| self.is_whole(*i);
-        let count = self.present().into_iter().filter(is_whole).count() + self.lost_disks();
+        let whole = self.present().into_iter().filter(is_whole).count();
         let up: Vec<usize> = self.up().into_iter().filter(is_whole).collect();
-        let leads =
-            |a: &usize| up.iter().filter(|b| self.links.are_open(*a, **b)).count() * 2 > count;
-        up.iter().copied().filter(leads).collect()
+        let set = |bits: u32| (0..up.len()).filter(move |n| bits >> n & 1 == 1).map(|n| up[n]);
+        let sets = (0..1 << up.len()).map(|bits| set(bits).collect::<Vec<_>>());
+        let is_quorum = |set: &Vec<usize>| {
+            set.len() * 2 > whole + self.lost_disks()
+                && set.iter().all(|a| set.iter().all(|b| self.links.are_open(*a, *b)))
+        };
+        (sets.filter(is_quorum).collect(), whole)
     }
 
     /// Ends the catching up of VMs that had the time for it, and lets the ones leave that they replace.
     fn catch_up(&mut self, now: Instant) {
-        let (up, leaders) = (self.up(), self.possible_leaders());
-        let can_learn =
-            |i: usize| up.contains(&i) && leaders.iter().any(|l| self.links.are_open(*l, i));
+        let (up, (quorums, whole)) = (self.up(), self.quorums());
+        let is_reached = |i: usize, quorum: &Vec<usize>| {
+            quorum.iter().filter(|other| self.links.are_open(**other, i)).count() * 2 > whole
+        };
+        let can_learn = |i: usize| up.contains(&i) && quorums.iter().any(|q| is_reached(i, q));
         let learns: Vec<bool> = self.catching_up.iter().map(|c| can_learn(c.vm)).collect();
         for (catch_up, learns) in self.catching_up.iter_mut().zip(learns) {
             catch_up.since = learns.then(|| catch_up.since.unwrap_or(now));
@@ -370,158 +315,11 @@
         }
     }
 
-    fn inject(&mut self, fault: Fault) {
-        let up = self.up();
-        let whole: Vec<usize> = up.iter().copied().filter(|i| self.is_whole(*i)).collect();
-        let (Some(i), whole) = (self.rng.choice(up.clone()), self.rng.choice(whole)) else {
-            return;
-        };
-        let (may_lose, is_dark) = (self.lost_disks() < TOLERATED_LOSSES, self.rng.bool());
-        match (fault, whole) {
-            (Fault::Kill, _) => {
-                let until = self.soon(100..3_500);
-                self.kill(i, until, false);
-            }
-            (Fault::KillAll, _) => {
-                let until = self.soon(100..1_000);
-                up.iter().for_each(|i| self.kill(*i, until, false));
-            }
-            (Fault::KillEntry, _) => {
-                let (entry, until) = (CONTROLS + self.rng.usize(0..ENTRIES), self.soon(100..2_000));
-                self.kill(entry, until, false);
-            }
-            (Fault::Freeze, _) => {
-                let until = self.soon(2_000..10_000);
-                self.freeze(i, until, false);
-            }
-            (Fault::Restart, _) => {
-                self.region.terminate(i);
-                let until = Instant::now() + Duration::from_millis(STOP_MS);
-                self.set(i, State::Stopping, until, false);
-            }
-            (Fault::Dark, _) => {
-                let until = self.soon(1_000..8_000);
-                self.darken(i, until);
-            }
-            (Fault::LoseDisk, Some(i)) if may_lose => {
-                self.lose_disk(i);
-                return self.say(fault, &[i]);
-            }
-            (Fault::Replace, Some(i)) if may_lose => {
-                let Some(spare) = self.add(Cause::Loss) else { return };
-                self.region.kill(i);
-                self.set(i, State::Gone, Instant::now(), is_dark);
-                return self.say(fault, &[i, spare]);
-            }
-            (Fault::ReplaceBesideFrozen, Some(i)) => {
-                let until = self.soon(6_000..10_000);
-                self.freeze(i, until, false);
-                self.say("frozen", &[i]);
-                let pause = Duration::from_millis(self.rng.u64(100..1_000));
-                self.pass(pause);
-                return self.inject(Fault::Replace);
-            }
-            (Fault::ReplaceAsPlanned, Some(i)) => {
-                let Some(spare) = self.add(Cause::Exchange(i)) else { return };
-                return self.say(fault, &[i, spare]);
-            }
-            (Fault::Add, _) => {
-                let Some(spare) = self.add(Cause::Addition) else { return };
-                return self.say(fault, &[spare]);
-            }
-            (Fault::Split, _) => {
-                let side: Vec<bool> = (0..CONTROLS).map(|_| self.rng.bool()).collect();
-                self.cut(2_000..8_000, |a, b| side[a] != side[b]);
-            }
-            (Fault::OneWay, _) => {
-                self.cut(2_000..6_000, |a, b| a != b && i == if is_dark { a } else { b });
-            }
-            (Fault::CutOff, _) => {
-                let other = self.rng.choice(up.clone()).unwrap_or(i);
-                let is_off = |v: usize| v == i || v == other;
-                self.cut(2_000..8_000, |a, b| is_off(a) != is_off(b));
-            }
-            (Fault::HalfOpen, _) => {
-                self.links.proxies_of(i).for_each(FaultProxy::silence);
-            }
-            (Fault::ResetLinks, _) => self.links.proxies().for_each(FaultProxy::cut),
-            (Fault::Behind, _) => return self.leave_behind(up),
-            (_, None) | (Fault::LoseDisk | Fault::Replace, _) => return,
-        }
-        self.say(fault, &[i]);
-    }
-
-    /// Cuts two VMs off, takes the disk of another one, and lets the rest go dark as the cut heals.
-    fn leave_behind(&mut self, mut up: Vec<usize>) {
-        self.rng.shuffle(&mut up);
-        let behind: Vec<usize> = up.drain(..up.len().min(TOLERATED_LOSSES)).collect();
-        self.say("behind", &behind);
-        let is_behind = |i: usize| behind.contains(&i);
-        let ms = self.rng.u64(2_000..6_000);
-        // It heals just after the others are dark.
-        self.cut(ms + 300..ms + 301, |a, b| is_behind(a) != is_behind(b));
-        self.pass(Duration::from_millis(ms));
-        up.retain(|i| self.vms[*i].state == State::Up);
-        let lost = up.iter().copied().find(|i| self.is_whole(*i));
-        if let Some(lost) = lost.filter(|_| self.lost_disks() < TOLERATED_LOSSES) {
-            up.retain(|i| *i != lost);
-            self.lose_disk(lost);
-            self.say("loses its disk", &[lost]);
-        }
-        let until = self.soon(2_000..8_000);
-        up.iter().for_each(|i| self.darken(*i, until));
-        self.say("dark", &up);
-    }
-
-    /// Takes as many disks as may still be lost, while the others stay, die or go dark.
-    fn lose_most(&mut self, others: Others) {
-        let mut up = self.up();
-        self.rng.shuffle(&mut up);
-        let count = match others {
-            Others::DieAlone => 0,
-            _ => TOLERATED_LOSSES - self.lost_disks().min(TOLERATED_LOSSES),
-        };
-        let whole = up.iter().copied().filter(|i| self.is_whole(*i));
-        let lost: Vec<usize> = whole.take(count).collect();
-        lost.iter().for_each(|i| self.lose_disk(*i));
-        up.retain(|i| !lost.contains(i));
-        if matches!(others, Others::DieAlone | Others::DieWithEntries) {
-            up.extend(CONTROLS..CONTROLS + ENTRIES);
-        }
-        for i in up {
-            let until = self.soon(200..3_000);
-            match others {
-                Others::Stay => {}
-                Others::GoDark => self.darken(i, until),
-                Others::Die | Others::DieAlone | Others::DieWithEntries => {
-                    self.kill(i, until, false);
-                }
-            }
-        }
-        self.tick();
-        self.say(others, &lost);
-    }
-
-    /// Injects some faults, one into the other.
-    fn disturb_once(
-        &mut self,
-        faults: &[Fault],
-        max_pause_ms: u64,
-        changes: &Changes,
-    ) -> Result<()> {
-        for _ in 0..self.rng.usize(1..=5) {
-            let fault = faults[self.rng.usize(0..faults.len())];
-            self.inject(fault);
-            let pause = Duration::from_millis(self.rng.u64(20..max_pause_ms));
-            self.pass(pause);
-        }
-        changes.check()
-    }
-
     /// Injects faults until this time, with pauses in which VMs can catch up.
     fn disturb(&mut self, until: Instant, changes: &Changes) -> Result<()> {
         while Instant::now() < until {
-            self.disturb_once(&FAULTS, 1_500, changes)?;
+            let faults = if self.has_silent_paths { &FAULTS[..] } else { &FAULTS[..OLD_FAULTS] };
+            self.disturb_once(faults, 1_500, changes)?;
             let pause = Duration::from_millis(self.rng.u64(500..9_000));
             self.pass(pause.min(until.saturating_duration_since(Instant::now())));
             changes.check()?;
@@ -537,16 +335,25 @@
         }
     }
 
-    /// Takes disks right after an acknowledgement. The document must be read once all VMs are back.
+    /// Takes disks right after an acknowledgement, at times as soon as a VM without its disk no longer counts
+    /// as lost, while its path to the leader is silent. The document must be read once all VMs are back.
     fn disturb_and_recover(&mut self, changes: &Changes) -> Result<()> {
         self.settle(CATCH_UP_TIME * 4);
         self.kept_spares -= 1;
         if self.rng.bool() {
             self.inject(Fault::ReplaceBesideFrozen);
         } else {
-            self.disturb_once(&ABSENCES, 500, changes)?;
+            let count = if self.has_silent_paths { ABSENCES.len() } else { OLD_ABSENCES };
+            self.disturb_once(&ABSENCES[..count], 500, changes)?;
         }
-        if self.rng.u8(0..4) > 0 {
+        let mut spared = Vec::new();
+        if self.has_silent_paths && self.rng.bool() {
+            self.settle(CATCH_UP_TIME * 2);
+            let fault = self.rng.choice(SILENT_LOSSES).expect("one of them");
+            self.inject(fault);
+            spared.extend(self.catching_up.iter().map(|catch_up| catch_up.vm));
+            self.settle(CATCH_UP_TIME * 2);
+        } else if self.rng.u8(0..4) > 0 {
             self.settle(CATCH_UP_TIME * 2);
         }
         let since = Instant::now();
@@ -560,7 +367,7 @@
             }
         }
         let others = self.rng.choice(OTHERS).expect("one of them");
-        self.lose_most(others);
+        self.lose_most(others, &spared);
         // None leaves as planned meanwhile.
         let exchanges = self.catching_up.iter_mut().filter(|c| c.cause != Cause::Loss);
         exchanges.for_each(|c| c.cause = Cause::Addition);
