--- a/crates/toucansilld/tests/soak/main.rs
+++ b/crates/toucansilld/tests/soak/main.rs
@@ -81,10 +81,20 @@
 /// Number of faults for each seed in CI.
 const CI_FAULT_COUNT: usize = 5;
 
-/// Seed of a run of a whole deployment that failed in the past: the successor of a VM that was gone took the vote of a frozen
-/// leader.
-const FORMER_DEPLOYMENT_FAILURE: u64 = 1403;
-/// Length of a run of a whole deployment in CI.
+/// A run of a whole deployment.
+struct DeploymentRun {
+    seed: u64,
+    length: Duration,
+}
+
+/// Runs of a whole deployment that failed in the past, each with its cause.
+/// 1403: the successor of a VM that was gone took the vote of a frozen leader.
+/// 4401: lost disks went on counting as voters, as paths between VMs were silent.
+const FORMER_DEPLOYMENT_FAILURES: [DeploymentRun; 2] = [
+    DeploymentRun { seed: 1403, length: CI_DEPLOYMENT_TIME },
+    DeploymentRun { seed: 4401, length: Duration::from_secs(10) },
+];
+/// Length of other runs of a whole deployment.
 const CI_DEPLOYMENT_TIME: Duration = Duration::from_secs(30);
 
 /// Fault to inject. One follows the other, but the effects of several can overlap.
@@ -164,11 +174,14 @@
 #[test]
 fn a_whole_deployment_keeps_documents_under_overlapping_faults() {
     let seconds = env::var("SOAK_SECONDS").ok().and_then(|n| n.parse().ok());
-    let ci_seeds = vec![CI_SEED, FORMER_DEPLOYMENT_FAILURE];
+    let former_seeds = FORMER_DEPLOYMENT_FAILURES.iter().map(|former| former.seed);
+    let ci_seeds = [CI_SEED].into_iter().chain(former_seeds).collect();
     let seeds = env::var("SOAK_SEEDS").map_or(ci_seeds, |_| seeds());
     for seed in seeds {
         println!("seed {seed}");
-        deployment::run(seed, seconds.map_or(CI_DEPLOYMENT_TIME, Duration::from_secs));
+        let former = FORMER_DEPLOYMENT_FAILURES.iter().find(|former| former.seed == seed);
+        let length = former.map_or(CI_DEPLOYMENT_TIME, |former| former.length);
+        deployment::run(seed, seconds.map_or(length, Duration::from_secs));
     }
 }
 
