Have other members find out who is at the address of a silent voter

After two VMs had lost their disks at once, nobody led for good: one of them had a silent path to the leader and knew only the leader and the other one, so that its request to join was passed to nobody. The leader asked it for its id itself, in vain, and witnesses told that a process listens there, which was taken for the voter. The group grew back to five with the lost disk among them, and lost two more.

The leader now has other members ask for the id (`LeaderRequest::PassIdentify`) where it gets no answer itself, and a node that asks to join also asks members whose addresses came with Raft messages.

--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -605,6 +605,12 @@
             LeaderRequest::RelayRaft { address, envelope } => {
                 reply(responder, &self.relay_raft(&address, &envelope));
             }
+            LeaderRequest::PassIdentify { address } => {
+                let control = Arc::clone(self);
+                tokio::spawn(async move {
+                    reply(responder, &control.pass_identify(&address).await);
+                });
+            }
             LeaderRequest::PassJoin { id, address } => {
                 let control = Arc::clone(self);
                 tokio::spawn(async move {
--- a/crates/toucansilld/src/gateway/members.rs
+++ b/crates/toucansilld/src/gateway/members.rs
@@ -17,7 +17,7 @@
     },
 };
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -457,8 +457,10 @@
     async fn request_join_by_relays(&self, id: NodeId, address: String) -> bool {
         let own = self.links().address();
         let is_reached = |other: &SocketAddr| self.links().reaches(*other);
-        let (mut candidates, unreached): (Vec<_>, Vec<_>) =
-            self.other_control_daemons().into_iter().partition(is_reached);
+        // A learner gets the addresses of all voters with the first message of the leader.
+        let mut known: BTreeSet<SocketAddr> = self.other_control_daemons().into_iter().collect();
+        known.extend(self.known_voters().filter(|address| *address != own));
+        let (mut candidates, unreached): (Vec<_>, Vec<_>) = known.into_iter().partition(is_reached);
         if candidates.is_empty() {
             candidates = unreached;
         }
--- a/crates/toucansilld/src/gateway/messages.rs
+++ b/crates/toucansilld/src/gateway/messages.rs
@@ -123,6 +123,11 @@
         /// Link address of the daemon.
         address: String,
     },
+    /// Asks a member to send [`LeaderRequest::Identify`] to another one, which the sender doesn't reach.
+    PassIdentify {
+        /// Link address of that one.
+        address: String,
+    },
 }
 
 /// Run of an upstream that has registered again with nothing new.
@@ -208,7 +213,7 @@
         /// Whether the member's process accepts connections.
         is_listening: bool,
     },
-    /// Reply to [`LeaderRequest::Identify`].
+    /// Reply to [`LeaderRequest::Identify`] and [`LeaderRequest::PassIdentify`].
     Identified {
         /// Id that the daemon has as a voter.
         id: u64,
--- a/crates/toucansilld/src/gateway/raft_relay.rs
+++ b/crates/toucansilld/src/gateway/raft_relay.rs
@@ -208,7 +208,7 @@
     }
 
     /// Other members that this one reaches. A learner may know no members yet, but their addresses.
-    fn relay_candidates(&self) -> Vec<SocketAddr> {
+    pub(super) fn relay_candidates(&self) -> Vec<SocketAddr> {
         let own = self.links().address();
         let known: BTreeSet<SocketAddr> = self.known_voters().collect();
         let is_reached = |other: &SocketAddr| *other != own && self.links().reaches(*other);
--- a/crates/toucansilld/tests/gateway/stalled_learners.rs
+++ b/crates/toucansilld/tests/gateway/stalled_learners.rs
@@ -50,6 +50,8 @@
     WithLeader,
     /// Those of two followers.
     Followers,
+    /// Those of a follower and of the last one that was held up.
+    WithLastStalled,
 }
 
 /// Links between the control daemons, by the one that connects and the one that accepts, each through
@@ -109,6 +111,8 @@
     leader: usize,
     /// The others.
     followers: [usize; 4],
+    /// Seeds of daemons that don't have all others as theirs.
+    seeds: BTreeMap<usize, Vec<usize>>,
 }
 
 impl Group {
@@ -116,14 +120,16 @@
         let mut region = Region::new(SUCCESSOR + 1);
         let paths = Paths::start(&mut region);
         let leader = start_five(&mut region);
-        Self { region, paths, leader, followers: [1, 2, 3, 4].map(|n| (leader + n) % 5) }
+        let followers = [1, 2, 3, 4].map(|n| (leader + n) % 5);
+        Self { region, paths, leader, followers, seeds: BTreeMap::new() }
     }
 
-    /// Starts daemon `i` with all others as its seeds.
+    /// Starts daemon `i` with all others as its seeds, or with those that are set.
     fn start_with_seeds(&mut self, i: usize) {
-        let others = (0..=SUCCESSOR).filter(|other| *other != i);
+        let others = || (0..=SUCCESSOR).filter(|other| *other != i).collect();
+        let others = self.seeds.get(&i).cloned().unwrap_or_else(others);
         let address = |i| self.region.control_address(i).parse().expect("an address");
-        let seeds = others.map(address).collect();
+        let seeds = others.into_iter().map(address).collect();
         self.region.set_seeds(i, seeds);
         self.region.start(i, false);
     }
@@ -172,6 +178,7 @@
         let lost = match lost {
             Lost::WithLeader => [self.leader, others[0]],
             Lost::Followers => [others[0], others[1]],
+            Lost::WithLastStalled => [others[0], *started.last().expect("one")],
         };
         let body = document(7, "/x/", "s1");
         let sent = Instant::now();
@@ -296,6 +303,16 @@
     Group::start().check_silent_path(Since::Learner, Lost::WithLeader);
 }
 
+/// Of two VMs that were wiped at once, one reached neither the leader nor, at first, any other member: its
+/// lost predecessor counted for good, as the leader took the process at its address for it.
+#[test]
+fn two_disks_may_be_lost_after_two_while_a_wiped_vm_knows_only_the_leader_and_the_other_one() {
+    let mut group = Group::start();
+    let [first, second, ..] = group.followers;
+    group.seeds.insert(first, vec![group.leader, second]);
+    group.check_two_at_once(Since::Start, Lost::WithLastStalled, |_, wiped| wiped.to_vec());
+}
+
 /// The same with a learner that is heard, and whose disk is slow.
 #[test]
 fn two_disks_may_be_lost_while_the_disk_of_a_learner_is_slow() {
