--- a/crates/toucansilld/src/gateway/members.rs
+++ b/crates/toucansilld/src/gateway/members.rs
@@ -33,9 +33,10 @@
 /// Ticks of silence after which members may be replaced: 0.3 s, 1 s, 30 s and 5 min. Each leader
 /// counts them anew, so a leader has to last this long.
 ///
-/// A voter that answers is heard within `lost`. Most members that restart are back within `absent`, and a successor still has its vote within 4
-/// s of its start, also if the leader was lost together with its predecessor. A process that has
-/// been suspended for `listening` isn't expected to come back by itself.
+/// A voter that answers is heard within `lost`. Most members that restart are back within `absent`,
+/// and a successor still has its vote within 4 s of its start, also if the leader was lost together
+/// with its predecessor. A process that has been suspended for `listening` isn't expected to come
+/// back by itself.
 pub(super) const SILENCE_LIMITS: SilenceLimits =
     SilenceLimits { lost: 6, absent: 20, listening: 600, forgotten: 6_000 };
 /// Ticks of silence after which the gauges count a member as not heard: two heartbeats and a
@@ -243,13 +244,13 @@
             return;
         }
         let Some(change) = self.with_view(&status, &presence, next_upkeep_step) else { return };
-        let (what, ids) = match change {
+        let (what, sign, ids) = match change {
             MembershipChange::Demote(id) if status.known_lost.contains(&id) => {
-                ("disk lost: set aside ", vec![id])
+                ("disk lost", "set aside ", vec![id])
             }
-            MembershipChange::Demote(id) => ("surplus member removed: -", vec![id]),
-            MembershipChange::DemoteTwo(ids) => ("surplus member removed: -", ids.to_vec()),
-            MembershipChange::Remove(id) => ("former member removed: -", vec![id]),
+            MembershipChange::Demote(id) => ("surplus member removed", "-", vec![id]),
+            MembershipChange::DemoteTwo(ids) => ("surplus member removed", "-", ids.to_vec()),
+            MembershipChange::Remove(id) => ("former member removed", "-", vec![id]),
             other => return log::error!("{other:?} isn't made without a request"),
         };
         let members = status.membership.voters.len();
@@ -258,14 +259,14 @@
             let address = self.voter().address_of(id);
             log::warn!(
                 member = id, members, silent_ticks;
-                "{what}{}, {}{}",
+                "{what}: {sign}{}, {}{}",
                 group_report::short_name(id, address.as_deref()),
                 group_report::silence(&status, id),
                 group_report::probed(&presence)
             );
         }
         if let Err(err) = self.change_members(change).await {
-            log::warn!(change:? = change; "members not changed: {err}");
+            log::warn!(change:? = change; "{what}: not done: {err}");
         }
     }
 
