Narrow the steps for lost and absent voters as the review asks, and bound relayed bytes

- The only absent voter of a whole group was set aside while a node caught up, also if its process was about to start again.
It is now set aside only if its host doesn't respond.
- A learner that had caught up and was down kept others from the vote of a lost voter.
- Relayed messages were bounded by their number, so that 256 of them could hold 256 MiB.
They are bounded by 4 MiB.

--- a/crates/raft/src/joining.rs
+++ b/crates/raft/src/joining.rs
@@ -16,7 +16,8 @@
 //!   it has caught up: it has a new id, so it may vote with an empty log.
 //! - An absent voter is exchanged for another node. It may be gone for good, or come back with its
 //!   disk. In the joint membership both cases leave a quorum, also if the new node is lost as well;
-//!   see [`Membership`]. If it is the only one, it is set aside while the node catches up.
+//!   see [`Membership`]. If it is the only one, and its host doesn't respond, it is set aside while
+//!   the node catches up.
 //! - A voter that loses its vote because it is absent becomes a learner. It keeps its id and its
 //!   disk, and is promoted again once it answers. Only a learner whose disk is known to be lost,
 //!   which leaves as planned or which has been silent for very long is removed.
@@ -220,11 +221,14 @@
     }
     let is_confirmed = view.confirmed.contains(&id);
     if !is_caught_up {
-        // The group doesn't depend on the only absent voter while the node catches up.
+        // The group doesn't depend on the only absent voter while the node catches up. One whose
+        // host responds is about to start again.
         let is_usual = members.voters.len() == view.target_voters && view.may_set_aside();
         let absent = if is_confirmed && is_usual { view.absent_voters() } else { Vec::new() };
         return match absent[..] {
-            [absent] => Some(MembershipChange::Demote(absent)),
+            [absent] if view.presence.get(&absent) == Some(&Presence::Unreachable) => {
+                Some(MembershipChange::Demote(absent))
+            }
             _ => None,
         };
     }
@@ -256,12 +260,14 @@
 }
 
 /// Whether a node that has yet to catch up takes the vote of a lost voter that can't be set aside.
-/// A node that catches up soon is better, and so is one that the leader hears.
+/// A node that catches up soon is better, and so is one that the leader hears. One that it doesn't
+/// hear has to ask again after a while, as its first request may come late.
 fn may_vote_before_catching_up(view: GroupView<'_>, lost: NodeId, id: NodeId) -> bool {
-    let learners = &view.members.learners;
+    let heard = || view.members.learners.intersection(view.reachable);
+    let is_unheard = heard().next().is_none() && view.silence(id) >= view.limits.absent;
     view.silence(lost) >= view.limits.absent
-        && learners.is_disjoint(view.caught_up)
-        && (view.reachable.contains(&id) || learners.is_disjoint(view.reachable))
+        && heard().all(|learner| !view.caught_up.contains(learner))
+        && (view.reachable.contains(&id) || is_unheard)
 }
 
 /// The change by which a learner takes the place of a voter. The voter is only demoted
--- a/crates/raft/tests/driver/mod.rs
+++ b/crates/raft/tests/driver/mod.rs
@@ -290,19 +290,25 @@
         }
     }
 
-    /// Lets each node ask at the addresses of the other ones for their ids. A VM that answers under
-    /// another id has lost the disk of the node that was expected there.
+    /// Lets each node ask at the addresses of the other ones for their ids, the leader also by way of
+    /// others. A VM that answers under another id has lost the disk of the node that was expected
+    /// there.
     fn tell_lost_disks(&mut self) {
         let is_up = |vm: &&Vm| self.sim.nodes[&vm.node].raft.is_some();
         let answers: Vec<(NodeId, String)> =
             self.vms.iter().filter(is_up).map(|vm| (vm.node, vm.address.clone())).collect();
         let told = answers.iter().flat_map(|(node, address)| {
             let former = self.addresses.iter().filter(move |(id, a)| *id != node && *a == address);
-            let asking = self.sim.alive().into_iter().filter(|id| {
-                id != node
-                    && !self.sim.cut.contains(&(*id, *node))
-                    && !self.sim.cut.contains(&(*node, *id))
-            });
+            let is_open = |a: NodeId, b: NodeId| {
+                !self.sim.cut.contains(&(a, b)) && !self.sim.cut.contains(&(b, a))
+            };
+            let alive = self.sim.alive();
+            let asks = |id: NodeId| {
+                let passes_on = |other: &NodeId| is_open(id, *other) && is_open(*other, *node);
+                let is_leader = self.sim.raft(id).is_leader();
+                is_open(id, *node) || (is_leader && alive.iter().any(passes_on))
+            };
+            let asking = alive.iter().copied().filter(|id| id != node && asks(*id));
             let asking: Vec<NodeId> = asking.collect();
             former.flat_map(move |(lost, _)| {
                 asking.clone().into_iter().map(move |asking| (asking, *lost))
--- a/crates/raft/tests/stalled_learners.rs
+++ b/crates/raft/tests/stalled_learners.rs
@@ -19,8 +19,9 @@
 }
 
 /// A group of five that has applied a command, with the positions of the leader's VM and the others.
+/// Hosts of VMs that are gone don't respond.
 fn start_group() -> (Driver, usize, Vec<usize>) {
-    let mut driver = Driver::new(Losses::DisksWithoutSuccessor, 0);
+    let mut driver = Driver::new(Losses::DisksWithoutSuccessor, u64::MAX);
     driver.propose(1);
     driver.rounds(5);
     let leader = driver.sim.leader().expect("a leader");
--- a/crates/toucansilld/src/gateway/raft_relay.rs
+++ b/crates/toucansilld/src/gateway/raft_relay.rs
@@ -9,7 +9,7 @@
 };
 use crate::{control_messages::RaftEnvelope, sync::lock};
 use kernel::{Repeated, Repeats};
-use raft::MessageBody;
+use raft::{LogEntry, MessageBody};
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
@@ -31,8 +31,9 @@
 pub(super) const REFUSED_PAUSE: Duration = Duration::from_secs(30);
 /// Interval at which it is logged that messages to a receiver are passed to relays.
 const LOG_INTERVAL: Duration = Duration::from_secs(30);
-/// Maximum number of messages that relays haven't replied to yet. Raft sends again what is dropped.
-const MAX_UNANSWERED: usize = 256;
+/// Maximum size of the messages that relays haven't replied to yet, in KiB; each counts at least
+/// one. Raft sends again what is dropped.
+const MAX_UNANSWERED_KIB: usize = 4 * 1_024;
 
 /// Which members pass messages on to which receivers.
 #[derive(Debug, Default)]
@@ -97,7 +98,7 @@
 
 impl RaftRelays {
     pub(super) fn new(control: Arc<ControlMember>) -> Self {
-        let unanswered = Arc::new(Semaphore::new(MAX_UNANSWERED));
+        let unanswered = Arc::new(Semaphore::new(MAX_UNANSWERED_KIB));
         Self { control, table: Arc::default(), unanswered, passed: Mutex::default() }
     }
 
@@ -110,7 +111,8 @@
         if !is_response(body) && !self.control.may_lead_by_relays() {
             return;
         }
-        let count = if is_small(body) { RELAYS } else { 1 };
+        let bytes = size_bytes(body);
+        let count = if bytes <= SMALL_BYTES { RELAYS } else { 1 };
         let candidates = self.control.relay_candidates();
         let now = self.control.now();
         let relays = lock(&self.table).choose(receiver, &candidates, count, now);
@@ -121,7 +123,8 @@
             address: receiver.to_string(),
             envelope: Box::new(envelope),
         });
-        relays.into_iter().for_each(|relay| self.pass(receiver, relay, Arc::clone(&request)));
+        let pass = |relay| self.pass(receiver, relay, Arc::clone(&request), bytes);
+        relays.into_iter().for_each(pass);
     }
 
     /// Logs now and then that messages to a receiver are passed to relays.
@@ -141,8 +144,15 @@
     }
 
     /// Sends the request to a relay, on a task of its own.
-    fn pass(&self, receiver: SocketAddr, relay: SocketAddr, request: Arc<LeaderRequest>) {
-        let Ok(permit) = Arc::clone(&self.unanswered).try_acquire_owned() else {
+    fn pass(
+        &self,
+        receiver: SocketAddr,
+        relay: SocketAddr,
+        request: Arc<LeaderRequest>,
+        bytes: usize,
+    ) {
+        let kib = (bytes / 1_024 + 1).min(MAX_UNANSWERED_KIB) as u32;
+        let Ok(permit) = Arc::clone(&self.unanswered).try_acquire_many_owned(kib) else {
             return log::debug!("{receiver}: Raft message dropped, as the relays are slow");
         };
         let (control, table) = (Arc::clone(&self.control), Arc::clone(&self.table));
@@ -182,15 +192,12 @@
     }
 }
 
-/// Whether a message is small enough to be passed to several relays.
-fn is_small(body: &MessageBody) -> bool {
+/// Approximate size of a message: that of its entries, or of its part of a snapshot.
+fn size_bytes(body: &MessageBody) -> usize {
     match body {
-        MessageBody::Append { entries, .. } => {
-            let bytes = |entry| wire::encode(entry).map_or(usize::MAX, |buf| buf.len());
-            entries.iter().map(bytes).fold(0, usize::saturating_add) <= SMALL_BYTES
-        }
-        MessageBody::SnapshotChunk { data, .. } => data.len() <= SMALL_BYTES,
-        _ => true,
+        MessageBody::Append { entries, .. } => entries.iter().map(LogEntry::size_bytes).sum(),
+        MessageBody::SnapshotChunk { data, .. } => data.len(),
+        _ => 0,
     }
 }
 
