Keep a new id new over restarts until something was acknowledged under it

What callers saw: of the voters {A, B, C, S}, S is the successor of a lost voter and got its vote before it had caught up. Its process starts again before it has an entry, and A and B are lost: C asks S for its vote for good, and the group stays without a leader.

Cause: a node with an empty log votes only if its id is new, and the daemon says so only in the run in which it generated the id. From the next start on the id is a stored one, and an empty log counted as a lost one.

Change: Store::claim_new records that an id is new. It writes a first hard state with term 1, then an empty file `new` beside the owner's file, then the owner. So the file outlives restarts and votes, and no acknowledgement. A start that ends before the owner is written leaves a folder without owner, which gets another id. The runner takes has_new_id of its settings only for a folder without owner, and otherwise goes by what the store says.

Nodes with configured ids never get the file, and their starts write and sync as before. The first start under a generated id has two syncs more, of the hard state and of the file.

A node whose process ends between the removal of the file and the sync of its first entry is not new; as before, it discards its id if a leader counts it as a voter.

--- a/crates/disk/src/recovery.rs
+++ b/crates/disk/src/recovery.rs
@@ -24,6 +24,9 @@
     /// The node that the folder belongs to, if [`Store::claim`](crate::Store::claim) has been
     /// called.
     pub node: Option<NodeId>,
+    /// Whether nothing was acknowledged under the id of that node, and its votes aren't lost: it was recorded by
+    /// [`Store::claim_new`](crate::Store::claim_new), and no entry or snapshot was written since.
+    pub is_new: bool,
     /// Hard state, latest snapshot and log entries. Some entries may precede the end of the
     /// snapshot.
     pub persisted_state: PersistedState,
--- a/crates/disk/src/store.rs
+++ b/crates/disk/src/store.rs
@@ -8,7 +8,7 @@
     segment::{self, SEGMENT_HEADER},
     snapshot,
 };
-use raft::{HardState, Index, LogEntry, LogPosition, NodeId, Snapshot};
+use raft::{HardState, Index, LogEntry, LogPosition, NodeId, PersistedState, Snapshot};
 use std::{
     error::Error as _,
     fs::{self, File, TryLockError},
@@ -21,6 +21,8 @@
 const LOCK_FILE: &str = "lock";
 /// File with the id of the node that the folder belongs to.
 const NODE_FILE: &str = "node";
+/// Empty file that exists as long as the owner's id is new: see [`Store::claim_new`].
+const NEW_FILE: &str = "new";
 
 /// Settings of a store.
 #[derive(Debug)]
@@ -52,6 +54,8 @@
     /// Records to be written by the next sync.
     pending: Vec<Record>,
     is_poisoned: bool,
+    /// Whether the folder has a [`NEW_FILE`].
+    is_new: bool,
     /// Keeps the folder locked until the store is dropped.
     _lock: File,
 }
@@ -92,9 +96,11 @@
         let lock = lock(&dir)?;
         recovery::remove_partial_files(&dir)?;
         let mut scan = recovery::scan(&dir, &mut options.files)?;
+        let persisted_state = recovery::persisted_state(&dir, &mut scan)?;
         let recovered = Recovered {
             node: read_node(&dir)?,
-            persisted_state: recovery::persisted_state(&dir, &mut scan)?,
+            is_new: check_new_file(&dir, &persisted_state, &mut options.files)?,
+            persisted_state,
             truncated_bytes: scan.truncated_bytes,
         };
         let mut closed_segments = scan.segments;
@@ -123,6 +129,7 @@
             current_segment,
             pending,
             is_poisoned: false,
+            is_new: recovered.is_new,
             _lock: lock,
         };
         if scan.needs_reset {
@@ -144,14 +151,34 @@
     /// read or write. A failure to write poisons the store.
     pub fn claim(&mut self, node: NodeId) -> Result<()> {
         self.check_not_poisoned()?;
-        match read_node(&self.dir)? {
-            Some(found) if found == node => Ok(()),
-            Some(found) => Err(Error::other_node(&self.dir, found, node)),
-            None => {
-                let result = write_node(&self.dir, node, &mut self.options.files);
-                self.poison_on_failure(result)
-            }
+        if self.is_owned_by(node)? {
+            return Ok(());
+        }
+        let result = self.remove_new_file().and_then(|()| self.write_node(node));
+        self.poison_on_failure(result)
+    }
+
+    /// As [`Store::claim`], for an id that was generated for this folder, which must hold neither entries nor a
+    /// snapshot. Until the first of them is written, [`Recovered::is_new`] then says that nothing was acknowledged
+    /// under the id. Returns the hard state, which has a term from now on.
+    ///
+    /// # Errors
+    ///
+    /// As [`Store::claim`].
+    pub fn claim_new(&mut self, node: NodeId) -> Result<HardState> {
+        self.check_not_poisoned()?;
+        if self.is_owned_by(node)? {
+            return Ok(self.hard_state);
+        }
+        if self.hard_state.term == 0 {
+            // Without a term at a later start, the log is lost, and with it the votes.
+            self.append(Some(HardState { term: 1, vote: None }), &[]);
         }
+        self.sync()?;
+        // The sync of the folder in `write_node` makes both names durable.
+        let result = self.write_new_file().and_then(|()| self.write_node(node));
+        self.poison_on_failure(result)?;
+        Ok(self.hard_state)
     }
 
     /// Adds a change of the hard state, and entries, to what the next [`Store::sync`] writes.
@@ -187,7 +214,9 @@
     pub fn save_snapshot(&mut self, snapshot: &Snapshot) -> Result<()> {
         self.check_not_poisoned()?;
         let path = segment::snapshot_path(&self.dir, snapshot.meta.index);
-        let result = snapshot::write(&path, snapshot, &mut self.options.files);
+        let result = self
+            .remove_new_file()
+            .and_then(|()| snapshot::write(&path, snapshot, &mut self.options.files));
         self.poison_on_failure(result)
     }
 
@@ -227,6 +256,14 @@
         &self.dir
     }
 
+    /// Whether the folder belongs to this node. Fails if it belongs to another one.
+    fn is_owned_by(&self, node: NodeId) -> Result<bool> {
+        match read_node(&self.dir)? {
+            Some(found) if found != node => Err(Error::other_node(&self.dir, found, node)),
+            found => Ok(found.is_some()),
+        }
+    }
+
     /// Fails if the store is poisoned.
     fn check_not_poisoned(&self) -> Result<()> {
         match self.is_poisoned {
@@ -247,6 +284,9 @@
 
     /// Writes and syncs records as one frame, in a new segment if the current one is full.
     fn write_frame(&mut self, mut records: Vec<Record>) -> Result<()> {
+        if records.iter().any(|record| !matches!(record, Record::HardState(_))) {
+            self.remove_new_file()?;
+        }
         if self.current_segment.bytes >= self.options.segment_bytes {
             self.start_segment()?;
         }
@@ -308,11 +348,57 @@
 
     /// Removes a file of the folder durably.
     fn remove(&mut self, path: &Path) -> Result<()> {
-        fs::remove_file(path).map_err(|e| Error::io(path, "remove", e))?;
-        snapshot::sync_folder(&self.dir, &mut self.options.files)
+        remove_file(&self.dir, path, &mut self.options.files)
+    }
+
+    /// Records durably which node the folder belongs to.
+    fn write_node(&mut self, node: NodeId) -> Result<()> {
+        let line = node_line(&node.to_string());
+        snapshot::replace_file(&self.dir.join(NODE_FILE), line.as_bytes(), &mut self.options.files)
+    }
+
+    /// Creates the [`NEW_FILE`]. Its name isn't durable yet.
+    fn write_new_file(&mut self) -> Result<()> {
+        let path = self.dir.join(NEW_FILE);
+        let fail = |e| Error::io(&path, "create", e);
+        let f = File::create(&path).map_err(fail)?;
+        (self.options.files.sync)(&f, &path).map_err(fail)?;
+        self.is_new = true;
+        Ok(())
+    }
+
+    /// Removes the [`NEW_FILE`] durably, if there is one.
+    fn remove_new_file(&mut self) -> Result<()> {
+        if self.is_new {
+            self.remove(&self.dir.join(NEW_FILE))?;
+            self.is_new = false;
+        }
+        Ok(())
     }
 }
 
+/// Removes a file of a folder durably.
+fn remove_file(dir: &Path, path: &Path, files: &mut Files) -> Result<()> {
+    fs::remove_file(path).map_err(|e| Error::io(path, "remove", e))?;
+    snapshot::sync_folder(dir, files)
+}
+
+/// Whether a folder has a [`NEW_FILE`], which is removed if the state contradicts it.
+fn check_new_file(dir: &Path, state: &PersistedState, files: &mut Files) -> Result<bool> {
+    let path = dir.join(NEW_FILE);
+    if !path.try_exists().map_err(|e| Error::io(&path, "look for", e))? {
+        return Ok(false);
+    }
+    if state.is_empty() && state.hard_state.term > 0 {
+        return Ok(true);
+    }
+    if state.is_empty() {
+        log::warn!("{}: the log is lost, and with it any votes", dir.display());
+    }
+    remove_file(dir, &path, files)?;
+    Ok(false)
+}
+
 /// Creates a folder, unless it exists, and makes it durable.
 fn create_folder(dir: &Path, files: &mut Files) -> Result<()> {
     fs::create_dir_all(dir).map_err(|e| Error::io(dir, "create the folder", e))?;
@@ -381,9 +467,3 @@
 fn node_line(node: &str) -> String {
     format!("{node} {:08x}\n", crc32fast::hash(node.as_bytes()))
 }
-
-/// Records durably which node the folder belongs to.
-fn write_node(dir: &Path, node: NodeId, files: &mut Files) -> Result<()> {
-    let line = node_line(&node.to_string());
-    snapshot::replace_file(&dir.join(NODE_FILE), line.as_bytes(), files)
-}
--- a/crates/group/src/config.rs
+++ b/crates/group/src/config.rs
@@ -57,7 +57,9 @@
 
 /// Settings of one node.
 pub struct Config {
-    /// Settings of the Raft node, including the node's id.
+    /// Settings of the Raft node, including the node's id. Its
+    /// [`has_new_id`](raft::Config::has_new_id) says whether the id was generated at this start. The
+    /// node records that if the folder has no owner yet, and at later starts goes by what it recorded.
     pub raft: raft::Config,
     /// Data folder. It is locked against use by a second process.
     pub dir: PathBuf,
--- a/crates/group/src/runner.rs
+++ b/crates/group/src/runner.rs
@@ -92,8 +92,16 @@
         let id = cfg.raft.id;
         let options = std::mem::take(&mut cfg.store);
         let (mut store, recovered) = Store::open_with(&cfg.dir, options).map_err(Error::disk)?;
-        store.claim(id).map_err(Error::disk)?;
         let mut persisted_state = recovered.persisted_state;
+        match recovered.node {
+            None if cfg.raft.has_new_id && persisted_state.is_empty() => {
+                persisted_state.hard_state = store.claim_new(id).map_err(Error::disk)?;
+            }
+            owner => {
+                store.claim(id).map_err(Error::disk)?;
+                cfg.raft.has_new_id = owner.is_some() && recovered.is_new;
+            }
+        }
         if recovered.truncated_bytes > 0 {
             log::warn!(
                 "truncated {} bytes of an incomplete write at the end of the log",
--- a/crates/raft/src/config.rs
+++ b/crates/raft/src/config.rs
@@ -34,9 +34,10 @@
     pub max_snapshot_bytes: u64,
     /// Maximum number of entries that a learner may lack when it is promoted.
     pub max_promote_lag: u64,
-    /// Whether this id was never used before this node was created. With an empty log the node has
-    /// then yet to catch up, and may vote. Otherwise its disk may have been lost, with what it has
-    /// promised; see [`Raft::has_lost_disk`](crate::Raft::has_lost_disk).
+    /// Whether no entry or snapshot was ever acknowledged under this id, and no vote that was cast
+    /// under it is lost. With an empty log the node has then yet to catch up, and may vote.
+    /// Otherwise its disk may have been lost, with what it has promised; see
+    /// [`Raft::has_lost_disk`](crate::Raft::has_lost_disk).
     pub has_new_id: bool,
 }
 
--- a/crates/toucansilld/src/gateway/identity.rs
+++ b/crates/toucansilld/src/gateway/identity.rs
@@ -77,7 +77,7 @@
         data_folder: control.data_folder.clone(),
         snapshot_entries: control.snapshot_entries,
         initial: if is_initial { initial.collect() } else { Vec::new() },
-        // A stored id without entries may be one whose log was lost in part.
+        // Of a stored id, the log knows whether it was ever used.
         has_new_id: is_new && id >= FIRST_RANDOM_ID,
     })
 }
