--- a/crates/toucansilld/src/gateway.rs
+++ b/crates/toucansilld/src/gateway.rs
@@ -30,6 +30,7 @@
 pub mod group_report;
 mod guard;
 mod identity;
+mod join_requests;
 mod lead;
 mod limits;
 mod lost_disks;
