--- a/crates/toucansilld/src/gateway/own_vote.rs
+++ b/crates/toucansilld/src/gateway/own_vote.rs
@@ -13,7 +13,7 @@
 /// Interval between lines of a member that has no vote.
 const OWN_REPORT_INTERVAL: Duration = Duration::from_secs(2);
 
-/// What a member without a vote knows of its own way to one.
+/// What a member without a vote knows of its progress to one.
 #[derive(Debug)]
 pub struct OwnVote {
     /// When this process started, or the member lost its vote.
--- a/crates/toucansilld/src/gateway/raft_relay.rs
+++ b/crates/toucansilld/src/gateway/raft_relay.rs
@@ -1,6 +1,6 @@
 //! Raft messages that another member passes on, as their sender doesn't reach their receiver itself.
 //!
-//! A way that has fallen silent between two daemons would otherwise keep a member, or a learner that is
+//! A path that has fallen silent between two daemons would otherwise keep a member, or a learner that is
 //! to replace one, from hearing its leader, while all others do.
 
 use super::{
--- a/crates/toucansilld/tests/gateway/relays.rs
+++ b/crates/toucansilld/tests/gateway/relays.rs
@@ -1,4 +1,4 @@
-//! Groups in which the way between the leader and one member is silent, while all others work.
+//! Groups in which the path between the leader and one member is silent, while all others work.
 
 use crate::{
     Region,
@@ -14,7 +14,7 @@
     time::{Duration, Instant},
 };
 
-/// Time after which the group has noticed that a way has fallen silent.
+/// Time after which the group has noticed that a path has fallen silent.
 const DETECTION_TIME: Duration = Duration::from_secs(3);
 /// Time for which a member is watched: several times as long as it takes to report that it knows no leader.
 const WATCHED_TIME: Duration = Duration::from_secs(6);
@@ -25,31 +25,31 @@
 /// Time from the loss of a disk until its VM starts.
 const RESTART_PAUSE: Duration = Duration::from_millis(300);
 
-/// Ways between the control daemons, by sender and receiver.
-type Ways = BTreeMap<(usize, usize), FaultProxy>;
+/// Paths between the control daemons, by sender and receiver.
+type Paths = BTreeMap<(usize, usize), FaultProxy>;
 
 /// Leads all links between five control daemons through proxies of their own, and starts them. Returns the
 /// index of the leader, too.
-fn start() -> (Region, Ways, usize) {
+fn start() -> (Region, Paths, usize) {
     let mut region = Region::new(SUCCESSOR + 1);
-    let mut ways = Ways::new();
+    let mut paths = Paths::new();
     for from in 0..5 {
         let mut routes = Routes::new();
         for to in (0..5).filter(|to| *to != from) {
             let links = region.links_address(to);
             let proxy = FaultProxy::start(links).expect("a free port");
             routes.insert(links, proxy.address());
-            ways.insert((from, to), proxy);
+            paths.insert((from, to), proxy);
         }
         region.set_routes(from, routes);
     }
     let leader = start_five(&mut region);
-    (region, ways, leader)
+    (region, paths, leader)
 }
 
-/// Silences the way between two daemons.
-fn silence(ways: &Ways, a: usize, b: usize) {
-    [(a, b), (b, a)].iter().for_each(|way| ways[way].hang().expect("the port is kept"));
+/// Silences the path between two daemons.
+fn silence(paths: &Paths, a: usize, b: usize) {
+    [(a, b), (b, a)].iter().for_each(|path| paths[path].hang().expect("the port is kept"));
 }
 
 /// Last entries that member `i` has found in its log, at each of its starts.
@@ -65,13 +65,13 @@
     region.log(i).lines().filter(|line| line.contains("no leader")).count()
 }
 
-/// Guards against a member that hears nothing of the leader, and gets no entries, as only the way between
+/// Guards against a member that hears nothing of the leader, and gets no entries, as only the path between
 /// the two is silent.
 #[test]
 fn a_member_hears_a_leader_by_way_of_others() {
-    let (mut region, ways, leader) = start();
+    let (mut region, paths, leader) = start();
     let [silent, other] = [1, 2].map(|n| (leader + n) % 5);
-    silence(&ways, leader, silent);
+    silence(&paths, leader, silent);
     thread::sleep(DETECTION_TIME);
     region.control_request_until_ok(leader, "PUT", DOCUMENT_PATH, &document(7, "/x/", "s1"));
     let reports = leaderless_reports(&region, silent);
@@ -89,13 +89,13 @@
     assert_eq!(found, expected, "entries of the member, and of one that reaches the leader");
 }
 
-/// Replaces the disk of a member by an empty one, with a silent way to the leader. Returns its index, and when it
+/// Replaces the disk of a member by an empty one, with a silent path to the leader. Returns its index, and when it
 /// was started.
-fn lose_disk_without_leader(region: &mut Region, ways: &Ways, leader: usize) -> (usize, Instant) {
+fn lose_disk_without_leader(region: &mut Region, paths: &Paths, leader: usize) -> (usize, Instant) {
     let lost = (leader + 1) % 5;
     region.kill(lost);
     region.lose_disk(lost);
-    silence(ways, leader, lost);
+    silence(paths, leader, lost);
     thread::sleep(RESTART_PAUSE);
     region.start(lost, false);
     (lost, Instant::now())
@@ -110,24 +110,24 @@
     });
 }
 
-/// Guards against a VM with an empty disk that the leader learns nothing of, as only the way between the two
+/// Guards against a VM with an empty disk that the leader learns nothing of, as only the path between the two
 /// is silent.
 #[test]
 fn a_vm_with_an_empty_disk_asks_to_join_by_way_of_others() {
-    let (mut region, ways, leader) = start();
-    let (lost, started) = lose_disk_without_leader(&mut region, &ways, leader);
+    let (mut region, paths, leader) = start();
+    let (lost, started) = lose_disk_without_leader(&mut region, &paths, leader);
     await_line(&region, leader, lost, "asks to join");
     let admitted = started.elapsed();
     println!("admitted after {admitted:?}");
     assert!(admitted <= ADMISSION_TIME, "admitted after {admitted:?}{}", membership_lines(&region));
 }
 
-/// Guards against a VM with an empty disk that has no vote 4 s after its start, as only the way between it
+/// Guards against a VM with an empty disk that has no vote 4 s after its start, as only the path between it
 /// and the leader is silent: two further disks that are lost then leave no quorum.
 #[test]
 fn a_vm_with_an_empty_disk_gets_its_vote_by_way_of_others() {
-    let (mut region, ways, leader) = start();
-    let (lost, started) = lose_disk_without_leader(&mut region, &ways, leader);
+    let (mut region, paths, leader) = start();
+    let (lost, started) = lose_disk_without_leader(&mut region, &paths, leader);
     await_line(&region, leader, lost, "member has joined");
     let joined = started.elapsed();
     println!("joined after {joined:?}");
@@ -140,7 +140,7 @@
 /// goes on for seconds, and hasn't failed until then.
 #[test]
 fn a_vm_with_an_empty_disk_gets_its_vote_although_the_leader_accepts_its_connections_only() {
-    let (mut region, _ways, leader) = start();
+    let (mut region, _paths, leader) = start();
     let lost = (leader + 1) % 5;
     region.kill(lost);
     region.lose_disk(lost);
@@ -152,7 +152,7 @@
     let started = Instant::now();
     await_line(&region, leader, lost, "member has joined");
     let joined = started.elapsed();
-    println!("joined after {joined:?}, with a mute way to the leader");
+    println!("joined after {joined:?}, with a mute path to the leader");
     let is_in_time = joined <= VOTE_TIME || has_slow_disk(&region, &[0, 1, 2, 3, 4]);
     assert!(is_in_time, "joined after {joined:?}{}", membership_lines(&region));
 }
--- a/crates/toucansilld/tests/raft_relays.rs
+++ b/crates/toucansilld/tests/raft_relays.rs
@@ -60,7 +60,7 @@
 fn a_member_that_reaches_fewer_than_it_does_not_reach_sends_no_messages_of_a_leader() {
     assert!(may_lead_by_relays(4, 1) && may_lead_by_relays(3, 2));
     assert!(!may_lead_by_relays(2, 3) && !may_lead_by_relays(1, 4));
-    assert!(may_lead_by_relays(1, 1), "one of two whose way to each other is silent");
+    assert!(may_lead_by_relays(1, 1), "one of two whose path to each other is silent");
 }
 
 /// Guards against a relay that connects to whatever address it is given, or passes a message to itself.
