Check times as strictly as before, and list what failed beside load

The logs of the failed runs were overwritten, so they can't be traced any more.

The checks are strict again, and print the members' lines.

--- a/crates/toucansilld/tests/gateway/exchanges.rs
+++ b/crates/toucansilld/tests/gateway/exchanges.rs
@@ -132,12 +132,6 @@
     assert_eq!(version(&body), 7);
 }
 
-/// Whether the computer's own disk took a second or more to sync a log of one of these daemons: then no time
-/// within which something has to be done can be kept.
-pub(crate) fn has_slow_disk(region: &Region, daemons: &[usize]) -> bool {
-    daemons.iter().any(|i| region.log(*i).contains("the disk took "))
-}
-
 /// The lines of the control daemons about changes of the members and leaders, and what held them up.
 pub(crate) fn membership_lines(region: &Region) -> String {
     const WORDS: [&str; 6] =
--- a/crates/toucansilld/tests/gateway/relays.rs
+++ b/crates/toucansilld/tests/gateway/relays.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Region,
-    exchanges::{SUCCESSOR, has_slow_disk, membership_lines, start_five},
+    exchanges::{SUCCESSOR, membership_lines, start_five},
     region::{Routes, eventually},
 };
 use fake::FaultProxy;
@@ -131,8 +131,7 @@
     await_line(&region, leader, lost, "member has joined");
     let joined = started.elapsed();
     println!("joined after {joined:?}");
-    let is_in_time = joined <= VOTE_TIME || has_slow_disk(&region, &[0, 1, 2, 3, 4]);
-    assert!(is_in_time, "joined after {joined:?}{}", membership_lines(&region));
+    assert!(joined <= VOTE_TIME, "joined after {joined:?}{}", membership_lines(&region));
     eventually("five members", || region.is_group_by(&[leader], 5, 5).then_some(()));
 }
 
@@ -153,6 +152,5 @@
     await_line(&region, leader, lost, "member has joined");
     let joined = started.elapsed();
     println!("joined after {joined:?}, with a mute path to the leader");
-    let is_in_time = joined <= VOTE_TIME || has_slow_disk(&region, &[0, 1, 2, 3, 4]);
-    assert!(is_in_time, "joined after {joined:?}{}", membership_lines(&region));
+    assert!(joined <= VOTE_TIME, "joined after {joined:?}{}", membership_lines(&region));
 }
--- a/crates/toucansilld/tests/gateway/stalled_learners.rs
+++ b/crates/toucansilld/tests/gateway/stalled_learners.rs
@@ -6,8 +6,7 @@
     absences::lines_without_leader,
     durable_names::build_recorder,
     exchanges::{
-        CATCH_UP_TIME, RECOVERY_TIME, SUCCESSOR, SUCCESSOR_DELAY, has_slow_disk, membership_lines,
-        start_five,
+        CATCH_UP_TIME, RECOVERY_TIME, SUCCESSOR, SUCCESSOR_DELAY, membership_lines, start_five,
     },
     region::{POLL_INTERVAL, Routes, eventually},
     version,
@@ -185,13 +184,8 @@
         let sent = Instant::now();
         self.region.control_request_until_ok(self.leader, "PUT", DOCUMENT_PATH, &body);
         let waited = sent.elapsed();
-        let not_held_up: Vec<usize> =
-            others.iter().copied().chain([self.leader]).filter(|i| !started.contains(i)).collect();
-        assert!(
-            waited < ACKNOWLEDGED_TIME || has_slow_disk(&self.region, &not_held_up),
-            "acknowledged after {waited:?}{}",
-            membership_lines(&self.region)
-        );
+        let lines = || membership_lines(&self.region);
+        assert!(waited < ACKNOWLEDGED_TIME, "acknowledged after {waited:?}{}", lines());
         lost.iter().for_each(|i| self.region.kill(*i));
         for i in lost {
             self.region.lose_disk(i);
