Delay a test's connections as a long path does, not each write after the one before

Cause, by a trace of the proxy's reads: it slept 100 ms for each read, one after the other. A request that times out after 350 ms sends a reset, the next request follows it at once. If the proxy reads the two separately, the request waits 100 ms for the reset and 100 ms for itself; head and content of the reply do the same: 400 ms, and the next reset comes in step. With 60 copies of the test at once 14 of 360 runs failed so, each with 57 attempts, all but the first with the same five reads.

Not the cause: the link (established in the traced runs after the first two attempts). Nothing of the crate changes.

The proxy now passes on each read 100 ms after it came. A request takes two delays, the handshake four, as the test's constants say. 0 of 360 runs fail, and 0 of 240 with 24 copies at once. As strict as before: with attempts to connect that end with the request that began them, 8 of 8 runs fail.

--- a/crates/wire/tests/links.rs
+++ b/crates/wire/tests/links.rs
@@ -6,6 +6,7 @@
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
+        mpsc,
     },
     thread,
     time::{Duration, Instant},
@@ -541,18 +542,26 @@
     assert_eq!(reply.unwrap(), b"cba");
 }
 
-/// Forwards connections to `target`, with a delay for all that is sent in either direction. Returns
-/// its address.
+/// Forwards connections to `target`. All that is sent in either direction arrives after `delay`, as on a long path:
+/// bytes that follow others at once do not wait for them. Returns the address of the proxy.
 fn delaying_proxy(target: SocketAddr, delay: Duration) -> SocketAddr {
     fn forward(mut from: TcpStream, mut to: TcpStream, delay: Duration) {
+        let (tx, rx) = mpsc::channel::<(Instant, Vec<u8>)>();
+        thread::spawn(move || {
+            for (due, bytes) in rx {
+                thread::sleep(due.saturating_duration_since(Instant::now()));
+                if to.write_all(&bytes).is_err() {
+                    break;
+                }
+            }
+            let _ = to.shutdown(Shutdown::Both);
+        });
         let mut buf = [0; 4096];
         while let Ok(n @ 1..) = from.read(&mut buf) {
-            thread::sleep(delay);
-            if to.write_all(&buf[..n]).is_err() {
+            if tx.send((Instant::now() + delay, buf[..n].to_vec())).is_err() {
                 break;
             }
         }
-        let _ = to.shutdown(Shutdown::Both);
     }
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("an address");
