Log what delays an event loop for less than a second

Operators saw groups whose leaders didn't last, beside load, with no line that said why: a pause of the event loop was logged from 1 s on, as was a sync, and a leader steps down after 0.5 s without a majority. In a test whose change was acknowledged after 5.8 s, five leaders were lost in 8 s, and no line named a pause of more than 0.2 s.

The lines `this daemon leads no more` and `leaderless N s` have `delayed_ms`: for how long of the last 10 s the event loop slept too long, in sleeps of 0.1 s and more. Syncs of the log are reported from 0.5 s on. The tests of stalled learners print each response to a change that isn't acknowledged in time.

The new test of the observer passes; the figure didn't exist before.

--- a/crates/group/src/runner.rs
+++ b/crates/group/src/runner.rs
@@ -20,8 +20,9 @@
     time::{Duration, Instant},
 };
 
-/// Time from which on a sync of the log is reported.
-const SLOW_SYNC: Duration = Duration::from_secs(1);
+/// Time from which on a sync of the log is reported. With ticks of 50 ms, a leader steps down if those of a
+/// majority take as long.
+const SLOW_SYNC: Duration = Duration::from_millis(500);
 
 /// Entry point to start a node of a group.
 #[derive(Debug)]
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -290,7 +290,11 @@
                 let silence = |id| lock(&self.vote_notes).silence(now, id);
                 let address_of = |id| self.voter.address_of(id);
                 let lost_disks = observer.lost_disks(&status, now, silence, address_of);
-                for text in observer.leaderless(now).into_iter().chain(lost_disks) {
+                if let Some(text) = observer.leaderless(now) {
+                    let delayed_ms = observer.delayed().as_millis() as u64;
+                    log::warn!(member = status.id, delayed_ms = delayed_ms; "{text}");
+                }
+                if let Some(text) = lost_disks {
                     log::warn!(member = status.id; "{text}");
                 }
             }
@@ -299,7 +303,8 @@
                 (true, Some(term)) if term == status.term => self.apply_state(),
                 (true, _) => self.start_leading().await,
                 (false, Some(term)) => {
-                    log::warn!(term = term; "this daemon leads no more");
+                    let delayed_ms = observer.delayed().as_millis() as u64;
+                    log::warn!(term = term, delayed_ms = delayed_ms; "this daemon leads no more");
                     lock(&self.leader).take();
                     lock(&self.leading_since).take();
                     let held = lock(&self.held).take_all();
--- a/crates/toucansilld/src/gateway/observer.rs
+++ b/crates/toucansilld/src/gateway/observer.rs
@@ -17,7 +17,9 @@
 /// Shortest time for which the voter's thread didn't run before the loss of a leader that is
 /// reported with that loss: two ticks.
 const REPORTED_BLOCK: Duration = Duration::from_millis(100);
-/// Time before the loss of a leader for which it is reported what held up the voter.
+/// Shortest sleep of the event loop that counts as a delay: twice the usual one.
+const REPORTED_DELAY: Duration = Duration::from_millis(100);
+/// Time before the loss of a leader for which it is reported what held up the voter and the event loop.
 const TIME_BEFORE_LOSS: Duration = Duration::from_secs(10);
 
 /// What a member has reported of its voter and its group.
@@ -43,6 +45,8 @@
     /// Times for which the voter's thread didn't run lately, and when that was seen. Each is longer
     /// than those after it.
     recent_blocks: VecDeque<(Instant, Duration)>,
+    /// Sleeps of the event loop that took too long lately, and their ends.
+    recent_delays: VecDeque<(Instant, Duration)>,
     /// Voters whose disks are known to be lost, and since when.
     lost_disks: BTreeMap<NodeId, Instant>,
 }
@@ -61,6 +65,7 @@
             longest_block: Duration::ZERO,
             block_before: Duration::ZERO,
             recent_blocks: VecDeque::new(),
+            recent_delays: VecDeque::new(),
             lost_disks: status.known_lost.iter().map(|id| (*id, now)).collect(),
         }
     }
@@ -147,6 +152,10 @@
     pub fn pause(&mut self, status: &Status, slept_at: Instant, now: Instant) -> Option<String> {
         let passed = now.saturating_duration_since(slept_at);
         let ticks = status.ticks.saturating_sub(mem::replace(&mut self.ticks, status.ticks));
+        self.recent_delays.retain(|(at, _)| now.saturating_duration_since(*at) <= TIME_BEFORE_LOSS);
+        if passed >= REPORTED_DELAY {
+            self.recent_delays.push_back((now, passed));
+        }
         if passed < REPORTED_PAUSE {
             return None;
         }
@@ -158,6 +167,12 @@
         Some(format!("{what} for {:.1} s", passed.as_secs_f64()))
     }
 
+    /// Time in the last 10 s for which the event loop slept too long, as of the last
+    /// [`pause`](Self::pause). Messages wait for it, also those of the voter.
+    pub fn delayed(&self) -> Duration {
+        self.recent_delays.iter().map(|(_, delay)| *delay).sum()
+    }
+
     /// Reports that the voter's thread doesn't run, as its disk blocks it, and that it runs again.
     pub fn voter_pause(&mut self, status: &Status, now: Instant) -> Option<String> {
         let published_at = status.published_at?;
--- a/crates/toucansilld/tests/gateway/stalled_learners.rs
+++ b/crates/toucansilld/tests/gateway/stalled_learners.rs
@@ -182,10 +182,15 @@
         };
         let body = document(7, "/x/", "s1");
         let sent = Instant::now();
-        self.region.control_request_until_ok(self.leader, "PUT", DOCUMENT_PATH, &body);
+        let mut responses = String::new();
+        eventually("an acknowledgement", || {
+            let response = self.region.control_request(self.leader, "PUT", DOCUMENT_PATH, &body);
+            responses += &format!("\n{:?}: {response:?}", sent.elapsed());
+            response.filter(|(status, _)| *status == 200)
+        });
         let waited = sent.elapsed();
         let lines = || membership_lines(&self.region);
-        assert!(waited < ACKNOWLEDGED_TIME, "acknowledged after {waited:?}{}", lines());
+        assert!(waited < ACKNOWLEDGED_TIME, "acknowledged after {waited:?}{responses}{}", lines());
         lost.iter().for_each(|i| self.region.kill(*i));
         for i in lost {
             self.region.lose_disk(i);
--- a/crates/toucansilld/tests/log_lines/main.rs
+++ b/crates/toucansilld/tests/log_lines/main.rs
@@ -322,6 +322,23 @@
     assert_eq!(text, "leaderless 0 s, leaders 3, blocked 0.0 s, before 1.0 s, same members");
 }
 
+/// Members whose processes waited for processor time, for less than a second at once, lost one leader after the other
+/// and logged no reason.
+#[test]
+fn delays_of_the_event_loop_are_added_up_for_ten_seconds() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut observer = Observer::new(&status(), start);
+    for (slept_at, now) in [(0, 50), (50, 450), (450, 500), (500, 599), (600, 1_200)] {
+        assert_eq!(observer.pause(&status(), at(slept_at), at(now)), None);
+    }
+    assert_eq!(observer.delayed(), Duration::from_millis(1_000));
+    observer.pause(&status(), at(10_400), at(10_451));
+    assert_eq!(observer.delayed(), Duration::from_millis(600));
+    observer.pause(&status(), at(11_150), at(11_201));
+    assert_eq!(observer.delayed(), Duration::ZERO);
+}
+
 /// Three voters counted as lost, and since when each of them did was in no line.
 #[test]
 fn a_cut_line_says_for_how_long_each_disk_is_known_to_be_lost() {
