Pass requests to the leader on by way of another member

Callers saw 503 (`the leader did not answer: ... no connection in time`) for reads and changes of the configuration at a member whose path to the leader is silent, while all other paths work. An entry with such a path went on with an old view, and a planned leave wasn't heard: the group counted a vote that is never cast.

Cause: Raft messages, requests to join and questions for ids go by way of another member, every other request to the leader only directly.

Change: a daemon that doesn't reach the leader has one member send the request on (`PassRequest`, variants at the end of `LeaderRequest` and `LeaderReply`) and gets the reply as it is, or whether the leader may have acted on it. One hop, two members at most, one after the other, within the timeout of the request; then it is sent directly, as before. A member passes at most 16 MiB on at a time, and nothing that is to be passed on further. An earlier build refuses the request; that is logged, and it is asked again after 30 s. Requests that are passed on also begin a connection to the leader, so that its path is used once it works again.

--- a/crates/toucansilld/src/gateway.rs
+++ b/crates/toucansilld/src/gateway.rs
@@ -49,6 +49,7 @@
 mod relay_announcer;
 mod relay_server;
 mod reports;
+mod request_relay;
 mod run;
 mod servers;
 mod settings;
--- a/crates/toucansilld/src/gateway/bus.rs
+++ b/crates/toucansilld/src/gateway/bus.rs
@@ -2,12 +2,14 @@
 
 use super::{
     messages::{LeaderReply, LeaderRequest, message_service},
+    request_relay::RequestRelays,
     settings::GatewaySettings,
 };
 use crate::{
     control_messages::RaftEnvelope,
     error::{Error, Result},
 };
+use kernel::SharedClock;
 use proxy::Connector;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use wire::{
@@ -36,18 +38,24 @@
 /// Handles Raft messages.
 pub(crate) type RaftHandler = Arc<dyn Fn(RaftEnvelope) + Send + Sync>;
 
+/// Returns the link addresses of the members of the control group, as far as they are known.
+pub(crate) type KnownMembers = Box<dyn Fn() -> Vec<SocketAddr> + Send + Sync>;
+
 /// Links of this daemon to the others.
 pub(crate) struct DaemonLinks {
     links: Links,
     connector: Connector,
+    relays: RequestRelays,
 }
 
 impl DaemonLinks {
     /// Starts listening for links. `on_raft` is `None` for a daemon without a voter. `connector` is the
-    /// way to the other daemons.
+    /// way to the other daemons, and the known members pass requests on.
     pub(crate) async fn start(
         settings: &GatewaySettings,
         connector: Connector,
+        known_members: KnownMembers,
+        clock: SharedClock,
         on_request: RequestHandler,
         on_raft: Option<RaftHandler>,
     ) -> Result<Arc<Self>> {
@@ -64,7 +72,8 @@
         cfg.ping_timeout = PING_TIMEOUT;
         let handler = Arc::new(move |inbound| deliver(inbound, &on_request, on_raft.as_ref()));
         let links = Links::attach(cfg, handler).await.map_err(fault)?;
-        Ok(Arc::new(Self { links, connector }))
+        let relays = RequestRelays::new(known_members, clock);
+        Ok(Arc::new(Self { links, connector, relays }))
     }
 
     /// Address on which this daemon listens for links.
@@ -90,6 +99,16 @@
         self.last_failure(address).is_none() && !self.is_cut_off_from(address)
     }
 
+    /// Connects to the daemon at `address` unless there is a link to it, without waiting for that.
+    pub(super) fn reconnect(&self, address: SocketAddr) {
+        self.links.reconnect(address);
+    }
+
+    /// Members that pass requests on.
+    pub(super) fn relays(&self) -> &RequestRelays {
+        &self.relays
+    }
+
     /// Sends a request to the daemon at `address` and returns its reply.
     pub(crate) async fn request(
         &self,
@@ -97,9 +116,18 @@
         request: &LeaderRequest,
         timeout: Duration,
     ) -> wire::Result<LeaderReply> {
-        let message =
-            Message { service: message_service::LEADER.to_owned(), body: wire::encode(request)? };
-        wire::decode(&self.links.request_async(address, message, timeout).await?)
+        wire::decode(&self.request_encoded(address, wire::encode(request)?, timeout).await?)
+    }
+
+    /// As [`request`](Self::request), with an encoded request and reply.
+    pub(super) async fn request_encoded(
+        &self,
+        address: SocketAddr,
+        request: Vec<u8>,
+        timeout: Duration,
+    ) -> wire::Result<Vec<u8>> {
+        let message = Message { service: message_service::LEADER.to_owned(), body: request };
+        self.links.request_async(address, message, timeout).await
     }
 
     /// What a new connection tells about a daemon that doesn't answer.
--- a/crates/toucansilld/src/gateway/control.rs
+++ b/crates/toucansilld/src/gateway/control.rs
@@ -17,6 +17,7 @@
     quarantine::{ReadWatchlist, ReceivedReports},
     raft_relay::RelayTable,
     refreshes::Refreshes,
+    request_relay::PassedRequests,
     servers,
     settings::{Bounds, ControlSettings, GatewaySettings},
     unanswered::RefusedCalls,
@@ -109,6 +110,8 @@
     probed: tokio::sync::Mutex<BTreeMap<NodeId, (Instant, Presence)>>,
     /// Daemons that pass requests to join on; the receiver is this daemon.
     join_relays: Mutex<RelayTable>,
+    /// Requests that this daemon passes on.
+    passed_requests: PassedRequests,
     /// When this daemon, as the leader, last told a member that it may stop and stays one.
     last_kept: Mutex<Option<Instant>>,
     pub(super) watchlist: watch::Sender<ReadWatchlist>,
@@ -156,6 +159,7 @@
             membership_change: tokio::sync::Mutex::default(),
             probed: tokio::sync::Mutex::default(),
             join_relays: Mutex::default(),
+            passed_requests: PassedRequests::default(),
             last_kept: Mutex::default(),
             watchlist: watch::Sender::new(ReadWatchlist::default()),
             reports_tx,
@@ -248,6 +252,11 @@
         &self.join_relays
     }
 
+    /// Requests that this daemon passes on.
+    pub(super) fn passed_requests(&self) -> &PassedRequests {
+        &self.passed_requests
+    }
+
     /// Records that a member was told that it may stop and stays one.
     pub(super) fn member_kept(&self) {
         *lock(&self.last_kept) = Some(self.now());
@@ -617,6 +626,12 @@
                     reply(responder, &control.pass_join(id, address).await);
                 });
             }
+            LeaderRequest::PassRequest { address, timeout, request } => {
+                let control = Arc::clone(self);
+                tokio::spawn(async move {
+                    reply(responder, &control.pass_request(&address, timeout, request).await);
+                });
+            }
             // Answered before, by daemons without a control part as well.
             LeaderRequest::Probe { .. } => reply(responder, &self.not_leader()),
         }
@@ -698,7 +713,7 @@
             Some(until) => self.with_ticket(address, request.clone(), until).await?,
             None => LeaderRequest::Control(request.clone()),
         };
-        match self.links().request(address, &request, FORWARD_TIMEOUT).await {
+        match self.links().request_leader(address, &request, FORWARD_TIMEOUT).await {
             Ok(LeaderReply::Control(response)) => Ok(response),
             Ok(_) => Err(String::from("the leader has changed")),
             Err(err) => {
@@ -738,7 +753,7 @@
     ) -> Result<LeaderRequest, String> {
         let valid_for = until.saturating_duration_since(self.now());
         let request = LeaderRequest::RequestTicket { valid_for };
-        match self.links().request(leader, &request, valid_for).await {
+        match self.links().request_leader(leader, &request, valid_for).await {
             Ok(LeaderReply::Ticket(ticket)) => Ok(LeaderRequest::Order { ticket, request: order }),
             Ok(_) => Err(String::from("the leader has changed")),
             // A daemon of an earlier build doesn't know tickets.
--- a/crates/toucansilld/src/gateway/daemon.rs
+++ b/crates/toucansilld/src/gateway/daemon.rs
@@ -92,10 +92,16 @@
     let mut tasks = Tasks::default();
     let identity = settings.control.as_ref().map(|cfg| identity::find(&settings, cfg));
     let slot = Arc::new(ControlSlot::new(identity.transpose()?));
+    let known_members = {
+        let (view, settings) = (Arc::clone(&view), Arc::clone(&settings));
+        Box::new(move || view.control_daemons(&settings))
+    };
     // The others learn which id is here, also while a slow disk holds up the voter.
     let links = DaemonLinks::start(
         &settings,
         connector.clone(),
+        known_members,
+        Arc::clone(&clock),
         request_handler(Arc::clone(&slot), connector.clone(), settings.links),
         settings.control.as_ref().map(|_| raft_handler(Arc::clone(&slot))),
     )
--- a/crates/toucansilld/src/gateway/follow.rs
+++ b/crates/toucansilld/src/gateway/follow.rs
@@ -24,6 +24,9 @@
 /// Time beyond [`FOLLOW_WAIT`] after which a reply of the leader is overdue: a few scheduling
 /// delays of a busy VM.
 const REPLY_MARGIN: Duration = Duration::from_millis(350);
+/// Timeout for the reply to a follow request, which a leader may hold.
+const FOLLOW_TIMEOUT: Duration =
+    Duration::from_millis((FOLLOW_WAIT.as_millis() + REPLY_MARGIN.as_millis()) as u64);
 /// Shortest interval between requests for the replicated state.
 const READ_INTERVAL: Duration = Duration::from_millis(200);
 /// Timeout for the replicated state of a member that does not lead.
@@ -162,9 +165,9 @@
             if search.asked.insert(target) {
                 let links = Arc::clone(&self.links);
                 let follow = self.follow_request(known_term);
-                search
-                    .requests
-                    .spawn(async move { (target, request(&links, target, &follow).await) });
+                search.requests.spawn(async move {
+                    (target, links.request(target, &follow, FOLLOW_TIMEOUT).await)
+                });
             }
             match timeout(SEARCH_INTERVAL, search.requests.join_next()).await {
                 Ok(Some(Ok((target, reply)))) => {
@@ -180,7 +183,8 @@
     /// Requests what has changed since the view's position. The leader holds the request for
     /// up to [`FOLLOW_WAIT`] if nothing has.
     async fn request_change(&self, target: SocketAddr, known_term: u64) -> FollowReply {
-        request(&self.links, target, &self.follow_request(known_term)).await
+        let follow = self.follow_request(known_term);
+        self.links.request_leader(target, &follow, FOLLOW_TIMEOUT).await
     }
 
     /// Request for what has changed since the view's position. While no leader is followed, the last change
@@ -231,7 +235,7 @@
         offers.offered_in = term;
         let count = missing.len();
         let request = LeaderRequest::OfferUpstreams(missing);
-        match self.links.request(leader, &request, OFFER_TIMEOUT).await {
+        match self.links.request_leader(leader, &request, OFFER_TIMEOUT).await {
             Ok(LeaderReply::UpstreamsOffered) => {
                 log::info!(leader:% = leader, count; "upstreams offered to a new leader");
             }
@@ -250,8 +254,8 @@
             return;
         }
         let count = limits.len();
-        match self.links.request(leader, &LeaderRequest::ReportLimits(limits), REPORT_TIMEOUT).await
-        {
+        let request = LeaderRequest::ReportLimits(limits);
+        match self.links.request_leader(leader, &request, REPORT_TIMEOUT).await {
             Ok(LeaderReply::LimitsRecorded) => {
                 log::info!(count = count, leader:% = leader; "limits reported to a new leader");
             }
@@ -292,8 +296,3 @@
         });
     }
 }
-
-/// Sends a follow request, which a leader may hold.
-async fn request(links: &DaemonLinks, target: SocketAddr, follow: &LeaderRequest) -> FollowReply {
-    links.request(target, follow, FOLLOW_WAIT + REPLY_MARGIN).await
-}
--- a/crates/toucansilld/src/gateway/members.rs
+++ b/crates/toucansilld/src/gateway/members.rs
@@ -388,7 +388,7 @@
         let leader = status.leader.and_then(|id| self.voter().address_of(id)?.parse().ok());
         let leader: SocketAddr = leader.or_else(|| self.known_leader())?;
         let request = LeaderRequest::Leave { id: status.id, address };
-        match self.links().request(leader, &request, LEAVE_TIMEOUT).await {
+        match self.links().request_leader(leader, &request, LEAVE_TIMEOUT).await {
             Ok(LeaderReply::NotLeader { .. }) => None,
             Ok(reply) => Some(reply),
             // A daemon of an earlier build refuses the request.
--- a/crates/toucansilld/src/gateway/messages.rs
+++ b/crates/toucansilld/src/gateway/messages.rs
@@ -12,7 +12,7 @@
 };
 use proxy::RelayDaemon;
 use std::{collections::BTreeSet, time::Duration};
-use wire::{DaemonId, DataCentreId, UpstreamId};
+use wire::{DaemonId, DataCentreId, PassFailure, UpstreamId};
 
 /// Names of the message services, which address the parts of a daemon.
 pub(crate) mod message_service {
@@ -128,6 +128,28 @@
         /// Link address of that one.
         address: String,
     },
+    /// Asks a member to send a request to another one, which the sender doesn't reach.
+    PassRequest {
+        /// Link address of that one.
+        address: String,
+        /// Time for which the sender waits for the reply.
+        timeout: Duration,
+        /// The request, encoded.
+        request: Vec<u8>,
+    },
+}
+
+impl LeaderRequest {
+    /// Whether the request asks for another message to be passed on. It isn't passed on itself.
+    pub(crate) fn passes_on(&self) -> bool {
+        matches!(
+            self,
+            Self::RelayRaft { .. }
+                | Self::PassJoin { .. }
+                | Self::PassIdentify { .. }
+                | Self::PassRequest { .. }
+        )
+    }
 }
 
 /// Run of an upstream that has registered again with nothing new.
@@ -223,6 +245,15 @@
         /// Whether the member sent it, and isn't known not to reach the receiver.
         is_reached: bool,
     },
+    /// Reply to [`LeaderRequest::PassRequest`]: the encoded reply of the other member.
+    Passed(Vec<u8>),
+    /// Reply to [`LeaderRequest::PassRequest`]: the other member has not replied.
+    NotPassed {
+        /// Whether it may have acted on the request.
+        failure: PassFailure,
+        /// Cause, for the error of the sender.
+        reason: String,
+    },
 }
 
 /// Daemon that relays messages to upstreams.
--- a/crates/toucansilld/src/gateway/placer.rs
+++ b/crates/toucansilld/src/gateway/placer.rs
@@ -278,7 +278,8 @@
             let term = self.view.with(|state| state.position.term);
             may_be_queued = true;
             let timeout = reply_timeout(remaining.first_event_target_remaining);
-            match self.links.request(leader, &LeaderRequest::Place(remaining), timeout).await {
+            match self.links.request_leader(leader, &LeaderRequest::Place(remaining), timeout).await
+            {
                 Ok(LeaderReply::Placement(Decision::Granted(grant))) => {
                     let started_at_ms =
                         self.view.with(|state| state.started_at_ms(&grant.upstream));
@@ -482,7 +483,7 @@
         let upstream = limit.upstream.clone();
         if let Some(leader) = self.view.leader(self.clock.now(), LEADER_TIMEOUT) {
             let request = LeaderRequest::ReserveRequest(limit);
-            match self.links.request(leader, &request, RESERVE_TIMEOUT).await {
+            match self.links.request_leader(leader, &request, RESERVE_TIMEOUT).await {
                 Ok(LeaderReply::RequestReserved { wait }) => return wait,
                 Ok(_) => log::debug!("{leader}: request not reserved: it leads no more"),
                 Err(err) => log::debug!("{leader}: request not reserved: {err}"),
--- a/crates/toucansilld/src/gateway/raft_relay.rs
+++ b/crates/toucansilld/src/gateway/raft_relay.rs
@@ -26,7 +26,7 @@
 /// Timeout for the reply of a relay.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for which a relay that didn't reach the receiver, or didn't reply, gets no message for it.
-const FAILED_PAUSE: Duration = Duration::from_millis(500);
+pub(super) const FAILED_PAUSE: Duration = Duration::from_millis(500);
 /// Time for which a relay gets no message once it has refused one, as one of an earlier build does.
 pub(super) const REFUSED_PAUSE: Duration = Duration::from_secs(30);
 /// Interval at which it is logged that messages to a receiver are passed to relays.
--- a/crates/toucansilld/src/gateway/refreshes.rs
+++ b/crates/toucansilld/src/gateway/refreshes.rs
@@ -85,7 +85,7 @@
                 continue;
             };
             let request = LeaderRequest::RefreshUpstreams(collected);
-            match links.request(leader, &request, REFRESH_TIMEOUT).await {
+            match links.request_leader(leader, &request, REFRESH_TIMEOUT).await {
                 Ok(LeaderReply::UpstreamsRefreshed { unknown }) => {
                     lock(&self.state).unknown.extend(unknown);
                 }
--- a/crates/toucansilld/src/gateway/relay_announcer.rs
+++ b/crates/toucansilld/src/gateway/relay_announcer.rs
@@ -62,7 +62,7 @@
             address: self.address.to_string(),
         };
         let request = LeaderRequest::AnnounceRelay(own);
-        match self.links.request(leader, &request, ANNOUNCEMENT_TIMEOUT).await {
+        match self.links.request_leader(leader, &request, ANNOUNCEMENT_TIMEOUT).await {
             Ok(LeaderReply::Relays(listed)) => {
                 self.paths.add_relays(listed.iter().filter_map(ListedRelay::relay).collect());
                 true
--- a/crates/toucansilld/src/gateway/reports.rs
+++ b/crates/toucansilld/src/gateway/reports.rs
@@ -75,7 +75,7 @@
             continue;
         };
         if let Err(err) =
-            links.request(leader, &LeaderRequest::Progress(progress), PROGRESS_TIMEOUT).await
+            links.request_leader(leader, &LeaderRequest::Progress(progress), PROGRESS_TIMEOUT).await
         {
             log::warn!(count = count, leader:% = leader; "progress reports not confirmed: {err}");
         }
@@ -96,7 +96,7 @@
     let request = LeaderRequest::ReportLimits(limits);
     for _ in 0..LIMIT_REPORT_ATTEMPTS {
         let Some(leader) = view.leader(clock.now(), LEADER_TIMEOUT) else { return };
-        match links.request(leader, &request, LIMIT_REPORT_TIMEOUT).await {
+        match links.request_leader(leader, &request, LIMIT_REPORT_TIMEOUT).await {
             Ok(LeaderReply::LimitsRecorded) => return,
             Ok(_) => log::debug!("{leader}: limits not recorded: it leads no more"),
             Err(err) => log::debug!("{leader}: limits not recorded: {err}"),
@@ -117,7 +117,7 @@
     let request = LeaderRequest::ReportLeaving { upstream: upstream.clone(), started_at_ms };
     while clock.now().saturating_duration_since(started) < LEAVING_REPORT_TIME {
         if let Some(leader) = view.leader(clock.now(), LEADER_TIMEOUT) {
-            match links.request(leader, &request, LEAVING_REPORT_TIMEOUT).await {
+            match links.request_leader(leader, &request, LEAVING_REPORT_TIMEOUT).await {
                 Ok(LeaderReply::LeavingRecorded) => return,
                 Ok(_) => log::debug!("{leader}: departure not recorded: it leads no more"),
                 Err(err) => log::debug!("{leader}: departure not recorded: {err}"),
--- a/crates/toucansilld/src/gateway/watchlist.rs
+++ b/crates/toucansilld/src/gateway/watchlist.rs
@@ -303,7 +303,11 @@
                 continue;
             };
             let request = LeaderRequest::FollowWatchlist { index: self.watchlist.index() };
-            let reply = self.links.request(target, &request, WATCHLIST_WAIT + REPLY_MARGIN).await;
+            let timeout = WATCHLIST_WAIT + REPLY_MARGIN;
+            let reply = match leader {
+                Some(leader) => self.links.request_leader(leader, &request, timeout).await,
+                None => self.links.request(target, &request, timeout).await,
+            };
             has_failed = !matches!(reply, Ok(LeaderReply::Watchlist { .. }));
             match reply {
                 Ok(LeaderReply::Watchlist { index, watchlist: Some(watchlist) }) => {
@@ -346,7 +350,7 @@
             continue;
         };
         let request = LeaderRequest::ReportRuns(reports.iter().cloned().collect());
-        match links.request(leader, &request, REPORT_TIMEOUT).await {
+        match links.request_leader(leader, &request, REPORT_TIMEOUT).await {
             Ok(LeaderReply::RunsRecorded) => reports.clear(),
             reply => {
                 let reason = reply.map_or_else(|err| err.to_string(), |_| "not recorded".into());
--- a/crates/toucansilld/tests/gateway/main.rs
+++ b/crates/toucansilld/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod lost_paths;
 mod notices;
 mod odd_values;
+mod passed_requests;
 mod region;
 mod relays;
 mod replacements;
--- a/crates/toucansilld/tests/gateway/relays.rs
+++ b/crates/toucansilld/tests/gateway/relays.rs
@@ -15,7 +15,7 @@
 };
 
 /// Time after which the group has noticed that a path has fallen silent.
-const DETECTION_TIME: Duration = Duration::from_secs(3);
+pub(crate) const DETECTION_TIME: Duration = Duration::from_secs(3);
 /// Time for which a member is watched: several times as long as it takes to report that it knows no leader.
 const WATCHED_TIME: Duration = Duration::from_secs(6);
 /// Time from the start of a VM with an empty disk until it counts as whole.
@@ -26,11 +26,10 @@
 const RESTART_PAUSE: Duration = Duration::from_millis(300);
 
 /// Paths between the control daemons, by sender and receiver.
-type Paths = BTreeMap<(usize, usize), FaultProxy>;
+pub(crate) type Paths = BTreeMap<(usize, usize), FaultProxy>;
 
-/// Leads all links between five control daemons through proxies of their own, and starts them. Returns the
-/// index of the leader, too.
-fn start() -> (Region, Paths, usize) {
+/// Leads all links between five control daemons through proxies of their own.
+pub(crate) fn region_with_paths() -> (Region, Paths) {
     let mut region = Region::new(SUCCESSOR + 1);
     let mut paths = Paths::new();
     for from in 0..5 {
@@ -43,12 +42,18 @@
         }
         region.set_routes(from, routes);
     }
+    (region, paths)
+}
+
+/// Starts five control daemons with such links. Returns the index of the leader, too.
+fn start() -> (Region, Paths, usize) {
+    let (mut region, paths) = region_with_paths();
     let leader = start_five(&mut region);
     (region, paths, leader)
 }
 
 /// Silences the path between two daemons.
-fn silence(paths: &Paths, a: usize, b: usize) {
+pub(crate) fn silence(paths: &Paths, a: usize, b: usize) {
     [(a, b), (b, a)].iter().for_each(|path| paths[path].hang().expect("the port is kept"));
 }
 
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -1,6 +1,7 @@
 //! Errors of messages, links and secret files.
 
 use crate::Verdict;
+use bincode::{Decode, Encode};
 use std::{fmt, io};
 
 /// Result of an operation of this crate.
@@ -44,6 +45,17 @@
     Stopped,
 }
 
+/// Why a message that was passed on got no reply.
+#[derive(Clone, Copy, Debug, Decode, Encode, Eq, PartialEq)]
+pub enum PassFailure {
+    /// It wasn't sent to its receiver, or not handled there.
+    NotSent,
+    /// Its receiver refused it before acting on it.
+    Refused,
+    /// Its receiver may have acted on it.
+    Unanswered,
+}
+
 impl Error {
     pub(crate) fn new(kind: Kind, context: impl Into<String>) -> Self {
         Self { context: context.into(), kind, source: None }
@@ -53,6 +65,25 @@
         Self { context: context.into(), kind, source: Some(source) }
     }
 
+    /// Failure of a message that another daemon was to pass on, as that one reports it.
+    pub fn passed_on(failure: PassFailure, context: impl Into<String>) -> Self {
+        let kind = match failure {
+            PassFailure::NotSent => Kind::Unreachable,
+            PassFailure::Refused => Kind::Refused,
+            PassFailure::Unanswered => Kind::Lost,
+        };
+        Self::new(kind, context)
+    }
+
+    /// What this failure is to a daemon for which the message was passed on.
+    pub fn pass_failure(&self) -> PassFailure {
+        match (self.kind, self.verdict()) {
+            (Kind::Refused, _) => PassFailure::Refused,
+            (_, Verdict::NotRun) => PassFailure::NotSent,
+            (_, Verdict::Ran | Verdict::MayHaveRun) => PassFailure::Unanswered,
+        }
+    }
+
     pub(crate) fn kind(&self) -> Kind {
         self.kind
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,7 +17,7 @@
 mod secret;
 mod verdict;
 
-pub use error::{Error, Result};
+pub use error::{Error, PassFailure, Result};
 pub use id::{
     DaemonId, DataCentreId, FencingToken, IdempotencyKey, Incarnation, ModelId, OrganisationId,
     RegionId, RequestId, ServiceId, Tokens, UpstreamId,
--- a/crates/wire/src/link/connect.rs
+++ b/crates/wire/src/link/connect.rs
@@ -99,6 +99,14 @@
         self.failures.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Connects unless a link is open, an attempt is under way, or one has just failed. A failure is recorded
+    /// as any other.
+    pub(crate) async fn reconnect(self: Arc<Self>) {
+        if self.connecting_for().is_none() {
+            let _ = self.get_or_connect().await;
+        }
+    }
+
     /// Opens a stream, on a new connection if none is open.
     pub(crate) async fn open(self: &Arc<Self>) -> Result<OpenStream> {
         let link = self.get_or_connect().await?;
--- a/crates/wire/src/link/links.rs
+++ b/crates/wire/src/link/links.rs
@@ -131,6 +131,13 @@
         peers.get(&peer)?.connecting_for()
     }
 
+    /// Connects to a peer without a message, unless a link is open or an attempt is under way or has just failed: so
+    /// a peer that gets no messages is found to be reached again. Returns without waiting for it.
+    pub fn reconnect(&self, peer: SocketAddr) {
+        let Some(runtime) = self.handle.as_ref() else { return };
+        runtime.spawn(self.outbound.peer_at(peer).reconnect());
+    }
+
     /// Number of known peers, with or without an open link.
     pub fn peer_count(&self) -> usize {
         self.outbound.peers.lock().unwrap_or_else(PoisonError::into_inner).len()
--- a/crates/wire/tests/links.rs
+++ b/crates/wire/tests/links.rs
@@ -12,8 +12,8 @@
     time::{Duration, Instant},
 };
 use wire::{
-    Inbound, InboundHandler, LinkConfig, LinkFailureKind, Links, Message, RegionSecret, Result,
-    Verdict,
+    Error, Inbound, InboundHandler, LinkConfig, LinkFailureKind, Links, Message, PassFailure,
+    RegionSecret, Result, Verdict,
 };
 
 /// Longest wait for an event that a test expects. It passes only if the test fails.
@@ -591,3 +591,36 @@
     assert!(first.is_err(), "the handshake takes longer");
     wait_for("a reply", || client.request(peer, message(b"hello"), REQUEST_TIMEOUT).is_ok());
 }
+
+/// Guards against a message that is sent again although its receiver may have acted on it, or isn't although the receiver
+/// has refused it, as the daemon that passed it on tells it wrongly.
+#[test]
+fn failures_that_another_daemon_reports_keep_their_verdict() {
+    for (failure, verdict) in [
+        (PassFailure::NotSent, Verdict::NotRun),
+        (PassFailure::Refused, Verdict::NotRun),
+        (PassFailure::Unanswered, Verdict::MayHaveRun),
+    ] {
+        let err = Error::passed_on(failure, "by another one");
+        assert_eq!((err.pass_failure(), err.verdict()), (failure, verdict));
+        assert_eq!(err.is_refused(), failure == PassFailure::Refused);
+    }
+}
+
+/// Guards against a peer that gets no messages while it isn't reached, and so is never found to be reached again.
+#[test]
+fn a_peer_is_found_to_be_reached_again_without_a_message() {
+    let server = start(config("server"), echo);
+    let address = server.address();
+    server.stop();
+    let client = client();
+    assert!(client.request(address, message(b"hello"), TEST_TIMEOUT).is_err());
+    assert!(client.last_failure(address).is_some());
+    let mut cfg = config("server");
+    cfg.listen = address;
+    let _server = start(cfg, echo);
+    wait_for("a link", || {
+        client.reconnect(address);
+        client.last_failure(address).is_none()
+    });
+}
