Sync each file once, side by side, at the first start of a voter

What was seen: a VM with an empty disk, whose path to the leader was silent, had its vote 4.47 s after its start, 4 s are asked for; daemons logged slow syncs.

Cause: the VM waited for its own disk some thirteen times in turn. Eleven syncs came before its first request to join: two for the file with its id, two for the members' addresses, seven for the log.

Change: the id, the addresses and the log are written at the same time; no message is sent or received before all three are durable, and each of them alone was allowed for before. The first segment of a log isn't synced empty: its header is synced with the first frame, and its name with that of the owner, or with the first frame if there is no owner. Five syncs in turn are left before the first request. What is on disk, and what later starts make of it, doesn't change.

The test of the disk fails before as well.

--- a/crates/disk/src/store.rs
+++ b/crates/disk/src/store.rs
@@ -68,6 +68,8 @@
     highest_index: Index,
     /// Synced length with the header, in bytes.
     bytes: u64,
+    /// Whether its name is durable. That of the first segment of a folder is with the first frame, or with the owner.
+    is_named: bool,
     f: File,
 }
 
@@ -115,7 +117,7 @@
                 segment
             }
             Some((number, _)) => create_segment(&dir, number, &mut options.files)?,
-            None => create_segment(&dir, 1, &mut options.files)?,
+            None => new_segment(&dir, 1, &mut options.files)?,
         };
         let hard_state = scan.hard_state;
         let pending = Vec::new();
@@ -174,9 +176,11 @@
             // Without a term at a later start, the log is lost, and with it the votes.
             self.append(Some(HardState { term: 1, vote: None }), &[]);
         }
-        self.sync()?;
-        // The sync of the folder in `write_node` makes both names durable.
-        let result = self.write_new_file().and_then(|()| self.write_node(node));
+        // The sync of the folder in `write_node` makes all names durable. Until then nothing is acknowledged.
+        let result = self
+            .write_pending()
+            .and_then(|()| self.write_new_file())
+            .and_then(|()| self.write_node(node));
         self.poison_on_failure(result)?;
         Ok(self.hard_state)
     }
@@ -201,8 +205,7 @@
         if self.pending.is_empty() {
             return Ok(());
         }
-        let records = mem::take(&mut self.pending);
-        let result = self.write_frame(records);
+        let result = self.write_pending().and_then(|()| self.name_segment());
         self.poison_on_failure(result)
     }
 
@@ -282,6 +285,14 @@
         result
     }
 
+    /// Writes and syncs the pending records, if there are any.
+    fn write_pending(&mut self) -> Result<()> {
+        match mem::take(&mut self.pending) {
+            records if records.is_empty() => Ok(()),
+            records => self.write_frame(records),
+        }
+    }
+
     /// Writes and syncs records as one frame, in a new segment if the current one is full.
     fn write_frame(&mut self, mut records: Vec<Record>) -> Result<()> {
         if records.iter().any(|record| !matches!(record, Record::HardState(_))) {
@@ -297,9 +308,18 @@
         self.write_records(&records)
     }
 
+    /// Makes the name of the current segment durable, unless it is.
+    fn name_segment(&mut self) -> Result<()> {
+        if !self.current_segment.is_named {
+            snapshot::sync_folder(&self.dir, &mut self.options.files)?;
+            self.current_segment.is_named = true;
+        }
+        Ok(())
+    }
+
     /// Appends a frame of these records to the current segment, and syncs it.
     fn write_records(&mut self, records: &[Record]) -> Result<()> {
-        let Segment { number, highest_index, bytes, f } = &mut self.current_segment;
+        let Segment { number, highest_index, bytes, f, .. } = &mut self.current_segment;
         let path = segment::segment_path(&self.dir, *number);
         let buf = frame::encode(*number, records);
         let files = &mut self.options.files;
@@ -354,7 +374,10 @@
     /// Records durably which node the folder belongs to.
     fn write_node(&mut self, node: NodeId) -> Result<()> {
         let line = node_line(&node.to_string());
-        snapshot::replace_file(&self.dir.join(NODE_FILE), line.as_bytes(), &mut self.options.files)
+        let files = &mut self.options.files;
+        snapshot::replace_file(&self.dir.join(NODE_FILE), line.as_bytes(), files)?;
+        self.current_segment.is_named = true;
+        Ok(())
     }
 
     /// Creates the [`NEW_FILE`]. Its name isn't durable yet.
@@ -424,18 +447,27 @@
     let fail = |e| Error::io(&path, "open", e);
     let mut f = File::options().read(true).write(true).open(&path).map_err(fail)?;
     f.seek(SeekFrom::Start(bytes)).map_err(fail)?;
-    Ok(Segment { number, highest_index, bytes, f })
+    Ok(Segment { number, highest_index, bytes, is_named: true, f })
 }
 
 /// Creates an empty segment durably, replacing any segment of that number.
 fn create_segment(dir: &Path, number: u64, files: &mut Files) -> Result<Segment> {
+    let segment = new_segment(dir, number, files)?;
+    let path = segment::segment_path(dir, number);
+    (files.sync)(&segment.f, &path).map_err(|e| Error::io(&path, "create", e))?;
+    snapshot::sync_folder(dir, files)?;
+    Ok(Segment { is_named: true, ..segment })
+}
+
+/// Creates an empty segment, replacing any segment of that number. The sync of its first frame makes its header
+/// durable.
+fn new_segment(dir: &Path, number: u64, files: &mut Files) -> Result<Segment> {
     let path = segment::segment_path(dir, number);
     let fail = |e| Error::io(&path, "create", e);
     let mut f = File::create(&path).map_err(fail)?;
     (files.write)(&mut f, &path, &SEGMENT_HEADER).map_err(fail)?;
-    (files.sync)(&f, &path).map_err(fail)?;
-    snapshot::sync_folder(dir, files)?;
-    Ok(Segment { number, highest_index: 0, bytes: SEGMENT_HEADER.len() as u64, f })
+    let bytes = SEGMENT_HEADER.len() as u64;
+    Ok(Segment { number, highest_index: 0, bytes, is_named: false, f })
 }
 
 /// Node that a data folder belongs to, if [`Store::claim`] has been called. The folder needn't exist, and isn't
--- a/crates/disk/tests/new_ids.rs
+++ b/crates/disk/tests/new_ids.rs
@@ -4,12 +4,12 @@
 mod common;
 
 use common::{FakeDisk, entry, paths};
-use disk::{Recovered, Store};
+use disk::{Files, Recovered, Store, StoreOptions};
 use raft::{HardState, Snapshot, SnapshotMeta};
 use std::{
     fs::{self, File},
     io::{self, Write as _},
-    path::Path,
+    path::{Path, PathBuf},
     sync::{
         Arc, Mutex,
         atomic::{AtomicUsize, Ordering},
@@ -175,6 +175,57 @@
     }
 }
 
+/// Guards against a first start that waits for a slow disk more often than it has to: a VM with an empty disk gets its vote
+/// only after it.
+#[test]
+fn a_first_start_syncs_each_file_and_folder_once() {
+    let (parent, synced) = (tempfile::tempdir().unwrap(), Arc::new(Mutex::new(Vec::new())));
+    let dir = parent.path().join("group");
+    let record = |synced: &Arc<Mutex<Vec<PathBuf>>>| {
+        let synced = Arc::clone(synced);
+        move |_: &File, path: &Path| {
+            synced.lock().unwrap().push(path.to_owned());
+            Ok(())
+        }
+    };
+    let files = Files {
+        sync: Box::new(record(&synced)),
+        sync_folder: Box::new(record(&synced)),
+        ..Files::default()
+    };
+    let (mut store, _) =
+        Store::open_with(&dir, StoreOptions { segment_bytes: SEGMENT_BYTES, files }).unwrap();
+    store.claim_new(NODE).unwrap();
+    let log = dir.join("log-0000000000000001");
+    let expected = [parent.path().to_owned(), log, dir.join("new"), dir.join("node.partial"), dir];
+    assert_eq!(*synced.lock().unwrap(), expected);
+}
+
+/// Guards against a log without a durable name: a loss of power removes it with the votes in it.
+#[test]
+fn a_log_outlasts_a_loss_of_power_with_and_without_an_owner() {
+    let claims: [fn(&mut Store); 3] = [
+        |_| (),
+        |store| store.claim(NODE).unwrap(),
+        |store| assert_eq!(store.claim_new(NODE).unwrap().term, 1),
+    ];
+    for (claim, crashes_before) in claims.into_iter().flat_map(|f| [(f, false), (f, true)]) {
+        let (disk, dir) = (FakeDisk::default(), tempfile::tempdir().unwrap());
+        let (mut store, _) = open(&disk, &dir);
+        claim(&mut store);
+        if crashes_before {
+            drop(store);
+            disk.crash(dir.path(), 0);
+            store = open(&disk, &dir).0;
+        }
+        store.append(Some(VOTE), &[]);
+        store.sync().unwrap();
+        drop(store);
+        disk.crash(dir.path(), 0);
+        assert_eq!(open(&disk, &dir).1.persisted_state.hard_state, VOTE);
+    }
+}
+
 /// Guards against a first start that fails on its way and leaves an owner whose id isn't known to be new.
 #[test]
 fn a_first_start_that_fails_at_any_sync_leaves_no_owner_or_a_new_one() {
--- a/crates/toucansilld/src/gateway/daemon.rs
+++ b/crates/toucansilld/src/gateway/daemon.rs
@@ -24,6 +24,7 @@
 };
 use crate::{
     error::{Error, Result},
+    sync::run_both,
     tasks::Tasks,
     voter::Voter,
 };
@@ -377,7 +378,17 @@
     let (settings, cfg, clock) = (Arc::clone(settings), cfg.clone(), Arc::clone(clock));
     let open = move || {
         let voter = identity::voter_settings(&settings, &cfg, identity)?;
-        Voter::start(&voter, &settings.links.to_string(), TICK, clock, outbox)
+        // They don't wait for each other's syncs. An id without its log isn't used, and a log has the id as well.
+        let (stored, started) = run_both(
+            || identity::store(&cfg, identity),
+            || Voter::start(&voter, &settings.links.to_string(), TICK, clock, outbox),
+        );
+        let started = started?;
+        if let Err(err) = stored {
+            started.stop();
+            return Err(err);
+        }
+        Ok(started)
     };
     let opened = spawn_blocking(open).await.map_err(|err| Error::start("voter", err))?;
     opened.map(Arc::new)
--- a/crates/toucansilld/src/gateway/identity.rs
+++ b/crates/toucansilld/src/gateway/identity.rs
@@ -48,8 +48,7 @@
     control.founds_group && settings.seeds.contains(&control.listen)
 }
 
-/// Returns the settings of this daemon's voter. Creates the data folder and stores the id, if
-/// missing.
+/// Returns the settings of this daemon's voter. Creates the data folder, if missing.
 pub(crate) fn voter_settings(
     settings: &GatewaySettings,
     control: &ControlSettings,
@@ -61,14 +60,6 @@
         log::error!("what is left of a discarded log was not removed: {err}");
     }
     let Identity { id, is_new } = identity;
-    let file = control.data_folder.join(ID_FILE);
-    let stored = read_id(&file).map_err(start_error)?;
-    if stored != Some(id) {
-        if !is_new {
-            log::warn!(member = id, stored:? = stored; "the id of this member is that of its log");
-        }
-        write_id(&file, id)?;
-    }
     let founders = settings.seeds.iter().zip(settings.seed_links());
     let initial = founders.map(|(seed, address)| InitialVoter { id: founder_id(*seed), address });
     let is_initial = is_founder(settings, control) && id < FIRST_RANDOM_ID;
@@ -82,6 +73,20 @@
     })
 }
 
+/// Stores the id durably in the data folder, if it is missing. That of the log is the one that counts.
+pub(crate) fn store(control: &ControlSettings, identity: Identity) -> Result<()> {
+    let Identity { id, is_new } = identity;
+    let file = control.data_folder.join(ID_FILE);
+    let stored = read_id(&file).map_err(|err| Error::file("control.data_folder", &err))?;
+    if stored == Some(id) {
+        return Ok(());
+    }
+    if !is_new {
+        log::warn!(member = id, stored:? = stored; "the id of this member is that of its log");
+    }
+    write_id(&file, id)
+}
+
 /// The id of this daemon in its data folder: that of the log. An id without a log isn't used: the
 /// log may be lost, and with it the votes that were cast under the id.
 ///
--- a/crates/toucansilld/src/voter.rs
+++ b/crates/toucansilld/src/voter.rs
@@ -12,7 +12,7 @@
     },
     error::{Error, Result},
     settings::VoterSettings,
-    sync::lock,
+    sync::{lock, run_both},
 };
 use addresses::{AddressWriter, Addresses};
 use control::{Command, InForceStatus, Outcome, RosterOutcome, State, relay};
@@ -73,7 +73,8 @@
         outbox: flume::Sender<OutgoingMessage>,
     ) -> Result<Self> {
         let state = Arc::new(Mutex::new(State::new()));
-        let addresses = Arc::new(Addresses::open(settings, own_address)?);
+        let (addresses, has_new_addresses) = Addresses::open(settings, own_address)?;
+        let addresses = Arc::new(addresses);
         let mut cfg = Config::new(settings.id, settings.data_folder.join(GROUP_FOLDER));
         cfg.clock = Arc::clone(&clock);
         cfg.tick_interval = Some(tick);
@@ -83,8 +84,16 @@
             cfg.snapshot_interval_entries = entries.get();
             cfg.keep_entries = cfg.keep_entries.min(entries.get());
         }
-        let handle = Group::start(cfg, machine::state_machine(&state), outbox)
-            .map_err(|err| Error::voter("voter", &err))?;
+        // They don't wait for each other's syncs: no message is sent or received before both have ended.
+        let (stored, started) = run_both(
+            || if has_new_addresses { addresses.store_first() } else { Ok(()) },
+            || Group::start(cfg, machine::state_machine(&state), outbox),
+        );
+        let handle = started.map_err(|err| Error::voter("voter", &err))?;
+        if let Err(err) = stored {
+            handle.stop();
+            return Err(err);
+        }
         let receiver = handle.clone();
         let address_writer =
             AddressWriter::start(Arc::clone(&addresses), move |message| receiver.step(message))?;
--- a/crates/toucansilld/src/voter/addresses.rs
+++ b/crates/toucansilld/src/voter/addresses.rs
@@ -43,8 +43,9 @@
 }
 
 impl Addresses {
-    /// Reads the stored addresses, and adds those of the initial voters and of this voter.
-    pub(crate) fn open(settings: &VoterSettings, own_address: &str) -> Result<Self> {
+    /// Reads the stored addresses, and adds those of the initial voters and of this voter. Returns whether they have to
+    /// be stored: later settings may no longer name the initial voters.
+    pub(crate) fn open(settings: &VoterSettings, own_address: &str) -> Result<(Self, bool)> {
         let error = |err: io::Error| Error::file("voter.data_folder", &err);
         fs::create_dir_all(&settings.data_folder).map_err(error)?;
         let file = settings.data_folder.join(FILE_NAME);
@@ -53,11 +54,13 @@
         let stored = read(&file).map_err(error)?;
         known.extend(stored.clone());
         known.insert(settings.id, String::from(own_address));
-        if known != stored {
-            // Later settings may no longer name the initial voters.
-            write(&file, &known).map_err(|err| Error::store("voter.data_folder", &err))?;
-        }
-        Ok(Self { file, own_id: settings.id, known: Mutex::new(known) })
+        let is_changed = known != stored;
+        Ok((Self { file, own_id: settings.id, known: Mutex::new(known) }, is_changed))
+    }
+
+    /// Writes the file at the start of the voter.
+    pub(crate) fn store_first(&self) -> Result<()> {
+        write(&self.file, &self.all()).map_err(|err| Error::store("voter.data_folder", &err))
     }
 
     /// Address of a voter, if known.
--- a/crates/toucansilld/tests/gateway/relays.rs
+++ b/crates/toucansilld/tests/gateway/relays.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     Region,
+    durable_names::build_recorder,
     exchanges::{SUCCESSOR, membership_lines, start_five},
     region::{POLL_INTERVAL, Routes, eventually},
 };
@@ -9,6 +10,7 @@
 use platform::stand_in::{DOCUMENT_PATH, document};
 use std::{
     collections::BTreeMap,
+    fs,
     net::TcpListener,
     thread,
     time::{Duration, Instant},
@@ -28,6 +30,8 @@
 const WAIT_TIME: Duration = Duration::from_secs(30);
 /// Number of members that are a majority of the five.
 const MAJORITY: usize = 3;
+/// What each sync of a slow disk takes longer, in milliseconds.
+const SLOW_SYNC_MS: u64 = 300;
 
 /// Paths between the control daemons, by sender and receiver.
 type Paths = BTreeMap<(usize, usize), FaultProxy>;
@@ -198,6 +202,24 @@
     eventually("five members", || is_whole(&region).then_some(()));
 }
 
+/// The same where the disk of the VM is slow: it had its vote only after some thirteen syncs, one after the other.
+#[test]
+fn a_vm_with_an_empty_slow_disk_gets_its_vote_by_way_of_others() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let library = build_recorder(folder.path());
+    let delay = |i: usize| folder.path().join(format!("delay-{i}"));
+    let (mut region, paths) = routed();
+    for i in 0..5 {
+        region.set_variables(i, vec![("LD_PRELOAD", library.clone()), ("SYNC_DELAY", delay(i))]);
+    }
+    let leader = start(&mut region);
+    fs::write(delay((leader + 1) % 5), SLOW_SYNC_MS.to_string()).expect("written");
+    let (lost, started) = lose_disk_without_leader(&mut region, &paths, leader);
+    let joined = time_to_vote(&region, lost, started);
+    println!("joined after {joined:?}, with syncs of {SLOW_SYNC_MS} ms");
+    assert!(joined <= VOTE_TIME, "joined after {joined:?}{}", membership_lines(&region));
+}
+
 /// The same where connections to the leader are accepted, and nothing is answered on them: an attempt to connect
 /// goes on for seconds, and hasn't failed until then.
 #[test]
