Don't wait for votes that were refused

Callers saw: none of their requests in the traced case; in the simulation a group with four voters, of which two were known to be lost, had no leader for 5 s. Both of the others campaigned at once twice, refused each other, and then waited for two to four seconds, four times the election timeout, for votes that could not come.

Cause: the timeout of a campaign grows with the number of those that failed, for votes that slow disks hold up. It grew as well if all votes that could make a majority had been refused.

Change: once the voters that haven't refused are no quorum, the campaign's timeout is that of a first one. Safety doesn't depend on timeouts.

--- a/crates/raft/src/election.rs
+++ b/crates/raft/src/election.rs
@@ -102,8 +102,7 @@
         self.reset_election_timer();
         // A vote waits for the voter's disk. If that takes longer than the timeout, the votes of
         // each term come too late, as the next one has begun by then.
-        let last = CAMPAIGN_TIMEOUT_FACTORS.len() - 1;
-        self.election_timeout *= CAMPAIGN_TIMEOUT_FACTORS[self.failed_campaigns.min(last)];
+        self.election_timeout *= self.campaign_timeout_factor();
         let body = MessageBody::Vote { last: self.log.last(), transfer };
         self.request_votes(self.hard_state.term, body);
         if self.has_won() {
@@ -111,6 +110,11 @@
         }
     }
 
+    fn campaign_timeout_factor(&self) -> u32 {
+        let last = CAMPAIGN_TIMEOUT_FACTORS.len() - 1;
+        CAMPAIGN_TIMEOUT_FACTORS[self.failed_campaigns.min(last)]
+    }
+
     /// Begins a pre-vote or a vote. Losses of disks that become known later don't count in it: of
     /// the votes that it has by then, some may have been cast before.
     fn request_votes(&mut self, term: Term, body: MessageBody) {
@@ -145,6 +149,11 @@
         self.has_quorum(|id| self.votes.get(&id) == Some(&true))
     }
 
+    /// Whether the voters that haven't refused the running vote are a quorum.
+    fn can_win(&self) -> bool {
+        self.has_quorum(|id| self.votes.get(&id) != Some(&false))
+    }
+
     /// Whether the node may vote for a candidate whose log ends at `last`.
     ///
     /// A node whose log is empty, or holds only the bootstrap entry, may have lost its disk after
@@ -202,9 +211,13 @@
         if self.role != Role::Candidate {
             return;
         }
+        let could_win = self.can_win();
         self.votes.insert(from, granted);
         if self.has_won() {
             self.become_leader();
+        } else if could_win && !self.can_win() {
+            // There are no late votes to wait for.
+            self.election_timeout /= self.campaign_timeout_factor();
         }
     }
 
--- a/crates/raft/tests/campaigns.rs
+++ b/crates/raft/tests/campaigns.rs
@@ -2,7 +2,7 @@
 
 mod sim;
 
-use raft::NodeId;
+use raft::{Config, Membership, Message, MessageBody, NodeId, PersistedState, Raft, Role};
 use sim::Sim;
 use std::env;
 
@@ -162,3 +162,30 @@
         }
     }
 }
+
+/// Guards against a group that has no leader for seconds after two candidates have split the votes, as both wait
+/// for further ones.
+#[test]
+fn a_candidate_that_was_refused_does_not_wait_longer_each_time() {
+    const CAMPAIGNS: usize = 6;
+    let mut raft =
+        Raft::new(Config::new(1), PersistedState::bootstrap(Membership::initial(1, 1..=VOTERS)));
+    let longest = 2 * Config::new(1).election_ticks;
+    let answer = |raft: &mut Raft, term, body: &MessageBody| {
+        let group = raft.membership().group;
+        (2..=VOTERS).for_each(|from| {
+            raft.step(Message { group, from, to: 1, term, body: body.clone() });
+        });
+    };
+    for campaign in 0..CAMPAIGNS {
+        let waited = (0..20 * longest).find(|_| {
+            raft.tick();
+            raft.role() == Role::PreCandidate
+        });
+        assert!(waited.is_some_and(|n| n < longest), "campaign {campaign}: {waited:?} ticks");
+        let term = raft.term();
+        answer(&mut raft, term + 1, &MessageBody::PreVoteResponse { granted: true });
+        assert_eq!(raft.role(), Role::Candidate);
+        answer(&mut raft, term + 1, &MessageBody::VoteResponse { granted: false });
+    }
+}
