--- a/crates/raft/tests/driver/mod.rs
+++ b/crates/raft/tests/driver/mod.rs
@@ -51,6 +51,9 @@
 /// ticks.
 pub const CATCH_UP_ROUNDS: u32 = 80;
 
+/// How the message of [`Driver::recover`] begins.
+pub const NOT_BACK: &str = "the group isn't back at full size";
+
 /// Rounds for which no node is admitted once a voter was told that it may end: until it would be
 /// found silent.
 const HOLD_OFF_ROUNDS: u32 = 12;
@@ -80,12 +83,17 @@
     hold_off_rounds: u32,
     /// Address of the VM that is being replaced as planned, and its successor's.
     leaving: Option<(String, String)>,
+    /// Address of a VM that asks to leave before its process ends, and has no successor. `None` once
+    /// the process has ended, as it may.
+    pub stopping: Option<String>,
     pub next_id: NodeId,
     commands: u32,
     losses: Losses,
     /// For each node, by its bit, what a connection tells while it is down or gone. It doesn't tell
     /// these two apart.
     pub kinds: u64,
+    /// Whether more disks may be lost than the group bears. It may then have no majority for a while.
+    pub may_lose_majority: bool,
     /// Number of disks lost since the group was last at full size.
     lost_disks: usize,
     /// Leader of the last round, with its term.
@@ -127,10 +135,12 @@
             addresses,
             hold_off_rounds: 0,
             leaving: None,
+            stopping: None,
             next_id: VM_COUNT as NodeId + 1,
             commands: 0,
             losses,
             kinds,
+            may_lose_majority: false,
             lost_disks: 0,
             last_leader: None,
         }
@@ -283,7 +293,9 @@
             self.count_rounds_back();
             self.rejoin_retired();
             self.change_members();
-            self.check_majority();
+            if !self.may_lose_majority {
+                self.check_majority();
+            }
             if self.is_complete() {
                 self.lost_disks = 0;
             }
@@ -440,7 +452,7 @@
             && self.working_leader() == Some(leader)
         {
             self.hold_off_rounds = HOLD_OFF_ROUNDS;
-            self.end_for_good(node);
+            self.end_process(node);
         }
     }
 
@@ -459,17 +471,23 @@
         }
     }
 
-    /// The VM that leaves, once its successor has caught up.
+    /// The VM that leaves: one that is stopping, or one whose successor has caught up.
     fn leaving_vm(&self) -> Option<&Vm> {
+        if let Some(address) = &self.stopping {
+            return self.vms.iter().find(|vm| vm.address == *address);
+        }
         let (predecessor, successor) = self.leaving.as_ref()?;
         let successor = self.vms.iter().find(|vm| vm.address == *successor)?;
         let is_due = successor.rounds_back >= CATCH_UP_ROUNDS;
         self.vms.iter().find(|vm| vm.address == *predecessor).filter(|_| is_due)
     }
 
-    /// Ends the process of the VM that leaves.
-    fn end_for_good(&mut self, node: NodeId) {
+    /// Ends the process of the VM that leaves, for good if it has a successor.
+    fn end_process(&mut self, node: NodeId) {
         self.sim.crash(node);
+        if self.stopping.take().is_some() {
+            return;
+        }
         self.vms.retain(|vm| vm.node != node);
         self.leaving = None;
     }
@@ -477,17 +495,21 @@
     /// Checks that the voters whose disks are left are a quorum, as of the newest log among them.
     fn check_majority(&self) {
         let Some((members, has_disk)) = self.newest_members(None) else { return };
-        assert!(
-            members.has_quorum_without(&self.known_lost(None), |id| has_disk.contains(&id)),
-            "of the voters of {members:?} are left: {has_disk:?}"
-        );
+        assert!(self.has_majority(), "of the voters of {members:?} are left: {has_disk:?}");
+    }
+
+    /// Whether the voters whose disks are left are a quorum, as of the newest log among them.
+    pub fn has_majority(&self) -> bool {
+        self.newest_members(None).is_none_or(|(members, has_disk)| {
+            members.has_quorum_without(&self.known_lost(None), |id| has_disk.contains(&id))
+        })
     }
 
     /// Whether a VM may be replaced at another address. With an even number of voters of which half
     /// are lost, nobody can decide unless one of the lost ones has a VM at its address, which tells
     /// that its disk is lost: either half could be the one that is left. No policy avoids this. A
     /// change of the members may still be in flight.
-    fn can_decide_without(&self, at: usize) -> bool {
+    pub fn can_decide_without(&self, at: usize) -> bool {
         let Some((newest, has_disk)) = self.newest_members(Some(at)) else { return false };
         let is_left = |id| has_disk.contains(&id);
         let known_lost = self.known_lost(Some(at));
@@ -561,7 +583,7 @@
             }
         }
         let nodes: Vec<_> = self.sim.alive().into_iter().map(|id| self.sim.describe(id)).collect();
-        panic!("the group isn't back at full size:\n{}", nodes.join("\n"));
+        panic!("{NOT_BACK}:\n{}", nodes.join("\n"));
     }
 
     /// Checks that the group still commits after the failure of any two VMs.
--- a/crates/raft/tests/sim/mod.rs
+++ b/crates/raft/tests/sim/mod.rs
@@ -63,6 +63,8 @@
     /// Set by tests in which nodes lose their disks: a leader may then find that a member lacks
     /// entries which it had acknowledged.
     pub may_lose_disks: bool,
+    /// Varies the election timeouts of nodes that start from now on.
+    pub timeout_seed: u64,
     configure: fn(&mut Config),
 }
 
@@ -83,6 +85,7 @@
             next_read: 0,
             confirmed_reads: 0,
             may_lose_disks: false,
+            timeout_seed: 0,
             configure,
         };
         let members = Membership::initial(1, 1..=voters);
@@ -111,6 +114,7 @@
         cfg.max_in_flight = 3;
         cfg.snapshot_chunk_bytes = 5;
         cfg.max_promote_lag = 2;
+        cfg.seed ^= self.timeout_seed;
         (self.configure)(&mut cfg);
         cfg
     }
