Test that a log keeps its name if the process ends before the first frame

Since the first segment is synced with its first frame only, its name may not be durable when a process ends early.

--- a/crates/disk/tests/new_ids.rs
+++ b/crates/disk/tests/new_ids.rs
@@ -209,13 +209,16 @@
         |store| store.claim(NODE).unwrap(),
         |store| assert_eq!(store.claim_new(NODE).unwrap().term, 1),
     ];
-    for (claim, crashes_before) in claims.into_iter().flat_map(|f| [(f, false), (f, true)]) {
+    // What happens between the first start and the vote: nothing, the end of the process, or a loss of power.
+    let befores: [fn(&FakeDisk, &Path); 3] = [|_, _| (), |_, _| (), |disk, dir| disk.crash(dir, 0)];
+    let cases = claims.into_iter().flat_map(|claim| (0..befores.len()).map(move |i| (claim, i)));
+    for (claim, before) in cases {
         let (disk, dir) = (FakeDisk::default(), tempfile::tempdir().unwrap());
         let (mut store, _) = open(&disk, &dir);
         claim(&mut store);
-        if crashes_before {
+        if before > 0 {
             drop(store);
-            disk.crash(dir.path(), 0);
+            befores[before](&disk, dir.path());
             store = open(&disk, &dir).0;
         }
         store.append(Some(VOTE), &[]);
