Slow a learner's disk down only once it has a log

stalled_learners::two_disks_may_be_lost_while_the_disk_of_a_learner_is_slow failed beside load with `no line of ID`: on in 5 of 6 runs at load 38 to 67, and in 1 of 8 beside eight busy processes.

Cause, by the lines of a failed run: the disk was slowed down as soon as the daemon accepted links. It does so before its voter has opened its disk since, so the VM spent the 8 s on opening its log and never asked to join. The leader knew its id (`the disk of 1714 is lost, as ...8899 is there`) and logged each second that 1714, which it had set aside, has no vote, but no learner of that name. The group itself did what the test asks for: both documents were read.

The two tests of a learner's slow disk begin once the log is open, as their names and the former comment on that moment say. The check of the leader's lines is unchanged.

--- a/crates/toucansilld/tests/gateway/stalled_learners.rs
+++ b/crates/toucansilld/tests/gateway/stalled_learners.rs
@@ -37,8 +37,10 @@
 enum Since {
     /// At their start.
     Start,
-    /// Once a daemon accepts links, and so has an id and a log.
+    /// Once a daemon accepts links, which may be before it has an id and a log on its disk.
     Listening,
+    /// Once a daemon has an id and a log on its disk, and so asks to join.
+    Opened,
     /// Once the leader has added one of them as a learner.
     Learner,
 }
@@ -54,6 +56,12 @@
     WithLastStalled,
 }
 
+/// End of an id, by which lines name members.
+fn short_name(id: &str) -> &str {
+    let id = id.trim();
+    &id[id.len().saturating_sub(4)..]
+}
+
 /// Links between the control daemons, by the one that connects and the one that accepts, each through
 /// a proxy of its own.
 struct Paths(BTreeMap<(usize, usize), FaultProxy>);
@@ -134,6 +142,12 @@
         self.region.start(i, false);
     }
 
+    /// Whether daemon `i`, whose disk was empty, has opened the log of its present id.
+    fn has_opened_log(&self, i: usize) -> bool {
+        let Some(id) = self.region.stored_id(i) else { return false };
+        self.region.log(i).contains(&format!("empty disk, starts as {}", short_name(&id)))
+    }
+
     /// Whether a leader has added daemon `i` as a learner since its start.
     fn is_learner(&self, i: usize) -> bool {
         let Some(id) = self.region.stored_id(i) else { return false };
@@ -166,6 +180,7 @@
         let is_due = |i: &usize| match since {
             Since::Start => true,
             Since::Listening => TcpStream::connect(self.region.links_address(*i)).is_ok(),
+            Since::Opened => self.has_opened_log(*i),
             Since::Learner => self.is_learner(*i),
         };
         eventually("a daemon", || started.iter().any(is_due).then_some(()));
@@ -256,7 +271,7 @@
         self.region.set_variables(wiped, variables);
         let slow_down = |_: &Self| fs::write(&delay, SLOW_SYNC_MS.to_string()).expect("written");
         let speed_up = |group: &Self| {
-            if let (Lost::Followers, Since::Listening) = (lost, since) {
+            if let (Lost::Followers, Since::Opened) = (lost, since) {
                 group.check_wait_is_logged(wiped);
             }
             fs::remove_file(&delay).expect("removed");
@@ -267,8 +282,7 @@
     /// The leader's lines must say that a learner has no vote, and later that it has one or is gone.
     fn check_wait_is_logged(&self, learner: usize) {
         let id = self.region.stored_id(learner).expect("an id");
-        let id = id.trim();
-        let (log, name) = (self.region.log(self.leader), &id[id.len() - 4..]);
+        let (log, name) = (self.region.log(self.leader), short_name(&id));
         let tells = |line: &str| line.contains("no vote for ") && line.contains(name);
         assert!(log.lines().any(tells), "no line of {name} in {log}");
     }
@@ -323,7 +337,7 @@
 /// The same with a learner that is heard, and whose disk is slow.
 #[test]
 fn two_disks_may_be_lost_while_the_disk_of_a_learner_is_slow() {
-    Group::start().check_slow_disk(Since::Listening, Lost::Followers);
+    Group::start().check_slow_disk(Since::Opened, Lost::Followers);
 }
 
 /// The same with a disk that is slow before the learner has an id.
@@ -335,7 +349,7 @@
 /// The same where the leader is among those that lose their disks.
 #[test]
 fn the_leader_may_lose_its_disk_while_that_of_a_learner_is_slow() {
-    Group::start().check_slow_disk(Since::Listening, Lost::WithLeader);
+    Group::start().check_slow_disk(Since::Opened, Lost::WithLeader);
 }
 
 /// The same with links on which the log takes too long.
