Keep the silent machines of a test off the address of the proxies

Cause: its machines listen on one port at 127.0.0.2 and the addresses after it. Since the proxies of all tests listen on ports of 127.0.0.2 that the system picks, also the hundreds of those beside it.

The machines before the region's addresses listen on 127.0.1.2 and so on.

--- a/crates/toucansilld/tests/gateway/region.rs
+++ b/crates/toucansilld/tests/gateway/region.rs
@@ -236,8 +236,9 @@
         last: usize,
     ) -> (Vec<TcpListener>, Vec<SocketAddr>) {
         let before = usize::from(self.base_port) % (count + 1);
+        // Proxies listen on ports of 127.0.0.2 that the system picks.
         let ip = |n: usize| match n < before {
-            true => [127, 0, (n / 250) as u8, 2 + (n % 250) as u8],
+            true => [127, 0, 1 + (n / 250) as u8, 2 + (n % 250) as u8],
             false => [127, 255, (n / 250) as u8, 2 + (n % 250) as u8],
         };
         let listen = |n| TcpListener::bind(SocketAddr::from((ip(n), self.base_port)));
